--- /dev/null
+++ b/crates/blueprint/src/lib.rs
@@ -0,0 +1,13 @@
+//! What operators write: the blueprint, its checks, and the daemons' own settings.
+
+mod bounds;
+mod checks;
+mod model;
+mod plan;
+mod settings;
+
+pub use bounds::Bounds;
+pub use checks::{check, parse, Fault, TEXT_MAX};
+pub use model::{Blueprint, District, DistrictState, Kind, Listing};
+pub use plan::{Plan, RunnerEntry, RunnerState};
+pub use settings::{read_settings, CoreSettings, FrontSettings, SettingsFault};
--- /dev/null
+++ b/crates/blueprint/src/plan.rs
@@ -0,0 +1,66 @@
+use speedy::{Readable, Writable};
+
+/// What the scaler wants: every runner with its keeper and quota, and the roster of fronts.
+/// It is one value of the register, so an old scaler's write loses by the expected version.
+#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+pub struct Plan {
+    /// Term of the scaler's duty under which it was written.
+    pub term: u64,
+    /// Changes each time the roster changes.
+    pub roster_no: u64,
+    /// Names of the fronts whose majority gives standing.
+    pub roster: Vec<String>,
+    /// All runners that are wanted, draining, or whose address rests.
+    pub runners: Vec<RunnerEntry>,
+}
+
+/// One runner in the plan.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+pub struct RunnerEntry {
+    /// Id, never used again.
+    pub id: String,
+    /// Function that it runs.
+    pub function: String,
+    /// Worker that it is placed on.
+    pub worker: String,
+    /// District of that worker.
+    pub district: String,
+    /// Address (ip and port) chosen for it.
+    pub address: String,
+    /// Key that it seals its answers with.
+    pub key: Vec<u8>,
+    /// Memory that it takes, in megabytes.
+    pub memory_mb: u64,
+    /// Requests that it may hold at once, never above its listing's concurrency.
+    pub quota: u32,
+    /// Name of the front that alone hands out its seats.
+    pub keeper: String,
+    /// Incarnation of that front.
+    pub keeper_incarnation: u64,
+    /// Grows with each new keeper; 1 is the first.
+    pub keeper_epoch: u64,
+    /// Version of the plan that named this keeper.
+    pub keeper_since: u64,
+    /// Where it is in its life.
+    pub state: RunnerState,
+}
+
+/// Where a runner is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum RunnerState {
+    /// Wanted: it is started and serves as soon as it answers.
+    Wanted,
+    /// Gets no new seats; what is in flight finishes.
+    Draining,
+    /// Drained: the platform is asked to stop it.
+    Stopping,
+    /// Confirmed stopped; its address may not be used again yet.
+    Resting,
+}
+
+impl Plan {
+    /// The entry of a runner.
+    pub fn runner(&self, id: &str) -> Option<&RunnerEntry> {
+        self.runners.iter().find(|entry| entry.id == id)
+    }
+}
--- /dev/null
+++ b/crates/blueprint/src/settings.rs
@@ -0,0 +1,138 @@
+use figment::providers::{Format, Serialized, Toml};
+use figment::Figment;
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// A fault in a daemon's settings, in one sentence.
+#[derive(Debug)]
+pub struct SettingsFault(pub String);
+
+impl fmt::Display for SettingsFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "settings: {}", self.0)
+    }
+}
+
+impl std::error::Error for SettingsFault {}
+
+/// Settings of `hallkeel-front`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FrontSettings {
+    /// Name of this front, one of its own in the fleet.
+    pub name: String,
+    /// District that it stands in.
+    pub district: String,
+    /// Address for callers and operators (HTTP).
+    pub http: SocketAddr,
+    /// Address for the other daemons.
+    pub wire: SocketAddr,
+    /// Wire addresses of the three cores with a disk.
+    pub seeds: Vec<SocketAddr>,
+    /// Tries that may run at once in this front.
+    #[serde(default = "default_tries")]
+    pub tries_max: usize,
+    /// Callers' connections at once.
+    #[serde(default = "default_connections")]
+    pub connections_max: usize,
+}
+
+/// Settings of `hallkeel-core`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CoreSettings {
+    /// Name of this core, one of its own in the fleet.
+    pub name: String,
+    /// District that it stands in.
+    pub district: String,
+    /// Address for operators (HTTP).
+    pub http: SocketAddr,
+    /// Address for the other daemons.
+    pub wire: SocketAddr,
+    /// Wire addresses of the three cores with a disk, this one among them.
+    pub seeds: Vec<SocketAddr>,
+    /// Folder for everything that must last.
+    pub data: PathBuf,
+    /// Address of the platform's API.
+    pub platform: SocketAddr,
+}
+
+fn default_tries() -> usize {
+    256
+}
+
+fn default_connections() -> usize {
+    2_048
+}
+
+/// Reads settings from a file (where one is named) with the flags given on top of it.
+pub fn read_settings<T: DeserializeOwned>(
+    file: Option<&Path>,
+    flags: impl Serialize,
+) -> Result<T, SettingsFault> {
+    let mut figment = Figment::new();
+    if let Some(path) = file {
+        if !path.is_file() {
+            return Err(SettingsFault(format!("no file at {}", path.display())));
+        }
+        figment = figment.merge(Toml::file_exact(path));
+    }
+    figment
+        .merge(Serialized::defaults(flags))
+        .extract()
+        .map_err(|fault| SettingsFault(fault.to_string()))
+}
+
+fn check_common(name: &str, district: &str, seeds: &[SocketAddr]) -> Result<(), SettingsFault> {
+    for (field, text) in [("name", name), ("district", district)] {
+        let fits = !text.is_empty()
+            && text.len() <= 64
+            && text
+                .bytes()
+                .all(|byte| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_');
+        if !fits {
+            return Err(SettingsFault(format!(
+                "{field} must be 1 to 64 letters, digits, '-' or '_', found {text:?}"
+            )));
+        }
+    }
+    let mut distinct = seeds.to_vec();
+    distinct.sort();
+    distinct.dedup();
+    if distinct.len() != 3 || seeds.len() != 3 {
+        return Err(SettingsFault(format!(
+            "seeds must be three different addresses, found {}",
+            seeds.len()
+        )));
+    }
+    Ok(())
+}
+
+impl FrontSettings {
+    /// Checks what the types cannot.
+    pub fn check(&self) -> Result<(), SettingsFault> {
+        check_common(&self.name, &self.district, &self.seeds)?;
+        if self.tries_max == 0 || self.connections_max == 0 {
+            return Err(SettingsFault(
+                "tries_max and connections_max must be above zero".into(),
+            ));
+        }
+        Ok(())
+    }
+}
+
+impl CoreSettings {
+    /// Checks what the types cannot.
+    pub fn check(&self) -> Result<(), SettingsFault> {
+        check_common(&self.name, &self.district, &self.seeds)?;
+        if !self.seeds.contains(&self.wire) {
+            return Err(SettingsFault(format!(
+                "seeds must hold this core's own wire address {}",
+                self.wire
+            )));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/journal/src/lib.rs
@@ -0,0 +1,10 @@
+//! A log in segments with snapshots beside it. What `append` and `sync` promised is found again.
+
+mod folder;
+mod frame;
+mod log_file;
+mod memory;
+
+pub use folder::{DiskFolder, Folder};
+pub use log_file::{Journal, JournalError, Recovered};
+pub use memory::{MemoryFolder, Mishap};
--- /dev/null
+++ b/crates/register/src/lib.rs
@@ -0,0 +1,12 @@
+//! A register for each key, on copies kept by voters, changed in two rounds at a majority with
+//! the expected version. There is no log of changes and no leader.
+
+mod acceptor;
+mod client;
+mod message;
+mod round;
+
+pub use acceptor::{Acceptor, Held, Record, KEYS_MAX};
+pub use client::{RegisterClient, VoterPort};
+pub use message::{Ballot, Stored, VoterAsk, VoterMessage, VoterRef, VoterReply, VoterSet};
+pub use round::{Change, Outcome, Round, Step};
--- /dev/null
+++ b/crates/register/tests/rounds.rs
@@ -0,0 +1,255 @@
+//! Seeded runs of proposers against acceptors with loss, delay, reordering, doubling and voters
+//! that come back from their records. The oracle is a list of acknowledged writes.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use register::{
+    Acceptor, Ballot, Change, Outcome, Record, Round, Step, VoterMessage, VoterRef, VoterReply,
+    VoterSet,
+};
+use std::collections::BTreeMap;
+
+const VOTERS: usize = 3;
+
+struct Proposer {
+    id: u64,
+    counter: u64,
+    round: Option<(Round, u64)>,
+    expected: u64,
+    tag: u64,
+    proposed: bool,
+}
+
+enum Parcel {
+    ToVoter(usize, usize, u64, VoterMessage),
+    ToProposer(usize, usize, u64, VoterReply),
+}
+
+struct World {
+    random: StdRng,
+    set: VoterSet,
+    voters: Vec<Acceptor>,
+    synced: Vec<Vec<Record>>,
+    proposers: Vec<Proposer>,
+    parcels: Vec<Parcel>,
+    settled: BTreeMap<u64, u64>,
+    writes: usize,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let voters = (0..VOTERS as u64)
+            .map(|disk| VoterRef {
+                disk,
+                address: String::new(),
+            })
+            .collect();
+        let set = VoterSet {
+            era: 1,
+            no: 1,
+            voters,
+        };
+        let mut world = Self {
+            random: StdRng::seed_from_u64(seed),
+            voters: vec![Acceptor::default(); VOTERS],
+            synced: vec![Vec::new(); VOTERS],
+            proposers: (0..3)
+                .map(|id| Proposer {
+                    id,
+                    counter: 0,
+                    round: None,
+                    expected: 0,
+                    tag: 0,
+                    proposed: false,
+                })
+                .collect(),
+            parcels: Vec::new(),
+            settled: BTreeMap::new(),
+            writes: 0,
+            set,
+        };
+        for place in 0..VOTERS {
+            let record = world.voters[place].form(world.set.clone()).unwrap();
+            world.synced[place].push(record);
+        }
+        world
+    }
+
+    fn send_all(&mut self, proposer: usize, number: u64, ask: register::VoterAsk) {
+        for voter in 0..VOTERS {
+            let message = VoterMessage {
+                mark: self.set.mark(),
+                ask: ask.clone(),
+            };
+            self.parcels
+                .push(Parcel::ToVoter(proposer, voter, number, message));
+        }
+    }
+
+    fn begin(&mut self, place: usize, tag: Option<u64>) {
+        let fresh: u64 = self.random.random();
+        let proposer = &mut self.proposers[place];
+        proposer.counter += 1;
+        proposer.proposed &= tag.is_some();
+        proposer.tag = tag.unwrap_or(fresh);
+        let ballot = Ballot {
+            counter: proposer.counter,
+            proposer: proposer.id,
+        };
+        let change = Change::Write {
+            expected: proposer.expected,
+            bytes: vec![place as u8],
+        };
+        let (round, ask) = Round::start("key", change, ballot, proposer.tag, VOTERS);
+        let number = proposer.counter * 10;
+        proposer.round = Some((round, number));
+        self.send_all(place, number, ask);
+    }
+
+    fn settle(&mut self, version: u64, tag: u64) {
+        let known = self.settled.entry(version).or_insert(tag);
+        assert_eq!(*known, tag, "two values settled at version {version}");
+    }
+
+    fn deliver(&mut self, parcel: Parcel) {
+        match parcel {
+            Parcel::ToVoter(proposer, voter, number, message) => {
+                let (record, reply) = self.voters[voter].handle(message);
+                self.synced[voter].extend(record);
+                self.parcels
+                    .push(Parcel::ToProposer(proposer, voter, number, reply));
+            }
+            Parcel::ToProposer(place, voter, number, reply) => {
+                self.answer(place, voter, number, reply)
+            }
+        }
+    }
+
+    fn answer(&mut self, place: usize, voter: usize, number: u64, reply: VoterReply) {
+        let Some((mut round, current)) = self.proposers[place].round.take() else {
+            return;
+        };
+        if current != number {
+            self.proposers[place].round = Some((round, current));
+            return;
+        }
+        match round.on_reply(voter, reply) {
+            Step::Wait => self.proposers[place].round = Some((round, current)),
+            Step::Ask(ask) => {
+                self.proposers[place].proposed |= round.has_proposed();
+                self.proposers[place].round = Some((round, current + 1));
+                self.send_all(place, current + 1, ask);
+            }
+            Step::Done(Outcome::Settled(stored)) => {
+                let proposer = &mut self.proposers[place];
+                if stored.version == proposer.expected + 1 && stored.tag == proposer.tag {
+                    self.writes += 1;
+                }
+                self.proposers[place].expected = stored.version;
+                if stored.version > 0 {
+                    self.settle(stored.version, stored.tag);
+                }
+            }
+            Step::Done(Outcome::Beaten(ballot)) => {
+                let proposer = &mut self.proposers[place];
+                proposer.counter = proposer.counter.max(ballot.counter);
+                let tag = proposer.tag;
+                self.begin(place, Some(tag));
+            }
+            Step::Done(_) => {}
+        }
+    }
+
+    fn step(&mut self) {
+        match self.random.random_range(0..100) {
+            0..=3 => {
+                let place = self.random.random_range(0..3);
+                if self.proposers[place].round.is_none() {
+                    self.begin(place, None);
+                }
+            }
+            4 => {
+                let place = self.random.random_range(0..3);
+                self.proposers[place].round = None;
+            }
+            5 => {
+                let voter = self.random.random_range(0..VOTERS);
+                let mut back = Acceptor::default();
+                for record in self.synced[voter].clone() {
+                    back.replay(record);
+                }
+                assert_eq!(back, self.voters[voter]);
+                self.voters[voter] = back;
+            }
+            _ if self.parcels.is_empty() => {}
+            roll => {
+                let place = self.random.random_range(0..self.parcels.len());
+                let parcel = self.parcels.swap_remove(place);
+                if roll < 12 {
+                    return;
+                }
+                if roll < 18 {
+                    if let Parcel::ToVoter(proposer, voter, number, message) = &parcel {
+                        let twin = Parcel::ToVoter(*proposer, *voter, *number, message.clone());
+                        self.parcels.push(twin);
+                    }
+                }
+                self.deliver(parcel);
+            }
+        }
+    }
+}
+
+#[test]
+fn one_value_is_settled_for_each_version() {
+    let mut writes = 0;
+    for seed in 0..300 {
+        let mut world = World::new(seed);
+        for _ in 0..1_500 {
+            world.step();
+        }
+        writes += world.writes;
+    }
+    assert!(writes > 1_000, "only {writes} writes were settled");
+}
+
+#[test]
+fn a_voter_of_another_set_answers_with_its_own() {
+    let mut voter = Acceptor::default();
+    let ask = register::VoterAsk::Peek { key: "key".into() };
+    let (record, reply) = voter.handle(VoterMessage { mark: (1, 1), ask });
+    assert_eq!(record, None);
+    assert_eq!(
+        reply,
+        VoterReply::OtherSet {
+            set: VoterSet::default()
+        }
+    );
+}
+
+#[test]
+fn an_aged_out_claim_is_refused_and_never_taken_anew() {
+    let set = VoterSet {
+        era: 1,
+        no: 1,
+        voters: Vec::new(),
+    };
+    let mut voter = Acceptor::default();
+    voter.form(set).unwrap();
+    let ballot = Ballot {
+        counter: 1,
+        proposer: 1,
+    };
+    let ask = |time: u64| VoterMessage {
+        mark: (1, 1),
+        ask: register::VoterAsk::Promise {
+            key: format!("once/{time:014}/x"),
+            ballot,
+        },
+    };
+    assert!(voter.handle(ask(500)).0.is_some());
+    assert!(voter.age_out(600).is_some());
+    let (record, reply) = voter.handle(ask(500));
+    assert!(record.is_none() && matches!(reply, VoterReply::Closed { .. }));
+    assert!(voter.handle(ask(600)).0.is_some());
+}
