--- a/crates/blueprint/src/lib.rs
+++ b/crates/blueprint/src/lib.rs
@@ -9,5 +9,5 @@
 pub use bounds::Bounds;
 pub use checks::{check, parse, Fault, TEXT_MAX};
 pub use model::{Blueprint, District, DistrictState, Kind, Listing};
-pub use plan::{Plan, RunnerEntry, RunnerState};
+pub use plan::{PeerRef, Plan, RunnerEntry, RunnerState, Version};
 pub use settings::{read_settings, CoreSettings, FrontSettings, SettingsFault};
--- a/crates/blueprint/src/plan.rs
+++ b/crates/blueprint/src/plan.rs
@@ -1,13 +1,34 @@
+use serde::Serialize;
 use speedy::{Readable, Writable};
 
+/// Version of a value that is carried to all: a higher era wins, then a higher number.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Readable, Writable, Serialize,
+)]
+pub struct Version {
+    /// Era of the voters that settled it.
+    pub era: u64,
+    /// Version of the register.
+    pub no: u64,
+}
+
+/// A daemon in one of its lives.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Readable, Writable, Serialize)]
+pub struct PeerRef {
+    /// Name from its settings.
+    pub name: String,
+    /// Random number of this life.
+    pub incarnation: u64,
+}
+
 /// What the scaler wants: every runner with its keeper and quota, and the roster of fronts.
 /// It is one value of the register, so an old scaler's write loses by the expected version.
 #[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
 pub struct Plan {
     /// Term of the scaler's duty under which it was written.
     pub term: u64,
-    /// Changes each time the roster changes.
-    pub roster_no: u64,
+    /// Version of the plan that last changed the roster.
+    pub roster_since: Version,
     /// Names of the fronts whose majority gives standing.
     pub roster: Vec<String>,
     /// All runners that are wanted, draining, or whose address rests.
@@ -33,14 +54,12 @@
     pub memory_mb: u64,
     /// Requests that it may hold at once, never above its listing's concurrency.
     pub quota: u32,
-    /// Name of the front that alone hands out its seats.
-    pub keeper: String,
-    /// Incarnation of that front.
-    pub keeper_incarnation: u64,
+    /// The front that alone hands out its seats.
+    pub keeper: PeerRef,
     /// Grows with each new keeper; 1 is the first.
     pub keeper_epoch: u64,
     /// Version of the plan that named this keeper.
-    pub keeper_since: u64,
+    pub keeper_since: Version,
     /// Where it is in its life.
     pub state: RunnerState,
 }
--- /dev/null
+++ b/crates/holding/src/action.rs
@@ -0,0 +1,91 @@
+use blueprint::PeerRef;
+
+/// A ticket as the desk knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ticket {
+    /// Key of its continuation in the front's slab, with the generation.
+    pub slot: u64,
+    /// Function that it is for.
+    pub function: String,
+    /// Rank of its kind; 0 is the most urgent.
+    pub rank: u8,
+    /// When it came in.
+    pub arrived: u64,
+    /// When its budget is over.
+    pub budget_end: u64,
+    /// Tries that provably never reached a runner.
+    pub unsent: u32,
+}
+
+/// Why a ticket was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The holding was full and nothing in it ranked lower.
+    HoldingFull,
+    /// It was shed from a full holding for one of a higher rank.
+    Shed,
+    /// Its budget was over before a seat was free.
+    BudgetOver,
+    /// This front is cut off from the majority of fronts.
+    NoStanding,
+    /// The function is not listed (any more).
+    Unlisted,
+    /// This front is draining.
+    Draining,
+    /// Its tries could not reach any runner.
+    Unreachable,
+}
+
+/// The right to have one request in flight on one runner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SeatGrant {
+    /// Runner that it is for.
+    pub runner: String,
+    /// Function of that runner.
+    pub function: String,
+    /// Address of the runner.
+    pub address: String,
+    /// Key that the runner seals with.
+    pub key: Vec<u8>,
+    /// Front that lent it.
+    pub keeper: PeerRef,
+    /// Epoch of that keeper.
+    pub epoch: u64,
+    /// Number among the keeper's seats.
+    pub seat_no: u64,
+    /// It must start before this time.
+    pub start_by: u64,
+}
+
+/// How a try ended, as far as its seat goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TryEnd {
+    /// A whole answer came; it took so many milliseconds.
+    Answered(u64),
+    /// A whole answer came that was not good (unsealed, garbage).
+    Bad,
+    /// Provably nothing was sent, since the seat was no longer good.
+    Unsent,
+    /// Provably nothing was run, since the runner was not there or refused the id.
+    Absent,
+    /// It may still run: the answer was lost.
+    Lost,
+}
+
+/// What the front must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a message to another front.
+    Send(String, crate::DeskMessage),
+    /// Start a try of the ticket on the seat.
+    Launch(Ticket, SeatGrant),
+    /// Tell the caller at once that the ticket was not run.
+    Refuse(Ticket, Refusal),
+    /// See whether the runner takes connections, then call [`crate::Desk::probed`].
+    Probe {
+        /// Runner to look at.
+        runner: String,
+        /// Its address.
+        address: String,
+    },
+}
--- /dev/null
+++ b/crates/holding/src/desk.rs
@@ -0,0 +1,363 @@
+use crate::action::{Action, Refusal, SeatGrant, Ticket, TryEnd};
+use crate::allowance::Allowance;
+use crate::bids::BidTable;
+use crate::holding::{Admission, Holding};
+use crate::kept::Kept;
+use crate::message::{DeskMessage, FrontReport, FunctionReport, RunnerReport};
+use crate::standing::Standing;
+use blueprint::{Blueprint, PeerRef, Plan, Version};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// Tries of one ticket that may end before a runner was reached.
+const UNSENT_MAX: u32 = 4;
+
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    pub arrived: u64,
+    pub answered: u64,
+    pub refused: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct HeldSeat {
+    pub grant: SeatGrant,
+    /// Where the answer was lost: when the runner has surely given up.
+    pub lost_until: Option<u64>,
+}
+
+/// A runner that this front kept until another front became its keeper.
+#[derive(Debug)]
+pub(crate) struct Former {
+    pub kept: Kept,
+    pub to: PeerRef,
+    pub since: u64,
+}
+
+/// A front's desk: all that it decides about tickets, seats and standing.
+pub struct Desk {
+    pub(crate) me: PeerRef,
+    pub(crate) blueprint: Arc<Blueprint>,
+    pub(crate) blueprint_version: Version,
+    pub(crate) plan: Arc<Plan>,
+    pub(crate) plan_version: Version,
+    pub(crate) is_ready: bool,
+    pub(crate) is_draining: bool,
+    pub(crate) standing: Standing,
+    pub(crate) holdings: BTreeMap<String, Holding>,
+    pub(crate) counts: BTreeMap<String, Counts>,
+    pub(crate) kept: BTreeMap<String, Kept>,
+    pub(crate) former: HashMap<(String, u64), Former>,
+    pub(crate) handovers: HashMap<(String, u64), (u32, u64)>,
+    pub(crate) bids: BidTable,
+    pub(crate) seats: HashMap<(String, u64), HeldSeat>,
+    pub(crate) next_seat: u64,
+    pub(crate) dirty: BTreeSet<String>,
+    pub(crate) actions: Vec<Action>,
+    allowance: Allowance,
+    next_beat: u64,
+}
+
+impl Desk {
+    /// A desk that knows nothing yet and takes no work.
+    pub fn new(me: PeerRef) -> Self {
+        Self {
+            me,
+            blueprint: Arc::new(Blueprint::empty()),
+            blueprint_version: Version::default(),
+            plan: Arc::default(),
+            plan_version: Version::default(),
+            is_ready: false,
+            is_draining: false,
+            standing: Standing::default(),
+            holdings: BTreeMap::new(),
+            counts: BTreeMap::new(),
+            kept: BTreeMap::new(),
+            former: HashMap::new(),
+            handovers: HashMap::new(),
+            bids: BidTable::default(),
+            seats: HashMap::new(),
+            next_seat: 1,
+            dirty: BTreeSet::new(),
+            actions: Vec::new(),
+            allowance: Allowance::default(),
+            next_beat: 0,
+        }
+    }
+
+    /// What the front must do now.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The newest blueprint was learnt in a way that cannot miss a newer one held before a restart.
+    pub fn set_ready(&mut self) {
+        self.is_ready = true;
+    }
+
+    /// No new tickets are taken from now on.
+    pub fn drain(&mut self) {
+        self.is_draining = true;
+    }
+
+    /// Whether nothing waits, no seat is held and no seat is lent.
+    pub fn is_idle(&self) -> bool {
+        let is_out = |kept: &Kept| !kept.lent.is_empty();
+        self.holdings.values().all(Holding::is_empty)
+            && self.seats.is_empty()
+            && !self.kept.values().any(is_out)
+            && !self.former.values().any(|former| is_out(&former.kept))
+    }
+
+    /// Whether this front has standing.
+    pub fn has_standing(&self, now: u64) -> bool {
+        let lease = self.blueprint.bounds.lease_ms();
+        self.is_ready && self.standing.holds(&self.me.name, &self.plan, now, lease)
+    }
+
+    /// Versions of blueprint and plan in force here.
+    pub fn versions(&self) -> (Version, Version) {
+        (self.blueprint_version, self.plan_version)
+    }
+
+    /// The blueprint in force here.
+    pub fn blueprint(&self) -> Arc<Blueprint> {
+        self.blueprint.clone()
+    }
+
+    /// The plan in force here.
+    pub fn plan(&self) -> Arc<Plan> {
+        self.plan.clone()
+    }
+
+    /// Whether a new ticket for the function would be taken at all.
+    pub fn may_take(&self, now: u64, function: &str) -> Result<(), Refusal> {
+        if self.is_draining {
+            return Err(Refusal::Draining);
+        }
+        if !self.has_standing(now) {
+            return Err(Refusal::NoStanding);
+        }
+        if self.blueprint.listing(function).is_none() {
+            return Err(Refusal::Unlisted);
+        }
+        Ok(())
+    }
+
+    /// Counts a ticket that came in, also one that is refused before it is held.
+    pub fn count_arrival(&mut self, function: &str) {
+        let counts = self.counts.entry(function.to_string()).or_default();
+        counts.arrived += 1;
+    }
+
+    /// Takes a ticket in.
+    pub fn arrive(&mut self, now: u64, ticket: Ticket) {
+        if let Err(refusal) = self.may_take(now, &ticket.function) {
+            return self.refuse(ticket, refusal);
+        }
+        self.hold(now, ticket);
+        self.settle(now);
+    }
+
+    fn hold(&mut self, now: u64, ticket: Ticket) {
+        if ticket.budget_end <= now {
+            return self.refuse(ticket, Refusal::BudgetOver);
+        }
+        let function = ticket.function.clone();
+        let most = self.blueprint.bounds.holding_max as usize;
+        let holding = self.holdings.entry(function.clone()).or_default();
+        match holding.admit(ticket, most) {
+            Admission::Held => {}
+            Admission::HeldFor(shed) => self.refuse(shed, Refusal::Shed),
+            Admission::Full(ticket) => self.refuse(ticket, Refusal::HoldingFull),
+        }
+        self.dirty.insert(function);
+    }
+
+    pub(crate) fn refuse(&mut self, ticket: Ticket, refusal: Refusal) {
+        let counts = self.counts.entry(ticket.function.clone()).or_default();
+        counts.refused += 1;
+        self.actions.push(Action::Refuse(ticket, refusal));
+    }
+
+    /// Asked right before the bytes of a try leave. Without leave nothing may be sent.
+    pub fn permit(&mut self, now: u64, ticket: &Ticket, seat: &SeatGrant) -> bool {
+        let is_current = self.plan.runner(&seat.runner).is_some_and(|entry| {
+            entry.keeper_epoch == seat.epoch
+                && entry.keeper == seat.keeper
+                && entry.address == seat.address
+                && self.may_run_on(entry)
+                && self.blueprint.listing(&entry.function).is_some()
+        });
+        let is_held = self
+            .seats
+            .contains_key(&(seat.keeper.name.clone(), seat.seat_no));
+        is_current
+            && is_held
+            && now < seat.start_by
+            && now < ticket.budget_end
+            && self.has_standing(now)
+    }
+
+    /// Counts the first try of a ticket, which is sent now.
+    pub fn count_first(&mut self, now: u64) {
+        let window = self.blueprint.bounds.retry_window_ms;
+        self.allowance.first(now, window);
+    }
+
+    /// A try ended: its seat goes back, or stays taken while the work may still run.
+    pub fn try_done(&mut self, now: u64, seat: &SeatGrant, end: TryEnd) {
+        let key = (seat.keeper.name.clone(), seat.seat_no);
+        if end == TryEnd::Lost {
+            let budget = self.longest_budget(&seat.function);
+            let until = now + budget + self.blueprint.bounds.slack_ms();
+            if let Some(held) = self.seats.get_mut(&key) {
+                held.lost_until = Some(until);
+            }
+            return;
+        }
+        if let TryEnd::Answered(_) = end {
+            let counts = self.counts.entry(seat.function.clone()).or_default();
+            counts.answered += 1;
+        }
+        if let Some(held) = self.seats.remove(&key) {
+            self.give_back(now, &held.grant, end);
+        }
+        self.settle(now);
+    }
+
+    /// A repeatable ticket whose try failed asks to be tried again; it is held or refused.
+    pub fn retry(&mut self, now: u64, ticket: Ticket) -> bool {
+        let bounds = &self.blueprint.bounds;
+        let floor = f64::from(bounds.retry_floor) / self.plan.roster.len().max(1) as f64;
+        let (window, share) = (bounds.retry_window_ms, bounds.retry_share);
+        if now >= ticket.budget_end || !self.allowance.take(now, window, share, floor) {
+            return false;
+        }
+        self.hold(now, ticket);
+        self.settle(now);
+        true
+    }
+
+    /// A ticket whose try provably reached no runner is held again, a few times at most.
+    pub fn hold_again(&mut self, now: u64, mut ticket: Ticket) {
+        ticket.unsent += 1;
+        if ticket.unsent > UNSENT_MAX {
+            return self.refuse(ticket, Refusal::Unreachable);
+        }
+        self.hold(now, ticket);
+        self.settle(now);
+    }
+
+    pub(crate) fn longest_budget(&self, function: &str) -> u64 {
+        self.blueprint
+            .listing(function)
+            .map_or_else(|| self.longest_of_all(), |listing| listing.budget_ms)
+    }
+
+    pub(crate) fn longest_of_all(&self) -> u64 {
+        let budgets = self.blueprint.listings.iter();
+        budgets.map(|listing| listing.budget_ms).max().unwrap_or(0)
+    }
+
+    /// Time goes on: budgets end, seats are reclaimed, heartbeats leave.
+    pub fn tick(&mut self, now: u64) {
+        let mut over = Vec::new();
+        for (function, holding) in &mut self.holdings {
+            let expired = holding.expire(now);
+            if !expired.is_empty() {
+                self.dirty.insert(function.clone());
+                over.extend(expired);
+            }
+        }
+        for ticket in over {
+            self.refuse(ticket, Refusal::BudgetOver);
+        }
+        if !self.has_standing(now) {
+            self.refuse_all(Refusal::NoStanding);
+        }
+        self.end_lost_seats(now);
+        self.tend_kept(now);
+        if now >= self.next_beat {
+            self.next_beat = now + self.blueprint.bounds.beat_ms();
+            self.beat(now);
+            self.report_holds(now);
+            self.send_handovers(now);
+            self.dirty.extend(self.holdings.keys().cloned());
+        }
+        self.settle(now);
+        self.holdings.retain(|_, holding| !holding.is_empty());
+    }
+
+    fn end_lost_seats(&mut self, now: u64) {
+        let is_over = |held: &HeldSeat| held.lost_until.is_some_and(|until| until <= now);
+        let ended: Vec<_> = self
+            .seats
+            .iter()
+            .filter(|(_, held)| is_over(held))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in ended {
+            if let Some(held) = self.seats.remove(&key) {
+                self.give_back(now, &held.grant, TryEnd::Lost);
+            }
+        }
+    }
+
+    fn refuse_all(&mut self, refusal: Refusal) {
+        let holdings = std::mem::take(&mut self.holdings);
+        for ticket in holdings
+            .into_values()
+            .flat_map(|mut holding| holding.clear())
+        {
+            self.refuse(ticket, refusal);
+        }
+    }
+
+    fn beat(&mut self, now: u64) {
+        for name in self.plan.roster.clone() {
+            if name == self.me.name {
+                continue;
+            }
+            let beat = DeskMessage::Beat {
+                stamp: now,
+                plan: self.plan_version,
+                blueprint: self.blueprint_version,
+                last_award: self.bids.last_award(&name),
+            };
+            self.actions.push(Action::Send(name, beat));
+        }
+    }
+
+    /// What the scaler is told.
+    pub fn report(&self, now: u64, district: &str) -> FrontReport {
+        let waiting = |function: &str| self.holdings.get(function).map_or(0, Holding::len) as u32;
+        let functions = self.counts.iter().map(|(function, counts)| FunctionReport {
+            function: function.clone(),
+            arrived: counts.arrived,
+            answered: counts.answered,
+            refused: counts.refused,
+            waiting: waiting(function),
+        });
+        let runners = self.kept.iter().map(|(runner, kept)| RunnerReport {
+            runner: runner.clone(),
+            epoch: kept.entry.keeper_epoch,
+            is_active: kept.is_active(now),
+            is_warm: kept.is_warm(),
+            lent: kept.out(now),
+            answered: kept.answered,
+            took_ms: kept.took_ms,
+            is_unfit: kept.is_unfit(now),
+            absent_ms: kept.absent_ms(now),
+        });
+        FrontReport {
+            district: district.to_string(),
+            is_draining: self.is_draining,
+            has_standing: self.has_standing(now),
+            plan: self.plan_version,
+            blueprint: self.blueprint_version,
+            functions: functions.collect(),
+            runners: runners.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/holding/src/kept.rs
@@ -0,0 +1,167 @@
+use blueprint::{Bounds, PeerRef, RunnerEntry, RunnerState};
+use std::collections::HashMap;
+
+/// Faults in a row after which a runner is left out.
+const FAULTS_MAX: u32 = 3;
+
+#[derive(Clone, Debug)]
+pub(crate) struct Lent {
+    pub to: PeerRef,
+    pub reclaim_at: u64,
+}
+
+/// One runner as its keeper holds it: what is lent, what is blocked, and how it fares.
+#[derive(Debug)]
+pub struct Kept {
+    pub(crate) entry: RunnerEntry,
+    pub(crate) active_at: Option<u64>,
+    pub(crate) lent: HashMap<u64, Lent>,
+    blocked: u32,
+    blocked_until: u64,
+    is_warm: bool,
+    absent_since: Option<u64>,
+    ramp: u32,
+    faults: u32,
+    ejections: u32,
+    unfit_until: u64,
+    probe_at: u64,
+    pub(crate) answered: u64,
+    pub(crate) took_ms: u64,
+}
+
+impl Kept {
+    pub(crate) fn new(entry: RunnerEntry, now: u64) -> Self {
+        Self {
+            active_at: (entry.keeper_epoch == 1).then_some(now),
+            entry,
+            lent: HashMap::new(),
+            blocked: 0,
+            blocked_until: 0,
+            is_warm: false,
+            absent_since: None,
+            ramp: 1,
+            faults: 0,
+            ejections: 0,
+            unfit_until: 0,
+            probe_at: now,
+            answered: 0,
+            took_ms: 0,
+        }
+    }
+
+    pub(crate) fn is_active(&self, now: u64) -> bool {
+        self.active_at.is_some_and(|time| time <= now)
+    }
+
+    pub(crate) fn is_warm(&self) -> bool {
+        self.is_warm
+    }
+
+    pub(crate) fn is_unfit(&self, now: u64) -> bool {
+        now < self.unfit_until
+    }
+
+    pub(crate) fn absent_ms(&self, now: u64) -> u64 {
+        self.absent_since
+            .map_or(0, |since| now.saturating_sub(since))
+    }
+
+    /// Seats out, also those that a former keeper lent.
+    pub(crate) fn out(&self, now: u64) -> u32 {
+        let blocked = if now < self.blocked_until {
+            self.blocked
+        } else {
+            0
+        };
+        self.lent.len() as u32 + blocked
+    }
+
+    /// Seats that may be lent now, under the listing's concurrency as it stands. A runner that is
+    /// its function's last resort is lent even when it is unfit.
+    pub(crate) fn free(&self, now: u64, concurrency: u32, is_last_resort: bool) -> u32 {
+        let may_lend = self.entry.state == RunnerState::Wanted
+            && self.is_active(now)
+            && self.is_warm
+            && (is_last_resort || !self.is_unfit(now));
+        if !may_lend {
+            return 0;
+        }
+        let most = self.entry.quota.min(concurrency).min(self.ramp);
+        most.saturating_sub(self.out(now))
+    }
+
+    /// Milliseconds that one answer takes, as far as is known.
+    pub(crate) fn mean_ms(&self) -> u64 {
+        self.took_ms.checked_div(self.answered).unwrap_or(0)
+    }
+
+    pub(crate) fn lend(&mut self, seat_no: u64, to: PeerRef, reclaim_at: u64) {
+        self.lent.insert(seat_no, Lent { to, reclaim_at });
+    }
+
+    /// Takes a seat back; the ramp rises by one with each good answer.
+    pub(crate) fn take_back(&mut self, seat_no: u64, took_ms: Option<u64>) -> bool {
+        if self.lent.remove(&seat_no).is_none() {
+            return false;
+        }
+        if let Some(took_ms) = took_ms {
+            self.answered += 1;
+            self.took_ms += took_ms;
+            self.faults = 0;
+            self.ejections = 0;
+            self.ramp = self.ramp.saturating_add(1);
+        }
+        true
+    }
+
+    /// Counts a fault; after a few in a row the runner is left out, each time for longer.
+    pub(crate) fn fault(&mut self, now: u64, bounds: &Bounds) {
+        self.faults += 1;
+        if self.faults < FAULTS_MAX {
+            return;
+        }
+        self.faults = 0;
+        self.ejections = (self.ejections + 1).min(4);
+        self.unfit_until = now + bounds.lease_ms() * u64::from(self.ejections);
+    }
+
+    /// The runner was not there: it is cold until a probe finds it again.
+    pub(crate) fn absent(&mut self, now: u64) {
+        if self.is_warm {
+            self.is_warm = false;
+            self.absent_since = Some(now);
+            self.ramp = 1;
+            self.probe_at = now;
+        }
+    }
+
+    pub(crate) fn probed(&mut self, is_there: bool) {
+        if is_there && !self.is_warm {
+            self.is_warm = true;
+            self.absent_since = None;
+            self.ramp = 1;
+        }
+    }
+
+    pub(crate) fn wants_probe(&mut self, now: u64, bounds: &Bounds) -> bool {
+        let is_due = !self.is_warm
+            && self.entry.state == RunnerState::Wanted
+            && self.active_at.is_some()
+            && now >= self.probe_at;
+        if is_due {
+            self.probe_at = now + bounds.tick_ms();
+        }
+        is_due
+    }
+
+    /// Seats that the former keeper still has out.
+    pub(crate) fn block(&mut self, count: u32, until: u64) {
+        self.blocked = count;
+        self.blocked_until = until;
+    }
+
+    /// Takes back every seat that nobody can be using any more.
+    pub(crate) fn reclaim(&mut self, now: u64) {
+        self.lent.retain(|_, lent| now < lent.reclaim_at);
+    }
+}
--- /dev/null
+++ b/crates/holding/src/lending.rs
@@ -0,0 +1,343 @@
+use crate::action::{Action, SeatGrant, TryEnd};
+use crate::desk::{Desk, HeldSeat};
+use crate::message::{Award, DeskMessage, RankCount, Return};
+use blueprint::{PeerRef, RunnerEntry, RunnerState};
+use std::collections::BTreeMap;
+
+/// Who is served next by a keeper: this front's own holding, or another front's bid.
+struct Candidate {
+    rank: u8,
+    since: u64,
+    front: Option<String>,
+}
+
+impl Desk {
+    /// Lends what is free to what waits, and bids at other keepers for the rest.
+    pub(crate) fn settle(&mut self, now: u64) {
+        let dirty = std::mem::take(&mut self.dirty);
+        if !self.has_standing(now) {
+            return;
+        }
+        for function in dirty {
+            while self.lend_one(now, &function) {}
+            self.send_bids(now, &function);
+        }
+    }
+
+    fn lend_one(&mut self, now: u64, function: &str) -> bool {
+        let Some(elected_runner) = self.elect_runner(now, function) else {
+            return false;
+        };
+        let Some(candidate) = self.elect_candidate(now, function) else {
+            return false;
+        };
+        let seat_no = self.next_seat;
+        self.next_seat += 1;
+        match candidate.front {
+            None => self.lend_own(now, function, &elected_runner, seat_no),
+            Some(front) => {
+                self.lend_other(
+                    now,
+                    function,
+                    &elected_runner,
+                    seat_no,
+                    &front,
+                    candidate.rank,
+                );
+            }
+        }
+        true
+    }
+
+    /// The runner of this keeper with the most predicted throughput to spare.
+    fn elect_runner(&self, now: u64, function: &str) -> Option<String> {
+        let listing = self.blueprint.listing(function)?;
+        let last_resort = self.last_resort(function);
+        let spare = |entry: &RunnerEntry, free: u32, mean_ms: u64| {
+            (free > 0 && self.blueprint.is_open(&entry.district))
+                .then(|| u64::from(free) * 1_000_000 / mean_ms.max(1))
+        };
+        let scored = self.kept.iter().filter_map(|(runner, kept)| {
+            if kept.entry.function != function {
+                return None;
+            }
+            let is_last = last_resort.as_ref() == Some(runner);
+            let free = kept.free(now, listing.concurrency, is_last);
+            Some((spare(&kept.entry, free, kept.mean_ms())?, runner))
+        });
+        scored.max().map(|(_, runner)| runner.clone())
+    }
+
+    /// One wanted runner of each function is never left out as unfit.
+    fn last_resort(&self, function: &str) -> Option<String> {
+        let wanted = self
+            .plan
+            .runners
+            .iter()
+            .filter(|entry| entry.function == function && self.may_run_on(entry));
+        wanted.map(|entry| &entry.id).min().cloned()
+    }
+
+    fn elect_candidate(&self, now: u64, function: &str) -> Option<Candidate> {
+        let own = self
+            .holdings
+            .get(function)
+            .map(|holding| holding.ranks(now));
+        let own = own.into_iter().flatten().map(|count| Candidate {
+            rank: count.rank,
+            since: now.saturating_sub(count.oldest_ms),
+            front: None,
+        });
+        let heard_since = now.saturating_sub(self.blueprint.bounds.lease_ms());
+        let bids = self.bids.of(function, heard_since).flat_map(|bid| {
+            bid.ranks.iter().map(|count| Candidate {
+                rank: count.rank,
+                since: bid.heard_at.saturating_sub(count.oldest_ms),
+                front: Some(bid.from.name.clone()),
+            })
+        });
+        let by_age = self.next_seat.is_multiple_of(crate::holding::AGEING_SHARE);
+        own.chain(bids).min_by_key(|candidate| {
+            let rank = if by_age { 0 } else { candidate.rank };
+            (rank, candidate.since)
+        })
+    }
+
+    /// When a seat that is lent now can surely not be in use any more.
+    fn reclaim_at(&self, now: u64, function: &str) -> u64 {
+        let bounds = &self.blueprint.bounds;
+        now + bounds.seat_window_ms() + self.longest_budget(function) + 2 * bounds.slack_ms()
+    }
+
+    fn lend_own(&mut self, now: u64, function: &str, runner: &str, seat_no: u64) {
+        let reclaim_at = self.reclaim_at(now, function);
+        let Some(ticket) = self.holdings.get_mut(function).and_then(|held| held.take()) else {
+            return;
+        };
+        let me = self.me.clone();
+        let Some(kept) = self.kept.get_mut(runner) else {
+            return;
+        };
+        kept.lend(seat_no, me.clone(), reclaim_at);
+        let entry = kept.entry.clone();
+        let grant = self.grant(now, &entry, me, seat_no);
+        self.launch(ticket, grant);
+    }
+
+    fn lend_other(
+        &mut self,
+        now: u64,
+        function: &str,
+        runner: &str,
+        seat_no: u64,
+        front: &str,
+        rank: u8,
+    ) {
+        let reclaim_at = self.reclaim_at(now, function);
+        let heard_since = now.saturating_sub(self.blueprint.bounds.lease_ms());
+        let bidder = self
+            .bids
+            .of(function, heard_since)
+            .find(|bid| bid.from.name == front)
+            .map(|bid| bid.from.clone());
+        let Some((bidder, stamp)) = bidder.zip(self.bids.serve(function, front, rank)) else {
+            return;
+        };
+        let Some(kept) = self.kept.get_mut(runner) else {
+            return;
+        };
+        kept.lend(seat_no, bidder, reclaim_at);
+        let epoch = kept.entry.keeper_epoch;
+        self.bids.note_award(front, seat_no, function);
+        let award = DeskMessage::Award(Award {
+            stamp,
+            function: function.to_string(),
+            runner: runner.to_string(),
+            epoch,
+            seat_no,
+        });
+        self.actions.push(Action::Send(front.to_string(), award));
+    }
+
+    fn grant(&self, start: u64, entry: &RunnerEntry, keeper: PeerRef, seat_no: u64) -> SeatGrant {
+        SeatGrant {
+            runner: entry.id.clone(),
+            function: entry.function.clone(),
+            address: entry.address.clone(),
+            key: entry.key.clone(),
+            keeper,
+            epoch: entry.keeper_epoch,
+            seat_no,
+            start_by: start + self.blueprint.bounds.seat_window_ms(),
+        }
+    }
+
+    fn launch(&mut self, ticket: crate::Ticket, grant: SeatGrant) {
+        let key = (grant.keeper.name.clone(), grant.seat_no);
+        let held = HeldSeat {
+            grant: grant.clone(),
+            lost_until: None,
+        };
+        self.seats.insert(key, held);
+        self.actions.push(Action::Launch(ticket, grant));
+    }
+
+    /// A seat was lent to this front: the best waiting ticket takes it, or it goes back.
+    pub(crate) fn on_award(&mut self, now: u64, from: &PeerRef, award: &Award) {
+        if !self.bids.see(from, award.seat_no) {
+            return;
+        }
+        let entry = self.plan.runner(&award.runner).cloned().filter(|entry| {
+            entry.keeper == *from
+                && entry.keeper_epoch == award.epoch
+                && entry.function == award.function
+                && self.may_run_on(entry)
+        });
+        let is_fresh = now < award.stamp + self.blueprint.bounds.seat_window_ms();
+        let usable = entry.filter(|_| is_fresh && self.has_standing(now));
+        let ticket = usable
+            .is_some()
+            .then(|| self.holdings.get_mut(&award.function)?.take())
+            .flatten();
+        self.dirty.insert(award.function.clone());
+        let Some((entry, ticket)) = usable.zip(ticket) else {
+            let give_back = returning(&award.runner, award.seat_no, TryEnd::Unsent);
+            self.actions
+                .push(Action::Send(from.name.clone(), give_back));
+            return;
+        };
+        let grant = self.grant(award.stamp, &entry, from.clone(), award.seat_no);
+        self.launch(ticket, grant);
+    }
+
+    /// Whether new work may go to a runner by plan and blueprint.
+    pub(crate) fn may_run_on(&self, entry: &RunnerEntry) -> bool {
+        entry.state == RunnerState::Wanted && self.blueprint.is_open(&entry.district)
+    }
+
+    /// Gives a seat back to its keeper, which may be this front.
+    pub(crate) fn give_back(&mut self, now: u64, grant: &SeatGrant, end: TryEnd) {
+        let message = returning(&grant.runner, grant.seat_no, end);
+        if grant.keeper == self.me {
+            self.on_message(now, &self.me.clone(), message);
+        } else {
+            let keeper = grant.keeper.name.clone();
+            self.actions.push(Action::Send(keeper, message));
+        }
+    }
+
+    /// Bids at other keepers for what waits, shared out by what their runners may hold.
+    fn send_bids(&mut self, now: u64, function: &str) {
+        let lease = self.blueprint.bounds.lease_ms();
+        let mut weights: BTreeMap<String, u32> = BTreeMap::new();
+        for entry in &self.plan.runners {
+            let is_candidate = entry.function == function
+                && self.may_run_on(entry)
+                && (entry.keeper == self.me
+                    || self.standing.heard_within(&entry.keeper.name, now, lease));
+            if is_candidate {
+                *weights.entry(entry.keeper.name.clone()).or_default() += entry.quota;
+            }
+        }
+        let ranks = self
+            .holdings
+            .get(function)
+            .map_or_else(Vec::new, |holding| holding.ranks(now));
+        let waiting: u32 = ranks.iter().map(|count| count.count).sum();
+        let total: u32 = weights.values().sum::<u32>().max(1);
+        for name in self.bids.sent_to(function) {
+            weights.entry(name).or_default();
+        }
+        weights.remove(&self.me.name);
+        for (keeper, weight) in weights {
+            let share = (waiting * weight).div_ceil(total);
+            let bid = first_of(&ranks, share);
+            let place = (function.to_string(), keeper.clone());
+            let was_empty = !self.bids.sent.contains_key(&place);
+            if bid.is_empty() && was_empty {
+                continue;
+            }
+            if bid.is_empty() {
+                self.bids.sent.remove(&place);
+            } else {
+                self.bids.sent.insert(place, bid.clone());
+            }
+            let seen_award = self.seen_of(&keeper, function);
+            let message = DeskMessage::Bid {
+                stamp: now,
+                seen_award,
+                function: function.to_string(),
+                ranks: bid,
+            };
+            self.actions.push(Action::Send(keeper, message));
+        }
+    }
+
+    fn seen_of(&self, keeper: &str, function: &str) -> u64 {
+        let entry = self
+            .plan
+            .runners
+            .iter()
+            .find(|entry| entry.function == function && entry.keeper.name == keeper);
+        entry.map_or(0, |entry| self.bids.seen(&entry.keeper))
+    }
+
+    pub(crate) fn report_holds(&mut self, now: u64) {
+        let mut held: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+        for entry in &self.plan.runners {
+            if entry.keeper != self.me {
+                held.entry(entry.keeper.name.clone()).or_default();
+            }
+        }
+        for (keeper, seat_no) in self.seats.keys() {
+            if let Some(seats) = held.get_mut(keeper) {
+                seats.push(*seat_no);
+            }
+        }
+        for (keeper, seats) in held {
+            let entry = self
+                .plan
+                .runners
+                .iter()
+                .find(|entry| entry.keeper.name == keeper);
+            let seen_award = entry.map_or(0, |entry| self.bids.seen(&entry.keeper));
+            let message = DeskMessage::Holds {
+                stamp: now,
+                seen_award,
+                seats,
+            };
+            self.actions.push(Action::Send(keeper, message));
+        }
+    }
+}
+
+fn returning(runner: &str, seat_no: u64, end: TryEnd) -> DeskMessage {
+    let took_ms = match end {
+        TryEnd::Answered(took_ms) => Some(took_ms),
+        _ => None,
+    };
+    DeskMessage::Return(Return {
+        runner: runner.to_string(),
+        seat_no,
+        took_ms,
+        is_bad: matches!(end, TryEnd::Bad | TryEnd::Lost),
+        is_absent: end == TryEnd::Absent,
+    })
+}
+
+/// The first `share` tickets of what waits.
+fn first_of(ranks: &[RankCount], share: u32) -> Vec<RankCount> {
+    let mut left = share;
+    let mut first = Vec::new();
+    for count in ranks {
+        let taken = count.count.min(left);
+        left -= taken;
+        if taken > 0 {
+            first.push(RankCount {
+                count: taken,
+                ..count.clone()
+            });
+        }
+    }
+    first
+}
--- /dev/null
+++ b/crates/holding/src/standing.rs
@@ -0,0 +1,69 @@
+use blueprint::{Plan, Version};
+use std::collections::HashMap;
+
+#[derive(Debug, Default)]
+struct Heard {
+    stamp: u64,
+    plan: Version,
+}
+
+/// Whether this front may work: a majority of the roster answered it within the lease. An answer
+/// from a front that knows a newer plan does not extend the lease.
+#[derive(Debug, Default)]
+pub struct Standing {
+    heard: HashMap<String, Heard>,
+}
+
+impl Standing {
+    /// Takes an answer to the heartbeat that was sent at `stamp`; `mine` is this front's plan.
+    pub fn on_answer(&mut self, from: &str, stamp: u64, plan: Version, mine: Version) {
+        let heard = self.heard.entry(from.to_string()).or_default();
+        heard.plan = heard.plan.max(plan);
+        if plan <= mine {
+            heard.stamp = heard.stamp.max(stamp);
+        }
+    }
+
+    /// Forgets fronts that are not on the roster.
+    pub fn keep_only(&mut self, plan: &Plan) {
+        self.heard.retain(|name, _| plan.roster.contains(name));
+    }
+
+    fn majority(plan: &Plan, count: usize) -> bool {
+        count > plan.roster.len() / 2
+    }
+
+    /// Whether this front has standing now.
+    pub fn holds(&self, me: &str, plan: &Plan, now: u64, lease: u64) -> bool {
+        if !plan.roster.iter().any(|name| name == me) {
+            return false;
+        }
+        let fresh = |name: &&String| {
+            name.as_str() == me
+                || self
+                    .heard
+                    .get(name.as_str())
+                    .is_some_and(|heard| now < heard.stamp + lease)
+        };
+        Self::majority(plan, plan.roster.iter().filter(fresh).count())
+    }
+
+    /// Whether a front answered a heartbeat that was sent within the time.
+    pub fn heard_within(&self, name: &str, now: u64, time: u64) -> bool {
+        self.heard
+            .get(name)
+            .is_some_and(|heard| now < heard.stamp + time)
+    }
+
+    /// Whether a majority of the roster, this front among it, holds the plan's version or a newer.
+    pub fn majority_holds(&self, me: &str, plan: &Plan, version: Version) -> bool {
+        let holds = |name: &&String| {
+            name.as_str() == me
+                || self
+                    .heard
+                    .get(name.as_str())
+                    .is_some_and(|heard| heard.plan >= version)
+        };
+        Self::majority(plan, plan.roster.iter().filter(holds).count())
+    }
+}
--- /dev/null
+++ b/crates/scaler/src/demand.rs
@@ -0,0 +1,124 @@
+use crate::forecast::Forecast;
+use crate::sight::Sight;
+use blueprint::PeerRef;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// Milliseconds of one answer that are assumed until answers were seen.
+const PACE_PRIOR_MS: f64 = 100.0;
+/// Weight of the newest mean in the learnt pace.
+const PACE_WEIGHT: f64 = 0.3;
+
+/// What is known of one function's demand and pace.
+#[derive(Debug, Default)]
+pub(crate) struct Demand {
+    pub forecast: Forecast,
+    pub measured: f64,
+    pub waiting: u32,
+    pub pace_ms: Option<f64>,
+    pub last_arrival: u64,
+    pub calm_since: Option<u64>,
+    arrivals: VecDeque<(u64, u64)>,
+    total: u64,
+}
+
+impl Demand {
+    /// Requests a second that one seat carries.
+    pub fn seat_rate(&self) -> f64 {
+        1_000.0 / self.pace_ms.unwrap_or(PACE_PRIOR_MS).max(1.0)
+    }
+}
+
+/// Demand of every function, from the totals that the fronts tell.
+#[derive(Debug, Default)]
+pub(crate) struct DemandTable {
+    pub functions: BTreeMap<String, Demand>,
+    arrived: HashMap<(PeerRef, String), u64>,
+    answered: HashMap<(String, u64), (u64, u64)>,
+    sampled_at: u64,
+}
+
+impl DemandTable {
+    pub fn observe(&mut self, sight: &Sight) {
+        let window = sight.blueprint.bounds.change_ms / 3;
+        for listing in &sight.blueprint.listings {
+            self.functions.entry(listing.name.clone()).or_default();
+        }
+        self.functions
+            .retain(|name, _| sight.blueprint.listing(name).is_some());
+        for demand in self.functions.values_mut() {
+            demand.waiting = 0;
+        }
+        for front in sight.fronts.values() {
+            let is_heard = sight.now < front.heard_at + sight.blueprint.bounds.lease_ms();
+            for report in &front.report.functions {
+                let Some(demand) = self.functions.get_mut(&report.function) else {
+                    continue;
+                };
+                let key = (front.peer.clone(), report.function.clone());
+                let known = self.arrived.entry(key).or_insert(0);
+                if report.arrived > *known {
+                    demand.total += report.arrived - *known;
+                    demand.last_arrival = sight.now;
+                    *known = report.arrived;
+                }
+                if is_heard {
+                    demand.waiting += report.waiting;
+                }
+            }
+        }
+        self.learn_pace(sight);
+        self.sample(sight.now, window);
+        self.arrived.retain(|(peer, _), _| {
+            sight
+                .fronts
+                .get(&peer.name)
+                .is_some_and(|front| front.peer == *peer)
+        });
+    }
+
+    fn sample(&mut self, now: u64, window: u64) {
+        let is_due = now >= self.sampled_at + window / 4;
+        for demand in self.functions.values_mut() {
+            demand.arrivals.push_back((now, demand.total));
+            while demand.arrivals.len() > 2 && demand.arrivals[1].0 + window <= now {
+                demand.arrivals.pop_front();
+            }
+            let (since, before) = demand.arrivals[0];
+            let span = now.saturating_sub(since).max(window) as f64 / 1_000.0;
+            demand.measured = (demand.total - before) as f64 / span;
+            if is_due {
+                demand.forecast.observe(demand.measured);
+            }
+        }
+        if is_due {
+            self.sampled_at = now;
+        }
+    }
+
+    fn learn_pace(&mut self, sight: &Sight) {
+        for front in sight.fronts.values() {
+            for report in &front.report.runners {
+                let Some(entry) = sight.plan.runner(&report.runner) else {
+                    continue;
+                };
+                let Some(demand) = self.functions.get_mut(&entry.function) else {
+                    continue;
+                };
+                let key = (report.runner.clone(), report.epoch);
+                let known = self.answered.entry(key).or_insert((0, 0));
+                let answers = report.answered.saturating_sub(known.0);
+                if answers == 0 {
+                    continue;
+                }
+                let mean = report.took_ms.saturating_sub(known.1) as f64 / answers as f64;
+                *known = (report.answered, report.took_ms);
+                demand.pace_ms = Some(match demand.pace_ms {
+                    Some(pace) => pace + PACE_WEIGHT * (mean - pace),
+                    None => mean,
+                });
+            }
+        }
+        self.answered
+            .retain(|(runner, _), _| sight.plan.runner(runner).is_some());
+    }
+}
--- /dev/null
+++ b/crates/scaler/src/orders.rs
@@ -0,0 +1,121 @@
+use crate::sight::ListedRunner;
+use blueprint::{Plan, RunnerEntry, RunnerState};
+use std::collections::{HashMap, HashSet};
+
+/// A call to the platform.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Start this runner.
+    Start(RunnerEntry),
+    /// Stop the runner of this id.
+    Stop(String),
+}
+
+/// How a call to the platform ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderResult {
+    /// Taken; it is under way.
+    Taken,
+    /// The runner is surely gone.
+    Gone,
+    /// The platform will not start it.
+    Refused,
+    /// The platform knows a higher term: another scaler is at work.
+    OldTerm,
+    /// No answer; it is to be asked again.
+    Silent,
+}
+
+/// Works out the calls between the settled plan and what the platform is known to have.
+#[derive(Debug, Default)]
+pub struct Orders {
+    started: HashSet<String>,
+    refused: HashSet<String>,
+    gone: HashSet<String>,
+    asked_at: HashMap<String, u64>,
+    strange_since: HashMap<String, u64>,
+}
+
+impl Orders {
+    /// Calls that are due; each is asked again after `pause` where no answer came.
+    pub fn due(
+        &mut self,
+        now: u64,
+        plan: &Plan,
+        listed: &[ListedRunner],
+        pause: u64,
+        grace: u64,
+    ) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for entry in &plan.runners {
+            let is_listed = listed.iter().any(|runner| runner.id == entry.id);
+            let wants_start = entry.state == RunnerState::Wanted
+                && !is_listed
+                && !self.started.contains(&entry.id)
+                && !self.refused.contains(&entry.id);
+            let wants_stop = entry.state == RunnerState::Stopping && !self.gone.contains(&entry.id);
+            if wants_start && self.may_ask(now, &entry.id, pause) {
+                orders.push(Order::Start(entry.clone()));
+            } else if wants_stop && self.may_ask(now, &entry.id, pause) {
+                orders.push(Order::Stop(entry.id.clone()));
+            }
+        }
+        self.strange_since
+            .retain(|id, _| listed.iter().any(|runner| runner.id == *id));
+        for runner in listed {
+            if plan.runner(&runner.id).is_some() {
+                self.strange_since.remove(&runner.id);
+                continue;
+            }
+            let since = *self.strange_since.entry(runner.id.clone()).or_insert(now);
+            if since + grace <= now && self.may_ask(now, &runner.id, pause) {
+                orders.push(Order::Stop(runner.id.clone()));
+            }
+        }
+        let is_known = |id: &String| plan.runner(id).is_some();
+        self.started.retain(is_known);
+        self.refused.retain(is_known);
+        self.gone.retain(is_known);
+        self.asked_at.retain(|_, asked_at| *asked_at + grace > now);
+        orders
+    }
+
+    fn may_ask(&mut self, now: u64, id: &str, pause: u64) -> bool {
+        if self
+            .asked_at
+            .get(id)
+            .is_some_and(|asked| asked + pause > now)
+        {
+            return false;
+        }
+        self.asked_at.insert(id.to_string(), now);
+        true
+    }
+
+    /// Takes the end of a call.
+    pub fn on_result(&mut self, order: &Order, result: OrderResult) {
+        match (order, result) {
+            (Order::Start(entry), OrderResult::Taken) => {
+                self.started.insert(entry.id.clone());
+                self.asked_at.remove(&entry.id);
+            }
+            (Order::Start(entry), OrderResult::Refused) => {
+                self.refused.insert(entry.id.clone());
+            }
+            (Order::Stop(id), OrderResult::Gone) => {
+                self.gone.insert(id.clone());
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether the platform refused to start the runner.
+    pub fn is_refused(&self, id: &str) -> bool {
+        self.refused.contains(id)
+    }
+
+    /// Whether the platform confirmed that the runner is gone.
+    pub fn is_gone(&self, id: &str) -> bool {
+        self.gone.contains(id)
+    }
+}
--- /dev/null
+++ b/crates/scaler/src/placing.rs
@@ -0,0 +1,97 @@
+use crate::sight::{Sight, Worker};
+use blueprint::{Plan, RunnerState};
+
+/// Where a new runner goes.
+pub(crate) struct Place<'a> {
+    pub worker: &'a Worker,
+    pub port: u16,
+}
+
+fn memory_used(plan: &Plan, worker: &str) -> u64 {
+    let entries = plan
+        .runners
+        .iter()
+        .filter(|entry| entry.worker == worker && entry.state != RunnerState::Resting);
+    entries.map(|entry| entry.memory_mb).sum()
+}
+
+/// Occupancy after the paper: each runner's share of the worker times its share of its quota.
+pub(crate) fn occupancy(sight: &Sight, plan: &Plan, worker: &Worker) -> f64 {
+    let entries = plan
+        .runners
+        .iter()
+        .filter(|entry| entry.worker == worker.name);
+    let taken: f64 = entries
+        .map(|entry| {
+            let most = sight
+                .blueprint
+                .listing(&entry.function)
+                .map_or(1, |listing| listing.concurrency);
+            entry.memory_mb as f64 * f64::from(entry.quota) / f64::from(most.max(1))
+        })
+        .sum();
+    taken / worker.memory_mb.max(1) as f64
+}
+
+fn starting(plan: &Plan, is_warm: impl Fn(&str) -> bool, worker: &str) -> usize {
+    let entries = plan.runners.iter();
+    entries
+        .filter(|entry| {
+            entry.worker == worker && entry.state == RunnerState::Wanted && !is_warm(&entry.id)
+        })
+        .count()
+}
+
+fn free_port(plan: &Plan, worker: &Worker) -> Option<u16> {
+    let address = |port: u16| format!("{}:{port}", worker.host);
+    (worker.first_port..worker.first_port.saturating_add(worker.ports)).find(|port| {
+        let wanted = address(*port);
+        !plan.runners.iter().any(|entry| entry.address == wanted)
+    })
+}
+
+/// Why no place was found.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum NoPlace {
+    /// All workers with room have their most starts under way.
+    Busy,
+    /// No worker has the memory.
+    NoRoom,
+}
+
+/// The least-occupied worker in use that has room; a fresh one only where none has.
+pub(crate) fn place<'a>(
+    sight: &'a Sight,
+    plan: &Plan,
+    memory_mb: u64,
+    is_warm: impl Fn(&str) -> bool,
+) -> Result<Place<'a>, NoPlace> {
+    let mut reason = NoPlace::NoRoom;
+    let mut elected: Option<(bool, f64, &Worker, u16)> = None;
+    for worker in sight.workers {
+        let is_open = !worker.is_leaving && sight.blueprint.is_open(&worker.district);
+        let used = memory_used(plan, &worker.name);
+        if !is_open || used + memory_mb > worker.memory_mb {
+            continue;
+        }
+        let Some(port) = free_port(plan, worker) else {
+            continue;
+        };
+        if starting(plan, &is_warm, &worker.name) >= sight.blueprint.bounds.worker_starts as usize {
+            reason = NoPlace::Busy;
+            continue;
+        }
+        let is_fresh = used == 0;
+        let occupied = occupancy(sight, plan, worker);
+        let is_better = elected
+            .as_ref()
+            .is_none_or(|(fresh, least, ..)| (is_fresh, occupied) < (*fresh, *least));
+        if is_better {
+            elected = Some((is_fresh, occupied, worker, port));
+        }
+    }
+    let Some((_, _, worker, port)) = elected else {
+        return Err(reason);
+    };
+    Ok(Place { worker, port })
+}
--- /dev/null
+++ b/crates/scaler/src/scaler.rs
@@ -0,0 +1,331 @@
+use crate::demand::DemandTable;
+use crate::keepers::{elect_keeper, tend_keepers};
+use crate::life::Lives;
+use crate::orders::Orders;
+use crate::placing::{place, NoPlace};
+use crate::sight::Sight;
+use crate::steps::{grow, shrink, Pod};
+use blueprint::{Listing, Plan, RunnerEntry, RunnerState};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// Rate below which a function counts as without demand, in requests a second.
+const QUIET_RATE: f64 = 0.2;
+
+/// Why a function has the runners and quotas that it has.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct FunctionNote {
+    /// Requests a second that came in.
+    pub measured: f64,
+    /// Requests a second that are expected.
+    pub forecast: f64,
+    /// Tickets that wait at the fronts.
+    pub waiting: u32,
+    /// Demand that is scaled for: the forecast and what waits.
+    pub demand: f64,
+    /// Requests a second that the runners carry.
+    pub capacity: f64,
+    /// Milliseconds of one answer, as learnt.
+    pub pace_ms: Option<f64>,
+    /// Runners that count.
+    pub runners: usize,
+    /// Seats of these runners.
+    pub seats: u32,
+    /// What was decided last, and why.
+    pub reason: String,
+}
+
+/// The scaler's memory between runs. All that must outlast it is in the plan.
+pub struct Scaler {
+    demand: DemandTable,
+    lives: Lives,
+    notes: BTreeMap<String, FunctionNote>,
+    fresh_key: Box<dyn FnMut() -> Vec<u8> + Send>,
+    named: u64,
+}
+
+impl Scaler {
+    /// A scaler that knows nothing yet; `fresh_key` gives a new secret for each runner.
+    pub fn new(fresh_key: Box<dyn FnMut() -> Vec<u8> + Send>) -> Self {
+        Self {
+            demand: DemandTable::default(),
+            lives: Lives::default(),
+            notes: BTreeMap::new(),
+            fresh_key,
+            named: 0,
+        }
+    }
+
+    /// Why each function has what it has.
+    pub fn notes(&self) -> &BTreeMap<String, FunctionNote> {
+        &self.notes
+    }
+
+    /// Takes in what is seen without deciding anything, as a core does that has not the duty.
+    pub fn observe(&mut self, sight: &Sight) {
+        self.demand.observe(sight);
+    }
+
+    /// Decides the next plan; none where the plan in force is right as it is.
+    pub fn run(&mut self, sight: &Sight, orders: &Orders) -> Option<Plan> {
+        self.demand.observe(sight);
+        let mut plan = sight.plan.clone();
+        tend_keepers(sight, &mut plan);
+        self.lives.tend(sight, orders, &mut plan);
+        let mut listings: Vec<&Listing> = sight.blueprint.listings.iter().collect();
+        listings.sort_by_key(|listing| rank_of(sight, listing));
+        for listing in &listings {
+            self.keep_minimal(sight, &mut plan, listing);
+        }
+        for listing in &listings {
+            self.scale(sight, &mut plan, listing);
+        }
+        let listed = sight.blueprint;
+        self.notes
+            .retain(|function, _| listed.listing(function).is_some());
+        if plan == *sight.plan {
+            return None;
+        }
+        plan.term = sight.term;
+        Some(plan)
+    }
+
+    /// One minimal runner of each function is kept; it sleeps only where memory has no room.
+    fn keep_minimal(&mut self, sight: &Sight, plan: &mut Plan, listing: &Listing) {
+        if !self.pods(sight, plan, listing).is_empty() {
+            return;
+        }
+        let started = self.start(sight, plan, listing, 1);
+        let demand = self.demand.functions.get(&listing.name);
+        let is_wanted = demand.is_some_and(|demand| demand.waiting > 0);
+        let reason = match started {
+            Ok(()) => "no runner counts: one minimal runner starts",
+            Err(NoPlace::Busy) => "waits for a worker with a free start",
+            Err(NoPlace::NoRoom) if is_wanted => {
+                self.put_to_sleep(sight, plan, listing);
+                "no memory: the least used function is put to sleep for it"
+            }
+            Err(NoPlace::NoRoom) => "sleeps: no worker has the memory",
+        };
+        self.note(&listing.name).reason = reason.into();
+    }
+
+    fn note(&mut self, function: &str) -> &mut FunctionNote {
+        self.notes.entry(function.to_string()).or_default()
+    }
+
+    /// The runners that count towards the function's capacity.
+    fn pods(&self, sight: &Sight, plan: &Plan, listing: &Listing) -> Vec<Pod> {
+        let seat_rate = self
+            .demand
+            .functions
+            .get(&listing.name)
+            .map_or(0.0, |demand| demand.seat_rate());
+        let counted = plan.runners.iter().filter(|entry| {
+            entry.function == listing.name
+                && entry.state == RunnerState::Wanted
+                && self.lives.counts(sight, entry)
+        });
+        counted
+            .map(|entry| Pod {
+                id: entry.id.clone(),
+                quota: entry.quota.min(listing.concurrency),
+                most: listing.concurrency,
+                seat_rate,
+            })
+            .collect()
+    }
+
+    fn scale(&mut self, sight: &Sight, plan: &mut Plan, listing: &Listing) {
+        let bounds = &sight.blueprint.bounds;
+        let mut pods = self.pods(sight, plan, listing);
+        let Some(demand) = self.demand.functions.get(&listing.name) else {
+            return;
+        };
+        // What waits is to be served within a third of the bound on changes.
+        let backlog = f64::from(demand.waiting) * 3_000.0 / bounds.change_ms as f64;
+        let wanted = demand.forecast.rate() + backlog;
+        let seat_rate = demand.seat_rate();
+        let capacity: f64 = pods.iter().map(Pod::capacity).sum();
+        let note = FunctionNote {
+            measured: demand.measured,
+            forecast: demand.forecast.rate(),
+            waiting: demand.waiting,
+            demand: wanted,
+            capacity,
+            pace_ms: demand.pace_ms,
+            runners: pods.len(),
+            seats: pods.iter().map(|pod| pod.quota).sum(),
+            reason: String::new(),
+        };
+        let known = self.note(&listing.name);
+        *known = FunctionNote {
+            reason: std::mem::take(&mut known.reason),
+            ..note
+        };
+        if pods.is_empty() {
+            return;
+        }
+        if wanted > capacity * bounds.alpha {
+            let gap = wanted - capacity * bounds.alpha;
+            let rest = grow(&mut pods, gap);
+            set_quotas(plan, &pods);
+            let started = self.start_for(sight, plan, listing, rest, seat_rate);
+            self.calm(&listing.name, None);
+            self.note(&listing.name).reason = format!(
+                "grew: demand {wanted:.1}/s is over alpha of {capacity:.1}/s; quotas first, \
+                 {started} new runners for {:.1}/s",
+                rest.max(0.0)
+            );
+        } else if wanted < capacity * bounds.beta {
+            self.shrink_calmly(sight, plan, listing, pods, wanted);
+        } else {
+            self.calm(&listing.name, None);
+        }
+    }
+
+    fn calm(&mut self, function: &str, since: Option<u64>) {
+        if let Some(demand) = self.demand.functions.get_mut(function) {
+            demand.calm_since = since;
+        }
+    }
+
+    fn start_for(
+        &mut self,
+        sight: &Sight,
+        plan: &mut Plan,
+        listing: &Listing,
+        mut gap: f64,
+        seat_rate: f64,
+    ) -> usize {
+        let mut started = 0;
+        while gap > 0.0 {
+            let seats = (gap / seat_rate).ceil().max(1.0) as u32;
+            let quota = seats.min(listing.concurrency);
+            match self.start(sight, plan, listing, quota) {
+                Ok(()) => started += 1,
+                Err(NoPlace::NoRoom) => {
+                    self.put_to_sleep(sight, plan, listing);
+                    break;
+                }
+                Err(NoPlace::Busy) => break,
+            }
+            gap -= f64::from(quota) * seat_rate;
+        }
+        started
+    }
+
+    fn shrink_calmly(
+        &mut self,
+        sight: &Sight,
+        plan: &mut Plan,
+        listing: &Listing,
+        mut pods: Vec<Pod>,
+        wanted: f64,
+    ) {
+        let bounds = &sight.blueprint.bounds;
+        let Some(demand) = self.demand.functions.get_mut(&listing.name) else {
+            return;
+        };
+        let since = *demand.calm_since.get_or_insert(sight.now);
+        if sight.now < since + bounds.cooldown_ms {
+            return;
+        }
+        demand.calm_since = Some(sight.now);
+        let capacity: f64 = pods.iter().map(Pod::capacity).sum();
+        let least = demand.seat_rate() * bounds.alpha;
+        // What is left must carry the demand without growing again at once.
+        let surplus = capacity - wanted.max(least) / bounds.alpha;
+        if !shrink(&mut pods, surplus) {
+            return;
+        }
+        set_quotas(plan, &pods);
+        let drained = pods.iter().filter(|pod| pod.quota == 0).count();
+        self.note(&listing.name).reason = format!(
+            "shrank after a calm cooldown: demand {wanted:.1}/s is under beta of \
+             {capacity:.1}/s; {drained} runners drain"
+        );
+    }
+
+    fn start(
+        &mut self,
+        sight: &Sight,
+        plan: &mut Plan,
+        listing: &Listing,
+        quota: u32,
+    ) -> Result<(), NoPlace> {
+        let lives = &self.lives;
+        let is_warm = |id: &str| lives.is_warm(id);
+        let found = place(sight, plan, listing.memory_mb, is_warm)?;
+        let Some(elected) = elect_keeper(sight, plan, &found.worker.district) else {
+            return Err(NoPlace::Busy);
+        };
+        self.named += 1;
+        plan.runners.push(RunnerEntry {
+            id: format!("{}.{}.{}", listing.name, sight.term, self.named),
+            function: listing.name.clone(),
+            worker: found.worker.name.clone(),
+            district: found.worker.district.clone(),
+            address: format!("{}:{}", found.worker.host, found.port),
+            key: (self.fresh_key)(),
+            memory_mb: listing.memory_mb,
+            quota,
+            keeper: elected.peer.clone(),
+            keeper_epoch: 1,
+            keeper_since: sight.next,
+            state: RunnerState::Wanted,
+        });
+        Ok(())
+    }
+
+    /// Makes room: the only runner of the function that was least lately used, and has nothing to
+    /// do now, is drained.
+    fn put_to_sleep(&self, sight: &Sight, plan: &mut Plan, needy: &Listing) {
+        let is_making_room = plan
+            .runners
+            .iter()
+            .any(|entry| entry.state == RunnerState::Draining);
+        if is_making_room {
+            return;
+        }
+        let idle = sight.blueprint.listings.iter().filter(|listing| {
+            listing.name != needy.name
+                && self
+                    .demand
+                    .functions
+                    .get(&listing.name)
+                    .is_some_and(|demand| demand.waiting == 0 && demand.measured < QUIET_RATE)
+        });
+        let with_runner = idle.filter_map(|listing| {
+            let place = plan.runners.iter().position(|entry| {
+                entry.function == listing.name && entry.state == RunnerState::Wanted
+            })?;
+            let used = self.demand.functions[&listing.name].last_arrival;
+            Some((used, place))
+        });
+        if let Some((_, place)) = with_runner.min() {
+            plan.runners[place].quota = 0;
+            plan.runners[place].state = RunnerState::Draining;
+        }
+    }
+}
+
+fn rank_of(sight: &Sight, listing: &Listing) -> u8 {
+    let ranks = listing
+        .kinds
+        .iter()
+        .filter_map(|kind| sight.blueprint.kind(kind));
+    ranks.map(|(rank, _)| rank).min().unwrap_or(u8::MAX)
+}
+
+fn set_quotas(plan: &mut Plan, pods: &[Pod]) {
+    for pod in pods {
+        let Some(entry) = plan.runners.iter_mut().find(|entry| entry.id == pod.id) else {
+            continue;
+        };
+        entry.quota = pod.quota;
+        if pod.quota == 0 {
+            entry.state = RunnerState::Draining;
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/http.rs
@@ -0,0 +1,146 @@
+use oxhttp::model::{Body, HeaderMap, Method, Request, Response, StatusCode, Uri};
+use oxhttp::{Client, Server};
+use serde::Serialize;
+use std::fmt;
+use std::io::{self, Read};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// How a call over HTTP failed.
+#[derive(Debug)]
+pub enum HttpError {
+    /// No connection: provably nothing was sent.
+    NotConnected(io::Error),
+    /// The connection broke, was too slow, or the answer was no HTTP.
+    Broken(io::Error),
+    /// The answer's body is over the bound.
+    TooLarge,
+}
+
+impl fmt::Display for HttpError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotConnected(error) => write!(formatter, "no connection: {error}"),
+            Self::Broken(error) => write!(formatter, "broken answer: {error}"),
+            Self::TooLarge => formatter.write_str("the answer is too large"),
+        }
+    }
+}
+
+impl std::error::Error for HttpError {}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status code.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Serves HTTP until the process ends.
+pub fn serve(
+    address: SocketAddr,
+    connections_max: usize,
+    timeout: Duration,
+    handle: impl Fn(&mut Request<Body>) -> Response<Body> + Send + Sync + 'static,
+) -> io::Result<()> {
+    Server::new(handle)
+        .bind(address)
+        .with_global_timeout(timeout)
+        .with_max_concurrent_connections(connections_max)
+        .spawn()
+        .map(|_| ())
+}
+
+/// A JSON answer.
+pub fn json(status: u16, body: &impl Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    let code = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = Response::new(Body::from(bytes));
+    *response.status_mut() = code;
+    response.headers_mut().insert(
+        oxhttp::model::header::CONTENT_TYPE,
+        oxhttp::model::HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+/// A JSON answer that holds one sentence under `error`.
+pub fn text(status: u16, sentence: &str) -> Response<Body> {
+    json(status, &serde_json::json!({ "error": sentence }))
+}
+
+/// Reads a request's body up to a bound; over it the 413 answer is given back.
+pub fn read_body(request: &mut Request<Body>, most: u64) -> Result<Vec<u8>, Box<Response<Body>>> {
+    let mut body = Vec::new();
+    let read = request.body_mut().take(most + 1).read_to_end(&mut body);
+    if read.is_err() {
+        return Err(Box::new(text(400, "the body could not be read")));
+    }
+    if body.len() as u64 > most {
+        let sentence = format!("the body is over {most} bytes");
+        return Err(Box::new(text(413, &sentence)));
+    }
+    Ok(body)
+}
+
+/// Calls a server on a connection of its own, which is closed after the answer.
+pub fn call(
+    method: Method,
+    uri: &str,
+    headers: &[(&str, &str)],
+    body: Vec<u8>,
+    patience: Duration,
+    most: u64,
+) -> Result<Answer, HttpError> {
+    let end = Instant::now() + patience;
+    let broken = |error| HttpError::Broken(io::Error::other(error));
+    let uri: Uri = uri
+        .parse()
+        .map_err(|error| HttpError::NotConnected(io::Error::other(format!("{error}"))))?;
+    let mut builder = Request::builder().method(method).uri(uri);
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    let request = builder
+        .body(body)
+        .map_err(|error| HttpError::NotConnected(io::Error::other(error)))?;
+    let response = Client::new()
+        .with_global_timeout(patience)
+        .request(request)
+        .map_err(|error| match error.kind() {
+            io::ErrorKind::ConnectionRefused => HttpError::NotConnected(error),
+            _ => HttpError::Broken(error),
+        })?;
+    let (parts, mut stream) = response.into_parts();
+    let declared = parts
+        .headers
+        .get(oxhttp::model::header::CONTENT_LENGTH)
+        .and_then(|length| length.to_str().ok()?.parse::<u64>().ok());
+    let mut body = Vec::new();
+    let mut part = [0; 16 * 1024];
+    loop {
+        if Instant::now() >= end {
+            return Err(HttpError::Broken(io::ErrorKind::TimedOut.into()));
+        }
+        let read = stream.read(&mut part).map_err(HttpError::Broken)?;
+        if read == 0 {
+            break;
+        }
+        body.extend_from_slice(&part[..read]);
+        if body.len() as u64 > most {
+            return Err(HttpError::TooLarge);
+        }
+    }
+    if declared.is_some_and(|length| length != body.len() as u64) {
+        return Err(broken("the body is short"));
+    }
+    Ok(Answer {
+        status: parts.status.as_u16(),
+        headers: parts.headers,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,18 @@
+//! What daemons say to each other (speedy over TCP, versioned and bounded), the clock that counts
+//! suspend, and small helpers for HTTP with JSON.
+
+mod clock;
+mod frame;
+mod http;
+mod inbound;
+mod links;
+mod message;
+mod voters;
+
+pub use clock::{now_ms, unix_ms};
+pub use frame::{decode, encode, FrameError, FRAME_MAX, WIRE_VERSION};
+pub use http::{call, json, read_body, serve, text, Answer, HttpError};
+pub use inbound::{Handler, Responder, WireCounts};
+pub use links::Links;
+pub use message::{BlueprintNews, Envelope, Message, News, PlanNews, Role};
+pub use voters::WireVoters;
