--- /dev/null
+++ b/crates/claims/src/key.rs
@@ -0,0 +1,87 @@
+use crate::seal::digest_hex;
+use std::fmt;
+
+const KEY_MAX: usize = 200;
+
+/// An idempotency key: the time at which the caller made it, and the caller's own text.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OnceKey {
+    /// Milliseconds since 1970, as in the key.
+    pub issued_ms: u64,
+    /// Key of its register.
+    pub register: String,
+}
+
+/// What is wrong with an idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnceKeyFault {
+    /// It is not `<milliseconds since 1970>-<text>`.
+    Malformed,
+    /// It was issued longer ago than keys are remembered.
+    TooOld,
+    /// It was issued in the future.
+    TooNew,
+}
+
+impl fmt::Display for OnceKeyFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Malformed => {
+                "Idempotency-Key must be <milliseconds since 1970>-<text>, 200 characters at most"
+            }
+            Self::TooOld => "Idempotency-Key was issued longer ago than keys are remembered",
+            Self::TooNew => "Idempotency-Key was issued in the future",
+        })
+    }
+}
+
+impl OnceKey {
+    /// Reads a key for a function. Keys older than half of what voters remember are refused, so
+    /// that none is taken while its claim may be ageing out.
+    pub fn read(
+        text: &str,
+        function: &str,
+        now_ms: u64,
+        remembered_ms: u64,
+    ) -> Result<Self, OnceKeyFault> {
+        let (digits, own_text) = text.split_once('-').ok_or(OnceKeyFault::Malformed)?;
+        let is_time =
+            (1..=14).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit());
+        if !is_time || own_text.is_empty() || text.len() > KEY_MAX {
+            return Err(OnceKeyFault::Malformed);
+        }
+        let issued_ms: u64 = digits.parse().map_err(|_| OnceKeyFault::Malformed)?;
+        if issued_ms + remembered_ms / 2 < now_ms {
+            return Err(OnceKeyFault::TooOld);
+        }
+        if issued_ms > now_ms + remembered_ms / 10 {
+            return Err(OnceKeyFault::TooNew);
+        }
+        let digest = digest_hex(text.as_bytes());
+        Ok(Self {
+            issued_ms,
+            register: format!("once/{issued_ms:014}/{function}/{digest}"),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const HOUR: u64 = 3_600_000;
+
+    #[test]
+    fn keys_out_of_shape_or_time_are_refused() {
+        let read = |text: &str| OnceKey::read(text, "sign", 10 * HOUR, HOUR);
+        for text in ["", "-", "12", "12-", "a-b", "-x", "99999999999999999-x"] {
+            assert_eq!(read(text), Err(OnceKeyFault::Malformed), "{text}");
+        }
+        let old = format!("{}-x", 9 * HOUR);
+        assert_eq!(read(&old), Err(OnceKeyFault::TooOld));
+        let new = format!("{}-x", 11 * HOUR);
+        assert_eq!(read(&new), Err(OnceKeyFault::TooNew));
+        let good = read(&format!("{}-x-y", 10 * HOUR)).unwrap();
+        assert!(good.register.starts_with("once/00000036000000/sign/"));
+    }
+}
--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,9 @@
+//! Claims on work that must never run twice, their keys, and the seal on a runner's answer.
+
+mod claim;
+mod key;
+mod seal;
+
+pub use claim::Claim;
+pub use key::{OnceKey, OnceKeyFault};
+pub use seal::{digest_hex, seal};
--- /dev/null
+++ b/crates/core/src/duty.rs
@@ -0,0 +1,47 @@
+use crate::shared::Shared;
+use ballot::{Duty, Move, Tenure};
+use register::{Change, Outcome};
+use speedy::{Readable, Writable};
+use std::thread;
+use std::time::Duration;
+use wire::now_ms;
+
+const KEY: &str = "duty/scaler";
+
+/// Wins and keeps the scaler's duty, or watches who has it.
+pub fn keep(shared: &Shared) {
+    let lease = shared.store.settled().blueprint.bounds.duty_ms();
+    let patience = Duration::from_millis(lease / 3);
+    let mut duty = Duty::new(shared.links.me().clone(), lease, now_ms());
+    loop {
+        let began = now_ms();
+        let next = duty.next(began);
+        let (change, tenure) = match next {
+            Move::Wait => {
+                thread::sleep(Duration::from_millis(lease / 50));
+                shared.set_tenure(&duty, now_ms());
+                continue;
+            }
+            Move::Look => (Change::Read, None),
+            Move::Write(expected, tenure) => {
+                let bytes = tenure.write_to_vec().unwrap_or_default();
+                (Change::Write { expected, bytes }, Some(tenure))
+            }
+        };
+        let (_, outcome) = shared.store.change(KEY, change, patience);
+        match (outcome, tenure) {
+            (Outcome::Settled(stored), Some(tenure)) => {
+                if duty.tenure() != &tenure {
+                    log::info!("duty: this core scales, term {}", tenure.term);
+                }
+                duty.won(now_ms(), began, stored.version, tenure);
+            }
+            (Outcome::Settled(stored) | Outcome::Stale(stored), _) => {
+                let seen = Tenure::read_from_buffer(&stored.bytes).unwrap_or_default();
+                duty.seen(now_ms(), stored.version, seen);
+            }
+            _ => {}
+        }
+        shared.set_tenure(&duty, now_ms());
+    }
+}
--- /dev/null
+++ b/crates/core/src/main.rs
@@ -0,0 +1,91 @@
+//! `hallkeel-core`: the control plane. It keeps the blueprint and the ledger, knows fronts, workers
+//! and runners, and scales.
+
+mod duty;
+mod identity;
+mod news;
+mod operators;
+mod platform;
+mod puts;
+mod scaling;
+mod set;
+mod shared;
+mod store;
+mod voter;
+
+use blueprint::{read_settings, CoreSettings, SettingsFault};
+use clap::Parser;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Keeps hallkeel's state and scales its functions.
+///
+/// Settings come from a TOML file, from flags, or from both; flags win.
+/// Exit codes: 0 stopped as asked, 1 a port or the data folder could not be opened, 2 bad settings
+/// or a data folder that is not this daemon's.
+#[derive(Parser, Serialize)]
+#[command(name = "hallkeel-core", version)]
+struct Flags {
+    /// File with settings
+    #[arg(long)]
+    #[serde(skip)]
+    settings: Option<PathBuf>,
+    /// Name of this core, one of its own in the fleet
+    #[arg(long)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    name: Option<String>,
+    /// District that it stands in
+    #[arg(long)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    district: Option<String>,
+    /// Address for operators
+    #[arg(long)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    http: Option<SocketAddr>,
+    /// Address for the other daemons
+    #[arg(long)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    wire: Option<SocketAddr>,
+    /// Wire addresses of the three cores, with commas between
+    #[arg(long, value_delimiter = ',')]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    seeds: Option<Vec<SocketAddr>>,
+    /// Folder for everything that must last
+    #[arg(long)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    data: Option<PathBuf>,
+    /// Address of the platform's API
+    #[arg(long)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    platform: Option<SocketAddr>,
+}
+
+fn settings(flags: &Flags) -> Result<CoreSettings, SettingsFault> {
+    let settings: CoreSettings = read_settings(flags.settings.as_deref(), flags)?;
+    settings.check()?;
+    Ok(settings)
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let settings = match settings(&Flags::parse()) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("hallkeel-core: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    match shared::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(shared::CoreError::NotOurs(reason)) => {
+            eprintln!("hallkeel-core: {reason}");
+            ExitCode::from(2)
+        }
+        Err(error) => {
+            eprintln!("hallkeel-core: {error}");
+            ExitCode::from(1)
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/operators.rs
@@ -0,0 +1,201 @@
+use crate::puts;
+use crate::shared::Shared;
+use crate::voter::Work;
+use blueprint::TEXT_MAX;
+use crossbeam::channel::bounded;
+use oxhttp::model::{Body, Method, Request, Response};
+use std::collections::HashMap;
+use std::io;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::{json, now_ms, read_body, serve as serve_http, text};
+
+const CONNECTIONS_MAX: usize = 256;
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Opens the port for operators.
+pub fn serve(shared: &Arc<Shared>) -> io::Result<()> {
+    let handling = shared.clone();
+    serve_http(
+        shared.settings.http,
+        CONNECTIONS_MAX,
+        IDLE_TIMEOUT,
+        move |request| handle(&handling, request),
+    )
+}
+
+fn handle(shared: &Shared, request: &mut Request<Body>) -> Response<Body> {
+    let path = request.uri().path().to_string();
+    let query = query_of(request.uri().query().unwrap_or_default());
+    match (request.method().clone(), path.as_str()) {
+        (Method::GET, "/blueprint") => blueprint(shared),
+        (Method::GET, "/blueprint/history") => history(shared),
+        (Method::POST, "/blueprint/check") => checked(shared, request),
+        (Method::PUT, "/blueprint") => put(shared, request, &query),
+        (Method::GET, "/status") => json(200, &status(shared)),
+        (Method::GET, "/metrics") => json(200, &metrics(shared)),
+        (Method::GET, path) if path.starts_with("/explain/") => {
+            explain(shared, path.trim_start_matches("/explain/"))
+        }
+        _ => text(404, "no such path"),
+    }
+}
+
+fn query_of(text: &str) -> HashMap<String, String> {
+    text.split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name.to_string(), value.to_string()))
+        .collect()
+}
+
+fn read_text(request: &mut Request<Body>) -> Result<String, Box<Response<Body>>> {
+    let body = read_body(request, TEXT_MAX as u64)?;
+    String::from_utf8(body).map_err(|_| Box::new(text(400, "the body is not UTF-8")))
+}
+
+fn blueprint(shared: &Shared) -> Response<Body> {
+    let settled = shared.store.settled();
+    json(
+        200,
+        &serde_json::json!({
+            "version": settled.blueprint_version.no,
+            "era": settled.blueprint_version.era,
+            "blueprint": &*settled.blueprint,
+        }),
+    )
+}
+
+fn history(shared: &Shared) -> Response<Body> {
+    json(200, &shared.store.settled().value.history)
+}
+
+fn checked(shared: &Shared, request: &mut Request<Body>) -> Response<Body> {
+    let body = match read_text(request) {
+        Ok(body) => body,
+        Err(response) => return *response,
+    };
+    match puts::check(shared, &body) {
+        Ok(blueprint) => json(
+            200,
+            &serde_json::json!({ "outcome": "good", "listings": blueprint.listings.len() }),
+        ),
+        Err(faults) => puts::refused(&faults),
+    }
+}
+
+fn put(
+    shared: &Shared,
+    request: &mut Request<Body>,
+    query: &HashMap<String, String>,
+) -> Response<Body> {
+    let expected = query.get("expected").and_then(|text| text.parse().ok());
+    let Some(expected) = expected else {
+        return text(
+            400,
+            "say the version in force: PUT /blueprint?expected=<version>",
+        );
+    };
+    let note = query.get("note").cloned().unwrap_or_default();
+    match read_text(request) {
+        Ok(body) => puts::put(shared, &body, expected, &note),
+        Err(response) => *response,
+    }
+}
+
+fn explain(shared: &Shared, function: &str) -> Response<Body> {
+    let settled = shared.store.settled();
+    if settled.blueprint.listing(function).is_none() {
+        return text(404, "no function of this name is listed");
+    }
+    if shared.duty.load().term.is_none() {
+        let holder = &shared.duty.load().tenure.holder.name;
+        let sentence = format!("this core does not scale; ask {holder:?}");
+        return text(421, &sentence);
+    }
+    let entries = settled.plan.runners.iter();
+    let runners: Vec<_> = entries
+        .filter(|entry| entry.function == function)
+        .map(runner_line)
+        .collect();
+    json(
+        200,
+        &serde_json::json!({
+            "function": function,
+            "note": shared.notes.load().get(function),
+            "runners": runners,
+        }),
+    )
+}
+
+fn runner_line(entry: &blueprint::RunnerEntry) -> serde_json::Value {
+    serde_json::json!({
+        "id": entry.id,
+        "function": entry.function,
+        "worker": entry.worker,
+        "district": entry.district,
+        "address": entry.address,
+        "quota": entry.quota,
+        "keeper": entry.keeper.name,
+        "epoch": entry.keeper_epoch,
+        "state": format!("{:?}", entry.state),
+    })
+}
+
+fn status(shared: &Shared) -> serde_json::Value {
+    let settled = shared.store.settled();
+    let duty = shared.duty.load();
+    let now = now_ms();
+    let (told, answer) = bounded(1);
+    let _ = shared.voter.try_send(Work::Tell(told));
+    let keys = answer.recv_timeout(Duration::from_millis(200)).ok();
+    let fronts = shared.fronts.lock();
+    let front_lines: Vec<_> = fronts
+        .values()
+        .map(|known| {
+            let report = &known.sight.report;
+            serde_json::json!({
+                "name": known.sight.peer.name,
+                "district": report.district,
+                "http": report.http,
+                "heard_ms_ago": now.saturating_sub(known.sight.heard_at),
+                "standing": report.has_standing,
+                "draining": report.is_draining,
+                "blueprint": report.blueprint.no,
+                "plan": report.plan.no,
+                "waiting": report.functions.iter().map(|one| one.waiting).sum::<u32>(),
+            })
+        })
+        .collect();
+    drop(fronts);
+    let runners: Vec<_> = settled.plan.runners.iter().map(runner_line).collect();
+    let set = shared.store.set();
+    serde_json::json!({
+        "role": "core",
+        "name": shared.settings.name,
+        "district": shared.settings.district,
+        "era": set.era,
+        "voters": set.voters.iter().map(|voter| &voter.address).collect::<Vec<_>>(),
+        "keys": keys.map(|(_, count)| count),
+        "blueprint": settled.blueprint_version.no,
+        "plan": settled.plan_version.no,
+        "duty": { "holder": duty.tenure.holder.name, "term": duty.tenure.term, "here": duty.term.is_some() },
+        "roster": settled.plan.roster,
+        "fronts": front_lines,
+        "workers": shared.platform.load().workers,
+        "runners": runners,
+        "functions": &**shared.notes.load(),
+    })
+}
+
+fn metrics(shared: &Shared) -> serde_json::Value {
+    let wire = shared.links.counts();
+    let settled = shared.store.settled();
+    serde_json::json!({
+        "blueprint_version": settled.blueprint_version.no,
+        "plan_version": settled.plan_version.no,
+        "wire_taken": wire.taken.load(Ordering::Relaxed),
+        "wire_refused": wire.refused.load(Ordering::Relaxed),
+        "wire_dropped": wire.dropped.load(Ordering::Relaxed),
+    })
+}
--- /dev/null
+++ b/crates/core/src/platform.rs
@@ -0,0 +1,156 @@
+use crate::shared::Shared;
+use blueprint::RunnerEntry;
+use oxhttp::model::Method;
+use scaler::{ListedRunner, ListedState, Order, OrderResult, Worker};
+use serde::Deserialize;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use wire::call;
+
+const LIST_MAX: u64 = 8 << 20;
+
+/// What the platform listed last; it lags.
+#[derive(Default)]
+pub struct Lists {
+    pub workers: Vec<Worker>,
+    pub runners: Vec<ListedRunner>,
+}
+
+#[derive(Deserialize)]
+struct WorkerLine {
+    name: String,
+    district: String,
+    host: String,
+    memory_mb: u64,
+    first_port: u16,
+    ports: u16,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct RunnerLine {
+    id: String,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct WorkerList {
+    workers: Vec<WorkerLine>,
+}
+
+#[derive(Deserialize)]
+struct RunnerList {
+    runners: Vec<RunnerLine>,
+}
+
+fn get<T: for<'a> Deserialize<'a>>(
+    platform: SocketAddr,
+    path: &str,
+    patience: Duration,
+) -> Option<T> {
+    let uri = format!("http://{platform}{path}");
+    let answer = call(Method::GET, &uri, &[], Vec::new(), patience, LIST_MAX).ok()?;
+    if answer.status != 200 {
+        return None;
+    }
+    serde_json::from_slice(&answer.body).ok()
+}
+
+fn read_lists(platform: SocketAddr, patience: Duration) -> Option<Lists> {
+    let workers: WorkerList = get(platform, "/v1/workers", patience)?;
+    let runners: RunnerList = get(platform, "/v1/runners", patience)?;
+    let is_leaving = |state: &str| state == "leaving";
+    Some(Lists {
+        workers: workers
+            .workers
+            .into_iter()
+            .map(|line| Worker {
+                is_leaving: is_leaving(&line.state),
+                name: line.name,
+                district: line.district,
+                host: line.host,
+                memory_mb: line.memory_mb,
+                first_port: line.first_port,
+                ports: line.ports,
+            })
+            .collect(),
+        runners: runners
+            .runners
+            .into_iter()
+            .map(|line| ListedRunner {
+                state: if is_leaving(&line.state) {
+                    ListedState::Leaving
+                } else {
+                    ListedState::Up
+                },
+                id: line.id,
+            })
+            .collect(),
+    })
+}
+
+/// Reads the platform's lists again and again. Where it does not answer the last lists stay.
+pub fn follow(shared: &Shared) {
+    loop {
+        let bounds = shared.store.settled().blueprint.bounds.clone();
+        let patience = Duration::from_millis(bounds.lease_ms());
+        match read_lists(shared.settings.platform, patience) {
+            Some(lists) => shared.platform.store(Arc::new(lists)),
+            None => log::warn!("platform: lists could not be read"),
+        }
+        thread::sleep(Duration::from_millis(bounds.beat_ms()));
+    }
+}
+
+/// Carries out one call to the platform.
+pub fn carry_out(
+    platform: SocketAddr,
+    order: &Order,
+    term: u64,
+    patience: Duration,
+) -> OrderResult {
+    let (method, path, body) = match order {
+        Order::Start(entry) => (
+            Method::PUT,
+            format!("/v1/runners/{}?term={term}", entry.id),
+            start_body(entry),
+        ),
+        Order::Stop(id) => (
+            Method::DELETE,
+            format!("/v1/runners/{id}?term={term}"),
+            Vec::new(),
+        ),
+    };
+    let uri = format!("http://{platform}{path}");
+    let headers = [("content-type", "application/json")];
+    let Ok(answer) = call(method, &uri, &headers, body, patience, LIST_MAX) else {
+        return OrderResult::Silent;
+    };
+    match (order, answer.status) {
+        (_, 409) => OrderResult::OldTerm,
+        (Order::Start(_), 200..=299) => OrderResult::Taken,
+        (Order::Start(_), 400..=499) => OrderResult::Refused,
+        (Order::Stop(_), 200 | 404) => OrderResult::Gone,
+        (Order::Stop(_), 202) => OrderResult::Taken,
+        _ => OrderResult::Silent,
+    }
+}
+
+fn start_body(entry: &RunnerEntry) -> Vec<u8> {
+    let key = entry.key.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    });
+    let port = entry.address.rsplit(':').next().unwrap_or_default();
+    let body = serde_json::json!({
+        "function": entry.function,
+        "worker": entry.worker,
+        "port": port.parse::<u16>().unwrap_or_default(),
+        "memory_mb": entry.memory_mb,
+        "key": key,
+    });
+    serde_json::to_vec(&body).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/core/src/shared.rs
@@ -0,0 +1,246 @@
+use crate::news::{self, Askers};
+use crate::store::Store;
+use crate::voter::{Voter, Work};
+use crate::{duty, identity, operators, platform, scaling, set};
+use arc_swap::ArcSwap;
+use ballot::{Duty, Tenure};
+use blueprint::{CoreSettings, PeerRef, Version};
+use crossbeam::channel::{bounded, Receiver, Sender};
+use error_stack::Report;
+use holding::FrontReport;
+use journal::JournalError;
+use parking_lot::Mutex;
+use rand::Rng;
+use scaler::{FrontSight, FunctionNote};
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+use std::{fmt, io, thread};
+use wire::{now_ms, unix_ms, Envelope, Handler, Links, Message, Responder, Role};
+
+/// Questions to this voter that may wait.
+const VOTER_WORK_MAX: usize = 16_384;
+/// Fronts that a core knows at most.
+const FRONTS_MAX: usize = 512;
+
+/// Why a core stopped or did not start.
+#[derive(Debug)]
+pub enum CoreError {
+    /// A port or the data folder could not be opened.
+    Io(io::Error),
+    /// The journal could not be opened.
+    Journal(Report<JournalError>),
+    /// The data folder is not for this daemon.
+    NotOurs(String),
+}
+
+impl fmt::Display for CoreError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(error) => write!(formatter, "{error}"),
+            Self::Journal(report) => write!(formatter, "{report:?}"),
+            Self::NotOurs(reason) => formatter.write_str(reason),
+        }
+    }
+}
+
+impl std::error::Error for CoreError {}
+
+/// A front as this core knows it.
+pub struct KnownFront {
+    pub sight: FrontSight,
+    pub address: String,
+}
+
+/// The scaler's duty as this core sees it.
+#[derive(Clone, Default)]
+pub struct DutyView {
+    pub tenure: Tenure,
+    pub term: Option<u64>,
+}
+
+/// What all threads of a core share. Lock order: fronts, then the askers' list.
+pub struct Shared {
+    pub settings: CoreSettings,
+    pub disk: u64,
+    pub links: Arc<Links>,
+    pub store: Store,
+    pub voter: Sender<Work>,
+    pub askers: Askers,
+    pub fronts: Mutex<BTreeMap<String, KnownFront>>,
+    pub platform: ArcSwap<platform::Lists>,
+    pub duty: ArcSwap<DutyView>,
+    pub notes: ArcSwap<BTreeMap<String, FunctionNote>>,
+    certain: Sender<(Version, Version, Responder)>,
+}
+
+impl Shared {
+    pub fn set_tenure(&self, duty: &Duty, now: u64) {
+        let term = duty.term(now);
+        let known = self.duty.load();
+        if known.term != term || known.tenure != *duty.tenure() {
+            let tenure = duty.tenure().clone();
+            self.duty.store(Arc::new(DutyView { tenure, term }));
+        }
+    }
+
+    fn take_report(&self, envelope_from: PeerRef, address: String, report: FrontReport) {
+        let mut fronts = self.fronts.lock();
+        if fronts.len() >= FRONTS_MAX && !fronts.contains_key(&envelope_from.name) {
+            return;
+        }
+        let sight = FrontSight {
+            peer: envelope_from.clone(),
+            heard_at: now_ms(),
+            report,
+        };
+        fronts.insert(envelope_from.name, KnownFront { sight, address });
+    }
+}
+
+struct Incoming(Arc<Shared>);
+
+impl Handler for Incoming {
+    fn on_message(&self, envelope: Envelope, responder: Option<Responder>) {
+        let shared = &self.0;
+        match (envelope.body, responder) {
+            (Message::Voter(message), Some(responder)) => {
+                // Where the voter cannot keep up the question is dropped, as on a lossy link.
+                let _ = shared.voter.try_send(Work::Ask(message, responder));
+            }
+            (
+                Message::Ask {
+                    blueprint,
+                    plan,
+                    wants_certain,
+                },
+                Some(responder),
+            ) => {
+                if wants_certain {
+                    let _ = shared.certain.try_send((blueprint, plan, responder));
+                } else {
+                    shared.askers.ask(shared, blueprint, plan, responder);
+                }
+            }
+            (Message::Report(report), None) if envelope.role == Role::Front => {
+                shared.take_report(envelope.from, envelope.address, report);
+            }
+            (Message::Hello, Some(responder)) => {
+                let (told, answer) = bounded(1);
+                if shared.voter.try_send(Work::Tell(told)).is_err() {
+                    return;
+                }
+                let disk = shared.disk;
+                if let Ok((set, _)) = answer.recv_timeout(Duration::from_millis(500)) {
+                    responder.answer(Message::HelloAnswer { disk, set });
+                }
+            }
+            (Message::Form(set), None) => {
+                let names_us = set.voters.iter().any(|voter| voter.disk == shared.disk);
+                if names_us {
+                    if let Some(set) = set::form_here(shared, set) {
+                        shared.store.learn_set(&set);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Runs a core until it is told to stop.
+pub fn run(settings: CoreSettings) -> Result<(), CoreError> {
+    let (identity, _lock) = identity::open(&settings.data, &settings.name)?;
+    let voter = Voter::open(&settings.data)?;
+    let listener = TcpListener::bind(settings.wire).map_err(CoreError::Io)?;
+    let me = PeerRef {
+        name: settings.name.clone(),
+        incarnation: rand::rng().random(),
+    };
+    let links = Arc::new(Links::new(me, settings.wire, Role::Core));
+    let (voter_work, asked) = bounded(VOTER_WORK_MAX);
+    let (certain, wanted) = bounded(256);
+    let shared = Arc::new(Shared {
+        disk: identity.disk,
+        store: Store::new(links.clone()),
+        links: links.clone(),
+        voter: voter_work,
+        askers: Askers::default(),
+        fronts: Mutex::default(),
+        platform: ArcSwap::default(),
+        duty: ArcSwap::default(),
+        notes: ArcSwap::default(),
+        certain,
+        settings,
+    });
+    spawn("core-voter", move || voter.run(&asked))?;
+    links
+        .listen(listener, Arc::new(Incoming(shared.clone())))
+        .map_err(CoreError::Io)?;
+    with(&shared, "core-set", set::settle_set)?;
+    with(&shared, "core-duty", duty::keep)?;
+    with(&shared, "core-lists", platform::follow)?;
+    with(&shared, "core-scaler", scaling::run)?;
+    let certain = shared.clone();
+    spawn("core-certain", move || answer_certain(&certain, &wanted))?;
+    operators::serve(&shared).map_err(CoreError::Io)?;
+    log::info!(
+        "core: {} serves operators on {}",
+        shared.settings.name,
+        shared.settings.http
+    );
+    let (stop, stopped) = bounded(1);
+    let _ = ctrlc::set_handler(move || {
+        let _ = stop.try_send(());
+    });
+    let mut refreshed_at = 0;
+    let mut aged_at = now_ms();
+    loop {
+        let bounds = shared.store.settled().blueprint.bounds.clone();
+        if stopped
+            .recv_timeout(Duration::from_millis(bounds.tick_ms()))
+            .is_ok()
+        {
+            // All that was promised is synced already, so there is nothing to wait for.
+            log::info!("core: stops");
+            return Ok(());
+        }
+        let now = now_ms();
+        if now >= refreshed_at + bounds.beat_ms() {
+            refreshed_at = now;
+            shared
+                .store
+                .refresh(Duration::from_millis(bounds.beat_ms()));
+        }
+        if now >= aged_at + bounds.retry_window_ms {
+            aged_at = now;
+            let before = unix_ms().saturating_sub(bounds.claim_ms);
+            let _ = shared.voter.try_send(Work::AgeOut(before));
+        }
+        news::answer_all(&shared);
+    }
+}
+
+fn answer_certain(shared: &Shared, wanted: &Receiver<(Version, Version, Responder)>) {
+    for (blueprint, plan, responder) in wanted {
+        news::answer_certain(shared, blueprint, plan, responder);
+    }
+}
+
+fn with(
+    shared: &Arc<Shared>,
+    name: &str,
+    work: impl FnOnce(&Shared) + Send + 'static,
+) -> Result<(), CoreError> {
+    let shared = shared.clone();
+    spawn(name, move || work(&shared))
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), CoreError> {
+    thread::Builder::new()
+        .name(name.into())
+        .spawn(work)
+        .map(|_| ())
+        .map_err(CoreError::Io)
+}
--- /dev/null
+++ b/crates/front/src/callers.rs
@@ -0,0 +1,288 @@
+use crate::continuations::{Call, Ending};
+use crate::once::Claimed;
+use crate::operators;
+use crate::shared::{refusal_words, Shared};
+use blueprint::{Blueprint, Listing};
+use claims::{digest_hex, Claim, OnceKey};
+use holding::{Refusal, Ticket};
+use oxhttp::model::{Body, HeaderValue, Method, Request, Response, StatusCode};
+use rand::Rng;
+use std::io;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::{json, now_ms, read_body, text, unix_ms};
+
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Opens the port for callers and operators.
+pub fn serve(shared: &Arc<Shared>) -> io::Result<()> {
+    let handling = shared.clone();
+    wire::serve(
+        shared.settings.http,
+        shared.settings.connections_max,
+        IDLE_TIMEOUT,
+        move |request| handle(&handling, request),
+    )
+}
+
+fn handle(shared: &Shared, request: &mut Request<Body>) -> Response<Body> {
+    let path = request.uri().path().to_string();
+    let Some(function) = path.strip_prefix("/call/") else {
+        return operators::handle(shared, request, &path);
+    };
+    if request.method() != Method::POST {
+        return text(405, "call a function with POST");
+    }
+    take_call(shared, request, function).unwrap_or_else(|refused| *refused)
+}
+
+fn header<'a>(request: &'a Request<Body>, name: &str) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
+
+fn refused(status: u16, reason: &str, sentence: &str) -> Box<Response<Body>> {
+    Box::new(outcome(status, "not-run", reason, sentence))
+}
+
+/// An answer that hallkeel gives itself, with the outcome in a header and in the body.
+fn outcome(status: u16, outcome: &str, reason: &str, sentence: &str) -> Response<Body> {
+    let mut body = serde_json::json!({
+        "outcome": outcome, "reason": reason, "error": sentence,
+    });
+    // Callers that were turned away come back spread over some seconds, not all at once.
+    let pause_ms = (status == 503 || reason == "in-progress")
+        .then(|| rand::rng().random_range(1_000..4_000u64));
+    if let Some(pause_ms) = pause_ms {
+        body["retry_after_ms"] = pause_ms.into();
+    }
+    let mut response = json(status, &body);
+    if let Ok(value) = HeaderValue::from_str(outcome) {
+        response.headers_mut().insert("hallkeel-outcome", value);
+    }
+    if let Some(pause_ms) = pause_ms {
+        let seconds = HeaderValue::from(pause_ms.div_ceil(1_000));
+        response.headers_mut().insert("retry-after", seconds);
+    }
+    response
+}
+
+fn answered(status: u16, content_type: &str, body: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    headers.insert("hallkeel-outcome", HeaderValue::from_static("answered"));
+    if let Ok(value) = HeaderValue::from_str(content_type) {
+        headers.insert("content-type", value);
+    }
+    response
+}
+
+/// Budget of a call: the listing's, or less where the caller asks for less.
+fn budget_of(request: &Request<Body>, listing: &Listing) -> Result<u64, Box<Response<Body>>> {
+    let Some(wanted) = header(request, "hallkeel-budget-ms") else {
+        return Ok(listing.budget_ms);
+    };
+    match wanted.parse::<u64>() {
+        Ok(wanted) if wanted > 0 => Ok(wanted.min(listing.budget_ms)),
+        _ => Err(refused(
+            400,
+            "bad-budget",
+            "Hallkeel-Budget-Ms must be a number of milliseconds above zero",
+        )),
+    }
+}
+
+fn once_key(
+    request: &Request<Body>,
+    blueprint: &Blueprint,
+    function: &str,
+) -> Result<(String, OnceKey), Box<Response<Body>>> {
+    let Some(key) = header(request, "idempotency-key") else {
+        let sentence = "work of this kind needs an Idempotency-Key";
+        return Err(refused(400, "missing-key", sentence));
+    };
+    let remembered = blueprint.bounds.claim_ms;
+    OnceKey::read(key, function, unix_ms(), remembered)
+        .map(|read| (key.to_string(), read))
+        .map_err(|fault| refused(400, "bad-key", &fault.to_string()))
+}
+
+fn take_call(
+    shared: &Shared,
+    request: &mut Request<Body>,
+    function: &str,
+) -> Result<Response<Body>, Box<Response<Body>>> {
+    let arrived = now_ms();
+    let blueprint = shared.blueprint.load_full();
+    // A front that does not yet know the blueprint cannot say what exists.
+    if let Err(refusal) = shared.with_desk(|desk, now| desk.may_take(now, function)) {
+        return Err(turned_away(shared, refusal));
+    }
+    let Some(listing) = blueprint.listing(function) else {
+        return Err(turned_away(shared, Refusal::Unlisted));
+    };
+    let kind_name = header(request, "hallkeel-kind").unwrap_or(&listing.kinds[0]);
+    let known = blueprint.kind(kind_name);
+    let Some((rank, kind)) = known.filter(|_| listing.kinds.iter().any(|name| name == kind_name))
+    else {
+        let sentence = format!("function {function:?} takes no work of kind {kind_name:?}");
+        return Err(refused(400, "unknown-kind", &sentence));
+    };
+    let budget_end = arrived + budget_of(request, listing)?;
+    let key = match kind.once {
+        true => Some(once_key(request, &blueprint, function)?),
+        false => None,
+    };
+    let content_type = header(request, "content-type")
+        .unwrap_or("application/octet-stream")
+        .to_string();
+    let body = read_body(request, blueprint.bounds.body_max)?;
+    let digest = digest_hex(&body);
+    let call = Arc::new(Call {
+        function: function.to_string(),
+        kind: kind.name.clone(),
+        is_once: kind.once,
+        content_type,
+        body,
+        once_key: key.as_ref().map(|(text, _)| text.clone()),
+    });
+    let (slot, ending) = shared.continuations.open(call.clone());
+    let claimed = match &key {
+        None => None,
+        Some((_, key)) => match claim(shared, key, slot, &digest, budget_end) {
+            Ok(version) => Some((key, version)),
+            Err(response) => {
+                shared.continuations.abandon(slot);
+                return Err(response);
+            }
+        },
+    };
+    let ticket = Ticket {
+        slot,
+        function: call.function.clone(),
+        rank,
+        arrived,
+        budget_end,
+        unsent: 0,
+    };
+    shared.with_desk(|desk, now| {
+        desk.count_arrival(&ticket.function);
+        desk.arrive(now, ticket);
+    });
+    let patience = Duration::from_millis(budget_end.saturating_sub(now_ms()));
+    let mut end = ending.recv_timeout(patience).ok();
+    if end.is_none() {
+        end = match shared.continuations.abandon(slot) {
+            Some(true) => Some(Ending::Failed("budget-over")),
+            Some(false) => Some(Ending::Refused(Refusal::BudgetOver)),
+            None => ending.recv().ok(),
+        };
+    }
+    let end = end.unwrap_or(Ending::Failed("answer-lost"));
+    if let Some((key, version)) = claimed {
+        note_claim(shared, key, version, &digest, &end);
+    }
+    Ok(respond(shared, end))
+}
+
+fn claim(
+    shared: &Shared,
+    key: &OnceKey,
+    slot: u64,
+    digest: &str,
+    budget_end: u64,
+) -> Result<u64, Box<Response<Body>>> {
+    let bounds = &shared.blueprint.load().bounds;
+    let most = bounds.lease_ms();
+    let patience = Duration::from_millis(budget_end.saturating_sub(now_ms()).min(most));
+    match shared.ledger.claim(key, slot, digest, patience) {
+        Claimed::Ours(version) => Ok(version),
+        Claimed::Shut => Err(refused(
+            503,
+            "ledger-shut",
+            "no majority of voters took the claim on the key, so nothing was sent",
+        )),
+        Claimed::Theirs(claim) if claim.digest().is_some_and(|known| known != digest) => Err(
+            refused(422, "other-body", "the key was used with another body"),
+        ),
+        Claimed::Theirs(Claim::Done {
+            status,
+            content_type,
+            body: Some(body),
+            ..
+        }) => Err(Box::new(answered(status, &content_type, body))),
+        Claimed::Theirs(Claim::Done { .. }) => Err(Box::new(outcome(
+            409,
+            "answered",
+            "answer-not-kept",
+            "the work ran and was answered; the answer was too large to keep",
+        ))),
+        Claimed::Theirs(Claim::Unknown { .. }) => Err(Box::new(outcome(
+            409,
+            "unknown",
+            "answer-lost",
+            "the work under this key was sent and its answer was lost; it is not sent again",
+        ))),
+        Claimed::Theirs(_) => Err(Box::new(outcome(
+            409,
+            "unknown",
+            "in-progress",
+            "another request with this key is under way, or was when its front stopped",
+        ))),
+    }
+}
+
+fn note_claim(shared: &Shared, key: &OnceKey, version: u64, digest: &str, end: &Ending) {
+    let digest = digest.to_string();
+    let claim = match end {
+        Ending::Refused(_) => return shared.ledger.free(key, version),
+        Ending::Failed(_) => Claim::Unknown { digest },
+        Ending::Answered {
+            status,
+            content_type,
+            body,
+        } => Claim::Done {
+            digest,
+            status: *status,
+            content_type: content_type.clone(),
+            body: Some(body.clone()),
+        },
+    };
+    let patience = Duration::from_millis(shared.blueprint.load().bounds.lease_ms() / 3);
+    shared.ledger.note(key, version, claim, patience);
+}
+
+fn turned_away(shared: &Shared, refusal: Refusal) -> Box<Response<Body>> {
+    shared.counts.refused.fetch_add(1, Ordering::Relaxed);
+    let (status, reason) = refusal_words(refusal);
+    let sentence = match refusal {
+        Refusal::Unlisted => "no function of this name is listed",
+        Refusal::HoldingFull | Refusal::Shed => "too much work waits for this function",
+        Refusal::BudgetOver => "the budget was over before a seat was free",
+        Refusal::NoStanding => "this front is cut off or has just started; try another",
+        Refusal::Draining => "this front is about to stop; try another",
+        Refusal::Unreachable => "no runner of the function could be reached",
+    };
+    refused(status, reason, sentence)
+}
+
+fn respond(shared: &Shared, end: Ending) -> Response<Body> {
+    match end {
+        Ending::Answered {
+            status,
+            content_type,
+            body,
+        } => {
+            shared.counts.answered.fetch_add(1, Ordering::Relaxed);
+            answered(status, &content_type, body)
+        }
+        Ending::Refused(refusal) => *turned_away(shared, refusal),
+        Ending::Failed(reason) => {
+            shared.counts.unknown.fetch_add(1, Ordering::Relaxed);
+            let status = if reason == "budget-over" { 504 } else { 502 };
+            let sentence = "the work was sent to a runner and no good answer came; it may have run";
+            outcome(status, "unknown", reason, sentence)
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/main.rs
@@ -0,0 +1,73 @@
+//! `hallkeel-front`: the data plane. It takes callers' requests and carries them to runners.
+
+mod callers;
+mod continuations;
+mod news;
+mod once;
+mod operators;
+mod shared;
+mod tries;
+
+use blueprint::{read_settings, FrontSettings, SettingsFault};
+use clap::Parser;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Carries callers' requests to runners.
+///
+/// Settings come from a TOML file, from flags, or from both; flags win.
+/// Exit codes: 0 stopped as asked, 1 a port could not be opened, 2 bad settings.
+#[derive(Parser, Serialize)]
+#[command(name = "hallkeel-front", version)]
+struct Flags {
+    /// File with settings
+    #[arg(long)]
+    #[serde(skip)]
+    settings: Option<PathBuf>,
+    /// Name of this front, one of its own in the fleet
+    #[arg(long)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    name: Option<String>,
+    /// District that it stands in
+    #[arg(long)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    district: Option<String>,
+    /// Address for callers and operators
+    #[arg(long)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    http: Option<SocketAddr>,
+    /// Address for the other daemons
+    #[arg(long)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    wire: Option<SocketAddr>,
+    /// Wire addresses of the three cores, with commas between
+    #[arg(long, value_delimiter = ',')]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    seeds: Option<Vec<SocketAddr>>,
+}
+
+fn settings(flags: &Flags) -> Result<FrontSettings, SettingsFault> {
+    let settings: FrontSettings = read_settings(flags.settings.as_deref(), flags)?;
+    settings.check()?;
+    Ok(settings)
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let settings = match settings(&Flags::parse()) {
+        Ok(settings) => settings,
+        Err(fault) => {
+            eprintln!("hallkeel-front: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    match shared::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hallkeel-front: {error}");
+            ExitCode::from(1)
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/operators.rs
@@ -0,0 +1,104 @@
+use crate::shared::Shared;
+use blueprint::Blueprint;
+use oxhttp::model::{Body, Method, Request, Response};
+use std::sync::atomic::Ordering;
+use wire::{json, text, Message};
+
+/// Answers what operators ask of a front.
+pub fn handle(shared: &Shared, request: &Request<Body>, path: &str) -> Response<Body> {
+    match (request.method(), path) {
+        (&Method::GET, "/status") => json(200, &status(shared)),
+        (&Method::GET, "/metrics") => json(200, &metrics(shared)),
+        (&Method::GET, "/blueprint") => json(200, &*shared.blueprint.load_full()),
+        _ => text(404, "no such path; callers use POST /call/<function>"),
+    }
+}
+
+fn status(shared: &Shared) -> serde_json::Value {
+    let district = &shared.settings.district;
+    let (report, plan) = shared.with_desk(|desk, now| (desk.report(now, district), desk.plan()));
+    let runners: Vec<_> = report
+        .runners
+        .iter()
+        .map(|runner| {
+            let quota = plan.runner(&runner.runner).map(|entry| entry.quota);
+            serde_json::json!({
+                "runner": runner.runner,
+                "epoch": runner.epoch,
+                "active": runner.is_active,
+                "warm": runner.is_warm,
+                "quota": quota,
+                "lent": runner.lent,
+                "unfit": runner.is_unfit,
+                "absent_ms": runner.absent_ms,
+                "answered": runner.answered,
+                "mean_ms": runner.took_ms.checked_div(runner.answered),
+            })
+        })
+        .collect();
+    let waiting: Vec<_> = report
+        .functions
+        .iter()
+        .filter(|function| function.waiting > 0)
+        .map(|function| serde_json::json!({ "function": function.function, "waiting": function.waiting }))
+        .collect();
+    serde_json::json!({
+        "role": "front",
+        "name": shared.settings.name,
+        "district": district,
+        "incarnation": format!("{:x}", shared.links.me().incarnation),
+        "standing": report.has_standing,
+        "draining": report.is_draining,
+        "blueprint": report.blueprint,
+        "plan": report.plan,
+        "roster": plan.roster,
+        "runners": runners,
+        "waiting": waiting,
+    })
+}
+
+fn metrics(shared: &Shared) -> serde_json::Value {
+    let counts = &shared.counts;
+    let wire = shared.links.counts();
+    serde_json::json!({
+        "answered": counts.answered.load(Ordering::Relaxed),
+        "refused": counts.refused.load(Ordering::Relaxed),
+        "unknown": counts.unknown.load(Ordering::Relaxed),
+        "tries": counts.tries.load(Ordering::Relaxed),
+        "retries": counts.retries.load(Ordering::Relaxed),
+        "bad_seals": counts.bad_seals.load(Ordering::Relaxed),
+        "in_flight": shared.continuations.len(),
+        "wire_taken": wire.taken.load(Ordering::Relaxed),
+        "wire_refused": wire.refused.load(Ordering::Relaxed),
+        "wire_dropped": wire.dropped.load(Ordering::Relaxed),
+    })
+}
+
+/// Tells every core what this front sees.
+pub fn report(shared: &Shared) {
+    let mut report = shared.with_desk(|desk, now| desk.report(now, &shared.settings.district));
+    report.http = shared.settings.http.to_string();
+    for seed in &shared.settings.seeds {
+        let message = Message::Report(report.clone());
+        shared.links.cast(&seed.to_string(), message);
+    }
+}
+
+/// Whether a draining front has nothing left to do: all answered, and no runner in its keeping.
+pub fn has_drained(shared: &Shared) -> bool {
+    let is_idle = shared.with_desk(|desk, _| {
+        let keeps = desk
+            .plan()
+            .runners
+            .iter()
+            .any(|entry| entry.keeper == *shared.links.me());
+        desk.is_idle() && !keeps
+    });
+    is_idle && shared.continuations.len() == 0
+}
+
+/// Longest time that a drain may take when cores cannot move its runners away.
+pub fn drain_limit_ms(blueprint: &Blueprint) -> u64 {
+    let budgets = blueprint.listings.iter().map(|listing| listing.budget_ms);
+    budgets.max().unwrap_or(0) + blueprint.bounds.return_ms
+}
--- a/crates/holding/src/desk.rs
+++ b/crates/holding/src/desk.rs
@@ -95,6 +95,11 @@
         self.is_ready = true;
     }
 
+    /// Whether [`Desk::set_ready`] was called.
+    pub fn is_ready(&self) -> bool {
+        self.is_ready
+    }
+
     /// No new tickets are taken from now on.
     pub fn drain(&mut self) {
         self.is_draining = true;
@@ -352,6 +357,7 @@
         });
         FrontReport {
             district: district.to_string(),
+            http: String::new(),
             is_draining: self.is_draining,
             has_standing: self.has_standing(now),
             plan: self.plan_version,
--- a/crates/holding/src/message.rs
+++ b/crates/holding/src/message.rs
@@ -110,6 +110,8 @@
 pub struct FrontReport {
     /// Its district.
     pub district: String,
+    /// Address at which it serves callers and operators.
+    pub http: String,
     /// Whether it drains.
     pub is_draining: bool,
     /// Whether it has standing.
