--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,303 @@
+use crate::deployment::{Deployment, LabFault};
+use crate::platform::WorkerLine;
+use oxhttp::model::Method;
+use std::fs::{self, File};
+use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+use wire::{call, Answer};
+
+const UP_PATIENCE: Duration = Duration::from_secs(30);
+const PORTS_EACH: u16 = 400;
+
+/// One process of the fleet.
+pub struct Member {
+    pub name: String,
+    pub http: SocketAddr,
+    program: &'static str,
+    arguments: Vec<String>,
+    child: Option<Child>,
+}
+
+/// A whole fleet on loopback. Dropping it ends every process that it started.
+pub struct Fleet {
+    pub cores: Vec<Member>,
+    pub fronts: Vec<Member>,
+    pub workers: Vec<Member>,
+    pub platform: Member,
+}
+
+fn local(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn fleet_fault(error: impl std::fmt::Display) -> LabFault {
+    LabFault::Fleet(error.to_string())
+}
+
+impl Member {
+    fn new(name: &str, http: SocketAddr, program: &'static str, arguments: Vec<String>) -> Self {
+        Self {
+            name: name.to_string(),
+            http,
+            program,
+            arguments,
+            child: None,
+        }
+    }
+
+    /// Starts the process; its output goes to a log file in the fleet's folder.
+    pub fn start(&mut self, dir: &Path) -> Result<(), LabFault> {
+        let own = std::env::current_exe().map_err(fleet_fault)?;
+        let program = own.with_file_name(self.program);
+        let log_path = dir.join("logs").join(format!("{}.log", self.name));
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(log_path)
+            .map_err(fleet_fault)?;
+        let errors = log.try_clone().map_err(fleet_fault)?;
+        let mut command = Command::new(&program);
+        command
+            .args(&self.arguments)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors);
+        // SAFETY: prctl is safe to call between fork and exec; it makes the child end with the lab.
+        unsafe {
+            command.pre_exec(|| {
+                libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
+            .spawn()
+            .map_err(|error| LabFault::Fleet(format!("{}: {error}", program.display())))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: i32) {
+        if let Some(child) = &self.child {
+            // SAFETY: the id is that of a child that was started here and not yet waited for.
+            unsafe {
+                libc::kill(child.id() as i32, signal);
+            }
+        }
+    }
+
+    /// Waits until the process has ended and gives its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        let mut child = self.child.take()?;
+        child.wait().ok()?.code()
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        self.signal(libc::SIGKILL);
+        self.wait();
+    }
+
+    /// Asks the process over HTTP.
+    pub fn get(&self, path: &str) -> Option<Answer> {
+        let uri = format!("http://{}{path}", self.http);
+        let patience = Duration::from_secs(2);
+        call(Method::GET, &uri, &[], Vec::new(), patience, 16 << 20).ok()
+    }
+
+    /// Asks the process for JSON.
+    pub fn get_json(&self, path: &str) -> Option<serde_json::Value> {
+        let answer = self.get(path).filter(|answer| answer.status == 200)?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        if self.child.is_some() {
+            self.kill();
+        }
+    }
+}
+
+fn ledger_path(dir: &Path, worker: &str) -> PathBuf {
+    dir.join("ledgers").join(worker)
+}
+
+impl Fleet {
+    /// Brings a fleet up in an emptied folder and puts the deployment's blueprint.
+    pub fn up(deployment: &Deployment, file: &Path, dir: &Path) -> Result<Self, LabFault> {
+        if dir.exists() {
+            fs::remove_dir_all(dir).map_err(fleet_fault)?;
+        }
+        for folder in ["logs", "data", "ledgers"] {
+            fs::create_dir_all(dir.join(folder)).map_err(fleet_fault)?;
+        }
+        let mut fleet = Self::planned(deployment, file, dir);
+        let members = fleet.workers.iter_mut().chain([&mut fleet.platform]);
+        for member in members.chain(&mut fleet.cores).chain(&mut fleet.fronts) {
+            member.start(dir)?;
+        }
+        fleet.wait_until("cores and fronts answer", |fleet| {
+            fleet
+                .daemons()
+                .all(|member| member.get("/status").is_some())
+        })?;
+        fleet.wait_until("a front is on the roster and has standing", |fleet| {
+            fleet.fronts.iter().all(|front| {
+                let status = front.get_json("/status");
+                status.is_some_and(|status| status["standing"] == true)
+            })
+        })?;
+        Ok(fleet)
+    }
+
+    fn planned(deployment: &Deployment, file: &Path, dir: &Path) -> Self {
+        let base = deployment.base_port;
+        let seeds: Vec<String> = (0..deployment.cores.len() as u16)
+            .map(|place| local(base + 20 + place).to_string())
+            .collect();
+        let seeds = seeds.join(",");
+        let platform_http = local(base);
+        let mut lines = Vec::new();
+        let mut workers = Vec::new();
+        for (place, district) in deployment.districts.iter().enumerate() {
+            for number in 0..deployment.workers_each {
+                let order = (place * deployment.workers_each + number) as u16;
+                let name = format!("worker-{district}{number}");
+                let control = local(base + 80 + order);
+                lines.push(WorkerLine {
+                    name: name.clone(),
+                    district: district.clone(),
+                    host: "127.0.0.1".into(),
+                    memory_mb: deployment.worker_memory_mb,
+                    first_port: base + 200 + order * PORTS_EACH,
+                    ports: PORTS_EACH,
+                    state: "up".into(),
+                    control,
+                });
+                let mut arguments = arguments(&[("--http", control.to_string())]);
+                arguments.insert(0, "worker".into());
+                arguments.extend(self::arguments(&[
+                    ("--deployment", file.display().to_string()),
+                    ("--ledger", ledger_path(dir, &name).display().to_string()),
+                ]));
+                workers.push(Member::new(&name, control, "hallkeel-lab", arguments));
+            }
+        }
+        let mut platform_arguments = arguments(&[
+            ("--http", platform_http.to_string()),
+            (
+                "--workers",
+                serde_json::to_string(&lines).unwrap_or_default(),
+            ),
+            ("--lag-ms", deployment.list_lag_ms.to_string()),
+        ]);
+        platform_arguments.insert(0, "platform".into());
+        let cores = deployment
+            .cores
+            .iter()
+            .enumerate()
+            .map(|(place, district)| {
+                let name = format!("core-{place}");
+                let http = local(base + 10 + place as u16);
+                let data = dir.join("data").join(&name).display().to_string();
+                let flags = [
+                    ("--name", name.clone()),
+                    ("--district", district.clone()),
+                    ("--http", http.to_string()),
+                    ("--wire", local(base + 20 + place as u16).to_string()),
+                    ("--seeds", seeds.clone()),
+                    ("--data", data),
+                    ("--platform", platform_http.to_string()),
+                ];
+                Member::new(&name, http, "hallkeel-core", arguments(&flags))
+            });
+        let fronts = deployment
+            .fronts
+            .iter()
+            .enumerate()
+            .map(|(place, district)| {
+                let name = format!("front-{place}");
+                let http = local(base + 40 + place as u16);
+                let flags = [
+                    ("--name", name.clone()),
+                    ("--district", district.clone()),
+                    ("--http", http.to_string()),
+                    ("--wire", local(base + 60 + place as u16).to_string()),
+                    ("--seeds", seeds.clone()),
+                ];
+                Member::new(&name, http, "hallkeel-front", arguments(&flags))
+            });
+        Self {
+            cores: cores.collect(),
+            fronts: fronts.collect(),
+            platform: Member::new(
+                "platform",
+                platform_http,
+                "hallkeel-lab",
+                platform_arguments,
+            ),
+            workers,
+        }
+    }
+
+    /// All daemons of hallkeel itself.
+    pub fn daemons(&self) -> impl Iterator<Item = &Member> {
+        self.cores.iter().chain(&self.fronts)
+    }
+
+    /// Waits for a condition.
+    pub fn wait_until(
+        &self,
+        what: &str,
+        is_so: impl Fn(&Self) -> bool,
+    ) -> Result<Duration, LabFault> {
+        let began = Instant::now();
+        while !is_so(self) {
+            if began.elapsed() > UP_PATIENCE {
+                return Err(LabFault::Fleet(format!("waited in vain until {what}")));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        Ok(began.elapsed())
+    }
+
+    /// Puts a blueprint and gives the answer's status and body.
+    pub fn put(&self, text: &str, expected: u64) -> Option<(u16, serde_json::Value)> {
+        let core = &self.cores[0];
+        let uri = format!("http://{}/blueprint?expected={expected}", core.http);
+        let patience = Duration::from_secs(10);
+        let body = text.as_bytes().to_vec();
+        let answer = call(Method::PUT, &uri, &[], body, patience, 1 << 20).ok()?;
+        let told = serde_json::from_slice(&answer.body).unwrap_or_default();
+        Some((answer.status, told))
+    }
+
+    /// Whether every runner that the plan wants is warm at its keeper.
+    pub fn is_warm(&self, functions: usize) -> bool {
+        let mut warm = std::collections::HashSet::new();
+        for front in &self.fronts {
+            let Some(status) = front.get_json("/status") else {
+                continue;
+            };
+            let runners = status["runners"].as_array().cloned().unwrap_or_default();
+            for runner in runners.iter().filter(|runner| runner["warm"] == true) {
+                let id = runner["runner"].as_str().unwrap_or_default();
+                warm.insert(id.split('.').next().unwrap_or_default().to_string());
+            }
+        }
+        warm.len() >= functions
+    }
+}
+
+fn arguments(flags: &[(&str, String)]) -> Vec<String> {
+    let pairs = flags.iter();
+    pairs
+        .flat_map(|(flag, value)| [flag.to_string(), value.clone()])
+        .collect()
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,113 @@
+//! `hallkeel-lab`: stand-ins for the platform, its workers and the callers, and a whole fleet on
+//! one machine. It is for trying and testing, never for operating.
+
+mod callers;
+mod deployment;
+mod fleet;
+mod judge;
+mod ledger;
+mod platform;
+mod runner;
+mod session;
+mod worker;
+
+use clap::{Parser, Subcommand};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Stand-ins and trials for hallkeel, on one machine.
+///
+/// Exit codes: 0 good, 1 a check was broken, 2 bad arguments or files, 3 the fleet did not come up.
+#[derive(Parser)]
+#[command(name = "hallkeel-lab", version)]
+struct Flags {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Print the blueprint that a deployment file describes
+    Blueprint {
+        /// Deployment file
+        deployment: PathBuf,
+    },
+    /// Bring a whole fleet up on loopback and keep it until Ctrl-C
+    Fleet {
+        /// Deployment file
+        deployment: PathBuf,
+        /// Folder for settings, data and logs; it is emptied first
+        #[arg(long, default_value = "run/fleet")]
+        dir: PathBuf,
+    },
+    /// Bring a fleet up, send steady traffic and then a rush, and judge it
+    Run {
+        /// Deployment file
+        deployment: PathBuf,
+        /// Seconds of steady traffic
+        #[arg(long, default_value_t = 60)]
+        steady: u64,
+        /// Seconds of the rush
+        #[arg(long, default_value_t = 60)]
+        rush: u64,
+        /// Folder for settings, data and logs; it is emptied first
+        #[arg(long, default_value = "run/fleet")]
+        dir: PathBuf,
+        /// File that the report is written to; standard output where none is named
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
+    /// Stand in for the platform
+    #[command(hide = true)]
+    Platform {
+        #[arg(long)]
+        http: SocketAddr,
+        #[arg(long)]
+        workers: String,
+        #[arg(long)]
+        lag_ms: u64,
+    },
+    /// Stand in for a worker and its runners
+    #[command(hide = true)]
+    Worker {
+        #[arg(long)]
+        http: SocketAddr,
+        #[arg(long)]
+        deployment: PathBuf,
+        #[arg(long)]
+        ledger: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let result = match Flags::parse().command {
+        Command::Blueprint { deployment } => session::print_blueprint(&deployment),
+        Command::Fleet { deployment, dir } => session::keep_fleet(&deployment, &dir),
+        Command::Run {
+            deployment,
+            steady,
+            rush,
+            dir,
+            report,
+        } => session::run(&deployment, steady, rush, &dir, report.as_deref()),
+        Command::Platform {
+            http,
+            workers,
+            lag_ms,
+        } => platform::run(http, &workers, lag_ms),
+        Command::Worker {
+            http,
+            deployment,
+            ledger,
+        } => worker::run(http, &deployment, &ledger),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("hallkeel-lab: {fault}");
+            ExitCode::from(fault.code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/platform.rs
@@ -0,0 +1,263 @@
+use crate::deployment::LabFault;
+use oxhttp::model::{Body, Method, Request, Response};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+use wire::{call, json, read_body, serve, text};
+
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// A worker as the stand-in platform knows it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WorkerLine {
+    pub name: String,
+    pub district: String,
+    pub host: String,
+    pub memory_mb: u64,
+    pub first_port: u16,
+    pub ports: u16,
+    pub state: String,
+    /// Address of the worker's own process.
+    pub control: SocketAddr,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct RunnerLine {
+    id: String,
+    function: String,
+    worker: String,
+    port: u16,
+    memory_mb: u64,
+    state: String,
+    #[serde(skip)]
+    since: Instant,
+}
+
+#[derive(Deserialize)]
+struct StartOrder {
+    function: String,
+    worker: String,
+    port: u16,
+    memory_mb: u64,
+    key: String,
+}
+
+#[derive(Clone, Default)]
+struct Lists {
+    workers: Vec<WorkerLine>,
+    runners: BTreeMap<String, RunnerLine>,
+}
+
+#[derive(Default)]
+struct State {
+    lists: Lists,
+    /// Lists as they were, the oldest first.
+    past: VecDeque<(Instant, Lists)>,
+    term: u64,
+}
+
+/// Stands in for the platform: it starts and stops runners where it is told, and its lists lag.
+pub fn run(http: SocketAddr, workers: &str, lag_ms: u64) -> Result<(), LabFault> {
+    let workers: Vec<WorkerLine> =
+        serde_json::from_str(workers).map_err(|error| LabFault::Input(error.to_string()))?;
+    let state = Arc::new(Mutex::new(State {
+        lists: Lists {
+            workers,
+            ..Lists::default()
+        },
+        ..State::default()
+    }));
+    let watched = state.clone();
+    thread::spawn(move || watch_workers(&watched));
+    let lag = Duration::from_millis(lag_ms);
+    let serving = state.clone();
+    serve(http, 256, Duration::from_secs(30), move |request| {
+        handle(&serving, lag, request)
+    })
+    .map_err(|error| LabFault::Fleet(error.to_string()))?;
+    loop {
+        thread::sleep(lag / 4 + Duration::from_millis(5));
+        let mut state = state.lock();
+        let now = (Instant::now(), state.lists.clone());
+        state.past.push_back(now);
+        while state.past.len() > 1 && state.past[1].0.elapsed() >= lag {
+            state.past.pop_front();
+        }
+    }
+}
+
+// A worker whose process does not answer is not listed, nor are its runners.
+fn watch_workers(state: &Mutex<State>) {
+    let all = state.lock().lists.workers.clone();
+    loop {
+        for worker in &all {
+            let uri = format!("http://{}/runners", worker.control);
+            let answer = call(Method::GET, &uri, &[], Vec::new(), PATIENCE / 3, 1 << 20);
+            let alive: Option<Vec<String>> = answer
+                .ok()
+                .and_then(|answer| serde_json::from_slice(&answer.body).ok());
+            let mut state = state.lock();
+            let lists = &mut state.lists;
+            let is_listed = lists.workers.iter().any(|known| known.name == worker.name);
+            match alive {
+                None => {
+                    lists.workers.retain(|known| known.name != worker.name);
+                    lists
+                        .runners
+                        .retain(|_, runner| runner.worker != worker.name);
+                }
+                Some(ids) => {
+                    // What was started just now may have been missed by the question.
+                    lists.runners.retain(|id, runner| {
+                        runner.worker != worker.name
+                            || ids.contains(id)
+                            || runner.since.elapsed() < 2 * PATIENCE
+                    });
+                    if !is_listed {
+                        lists.workers.push(worker.clone());
+                    }
+                }
+            }
+        }
+        thread::sleep(Duration::from_millis(200));
+    }
+}
+
+fn handle(state: &Mutex<State>, lag: Duration, request: &mut Request<Body>) -> Response<Body> {
+    let path = request.uri().path().to_string();
+    let query = request.uri().query().unwrap_or_default().to_string();
+    let body = match read_body(request, 1 << 16) {
+        Ok(body) => body,
+        Err(response) => return *response,
+    };
+    let method = request.method().clone();
+    if method == Method::GET {
+        let state = state.lock();
+        let lagging = state.past.front().filter(|(at, _)| at.elapsed() >= lag);
+        let empty = Lists::default();
+        let lists = lagging.map_or(&empty, |(_, lists)| lists);
+        return match path.as_str() {
+            "/v1/workers" => json(200, &serde_json::json!({ "workers": lists.workers })),
+            "/v1/runners" => {
+                let runners: Vec<_> = lists.runners.values().collect();
+                json(200, &serde_json::json!({ "runners": runners }))
+            }
+            _ => text(404, "no such path"),
+        };
+    }
+    if let Some(worker) = path.strip_prefix("/lab/leave/") {
+        return leave(state, worker);
+    }
+    let Some(id) = path.strip_prefix("/v1/runners/") else {
+        return text(404, "no such path");
+    };
+    let term = query
+        .strip_prefix("term=")
+        .and_then(|term| term.parse::<u64>().ok());
+    let Some(term) = term else {
+        return text(400, "say the term: ?term=<number>");
+    };
+    {
+        let mut state = state.lock();
+        if term < state.term {
+            return text(409, "a higher term is known");
+        }
+        state.term = term;
+    }
+    match method {
+        Method::PUT => start(state, id, &body),
+        Method::DELETE => stop(state, id),
+        _ => text(405, "start with PUT and stop with DELETE"),
+    }
+}
+
+fn leave(state: &Mutex<State>, name: &str) -> Response<Body> {
+    let mut state = state.lock();
+    for worker in &mut state.lists.workers {
+        if worker.name == name {
+            worker.state = "leaving".into();
+        }
+    }
+    json(200, &serde_json::json!({}))
+}
+
+fn start(state: &Mutex<State>, id: &str, body: &[u8]) -> Response<Body> {
+    let Ok(order) = serde_json::from_slice::<StartOrder>(body) else {
+        return text(400, "no start order");
+    };
+    let (control, host) = {
+        let mut state = state.lock();
+        let lists = &mut state.lists;
+        if lists.runners.contains_key(id) {
+            return json(202, &serde_json::json!({ "state": "starting" }));
+        }
+        let found = lists
+            .workers
+            .iter()
+            .find(|known| known.name == order.worker);
+        let Some(worker) = found else {
+            return text(422, "no such worker");
+        };
+        let there = lists
+            .runners
+            .values()
+            .filter(|runner| runner.worker == worker.name);
+        let used: u64 = there.map(|runner| runner.memory_mb).sum();
+        if used + order.memory_mb > worker.memory_mb {
+            return text(422, "the worker has not the memory");
+        }
+        let (control, host) = (worker.control, worker.host.clone());
+        let line = RunnerLine {
+            id: id.to_string(),
+            function: order.function.clone(),
+            worker: order.worker.clone(),
+            port: order.port,
+            memory_mb: order.memory_mb,
+            state: "up".into(),
+            since: Instant::now(),
+        };
+        lists.runners.insert(id.to_string(), line);
+        (control, host)
+    };
+    let told = serde_json::json!({
+        "id": id,
+        "function": order.function,
+        "address": format!("{host}:{}", order.port),
+        "key": order.key,
+    });
+    let body = serde_json::to_vec(&told).unwrap_or_default();
+    let uri = format!("http://{control}/start");
+    match call(Method::POST, &uri, &[], body, PATIENCE, 1 << 16) {
+        Ok(answer) if answer.status == 202 => json(202, &told),
+        _ => {
+            state.lock().lists.runners.remove(id);
+            text(503, "the worker did not answer")
+        }
+    }
+}
+
+fn stop(state: &Mutex<State>, id: &str) -> Response<Body> {
+    let control = {
+        let state = state.lock();
+        let Some(runner) = state.lists.runners.get(id) else {
+            return json(200, &serde_json::json!({ "state": "gone" }));
+        };
+        let workers = &state.lists.workers;
+        let found = workers.iter().find(|known| known.name == runner.worker);
+        found.map(|worker| worker.control)
+    };
+    let is_stopped = control.is_none_or(|control| {
+        let uri = format!("http://{control}/stop/{id}");
+        call(Method::POST, &uri, &[], Vec::new(), PATIENCE, 1 << 16)
+            .is_ok_and(|answer| answer.status == 200)
+    });
+    if !is_stopped {
+        return text(503, "the worker did not answer");
+    }
+    state.lock().lists.runners.remove(id);
+    json(200, &serde_json::json!({ "state": "gone" }))
+}
--- /dev/null
+++ b/crates/lab/src/runner.rs
@@ -0,0 +1,268 @@
+use crate::ledger::RunLedger;
+use hmac::{Hmac, Mac};
+use parking_lot::Mutex;
+use rand::Rng;
+use serde::Deserialize;
+use sha2::{Digest, Sha256};
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+const HEAD_MAX: usize = 16 * 1024;
+const BODY_MAX: usize = 1 << 20;
+
+/// How a stand-in runner misbehaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mischief {
+    /// It runs the request and closes the connection.
+    LoseAnswer,
+    /// It runs the request and sends bytes that are no HTTP.
+    Garbage,
+    /// It runs the request and sends half of the answer.
+    Truncate,
+    /// It runs the request and does not seal the answer.
+    NoSeal,
+    /// It seals another request's answer.
+    Foreign,
+    /// It runs the request and never answers.
+    Stall,
+    /// It works ten times as long.
+    Slow,
+}
+
+/// What a function's runners do wrong, and in which share of requests.
+pub type Mischiefs = Arc<Mutex<HashMap<String, (Mischief, f64)>>>;
+
+/// What a runner is started with.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RunnerOrder {
+    /// Its id.
+    pub id: String,
+    /// Its function.
+    pub function: String,
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    /// Key for its seals, in hex.
+    pub key: String,
+}
+
+/// A runner that serves until it is stopped.
+pub struct Runner {
+    pub order: RunnerOrder,
+    is_stopped: Arc<AtomicBool>,
+}
+
+struct Inside {
+    order: RunnerOrder,
+    key: Vec<u8>,
+    pace_ms: u64,
+    ledger: Arc<RunLedger>,
+    mischiefs: Mischiefs,
+    in_flight: AtomicU32,
+}
+
+struct Asked {
+    headers: HashMap<String, String>,
+    body: Vec<u8>,
+}
+
+fn unhex(text: &str) -> Vec<u8> {
+    let digits = text.as_bytes().chunks(2);
+    digits
+        .filter_map(|pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok())
+        .collect()
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+impl Runner {
+    /// Starts a runner that takes connections after its start time.
+    pub fn start(
+        order: RunnerOrder,
+        start_ms: u64,
+        pace_ms: u64,
+        ledger: Arc<RunLedger>,
+        mischiefs: Mischiefs,
+    ) -> Self {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let inside = Arc::new(Inside {
+            key: unhex(&order.key),
+            order: order.clone(),
+            pace_ms,
+            ledger,
+            mischiefs,
+            in_flight: AtomicU32::new(0),
+        });
+        let stopped = is_stopped.clone();
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(start_ms));
+            if let Err(error) = accept(&inside, &stopped) {
+                log::error!("lab: runner {} cannot listen: {error}", inside.order.id);
+            }
+        });
+        Self { order, is_stopped }
+    }
+
+    /// Stops taking connections; what runs goes on.
+    pub fn stop(&self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect_timeout(&self.order.address, Duration::from_millis(200));
+    }
+}
+
+fn accept(inside: &Arc<Inside>, is_stopped: &AtomicBool) -> io::Result<()> {
+    if is_stopped.load(Ordering::SeqCst) {
+        return Ok(());
+    }
+    let listener = TcpListener::bind(inside.order.address)?;
+    for stream in listener.incoming() {
+        if is_stopped.load(Ordering::SeqCst) {
+            return Ok(());
+        }
+        let Ok(stream) = stream else {
+            continue;
+        };
+        let inside = inside.clone();
+        thread::spawn(move || {
+            let _ = serve(&inside, stream);
+        });
+    }
+    Ok(())
+}
+
+fn read_request(stream: &mut TcpStream) -> io::Result<Option<Asked>> {
+    let mut bytes = Vec::new();
+    let mut part = [0; 8 * 1024];
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut request = httparse::Request::new(&mut headers);
+        let parsed = request.parse(&bytes).map_err(io::Error::other)?;
+        if let httparse::Status::Complete(head) = parsed {
+            let headers: HashMap<String, String> = request
+                .headers
+                .iter()
+                .map(|header| {
+                    let value = String::from_utf8_lossy(header.value).into_owned();
+                    (header.name.to_ascii_lowercase(), value)
+                })
+                .collect();
+            let length = headers
+                .get("content-length")
+                .and_then(|length| length.parse::<usize>().ok())
+                .unwrap_or(0);
+            if length > BODY_MAX {
+                return Ok(None);
+            }
+            let mut body = bytes.split_off(head);
+            while body.len() < length {
+                let read = stream.read(&mut part)?;
+                if read == 0 {
+                    return Ok(None);
+                }
+                body.extend_from_slice(&part[..read]);
+            }
+            return Ok(Some(Asked { headers, body }));
+        }
+        let read = stream.read(&mut part)?;
+        if read == 0 || bytes.len() > HEAD_MAX {
+            return Ok(None);
+        }
+        bytes.extend_from_slice(&part[..read]);
+    }
+}
+
+fn respond(stream: &mut TcpStream, status: &str, extra: &str, body: &[u8]) -> io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n{extra}\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(body)
+}
+
+fn seal_of(key: &[u8], ticket: &str, runner: &str, body: &[u8]) -> String {
+    let digest = hex(&Sha256::digest(body));
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("any length is a key");
+    mac.update(format!("{ticket}\n{runner}\n200\napplication/json\n{digest}").as_bytes());
+    hex(&mac.finalize().into_bytes())
+}
+
+fn serve(inside: &Inside, mut stream: TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+    let Some(asked) = read_request(&mut stream)? else {
+        return Ok(());
+    };
+    let header = |name: &str| asked.headers.get(name).cloned().unwrap_or_default();
+    if header("hallkeel-runner") != inside.order.id {
+        return respond(&mut stream, "421 Misdirected Request", "", b"{}");
+    }
+    let in_flight = inside.in_flight.fetch_add(1, Ordering::SeqCst) + 1;
+    let result = work(inside, &mut stream, &asked, in_flight);
+    inside.in_flight.fetch_sub(1, Ordering::SeqCst);
+    let _ = stream.shutdown(Shutdown::Both);
+    result
+}
+
+fn work(inside: &Inside, stream: &mut TcpStream, asked: &Asked, in_flight: u32) -> io::Result<()> {
+    let header = |name: &str| asked.headers.get(name).cloned().unwrap_or_default();
+    let sent: serde_json::Value = serde_json::from_slice(&asked.body).unwrap_or_default();
+    let call = sent["call"].as_str().unwrap_or("-").to_string();
+    let key = asked
+        .headers
+        .get("idempotency-key")
+        .cloned()
+        .unwrap_or_else(|| "-".into());
+    let order = &inside.order;
+    inside
+        .ledger
+        .note(&order.id, &order.function, &call, &key, in_flight);
+    let mischief = inside.mischiefs.lock().get(&order.function).copied();
+    let mischief = mischief
+        .filter(|(_, share)| rand::rng().random_bool(share.clamp(0.0, 1.0)))
+        .map(|(mischief, _)| mischief);
+    let spread = rand::rng().random_range(0.67..1.33);
+    let factor = if mischief == Some(Mischief::Slow) {
+        10.0
+    } else {
+        1.0
+    };
+    let budget_ms: u64 = header("hallkeel-budget-ms").parse().unwrap_or(1_000);
+    let work_ms = ((inside.pace_ms as f64 * spread * factor) as u64).min(budget_ms);
+    thread::sleep(Duration::from_millis(work_ms));
+    let answer = serde_json::json!({ "call": call, "function": order.function });
+    let body = serde_json::to_vec(&answer).unwrap_or_default();
+    let ticket = header("hallkeel-ticket");
+    let seal = seal_of(&inside.key, &ticket, &order.id, &body);
+    let sealed = format!("hallkeel-seal: {seal}\r\n");
+    match mischief {
+        None | Some(Mischief::Slow) => respond(stream, "200 OK", &sealed, &body),
+        Some(Mischief::LoseAnswer) => Ok(()),
+        Some(Mischief::Garbage) => stream.write_all(&[0xde, 0xad, 0xbe, 0xef, 0x0a]),
+        Some(Mischief::Truncate) => {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n{sealed}\r\n",
+                body.len()
+            );
+            stream.write_all(head.as_bytes())?;
+            stream.write_all(&body[..body.len() / 2])
+        }
+        Some(Mischief::NoSeal) => respond(stream, "200 OK", "", &body),
+        Some(Mischief::Foreign) => {
+            let foreign = serde_json::json!({ "call": "foreign", "function": order.function });
+            let foreign = serde_json::to_vec(&foreign).unwrap_or_default();
+            respond(stream, "200 OK", &sealed, &foreign)
+        }
+        Some(Mischief::Stall) => {
+            thread::sleep(Duration::from_millis(budget_ms.saturating_sub(work_ms)));
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/session.rs
@@ -0,0 +1,174 @@
+use crate::callers::{self, Wish};
+use crate::deployment::{Deployment, LabFault};
+use crate::fleet::Fleet;
+use crate::{judge, ledger};
+use crossbeam::channel::bounded;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+fn text_of(deployment: &Deployment) -> String {
+    serde_json::to_string_pretty(&deployment.blueprint()).unwrap_or_default()
+}
+
+/// Prints a deployment's blueprint.
+pub fn print_blueprint(file: &Path) -> Result<(), LabFault> {
+    println!("{}", text_of(&Deployment::read(file)?));
+    Ok(())
+}
+
+/// A fleet with its blueprint in force and a warm runner of each function.
+pub struct Ready {
+    pub fleet: Fleet,
+    pub up: Duration,
+    pub acknowledged: Duration,
+    pub held: Duration,
+    pub warm: Duration,
+}
+
+/// Brings a fleet up until every function has a warm runner.
+pub fn make_ready(deployment: &Deployment, file: &Path, dir: &Path) -> Result<Ready, LabFault> {
+    let began = Instant::now();
+    let fleet = Fleet::up(deployment, file, dir)?;
+    let up = began.elapsed();
+    let put_at = Instant::now();
+    match fleet.put(&text_of(deployment), 0) {
+        Some((200, _)) => {}
+        other => return Err(LabFault::Fleet(format!("the put was answered {other:?}"))),
+    }
+    let acknowledged = put_at.elapsed();
+    fleet.wait_until("every daemon holds the blueprint", |fleet| {
+        fleet.fronts.iter().all(|front| {
+            let status = front.get_json("/status");
+            status.is_some_and(|status| status["blueprint"]["no"] == 1)
+        })
+    })?;
+    let held = put_at.elapsed();
+    let functions = deployment.groups.iter().map(|group| group.count).sum();
+    fleet.wait_until("every function has a warm runner", |fleet| {
+        fleet.is_warm(functions)
+    })?;
+    Ok(Ready {
+        fleet,
+        up,
+        acknowledged,
+        held,
+        warm: put_at.elapsed(),
+    })
+}
+
+/// Keeps a fleet up until Ctrl-C.
+pub fn keep_fleet(file: &Path, dir: &Path) -> Result<(), LabFault> {
+    let deployment = Deployment::read(file)?;
+    let ready = make_ready(&deployment, file, dir)?;
+    let cores: Vec<String> = ready
+        .fleet
+        .cores
+        .iter()
+        .map(|core| core.http.to_string())
+        .collect();
+    println!("cores (operators): {}", cores.join(","));
+    for front in &ready.fleet.fronts {
+        println!("{} (callers): http://{}", front.name, front.http);
+    }
+    println!("logs: {}", dir.join("logs").display());
+    println!("the fleet is up; Ctrl-C ends it");
+    let (stop, stopped) = bounded(1);
+    let _ = ctrlc::set_handler(move || {
+        let _ = stop.try_send(());
+    });
+    let _ = stopped.recv();
+    println!(
+        "ending {} processes",
+        ready.fleet.daemons().count() + ready.fleet.workers.len() + 1
+    );
+    Ok(())
+}
+
+/// Runs steady traffic and a rush against a fresh fleet and judges both.
+pub fn run(
+    file: &Path,
+    steady: u64,
+    rush: u64,
+    dir: &Path,
+    report: Option<&Path>,
+) -> Result<(), LabFault> {
+    let deployment = Deployment::read(file)?;
+    let ready = make_ready(&deployment, file, dir)?;
+    let fronts: Vec<SocketAddr> = ready.fleet.fronts.iter().map(|front| front.http).collect();
+    let mut text = format!(
+        "# {}\n\nFleet up in {:.1} s; blueprint acknowledged in {} ms, held by every front in {} ms, \
+         a warm runner of each of {} functions in {:.1} s.\n",
+        file.display(),
+        ready.up.as_secs_f64(),
+        ready.acknowledged.as_millis(),
+        ready.held.as_millis(),
+        deployment.blueprint().listings.len(),
+        ready.warm.as_secs_f64(),
+    );
+    let mut all = Vec::new();
+    for (name, seconds, with_crowd) in [("steady", steady, false), ("rush", rush, true)] {
+        if seconds == 0 {
+            continue;
+        }
+        log::info!("lab: {name} for {seconds} s");
+        let wishes = callers::send(
+            &deployment,
+            &fronts,
+            seconds,
+            with_crowd,
+            all.len() as u64 + 1,
+        );
+        describe(&mut text, name, seconds, &wishes);
+        all.extend(wishes);
+    }
+    let runs = ledger::read_all(&dir.join("ledgers"))
+        .map_err(|error| LabFault::Fleet(error.to_string()))?;
+    let checks = judge::checks(&deployment, &all, &runs);
+    let _ = writeln!(text, "\n| check | found | verdict |\n|---|---|---|");
+    for check in &checks {
+        let verdict = if check.is_good { "good" } else { "BROKEN" };
+        let _ = writeln!(text, "| {} | {} | {verdict} |", check.name, check.found);
+    }
+    let _ = writeln!(text, "\n{} runs in all.", runs.len());
+    match report {
+        None => println!("{text}"),
+        Some(path) => std::fs::write(path, &text)
+            .map_err(|error| LabFault::Input(format!("{}: {error}", path.display())))?,
+    }
+    let broken: Vec<&str> = checks
+        .iter()
+        .filter(|check| !check.is_good)
+        .map(|check| check.name)
+        .collect();
+    if broken.is_empty() {
+        return Ok(());
+    }
+    Err(LabFault::Broken(format!("broken: {}", broken.join(", "))))
+}
+
+/// Writes what the callers saw.
+pub fn describe(text: &mut String, name: &str, seconds: u64, wishes: &[Wish]) {
+    let _ = writeln!(
+        text,
+        "\n## {name}: {} pieces of work in {seconds} s\n\n\
+         | kind | wanted | done | share | p50 ms | p99 ms | gap ms | answers that were no success |\n\
+         |---|---|---|---|---|---|---|---|",
+        wishes.len()
+    );
+    for line in judge::kinds(wishes) {
+        let share = 100.0 * line.done as f64 / line.wishes.max(1) as f64;
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} | {share:.2} % | {} | {} | {} | {:?} |",
+            line.kind,
+            line.wishes,
+            line.done,
+            line.p50.as_millis(),
+            line.p99.as_millis(),
+            line.gap_ms,
+            line.reasons
+        );
+    }
+}
