--- a/crates/front/src/operators.rs
+++ b/crates/front/src/operators.rs
@@ -9,6 +9,10 @@
     match (request.method(), path) {
         (&Method::GET, "/status") => json(200, &status(shared)),
         (&Method::GET, "/metrics") => json(200, &metrics(shared)),
+        (&Method::POST, "/drain") => {
+            let _ = shared.stop.try_send(());
+            json(202, &serde_json::json!({ "state": "draining" }))
+        }
         (&Method::GET, "/blueprint") => json(200, &*shared.blueprint.load_full()),
         _ => text(404, "no such path; callers use POST /call/<function>"),
     }
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -41,6 +41,7 @@
     pub counts: Counts,
     pub is_stopping: AtomicBool,
     pub asked: Mutex<HashMap<String, u64>>,
+    pub stop: Sender<()>,
     desk: Mutex<Desk>,
     tries: Sender<(Ticket, SeatGrant)>,
     probes: Sender<(String, String)>,
@@ -138,7 +139,9 @@
     let links = Arc::new(Links::new(me.clone(), settings.wire, Role::Front));
     let (tries, launched) = bounded(settings.tries_max);
     let (probes, wanted_probes) = bounded(PROBES_MAX);
+    let (stop, stopped) = bounded(1);
     let shared = Arc::new(Shared {
+        stop: stop.clone(),
         ledger: Ledger::new(links.clone()),
         links: links.clone(),
         blueprint: ArcSwap::from_pointee(Blueprint::empty()),
@@ -177,7 +180,6 @@
         shared.settings.name,
         shared.settings.http
     );
-    let (stop, stopped) = bounded(1);
     let _ = ctrlc::set_handler(move || {
         let _ = stop.try_send(());
     });
--- /dev/null
+++ b/crates/hallkeel/src/cores.rs
@@ -0,0 +1,107 @@
+use oxhttp::model::Method;
+use serde_json::Value;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wire::call;
+
+const PATIENCE: Duration = Duration::from_secs(8);
+const ANSWER_MAX: u64 = 32 << 20;
+
+/// Why the tool did not do what it was asked.
+#[derive(Debug)]
+pub enum ToolFault {
+    /// The fleet refused, or could not say.
+    Refused(String),
+    /// Arguments or a file are no good.
+    Input(String),
+    /// No core answered.
+    Unreached(String),
+}
+
+impl ToolFault {
+    /// The process's exit code.
+    pub fn code(&self) -> u8 {
+        match self {
+            Self::Refused(_) => 1,
+            Self::Input(_) => 2,
+            Self::Unreached(_) => 3,
+        }
+    }
+}
+
+impl fmt::Display for ToolFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(text) | Self::Input(text) | Self::Unreached(text) => {
+                formatter.write_str(text)
+            }
+        }
+    }
+}
+
+/// The cores as the tool reaches them.
+pub struct Cores {
+    addresses: Vec<SocketAddr>,
+}
+
+/// Asks one daemon; none where it does not answer.
+pub fn ask(method: Method, address: SocketAddr, path: &str, body: &[u8]) -> Option<(u16, Value)> {
+    let uri = format!("http://{address}{path}");
+    let answer = call(method, &uri, &[], body.to_vec(), PATIENCE, ANSWER_MAX).ok()?;
+    let told = serde_json::from_slice(&answer.body).unwrap_or_default();
+    Some((answer.status, told))
+}
+
+impl Cores {
+    pub fn new(addresses: Vec<SocketAddr>) -> Result<Self, ToolFault> {
+        if addresses.is_empty() {
+            let text = "name the cores' operator ports with --cores or HALLKEEL_CORES";
+            return Err(ToolFault::Input(text.into()));
+        }
+        Ok(Self { addresses })
+    }
+
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// Asks the cores one after the other until one answers other than that it cannot.
+    pub fn ask(&self, method: Method, path: &str, body: &[u8]) -> Result<(u16, Value), ToolFault> {
+        let mut last = None;
+        for address in &self.addresses {
+            let answer = ask(method.clone(), *address, path, body);
+            match answer {
+                Some((status, told)) if status != 503 && status != 421 => {
+                    return Ok((status, told))
+                }
+                other => last = other.or(last),
+            }
+        }
+        match last {
+            Some((status, told)) => Ok((status, told)),
+            None => Err(ToolFault::Unreached("no core answered".into())),
+        }
+    }
+
+    /// Asks and takes any answer but a good one as a refusal.
+    pub fn ask_good(&self, method: Method, path: &str, body: &[u8]) -> Result<Value, ToolFault> {
+        let (status, told) = self.ask(method, path, body)?;
+        if status == 200 {
+            return Ok(told);
+        }
+        let mut text = told["error"]
+            .as_str()
+            .unwrap_or("the core refused")
+            .to_string();
+        if let Some(version) = told["version"].as_u64() {
+            text.push_str(&format!(" (version {version})"));
+        }
+        for fault in told["faults"].as_array().into_iter().flatten() {
+            let path = fault["path"].as_str().unwrap_or_default();
+            let reason = fault["reason"].as_str().unwrap_or_default();
+            text.push_str(&format!("\n  {path}: {reason}"));
+        }
+        Err(ToolFault::Refused(text))
+    }
+}
--- /dev/null
+++ b/crates/hallkeel/src/show.rs
@@ -0,0 +1,231 @@
+use crate::cores::{ask, Cores, ToolFault};
+use oxhttp::model::Method;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+/// Everything that the daemons tell of themselves.
+struct Fleet {
+    cores: Vec<(SocketAddr, Option<Value>)>,
+    fronts: Vec<(String, Option<Value>)>,
+}
+
+fn look(cores: &Cores, path: &str) -> Result<Fleet, ToolFault> {
+    let told = |address: SocketAddr, path: &str| {
+        let answer = ask(Method::GET, address, path, &[]);
+        answer
+            .filter(|(status, _)| *status == 200)
+            .map(|(_, told)| told)
+    };
+    let status = cores.ask_good(Method::GET, "/status", &[])?;
+    let asked = cores.addresses().iter();
+    let core_lines = asked
+        .map(|address| (*address, told(*address, path)))
+        .collect();
+    let fronts = status["fronts"].as_array().cloned().unwrap_or_default();
+    let front_lines = fronts.iter().map(|front| {
+        let name = front["name"].as_str().unwrap_or("?").to_string();
+        let address = front["http"].as_str().and_then(|text| text.parse().ok());
+        (name, address.and_then(|address| told(address, path)))
+    });
+    Ok(Fleet {
+        cores: core_lines,
+        fronts: front_lines.collect(),
+    })
+}
+
+fn text(value: &Value) -> String {
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_string)
+}
+
+/// Shows the fleet once.
+pub fn status(cores: &Cores, as_json: bool, with_runners: bool) -> Result<(), ToolFault> {
+    let fleet = look(cores, "/status")?;
+    if as_json {
+        let all: Vec<Value> = fleet
+            .cores
+            .iter()
+            .map(|(address, told)| json!({ "address": address.to_string(), "status": told }))
+            .collect();
+        let fronts: Vec<Value> = fleet
+            .fronts
+            .iter()
+            .map(|(name, told)| json!({ "name": name, "status": told }))
+            .collect();
+        let whole = json!({ "cores": all, "fronts": fronts });
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&whole).unwrap_or_default()
+        );
+        return Ok(());
+    }
+    show_daemons(&fleet);
+    let scaling = fleet
+        .cores
+        .iter()
+        .filter_map(|(_, told)| told.as_ref())
+        .find(|told| told["duty"]["here"] == true);
+    let Some(core) = scaling else {
+        println!("no core scales now");
+        return Ok(());
+    };
+    show_functions(core);
+    if with_runners {
+        show_runners(core);
+    }
+    Ok(())
+}
+
+fn show_daemons(fleet: &Fleet) {
+    println!(
+        "{:<12} {:<9} {:>9} {:>7}  state",
+        "daemon", "district", "blueprint", "plan"
+    );
+    for (address, told) in &fleet.cores {
+        match told {
+            None => println!("{address:<12} does not answer"),
+            Some(told) => println!(
+                "{:<12} {:<9} {:>9} {:>7}  era {}, {} keys{}",
+                text(&told["name"]),
+                text(&told["district"]),
+                text(&told["blueprint"]),
+                text(&told["plan"]),
+                told["era"],
+                told["keys"],
+                if told["duty"]["here"] == true {
+                    format!(", scales (term {})", told["duty"]["term"])
+                } else {
+                    String::new()
+                }
+            ),
+        }
+    }
+    for (name, told) in &fleet.fronts {
+        match told {
+            None => println!("{name:<12} does not answer"),
+            Some(told) => println!(
+                "{name:<12} {:<9} {:>9} {:>7}  {}{}, keeps {} runners",
+                text(&told["district"]),
+                text(&told["blueprint"]["no"]),
+                text(&told["plan"]["no"]),
+                if told["standing"] == true {
+                    "standing"
+                } else {
+                    "no standing"
+                },
+                if told["draining"] == true {
+                    ", draining"
+                } else {
+                    ""
+                },
+                told["runners"].as_array().map_or(0, Vec::len)
+            ),
+        }
+    }
+}
+
+fn show_functions(core: &Value) {
+    println!(
+        "\n{:<24} {:>8} {:>8} {:>8} {:>7} {:>5} {:>7}  last decision",
+        "function", "demand/s", "fcast/s", "cap/s", "runners", "seats", "waiting"
+    );
+    let functions = core["functions"].as_object().cloned().unwrap_or_default();
+    for (name, note) in &functions {
+        let number = |field: &str| note[field].as_f64().unwrap_or(0.0);
+        println!(
+            "{name:<24} {:>8.1} {:>8.1} {:>8.1} {:>7} {:>5} {:>7}  {}",
+            number("demand"),
+            number("forecast"),
+            number("capacity"),
+            note["runners"],
+            note["seats"],
+            note["waiting"],
+            text(&note["reason"])
+        );
+    }
+}
+
+fn show_runners(core: &Value) {
+    println!(
+        "\n{:<28} {:<12} {:<22} {:>5} {:<10} {:>5}  state",
+        "runner", "worker", "address", "quota", "keeper", "epoch"
+    );
+    for runner in core["runners"].as_array().into_iter().flatten() {
+        println!(
+            "{:<28} {:<12} {:<22} {:>5} {:<10} {:>5}  {}",
+            text(&runner["id"]),
+            text(&runner["worker"]),
+            text(&runner["address"]),
+            runner["quota"],
+            text(&runner["keeper"]),
+            runner["epoch"],
+            text(&runner["state"])
+        );
+    }
+}
+
+/// Shows the fleet until Ctrl-C.
+pub fn watch(cores: &Cores, every: u64) -> Result<(), ToolFault> {
+    loop {
+        print!("\x1b[2J\x1b[H");
+        status(cores, false, false)?;
+        thread::sleep(Duration::from_secs(every.max(1)));
+    }
+}
+
+/// Tells why a function has what it has.
+pub fn explain(cores: &Cores, function: &str) -> Result<(), ToolFault> {
+    let told = cores.ask_good(Method::GET, &format!("/explain/{function}"), &[])?;
+    let note = &told["note"];
+    let number = |field: &str| note[field].as_f64().unwrap_or(0.0);
+    println!("function   {function}");
+    println!("measured   {:.2} requests a second", number("measured"));
+    println!("forecast   {:.2} requests a second", number("forecast"));
+    println!("waiting    {} tickets", note["waiting"]);
+    println!(
+        "demand     {:.2} requests a second, with what waits",
+        number("demand")
+    );
+    println!(
+        "capacity   {:.2} requests a second from {} runners with {} seats",
+        number("capacity"),
+        note["runners"],
+        note["seats"]
+    );
+    match note["pace_ms"].as_f64() {
+        Some(pace) => println!("pace       {pace:.1} ms an answer, as learnt"),
+        None => println!("pace       not learnt yet"),
+    }
+    println!("decision   {}", text(&note["reason"]));
+    for runner in told["runners"].as_array().into_iter().flatten() {
+        println!(
+            "runner     {} on {} ({}), quota {}, keeper {} epoch {}, {}",
+            text(&runner["id"]),
+            text(&runner["worker"]),
+            text(&runner["district"]),
+            runner["quota"],
+            text(&runner["keeper"]),
+            runner["epoch"],
+            text(&runner["state"])
+        );
+    }
+    Ok(())
+}
+
+/// Prints every daemon's counts.
+pub fn metrics(cores: &Cores) -> Result<(), ToolFault> {
+    let fleet = look(cores, "/metrics")?;
+    let core_counts = fleet
+        .cores
+        .into_iter()
+        .map(|(address, told)| (address.to_string(), told));
+    let all: serde_json::Map<String, Value> = core_counts
+        .chain(fleet.fronts)
+        .map(|(name, told)| (name, told.unwrap_or(Value::Null)))
+        .collect();
+    println!("{}", serde_json::to_string_pretty(&all).unwrap_or_default());
+    Ok(())
+}
