--- a/crates/ballot/src/duty.rs
+++ b/crates/ballot/src/duty.rs
@@ -10,6 +10,8 @@
     pub term: u64,
 }
 
+const ERA_SHIFT: u32 = 40;
+
 /// What to do about a duty now.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Move {
@@ -32,6 +34,7 @@
     changed_at: u64,
     held_until: u64,
     next_at: u64,
+    era: u64,
 }
 
 impl Duty {
@@ -45,6 +48,18 @@
             changed_at: now,
             held_until: 0,
             next_at: now,
+            era: 0,
+        }
+    }
+
+    /// The voters' era, as the register is read or written. Terms of a later era are higher, though
+    /// its registers count anew.
+    pub fn in_era(&mut self, era: u64) {
+        if era > self.era {
+            self.era = era;
+            self.version = 0;
+            self.tenure = Tenure::default();
+            self.held_until = 0;
         }
     }
 
@@ -67,12 +82,12 @@
         if self.tenure.holder == self.me {
             return Move::Write(self.version, self.tenure.clone());
         }
-        if now < self.changed_at + self.lease {
+        if now < self.changed_at + self.lease || self.era == 0 {
             return Move::Look;
         }
         let won = Tenure {
             holder: self.me.clone(),
-            term: self.version + 1,
+            term: (self.era << ERA_SHIFT) | (self.version + 1),
         };
         Move::Write(self.version, won)
     }
@@ -115,6 +130,7 @@
     #[test]
     fn a_vacant_duty_is_contended_for_only_after_the_lease() {
         let mut duty = Duty::new(peer("a"), 1_000, 0);
+        duty.in_era(1);
         assert_eq!(duty.next(0), Move::Look);
         duty.seen(
             0,
@@ -128,9 +144,9 @@
         let Move::Write(7, won) = duty.next(1_000) else {
             panic!("no write after the lease");
         };
-        assert_eq!(won.term, 8);
+        assert_eq!(won.term, (1 << 40) | 8);
         duty.won(1_010, 1_000, 8, won);
-        assert_eq!(duty.term(1_799), Some(8));
+        assert_eq!(duty.term(1_799), Some((1 << 40) | 8));
     }
 
     #[test]
--- a/crates/blueprint/src/settings.rs
+++ b/crates/blueprint/src/settings.rs
@@ -29,6 +29,9 @@
     pub http: SocketAddr,
     /// Address for the other daemons.
     pub wire: SocketAddr,
+    /// Address at which the other daemons reach this one, where it is not `wire` itself.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// Wire addresses of the three cores with a disk.
     pub seeds: Vec<SocketAddr>,
     /// Tries that may run at once in this front.
@@ -51,7 +54,10 @@
     pub http: SocketAddr,
     /// Address for the other daemons.
     pub wire: SocketAddr,
-    /// Wire addresses of the three cores with a disk, this one among them.
+    /// Address at which the other daemons reach this one, where it is not `wire` itself.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// Wire addresses of the three cores with a disk; those of the first start form the fleet.
     pub seeds: Vec<SocketAddr>,
     /// Folder for everything that must last.
     pub data: PathBuf,
@@ -111,6 +117,11 @@
 }
 
 impl FrontSettings {
+    /// Address at which the other daemons reach this one.
+    pub fn address(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.wire)
+    }
+
     /// Checks what the types cannot.
     pub fn check(&self) -> Result<(), SettingsFault> {
         check_common(&self.name, &self.district, &self.seeds)?;
@@ -124,15 +135,13 @@
 }
 
 impl CoreSettings {
+    /// Address at which the other daemons reach this one.
+    pub fn address(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.wire)
+    }
+
     /// Checks what the types cannot.
     pub fn check(&self) -> Result<(), SettingsFault> {
-        check_common(&self.name, &self.district, &self.seeds)?;
-        if !self.seeds.contains(&self.wire) {
-            return Err(SettingsFault(format!(
-                "seeds must hold this core's own wire address {}",
-                self.wire
-            )));
-        }
-        Ok(())
+        check_common(&self.name, &self.district, &self.seeds)
     }
 }
--- a/crates/claims/src/key.rs
+++ b/crates/claims/src/key.rs
@@ -36,13 +36,14 @@
 }
 
 impl OnceKey {
-    /// Reads a key for a function. Keys older than half of what voters remember are refused, so
+    /// Reads a key for a function, from a caller whose clock may be `ahead_ms` ahead. Keys older than half of what voters remember are refused, so
     /// that none is taken while its claim may be ageing out.
     pub fn read(
         text: &str,
         function: &str,
         now_ms: u64,
         remembered_ms: u64,
+        ahead_ms: u64,
     ) -> Result<Self, OnceKeyFault> {
         let (digits, own_text) = text.split_once('-').ok_or(OnceKeyFault::Malformed)?;
         let is_time =
@@ -54,7 +55,7 @@
         if issued_ms + remembered_ms / 2 < now_ms {
             return Err(OnceKeyFault::TooOld);
         }
-        if issued_ms > now_ms + remembered_ms / 10 {
+        if issued_ms > now_ms + ahead_ms {
             return Err(OnceKeyFault::TooNew);
         }
         let digest = digest_hex(text.as_bytes());
@@ -73,7 +74,7 @@
 
     #[test]
     fn keys_out_of_shape_or_time_are_refused() {
-        let read = |text: &str| OnceKey::read(text, "sign", 10 * HOUR, HOUR);
+        let read = |text: &str| OnceKey::read(text, "sign", 10 * HOUR, HOUR, HOUR / 10);
         for text in ["", "-", "12", "12-", "a-b", "-x", "99999999999999999-x"] {
             assert_eq!(read(text), Err(OnceKeyFault::Malformed), "{text}");
         }
--- a/crates/core/src/duty.rs
+++ b/crates/core/src/duty.rs
@@ -15,6 +15,7 @@
     let mut duty = Duty::new(shared.links.me().clone(), lease, now_ms());
     loop {
         let began = now_ms();
+        duty.in_era(shared.store.set().era);
         let next = duty.next(began);
         let (change, tenure) = match next {
             Move::Wait => {
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -3,6 +3,8 @@
 
 mod duty;
 mod identity;
+mod joining;
+mod mending;
 mod news;
 mod operators;
 mod platform;
@@ -48,6 +50,10 @@
     #[arg(long)]
     #[serde(skip_serializing_if = "Option::is_none")]
     wire: Option<SocketAddr>,
+    /// Address at which the other daemons reach this one, where it is not --wire itself
+    #[arg(long)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    advertise: Option<SocketAddr>,
     /// Wire addresses of the three cores, with commas between
     #[arg(long, value_delimiter = ',')]
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/core/src/shared.rs
+++ b/crates/core/src/shared.rs
@@ -1,7 +1,7 @@
 use crate::news::{self, Askers};
 use crate::store::Store;
 use crate::voter::{Voter, Work};
-use crate::{duty, identity, operators, platform, scaling, set};
+use crate::{duty, identity, mending, operators, platform, scaling, set};
 use arc_swap::ArcSwap;
 use ballot::{Duty, Tenure};
 use blueprint::{CoreSettings, PeerRef, Version};
@@ -136,15 +136,7 @@
                     responder.answer(Message::HelloAnswer { disk, set });
                 }
             }
-            (Message::Form(set), None) => {
-                let names_us = set.voters.iter().any(|voter| voter.disk == shared.disk);
-                if names_us {
-                    if let Some(set) = set::form_here(shared, set) {
-                        shared.store.learn_set(&set);
-                    }
-                }
-            }
-            _ => {}
+            (message, responder) => mending::on_message(shared, message, responder),
         }
     }
 }
@@ -158,7 +150,7 @@
         name: settings.name.clone(),
         incarnation: rand::rng().random(),
     };
-    let links = Arc::new(Links::new(me, settings.wire, Role::Core));
+    let links = Arc::new(Links::new(me, settings.address(), Role::Core));
     let (voter_work, asked) = bounded(VOTER_WORK_MAX);
     let (certain, wanted) = bounded(256);
     let shared = Arc::new(Shared {
@@ -179,6 +171,7 @@
         .listen(listener, Arc::new(Incoming(shared.clone())))
         .map_err(CoreError::Io)?;
     with(&shared, "core-set", set::settle_set)?;
+    with(&shared, "core-mending", mending::keep)?;
     with(&shared, "core-duty", duty::keep)?;
     with(&shared, "core-lists", platform::follow)?;
     with(&shared, "core-scaler", scaling::run)?;
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -5,7 +5,7 @@
 use speedy::{Readable, Writable};
 use std::sync::Arc;
 use std::time::Duration;
-use wire::{Links, WireVoters};
+use wire::{Links, News, WireVoters};
 
 /// Key of the blueprint's register.
 pub const BLUEPRINT: &str = "blueprint";
@@ -116,6 +116,33 @@
         (set.era, outcome)
     }
 
+    /// Starts a new era from the values that the fronts held. Where another core was faster its
+    /// values stay.
+    pub fn start_from(&self, news: &News) {
+        let patience = Duration::from_secs(2);
+        let blueprint = news.blueprint.as_ref().map(|news| {
+            let line = HistoryLine {
+                version: 1,
+                note: format!("from era {} version {}", news.version.era, news.version.no),
+                ..HistoryLine::default()
+            };
+            let value = BlueprintValue::default().next(news.text.clone(), line);
+            (BLUEPRINT, value.write_to_vec().unwrap_or_default())
+        });
+        let plan = news.plan.as_ref();
+        let plan = plan.map(|news| (PLAN, news.plan.write_to_vec().unwrap_or_default()));
+        for (key, bytes) in blueprint.into_iter().chain(plan) {
+            let change = Change::Write { expected: 0, bytes };
+            let (era, outcome) = self.change(key, change, patience);
+            match outcome {
+                Outcome::Settled(stored) | Outcome::Stale(stored) => {
+                    self.put_in_force(key, era, &stored);
+                }
+                other => log::error!("store: {key} of the last era was not taken: {other:?}"),
+            }
+        }
+    }
+
     /// Reads blueprint and plan at a majority and puts them in force. Gives whether both were read.
     pub fn refresh(&self, budget: Duration) -> bool {
         [BLUEPRINT, PLAN].into_iter().all(|key| {
--- a/crates/core/src/voter.rs
+++ b/crates/core/src/voter.rs
@@ -1,10 +1,10 @@
 use crate::shared::CoreError;
 use crossbeam::channel::{Receiver, Sender};
 use journal::{DiskFolder, Journal, JournalError};
-use register::{Acceptor, Record, VoterMessage, VoterReply, VoterSet};
+use register::{Acceptor, Held, Record, VoterMessage, VoterReply, VoterSet};
 use speedy::{Readable, Writable};
 use std::path::Path;
-use wire::{Message, Responder};
+use wire::{Copy, Message, Responder};
 
 /// Most questions that are answered with one sync.
 const BATCH_MAX: usize = 256;
@@ -13,20 +13,46 @@
 pub enum Work {
     /// A question from the wire.
     Ask(VoterMessage, Responder),
-    /// Take this first set, and tell what is held then.
-    Form(VoterSet, Sender<VoterSet>),
+    /// Take this first set with its floor, and tell what is held then.
+    Form(VoterSet, u64, Sender<VoterSet>),
+    /// Take the set that follows.
+    Adopt(VoterSet, Responder),
+    /// Take a set with all that its other members hold, into an empty voter.
+    Install(Install, Sender<VoterSet>),
+    /// Take newer values from another copy.
+    Mend(Vec<(String, Held)>),
+    /// Tell the copy in short.
+    Digests(Sender<Copy>),
+    /// Tell all that is held in a range.
+    Range(u16, Responder),
     /// Forget claims issued before this time.
     AgeOut(u64),
     /// Tell the set and how many keys are held.
     Tell(Sender<(VoterSet, usize)>),
 }
 
+/// What an empty voter is given.
+pub struct Install {
+    pub set: VoterSet,
+    pub floors: (u64, u64),
+    pub keys: Vec<(String, Held)>,
+}
+
 /// A voter with its disk: one thread, one sync for all questions that have come in meanwhile.
 pub struct Voter {
     acceptor: Acceptor,
     journal: Option<Journal>,
 }
 
+/// What came of the work that is synced together.
+#[derive(Default)]
+struct Batch {
+    records: Vec<Record>,
+    replies: Vec<(Responder, VoterReply)>,
+    told_set: Vec<Sender<VoterSet>>,
+    adopted: Vec<Responder>,
+}
+
 impl Voter {
     /// Reads back what the disk holds. Where records in the middle are damaged the voter stays
     /// closed, since it no longer knows what it promised.
@@ -63,6 +89,7 @@
                 acceptor.replay(record);
             }
         }
+        acceptor.restore_digests();
         Ok(Self {
             acceptor,
             journal: Some(journal),
@@ -72,28 +99,12 @@
     /// Works until nobody asks any more.
     pub fn run(mut self, work: &Receiver<Work>) {
         while let Ok(first) = work.recv() {
-            let mut records = Vec::new();
-            let mut replies = Vec::new();
-            let mut formed = Vec::new();
+            let mut batch = Batch::default();
             for item in std::iter::once(first).chain(work.try_iter().take(BATCH_MAX)) {
-                match item {
-                    Work::Ask(message, responder) => {
-                        let (record, reply) = self.handle(message);
-                        records.extend(record);
-                        replies.push((responder, reply));
-                    }
-                    Work::Form(set, told) => {
-                        records.extend(self.acceptor.form(set));
-                        formed.push(told);
-                    }
-                    Work::AgeOut(before) => records.extend(self.acceptor.age_out(before)),
-                    Work::Tell(told) => {
-                        let _ = told.send((self.acceptor.set().clone(), self.acceptor.len()));
-                    }
-                }
+                self.take(item, &mut batch);
             }
-            let is_synced = records.is_empty() || self.sync(&records);
-            for (responder, reply) in replies {
+            let is_synced = batch.records.is_empty() || self.sync(&batch.records);
+            for (responder, reply) in batch.replies {
                 let reply = if is_synced {
                     reply
                 } else {
@@ -101,8 +112,67 @@
                 };
                 responder.answer(Message::VoterAnswer(reply));
             }
-            for told in formed.into_iter().filter(|_| is_synced) {
-                let _ = told.send(self.acceptor.set().clone());
+            if !is_synced {
+                continue;
+            }
+            let set = self.acceptor.set();
+            for told in batch.told_set {
+                let _ = told.send(set.clone());
+            }
+            for responder in batch.adopted {
+                responder.answer(Message::Adopted(set.clone()));
+            }
+        }
+    }
+
+    fn take(&mut self, item: Work, batch: &mut Batch) {
+        let records = &mut batch.records;
+        let is_open = self.journal.is_some();
+        match item {
+            Work::Ask(message, responder) => {
+                let (record, reply) = self.handle(message);
+                records.extend(record);
+                batch.replies.push((responder, reply));
+            }
+            Work::Form(set, floor, told) => {
+                let formed = is_open.then(|| self.acceptor.form(set)).flatten();
+                if formed.is_some() {
+                    records.extend(self.acceptor.shut_before(floor));
+                }
+                records.extend(formed);
+                batch.told_set.push(told);
+            }
+            Work::Adopt(set, responder) => {
+                if is_open {
+                    records.extend(self.acceptor.adopt(set));
+                    batch.adopted.push(responder);
+                }
+            }
+            Work::Install(install, told) => {
+                if is_open {
+                    let Install { set, floors, keys } = install;
+                    records.extend(self.acceptor.install(set, floors, keys));
+                }
+                batch.told_set.push(told);
+            }
+            Work::Mend(keys) => {
+                if is_open {
+                    records.extend(self.acceptor.mend(keys));
+                }
+            }
+            Work::AgeOut(before) => records.extend(self.acceptor.age_out(before)),
+            Work::Digests(told) => {
+                let _ = told.send(Copy {
+                    set: self.acceptor.set().clone(),
+                    floors: self.acceptor.floors(),
+                    ranges: self.acceptor.digests().all().to_vec(),
+                });
+            }
+            Work::Range(range, responder) => {
+                responder.answer(Message::RangeAnswer(self.acceptor.range(range)));
+            }
+            Work::Tell(told) => {
+                let _ = told.send((self.acceptor.set().clone(), self.acceptor.len()));
             }
         }
     }
--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -102,8 +102,8 @@
         let sentence = "work of this kind needs an Idempotency-Key";
         return Err(refused(400, "missing-key", sentence));
     };
-    let remembered = blueprint.bounds.claim_ms;
-    OnceKey::read(key, function, unix_ms(), remembered)
+    let (remembered, ahead) = (blueprint.bounds.claim_ms, blueprint.bounds.change_ms);
+    OnceKey::read(key, function, unix_ms(), remembered, ahead)
         .map(|read| (key.to_string(), read))
         .map_err(|fault| refused(400, "bad-key", &fault.to_string()))
 }
@@ -198,6 +198,12 @@
     let patience = Duration::from_millis(budget_end.saturating_sub(now_ms()).min(most));
     match shared.ledger.claim(key, slot, digest, patience) {
         Claimed::Ours(version) => Ok(version),
+        Claimed::AgedOut => Err(Box::new(outcome(
+            409,
+            "unknown",
+            "ledger-lost",
+            "the ledger lost what it knew of keys this old; whether the work ran is not known",
+        ))),
         Claimed::Shut => Err(refused(
             503,
             "ledger-shut",
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -42,6 +42,10 @@
     #[arg(long)]
     #[serde(skip_serializing_if = "Option::is_none")]
     wire: Option<SocketAddr>,
+    /// Address at which the other daemons reach this one, where it is not --wire itself
+    #[arg(long)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    advertise: Option<SocketAddr>,
     /// Wire addresses of the three cores, with commas between
     #[arg(long, value_delimiter = ',')]
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/front/src/news.rs
+++ b/crates/front/src/news.rs
@@ -1,16 +1,32 @@
 use crate::shared::Shared;
 use blueprint::{parse, Version};
 use holding::DeskMessage;
-use std::net::SocketAddr;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use wire::{now_ms, BlueprintNews, Message, News, PlanNews, Responder};
 
-/// Asks one core for news, again and again.
-pub fn follow(shared: &Shared, seed: SocketAddr) {
-    let address = seed.to_string();
+/// Follows every seed and every voter, also those that become voters later.
+pub fn follow_all(shared: &Arc<Shared>) {
+    let mut followed = BTreeSet::new();
     loop {
+        for address in shared.cores() {
+            if followed.insert(address.clone()) {
+                let shared = shared.clone();
+                thread::spawn(move || follow(&shared, &address));
+            }
+        }
+        let cores = shared.cores();
+        followed.retain(|address| cores.contains(address));
+        let lease = shared.blueprint.load().bounds.lease_ms();
+        thread::sleep(Duration::from_millis(lease / 5));
+    }
+}
+
+/// Asks one core for news, again and again, until it is neither seed nor voter any more.
+fn follow(shared: &Shared, address: &str) {
+    while shared.cores().iter().any(|core| core == address) {
         let (blueprint, plan, is_ready) = shared.with_desk(|desk, _| {
             let (blueprint, plan) = desk.versions();
             (blueprint, plan, desk.is_ready())
@@ -22,7 +38,7 @@
         };
         let lease = shared.blueprint.load().bounds.lease_ms();
         let patience = Duration::from_millis(2 * lease);
-        match shared.links.ask_wait(&address, question, patience) {
+        match shared.links.ask_wait(address, question, patience) {
             Some(Message::News(news)) => {
                 apply(shared, news);
             }
--- a/crates/front/src/once.rs
+++ b/crates/front/src/once.rs
@@ -2,16 +2,22 @@
 use blueprint::PeerRef;
 use claims::{Claim, OnceKey};
 use crossbeam::channel::{bounded, Receiver, Sender};
-use register::{Change, Outcome, RegisterClient, VoterSet};
+use parking_lot::Mutex;
+use register::{Ballot, Change, Held, Outcome, RegisterClient, Stored, VoterSet};
 use speedy::{Readable, Writable};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use wire::{Links, WireVoters};
+use wire::{Links, Message, WireVoters};
 
 /// Largest answer that is kept with a claim, in bytes.
 const KEPT_BODY_MAX: usize = 32 * 1024;
 const LEFTOVERS_MAX: usize = 10_000;
+/// Claims that a front remembers.
+const REMEMBERED_MAX: usize = 20_000;
+/// Remembered claims in one message.
+const REMEMBERED_PART: usize = 100;
 
 /// What asking for a claim gave.
 pub enum Claimed {
@@ -19,15 +25,58 @@
     Ours(u64),
     /// Another ticket has or had the key.
     Theirs(Claim),
+    /// The key is older than what the ledger knows, so it is not claimed any more.
+    AgedOut,
     /// No majority of voters took the claim: nothing may be sent.
     Shut,
 }
 
+/// Claims of this front that it still knows, for voters that lose theirs.
+#[derive(Default)]
+struct Remembered {
+    claims: BTreeMap<String, (u64, Vec<u8>)>,
+}
+
+impl Remembered {
+    fn note(&mut self, register: &str, version: u64, bytes: Vec<u8>) {
+        self.claims.insert(register.to_string(), (version, bytes));
+        // Keys begin with the time at which they were issued, so the first is the oldest.
+        if self.claims.len() > REMEMBERED_MAX {
+            self.claims.pop_first();
+        }
+    }
+
+    fn held(&self, proposer: u64) -> Vec<(String, Held)> {
+        let ballot = Ballot {
+            counter: 1,
+            proposer,
+        };
+        let claims = self.claims.iter();
+        claims
+            .map(|(register, (version, bytes))| {
+                let stored = Stored {
+                    version: *version,
+                    tag: proposer,
+                    bytes: bytes.clone(),
+                };
+                let held = Held {
+                    promised: ballot,
+                    accepted: ballot,
+                    stored,
+                };
+                (register.clone(), held)
+            })
+            .collect()
+    }
+}
+
 /// The ledger of once-work, kept at the voters: one register for each key.
 pub struct Ledger {
     client: RegisterClient<WireVoters>,
     set: ArcSwap<VoterSet>,
     me: PeerRef,
+    remembered: Mutex<Remembered>,
+    links: Arc<Links>,
     leftovers: (Sender<Leftover>, Receiver<Leftover>),
 }
 
@@ -42,17 +91,46 @@
     pub fn new(links: Arc<Links>) -> Self {
         Self {
             me: links.me().clone(),
-            client: RegisterClient::new(WireVoters::new(links)),
+            client: RegisterClient::new(WireVoters::new(links.clone())),
+            remembered: Mutex::default(),
+            links,
             set: ArcSwap::default(),
             leftovers: bounded(LEFTOVERS_MAX),
         }
     }
 
-    /// Learns which voters count; an older set is ignored.
+    /// Learns which voters count; an older set is ignored. Voters of a new era are told the claims
+    /// that this front still knows.
     pub fn learn_set(&self, set: &VoterSet) {
-        if set.mark() > self.set.load().mark() {
-            self.set.store(Arc::new(set.clone()));
+        let known = self.set.load_full();
+        if set.mark() <= known.mark() {
+            return;
         }
+        self.set.store(Arc::new(set.clone()));
+        if known.era == 0 || set.era == known.era {
+            return;
+        }
+        let held = self.remembered.lock().held(self.me.incarnation);
+        log::warn!(
+            "front: era {} began; its voters are told {} claims",
+            set.era,
+            held.len()
+        );
+        for part in held.chunks(REMEMBERED_PART) {
+            for voter in &set.voters {
+                let message = Message::Remembered(part.to_vec());
+                self.links.cast(&voter.address, message);
+            }
+        }
+    }
+
+    /// Addresses of the voters that count.
+    pub fn voters(&self) -> Vec<String> {
+        let set = self.set.load();
+        set.voters
+            .iter()
+            .map(|voter| voter.address.clone())
+            .collect()
     }
 
     fn write(&self, key: &str, expected: u64, claim: &Claim, budget: Duration) -> Outcome {
@@ -60,11 +138,15 @@
         if set.era == 0 {
             return Outcome::Unreached("no voters are known yet".into());
         }
+        let bytes = bytes_of(claim);
         let change = Change::Write {
             expected,
-            bytes: bytes_of(claim),
+            bytes: bytes.clone(),
         };
         let outcome = self.client.change(&set, key, change, budget);
+        if let Outcome::Settled(stored) = &outcome {
+            self.remembered.lock().note(key, stored.version, bytes);
+        }
         if let Outcome::OtherSet(set) = &outcome {
             self.learn_set(set);
         }
@@ -88,6 +170,7 @@
                     Err(_) => return Claimed::Shut,
                 },
                 Outcome::OtherSet(_) => {}
+                Outcome::AgedOut => return self.recall(&key.register),
                 Outcome::Undecided => {
                     self.leave_over(&key.register, expected + 1);
                     return Claimed::Shut;
@@ -98,6 +181,16 @@
         Claimed::Shut
     }
 
+    /// What this front itself remembers of a key that the voters do not know any more.
+    fn recall(&self, register: &str) -> Claimed {
+        let remembered = self.remembered.lock();
+        let known = remembered.claims.get(register);
+        match known.map(|(_, bytes)| Claim::read_from_buffer(bytes)) {
+            Some(Ok(claim)) if claim != Claim::Free => Claimed::Theirs(claim),
+            _ => Claimed::AgedOut,
+        }
+    }
+
     fn leave_over(&self, register: &str, version: u64) {
         let _ = self.leftovers.0.try_send((register.to_string(), version));
     }
--- a/crates/front/src/operators.rs
+++ b/crates/front/src/operators.rs
@@ -82,9 +82,9 @@
 pub fn report(shared: &Shared) {
     let mut report = shared.with_desk(|desk, now| desk.report(now, &shared.settings.district));
     report.http = shared.settings.http.to_string();
-    for seed in &shared.settings.seeds {
+    for core in shared.cores() {
         let message = Message::Report(report.clone());
-        shared.links.cast(&seed.to_string(), message);
+        shared.links.cast(&core, message);
     }
 }
 
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -89,6 +89,16 @@
         }
     }
 
+    /// Wire addresses of all cores: the seeds and whoever votes.
+    pub fn cores(&self) -> Vec<String> {
+        let seeds = self.settings.seeds.iter();
+        let mut cores: Vec<String> = seeds.map(ToString::to_string).collect();
+        cores.extend(self.ledger.voters());
+        cores.sort();
+        cores.dedup();
+        cores
+    }
+
     /// Learns where a front is reached, by its newest life.
     pub fn meet(&self, peer: &PeerRef, address: &str) {
         let is_known = self
@@ -136,7 +146,7 @@
         incarnation: rand::rng().random(),
     };
     let listener = TcpListener::bind(settings.wire)?;
-    let links = Arc::new(Links::new(me.clone(), settings.wire, Role::Front));
+    let links = Arc::new(Links::new(me.clone(), settings.address(), Role::Front));
     let (tries, launched) = bounded(settings.tries_max);
     let (probes, wanted_probes) = bounded(PROBES_MAX);
     let (stop, stopped) = bounded(1);
@@ -168,10 +178,8 @@
         let (shared, wanted) = (shared.clone(), wanted_probes.clone());
         spawn("front-probe", move || tries::probe(&shared, &wanted))?;
     }
-    for seed in shared.settings.seeds.clone() {
-        let shared = shared.clone();
-        spawn("front-news", move || news::follow(&shared, seed))?;
-    }
+    let following = shared.clone();
+    spawn("front-news", move || news::follow_all(&following))?;
     let ledger = shared.clone();
     spawn("front-ledger", move || ledger.ledger.free_leftovers())?;
     callers::serve(&shared)?;
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,5 +1,6 @@
 use crate::deployment::{Deployment, LabFault};
 use crate::platform::WorkerLine;
+use crate::relay::Relays;
 use oxhttp::model::Method;
 use std::fs::{self, File};
 use std::net::SocketAddr;
@@ -12,6 +13,8 @@
 
 const UP_PATIENCE: Duration = Duration::from_secs(30);
 const PORTS_EACH: u16 = 400;
+/// Relays listen so far above the ports that they stand before.
+pub const RELAY_STEP: u16 = 100;
 
 /// One process of the fleet.
 pub struct Member {
@@ -28,6 +31,11 @@
     pub fronts: Vec<Member>,
     pub workers: Vec<Member>,
     pub platform: Member,
+    /// Where all messages between daemons pass, in fleets whose links can be cut.
+    pub relays: Option<Relays>,
+    pub dir: PathBuf,
+    seeds: String,
+    base: u16,
 }
 
 fn local(port: u16) -> SocketAddr {
@@ -124,20 +132,73 @@
     }
 }
 
+/// Port that a daemon listens on for other daemons.
+pub fn wire_port(base: u16, name: &str) -> SocketAddr {
+    let (role, place) = name.rsplit_once('-').unwrap_or((name, "0"));
+    let place: u16 = place.parse().unwrap_or(0);
+    local(base + if role == "core" { 20 } else { 60 } + place)
+}
+
+/// Address at which other daemons reach a daemon.
+pub fn reached_at(base: u16, name: &str, with_relays: bool) -> SocketAddr {
+    let own = wire_port(base, name);
+    if with_relays {
+        return local(own.port() + RELAY_STEP);
+    }
+    own
+}
+
+fn core_member(
+    base: u16,
+    place: usize,
+    district: &str,
+    seeds: &str,
+    dir: &Path,
+    with_relays: bool,
+) -> Member {
+    let name = format!("core-{place}");
+    let http = local(base + 10 + place as u16);
+    let data = dir.join("data").join(&name).display().to_string();
+    let flags = [
+        ("--name", name.clone()),
+        ("--district", district.to_string()),
+        ("--http", http.to_string()),
+        ("--wire", wire_port(base, &name).to_string()),
+        (
+            "--advertise",
+            reached_at(base, &name, with_relays).to_string(),
+        ),
+        ("--seeds", seeds.to_string()),
+        ("--data", data),
+        ("--platform", local(base).to_string()),
+    ];
+    Member::new(&name, http, "hallkeel-core", arguments(&flags))
+}
+
 fn ledger_path(dir: &Path, worker: &str) -> PathBuf {
     dir.join("ledgers").join(worker)
 }
 
 impl Fleet {
     /// Brings a fleet up in an emptied folder and puts the deployment's blueprint.
-    pub fn up(deployment: &Deployment, file: &Path, dir: &Path) -> Result<Self, LabFault> {
+    pub fn up(
+        deployment: &Deployment,
+        file: &Path,
+        dir: &Path,
+        with_relays: bool,
+    ) -> Result<Self, LabFault> {
         if dir.exists() {
             fs::remove_dir_all(dir).map_err(fleet_fault)?;
         }
         for folder in ["logs", "data", "ledgers"] {
             fs::create_dir_all(dir.join(folder)).map_err(fleet_fault)?;
         }
-        let mut fleet = Self::planned(deployment, file, dir);
+        let mut fleet = Self::planned(deployment, file, dir, with_relays);
+        if with_relays {
+            let names = fleet.daemons().map(|daemon| daemon.name.clone());
+            let relays = Relays::open(deployment.base_port, &names.collect::<Vec<_>>());
+            fleet.relays = Some(relays.map_err(fleet_fault)?);
+        }
         let members = fleet.workers.iter_mut().chain([&mut fleet.platform]);
         for member in members.chain(&mut fleet.cores).chain(&mut fleet.fronts) {
             member.start(dir)?;
@@ -156,10 +217,10 @@
         Ok(fleet)
     }
 
-    fn planned(deployment: &Deployment, file: &Path, dir: &Path) -> Self {
+    fn planned(deployment: &Deployment, file: &Path, dir: &Path, with_relays: bool) -> Self {
         let base = deployment.base_port;
-        let seeds: Vec<String> = (0..deployment.cores.len() as u16)
-            .map(|place| local(base + 20 + place).to_string())
+        let seeds: Vec<String> = (0..deployment.cores.len())
+            .map(|place| reached_at(base, &format!("core-{place}"), with_relays).to_string())
             .collect();
         let seeds = seeds.join(",");
         let platform_http = local(base);
@@ -202,21 +263,7 @@
             .cores
             .iter()
             .enumerate()
-            .map(|(place, district)| {
-                let name = format!("core-{place}");
-                let http = local(base + 10 + place as u16);
-                let data = dir.join("data").join(&name).display().to_string();
-                let flags = [
-                    ("--name", name.clone()),
-                    ("--district", district.clone()),
-                    ("--http", http.to_string()),
-                    ("--wire", local(base + 20 + place as u16).to_string()),
-                    ("--seeds", seeds.clone()),
-                    ("--data", data),
-                    ("--platform", platform_http.to_string()),
-                ];
-                Member::new(&name, http, "hallkeel-core", arguments(&flags))
-            });
+            .map(|(place, district)| core_member(base, place, district, &seeds, dir, with_relays));
         let fronts = deployment
             .fronts
             .iter()
@@ -228,7 +275,11 @@
                     ("--name", name.clone()),
                     ("--district", district.clone()),
                     ("--http", http.to_string()),
-                    ("--wire", local(base + 60 + place as u16).to_string()),
+                    ("--wire", wire_port(base, &name).to_string()),
+                    (
+                        "--advertise",
+                        reached_at(base, &name, with_relays).to_string(),
+                    ),
                     ("--seeds", seeds.clone()),
                 ];
                 Member::new(&name, http, "hallkeel-front", arguments(&flags))
@@ -243,9 +294,22 @@
                 platform_arguments,
             ),
             workers,
+            relays: None,
+            dir: dir.to_path_buf(),
+            seeds,
+            base,
         }
     }
 
+    /// An empty core at a new address, beside those of the deployment.
+    pub fn add_core(&mut self, district: &str) -> Result<(), LabFault> {
+        let place = self.cores.len();
+        let mut core = core_member(self.base, place, district, &self.seeds, &self.dir, false);
+        core.start(&self.dir)?;
+        self.cores.push(core);
+        Ok(())
+    }
+
     /// All daemons of hallkeel itself.
     pub fn daemons(&self) -> impl Iterator<Item = &Member> {
         self.cores.iter().chain(&self.fronts)
@@ -269,7 +333,17 @@
 
     /// Puts a blueprint and gives the answer's status and body.
     pub fn put(&self, text: &str, expected: u64) -> Option<(u16, serde_json::Value)> {
-        let core = &self.cores[0];
+        (0..self.cores.len()).find_map(|place| self.put_at(place, text, expected))
+    }
+
+    /// Puts a blueprint at one core.
+    pub fn put_at(
+        &self,
+        place: usize,
+        text: &str,
+        expected: u64,
+    ) -> Option<(u16, serde_json::Value)> {
+        let core = &self.cores[place];
         let uri = format!("http://{}/blueprint?expected={expected}", core.http);
         let patience = Duration::from_secs(10);
         let body = text.as_bytes().to_vec();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,8 +7,12 @@
 mod judge;
 mod ledger;
 mod platform;
+mod relay;
 mod runner;
+mod scenario;
+mod scenarios;
 mod session;
+mod stage;
 mod worker;
 
 use clap::{Parser, Subcommand};
@@ -58,6 +62,29 @@
         #[arg(long)]
         report: Option<PathBuf>,
     },
+    /// Bring a failure about against a running fleet and judge what comes of it
+    Scenario {
+        /// Name of the scenario; without it they are listed
+        name: Option<String>,
+        /// Deployment file
+        #[arg(long, default_value = "deploy/union.toml")]
+        deployment: PathBuf,
+        /// Folder for settings, data and logs; it is emptied first
+        #[arg(long, default_value = "run/scenario")]
+        dir: PathBuf,
+        /// File that a line with the verdict and figures is added to
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
+    /// Run many seeds of the simulator
+    Simulate {
+        /// First seed
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+        /// How many seeds
+        #[arg(long, default_value_t = 1000)]
+        seeds: u64,
+    },
     /// Stand in for the platform
     #[command(hide = true)]
     Platform {
@@ -92,6 +119,14 @@
             dir,
             report,
         } => session::run(&deployment, steady, rush, &dir, report.as_deref()),
+        Command::Scenario { name: None, .. } => scenario::list(),
+        Command::Scenario {
+            name: Some(name),
+            deployment,
+            dir,
+            report,
+        } => scenario::run(&name, &deployment, &dir, report.as_deref()),
+        Command::Simulate { from, seeds } => session::simulate(from, seeds),
         Command::Platform {
             http,
             workers,
--- a/crates/lab/src/session.rs
+++ b/crates/lab/src/session.rs
@@ -3,9 +3,12 @@
 use crate::fleet::Fleet;
 use crate::{judge, ledger};
 use crossbeam::channel::bounded;
+use parking_lot::Mutex;
+use simulator::{Config, World};
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 fn text_of(deployment: &Deployment) -> String {
@@ -28,9 +31,14 @@
 }
 
 /// Brings a fleet up until every function has a warm runner.
-pub fn make_ready(deployment: &Deployment, file: &Path, dir: &Path) -> Result<Ready, LabFault> {
+pub fn make_ready(
+    deployment: &Deployment,
+    file: &Path,
+    dir: &Path,
+    with_relays: bool,
+) -> Result<Ready, LabFault> {
     let began = Instant::now();
-    let fleet = Fleet::up(deployment, file, dir)?;
+    let fleet = Fleet::up(deployment, file, dir, with_relays)?;
     let up = began.elapsed();
     let put_at = Instant::now();
     match fleet.put(&text_of(deployment), 0) {
@@ -61,7 +69,7 @@
 /// Keeps a fleet up until Ctrl-C.
 pub fn keep_fleet(file: &Path, dir: &Path) -> Result<(), LabFault> {
     let deployment = Deployment::read(file)?;
-    let ready = make_ready(&deployment, file, dir)?;
+    let ready = make_ready(&deployment, file, dir, false)?;
     let cores: Vec<String> = ready
         .fleet
         .cores
@@ -95,7 +103,7 @@
     report: Option<&Path>,
 ) -> Result<(), LabFault> {
     let deployment = Deployment::read(file)?;
-    let ready = make_ready(&deployment, file, dir)?;
+    let ready = make_ready(&deployment, file, dir, false)?;
     let fronts: Vec<SocketAddr> = ready.fleet.fronts.iter().map(|front| front.http).collect();
     let mut text = format!(
         "# {}\n\nFleet up in {:.1} s; blueprint acknowledged in {} ms, held by every front in {} ms, \
@@ -172,3 +180,40 @@
         );
     }
 }
+
+/// Runs seeds of the simulator; each that breaks a line is printed.
+pub fn simulate(from: u64, seeds: u64) -> Result<(), LabFault> {
+    let began = Instant::now();
+    let next = AtomicU64::new(from);
+    let broken = Mutex::new(Vec::new());
+    let runs = AtomicU64::new(0);
+    let threads = std::thread::available_parallelism().map_or(4, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= from + seeds {
+                    return;
+                }
+                let verdict = World::new(Config::default(), seed).run();
+                runs.fetch_add(verdict.runs as u64, Ordering::Relaxed);
+                if !verdict.broken.is_empty() {
+                    println!("{verdict:#?}");
+                    broken.lock().push(seed);
+                }
+            });
+        }
+    });
+    let mut broken = broken.into_inner();
+    broken.sort_unstable();
+    println!(
+        "{seeds} seeds from {from}: {} runs in {:.1} s, {} broken",
+        runs.into_inner(),
+        began.elapsed().as_secs_f64(),
+        broken.len()
+    );
+    if broken.is_empty() {
+        return Ok(());
+    }
+    Err(LabFault::Broken(format!("broken seeds: {broken:?}")))
+}
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -1,4 +1,5 @@
 use crate::message::{Ballot, Stored, VoterAsk, VoterMessage, VoterReply, VoterSet};
+use repair::{range_of, Digests};
 use speedy::{Readable, Writable};
 use std::collections::BTreeMap;
 
@@ -27,6 +28,8 @@
     Set(VoterSet),
     /// Claims issued before this time are forgotten and refused, for good.
     Water(u64),
+    /// Claims issued before this time that are not held are refused, for good.
+    Shut(u64),
 }
 
 /// A voter's state. It has no disk of its own: the caller syncs each [`Record`] first.
@@ -34,7 +37,14 @@
 pub struct Acceptor {
     set: VoterSet,
     water: u64,
+    shut: u64,
     keys: BTreeMap<String, Held>,
+    #[speedy(skip)]
+    digests: Digests,
+}
+
+fn stamp_of(held: &Held) -> (u64, u64) {
+    (held.accepted.counter, held.accepted.proposer)
 }
 
 fn closed(reason: &str) -> VoterReply {
@@ -72,17 +82,52 @@
     pub fn replay(&mut self, record: Record) {
         match record {
             Record::Key(key, held) => {
-                self.keys.insert(key, held);
+                let new = Some(stamp_of(&held));
+                let old = self.keys.insert(key.clone(), held);
+                self.digests.change(&key, old.as_ref().map(stamp_of), new);
             }
             Record::Set(set) => self.set = set,
+            Record::Shut(time) => self.shut = self.shut.max(time),
             Record::Water(water) => {
                 self.water = water;
-                self.keys
-                    .retain(|key, _| claim_time(key).is_none_or(|time| time >= water));
+                let digests = &mut self.digests;
+                self.keys.retain(|key, held| {
+                    let is_kept = claim_time(key).is_none_or(|time| time >= water);
+                    if !is_kept {
+                        digests.change(key, Some(stamp_of(held)), None);
+                    }
+                    is_kept
+                });
             }
         }
     }
 
+    /// Makes the digests anew, after a snapshot was read back.
+    pub fn restore_digests(&mut self) {
+        self.digests = Digests::default();
+        for (key, held) in &self.keys {
+            self.digests.change(key, None, Some(stamp_of(held)));
+        }
+    }
+
+    /// Digests over ranges of what was accepted.
+    pub fn digests(&self) -> &Digests {
+        &self.digests
+    }
+
+    /// All that is held in a range.
+    pub fn range(&self, range: u16) -> Vec<(String, Held)> {
+        let held = self.keys.iter();
+        held.filter(|(key, _)| range_of(key) == range)
+            .map(|(key, held)| (key.clone(), held.clone()))
+            .collect()
+    }
+
+    /// Time before which claims are forgotten, and time before which claims not held are refused.
+    pub fn floors(&self) -> (u64, u64) {
+        (self.water, self.shut)
+    }
+
     /// Takes the first set of an era. A voter that has one keeps it.
     pub fn form(&mut self, set: VoterSet) -> Option<Record> {
         if self.set.era != 0 || set.era == 0 {
@@ -92,6 +137,69 @@
         Some(Record::Set(set))
     }
 
+    /// Takes the set that follows its own, which must be settled under its own. It keeps all that
+    /// it holds, and answers under the new set alone from now on.
+    pub fn adopt(&mut self, set: VoterSet) -> Option<Record> {
+        let follows = set.era == self.set.era && set.no == self.set.no + 1 && set.era != 0;
+        if !follows {
+            return None;
+        }
+        self.set = set.clone();
+        Some(Record::Set(set))
+    }
+
+    /// An empty voter takes a set together with all that a majority of its other members holds.
+    pub fn install(
+        &mut self,
+        set: VoterSet,
+        floors: (u64, u64),
+        keys: Vec<(String, Held)>,
+    ) -> Vec<Record> {
+        if self.set.era != 0 {
+            return Vec::new();
+        }
+        let mut records = vec![Record::Water(floors.0), Record::Shut(floors.1)];
+        records.extend(keys.into_iter().map(|(key, held)| Record::Key(key, held)));
+        records.push(Record::Set(set));
+        for record in records.clone() {
+            self.replay(record);
+        }
+        records
+    }
+
+    /// Takes newer values from another voter's copy, as if their accepting had come late.
+    pub fn mend(&mut self, keys: Vec<(String, Held)>) -> Vec<Record> {
+        let mut records = Vec::new();
+        for (key, theirs) in keys {
+            let mine = self.keys.get(&key).cloned().unwrap_or_default();
+            let is_known = self.set.era != 0 && key.len() <= KEY_MAX;
+            let is_aged = claim_time(&key).is_some_and(|time| time < self.water);
+            let has_room = self.keys.contains_key(&key) || self.keys.len() < KEYS_MAX;
+            let is_newer = theirs.accepted > mine.accepted && theirs.accepted >= mine.promised;
+            if !is_known || is_aged || !has_room || !is_newer {
+                continue;
+            }
+            let held = Held {
+                promised: theirs.accepted,
+                accepted: theirs.accepted,
+                stored: theirs.stored,
+            };
+            let record = Record::Key(key, held);
+            self.replay(record.clone());
+            records.push(record);
+        }
+        records
+    }
+
+    /// Refuses claims that are not held and were issued before a time.
+    pub fn shut_before(&mut self, time: u64) -> Option<Record> {
+        if time <= self.shut {
+            return None;
+        }
+        self.shut = time;
+        Some(Record::Shut(time))
+    }
+
     /// Forgets claims issued before a time, and refuses them ever after.
     pub fn age_out(&mut self, before: u64) -> Option<Record> {
         let is_oldest_older = self
@@ -123,8 +231,10 @@
         if key.len() > KEY_MAX {
             return (None, closed("the key is too long"));
         }
-        if claim_time(key).is_some_and(|time| time < self.water) {
-            return (None, closed("the key has aged out"));
+        if claim_time(key).is_some_and(|time| {
+            time < self.water || (time < self.shut && !self.keys.contains_key(key))
+        }) {
+            return (None, VoterReply::AgedOut);
         }
         let mut held = self.keys.get(key).cloned().unwrap_or_default();
         if let Some(ballot) = ballot {
@@ -154,7 +264,8 @@
         if ballot.is_none() {
             return (None, reply);
         }
-        self.keys.insert(key.clone(), held.clone());
-        (Some(Record::Key(key.clone(), held)), reply)
+        let record = Record::Key(key.clone(), held);
+        self.replay(record.clone());
+        (Some(record), reply)
     }
 }
--- /dev/null
+++ b/crates/register/src/changing.rs
@@ -0,0 +1,36 @@
+use crate::acceptor::Held;
+use crate::message::{VoterRef, VoterSet};
+use std::collections::BTreeMap;
+
+/// Key of the register that settles which set follows.
+pub const VOTERS_KEY: &str = "voters";
+
+/// The set that follows when a newcomer takes the place of one member.
+pub fn replaced(set: &VoterSet, old_disk: u64, newcomer: VoterRef) -> Option<VoterSet> {
+    if set.voters.iter().any(|voter| voter.disk == newcomer.disk) {
+        return None;
+    }
+    let mut next = set.clone();
+    next.no += 1;
+    let place = next
+        .voters
+        .iter()
+        .position(|voter| voter.disk == old_disk)?;
+    next.voters[place] = newcomer;
+    Some(next)
+}
+
+/// What a newcomer must hold, from the copies of a majority of the others: for each key the newest
+/// accepted value and the highest promise.
+pub fn merged(copies: Vec<Vec<(String, Held)>>) -> Vec<(String, Held)> {
+    let mut keys: BTreeMap<String, Held> = BTreeMap::new();
+    for (key, held) in copies.into_iter().flatten() {
+        let known = keys.entry(key).or_default();
+        known.promised = known.promised.max(held.promised);
+        if held.accepted > known.accepted {
+            known.accepted = held.accepted;
+            known.stored = held.stored;
+        }
+    }
+    keys.into_iter().collect()
+}
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -2,12 +2,14 @@
 //! the expected version. There is no log of changes and no leader.
 
 mod acceptor;
+mod changing;
 mod client;
 mod message;
 mod proposal;
 mod round;
 
 pub use acceptor::{Acceptor, Held, Record, KEYS_MAX};
+pub use changing::{merged, replaced, VOTERS_KEY};
 pub use client::{RegisterClient, VoterPort};
 pub use message::{Ballot, Stored, VoterAsk, VoterMessage, VoterRef, VoterReply, VoterSet};
 pub use proposal::{Proposal, ProposalStep};
--- a/crates/register/src/message.rs
+++ b/crates/register/src/message.rs
@@ -109,7 +109,9 @@
         /// The voter's own set, era 0 where it has none.
         set: VoterSet,
     },
-    /// The voter cannot answer: its disk failed, its table is full, or the key has aged out.
+    /// The key was issued before a time whose claims the voter no longer knows.
+    AgedOut,
+    /// The voter cannot answer: its disk failed or its table is full.
     Closed {
         /// Why, in a short sentence.
         reason: String,
--- a/crates/register/src/proposal.rs
+++ b/crates/register/src/proposal.rs
@@ -76,7 +76,10 @@
     fn judge(&self, outcome: Outcome) -> Outcome {
         match outcome {
             Outcome::Settled(stored) => self.judge_settled(stored),
-            Outcome::Beaten(_) | Outcome::Unreached(_) | Outcome::OtherSet(_)
+            Outcome::Beaten(_)
+            | Outcome::Unreached(_)
+            | Outcome::OtherSet(_)
+            | Outcome::AgedOut
                 if self.has_proposed =>
             {
                 Outcome::Undecided
--- a/crates/register/src/round.rs
+++ b/crates/register/src/round.rs
@@ -25,6 +25,8 @@
     Beaten(Ballot),
     /// The voters believe in this set.
     OtherSet(VoterSet),
+    /// The key is too old: what was under it is no longer known, so nothing may be.
+    AgedOut,
     /// No majority answered and nothing was proposed.
     Unreached(String),
     /// A value was proposed and it is not known whether it was chosen.
@@ -134,6 +136,9 @@
             (Phase::Peek | Phase::Promise, VoterReply::OtherSet { set }) if set.era != 0 => {
                 return Step::Done(Outcome::OtherSet(set));
             }
+            (Phase::Peek | Phase::Promise, VoterReply::AgedOut) => {
+                return Step::Done(Outcome::AgedOut);
+            }
             (_, VoterReply::Closed { reason }) => {
                 self.reason = reason;
                 self.refusals[voter] = true;
--- a/crates/register/tests/rounds.rs
+++ b/crates/register/tests/rounds.rs
@@ -250,6 +250,6 @@
     assert!(voter.handle(ask(500)).0.is_some());
     assert!(voter.age_out(600).is_some());
     let (record, reply) = voter.handle(ask(500));
-    assert!(record.is_none() && matches!(reply, VoterReply::Closed { .. }));
+    assert!(record.is_none() && reply == VoterReply::AgedOut);
     assert!(voter.handle(ask(600)).0.is_some());
 }
--- a/crates/simulator/src/core_node.rs
+++ b/crates/simulator/src/core_node.rs
@@ -264,6 +264,7 @@
             }
         }
         let key = "duty/scaler";
+        self.duty.in_era(self.set.era);
         match self.duty.next(now) {
             Move::Wait => {}
             Move::Look => self.propose(net, key, Change::Read, Purpose::Duty(now, None)),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,5 +14,5 @@
 pub use http::{call, json, read_body, serve, text, Answer, HttpError};
 pub use inbound::{Handler, Responder, WireCounts};
 pub use links::Links;
-pub use message::{BlueprintNews, Envelope, Message, News, PlanNews, Role};
+pub use message::{BlueprintNews, Copy, Envelope, Message, News, PlanNews, Role};
 pub use voters::WireVoters;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,6 +1,6 @@
 use blueprint::{PeerRef, Plan, Version};
 use holding::{DeskMessage, FrontReport};
-use register::{VoterMessage, VoterReply, VoterSet};
+use register::{Held, VoterMessage, VoterReply, VoterSet};
 use speedy::{Readable, Writable};
 
 /// What a daemon is.
@@ -93,6 +93,31 @@
         /// The set that it believes in; era 0 where it is empty.
         set: VoterSet,
     },
-    /// Take this first set.
-    Form(VoterSet),
+    /// Take this first set; claims that were issued before the time stay refused.
+    Form(VoterSet, u64),
+    /// Take this set, which was settled as the one that follows.
+    Adopt(VoterSet),
+    /// Answer to an adoption: the set that the voter is in now.
+    Adopted(VoterSet),
+    /// What are the digests of your ranges?
+    Digests,
+    /// Answer: the voter's set, its floors, and a digest for each range.
+    DigestsAnswer(Copy),
+    /// What do you hold in this range?
+    Range(u16),
+    /// Answer: all keys of the range.
+    RangeAnswer(Vec<(String, Held)>),
+    /// Claims that a front still knows after the ledger was lost.
+    Remembered(Vec<(String, Held)>),
+}
+
+/// A voter's copy in short.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+pub struct Copy {
+    /// The set that it is in.
+    pub set: VoterSet,
+    /// Times before which claims are forgotten, and before which unknown ones are refused.
+    pub floors: (u64, u64),
+    /// A digest for each range.
+    pub ranges: Vec<u64>,
 }
