Fuzzing with fixed seeds; hopeless tickets are refused at once; drains wait for answers

Excluded: keepers, standing, plan (all in order in the dump). Now a ticket that has less left than half more than an answer takes is refused at once. It now counts requests until answered. Also within a rank the function that lacks most grows first where memory is short.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -34,7 +34,10 @@
     if request.method() != Method::POST {
         return text(405, "call a function with POST");
     }
-    take_call(shared, request, function).unwrap_or_else(|refused| *refused)
+    shared.handling.fetch_add(1, Ordering::SeqCst);
+    let response = take_call(shared, request, function).unwrap_or_else(|refused| *refused);
+    shared.handling.fetch_sub(1, Ordering::SeqCst);
+    response
 }
 
 fn header<'a>(request: &'a Request<Body>, name: &str) -> Option<&'a str> {
@@ -183,6 +186,7 @@
     if let Some((key, version)) = claimed {
         note_claim(shared, key, version, &digest, &end);
     }
+    shared.handled_at.store(now_ms(), Ordering::SeqCst);
     Ok(respond(shared, end))
 }
 
--- a/crates/front/src/operators.rs
+++ b/crates/front/src/operators.rs
@@ -2,7 +2,7 @@
 use blueprint::Blueprint;
 use oxhttp::model::{Body, Method, Request, Response};
 use std::sync::atomic::Ordering;
-use wire::{json, text, Message};
+use wire::{json, now_ms, text, Message};
 
 /// Answers what operators ask of a front.
 pub fn handle(shared: &Shared, request: &Request<Body>, path: &str) -> Response<Body> {
@@ -98,7 +98,11 @@
             .any(|entry| entry.keeper == *shared.links.me());
         desk.is_idle() && !keeps
     });
-    is_idle && shared.continuations.len() == 0
+    // The library writes an answer after its handler has returned, so a little time is left for it.
+    let answers_left = shared.handled_at.load(Ordering::SeqCst)
+        + shared.blueprint.load().bounds.slack_ms()
+        < now_ms();
+    is_idle && shared.handling.load(Ordering::SeqCst) == 0 && answers_left
 }
 
 /// Longest time that a drain may take when cores cannot move its runners away.
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -40,6 +40,9 @@
     pub ledger: Ledger,
     pub counts: Counts,
     pub is_stopping: AtomicBool,
+    /// Callers' requests that are being handled, and when the last that was taken ended.
+    pub handling: AtomicUsize,
+    pub handled_at: AtomicU64,
     pub asked: Mutex<HashMap<String, u64>>,
     pub stop: Sender<()>,
     desk: Mutex<Desk>,
@@ -159,6 +162,8 @@
         continuations: Continuations::default(),
         counts: Counts::default(),
         is_stopping: AtomicBool::new(false),
+        handling: AtomicUsize::new(0),
+        handled_at: AtomicU64::new(0),
         asked: Mutex::default(),
         desk: Mutex::new(Desk::new(me)),
         tries,
--- a/crates/holding/src/desk.rs
+++ b/crates/holding/src/desk.rs
@@ -9,6 +9,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+/// Answers over which a function's pace is taken.
+const PACE_SPAN: f64 = 20.0;
 /// Tries of one ticket that may end before a runner was reached.
 const UNSENT_MAX: u32 = 4;
 
@@ -17,6 +19,16 @@
     pub arrived: u64,
     pub answered: u64,
     pub refused: u64,
+    /// Milliseconds that an answer takes, as seen from here; the newest answers weigh most.
+    pub pace_ms: f64,
+}
+
+impl Counts {
+    /// Time that must be left for a try to be worth its seat: half more than an answer takes.
+    /// Work that is sent with less is mostly lost, and holds its seat for the whole budget.
+    fn needed_ms(&self) -> u64 {
+        (1.5 * self.pace_ms) as u64
+    }
 }
 
 #[derive(Debug)]
@@ -224,9 +236,11 @@
             }
             return;
         }
-        if let TryEnd::Answered(_) = end {
+        if let TryEnd::Answered(took_ms) = end {
             let counts = self.counts.entry(seat.function.clone()).or_default();
             counts.answered += 1;
+            counts.pace_ms +=
+                (took_ms as f64 - counts.pace_ms) / PACE_SPAN.min(counts.answered as f64);
         }
         if let Some(held) = self.seats.remove(&key) {
             self.give_back(now, &held.grant, end);
@@ -270,16 +284,8 @@
 
     /// Time goes on: budgets end, seats are reclaimed, heartbeats leave.
     pub fn tick(&mut self, now: u64) {
-        let mut over = Vec::new();
-        for (function, holding) in &mut self.holdings {
-            let expired = holding.expire(now);
-            if !expired.is_empty() {
-                self.dirty.insert(function.clone());
-                over.extend(expired);
-            }
-        }
-        for ticket in over {
-            self.refuse(ticket, Refusal::BudgetOver);
+        for function in self.holdings.keys().cloned().collect::<Vec<_>>() {
+            self.refuse_hopeless(now, &function);
         }
         if !self.has_standing(now) {
             self.refuse_all(Refusal::NoStanding);
@@ -314,6 +320,21 @@
         }
     }
 
+    /// Refuses at once what cannot be answered within its budget any more.
+    pub(crate) fn refuse_hopeless(&mut self, now: u64, function: &str) {
+        let needed = self.counts.get(function).map_or(0, Counts::needed_ms);
+        let Some(holding) = self.holdings.get_mut(function) else {
+            return;
+        };
+        let expired = holding.expire(now, needed);
+        if !expired.is_empty() {
+            self.dirty.insert(function.to_string());
+        }
+        for ticket in expired {
+            self.refuse(ticket, Refusal::BudgetOver);
+        }
+    }
+
     fn refuse_all(&mut self, refusal: Refusal) {
         let holdings = std::mem::take(&mut self.holdings);
         for ticket in holdings
--- a/crates/holding/src/holding.rs
+++ b/crates/holding/src/holding.rs
@@ -72,9 +72,9 @@
         self.tickets.remove(&key)
     }
 
-    /// Takes out all whose budget is over.
-    pub fn expire(&mut self, now: u64) -> Vec<Ticket> {
-        let over = |ticket: &Ticket| ticket.budget_end <= now;
+    /// Takes out all whose budget is over, or will be before work of the needed time could end.
+    pub fn expire(&mut self, now: u64, needed: u64) -> Vec<Ticket> {
+        let over = |ticket: &Ticket| ticket.budget_end <= now + needed;
         let keys: Vec<_> = self
             .tickets
             .iter()
--- a/crates/holding/src/lending.rs
+++ b/crates/holding/src/lending.rs
@@ -19,6 +19,7 @@
             return;
         }
         for function in dirty {
+            self.refuse_hopeless(now, &function);
             while self.lend_one(now, &function) {}
             self.send_bids(now, &function);
         }
@@ -195,6 +196,7 @@
         });
         let is_fresh = now < award.stamp + self.blueprint.bounds.seat_window_ms();
         let usable = entry.filter(|_| is_fresh && self.has_standing(now));
+        self.refuse_hopeless(now, &award.function);
         let ticket = usable
             .is_some()
             .then(|| self.holdings.get_mut(&award.function)?.take())
--- /dev/null
+++ b/crates/holding/tests/desk.rs
@@ -0,0 +1,328 @@
+//! Holdings and seats against plain oracles, and the points of a ticket's life one by one.
+
+use blueprint::{
+    Blueprint, District, Kind, Listing, PeerRef, Plan, RunnerEntry, RunnerState, Version,
+};
+use fuzzing::seeded;
+use holding::{
+    Action, Admission, Allowance, Desk, DeskMessage, Holding, Refusal, SeatGrant, Ticket, TryEnd,
+};
+use std::sync::Arc;
+
+const LEASE: u64 = 1_500;
+
+fn peer(name: &str) -> PeerRef {
+    PeerRef {
+        name: name.into(),
+        incarnation: 1,
+    }
+}
+
+fn version(no: u64) -> Version {
+    Version { era: 1, no }
+}
+
+fn blueprint(holding_max: u32) -> Arc<Blueprint> {
+    let mut blueprint = Blueprint::empty();
+    blueprint.listings.push(Listing {
+        name: "sign".into(),
+        memory_mb: 1,
+        start_ms: 0,
+        concurrency: 2,
+        budget_ms: 2_000,
+        kinds: vec!["urgent".into(), "batch".into()],
+    });
+    for name in ["urgent", "batch"] {
+        let name = name.to_string();
+        blueprint.ranking.push(Kind { name, once: false });
+    }
+    blueprint.districts.push(District {
+        name: "a".into(),
+        state: Default::default(),
+    });
+    blueprint.bounds.holding_max = holding_max;
+    Arc::new(blueprint)
+}
+
+fn plan(keeper: &str, epoch: u64, no: u64) -> Arc<Plan> {
+    Arc::new(Plan {
+        term: 1,
+        roster_since: version(1),
+        roster: vec!["me".into(), "two".into(), "three".into()],
+        runners: vec![RunnerEntry {
+            id: "sign.1".into(),
+            function: "sign".into(),
+            worker: "w".into(),
+            district: "a".into(),
+            address: "127.0.0.1:1".into(),
+            key: vec![1],
+            memory_mb: 1,
+            quota: 2,
+            keeper: peer(keeper),
+            keeper_epoch: epoch,
+            keeper_since: version(no),
+            state: RunnerState::Wanted,
+        }],
+    })
+}
+
+fn ticket(slot: u64, rank: u8, now: u64) -> Ticket {
+    Ticket {
+        slot,
+        function: "sign".into(),
+        rank,
+        arrived: now,
+        budget_end: now + 2_000,
+        unsent: 0,
+    }
+}
+
+/// A desk with standing at time 1000 that keeps one warm runner of two seats, one of them ramped.
+fn desk(holding_max: u32) -> Desk {
+    let mut desk = Desk::new(peer("me"));
+    desk.set_ready();
+    desk.set_blueprint(1_000, blueprint(holding_max), version(1));
+    desk.set_plan(1_000, plan("me", 1, 1), version(1));
+    hear(&mut desk, 1_000, version(1));
+    desk.probed(1_000, "sign.1", true);
+    desk.take_actions();
+    desk
+}
+
+fn hear(desk: &mut Desk, stamp: u64, plan: Version) {
+    let answer = DeskMessage::BeatAnswer {
+        stamp,
+        plan,
+        blueprint: version(1),
+    };
+    desk.on_message(stamp, &peer("two"), answer);
+}
+
+fn launched(desk: &mut Desk) -> Vec<(Ticket, SeatGrant)> {
+    let actions = desk.take_actions().into_iter();
+    actions
+        .filter_map(|action| match action {
+            Action::Launch(ticket, seat) => Some((ticket, seat)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn refused(desk: &mut Desk) -> Vec<(u64, Refusal)> {
+    let actions = desk.take_actions().into_iter();
+    actions
+        .filter_map(|action| match action {
+            Action::Refuse(ticket, refusal) => Some((ticket.slot, refusal)),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn a_warming_runner_gets_one_request_and_then_one_more_with_each_answer() {
+    let mut desk = desk(10);
+    for slot in 0..4 {
+        desk.arrive(1_000, ticket(slot, 0, 1_000));
+    }
+    let first = launched(&mut desk);
+    assert_eq!(first.len(), 1);
+    desk.try_done(1_020, &first[0].1, TryEnd::Answered(20));
+    assert_eq!(launched(&mut desk).len(), 2, "quota two after one answer");
+}
+
+#[test]
+fn a_lost_answer_keeps_its_seat_until_the_runner_has_surely_given_up() {
+    let mut desk = desk(10);
+    desk.arrive(1_000, ticket(0, 0, 1_000));
+    let seat = launched(&mut desk).remove(0).1;
+    desk.try_done(1_100, &seat, TryEnd::Lost);
+    desk.arrive(1_200, ticket(1, 0, 1_200));
+    hear(&mut desk, 2_000, version(1));
+    desk.tick(2_100);
+    assert!(launched(&mut desk).is_empty(), "the seat was given twice");
+    hear(&mut desk, 3_300, version(1));
+    desk.arrive(3_300, ticket(2, 0, 3_300));
+    desk.tick(3_400);
+    assert_eq!(launched(&mut desk).len(), 1);
+}
+
+#[test]
+fn nothing_leaves_after_a_freeze() {
+    let mut desk = desk(10);
+    desk.arrive(1_000, ticket(0, 0, 1_000));
+    let (ticket, seat) = launched(&mut desk).remove(0);
+    assert!(desk.permit(1_010, &ticket, &seat));
+    assert!(!desk.permit(1_000 + LEASE, &ticket, &seat));
+    hear(&mut desk, 1_000 + LEASE, version(1));
+    assert!(
+        !desk.permit(1_000 + LEASE, &ticket, &seat),
+        "the seat's window is over though there is standing again"
+    );
+}
+
+#[test]
+fn standing_ends_with_the_lease_and_all_that_waits_is_told_at_once() {
+    let mut desk = desk(10);
+    for slot in 0..3 {
+        desk.arrive(1_000, ticket(slot, 1, 1_000));
+    }
+    launched(&mut desk);
+    assert!(desk.has_standing(1_000 + LEASE - 1));
+    desk.tick(1_000 + LEASE);
+    let told = refused(&mut desk);
+    assert_eq!(told.len(), 2);
+    assert!(told.iter().all(|(_, why)| *why == Refusal::NoStanding));
+    assert_eq!(desk.may_take(2_600, "sign"), Err(Refusal::NoStanding));
+}
+
+#[test]
+fn an_answer_from_a_front_with_a_newer_plan_does_not_extend_the_lease() {
+    let mut desk = desk(10);
+    hear(&mut desk, 2_000, version(2));
+    assert!(!desk.has_standing(1_000 + LEASE));
+    desk.set_plan(2_100, plan("me", 1, 1), version(2));
+    hear(&mut desk, 2_200, version(2));
+    assert!(desk.has_standing(2_200 + LEASE - 1));
+}
+
+#[test]
+fn a_next_keeper_waits_out_the_former_one_unless_it_is_handed_over() {
+    let mut waiting = desk(10);
+    waiting.set_plan(1_100, plan("me", 2, 2), version(2));
+    hear(&mut waiting, 1_100, version(2));
+    waiting.probed(1_100, "sign.1", true);
+    waiting.tick(1_200);
+    waiting.arrive(1_200, ticket(0, 0, 1_200));
+    assert!(launched(&mut waiting).is_empty());
+
+    let mut handed = desk(10);
+    handed.set_plan(1_100, plan("me", 2, 2), version(2));
+    let handover = DeskMessage::Handover {
+        runner: "sign.1".into(),
+        epoch: 1,
+        lent: 0,
+        over_in_ms: 0,
+    };
+    handed.on_message(1_150, &peer("two"), handover);
+    handed.probed(1_150, "sign.1", true);
+    handed.arrive(1_200, ticket(0, 0, 1_200));
+    assert_eq!(launched(&mut handed).len(), 1);
+}
+
+#[test]
+fn an_older_blueprint_or_plan_is_never_taken() {
+    let mut desk = desk(10);
+    desk.set_blueprint(1_000, blueprint(3), version(3));
+    desk.set_blueprint(1_000, blueprint(5), version(2));
+    assert_eq!(desk.versions().0, version(3));
+    assert_eq!(desk.blueprint().bounds.holding_max, 3);
+    desk.set_plan(1_000, plan("two", 9, 9), Version { era: 0, no: 50 });
+    assert_eq!(desk.versions().1, version(1));
+}
+
+#[test]
+fn work_that_cannot_be_done_in_time_is_told_so_at_once() {
+    let mut desk = desk(10);
+    desk.arrive(1_000, ticket(0, 0, 1_000));
+    let seat = launched(&mut desk).remove(0).1;
+    desk.try_done(1_900, &seat, TryEnd::Answered(900));
+    for slot in 1..4 {
+        desk.arrive(1_900, ticket(slot, 0, 1_000));
+    }
+    assert_eq!(
+        refused(&mut desk).len(),
+        3,
+        "1100 ms are left of 1350 needed"
+    );
+}
+
+#[test]
+fn a_full_holding_sheds_the_lowest_rank_and_never_the_urgent() {
+    let mut desk = desk(2);
+    desk.arrive(1_000, ticket(9, 0, 1_000));
+    launched(&mut desk);
+    desk.arrive(1_000, ticket(1, 1, 1_000));
+    desk.arrive(1_001, ticket(2, 0, 1_001));
+    desk.arrive(1_002, ticket(3, 0, 1_002));
+    assert_eq!(refused(&mut desk), vec![(1, Refusal::Shed)]);
+    desk.arrive(1_003, ticket(4, 1, 1_003));
+    assert_eq!(refused(&mut desk), vec![(4, Refusal::HoldingFull)]);
+}
+
+seeded! {
+    fn a_holding_agrees_with_a_sorted_list(steps: Vec<(u8, u8)>) -> bool {
+        let mut holding = Holding::default();
+        let mut list: Vec<(u8, u64)> = Vec::new();
+        for (number, (step, rank)) in steps.into_iter().enumerate() {
+            let number = number as u64;
+            let rank = rank % 3;
+            if step % 3 > 0 {
+                let worst = list.iter().max().copied();
+                match holding.admit(ticket(number, rank, number), 8) {
+                    Admission::Held if list.len() < 8 => list.push((rank, number)),
+                    Admission::HeldFor(shed) if list.len() == 8 => {
+                        let Some(worst) = worst else { return false };
+                        if worst != (shed.rank, shed.slot) || worst.0 <= rank {
+                            return false;
+                        }
+                        list.retain(|held| *held != worst);
+                        list.push((rank, number));
+                    }
+                    Admission::Full(back) if list.len() == 8 => {
+                        let is_lower = worst.is_some_and(|worst| worst.0 > rank);
+                        if is_lower || back.slot != number {
+                            return false;
+                        }
+                    }
+                    _ => return false,
+                }
+            } else {
+                let taken = holding.take().map(|taken| (taken.rank, taken.slot));
+                let by_rank = list.iter().min().copied();
+                let by_age = list.iter().min_by_key(|held| held.1).copied();
+                if taken != by_rank && taken != by_age {
+                    return false;
+                }
+                list.retain(|held| Some(*held) != taken);
+            }
+            if holding.len() != list.len() {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn low_ranks_do_not_starve(urgent: u8) -> bool {
+        let mut holding = Holding::default();
+        holding.admit(ticket(0, 1, 0), 10_000);
+        for slot in 1..=u64::from(urgent) + 20 {
+            holding.admit(ticket(slot, 0, slot), 10_000);
+        }
+        (0..8).any(|_| holding.take().is_some_and(|taken| taken.slot == 0))
+    }
+
+    fn a_retry_is_granted_only_below_the_share_of_the_window_before_it(steps: Vec<(u8, bool)>) -> bool {
+        let mut allowance = Allowance::default();
+        let (mut now, mut firsts, mut retries) = (0u64, Vec::new(), Vec::new());
+        for (pause, is_first) in steps {
+            now += u64::from(pause);
+            if is_first {
+                allowance.first(now, 1_000);
+                firsts.push(now);
+                continue;
+            }
+            if !allowance.take(now, 1_000, 0.2, 2.0) {
+                continue;
+            }
+            retries.push(now);
+            let within = |times: &[u64], span: u64| {
+                times.iter().filter(|time| **time + span > now).count() as f64
+            };
+            // Parts of the window are counted whole, so first tries may be a part older.
+            if within(&retries, 1_000) > 0.2 * within(&firsts, 1_100) + 2.0 {
+                return false;
+            }
+        }
+        true
+    }
+}
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -3,6 +3,7 @@
 use crate::fleet::Fleet;
 use crate::ledger::{unix_now_ms, RunLine};
 use oxhttp::model::Method;
+use std::collections::BTreeMap;
 use std::thread;
 use std::time::{Duration, Instant};
 use wire::call;
@@ -173,6 +174,14 @@
             "{undone} of {} pieces of work never done",
             wishes.len()
         ));
+        let mut reasons: BTreeMap<String, usize> = BTreeMap::new();
+        for ask in wishes.iter().flat_map(|wish| &wish.asks) {
+            if !ask.is_right {
+                let reason = format!("{} {}", ask.outcome, ask.reason);
+                *reasons.entry(reason).or_default() += 1;
+            }
+        }
+        self.note(format!("{reasons:?}"));
         if !self.may_lose {
             let lost = wishes
                 .iter()
--- a/crates/repair/src/digests.rs
+++ b/crates/repair/src/digests.rs
@@ -71,10 +71,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use quickcheck::quickcheck;
+    use fuzzing::seeded;
     use std::collections::BTreeMap;
 
-    quickcheck! {
+    seeded! {
         fn digests_follow_any_course_of_changes(changes: Vec<(u8, Option<u64>)>) -> bool {
             let mut digests = Digests::default();
             let mut copy: BTreeMap<String, u64> = BTreeMap::new();
--- a/crates/scaler/src/scaler.rs
+++ b/crates/scaler/src/scaler.rs
@@ -77,6 +77,12 @@
         for listing in &listings {
             self.keep_minimal(sight, &mut plan, listing);
         }
+        // Where memory is short, within a rank the function that lacks most is served first.
+        listings.sort_by_cached_key(|listing| {
+            let note = self.notes.get(&listing.name);
+            let met = note.map_or(1.0, |note| note.capacity / note.demand.max(QUIET_RATE));
+            (rank_of(sight, listing), (met.min(1_000.0) * 1_000.0) as u64)
+        });
         for listing in &listings {
             self.scale(sight, &mut plan, listing);
         }
--- /dev/null
+++ b/crates/simulator/src/core_news.rs
@@ -0,0 +1,42 @@
+use crate::core_node::CoreNode;
+use ballot::Tenure;
+use blueprint::{parse, Plan, Version};
+use register::{Outcome, Stored};
+use speedy::Readable;
+use std::sync::Arc;
+
+impl CoreNode {
+    pub fn duty_ended(&mut self, now: u64, began: u64, tenure: Option<Tenure>, outcome: Outcome) {
+        match (outcome, tenure) {
+            (Outcome::Settled(stored), Some(tenure)) => {
+                self.duty.won(now, began, stored.version, tenure);
+            }
+            (Outcome::Settled(stored) | Outcome::Stale(stored), _) => {
+                let seen = Tenure::read_from_buffer(&stored.bytes).unwrap_or_default();
+                self.duty.seen(now, stored.version, seen);
+            }
+            _ => {}
+        }
+    }
+
+    pub fn put_in_force(&mut self, key: &str, stored: &Stored) {
+        let version = Version {
+            era: self.set.era,
+            no: stored.version,
+        };
+        if key == "plan" && version > self.in_force.plan_version {
+            if let Ok(plan) = Plan::read_from_buffer(&stored.bytes) {
+                self.in_force.plan = Arc::new(plan);
+                self.in_force.plan_version = version;
+            }
+        }
+        if key == "blueprint" && version > self.in_force.blueprint_version {
+            let text = String::from_utf8_lossy(&stored.bytes).into_owned();
+            if let Ok(blueprint) = parse(&text) {
+                self.in_force.blueprint = Arc::new(blueprint);
+                self.in_force.text = text;
+                self.in_force.blueprint_version = version;
+            }
+        }
+    }
+}
--- a/crates/simulator/src/core_node.rs
+++ b/crates/simulator/src/core_node.rs
@@ -3,14 +3,14 @@
 use crate::oracle::Oracle;
 use crate::yard::Yard;
 use ballot::{Duty, Move, Tenure};
-use blueprint::{parse, Blueprint, PeerRef, Plan, Version};
+use blueprint::{Blueprint, PeerRef, Plan, Version};
 use rand::Rng;
 use register::{
-    Acceptor, Ballot, Change, Outcome, Proposal, ProposalStep, Record, Stored, VoterAsk,
-    VoterMessage, VoterSet,
+    Acceptor, Ballot, Change, Outcome, Proposal, ProposalStep, Record, VoterAsk, VoterMessage,
+    VoterSet,
 };
 use scaler::{FrontSight, Orders, Scaler, Sight};
-use speedy::{Readable, Writable};
+use speedy::Writable;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use wire::{BlueprintNews, Message, News, PlanNews};
@@ -55,7 +55,7 @@
     pub fronts: BTreeMap<String, FrontSight>,
     pub puts: Vec<(Put, Version, u64)>,
     running: BTreeMap<u64, Running>,
-    duty: Duty,
+    pub duty: Duty,
     scaler: Scaler,
     orders: Orders,
     counter: u64,
@@ -362,40 +362,6 @@
         }
     }
 
-    fn duty_ended(&mut self, now: u64, began: u64, tenure: Option<Tenure>, outcome: Outcome) {
-        match (outcome, tenure) {
-            (Outcome::Settled(stored), Some(tenure)) => {
-                self.duty.won(now, began, stored.version, tenure);
-            }
-            (Outcome::Settled(stored) | Outcome::Stale(stored), _) => {
-                let seen = Tenure::read_from_buffer(&stored.bytes).unwrap_or_default();
-                self.duty.seen(now, stored.version, seen);
-            }
-            _ => {}
-        }
-    }
-
-    fn put_in_force(&mut self, key: &str, stored: &Stored) {
-        let version = Version {
-            era: self.set.era,
-            no: stored.version,
-        };
-        if key == "plan" && version > self.in_force.plan_version {
-            if let Ok(plan) = Plan::read_from_buffer(&stored.bytes) {
-                self.in_force.plan = Arc::new(plan);
-                self.in_force.plan_version = version;
-            }
-        }
-        if key == "blueprint" && version > self.in_force.blueprint_version {
-            let text = String::from_utf8_lossy(&stored.bytes).into_owned();
-            if let Ok(blueprint) = parse(&text) {
-                self.in_force.blueprint = Arc::new(blueprint);
-                self.in_force.text = text;
-                self.in_force.blueprint_version = version;
-            }
-        }
-    }
-
     /// A number for puts that no other has.
     pub fn put_seed(&self, net: &mut Net) -> u64 {
         net.random.random()
--- /dev/null
+++ b/crates/simulator/src/front_claims.rs
@@ -0,0 +1,125 @@
+use crate::front_node::{Claiming, FrontNode, Purpose};
+use crate::net::{Net, Parcel};
+use crate::oracle::Oracle;
+use claims::Claim;
+use register::{
+    Ballot, Change, Outcome, Proposal, ProposalStep, VoterAsk, VoterMessage, VoterReply,
+};
+use speedy::Writable;
+use wire::Message;
+
+const CLAIM_PATIENCE: u64 = 500;
+
+impl FrontNode {
+    pub fn voter_answer(
+        &mut self,
+        net: &mut Net,
+        oracle: &mut Oracle,
+        parcel: &Parcel,
+        reply: VoterReply,
+    ) {
+        let place = self
+            .set
+            .voters
+            .iter()
+            .position(|voter| voter.address == parcel.from.name);
+        let Some(place) = place else {
+            return;
+        };
+        let found = self.claiming.iter_mut();
+        let mut found = found.filter(|(_, claiming)| claiming.number == parcel.number);
+        let Some((id, claiming)) = found.next() else {
+            return;
+        };
+        let id = *id;
+        match claiming.proposal.on_reply(place, reply) {
+            ProposalStep::Wait => {}
+            ProposalStep::Ask(ask) => self.ask_voters(net, id, ask),
+            ProposalStep::Again(above) => {
+                self.counter = self.counter.max(above.counter);
+                let ballot = self.next_ballot();
+                if let Some(claiming) = self.claiming.get_mut(&id) {
+                    let ask = claiming.proposal.again(ballot);
+                    self.ask_voters(net, id, ask);
+                }
+            }
+            ProposalStep::Done(outcome) => {
+                if let Some(claiming) = self.claiming.remove(&id) {
+                    self.claim_ended(net, oracle, claiming.purpose, outcome);
+                }
+            }
+        }
+    }
+
+    fn next_ballot(&mut self) -> Ballot {
+        self.counter += 1;
+        Ballot {
+            counter: self.counter,
+            proposer: self.peer.incarnation,
+        }
+    }
+
+    fn ask_voters(&mut self, net: &mut Net, id: u64, ask: VoterAsk) {
+        self.counter += 1;
+        let number = self.counter;
+        if let Some(claiming) = self.claiming.get_mut(&id) {
+            claiming.number = number;
+        }
+        for voter in self.set.voters.clone() {
+            let message = VoterMessage {
+                mark: self.set.mark(),
+                ask: ask.clone(),
+            };
+            let parcel = self.parcel(number, Message::Voter(message));
+            net.send(&self.peer.name, &voter.address, parcel);
+        }
+    }
+
+    pub fn propose(
+        &mut self,
+        net: &mut Net,
+        key: u64,
+        expected: u64,
+        claim: &Claim,
+        purpose: Purpose,
+    ) {
+        let ballot = self.next_ballot();
+        let tag = self.peer.incarnation ^ ballot.counter.rotate_left(32);
+        let bytes = claim.write_to_vec().unwrap_or_default();
+        let change = Change::Write { expected, bytes };
+        let name = format!("once/{key:014}/k");
+        let voters = self.set.voters.len();
+        let (proposal, ask) = Proposal::start(&name, change, tag, ballot, voters);
+        let id = ballot.counter;
+        let claiming = Claiming {
+            proposal,
+            number: 0,
+            deadline: net.now + CLAIM_PATIENCE,
+            purpose,
+        };
+        self.claiming.insert(id, claiming);
+        self.ask_voters(net, id, ask);
+    }
+
+    pub fn claim_ended(
+        &mut self,
+        net: &mut Net,
+        oracle: &mut Oracle,
+        purpose: Purpose,
+        outcome: Outcome,
+    ) {
+        let Purpose::Claim(slot) = purpose else {
+            return;
+        };
+        match outcome {
+            Outcome::Settled(stored) => {
+                if let Some(open) = self.open.get_mut(&slot) {
+                    open.claimed = Some(stored.version);
+                }
+                self.arrive(net, slot);
+            }
+            Outcome::Stale(_) => self.tell(oracle, net.now, slot, "theirs"),
+            _ => self.tell(oracle, net.now, slot, "not-run"),
+        }
+    }
+}
--- a/crates/simulator/src/front_node.rs
+++ b/crates/simulator/src/front_node.rs
@@ -4,29 +4,26 @@
 use blueprint::{parse, Blueprint, PeerRef, Version};
 use claims::Claim;
 use holding::{Action, Desk, SeatGrant, Ticket, TryEnd};
-use register::{Ballot, Change, Outcome, Proposal, ProposalStep, VoterAsk, VoterMessage, VoterSet};
-use speedy::Writable;
+use register::{Proposal, VoterSet};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use wire::{BlueprintNews, Message, News, PlanNews};
 
-const CLAIM_PATIENCE: u64 = 500;
-
-struct Open {
-    wish: Wish,
+pub(crate) struct Open {
+    pub wish: Wish,
     /// Tries whose bytes may have reached a runner.
-    sent: u32,
-    claimed: Option<u64>,
+    pub sent: u32,
+    pub claimed: Option<u64>,
 }
 
-struct Claiming {
-    proposal: Proposal,
-    number: u64,
-    deadline: u64,
-    purpose: Purpose,
+pub(crate) struct Claiming {
+    pub proposal: Proposal,
+    pub number: u64,
+    pub deadline: u64,
+    pub purpose: Purpose,
 }
 
-enum Purpose {
+pub(crate) enum Purpose {
     Claim(u64),
     Note,
 }
@@ -38,10 +35,10 @@
     pub desk: Desk,
     pub cores: Vec<String>,
     pub set: VoterSet,
-    open: BTreeMap<u64, Open>,
-    claiming: BTreeMap<u64, Claiming>,
+    pub open: BTreeMap<u64, Open>,
+    pub claiming: BTreeMap<u64, Claiming>,
     next_slot: u64,
-    counter: u64,
+    pub counter: u64,
 }
 
 impl FrontNode {
@@ -59,7 +56,7 @@
         }
     }
 
-    fn parcel(&self, number: u64, body: Message) -> Parcel {
+    pub fn parcel(&self, number: u64, body: Message) -> Parcel {
         Parcel {
             from: self.peer.clone(),
             number,
@@ -118,7 +115,7 @@
 
     fn deliver(&mut self, net: &mut Net, oracle: &mut Oracle, parcel: Parcel) {
         let now = net.now;
-        match parcel.body {
+        match parcel.body.clone() {
             Message::Desk(message) => self.desk.on_message(now, &parcel.from, message),
             Message::News(news) => self.news(now, oracle, news),
             Message::Ask {
@@ -128,39 +125,7 @@
                 let answer = self.parcel(parcel.number, Message::News(news));
                 net.send(&self.peer.name, &parcel.from.name, answer);
             }
-            Message::VoterAnswer(reply) => {
-                let place = self
-                    .set
-                    .voters
-                    .iter()
-                    .position(|voter| voter.address == parcel.from.name);
-                let Some(place) = place else {
-                    return;
-                };
-                let found = self.claiming.iter_mut();
-                let mut found = found.filter(|(_, claiming)| claiming.number == parcel.number);
-                let Some((id, claiming)) = found.next() else {
-                    return;
-                };
-                let id = *id;
-                match claiming.proposal.on_reply(place, reply) {
-                    ProposalStep::Wait => {}
-                    ProposalStep::Ask(ask) => self.ask_voters(net, id, ask),
-                    ProposalStep::Again(above) => {
-                        self.counter = self.counter.max(above.counter);
-                        let ballot = self.next_ballot();
-                        if let Some(claiming) = self.claiming.get_mut(&id) {
-                            let ask = claiming.proposal.again(ballot);
-                            self.ask_voters(net, id, ask);
-                        }
-                    }
-                    ProposalStep::Done(outcome) => {
-                        if let Some(claiming) = self.claiming.remove(&id) {
-                            self.claim_ended(net, oracle, claiming.purpose, outcome);
-                        }
-                    }
-                }
-            }
+            Message::VoterAnswer(reply) => self.voter_answer(net, oracle, &parcel, reply),
             _ => {}
         }
     }
@@ -200,49 +165,6 @@
         }
     }
 
-    fn next_ballot(&mut self) -> Ballot {
-        self.counter += 1;
-        Ballot {
-            counter: self.counter,
-            proposer: self.peer.incarnation,
-        }
-    }
-
-    fn ask_voters(&mut self, net: &mut Net, id: u64, ask: VoterAsk) {
-        self.counter += 1;
-        let number = self.counter;
-        if let Some(claiming) = self.claiming.get_mut(&id) {
-            claiming.number = number;
-        }
-        for voter in self.set.voters.clone() {
-            let message = VoterMessage {
-                mark: self.set.mark(),
-                ask: ask.clone(),
-            };
-            let parcel = self.parcel(number, Message::Voter(message));
-            net.send(&self.peer.name, &voter.address, parcel);
-        }
-    }
-
-    fn propose(&mut self, net: &mut Net, key: u64, expected: u64, claim: &Claim, purpose: Purpose) {
-        let ballot = self.next_ballot();
-        let tag = self.peer.incarnation ^ ballot.counter.rotate_left(32);
-        let bytes = claim.write_to_vec().unwrap_or_default();
-        let change = Change::Write { expected, bytes };
-        let name = format!("once/{key:014}/k");
-        let voters = self.set.voters.len();
-        let (proposal, ask) = Proposal::start(&name, change, tag, ballot, voters);
-        let id = ballot.counter;
-        let claiming = Claiming {
-            proposal,
-            number: 0,
-            deadline: net.now + CLAIM_PATIENCE,
-            purpose,
-        };
-        self.claiming.insert(id, claiming);
-        self.ask_voters(net, id, ask);
-    }
-
     fn wish(&mut self, net: &mut Net, oracle: &mut Oracle, wish: Wish) {
         let now = net.now;
         if self.desk.may_take(now, &wish.function).is_err() {
@@ -271,7 +193,7 @@
         }
     }
 
-    fn arrive(&mut self, net: &mut Net, slot: u64) {
+    pub fn arrive(&mut self, net: &mut Net, slot: u64) {
         let now = net.now;
         let Some(open) = self.open.get(&slot) else {
             return;
@@ -295,29 +217,7 @@
         net.event(now + budget, &self.peer.name, life, Event::BudgetOver(slot));
     }
 
-    fn claim_ended(
-        &mut self,
-        net: &mut Net,
-        oracle: &mut Oracle,
-        purpose: Purpose,
-        outcome: Outcome,
-    ) {
-        let Purpose::Claim(slot) = purpose else {
-            return;
-        };
-        match outcome {
-            Outcome::Settled(stored) => {
-                if let Some(open) = self.open.get_mut(&slot) {
-                    open.claimed = Some(stored.version);
-                }
-                self.arrive(net, slot);
-            }
-            Outcome::Stale(_) => self.tell(oracle, net.now, slot, "theirs"),
-            _ => self.tell(oracle, net.now, slot, "not-run"),
-        }
-    }
-
-    fn tell(&mut self, oracle: &mut Oracle, now: u64, slot: u64, outcome: &'static str) {
+    pub fn tell(&mut self, oracle: &mut Oracle, now: u64, slot: u64, outcome: &'static str) {
         if let Some(open) = self.open.remove(&slot) {
             oracle.tell(now, open.wish.call, outcome, &open.wish.function);
         }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -24,6 +24,10 @@
     pub functions: usize,
     /// Wishes a second over all functions.
     pub rate: f64,
+    /// Milliseconds that a run takes, within a factor of two.
+    pub pace_ms: u64,
+    /// Share of runs whose answers are lost.
+    pub answer_loss: f64,
     /// Failures come between these times, in milliseconds.
     pub faults: (u64, u64),
     /// The run ends at this time.
@@ -36,6 +40,8 @@
             fronts: 5,
             functions: 6,
             rate: 60.0,
+            pace_ms: 60,
+            answer_loss: 0.01,
             faults: (6_000, 16_000),
             until: 32_000,
         }
@@ -174,7 +180,7 @@
         let mut world = Self {
             net: Net::new(random),
             oracle: Oracle::default(),
-            yard: Yard::new(workers, concurrency),
+            yard: Yard::new(workers, concurrency, config.pace_ms, config.answer_loss),
             fronts: BTreeMap::new(),
             cores: BTreeMap::new(),
             lives: BTreeMap::new(),
--- a/crates/simulator/src/yard.rs
+++ b/crates/simulator/src/yard.rs
@@ -25,6 +25,8 @@
     request: Request,
     runner: String,
     is_lost: bool,
+    /// The front has already seen the connection break.
+    is_broken: bool,
 }
 
 struct StandIn {
@@ -49,14 +51,19 @@
 }
 
 impl Yard {
-    pub fn new(workers: Vec<Worker>, concurrency: BTreeMap<String, u32>) -> Self {
+    pub fn new(
+        workers: Vec<Worker>,
+        concurrency: BTreeMap<String, u32>,
+        pace_ms: u64,
+        loss: f64,
+    ) -> Self {
         Self {
             workers,
             dead_workers: Vec::new(),
             concurrency,
             start_ms: 700,
-            pace_ms: 60,
-            loss: 0.01,
+            pace_ms,
+            loss,
             runners: BTreeMap::new(),
             runs: BTreeMap::new(),
             next_run: 0,
@@ -99,11 +106,20 @@
         let is_lost = net.random.random_bool(self.loss);
         let number = self.next_run;
         self.next_run += 1;
-        let ends = now + takes.clamp(1, request.budget_ms);
+        let mut ends = now + takes.clamp(1, request.budget_ms);
+        let is_broken = is_lost && net.random.random_bool(0.5);
+        if is_broken {
+            // The connection breaks early, and the runner works on for as long as it may.
+            ends = now + request.budget_ms;
+            let broken = net.soon(takes.max(1));
+            let event = Event::TryEnd(request.ticket.clone(), request.seat.clone(), TryEnd::Lost);
+            net.event(broken, &request.front, request.life, event);
+        }
         let run = Run {
             request,
             runner: wanted,
             is_lost,
+            is_broken,
         };
         self.runs.insert(number, run);
         net.at(ends, Happening::RunEnd(number));
@@ -121,12 +137,15 @@
             }
             None => false,
         };
+        if run.is_broken {
+            return;
+        }
+        let back = net.soon(5);
         let end = if is_up && !run.is_lost {
             TryEnd::Answered(self.pace_ms)
         } else {
             TryEnd::Lost
         };
-        let back = net.soon(5);
         let event = Event::TryEnd(run.request.ticket, run.request.seat, end);
         net.event(back, &run.request.front, run.request.life, event);
     }
--- a/crates/simulator/tests/seeds.rs
+++ b/crates/simulator/tests/seeds.rs
@@ -37,6 +37,17 @@
     sweep(2_000..2_030, &config);
 }
 
+#[test]
+fn no_line_is_broken_when_seats_are_short_and_answers_are_lost() {
+    let config = Config {
+        rate: 120.0,
+        pace_ms: 250,
+        answer_loss: 0.2,
+        ..Config::default()
+    };
+    sweep(3_000..3_040, &config);
+}
+
 #[test]
 fn one_seed_gives_one_course() {
     let run = || format!("{:?}", World::new(Config::default(), 7).run());
--- /dev/null
+++ b/crates/wire/tests/frames.rs
@@ -0,0 +1,117 @@
+//! Frames under fuzzing: what was written is read again, and nothing else is taken for a message.
+
+use blueprint::{PeerRef, Version};
+use fuzzing::{seeded, TestResult};
+use holding::{DeskMessage, RankCount};
+use register::{Ballot, Stored, VoterAsk, VoterMessage, VoterReply};
+use wire::{decode, encode, Envelope, FrameError, Message, Role, FRAME_MAX};
+
+fn envelope(body: Message, number: u64) -> Envelope {
+    Envelope {
+        from: PeerRef {
+            name: "front-1".into(),
+            incarnation: number,
+        },
+        address: "127.0.0.1:1".into(),
+        role: Role::Front,
+        number,
+        is_answer: number.is_multiple_of(2),
+        body,
+    }
+}
+
+fn bodies(text: &str, number: u64, bytes: &[u8]) -> Vec<Message> {
+    let version = Version { era: 1, no: number };
+    let ballot = Ballot {
+        counter: number,
+        proposer: 3,
+    };
+    let stored = Stored {
+        version: number,
+        tag: 1,
+        bytes: bytes.to_vec(),
+    };
+    vec![
+        Message::Hello,
+        Message::Ask {
+            blueprint: version,
+            plan: version,
+            wants_certain: true,
+        },
+        Message::Voter(VoterMessage {
+            mark: (1, number),
+            ask: VoterAsk::Accept {
+                key: text.into(),
+                ballot,
+                stored: stored.clone(),
+            },
+        }),
+        Message::VoterAnswer(VoterReply::Holds { ballot, stored }),
+        Message::Desk(DeskMessage::Bid {
+            stamp: number,
+            seen_award: 2,
+            function: text.into(),
+            ranks: vec![RankCount {
+                rank: 1,
+                count: 2,
+                oldest_ms: number,
+            }],
+        }),
+        Message::Desk(DeskMessage::Holds {
+            stamp: 1,
+            seen_award: 2,
+            seats: bytes.iter().map(|byte| u64::from(*byte)).collect(),
+        }),
+    ]
+}
+
+seeded! {
+    fn every_message_is_read_as_it_was_written(text: String, number: u64, bytes: Vec<u8>) -> bool {
+        bodies(&text, number, &bytes).into_iter().all(|body| {
+            let sent = envelope(body, number);
+            let frame = encode(&sent).unwrap();
+            decode(&mut frame.as_slice()).unwrap() == sent
+        })
+    }
+
+    fn a_cut_frame_is_no_message(number: u64, cut: usize) -> TestResult {
+        let frame = encode(&envelope(bodies("f", number, &[1, 2])[2].clone(), number)).unwrap();
+        let cut = cut % frame.len();
+        TestResult::from_bool(matches!(decode(&mut &frame[..cut]), Err(FrameError::Io(_))))
+    }
+
+    fn any_bytes_are_read_without_a_panic(bytes: Vec<u8>) -> bool {
+        let mut frame = (bytes.len() as u32 + 1).to_le_bytes().to_vec();
+        frame.push(wire::WIRE_VERSION);
+        frame.extend(&bytes);
+        // A short garbage payload cannot hold a whole envelope with its names and numbers.
+        bytes.len() > 24 || decode(&mut frame.as_slice()).is_err()
+    }
+
+    fn a_flipped_bit_never_brings_a_panic_or_a_longer_read(place: usize, bit: u8) -> bool {
+        let sent = envelope(bodies("function", 9, &[7; 40])[3].clone(), 9);
+        let mut frame = encode(&sent).unwrap();
+        let place = place % frame.len();
+        frame[place] ^= 1 << (bit % 8);
+        let length = frame.len();
+        let mut reader = frame.as_slice();
+        let _ = decode(&mut reader);
+        reader.len() <= length
+    }
+}
+
+#[test]
+fn oversized_and_foreign_frames_are_refused() {
+    let mut long = (FRAME_MAX as u32 + 1).to_le_bytes().to_vec();
+    long.push(wire::WIRE_VERSION);
+    assert!(matches!(
+        decode(&mut long.as_slice()),
+        Err(FrameError::TooLong(_))
+    ));
+    let mut frame = encode(&envelope(Message::Hello, 1)).unwrap();
+    frame[4] = wire::WIRE_VERSION + 1;
+    assert!(matches!(
+        decode(&mut frame.as_slice()),
+        Err(FrameError::OtherVersion(_))
+    ));
+}
