--- /dev/null
+++ b/crates/lab/src/failing_disks.rs
@@ -0,0 +1,129 @@
+use crate::deployment::LabFault;
+use crate::stage::Stage;
+use serde_json::Value;
+use std::time::{Duration, Instant};
+
+pub fn disk_machine_lost(stage: &mut Stage) -> Result<(), LabFault> {
+    stage.until(5.0);
+    stage.fails();
+    stage.fleet.cores[1].kill();
+    stage.closes();
+    stage.until(10.0);
+    let (acknowledged, held) = stage.put_edited(|blueprint| {
+        blueprint["bounds"]["claim_ms"] = 700_000.into();
+    })?;
+    put_figures(stage, acknowledged, held);
+    Ok(())
+}
+
+pub fn put_figures(stage: &mut Stage, acknowledged: Duration, held: Duration) {
+    stage.note(format!(
+        "a put was acknowledged in {} ms and held by all in {} ms",
+        acknowledged.as_millis(),
+        held.as_millis()
+    ));
+    let bound = Duration::from_millis(stage.deployment.bounds.change_ms);
+    stage.expect(held <= bound, "a put was not held by all within the bound");
+}
+
+pub fn voters(stage: &Stage) -> Vec<Value> {
+    let told = stage
+        .fleet
+        .cores
+        .iter()
+        .find_map(|core| core.get_json("/status"));
+    let voters = told.map(|told| told["voters"].as_array().cloned().unwrap_or_default());
+    voters.unwrap_or_default()
+}
+
+pub fn disk_replaced(stage: &mut Stage) -> Result<(), LabFault> {
+    stage.until(4.0);
+    stage.fails();
+    stage.fleet.cores[2].kill();
+    stage.closes();
+    let district = stage.deployment.cores[2].clone();
+    stage.fleet.add_core(&district)?;
+    let began = Instant::now();
+    let address = "3";
+    while !voters(stage)
+        .iter()
+        .any(|voter| voter.as_str().is_some_and(|text| text.ends_with(address)))
+        && began.elapsed() < Duration::from_secs(30)
+    {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    stage.note(format!(
+        "the empty core was a voter after {:.1} s",
+        began.elapsed().as_secs_f64()
+    ));
+    // The newcomer must carry a majority together with one old voter.
+    stage.fleet.cores[1].kill();
+    stage.until(33.0);
+    let (acknowledged, held) = stage.put_edited(|blueprint| {
+        blueprint["bounds"]["claim_ms"] = 700_000.into();
+    })?;
+    put_figures(stage, acknowledged, held);
+    Ok(())
+}
+
+pub fn disk_emptied(stage: &mut Stage) -> Result<(), LabFault> {
+    stage.until(4.0);
+    stage.fails();
+    stage.fleet.cores[2].kill();
+    empty_disk(stage, 2)?;
+    let dir = stage.fleet.dir.clone();
+    stage.fleet.cores[2].start(&dir)?;
+    stage.closes();
+    stage.until(14.0);
+    stage.fleet.cores[1].kill();
+    stage.until(18.0);
+    let (acknowledged, held) = stage.put_edited(|blueprint| {
+        blueprint["bounds"]["claim_ms"] = 700_000.into();
+    })?;
+    put_figures(stage, acknowledged, held);
+    Ok(())
+}
+
+pub fn empty_disk(stage: &Stage, place: usize) -> Result<(), LabFault> {
+    let data = stage.fleet.dir.join("data").join(format!("core-{place}"));
+    std::fs::remove_dir_all(data).map_err(|error| LabFault::Fleet(error.to_string()))
+}
+
+pub fn cores_down(stage: &mut Stage) -> Result<(), LabFault> {
+    stage.until(5.0);
+    stage.fails();
+    for core in &mut stage.fleet.cores {
+        core.kill();
+    }
+    stage.until(15.0);
+    let dir = stage.fleet.dir.clone();
+    for core in &mut stage.fleet.cores {
+        core.start(&dir)?;
+    }
+    stage.closes();
+    Ok(())
+}
+
+pub fn wipe(stage: &mut Stage) -> Result<(), LabFault> {
+    stage.until(5.0);
+    let before = stage.blueprint()?;
+    stage.fails();
+    for place in 0..3 {
+        stage.fleet.cores[place].kill();
+        empty_disk(stage, place)?;
+    }
+    stage.until(8.0);
+    let dir = stage.fleet.dir.clone();
+    for core in &mut stage.fleet.cores {
+        core.start(&dir)?;
+    }
+    stage.closes();
+    stage.until(28.0);
+    let after = stage.blueprint()?;
+    stage.expect(before.1 == after.1, "the blueprint changed with the wipe");
+    let (acknowledged, held) = stage.put_edited(|blueprint| {
+        blueprint["bounds"]["claim_ms"] = 700_000.into();
+    })?;
+    put_figures(stage, acknowledged, held);
+    Ok(())
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,9 +3,13 @@
 
 mod callers;
 mod deployment;
+mod failing_daemons;
+mod failing_disks;
+mod failing_runners;
 mod fleet;
 mod judge;
 mod ledger;
+mod operating;
 mod platform;
 mod relay;
 mod runner;
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -9,6 +9,7 @@
 mod front_node;
 mod net;
 mod oracle;
+mod start;
 mod world;
 mod yard;
 
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -3,8 +3,9 @@
 use crate::front_node::FrontNode;
 use crate::net::{Event, Happening, Net, Wish};
 use crate::oracle::Oracle;
+use crate::start::{district, first_blueprint};
 use crate::yard::Yard;
-use blueprint::{Blueprint, District, Kind, Listing, PeerRef};
+use blueprint::{Blueprint, PeerRef};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use register::{Ballot, Held, Record, Stored, VoterRef, VoterSet};
@@ -85,38 +86,6 @@
     calls: u64,
 }
 
-fn district(place: usize) -> String {
-    ["a", "b", "c"][place % 3].to_string()
-}
-
-fn first_blueprint(config: &Config) -> Blueprint {
-    let listings = (0..config.functions).map(|number| Listing {
-        name: format!("f{number}"),
-        memory_mb: 300,
-        start_ms: 700,
-        concurrency: 2 + number as u32 % 3,
-        budget_ms: 2_000,
-        kinds: vec!["urgent".into(), "plain".into()],
-    });
-    let kinds = [("urgent", true), ("plain", false)];
-    let districts = (0..3).map(|place| District {
-        name: district(place),
-        state: Default::default(),
-    });
-    let mut blueprint = Blueprint::empty();
-    blueprint.listings = listings.collect();
-    blueprint.ranking = kinds
-        .iter()
-        .map(|(name, once)| Kind {
-            name: name.to_string(),
-            once: *once,
-        })
-        .collect();
-    blueprint.districts = districts.collect();
-    blueprint.bounds.worker_memory_mb = 2_000;
-    blueprint
-}
-
 impl World {
     /// A fleet whose whole course is given by the seed.
     pub fn new(config: Config, seed: u64) -> Self {
