--- a/crates/core/src/duty.rs
+++ b/crates/core/src/duty.rs
@@ -8,6 +8,17 @@
 
 const KEY: &str = "duty/scaler";
 
+/// Whether this core votes and hears fronts, without which it could not scale.
+fn sees_fleet(shared: &Shared, now: u64, lease: u64) -> bool {
+    let set = shared.store.set();
+    let votes = set.voters.iter().any(|voter| voter.disk == shared.disk);
+    let fronts = shared.fronts.lock();
+    let hears = fronts
+        .values()
+        .any(|known| now < known.sight.heard_at + lease);
+    votes && hears
+}
+
 /// Wins and keeps the scaler's duty, or watches who has it.
 pub fn keep(shared: &Shared) {
     let lease = shared.store.settled().blueprint.bounds.duty_ms();
@@ -16,7 +27,15 @@
     loop {
         let began = now_ms();
         duty.in_era(shared.store.set().era);
-        let next = duty.next(began);
+        let mut next = duty.next(began);
+        let is_blind = !sees_fleet(shared, began, lease);
+        if is_blind && duty.term(began).is_some() {
+            log::warn!("duty: this core hears no front and gives the duty up");
+            duty.step_down(began);
+        }
+        if is_blind && matches!(next, Move::Write(..)) {
+            next = Move::Look;
+        }
         let (change, tenure) = match next {
             Move::Wait => {
                 thread::sleep(Duration::from_millis(lease / 50));
--- a/crates/core/src/joining.rs
+++ b/crates/core/src/joining.rs
@@ -1,4 +1,4 @@
-use crate::mending::pull;
+use crate::mending::{copy_of, pull};
 use crate::set::Heard;
 use crate::shared::Shared;
 use crate::voter::{Install, Work};
@@ -84,6 +84,56 @@
     }
 }
 
+/// Puts an empty core in the place of a voter, as an operator asks. It is refused where too few of
+/// the other voters answer for the new set to have a majority at once.
+pub fn replace(shared: &Shared, old: &str, new: &str) -> Result<VoterSet, String> {
+    let set = shared.store.set();
+    let leaving = set.voters.iter().find(|voter| voter.address == old);
+    let Some(leaving) = leaving else {
+        return Err(format!("{old} is no voter"));
+    };
+    let staying = set.voters.iter().filter(|voter| voter.address != old);
+    let answering = staying
+        .filter(|voter| copy_of(shared, &voter.address).is_some_and(|copy| copy.set == *set))
+        .count();
+    if answering < set.majority() {
+        return Err(format!(
+            "only {answering} of the other voters answer; without {old} there would be no majority"
+        ));
+    }
+    let hello = shared.links.ask_wait(new, Message::Hello, PATIENCE);
+    let Some(Message::HelloAnswer {
+        disk,
+        set: their_set,
+    }) = hello
+    else {
+        return Err(format!("no core answers at {new}"));
+    };
+    if their_set.era != 0 {
+        return Err(format!("the core at {new} is not empty"));
+    }
+    let newcomer = VoterRef {
+        disk,
+        address: new.to_string(),
+    };
+    let next = replaced(&set, leaving.disk, newcomer);
+    let next = next.ok_or_else(|| format!("the core at {new} is a voter already"))?;
+    let (version, settled) =
+        settled_set(shared, &set).ok_or_else(|| "no majority of voters answers".to_string())?;
+    if settled.mark() > set.mark() {
+        adopt(shared, &set, &settled);
+        return Err("another change of the voters was under way; ask again".into());
+    }
+    let change = Change::Write {
+        expected: version,
+        bytes: next.write_to_vec().unwrap_or_default(),
+    };
+    match shared.store.change(VOTERS_KEY, change, PATIENCE) {
+        (_, Outcome::Settled(_)) if adopt(shared, &set, &next) => Ok(next),
+        (_, outcome) => Err(format!("the change did not go through: {outcome:?}")),
+    }
+}
+
 /// The newest set that was settled, with its register's version.
 pub fn settled_set(shared: &Shared, set: &VoterSet) -> Option<(u64, VoterSet)> {
     let (_, outcome) = shared.store.change(VOTERS_KEY, Change::Read, PATIENCE);
--- a/crates/core/src/mending.rs
+++ b/crates/core/src/mending.rs
@@ -46,16 +46,21 @@
     answer.recv_timeout(PATIENCE).ok()
 }
 
+/// A voter's copy in short; none where it does not answer.
+pub fn copy_of(shared: &Shared, address: &str) -> Option<Copy> {
+    match shared.links.ask_wait(address, Message::Digests, PATIENCE) {
+        Some(Message::DigestsAnswer(copy)) => Some(copy),
+        _ => None,
+    }
+}
+
 /// Reads another voter's copy: the ranges that differ from `known`, or all that hold anything.
 pub fn pull(
     shared: &Shared,
     address: &str,
     known: Option<&[u64]>,
 ) -> Option<(Copy, Vec<(String, Held)>)> {
-    let answer = shared.links.ask_wait(address, Message::Digests, PATIENCE);
-    let Some(Message::DigestsAnswer(copy)) = answer else {
-        return None;
-    };
+    let copy = copy_of(shared, address)?;
     let own = known.map_or_else(Digests::default, Digests::from_ranges);
     let differing = own.differing(&copy.ranges);
     let mut keys = Vec::new();
--- a/crates/core/src/operators.rs
+++ b/crates/core/src/operators.rs
@@ -1,3 +1,5 @@
+use crate::joining;
+use crate::mending;
 use crate::puts;
 use crate::shared::Shared;
 use crate::voter::Work;
@@ -33,6 +35,8 @@
         (Method::GET, "/blueprint/history") => history(shared),
         (Method::POST, "/blueprint/check") => checked(shared, request),
         (Method::PUT, "/blueprint") => put(shared, request, &query),
+        (Method::GET, "/voters") => voters(shared),
+        (Method::POST, "/voters/replace") => replace(shared, &query),
         (Method::GET, "/status") => json(200, &status(shared)),
         (Method::GET, "/metrics") => json(200, &metrics(shared)),
         (Method::GET, path) if path.starts_with("/explain/") => {
@@ -55,12 +59,16 @@
 }
 
 fn blueprint(shared: &Shared) -> Response<Body> {
+    // Read at a majority first, so that an operator sees every put that was acknowledged.
+    let lease = shared.store.settled().blueprint.bounds.lease_ms();
+    let is_certain = shared.store.refresh(Duration::from_millis(lease / 3));
     let settled = shared.store.settled();
     json(
         200,
         &serde_json::json!({
             "version": settled.blueprint_version.no,
             "era": settled.blueprint_version.era,
+            "certain": is_certain,
             "blueprint": &*settled.blueprint,
         }),
     )
@@ -103,6 +111,43 @@
     }
 }
 
+fn voters(shared: &Shared) -> Response<Body> {
+    let set = shared.store.set();
+    let lines: Vec<_> = set
+        .voters
+        .iter()
+        .map(|voter| {
+            let copy = mending::copy_of(shared, &voter.address);
+            serde_json::json!({
+                "address": voter.address,
+                "disk": format!("{:x}", voter.disk),
+                "answers": copy.is_some(),
+                "votes": copy.is_some_and(|copy| copy.set.mark() == set.mark()),
+            })
+        })
+        .collect();
+    json(
+        200,
+        &serde_json::json!({ "era": set.era, "no": set.no, "voters": lines }),
+    )
+}
+
+fn replace(shared: &Shared, query: &HashMap<String, String>) -> Response<Body> {
+    let (Some(old), Some(new)) = (query.get("old"), query.get("new")) else {
+        return text(
+            400,
+            "say both: POST /voters/replace?old=<address>&new=<address>",
+        );
+    };
+    match joining::replace(shared, old, new) {
+        Ok(set) => json(
+            200,
+            &serde_json::json!({ "outcome": "replaced", "era": set.era, "no": set.no }),
+        ),
+        Err(reason) => text(409, &reason),
+    }
+}
+
 fn explain(shared: &Shared, function: &str) -> Response<Body> {
     let settled = shared.store.settled();
     if settled.blueprint.listing(function).is_none() {
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -7,6 +7,7 @@
 mod operators;
 mod shared;
 mod tries;
+mod viewing;
 
 use blueprint::{read_settings, FrontSettings, SettingsFault};
 use clap::Parser;
--- a/crates/front/src/news.rs
+++ b/crates/front/src/news.rs
@@ -1,10 +1,12 @@
 use crate::shared::Shared;
+use crate::viewing;
 use blueprint::{parse, Version};
 use holding::DeskMessage;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use views::Neighbour;
 use wire::{now_ms, BlueprintNews, Message, News, PlanNews, Responder};
 
 /// Follows every seed and every voter, also those that become voters later.
@@ -49,8 +51,13 @@
 
 /// Puts news in force, where they are newer.
 pub fn apply(shared: &Shared, news: News) {
-    for (peer, address) in &news.fronts {
-        shared.meet(peer, address);
+    let fronts = news.fronts.iter().map(|(peer, address)| Neighbour {
+        peer: peer.clone(),
+        address: address.clone(),
+        age: 0,
+    });
+    for neighbour in fronts {
+        viewing::take_in(shared, vec![neighbour]);
     }
     if news.set.era != 0 {
         shared.ledger.learn_set(&news.set);
--- a/crates/front/src/operators.rs
+++ b/crates/front/src/operators.rs
@@ -56,6 +56,7 @@
         "blueprint": report.blueprint,
         "plan": report.plan,
         "roster": plan.roster,
+        "view": shared.view.lock().known().iter().map(|one| &one.peer.name).collect::<Vec<_>>(),
         "runners": runners,
         "waiting": waiting,
     })
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -1,6 +1,6 @@
 use crate::continuations::{Continuations, Ending};
 use crate::once::Ledger;
-use crate::{callers, news, operators, tries};
+use crate::{callers, news, operators, tries, viewing};
 use arc_swap::ArcSwap;
 use blueprint::{Blueprint, FrontSettings, PeerRef};
 use crossbeam::channel::{bounded, Sender};
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use views::View;
 use wire::{now_ms, Envelope, Handler, Links, Message, Responder, Role};
 
 /// Probes that may wait at once.
@@ -30,7 +31,8 @@
     pub tries: AtomicU64,
 }
 
-/// What all threads of a front share. Lock order: desk, then continuations.
+/// What all threads of a front share. Lock order: desk, then continuations;
+/// the view's lock is held alone.
 pub struct Shared {
     pub settings: FrontSettings,
     pub links: Arc<Links>,
@@ -44,6 +46,7 @@
     pub handling: AtomicUsize,
     pub handled_at: AtomicU64,
     pub asked: Mutex<HashMap<String, u64>>,
+    pub view: Mutex<View>,
     pub stop: Sender<()>,
     desk: Mutex<Desk>,
     tries: Sender<(Ticket, SeatGrant)>,
@@ -137,6 +140,10 @@
                 },
                 Some(responder),
             ) => news::answer(shared, blueprint, plan, responder),
+            (Message::Shuffle(part), Some(responder)) => {
+                let answer = viewing::take_in(shared, part);
+                responder.answer(Message::Shuffle(answer));
+            }
             _ => {}
         }
     }
@@ -155,6 +162,7 @@
     let (stop, stopped) = bounded(1);
     let shared = Arc::new(Shared {
         stop: stop.clone(),
+        view: Mutex::new(View::new(me.clone(), &settings.address().to_string())),
         ledger: Ledger::new(links.clone()),
         links: links.clone(),
         blueprint: ArcSwap::from_pointee(Blueprint::empty()),
@@ -185,6 +193,8 @@
     }
     let following = shared.clone();
     spawn("front-news", move || news::follow_all(&following))?;
+    let viewing = shared.clone();
+    spawn("front-views", move || viewing::keep(&viewing))?;
     let ledger = shared.clone();
     spawn("front-ledger", move || ledger.ledger.free_leftovers())?;
     callers::serve(&shared)?;
--- a/crates/hallkeel/src/changes.rs
+++ b/crates/hallkeel/src/changes.rs
@@ -179,3 +179,14 @@
         None => Err(ToolFault::Unreached(format!("{name} does not answer"))),
     }
 }
+
+/// Puts an empty core in the place of a voter.
+pub fn replace_voter(cores: &Cores, old: SocketAddr, new: SocketAddr) -> Result<(), ToolFault> {
+    let path = format!("/voters/replace?old={old}&new={new}");
+    let told = cores.ask_good(Method::POST, &path, &[])?;
+    println!(
+        "{new} takes the place of {old}: era {}, set {}",
+        told["era"], told["no"]
+    );
+    Ok(())
+}
--- a/crates/hallkeel/src/main.rs
+++ b/crates/hallkeel/src/main.rs
@@ -86,10 +86,28 @@
         /// Name of the function
         function: String,
     },
+    /// Show the disk machines whose majority decides, or put an empty core in the place of one
+    Voters {
+        #[command(subcommand)]
+        action: VotersAction,
+    },
     /// Print every daemon's counts as JSON
     Metrics,
 }
 
+#[derive(Subcommand)]
+enum VotersAction {
+    /// Show the voters, and whether each answers and votes
+    List,
+    /// Put an empty core in the place of a voter; both by wire address
+    Replace {
+        /// The voter that leaves
+        old: SocketAddr,
+        /// The empty core that takes its place
+        new: SocketAddr,
+    },
+}
+
 fn run(flags: Flags) -> Result<(), ToolFault> {
     let cores = Cores::new(flags.cores)?;
     match flags.command {
@@ -108,6 +126,12 @@
         Command::Reopen { district } => changes::district(&cores, &district, "open"),
         Command::Drain { front } => changes::drain(&cores, &front),
         Command::Explain { function } => show::explain(&cores, &function),
+        Command::Voters {
+            action: VotersAction::List,
+        } => show::voters(&cores),
+        Command::Voters {
+            action: VotersAction::Replace { old, new },
+        } => changes::replace_voter(&cores, old, new),
         Command::Metrics => show::metrics(&cores),
     }
 }
--- a/crates/hallkeel/src/show.rs
+++ b/crates/hallkeel/src/show.rs
@@ -229,3 +229,22 @@
     println!("{}", serde_json::to_string_pretty(&all).unwrap_or_default());
     Ok(())
 }
+
+/// Shows the voters.
+pub fn voters(cores: &Cores) -> Result<(), ToolFault> {
+    let told = cores.ask_good(Method::GET, "/voters", &[])?;
+    println!("era {}, set {}", told["era"], told["no"]);
+    for voter in told["voters"].as_array().into_iter().flatten() {
+        let state = match (voter["answers"].as_bool(), voter["votes"].as_bool()) {
+            (Some(true), Some(true)) => "votes",
+            (Some(true), _) => "answers, but does not vote",
+            _ => "does not answer",
+        };
+        println!(
+            "{:<24} disk {:<18} {state}",
+            text(&voter["address"]),
+            text(&voter["disk"])
+        );
+    }
+    Ok(())
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,6 +2,7 @@
 use holding::{DeskMessage, FrontReport};
 use register::{Held, VoterMessage, VoterReply, VoterSet};
 use speedy::{Readable, Writable};
+use views::Neighbour;
 
 /// What a daemon is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
@@ -93,6 +94,8 @@
         /// The set that it believes in; era 0 where it is empty.
         set: VoterSet,
     },
+    /// A part of the sender's view; the answer is a part of the receiver's.
+    Shuffle(Vec<Neighbour>),
     /// Take this first set; claims that were issued before the time stay refused.
     Form(VoterSet, u64),
     /// Take this set, which was settled as the one that follows.
