--- a/crates/lab/src/failing_disks.rs
+++ b/crates/lab/src/failing_disks.rs
@@ -26,14 +26,27 @@
     stage.expect(held <= bound, "a put was not held by all within the bound");
 }
 
-pub fn voters(stage: &Stage) -> Vec<Value> {
-    let told = stage
-        .fleet
-        .cores
-        .iter()
-        .find_map(|core| core.get_json("/status"));
-    let voters = told.map(|told| told["voters"].as_array().cloned().unwrap_or_default());
-    voters.unwrap_or_default()
+/// Waits until all voters vote, the newcomer among them.
+fn until_all_vote(stage: &mut Stage, newcomer: &str) {
+    let began = Instant::now();
+    let all_vote = |stage: &Stage| {
+        let told = stage
+            .fleet
+            .cores
+            .iter()
+            .find_map(|core| core.get_json("/voters"));
+        let voters = told.map(|told| told["voters"].as_array().cloned().unwrap_or_default());
+        let voters: Vec<Value> = voters.unwrap_or_default();
+        let is_new = |voter: &Value| voter["address"] == newcomer;
+        voters.iter().any(is_new) && voters.iter().all(|voter| voter["votes"] == true)
+    };
+    while !all_vote(stage) && began.elapsed() < Duration::from_secs(25) {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    stage.note(format!(
+        "all voters voted again after {:.1} s",
+        began.elapsed().as_secs_f64()
+    ));
 }
 
 pub fn disk_replaced(stage: &mut Stage) -> Result<(), LabFault> {
@@ -43,19 +56,8 @@
     stage.closes();
     let district = stage.deployment.cores[2].clone();
     stage.fleet.add_core(&district)?;
-    let began = Instant::now();
-    let address = "3";
-    while !voters(stage)
-        .iter()
-        .any(|voter| voter.as_str().is_some_and(|text| text.ends_with(address)))
-        && began.elapsed() < Duration::from_secs(30)
-    {
-        std::thread::sleep(Duration::from_millis(50));
-    }
-    stage.note(format!(
-        "the empty core was a voter after {:.1} s",
-        began.elapsed().as_secs_f64()
-    ));
+    let newcomer = stage.fleet.wire_address(3);
+    until_all_vote(stage, &newcomer);
     // The newcomer must carry a majority together with one old voter.
     stage.fleet.cores[1].kill();
     stage.until(33.0);
@@ -74,9 +76,10 @@
     let dir = stage.fleet.dir.clone();
     stage.fleet.cores[2].start(&dir)?;
     stage.closes();
-    stage.until(14.0);
+    let emptied = stage.fleet.wire_address(2);
+    until_all_vote(stage, &emptied);
     stage.fleet.cores[1].kill();
-    stage.until(18.0);
+    stage.until(20.0);
     let (acknowledged, held) = stage.put_edited(|blueprint| {
         blueprint["bounds"]["claim_ms"] = 700_000.into();
     })?;
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -310,6 +310,11 @@
         Ok(())
     }
 
+    /// Wire address of a core.
+    pub fn wire_address(&self, place: usize) -> String {
+        wire_port(self.base, &format!("core-{place}")).to_string()
+    }
+
     /// All daemons of hallkeel itself.
     pub fn daemons(&self) -> impl Iterator<Item = &Member> {
         self.cores.iter().chain(&self.fronts)
