HAR replay; a seat whose runner closed the connection comes back with a little slack

The runner's contract now says that a closed connection ends the work; silence and garbage stay as they were.

--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -4,6 +4,7 @@
 use crossbeam::channel::Receiver;
 use holding::{SeatGrant, Ticket, TryEnd};
 use oxhttp::model::Method;
+use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -85,6 +86,17 @@
         .to_string()
 }
 
+/// Whether the runner itself ended the connection.
+fn is_closed(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::UnexpectedEof
+            | ErrorKind::ConnectionReset
+            | ErrorKind::ConnectionAborted
+            | ErrorKind::BrokenPipe
+    )
+}
+
 fn send(shared: &Shared, ticket: &Ticket, seat: &SeatGrant, request: &Call) -> Went {
     let me = shared.links.me();
     let ticket_id = format!(
@@ -115,6 +127,9 @@
         Ok(answer) => answer,
         Err(HttpError::NotConnected(_)) => return Went::NotThere,
         Err(HttpError::TooLarge) => return Went::Badly("answer-too-large", TryEnd::Lost),
+        Err(HttpError::Broken(error)) if is_closed(&error) => {
+            return Went::Badly("answer-lost", TryEnd::Broken)
+        }
         Err(HttpError::Broken(_)) => return Went::Badly("answer-lost", TryEnd::Lost),
     };
     if answer.status == 421 {
--- a/crates/holding/src/action.rs
+++ b/crates/holding/src/action.rs
@@ -68,6 +68,9 @@
     Unsent,
     /// Provably nothing was run, since the runner was not there or refused the id.
     Absent,
+    /// The runner closed the connection before a whole answer; by its contract it works on the
+    /// request no more.
+    Broken,
     /// It may still run: the answer was lost.
     Lost,
 }
--- a/crates/holding/src/desk.rs
+++ b/crates/holding/src/desk.rs
@@ -228,9 +228,12 @@
     /// A try ended: its seat goes back, or stays taken while the work may still run.
     pub fn try_done(&mut self, now: u64, seat: &SeatGrant, end: TryEnd) {
         let key = (seat.keeper.name.clone(), seat.seat_no);
-        if end == TryEnd::Lost {
-            let budget = self.longest_budget(&seat.function);
-            let until = now + budget + self.blueprint.bounds.slack_ms();
+        if matches!(end, TryEnd::Lost | TryEnd::Broken) {
+            let rest = match end {
+                TryEnd::Lost => self.longest_budget(&seat.function),
+                _ => 0,
+            };
+            let until = now + rest + self.blueprint.bounds.slack_ms();
             if let Some(held) = self.seats.get_mut(&key) {
                 held.lost_until = Some(until);
             }
--- a/crates/holding/src/lending.rs
+++ b/crates/holding/src/lending.rs
@@ -331,7 +331,7 @@
         runner: runner.to_string(),
         seat_no,
         took_ms,
-        is_bad: matches!(end, TryEnd::Bad | TryEnd::Lost),
+        is_bad: matches!(end, TryEnd::Bad | TryEnd::Broken | TryEnd::Lost),
         is_absent: end == TryEnd::Absent,
     })
 }
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -23,7 +23,8 @@
     pub reasons: BTreeMap<String, usize>,
 }
 
-fn percentile(sorted: &[Duration], share: f64) -> Duration {
+/// The value below which a share of sorted values lies.
+pub fn percentile(sorted: &[Duration], share: f64) -> Duration {
     let place = ((sorted.len() as f64 * share) as usize).min(sorted.len().saturating_sub(1));
     sorted.get(place).copied().unwrap_or_default()
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,6 +12,7 @@
 mod operating;
 mod platform;
 mod relay;
+mod replay;
 mod runner;
 mod scenario;
 mod scenarios;
@@ -80,6 +81,14 @@
         #[arg(long)]
         report: Option<PathBuf>,
     },
+    /// Send a recorded HAR file's requests to a front on this machine, paced as recorded
+    Replay {
+        /// HAR 1.2 file
+        file: PathBuf,
+        /// The front's address
+        #[arg(long)]
+        front: SocketAddr,
+    },
     /// Run many seeds of the simulator
     Simulate {
         /// First seed
@@ -130,6 +139,7 @@
             dir,
             report,
         } => scenario::run(&name, &deployment, &dir, report.as_deref()),
+        Command::Replay { file, front } => replay::run(&file, front),
         Command::Simulate { from, seeds } => session::simulate(from, seeds),
         Command::Platform {
             http,
--- a/crates/simulator/src/front_node.rs
+++ b/crates/simulator/src/front_node.rs
@@ -284,7 +284,7 @@
                 open.sent -= u32::from(end == TryEnd::Absent);
                 self.desk.hold_again(now, ticket);
             }
-            TryEnd::Lost | TryEnd::Bad => {
+            TryEnd::Lost | TryEnd::Broken | TryEnd::Bad => {
                 if key.is_some() || !self.desk.retry(now, ticket) {
                     self.tell(oracle, now, slot, "unknown");
                 }
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -97,7 +97,6 @@
     most: u64,
 ) -> Result<Answer, HttpError> {
     let end = Instant::now() + patience;
-    let broken = |error| HttpError::Broken(io::Error::other(error));
     let uri: Uri = uri
         .parse()
         .map_err(|error| HttpError::NotConnected(io::Error::other(format!("{error}"))))?;
@@ -136,7 +135,7 @@
         }
     }
     if declared.is_some_and(|length| length != body.len() as u64) {
-        return Err(broken("the body is short"));
+        return Err(HttpError::Broken(io::ErrorKind::UnexpectedEof.into()));
     }
     Ok(Answer {
         status: parts.status.as_u16(),
