--- a/crates/hallkeel/src/cores.rs
+++ b/crates/hallkeel/src/cores.rs
@@ -2,11 +2,14 @@
 use serde_json::Value;
 use std::fmt;
 use std::net::SocketAddr;
+use std::thread;
 use std::time::Duration;
 use wire::call;
 
 const PATIENCE: Duration = Duration::from_secs(8);
 const ANSWER_MAX: u64 = 32 << 20;
+const DUTY_ASKS: usize = 8;
+const DUTY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Why the tool did not do what it was asked.
 #[derive(Debug)]
@@ -66,8 +69,25 @@
         &self.addresses
     }
 
-    /// Asks the cores one after the other until one answers other than that it cannot.
+    /// Asks the cores one after the other until one answers other than that it cannot. While the
+    /// duty is between two cores none can tell what it decides, so they are asked again.
     pub fn ask(&self, method: Method, path: &str, body: &[u8]) -> Result<(u16, Value), ToolFault> {
+        for _ in 0..DUTY_ASKS {
+            let answer = self.ask_once(&method, path, body)?;
+            if answer.0 != 421 {
+                return Ok(answer);
+            }
+            thread::sleep(DUTY_PAUSE);
+        }
+        self.ask_once(&method, path, body)
+    }
+
+    fn ask_once(
+        &self,
+        method: &Method,
+        path: &str,
+        body: &[u8],
+    ) -> Result<(u16, Value), ToolFault> {
         let mut last = None;
         for address in &self.addresses {
             let answer = ask(method.clone(), *address, path, body);
--- /dev/null
+++ b/crates/lab/src/interface.rs
@@ -0,0 +1,285 @@
+use crate::deployment::{Deployment, LabFault};
+use crate::fleet::Fleet;
+use crate::interface_operators as operators;
+use crate::ledger::{self, unix_now_ms};
+use crate::session::make_ready;
+use crate::stage::Stage;
+use oxhttp::model::Method;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use wire::{call, Answer};
+
+/// What the checks act on.
+pub struct Desk {
+    pub stage: Stage,
+    pub dir: PathBuf,
+}
+
+type Check = fn(&mut Desk) -> Result<(), String>;
+
+/// Checks every answer that callers and operators are promised, against real processes.
+pub fn run(file: &Path, dir: &Path) -> Result<(), LabFault> {
+    let deployment = Deployment::read(file)?;
+    let ready = make_ready(&deployment, file, dir, false)?;
+    let mut desk = Desk {
+        stage: Stage::new(ready.fleet, deployment),
+        dir: dir.to_path_buf(),
+    };
+    let checks: Vec<(&str, Check)> = vec![
+        ("a call is answered", answered),
+        ("once-work runs once and its answer is kept", once),
+        ("bad requests are refused with their reason", bad_requests),
+        (
+            "a full holding turns away with a time to come back",
+            full_holding,
+        ),
+        ("a budget that is over is told as what it was", budget_over),
+        ("an answer without a seal is no success", not_sealed),
+        ("bad blueprints change nothing", operators::bad_blueprints),
+        ("a stale put is told the version", operators::stale_put),
+        ("garbage between daemons is refused", operators::garbage),
+        (
+            "bad settings end a daemon with code 2",
+            operators::bad_settings,
+        ),
+        (
+            "a data folder belongs to one daemon",
+            operators::data_folder,
+        ),
+        ("the operator's tool does what it says", operators::tool),
+        ("a front drains and stops", operators::drain),
+    ];
+    let mut broken = Vec::new();
+    for (name, check) in checks {
+        match check(&mut desk) {
+            Ok(()) => println!("good    {name}"),
+            Err(why) => {
+                println!("BROKEN  {name}: {why}");
+                broken.push(name);
+            }
+        }
+    }
+    if broken.is_empty() {
+        return Ok(());
+    }
+    Err(LabFault::Broken(format!("broken: {}", broken.join(", "))))
+}
+
+/// Calls a front.
+pub fn ask(
+    fleet: &Fleet,
+    front: usize,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Result<Answer, String> {
+    let uri = format!("http://{}{path}", fleet.fronts[front].http);
+    let patience = Duration::from_secs(8);
+    call(
+        Method::POST,
+        &uri,
+        headers,
+        body.to_vec(),
+        patience,
+        1 << 20,
+    )
+    .map_err(|error| error.to_string())
+}
+
+/// Holds an answer against what was promised: status, outcome, reason.
+pub fn expect(answer: &Answer, status: u16, outcome: &str, reason: &str) -> Result<(), String> {
+    let told: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    let header = answer.headers.get("hallkeel-outcome");
+    let told_outcome = header.and_then(|value| value.to_str().ok()).unwrap_or("");
+    let told_reason = told["reason"].as_str().unwrap_or("");
+    if (answer.status, told_outcome, told_reason) == (status, outcome, reason) {
+        return Ok(());
+    }
+    Err(format!(
+        "wanted {status} {outcome:?} {reason:?}, got {} {told_outcome:?} {told_reason:?}",
+        answer.status
+    ))
+}
+
+fn fresh_key(text: &str) -> String {
+    format!("{}-{text}", unix_now_ms())
+}
+
+fn answered(desk: &mut Desk) -> Result<(), String> {
+    let fleet = &desk.stage.fleet;
+    for front in 0..fleet.fronts.len() {
+        let body = format!(r#"{{"call":"plain-{front}"}}"#);
+        let answer = ask(fleet, front, "/call/quick-000", &[], body.as_bytes())?;
+        expect(&answer, 200, "answered", "")?;
+        let told: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        if told["call"] != format!("plain-{front}") || told["function"] != "quick-000" {
+            return Err(format!("another answer: {told}"));
+        }
+    }
+    Ok(())
+}
+
+fn runs_of(desk: &Desk, key: &str) -> usize {
+    let runs = ledger::read_all(&desk.dir.join("ledgers")).unwrap_or_default();
+    runs.iter().filter(|run| run.key == key).count()
+}
+
+fn once(desk: &mut Desk) -> Result<(), String> {
+    let key = fresh_key("once");
+    let headers = [
+        ("hallkeel-kind", "urgent"),
+        ("idempotency-key", key.as_str()),
+    ];
+    let fleet = &desk.stage.fleet;
+    let first = ask(fleet, 0, "/call/quick-000", &headers, br#"{"call":"o"}"#)?;
+    expect(&first, 200, "answered", "")?;
+    for front in 0..fleet.fronts.len() {
+        let again = ask(
+            fleet,
+            front,
+            "/call/quick-000",
+            &headers,
+            br#"{"call":"o"}"#,
+        )?;
+        expect(&again, 200, "answered", "")?;
+        if again.body != first.body {
+            return Err("the kept answer is another one".into());
+        }
+        let other = ask(
+            fleet,
+            front,
+            "/call/quick-000",
+            &headers,
+            br#"{"call":"p"}"#,
+        )?;
+        expect(&other, 422, "not-run", "other-body")?;
+    }
+    match runs_of(desk, &key) {
+        1 => Ok(()),
+        runs => Err(format!("{runs} runs")),
+    }
+}
+
+/// Path, headers, status and reason.
+type BadRequest<'a> = (&'a str, &'a [(&'a str, &'a str)], u16, &'a str);
+
+fn bad_requests(desk: &mut Desk) -> Result<(), String> {
+    let fleet = &desk.stage.fleet;
+    let old_key = format!("{}-old", unix_now_ms() - 3_600_000);
+    let early_key = format!("{}-early", unix_now_ms() + 60_000);
+    let cases: [BadRequest; 8] = [
+        ("/call/nothing", &[], 404, "unknown-function"),
+        (
+            "/call/quick-000",
+            &[("hallkeel-kind", "odd")],
+            400,
+            "unknown-kind",
+        ),
+        (
+            "/call/quick-000",
+            &[("hallkeel-budget-ms", "-3")],
+            400,
+            "bad-budget",
+        ),
+        (
+            "/call/quick-000",
+            &[("hallkeel-budget-ms", "0")],
+            400,
+            "bad-budget",
+        ),
+        (
+            "/call/quick-000",
+            &[("hallkeel-kind", "urgent")],
+            400,
+            "missing-key",
+        ),
+        (
+            "/call/quick-000",
+            &[("hallkeel-kind", "urgent"), ("idempotency-key", "mine")],
+            400,
+            "bad-key",
+        ),
+        (
+            "/call/quick-000",
+            &[("hallkeel-kind", "urgent"), ("idempotency-key", &old_key)],
+            400,
+            "bad-key",
+        ),
+        (
+            "/call/quick-000",
+            &[("hallkeel-kind", "urgent"), ("idempotency-key", &early_key)],
+            400,
+            "bad-key",
+        ),
+    ];
+    for (path, headers, status, reason) in cases {
+        let answer = ask(fleet, 1, path, headers, b"{}")?;
+        expect(&answer, status, "not-run", reason)?;
+    }
+    let large = ask(fleet, 1, "/call/quick-000", &[], &[b'x'; 5_000])?;
+    if large.status != 413 {
+        return Err(format!("a body over the bound was told {}", large.status));
+    }
+    Ok(())
+}
+
+fn full_holding(desk: &mut Desk) -> Result<(), String> {
+    let fleet = &desk.stage.fleet;
+    let answers: Vec<Result<Answer, String>> = std::thread::scope(|scope| {
+        let asks: Vec<_> = (0..40)
+            .map(|_| scope.spawn(|| ask(fleet, 0, "/call/slow-000", &[], b"{}")))
+            .collect();
+        let joined = asks.into_iter().map(|ask| ask.join());
+        joined
+            .map(|told| told.unwrap_or_else(|_| Err("a caller failed".into())))
+            .collect()
+    });
+    let mut counts: BTreeMap<u16, usize> = BTreeMap::new();
+    for answer in answers {
+        let answer = answer?;
+        *counts.entry(answer.status).or_default() += 1;
+        if answer.status != 503 {
+            continue;
+        }
+        expect(&answer, 503, "not-run", "holding-full")?;
+        let header = answer.headers.get("retry-after");
+        let seconds = header.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        if !seconds.is_some_and(|seconds| (1..=4).contains(&seconds)) {
+            return Err(format!("Retry-After is {seconds:?}"));
+        }
+    }
+    let count = |status| counts.get(&status).copied().unwrap_or(0);
+    if count(200) == 0 || count(503) < 20 {
+        return Err(format!("answers by status: {counts:?}"));
+    }
+    Ok(())
+}
+
+fn budget_over(desk: &mut Desk) -> Result<(), String> {
+    let fleet = &desk.stage.fleet;
+    let headers = [("hallkeel-budget-ms", "20")];
+    let answer = ask(fleet, 2, "/call/slow-000", &headers, b"{}")?;
+    let is_sent = expect(&answer, 504, "unknown", "budget-over");
+    let is_unsent = expect(&answer, 504, "not-run", "budget-over");
+    is_sent.or(is_unsent)
+}
+
+fn not_sealed(desk: &mut Desk) -> Result<(), String> {
+    desk.stage.mischief("quick-001", Some("no-seal"), 1.0);
+    let key = fresh_key("no-seal");
+    let headers = [
+        ("hallkeel-kind", "urgent"),
+        ("idempotency-key", key.as_str()),
+    ];
+    let fleet = &desk.stage.fleet;
+    let first = ask(fleet, 0, "/call/quick-001", &headers, b"{}")?;
+    expect(&first, 502, "unknown", "answer-not-sealed")?;
+    let again = ask(fleet, 1, "/call/quick-001", &headers, b"{}")?;
+    expect(&again, 409, "unknown", "answer-lost")?;
+    desk.stage.mischief("quick-001", None, 0.0);
+    match runs_of(desk, &key) {
+        1 => Ok(()),
+        runs => Err(format!("{runs} runs")),
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,8 @@
 mod failing_disks;
 mod failing_runners;
 mod fleet;
+mod interface;
+mod interface_operators;
 mod judge;
 mod ledger;
 mod operating;
@@ -89,6 +91,15 @@
         #[arg(long)]
         front: SocketAddr,
     },
+    /// Check every answer that callers and operators are promised, against real processes
+    Interface {
+        /// Deployment file
+        #[arg(default_value = "deploy/small.toml")]
+        deployment: PathBuf,
+        /// Folder for settings, data and logs; it is emptied first
+        #[arg(long, default_value = "run/interface")]
+        dir: PathBuf,
+    },
     /// Run many seeds of the simulator
     Simulate {
         /// First seed
@@ -140,6 +151,7 @@
             report,
         } => scenario::run(&name, &deployment, &dir, report.as_deref()),
         Command::Replay { file, front } => replay::run(&file, front),
+        Command::Interface { deployment, dir } => interface::run(&deployment, &dir),
         Command::Simulate { from, seeds } => session::simulate(from, seeds),
         Command::Platform {
             http,
--- a/crates/scaler/src/scaler.rs
+++ b/crates/scaler/src/scaler.rs
@@ -108,8 +108,8 @@
             Ok(()) => "no runner counts: one minimal runner starts",
             Err(NoPlace::Busy) => "waits for a worker with a free start",
             Err(NoPlace::NoRoom) if is_wanted => {
-                self.put_to_sleep(sight, plan, listing);
-                "no memory: the least used function is put to sleep for it"
+                self.make_room(sight, plan, listing);
+                "no memory: another function's runner is drained for it"
             }
             Err(NoPlace::NoRoom) => "sleeps: no worker has the memory",
         };
@@ -210,11 +210,7 @@
             let quota = seats.min(listing.concurrency);
             match self.start(sight, plan, listing, quota) {
                 Ok(()) => started += 1,
-                Err(NoPlace::NoRoom) => {
-                    self.put_to_sleep(sight, plan, listing);
-                    break;
-                }
-                Err(NoPlace::Busy) => break,
+                Err(NoPlace::NoRoom | NoPlace::Busy) => break,
             }
             gap -= f64::from(quota) * seat_rate;
         }
@@ -284,32 +280,44 @@
         Ok(())
     }
 
-    /// Makes room: the only runner of the function that was least lately used, and has nothing to
-    /// do now, is drained.
-    fn put_to_sleep(&self, sight: &Sight, plan: &mut Plan, needy: &Listing) {
+    /// Makes room for a function that has no runner at all: a runner of the function that has the
+    /// most is drained, or else the only one of the function that was least lately used and has
+    /// nothing to do now.
+    fn make_room(&self, sight: &Sight, plan: &mut Plan, needy: &Listing) {
         let is_making_room = plan
             .runners
             .iter()
-            .any(|entry| entry.state == RunnerState::Draining);
+            .any(|entry| matches!(entry.state, RunnerState::Draining | RunnerState::Stopping));
         if is_making_room {
             return;
         }
-        let idle = sight.blueprint.listings.iter().filter(|listing| {
-            listing.name != needy.name
-                && self
-                    .demand
-                    .functions
-                    .get(&listing.name)
-                    .is_some_and(|demand| demand.waiting == 0 && demand.measured < QUIET_RATE)
-        });
-        let with_runner = idle.filter_map(|listing| {
-            let place = plan.runners.iter().position(|entry| {
+        let others = sight
+            .blueprint
+            .listings
+            .iter()
+            .filter(|listing| listing.name != needy.name);
+        let wanted = |plan: &Plan, listing: &Listing| -> Vec<usize> {
+            let entries = plan.runners.iter().enumerate();
+            let own = entries.filter(|(_, entry)| {
                 entry.function == listing.name && entry.state == RunnerState::Wanted
-            })?;
-            let used = self.demand.functions[&listing.name].last_arrival;
-            Some((used, place))
+            });
+            own.map(|(place, _)| place).collect()
+        };
+        let held = others.map(|listing| (listing, wanted(plan, listing)));
+        let held: Vec<_> = held.collect();
+        let most = held.iter().map(|(_, places)| places);
+        let most = most
+            .filter(|places| places.len() > 1)
+            .max_by_key(|places| places.len());
+        let idle = held.iter().filter_map(|(listing, places)| {
+            let demand = self.demand.functions.get(&listing.name)?;
+            let is_idle = demand.waiting == 0 && demand.measured < QUIET_RATE;
+            is_idle.then_some((demand.last_arrival, *places.last()?))
         });
-        if let Some((_, place)) = with_runner.min() {
+        let elected = most
+            .and_then(|places| places.last().copied())
+            .or_else(|| idle.min().map(|(_, place)| place));
+        if let Some(place) = elected {
             plan.runners[place].quota = 0;
             plan.runners[place].state = RunnerState::Draining;
         }
--- a/crates/scaler/tests/algorithm.rs
+++ b/crates/scaler/tests/algorithm.rs
@@ -5,7 +5,7 @@
 };
 use fuzzing::{seeded, TestResult};
 use holding::{FrontReport, FunctionReport, RunnerReport};
-use scaler::{grow, shrink, FrontSight, Orders, Pod, Scaler, Sight, Worker};
+use scaler::{grow, shrink, FrontSight, Order, OrderResult, Orders, Pod, Scaler, Sight, Worker};
 use std::collections::BTreeMap;
 
 fn pod(id: &str, quota: u32, most: u32, seat_rate: f64) -> Pod {
@@ -157,12 +157,17 @@
 
     /// Lets time pass with so many arrivals a second at the first function.
     fn run(&mut self, milliseconds: u64, rate: u64) {
-        let orders = Orders::default();
+        let mut orders = Orders::default();
         let end = self.now + milliseconds;
         while self.now < end {
             self.now += 100;
             self.arrived += rate / 10;
             self.answered += rate / 10;
+            for entry in &self.plan.runners {
+                if entry.state == RunnerState::Stopping {
+                    orders.on_result(&Order::Stop(entry.id.clone()), OrderResult::Gone);
+                }
+            }
             let fronts = self.fronts();
             let sight = Sight {
                 now: self.now,
@@ -260,6 +265,35 @@
     assert!(!yard.wanted("f0").is_empty());
 }
 
+#[test]
+fn growing_puts_nobody_to_sleep_and_gives_way_to_a_function_without_a_runner() {
+    let mut yard = Yard::new(3, 800);
+    yard.run(1_000, 0);
+    yard.waiting = 200;
+    yard.run(3_000, 100);
+    assert_eq!(
+        yard.wanted("f0").len(),
+        4,
+        "all memory but the others' minimal runners"
+    );
+    assert!(!yard.wanted("f1").is_empty() && !yard.wanted("f2").is_empty());
+    // A function is listed anew, in the first place, where the waiting work is told.
+    yard.blueprint.listings[0].name = "g".into();
+    for entry in &mut yard.plan.runners {
+        entry.function = entry.function.replace("f0", "g");
+    }
+    let mut fresh = yard.blueprint.listings[0].clone();
+    fresh.name = "f0".into();
+    yard.blueprint.listings.push(fresh);
+    yard.waiting = 3;
+    yard.run(12_000, 0);
+    let (fresh, grown) = (yard.wanted("f0").len(), yard.wanted("g").len());
+    assert!(
+        fresh >= 1 && grown >= 1 && fresh + grown == 4,
+        "{fresh} and {grown}"
+    );
+}
+
 #[test]
 fn an_evacuated_district_is_left_and_nothing_starts_there() {
     let mut yard = Yard::new(2, 2_000);
