--- a/crates/blueprint/src/bounds.rs
+++ b/crates/blueprint/src/bounds.rs
@@ -82,6 +82,16 @@
         (self.change_ms / 30).max(1)
     }
 
+    /// Time that one question to another daemon may take: a third of the lease.
+    pub fn ask_ms(&self) -> u64 {
+        self.lease_ms() / 3
+    }
+
+    /// Time that a call to the platform may take: two thirds of the bound on changes.
+    pub fn platform_ms(&self) -> u64 {
+        self.change_ms * 2 / 3
+    }
+
     /// Time that a duty's holder may be silent before the duty is vacant: the same as the lease.
     pub fn duty_ms(&self) -> u64 {
         self.lease_ms()
--- a/crates/core/src/joining.rs
+++ b/crates/core/src/joining.rs
@@ -5,12 +5,9 @@
 use crossbeam::channel::bounded;
 use register::{merged, replaced, Change, Outcome, Stored, VoterRef, VoterSet, VOTERS_KEY};
 use speedy::{Readable, Writable};
-use std::time::Duration;
 use voter::{Installing, JoinStep, Joining};
 use wire::{now_ms, Message};
 
-const PATIENCE: Duration = Duration::from_secs(1);
-
 /// Takes the next step of an empty core into the set of voters.
 pub fn step(shared: &Shared, joining: &mut Joining, set: &VoterSet, heard: &[Heard]) {
     let Some((version, newest)) = settled_set(shared, set) else {
@@ -33,7 +30,7 @@
             log::warn!("set: this empty core takes the place of a voter");
             let bytes = next.write_to_vec().unwrap_or_default();
             let change = Change::Write { expected, bytes };
-            let (_, outcome) = shared.store.change(VOTERS_KEY, change, PATIENCE);
+            let (_, outcome) = shared.store.change(VOTERS_KEY, change, shared.patience());
             if let Outcome::Settled(_) = outcome {
                 adopt(shared, set, &next);
             }
@@ -58,7 +55,9 @@
             "only {answering} of the other voters answer; without {old} there would be no majority"
         ));
     }
-    let hello = shared.links.ask_wait(new, Message::Hello, PATIENCE);
+    let hello = shared
+        .links
+        .ask_wait(new, Message::Hello, shared.patience());
     let Some(Message::HelloAnswer {
         disk,
         set: their_set,
@@ -85,7 +84,7 @@
         expected: version,
         bytes: next.write_to_vec().unwrap_or_default(),
     };
-    match shared.store.change(VOTERS_KEY, change, PATIENCE) {
+    match shared.store.change(VOTERS_KEY, change, shared.patience()) {
         (_, Outcome::Settled(_)) if adopt(shared, &set, &next) => Ok(next),
         (_, outcome) => Err(format!("the change did not go through: {outcome:?}")),
     }
@@ -93,7 +92,9 @@
 
 /// The newest set that was settled, with its register's version.
 pub fn settled_set(shared: &Shared, set: &VoterSet) -> Option<(u64, VoterSet)> {
-    let (_, outcome) = shared.store.change(VOTERS_KEY, Change::Read, PATIENCE);
+    let (_, outcome) = shared
+        .store
+        .change(VOTERS_KEY, Change::Read, shared.patience());
     let Outcome::Settled(stored) = outcome else {
         return None;
     };
@@ -109,7 +110,9 @@
     let mut adopted = 0;
     for voter in &old.voters {
         let question = Message::Adopt(next.clone());
-        let answer = shared.links.ask_wait(&voter.address, question, PATIENCE);
+        let answer = shared
+            .links
+            .ask_wait(&voter.address, question, shared.patience());
         if let Some(Message::Adopted(set)) = answer {
             adopted += usize::from(set.mark() >= next.mark());
         }
--- a/crates/core/src/mending.rs
+++ b/crates/core/src/mending.rs
@@ -8,8 +8,6 @@
 use std::time::Duration;
 use wire::{Copy, Message, Responder};
 
-const PATIENCE: Duration = Duration::from_secs(1);
-
 /// Takes the messages that have to do with sets and copies.
 pub fn on_message(shared: &Shared, message: Message, responder: Option<Responder>) {
     match (message, responder) {
@@ -26,9 +24,7 @@
             let _ = shared.voter.try_send(Work::Adopt(set, responder));
         }
         (Message::Digests, Some(responder)) => {
-            if let Some(copy) = own_copy(shared) {
-                responder.answer(Message::DigestsAnswer(copy));
-            }
+            let _ = shared.voter.try_send(Work::Copy(responder));
         }
         (Message::Range(range), Some(responder)) => {
             let _ = shared.voter.try_send(Work::Range(range, responder));
@@ -43,12 +39,15 @@
 fn own_copy(shared: &Shared) -> Option<Copy> {
     let (told, answer) = bounded(1);
     shared.voter.try_send(Work::Digests(told)).ok()?;
-    answer.recv_timeout(PATIENCE).ok()
+    answer.recv_timeout(shared.patience()).ok()
 }
 
 /// A voter's copy in short; none where it does not answer.
 pub fn copy_of(shared: &Shared, address: &str) -> Option<Copy> {
-    match shared.links.ask_wait(address, Message::Digests, PATIENCE) {
+    match shared
+        .links
+        .ask_wait(address, Message::Digests, shared.patience())
+    {
         Some(Message::DigestsAnswer(copy)) => Some(copy),
         _ => None,
     }
@@ -67,7 +66,7 @@
     for range in differing {
         let answer = shared
             .links
-            .ask_wait(address, Message::Range(range), PATIENCE);
+            .ask_wait(address, Message::Range(range), shared.patience());
         let Some(Message::RangeAnswer(held)) = answer else {
             return None;
         };
--- a/crates/core/src/operators.rs
+++ b/crates/core/src/operators.rs
@@ -3,7 +3,7 @@
 use crate::puts;
 use crate::shared::Shared;
 use crate::voting::Work;
-use blueprint::TEXT_MAX;
+use blueprint::{RunnerEntry, TEXT_MAX};
 use crossbeam::channel::bounded;
 use oxhttp::model::{Body, Method, Request, Response};
 use std::collections::HashMap;
@@ -161,7 +161,7 @@
     let entries = settled.plan.runners.iter();
     let runners: Vec<_> = entries
         .filter(|entry| entry.function == function)
-        .map(runner_line)
+        .map(|entry| runner_line(shared, entry))
         .collect();
     json(
         200,
@@ -173,7 +173,27 @@
     )
 }
 
-fn runner_line(entry: &blueprint::RunnerEntry) -> serde_json::Value {
+/// What a runner's keeper says of it, in one word.
+fn fitness(shared: &Shared, entry: &RunnerEntry) -> &'static str {
+    let fronts = shared.fronts.lock();
+    let keeper = fronts.get(&entry.keeper.name);
+    let report = keeper
+        .filter(|known| known.sight.peer == entry.keeper)
+        .and_then(|known| {
+            let mut runners = known.sight.report.runners.iter();
+            runners.find(|runner| runner.runner == entry.id)
+        });
+    match report {
+        None => "unseen",
+        Some(report) if !report.is_active => "waits-for-keeper",
+        Some(report) if report.absent_ms > 0 => "absent",
+        Some(report) if !report.is_warm => "starting",
+        Some(report) if report.is_unfit => "unfit",
+        Some(_) => "fit",
+    }
+}
+
+fn runner_line(shared: &Shared, entry: &RunnerEntry) -> serde_json::Value {
     serde_json::json!({
         "id": entry.id,
         "function": entry.function,
@@ -184,6 +204,7 @@
         "keeper": entry.keeper.name,
         "epoch": entry.keeper_epoch,
         "state": format!("{:?}", entry.state),
+        "fitness": fitness(shared, entry),
     })
 }
 
@@ -193,7 +214,7 @@
     let now = now_ms();
     let (told, answer) = bounded(1);
     let _ = shared.voter.try_send(Work::Tell(told));
-    let keys = answer.recv_timeout(Duration::from_millis(200)).ok();
+    let keys = answer.recv_timeout(shared.patience()).ok();
     let fronts = shared.fronts.lock();
     let front_lines: Vec<_> = fronts
         .values()
@@ -213,7 +234,8 @@
         })
         .collect();
     drop(fronts);
-    let runners: Vec<_> = settled.plan.runners.iter().map(runner_line).collect();
+    let runners = settled.plan.runners.iter();
+    let runners: Vec<_> = runners.map(|entry| runner_line(shared, entry)).collect();
     let set = shared.store.set();
     serde_json::json!({
         "role": "core",
--- a/crates/core/src/scaling.rs
+++ b/crates/core/src/scaling.rs
@@ -17,7 +17,8 @@
 /// Calls to the platform that are under way at once.
 const CALLERS: usize = 16;
 
-type Sent = (Order, u64);
+/// A call, the term that it goes with, and the time that it may take.
+type Sent = (Order, u64, Duration);
 
 /// Runs the scaler: it decides while this core has the duty, and only looks on otherwise.
 pub fn run(shared: &Shared) {
@@ -27,8 +28,8 @@
         let (orders, results) = (orders_in.clone(), results_out.clone());
         let address = shared.settings.platform;
         thread::spawn(move || {
-            for (order, term) in &orders {
-                let result = platform::carry_out(address, &order, term, Duration::from_secs(2));
+            for (order, term, patience) in &orders {
+                let result = platform::carry_out(address, &order, term, patience);
                 if results.send((order, result)).is_err() {
                     return;
                 }
@@ -98,13 +99,17 @@
         write_plan(shared, &plan, settled.plan_version.no);
         return;
     }
+    let platform_patience = Duration::from_millis(bounds.platform_ms());
     let (pause, grace) = (bounds.lease_ms(), 2 * bounds.change_ms);
     for order in orders.due(sight.now, &settled.plan, &lists.runners, pause, grace) {
         // The term is looked at again right before each call.
         let Some(term) = shared.duty.load().term else {
             return;
         };
-        if orders_out.try_send((order, term)).is_err() {
+        if orders_out
+            .try_send((order, term, platform_patience))
+            .is_err()
+        {
             return;
         }
     }
--- a/crates/core/src/set.rs
+++ b/crates/core/src/set.rs
@@ -10,8 +10,6 @@
 use voter::Joining;
 use wire::{now_ms, unix_ms, Message, News};
 
-const PATIENCE: Duration = Duration::from_millis(500);
-
 /// What a core said of itself.
 pub struct Heard {
     pub address: String,
@@ -45,7 +43,8 @@
             form_era(shared, &heard, since.elapsed());
         }
         let is_settled = shared.store.set().era > 0;
-        let pause = if is_settled { PATIENCE } else { PATIENCE / 5 };
+        let patience = shared.patience();
+        let pause = if is_settled { patience } else { patience / 5 };
         thread::sleep(pause);
     }
 }
@@ -84,7 +83,7 @@
         shared.links.ask(address, Message::Hello, on_answer);
     }
     drop(sender);
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + shared.patience();
     let mut heard = Vec::new();
     while heard.len() < addresses.len() {
         let Ok(one) = receiver.recv_deadline(end) else {
@@ -127,7 +126,11 @@
         plan: Version::default(),
         wants_certain: false,
     };
-    let ask = |address: &str| shared.links.ask_wait(address, question(), PATIENCE);
+    let ask = |address: &str| {
+        shared
+            .links
+            .ask_wait(address, question(), shared.patience())
+    };
     let (Some(Message::News(plan)), Some(Message::News(blueprint))) =
         (ask(&by_plan.0), ask(&by_blueprint.0))
     else {
--- a/crates/core/src/shared.rs
+++ b/crates/core/src/shared.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// How long one question to another daemon may take.
+    pub fn patience(&self) -> Duration {
+        Duration::from_millis(self.store.settled().blueprint.bounds.ask_ms())
+    }
+
     fn take_report(&self, envelope_from: PeerRef, address: String, report: FrontReport) {
         let mut fronts = self.fronts.lock();
         if fronts.len() >= FRONTS_MAX && !fronts.contains_key(&envelope_from.name) {
@@ -127,14 +132,7 @@
                 shared.take_report(envelope.from, envelope.address, report);
             }
             (Message::Hello, Some(responder)) => {
-                let (told, answer) = bounded(1);
-                if shared.voter.try_send(Work::Tell(told)).is_err() {
-                    return;
-                }
-                let disk = shared.disk;
-                if let Ok((set, _)) = answer.recv_timeout(Duration::from_millis(500)) {
-                    responder.answer(Message::HelloAnswer { disk, set });
-                }
+                let _ = shared.voter.try_send(Work::Hello(shared.disk, responder));
             }
             (message, responder) => mending::on_message(shared, message, responder),
         }
--- a/crates/core/src/voting.rs
+++ b/crates/core/src/voting.rs
@@ -21,7 +21,11 @@
     Install(Installing, Sender<VoterSet>),
     /// Take newer values from another copy.
     Mend(Vec<(String, Held)>),
-    /// Tell the copy in short.
+    /// Tell who this is, with the id of the disk.
+    Hello(u64, Responder),
+    /// Tell the copy in short, to another core.
+    Copy(Responder),
+    /// Tell the copy in short, here.
     Digests(Sender<Copy>),
     /// Tell all that is held in a range.
     Range(u16, Responder),
@@ -96,6 +100,13 @@
         }
         Work::Mend(keys) => voter.mend(keys),
         Work::AgeOut(before) => voter.age_out(before),
+        Work::Hello(disk, responder) => {
+            let set = voter.held().set().clone();
+            responder.answer(Message::HelloAnswer { disk, set });
+        }
+        Work::Copy(responder) => {
+            responder.answer(Message::DigestsAnswer(copy_of(voter.held())));
+        }
         Work::Digests(told) => {
             let _ = told.send(copy_of(voter.held()));
         }
--- a/crates/hallkeel/src/show.rs
+++ b/crates/hallkeel/src/show.rs
@@ -150,19 +150,20 @@
 
 fn show_runners(core: &Value) {
     println!(
-        "\n{:<28} {:<12} {:<22} {:>5} {:<10} {:>5}  state",
-        "runner", "worker", "address", "quota", "keeper", "epoch"
+        "\n{:<28} {:<12} {:<22} {:>5} {:<10} {:>5} {:<9} fitness",
+        "runner", "worker", "address", "quota", "keeper", "epoch", "state"
     );
     for runner in core["runners"].as_array().into_iter().flatten() {
         println!(
-            "{:<28} {:<12} {:<22} {:>5} {:<10} {:>5}  {}",
+            "{:<28} {:<12} {:<22} {:>5} {:<10} {:>5} {:<9} {}",
             text(&runner["id"]),
             text(&runner["worker"]),
             text(&runner["address"]),
             runner["quota"],
             text(&runner["keeper"]),
             runner["epoch"],
-            text(&runner["state"])
+            text(&runner["state"]),
+            text(&runner["fitness"])
         );
     }
 }
@@ -202,14 +203,15 @@
     println!("decision   {}", text(&note["reason"]));
     for runner in told["runners"].as_array().into_iter().flatten() {
         println!(
-            "runner     {} on {} ({}), quota {}, keeper {} epoch {}, {}",
+            "runner     {} on {} ({}), quota {}, keeper {} epoch {}, {}, {}",
             text(&runner["id"]),
             text(&runner["worker"]),
             text(&runner["district"]),
             runner["quota"],
             text(&runner["keeper"]),
             runner["epoch"],
-            text(&runner["state"])
+            text(&runner["state"]),
+            text(&runner["fitness"])
         );
     }
     Ok(())
