A put is acknowledged by the fronts' questions, not by their next reports

Cause: an acknowledgement waited for the next report of a majority of fronts, one each 100 ms. A front asks for news again as soon as it holds the last, with its version. Excluded: syncs (0.1 ms here) and rounds (two, below 2 ms).

--- a/crates/core/src/shared.rs
+++ b/crates/core/src/shared.rs
@@ -90,6 +90,17 @@
         Duration::from_millis(self.store.settled().blueprint.bounds.ask_ms())
     }
 
+    /// A front asks again as soon as it holds news, well before its next report. The plan's version
+    /// is left as it was reported, since what the report says of seats goes with it.
+    fn note_blueprint(&self, from: &PeerRef, blueprint: Version) {
+        let mut fronts = self.fronts.lock();
+        let known = fronts.get_mut(&from.name);
+        if let Some(known) = known.filter(|known| known.sight.peer == *from) {
+            let report = &mut known.sight.report;
+            report.blueprint = report.blueprint.max(blueprint);
+        }
+    }
+
     fn take_report(&self, envelope_from: PeerRef, address: String, report: FrontReport) {
         let mut fronts = self.fronts.lock();
         if fronts.len() >= FRONTS_MAX && !fronts.contains_key(&envelope_from.name) {
@@ -122,6 +133,7 @@
                 },
                 Some(responder),
             ) => {
+                shared.note_blueprint(&envelope.from, blueprint);
                 if wants_certain {
                     let _ = shared.certain.try_send((blueprint, plan, responder));
                 } else {
