A try that ends with its budget is told as budget-over

Cause: the try's timer and its caller's fire together; the try's won once and told 502 answer-lost in place of 504 (interface check, 1 of 5 runs).

--- a/crates/front/src/tries.rs
+++ b/crates/front/src/tries.rs
@@ -10,6 +10,9 @@
 use std::time::Duration;
 use wire::{call, now_ms, Answer, HttpError};
 
+/// Timers of tries and callers may fire so far apart.
+const TIMER_SLACK_MS: u64 = 5;
+
 /// How a try went, seen from the ticket.
 enum Went {
     Well(Answer),
@@ -64,6 +67,9 @@
         }
         Went::Badly(reason, end) => {
             let slot = ticket.slot;
+            // The try's own time ends with the budget, a little before its caller's does.
+            let is_over = end == TryEnd::Lost && now_ms() + TIMER_SLACK_MS >= ticket.budget_end;
+            let reason = if is_over { "budget-over" } else { reason };
             let is_held = shared.with_desk(|desk, now| {
                 desk.try_done(now, seat, end);
                 !call.is_once && desk.retry(now, ticket)
