--- a/crates/core/src/duty.rs
+++ b/crates/core/src/duty.rs
@@ -13,9 +13,10 @@
     let set = shared.store.set();
     let votes = set.voters.iter().any(|voter| voter.disk == shared.disk);
     let fronts = shared.fronts.lock();
-    let hears = fronts
+    let mut heard = fronts
         .values()
-        .any(|known| now < known.sight.heard_at + lease);
+        .filter(|known| !known.sight.report.is_witness);
+    let hears = heard.any(|known| now < known.sight.heard_at + lease);
     votes && hears
 }
 
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -14,6 +14,7 @@
 mod shared;
 mod store;
 mod voting;
+mod witness;
 
 use blueprint::{read_settings, CoreSettings, SettingsFault};
 use clap::Parser;
--- a/crates/core/src/news.rs
+++ b/crates/core/src/news.rs
@@ -43,7 +43,15 @@
 }
 
 fn news_for(shared: &Shared, settled: &Settled, blueprint: Version, plan: Version) -> News {
-    let fronts = shared.fronts.lock();
+    let known = shared.fronts.lock();
+    let reached = |is_witness: bool| {
+        let those = known
+            .values()
+            .filter(|one| one.sight.report.is_witness == is_witness);
+        those
+            .map(|one| (one.sight.peer.clone(), one.address.clone()))
+            .collect()
+    };
     News {
         blueprint: (settled.blueprint_version > blueprint).then(|| BlueprintNews {
             version: settled.blueprint_version,
@@ -54,10 +62,8 @@
             plan: (*settled.plan).clone(),
         }),
         set: (*shared.store.set()).clone(),
-        fronts: fronts
-            .values()
-            .map(|known| (known.sight.peer.clone(), known.address.clone()))
-            .collect(),
+        fronts: reached(false),
+        cores: reached(true),
         is_certain: false,
     }
 }
--- a/crates/core/src/operators.rs
+++ b/crates/core/src/operators.rs
@@ -216,8 +216,10 @@
     let _ = shared.voter.try_send(Work::Tell(told));
     let keys = answer.recv_timeout(shared.patience()).ok();
     let fronts = shared.fronts.lock();
-    let front_lines: Vec<_> = fronts
+    let own_fronts = fronts
         .values()
+        .filter(|known| !known.sight.report.is_witness);
+    let front_lines: Vec<_> = own_fronts
         .map(|known| {
             let report = &known.sight.report;
             serde_json::json!({
--- a/crates/core/src/puts.rs
+++ b/crates/core/src/puts.rs
@@ -151,6 +151,11 @@
             .get(name.as_str())
             .is_some_and(|known| known.sight.report.blueprint >= version)
     };
-    let roster = &settled.plan.roster;
-    (roster.iter().filter(holds).count(), roster.len())
+    let is_front = |name: &&String| {
+        fronts
+            .get(name.as_str())
+            .is_none_or(|known| !known.sight.report.is_witness)
+    };
+    let roster = settled.plan.roster.iter().filter(is_front);
+    (roster.clone().filter(holds).count(), roster.count())
 }
--- a/crates/core/src/set.rs
+++ b/crates/core/src/set.rs
@@ -108,7 +108,8 @@
         let fronts = shared.fronts.lock();
         let fresh = fronts
             .values()
-            .filter(|known| now < known.sight.heard_at + lease);
+            .filter(|known| now < known.sight.heard_at + lease)
+            .filter(|known| !known.sight.report.is_witness);
         fresh
             .map(|known| {
                 let report = &known.sight.report;
@@ -136,6 +137,7 @@
     else {
         return None;
     };
+    // Cores that lost their disks bear no witness, so all members of the roster count here.
     let roster = plan.plan.as_ref().map_or(0, |news| news.plan.roster.len());
     Some(Gathered {
         version: by_blueprint.1,
--- a/crates/core/src/shared.rs
+++ b/crates/core/src/shared.rs
@@ -1,18 +1,19 @@
 use crate::news::{self, Askers};
 use crate::store::Store;
 use crate::voting::{self, Work};
-use crate::{duty, identity, mending, operators, platform, scaling, set};
+use crate::{duty, identity, mending, operators, platform, scaling, set, witness};
 use arc_swap::ArcSwap;
 use ballot::{Duty, Tenure};
 use blueprint::{CoreSettings, PeerRef, Version};
 use crossbeam::channel::{bounded, Receiver, Sender};
 use error_stack::Report;
-use holding::FrontReport;
+use holding::{DeskMessage, FrontReport};
 use parking_lot::Mutex;
 use rand::Rng;
 use scaler::{FrontSight, FunctionNote};
 use std::collections::BTreeMap;
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use std::{fmt, io, thread};
@@ -72,6 +73,9 @@
     pub platform: ArcSwap<platform::Lists>,
     pub duty: ArcSwap<DutyView>,
     pub notes: ArcSwap<BTreeMap<String, FunctionNote>>,
+    /// Whether this life has read the plan at a majority, so that it cannot tell an older one than
+    /// it told before.
+    pub is_certain: AtomicBool,
     certain: Sender<(Version, Version, Responder)>,
 }
 
@@ -101,7 +105,7 @@
         }
     }
 
-    fn take_report(&self, envelope_from: PeerRef, address: String, report: FrontReport) {
+    pub fn take_report(&self, envelope_from: PeerRef, address: String, report: FrontReport) {
         let mut fronts = self.fronts.lock();
         if fronts.len() >= FRONTS_MAX && !fronts.contains_key(&envelope_from.name) {
             return;
@@ -140,7 +144,12 @@
                     shared.askers.ask(shared, blueprint, plan, responder);
                 }
             }
-            (Message::Report(report), None) if envelope.role == Role::Front => {
+            (Message::Desk(DeskMessage::Beat { stamp, .. }), None) => {
+                witness::answer(shared, &envelope.address, stamp);
+            }
+            (Message::Report(report), None)
+                if report.is_witness == (envelope.role == Role::Core) =>
+            {
                 shared.take_report(envelope.from, envelope.address, report);
             }
             (Message::Hello, Some(responder)) => {
@@ -173,6 +182,7 @@
         platform: ArcSwap::default(),
         duty: ArcSwap::default(),
         notes: ArcSwap::default(),
+        is_certain: AtomicBool::new(false),
         certain,
         settings,
     });
@@ -212,10 +222,12 @@
         let now = now_ms();
         if now >= refreshed_at + bounds.beat_ms() {
             refreshed_at = now;
-            shared
-                .store
-                .refresh(Duration::from_millis(bounds.beat_ms()));
+            let patience = Duration::from_millis(bounds.beat_ms());
+            if shared.store.refresh(patience) {
+                shared.is_certain.store(true, Ordering::SeqCst);
+            }
         }
+        witness::report(&shared);
         if now >= aged_at + bounds.retry_window_ms {
             aged_at = now;
             let before = unix_ms().saturating_sub(bounds.claim_ms);
--- /dev/null
+++ b/crates/core/src/witness.rs
@@ -0,0 +1,44 @@
+use crate::shared::Shared;
+use holding::{DeskMessage, FrontReport};
+use std::sync::atomic::Ordering;
+use wire::Message;
+
+/// Answers a front's heartbeat. Cores are on the roster beside the fronts, so that fronts keep their
+/// standing when many of them are gone, and when all cores are.
+pub fn answer(shared: &Shared, address: &str, stamp: u64) {
+    if !shared.is_certain.load(Ordering::SeqCst) {
+        return;
+    }
+    let settled = shared.store.settled();
+    let answer = DeskMessage::BeatAnswer {
+        stamp,
+        plan: settled.plan_version,
+        blueprint: settled.blueprint_version,
+    };
+    shared.links.cast(address, Message::Desk(answer));
+}
+
+/// Tells all cores, this one too, that this core bears witness, and which versions it holds.
+pub fn report(shared: &Shared) {
+    let set = shared.store.set();
+    let votes = set.voters.iter().any(|voter| voter.disk == shared.disk);
+    if !votes || !shared.is_certain.load(Ordering::SeqCst) {
+        return;
+    }
+    let settled = shared.store.settled();
+    let report = FrontReport {
+        district: shared.settings.district.clone(),
+        http: shared.settings.http.to_string(),
+        is_witness: true,
+        plan: settled.plan_version,
+        blueprint: settled.blueprint_version,
+        ..FrontReport::default()
+    };
+    let own = shared.settings.address().to_string();
+    for voter in set.voters.iter().filter(|voter| voter.address != own) {
+        shared
+            .links
+            .cast(&voter.address, Message::Report(report.clone()));
+    }
+    shared.take_report(shared.links.me().clone(), own, report);
+}
--- a/crates/front/src/news.rs
+++ b/crates/front/src/news.rs
@@ -51,6 +51,9 @@
 
 /// Puts news in force, where they are newer.
 pub fn apply(shared: &Shared, news: News) {
+    for (peer, address) in &news.cores {
+        shared.meet(peer, address);
+    }
     let fronts = news.fronts.iter().map(|(peer, address)| Neighbour {
         peer: peer.clone(),
         address: address.clone(),
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -129,7 +129,10 @@
     fn on_message(&self, envelope: Envelope, responder: Option<Responder>) {
         let shared = &self.0;
         match (envelope.body, responder) {
-            (Message::Desk(message), _) if envelope.role == Role::Front => {
+            (Message::Desk(message), _)
+                if envelope.role == Role::Front
+                    || matches!(message, DeskMessage::BeatAnswer { .. }) =>
+            {
                 shared.meet(&envelope.from, &envelope.address);
                 news::ask_if_newer(shared, &envelope.address, &message);
                 shared.with_desk(|desk, now| desk.on_message(now, &envelope.from, message));
--- a/crates/holding/src/desk.rs
+++ b/crates/holding/src/desk.rs
@@ -387,6 +387,7 @@
         FrontReport {
             district: district.to_string(),
             http: String::new(),
+            is_witness: false,
             is_draining: self.is_draining,
             has_standing: self.has_standing(now),
             plan: self.plan_version,
--- a/crates/holding/src/message.rs
+++ b/crates/holding/src/message.rs
@@ -112,6 +112,8 @@
     pub district: String,
     /// Address at which it serves callers and operators.
     pub http: String,
+    /// Whether it is a core, that only bears witness to standing and never keeps a runner.
+    pub is_witness: bool,
     /// Whether it drains.
     pub is_draining: bool,
     /// Whether it has standing.
--- a/crates/holding/tests/desk.rs
+++ b/crates/holding/tests/desk.rs
@@ -175,6 +175,27 @@
     assert_eq!(desk.may_take(2_600, "sign"), Err(Refusal::NoStanding));
 }
 
+#[test]
+fn a_front_that_has_not_read_at_a_majority_neither_works_nor_answers() {
+    let mut desk = Desk::new(peer("me"));
+    desk.set_blueprint(1_000, blueprint(10), version(1));
+    desk.set_plan(1_000, plan("me", 1, 1), version(1));
+    hear(&mut desk, 1_000, version(1));
+    let beat = DeskMessage::Beat {
+        stamp: 1,
+        plan: version(1),
+        blueprint: version(1),
+        last_award: 0,
+    };
+    desk.on_message(1_000, &peer("two"), beat.clone());
+    assert_eq!(desk.may_take(1_000, "sign"), Err(Refusal::NoStanding));
+    assert!(desk.take_actions().is_empty());
+    desk.set_ready();
+    desk.on_message(1_000, &peer("two"), beat);
+    assert_eq!(desk.may_take(1_000, "sign"), Ok(()));
+    assert_eq!(desk.take_actions().len(), 1);
+}
+
 #[test]
 fn an_answer_from_a_front_with_a_newer_plan_does_not_extend_the_lease() {
     let mut desk = desk(10);
--- a/crates/register/tests/rounds.rs
+++ b/crates/register/tests/rounds.rs
@@ -268,6 +268,46 @@
     }
 }
 
+#[test]
+fn a_newcomer_holds_what_any_majority_had_settled() {
+    let set = |no, disks: [u64; 3]| VoterSet {
+        era: 1,
+        no,
+        voters: disks
+            .iter()
+            .map(|disk| VoterRef {
+                disk: *disk,
+                address: String::new(),
+            })
+            .collect(),
+    };
+    // The value is settled at the first and the third voter; the third is then replaced.
+    let mut voters = vec![Acceptor::default(); VOTERS];
+    for voter in &mut voters {
+        voter.form(set(1, [1, 2, 3])).unwrap();
+    }
+    let mut missing = std::mem::take(&mut voters[1]);
+    assert!(matches!(write(&mut voters, 1, 0), Outcome::Settled(_)));
+    let next = set(2, [1, 2, 9]);
+    let copies: Vec<_> = [&mut voters[0], &mut missing]
+        .into_iter()
+        .map(|voter| {
+            voter.adopt(next.clone()).unwrap();
+            (0..256).flat_map(|range| voter.range(range)).collect()
+        })
+        .collect();
+    let mut newcomer = Acceptor::default();
+    newcomer.install(next, (0, 0), register::merged(copies));
+    assert_eq!(newcomer.held("key").unwrap().stored.version, 1);
+    // Promises come with it: a ballot below the settled one is refused.
+    let ask = register::VoterAsk::Promise {
+        key: "key".into(),
+        ballot: Ballot::default(),
+    };
+    let (_, reply) = newcomer.handle(VoterMessage { mark: (1, 2), ask });
+    assert!(matches!(reply, VoterReply::Refused { .. }));
+}
+
 #[test]
 fn a_voter_of_another_set_answers_with_its_own() {
     let mut voter = Acceptor::default();
--- a/crates/scaler/src/keepers.rs
+++ b/crates/scaler/src/keepers.rs
@@ -21,10 +21,10 @@
     district: &str,
 ) -> Option<&'a FrontSight> {
     let counts = kept_counts(plan);
-    let live = sight
-        .fronts
-        .values()
-        .filter(|front| sight.is_live(front) && plan.roster.contains(&front.peer.name));
+    let live = sight.fronts.values().filter(|front| {
+        let is_front = !front.report.is_witness;
+        is_front && sight.is_live(front) && plan.roster.contains(&front.peer.name)
+    });
     live.min_by_key(|front| {
         let kept = counts.get(&front.peer.name).copied().unwrap_or(0);
         (front.report.district != district, kept)
--- a/crates/simulator/src/core_news.rs
+++ b/crates/simulator/src/core_news.rs
@@ -1,11 +1,45 @@
 use crate::core_node::CoreNode;
+use crate::net::{Net, Parcel};
 use ballot::Tenure;
 use blueprint::{parse, Plan, Version};
+use holding::{DeskMessage, FrontReport};
 use register::{Outcome, Stored};
 use speedy::Readable;
 use std::sync::Arc;
+use wire::Message;
 
 impl CoreNode {
+    /// Answers a front's heartbeat.
+    pub fn bear_witness(&self, net: &mut Net, beat: &Parcel, stamp: u64) {
+        if !self.is_certain {
+            return;
+        }
+        let answer = DeskMessage::BeatAnswer {
+            stamp,
+            plan: self.in_force.plan_version,
+            blueprint: self.in_force.blueprint_version,
+        };
+        let parcel = self.parcel(0, Message::Desk(answer));
+        net.send(&self.peer.name, &beat.from.name, parcel);
+    }
+
+    /// Tells all cores which versions this one holds.
+    pub fn report_witness(&self, net: &mut Net) {
+        if !self.is_certain {
+            return;
+        }
+        let report = FrontReport {
+            is_witness: true,
+            plan: self.in_force.plan_version,
+            blueprint: self.in_force.blueprint_version,
+            ..FrontReport::default()
+        };
+        for voter in &self.set.voters {
+            let parcel = self.parcel(0, Message::Report(report.clone()));
+            net.send(&self.peer.name, &voter.address, parcel);
+        }
+    }
+
     pub fn duty_ended(&mut self, now: u64, began: u64, tenure: Option<Tenure>, outcome: Outcome) {
         match (outcome, tenure) {
             (Outcome::Settled(stored), Some(tenure)) => {
--- a/crates/simulator/src/core_node.rs
+++ b/crates/simulator/src/core_node.rs
@@ -5,6 +5,7 @@
 use crate::yard::Yard;
 use ballot::{Duty, Move, Tenure};
 use blueprint::{Blueprint, PeerRef, Plan, Version};
+use holding::DeskMessage;
 use journal::MemoryFolder;
 use rand::Rng;
 use register::{Ballot, Change, Outcome, Proposal, ProposalStep, VoterAsk, VoterMessage, VoterSet};
@@ -22,7 +23,7 @@
     JoinWrite(VoterSet),
     Duty(u64, Option<Tenure>),
     Refresh,
-    Certain(Parcel),
+    Certain(Box<Parcel>),
     Plan,
     PutRead(Put),
     PutWrite(Put),
@@ -67,6 +68,8 @@
     counter: u64,
     refreshed_at: u64,
     is_planning: bool,
+    /// Whether the plan was read at a majority in this life.
+    pub is_certain: bool,
 }
 
 impl CoreNode {
@@ -101,6 +104,7 @@
             counter: 0,
             refreshed_at: now,
             is_planning: false,
+            is_certain: false,
         }
     }
 
@@ -166,12 +170,15 @@
                 wants_certain,
             } => {
                 if wants_certain {
-                    let purpose = Purpose::Certain(parcel);
+                    let purpose = Purpose::Certain(Box::new(parcel));
                     self.propose(net, "blueprint", Change::Read, purpose);
                 } else {
                     self.answer_ask(net, &parcel, blueprint, plan, false);
                 }
             }
+            Message::Desk(DeskMessage::Beat { stamp, .. }) => {
+                self.bear_witness(net, &parcel, stamp)
+            }
             Message::Report(report) => {
                 let sight = FrontSight {
                     peer: parcel.from.clone(),
@@ -203,8 +210,8 @@
                 plan: (*in_force.plan).clone(),
             }),
             set: self.set.clone(),
-            fronts: Vec::new(),
             is_certain,
+            ..News::default()
         };
         let answer = self.parcel(parcel.number, Message::News(news));
         net.send(&self.peer.name, &parcel.from.name, answer);
@@ -284,6 +291,7 @@
                 self.propose(net, key, change, Purpose::Duty(now, Some(tenure)));
             }
         }
+        self.report_witness(net);
         self.tend_membership(net);
         self.acknowledge(net, oracle);
         self.scale(net, yard);
@@ -353,7 +361,9 @@
             self.put_in_force(&key, stored);
         }
         match running.purpose {
-            Purpose::Refresh => {}
+            Purpose::Refresh => {
+                self.is_certain |= key == "plan" && matches!(outcome, Outcome::Settled(_));
+            }
             Purpose::JoinRead(answering) => self.join_read(net, &answering, &outcome),
             Purpose::JoinWrite(next) => {
                 if matches!(outcome, Outcome::Settled(_)) {
--- a/crates/simulator/src/core_puts.rs
+++ b/crates/simulator/src/core_puts.rs
@@ -97,8 +97,14 @@
     /// Answers puts whose version a majority of the roster's fronts holds.
     pub fn acknowledge(&mut self, net: &mut Net, oracle: &mut Oracle) {
         let now = net.now;
-        let roster = self.in_force.plan.roster.clone();
         let fronts = &self.fronts;
+        let is_front = |name: &&String| {
+            fronts
+                .get(name.as_str())
+                .is_none_or(|known| !known.report.is_witness)
+        };
+        let roster = self.in_force.plan.roster.iter().filter(is_front);
+        let roster: Vec<String> = roster.cloned().collect();
         let puts = std::mem::take(&mut self.puts);
         for (put, version, until) in puts {
             let holds = |name: &&String| {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -59,6 +59,8 @@
     pub set: VoterSet,
     /// Addresses of all fronts that the answerer knows.
     pub fronts: Vec<(PeerRef, String)>,
+    /// Addresses of all cores that bear witness.
+    pub cores: Vec<(PeerRef, String)>,
     /// Whether the answer was read at a majority of voters after the question came.
     pub is_certain: bool,
 }
