--- a/crates/core/src/shared.rs
+++ b/crates/core/src/shared.rs
@@ -40,7 +40,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Io(error) => write!(formatter, "{error}"),
-            Self::Voter(report) => write!(formatter, "{report:?}"),
+            Self::Voter(report) => write!(formatter, "{report:#}"),
             Self::NotOurs(reason) => formatter.write_str(reason),
         }
     }
--- a/crates/hallkeel/src/main.rs
+++ b/crates/hallkeel/src/main.rs
@@ -137,6 +137,10 @@
 }
 
 fn main() -> ExitCode {
+    // SAFETY: nothing else runs yet; a reader that goes away then ends the tool quietly.
+    unsafe {
+        libc::signal(libc::SIGPIPE, libc::SIG_DFL);
+    }
     match run(Flags::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
--- a/crates/hallkeel/src/show.rs
+++ b/crates/hallkeel/src/show.rs
@@ -140,9 +140,9 @@
             number("demand"),
             number("forecast"),
             number("capacity"),
-            note["runners"],
-            note["seats"],
-            note["waiting"],
+            text(&note["runners"]),
+            text(&note["seats"]),
+            text(&note["waiting"]),
             text(&note["reason"])
         );
     }
@@ -159,9 +159,9 @@
             text(&runner["id"]),
             text(&runner["worker"]),
             text(&runner["address"]),
-            runner["quota"],
+            text(&runner["quota"]),
             text(&runner["keeper"]),
-            runner["epoch"],
+            text(&runner["epoch"]),
             text(&runner["state"]),
             text(&runner["fitness"])
         );
--- a/crates/lab/src/session.rs
+++ b/crates/lab/src/session.rs
@@ -183,6 +183,8 @@
 
 /// Runs seeds of the simulator; each that breaks a line is printed.
 pub fn simulate(from: u64, seeds: u64) -> Result<(), LabFault> {
+    // Daemons of a simulation log their failures as real ones do; here only the verdict counts.
+    log::set_max_level(log::LevelFilter::Off);
     let began = Instant::now();
     let next = AtomicU64::new(from);
     let broken = Mutex::new(Vec::new());
--- a/crates/voter/src/keeper.rs
+++ b/crates/voter/src/keeper.rs
@@ -55,7 +55,7 @@
         let (journal, found) = match Journal::open(folder) {
             Ok(opened) => opened,
             Err(report) if *report.current_context() == JournalError::Damaged => {
-                log::error!("voter: closed, since the journal is damaged: {report:?}");
+                log::error!("voter: closed, since the journal is damaged: {report:#}");
                 return Ok(Self {
                     acceptor: Acceptor::default(),
                     journal: None,
@@ -164,14 +164,14 @@
         };
         let bytes = records.write_to_vec().unwrap_or_default();
         if let Err(report) = journal.append(&bytes) {
-            log::error!("voter: closed until a restart, since the disk failed: {report:?}");
+            log::error!("voter: closed until a restart, since the disk failed: {report:#}");
             self.journal = None;
             return false;
         }
         if journal.wants_snapshot() {
             let state = self.acceptor.write_to_vec().unwrap_or_default();
             if let Err(report) = journal.snapshot(&state) {
-                log::error!("voter: no snapshot: {report:?}");
+                log::error!("voter: no snapshot: {report:#}");
             }
         }
         true
