--- a/crates/lab/src/callers.rs
+++ b/crates/lab/src/callers.rs
@@ -34,6 +34,7 @@
 #[derive(Clone, Debug)]
 pub struct Wish {
     pub kind: String,
+    pub function: String,
     /// When it was due, in milliseconds since 1970.
     pub due_ms: u64,
     /// From when it was due until the last answer.
@@ -148,6 +149,7 @@
         is_once(deployment, &stream.kind).then(|| format!("{}-{seed}-{number}", unix_now_ms()));
     let mut wish = Wish {
         kind: stream.kind.clone(),
+        function: due.function.clone(),
         due_ms: due.at_unix_ms,
         took: Duration::ZERO,
         asks: Vec::new(),
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -71,6 +71,7 @@
         in_flight(deployment, runs),
         wrong_successes(wishes),
         unrun_successes(wishes, runs),
+        misdirected(wishes, runs),
         retries(deployment, runs),
     ]
 }
@@ -154,6 +155,28 @@
     }
 }
 
+fn misdirected(wishes: &[Wish], runs: &[RunLine]) -> Check {
+    let meant: HashMap<&str, &str> = wishes
+        .iter()
+        .flat_map(|wish| {
+            let asks = wish.asks.iter();
+            asks.map(|ask| (ask.call.as_str(), wish.function.as_str()))
+        })
+        .collect();
+    let wrong = runs
+        .iter()
+        .filter(|run| {
+            let function = meant.get(run.call.as_str());
+            function.is_some_and(|function| *function != run.function)
+        })
+        .count();
+    Check {
+        name: "runs at another function's runner",
+        found: format!("{wrong}"),
+        is_good: wrong == 0,
+    }
+}
+
 /// Runs of a call beyond its first, in the worst 10 s, against the allowance.
 fn retries(deployment: &Deployment, runs: &[RunLine]) -> Check {
     let bounds = &deployment.bounds;
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -49,6 +49,9 @@
     pub address: SocketAddr,
     /// Key for its seals, in hex.
     pub key: String,
+    /// Whether it runs requests that are meant for another runner, against the contract.
+    #[serde(default)]
+    pub takes_any: bool,
 }
 
 /// A runner that serves until it is stopped.
@@ -200,7 +203,7 @@
     let Some(asked) = read_request(&mut stream)? else {
         return Ok(());
     };
-    if header(&asked, "hallkeel-runner") != inside.order.id {
+    if header(&asked, "hallkeel-runner") != inside.order.id && !inside.order.takes_any {
         return respond(&mut stream, "421 Misdirected Request", "", b"{}");
     }
     let in_flight = inside.in_flight.fetch_add(1, Ordering::SeqCst) + 1;
