One longest budget and one way to ask voters

The longest budget was worked out in four places and the question to a set's voters written twice in the simulator.

--- a/crates/blueprint/src/model.rs
+++ b/crates/blueprint/src/model.rs
@@ -88,6 +88,12 @@
             .any(|known| known.name == district && known.state == DistrictState::Open)
     }
 
+    /// The longest budget of any function, in milliseconds; 0 where none is listed.
+    pub fn longest_budget_ms(&self) -> u64 {
+        let budgets = self.listings.iter().map(|listing| listing.budget_ms);
+        budgets.max().unwrap_or(0)
+    }
+
     /// An empty blueprint: what is in force before the first put.
     pub fn empty() -> Self {
         Self {
--- a/crates/front/src/operators.rs
+++ b/crates/front/src/operators.rs
@@ -108,6 +108,5 @@
 
 /// Longest time that a drain may take when cores cannot move its runners away.
 pub fn drain_limit_ms(blueprint: &Blueprint) -> u64 {
-    let budgets = blueprint.listings.iter().map(|listing| listing.budget_ms);
-    budgets.max().unwrap_or(0) + blueprint.bounds.return_ms
+    blueprint.longest_budget_ms() + blueprint.bounds.return_ms
 }
--- a/crates/holding/src/desk.rs
+++ b/crates/holding/src/desk.rs
@@ -281,14 +281,10 @@
     }
 
     pub(crate) fn longest_budget(&self, function: &str) -> u64 {
-        self.blueprint
-            .listing(function)
-            .map_or_else(|| self.longest_of_all(), |listing| listing.budget_ms)
-    }
-
-    pub(crate) fn longest_of_all(&self) -> u64 {
-        let budgets = self.blueprint.listings.iter();
-        budgets.map(|listing| listing.budget_ms).max().unwrap_or(0)
+        self.blueprint.listing(function).map_or_else(
+            || self.blueprint.longest_budget_ms(),
+            |listing| listing.budget_ms,
+        )
     }
 
     /// Time goes on: budgets end, seats are reclaimed, heartbeats leave.
--- a/crates/holding/src/keeping.rs
+++ b/crates/holding/src/keeping.rs
@@ -113,7 +113,7 @@
         let bounds = self.blueprint.bounds.clone();
         let lease = bounds.lease_ms();
         let wait = lease * 11 / 10 + bounds.seat_window_ms() + 2 * bounds.slack_ms();
-        let longest = self.longest_of_all();
+        let longest = self.blueprint.longest_budget_ms();
         let may_lend = self.has_standing(now);
         for (runner, kept) in &mut self.kept {
             kept.reclaim(now);
--- a/crates/scaler/src/life.rs
+++ b/crates/scaler/src/life.rs
@@ -81,7 +81,8 @@
             }
         }
         let bounds = &sight.blueprint.bounds;
-        let rest = longest_budget(sight) + bounds.lease_ms() + 2 * bounds.seat_window_ms();
+        let rest =
+            sight.blueprint.longest_budget_ms() + bounds.lease_ms() + 2 * bounds.seat_window_ms();
         plan.runners.retain(|entry| {
             let seen = self.seen.get(&entry.id);
             let is_rested = seen.is_some_and(|seen| {
@@ -149,12 +150,8 @@
         let report = report_of(sight, entry).filter(|_| knows);
         let is_empty = report.is_some_and(|report| report.lent == 0 && report.is_active);
         let bounds = &sight.blueprint.bounds;
-        let longest = longest_budget(sight) + 2 * bounds.lease_ms() + bounds.seat_window_ms();
+        let longest =
+            sight.blueprint.longest_budget_ms() + 2 * bounds.lease_ms() + bounds.seat_window_ms();
         (is_empty || seen.since + longest <= sight.now).then_some(RunnerState::Stopping)
     }
 }
-
-fn longest_budget(sight: &Sight) -> u64 {
-    let budgets = sight.blueprint.listings.iter();
-    budgets.map(|listing| listing.budget_ms).max().unwrap_or(0)
-}
--- a/crates/simulator/src/core_node.rs
+++ b/crates/simulator/src/core_node.rs
@@ -8,7 +8,7 @@
 use holding::DeskMessage;
 use journal::MemoryFolder;
 use rand::Rng;
-use register::{Ballot, Change, Outcome, Proposal, ProposalStep, VoterAsk, VoterMessage, VoterSet};
+use register::{Ballot, Change, Outcome, Proposal, ProposalStep, VoterAsk, VoterSet};
 use scaler::{FrontSight, Orders, Scaler, Sight};
 use speedy::Writable;
 use std::collections::BTreeMap;
@@ -232,15 +232,7 @@
             return;
         };
         running.number = number;
-        let set = running.set.clone();
-        for voter in &set.voters {
-            let message = VoterMessage {
-                mark: set.mark(),
-                ask: ask.clone(),
-            };
-            let parcel = self.parcel(number, Message::Voter(message));
-            net.send(&self.peer.name, &voter.address, parcel);
-        }
+        net.ask_voters(&self.peer, &running.set, number, ask);
     }
 
     pub fn propose(&mut self, net: &mut Net, key: &str, change: Change, purpose: Purpose) {
--- a/crates/simulator/src/front_claims.rs
+++ b/crates/simulator/src/front_claims.rs
@@ -2,11 +2,8 @@
 use crate::net::{Net, Parcel};
 use crate::oracle::Oracle;
 use claims::Claim;
-use register::{
-    Ballot, Change, Outcome, Proposal, ProposalStep, VoterAsk, VoterMessage, VoterReply,
-};
+use register::{Ballot, Change, Outcome, Proposal, ProposalStep, VoterAsk, VoterReply};
 use speedy::Writable;
-use wire::Message;
 
 const CLAIM_PATIENCE: u64 = 500;
 
@@ -63,15 +60,7 @@
             return;
         };
         claiming.number = number;
-        let set = claiming.set.clone();
-        for voter in &set.voters {
-            let message = VoterMessage {
-                mark: set.mark(),
-                ask: ask.clone(),
-            };
-            let parcel = self.parcel(number, Message::Voter(message));
-            net.send(&self.peer.name, &voter.address, parcel);
-        }
+        net.ask_voters(&self.peer, &claiming.set, number, &ask);
     }
 
     pub fn propose(
--- a/crates/simulator/src/net.rs
+++ b/crates/simulator/src/net.rs
@@ -2,6 +2,7 @@
 use holding::{SeatGrant, Ticket, TryEnd};
 use rand::rngs::StdRng;
 use rand::Rng;
+use register::{VoterAsk, VoterMessage, VoterSet};
 use scaler::{Order, OrderResult};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -114,6 +115,22 @@
         self.at(time, happening);
     }
 
+    /// Asks every voter of a set.
+    pub fn ask_voters(&mut self, from: &PeerRef, set: &VoterSet, number: u64, ask: &VoterAsk) {
+        for voter in &set.voters {
+            let message = VoterMessage {
+                mark: set.mark(),
+                ask: ask.clone(),
+            };
+            let parcel = Parcel {
+                from: from.clone(),
+                number,
+                body: Message::Voter(message),
+            };
+            self.send(&from.name, &voter.address, parcel);
+        }
+    }
+
     /// Sends a message; it may be lost, doubled or overtaken.
     pub fn send(&mut self, from: &str, to: &str, parcel: Parcel) {
         if self.cuts.contains(&(from.to_string(), to.to_string())) {
