Shortage of memory: by rank, then shares that give way in turn

Seen first: of 24 functions of one rank called at 4/s with room for 12 runners, 12 were served in full and 12 never (share 0.0 for 120 s). Cause: only a function with more than one runner, or an idle one, gave way, and what it gave was taken by whoever came first in the list. Now: a lower rank gives first, then who stays better served than the one that it gives to, then idle ones, then the only runner of a function of the same rank that had its turn; who is called and was longest without a runner starts first.

--- a/crates/scaler/src/demand.rs
+++ b/crates/scaler/src/demand.rs
@@ -1,6 +1,6 @@
 use crate::forecast::Forecast;
 use crate::sight::Sight;
-use blueprint::PeerRef;
+use blueprint::{Bounds, PeerRef};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Milliseconds of one answer that are assumed until answers were seen.
@@ -24,6 +24,12 @@
 }
 
 impl Demand {
+    /// Requests a second that are scaled for: the forecast, and what waits, which is to be served
+    /// within a third of the bound on changes.
+    pub fn wanted(&self, bounds: &Bounds) -> f64 {
+        self.forecast.rate() + f64::from(self.waiting) * 3_000.0 / bounds.change_ms as f64
+    }
+
     /// Requests a second that one seat carries.
     pub fn seat_rate(&self) -> f64 {
         1_000.0 / self.pace_ms.unwrap_or(PACE_PRIOR_MS).max(1.0)
--- a/crates/scaler/src/lib.rs
+++ b/crates/scaler/src/lib.rs
@@ -7,6 +7,7 @@
 mod life;
 mod orders;
 mod placing;
+mod room;
 mod scaler;
 mod sight;
 mod steps;
--- a/crates/scaler/src/life.rs
+++ b/crates/scaler/src/life.rs
@@ -39,6 +39,11 @@
         self.warm.contains(id)
     }
 
+    /// Since when a runner has been in the state that it is in.
+    pub fn wanted_since(&self, id: &str) -> u64 {
+        self.seen.get(id).map_or(0, |seen| seen.since)
+    }
+
     /// Whether a wanted runner counts towards capacity: it serves, or it is still to start.
     pub fn counts(&self, sight: &Sight, entry: &RunnerEntry) -> bool {
         let Some(report) = report_of(sight, entry) else {
--- a/crates/scaler/src/scaler.rs
+++ b/crates/scaler/src/scaler.rs
@@ -3,6 +3,7 @@
 use crate::life::Lives;
 use crate::orders::Orders;
 use crate::placing::{place, NoPlace};
+use crate::room::{Room, Share};
 use crate::sight::Sight;
 use crate::steps::{grow, shrink, Pod};
 use blueprint::{Listing, Plan, RunnerEntry, RunnerState};
@@ -42,6 +43,7 @@
     demand: DemandTable,
     lives: Lives,
     notes: BTreeMap<String, FunctionNote>,
+    asleep_since: BTreeMap<String, u64>,
     fresh_key: Box<dyn FnMut() -> Vec<u8> + Send>,
     named: u64,
 }
@@ -53,6 +55,7 @@
             demand: DemandTable::default(),
             lives: Lives::default(),
             notes: BTreeMap::new(),
+            asleep_since: BTreeMap::new(),
             fresh_key,
             named: 0,
         }
@@ -75,9 +78,17 @@
         tend_keepers(sight, &mut plan);
         self.lives.tend(sight, orders, &mut plan);
         let mut listings: Vec<&Listing> = sight.blueprint.listings.iter().collect();
-        listings.sort_by_key(|listing| rank_of(sight, listing));
+        // Who is called goes first, by rank, and within a rank who has been without a runner longest.
+        listings.sort_by_cached_key(|listing| {
+            let demand = self.demand.functions.get(&listing.name);
+            let is_called = demand.is_some_and(|demand| demand.waiting > 0);
+            let since = self.asleep_since.get(&listing.name).copied();
+            let rank = rank_of(sight, listing);
+            (!is_called, rank, since.unwrap_or(u64::MAX))
+        });
+        let mut room = Room::new(sight, &plan, self.shares(sight, &plan));
         for listing in &listings {
-            self.keep_minimal(sight, &mut plan, listing);
+            self.keep_minimal(sight, &mut plan, listing, &mut room);
         }
         // Where memory is short, within a rank the function that lacks most is served first.
         listings.sort_by_cached_key(|listing| {
@@ -86,12 +97,14 @@
             (rank_of(sight, listing), (met.min(1_000.0) * 1_000.0) as u64)
         });
         for listing in &listings {
-            self.scale(sight, &mut plan, listing);
+            self.scale(sight, &mut plan, listing, &mut room);
         }
         self.tell_paces(&mut plan);
         let listed = sight.blueprint;
         self.notes
             .retain(|function, _| listed.listing(function).is_some());
+        self.asleep_since
+            .retain(|function, _| listed.listing(function).is_some());
         if plan == *sight.plan {
             return None;
         }
@@ -100,19 +113,23 @@
     }
 
     /// One minimal runner of each function is kept; it sleeps only where memory has no room.
-    fn keep_minimal(&mut self, sight: &Sight, plan: &mut Plan, listing: &Listing) {
+    fn keep_minimal(&mut self, sight: &Sight, plan: &mut Plan, listing: &Listing, room: &mut Room) {
         if !self.pods(sight, plan, listing).is_empty() {
+            self.asleep_since.remove(&listing.name);
             return;
         }
+        let since = self.asleep_since.entry(listing.name.clone());
+        since.or_insert(sight.now);
         let started = self.start(sight, plan, listing, 1);
         let demand = self.demand.functions.get(&listing.name);
         let is_wanted = demand.is_some_and(|demand| demand.waiting > 0);
+        let lives = &self.lives;
+        let turn_since = |id: &str| lives.wanted_since(id);
         let reason = match started {
             Ok(()) => "no runner counts: one minimal runner starts",
             Err(NoPlace::Busy) => "waits for a worker with a free start",
-            Err(NoPlace::NoRoom) if is_wanted => {
-                self.make_room(sight, plan, listing);
-                "no memory: another function's runner is drained for it"
+            Err(NoPlace::NoRoom) if is_wanted && room.make(sight, plan, listing, turn_since) => {
+                "no memory: other functions' runners are drained for it"
             }
             Err(NoPlace::NoRoom) => "sleeps: no worker has the memory",
         };
@@ -154,15 +171,13 @@
             .collect()
     }
 
-    fn scale(&mut self, sight: &Sight, plan: &mut Plan, listing: &Listing) {
+    fn scale(&mut self, sight: &Sight, plan: &mut Plan, listing: &Listing, room: &mut Room) {
         let bounds = &sight.blueprint.bounds;
         let mut pods = self.pods(sight, plan, listing);
         let Some(demand) = self.demand.functions.get(&listing.name) else {
             return;
         };
-        // What waits is to be served within a third of the bound on changes.
-        let backlog = f64::from(demand.waiting) * 3_000.0 / bounds.change_ms as f64;
-        let wanted = demand.forecast.rate() + backlog;
+        let wanted = demand.wanted(bounds);
         let seat_rate = demand.seat_rate();
         let capacity: f64 = pods.iter().map(Pod::capacity).sum();
         let note = FunctionNote {
@@ -188,11 +203,19 @@
             let gap = wanted - capacity * bounds.alpha;
             let rest = grow(&mut pods, gap);
             set_quotas(plan, &pods);
-            let started = self.start_for(sight, plan, listing, rest, seat_rate);
+            let (started, lacks_room) = self.start_for(sight, plan, listing, rest, seat_rate);
+            let lives = &self.lives;
+            let turn_since = |id: &str| lives.wanted_since(id);
+            let makes_room = lacks_room && room.make(sight, plan, listing, turn_since);
+            let remark = match (lacks_room, makes_room) {
+                (true, true) => "; others give way",
+                (true, false) => "; no memory",
+                _ => "",
+            };
             self.calm(&listing.name, None);
             self.note(&listing.name).reason = format!(
                 "grew: demand {wanted:.1}/s is over alpha of {capacity:.1}/s; quotas first, \
-                 {started} new runners for {:.1}/s",
+                 {started} new runners for {:.1}/s{remark}",
                 rest.max(0.0)
             );
         } else if wanted < capacity * bounds.beta {
@@ -215,18 +238,19 @@
         listing: &Listing,
         mut gap: f64,
         seat_rate: f64,
-    ) -> usize {
+    ) -> (usize, bool) {
         let mut started = 0;
         while gap > 0.0 {
             let seats = (gap / seat_rate).ceil().max(1.0) as u32;
             let quota = seats.min(listing.concurrency);
             match self.start(sight, plan, listing, quota) {
                 Ok(()) => started += 1,
-                Err(NoPlace::NoRoom | NoPlace::Busy) => break,
+                Err(NoPlace::Busy) => break,
+                Err(NoPlace::NoRoom) => return (started, true),
             }
             gap -= f64::from(quota) * seat_rate;
         }
-        started
+        (started, false)
     }
 
     fn shrink_calmly(
@@ -294,47 +318,33 @@
         Ok(())
     }
 
-    /// Makes room for a function that has no runner at all: a runner of the function that has the
-    /// most is drained, or else the only one of the function that was least lately used and has
-    /// nothing to do now.
-    fn make_room(&self, sight: &Sight, plan: &mut Plan, needy: &Listing) {
-        let is_making_room = plan
-            .runners
-            .iter()
-            .any(|entry| matches!(entry.state, RunnerState::Draining | RunnerState::Stopping));
-        if is_making_room {
-            return;
-        }
-        let others = sight
-            .blueprint
-            .listings
-            .iter()
-            .filter(|listing| listing.name != needy.name);
-        let wanted = |plan: &Plan, listing: &Listing| -> Vec<usize> {
-            let entries = plan.runners.iter().enumerate();
-            let own = entries.filter(|(_, entry)| {
-                entry.function == listing.name && entry.state == RunnerState::Wanted
-            });
-            own.map(|(place, _)| place).collect()
-        };
-        let held = others.map(|listing| (listing, wanted(plan, listing)));
-        let held: Vec<_> = held.collect();
-        let most = held.iter().map(|(_, places)| places);
-        let most = most
-            .filter(|places| places.len() > 1)
-            .max_by_key(|places| places.len());
-        let idle = held.iter().filter_map(|(listing, places)| {
-            let demand = self.demand.functions.get(&listing.name)?;
-            let is_idle = demand.waiting == 0 && demand.measured < QUIET_RATE;
-            is_idle.then_some((demand.last_arrival, *places.last()?))
-        });
-        let elected = most
-            .and_then(|places| places.last().copied())
-            .or_else(|| idle.min().map(|(_, place)| place));
-        if let Some(place) = elected {
-            plan.runners[place].quota = 0;
-            plan.runners[place].state = RunnerState::Draining;
+    /// What each function has and wants, for sharing memory where it is short.
+    fn shares(&self, sight: &Sight, plan: &Plan) -> BTreeMap<String, Share> {
+        let listings = sight.blueprint.listings.iter();
+        let mut shares: BTreeMap<String, Share> = listings
+            .filter_map(|listing| {
+                let demand = self.demand.functions.get(&listing.name)?;
+                let share = Share {
+                    rank: rank_of(sight, listing),
+                    demand: demand.wanted(&sight.blueprint.bounds),
+                    is_idle: demand.waiting == 0 && demand.measured < QUIET_RATE,
+                    last_arrival: demand.last_arrival,
+                    ..Share::default()
+                };
+                Some((listing.name.clone(), share))
+            })
+            .collect();
+        for entry in &plan.runners {
+            if entry.state != RunnerState::Wanted || !self.lives.counts(sight, entry) {
+                continue;
+            }
+            let seat_rate = self.demand.seat_rate(&entry.function, &entry.id);
+            if let Some(share) = shares.get_mut(&entry.function) {
+                share.runners += 1;
+                share.capacity += f64::from(entry.quota) * seat_rate;
+            }
         }
+        shares
     }
 }
 
