--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -35,7 +35,13 @@
         return text(405, "call a function with POST");
     }
     shared.handling.fetch_add(1, Ordering::SeqCst);
-    let response = take_call(shared, request, function).unwrap_or_else(|refused| *refused);
+    let mut response = take_call(shared, request, function).unwrap_or_else(|refused| *refused);
+    // Callers that keep their connection must not be on it when this front ends.
+    if shared.is_stopping.load(Ordering::SeqCst) {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert("connection", close);
+    }
+    shared.handled_at.store(now_ms(), Ordering::SeqCst);
     shared.handling.fetch_sub(1, Ordering::SeqCst);
     response
 }
@@ -186,7 +192,6 @@
     if let Some((key, version)) = claimed {
         note_claim(shared, key, version, &digest, &end);
     }
-    shared.handled_at.store(now_ms(), Ordering::SeqCst);
     Ok(respond(shared, end))
 }
 
--- a/crates/front/src/operators.rs
+++ b/crates/front/src/operators.rs
@@ -89,21 +89,25 @@
     }
 }
 
-/// Whether a draining front has nothing left to do: all answered, and no runner in its keeping.
+/// Whether a draining front has no work left: no ticket, and no runner in its keeping.
 pub fn has_drained(shared: &Shared) -> bool {
-    let is_idle = shared.with_desk(|desk, _| {
+    shared.with_desk(|desk, _| {
         let keeps = desk
             .plan()
             .runners
             .iter()
             .any(|entry| entry.keeper == *shared.links.me());
         desk.is_idle() && !keeps
-    });
+    })
+}
+
+/// Whether all callers have their answers.
+pub fn has_answered(shared: &Shared) -> bool {
     // The library writes an answer after its handler has returned, so a little time is left for it.
-    let answers_left = shared.handled_at.load(Ordering::SeqCst)
+    let answers_have_left = shared.handled_at.load(Ordering::SeqCst)
         + shared.blueprint.load().bounds.slack_ms()
         < now_ms();
-    is_idle && shared.handling.load(Ordering::SeqCst) == 0 && answers_left
+    shared.handling.load(Ordering::SeqCst) == 0 && answers_have_left
 }
 
 /// Longest time that a drain may take when cores cannot move its runners away.
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -3,7 +3,7 @@
 use crate::{callers, news, operators, tries, viewing};
 use arc_swap::ArcSwap;
 use blueprint::{Blueprint, FrontSettings, PeerRef};
-use crossbeam::channel::{bounded, Sender};
+use crossbeam::channel::{bounded, Receiver, Sender};
 use holding::{Action, Desk, DeskMessage, Refusal, SeatGrant, Ticket, TryEnd};
 use parking_lot::Mutex;
 use rand::Rng;
@@ -209,23 +209,46 @@
     let _ = ctrlc::set_handler(move || {
         let _ = stop.try_send(());
     });
-    let tick_ms = Blueprint::empty().bounds.tick_ms();
-    let mut stop_by = u64::MAX;
+    tend(&shared, &stopped)
+}
+
+/// Lets time go on, until the front is told to stop and has drained.
+fn tend(shared: &Shared, stopped: &Receiver<()>) -> io::Result<()> {
+    let bounds = Blueprint::empty().bounds;
+    let mut told_at = None;
+    let mut shut_at = None;
     loop {
-        if stopped.recv_timeout(Duration::from_millis(tick_ms)).is_ok() {
+        if stopped
+            .recv_timeout(Duration::from_millis(bounds.tick_ms()))
+            .is_ok()
+            && told_at.is_none()
+        {
             log::info!("front: drains before it stops");
             shared.is_stopping.store(true, Ordering::SeqCst);
-            stop_by = now_ms() + operators::drain_limit_ms(&shared.blueprint.load());
+            told_at = Some(now_ms());
             shared.with_desk(|desk, _| desk.drain());
         }
         shared.with_desk(|desk, now| desk.tick(now));
-        operators::report(&shared);
-        if shared.is_stopping.load(Ordering::SeqCst) && operators::has_drained(&shared) {
-            log::info!("front: has drained and stops");
+        operators::report(shared);
+        let Some(since) = told_at else {
+            continue;
+        };
+        let now = now_ms();
+        if now >= since + operators::drain_limit_ms(&shared.blueprint.load()) {
+            log::warn!("front: stops with work left, since the drain took too long");
             return Ok(());
         }
-        if now_ms() >= stop_by {
-            log::warn!("front: stops with work left, since the drain took too long");
+        // Callers on connections that they keep are told for the length of a lease that it drains.
+        let is_told = now >= since + bounds.lease_ms();
+        if shut_at.is_none() && is_told && operators::has_drained(shared) {
+            if !wire::close_door(shared.settings.http) {
+                log::warn!("front: new connections could not be kept out");
+            }
+            shut_at = Some(now);
+        }
+        let is_quiet = shut_at.is_some_and(|shut| now >= shut + bounds.slack_ms());
+        if is_quiet && operators::has_answered(shared) {
+            log::info!("front: has drained and stops");
             return Ok(());
         }
     }
--- a/crates/lab/src/failing_daemons.rs
+++ b/crates/lab/src/failing_daemons.rs
@@ -105,3 +105,43 @@
     stage.closes();
     Ok(())
 }
+
+/// Every daemon is killed at once and started again with its disk.
+pub fn all_killed(stage: &mut Stage) -> Result<(), LabFault> {
+    stage.until(5.0);
+    stage.fails();
+    for core in &mut stage.fleet.cores {
+        core.kill();
+    }
+    for front in &mut stage.fleet.fronts {
+        front.kill();
+    }
+    stage.until(8.0);
+    let dir = stage.fleet.dir.clone();
+    for core in &mut stage.fleet.cores {
+        core.start(&dir)?;
+    }
+    for front in &mut stage.fleet.fronts {
+        front.start(&dir)?;
+    }
+    stage.closes();
+    Ok(())
+}
+
+/// Failures of three kinds that overlap.
+pub fn two_at_once(stage: &mut Stage) -> Result<(), LabFault> {
+    stage.until(5.0);
+    stage.fails();
+    stage.fleet.fronts[1].kill();
+    stage.until(6.0);
+    let holder = stage.duty_holder().unwrap_or(0);
+    stage.fleet.workers[2].kill();
+    stage.fleet.cores[holder].signal(libc::SIGSTOP);
+    stage.until(11.0);
+    let dir = stage.fleet.dir.clone();
+    stage.fleet.cores[holder].signal(libc::SIGCONT);
+    stage.fleet.workers[2].start(&dir)?;
+    stage.fleet.fronts[1].start(&dir)?;
+    stage.closes();
+    Ok(())
+}
--- a/crates/lab/src/failing_disks.rs
+++ b/crates/lab/src/failing_disks.rs
@@ -130,3 +130,49 @@
     put_figures(stage, acknowledged, held);
     Ok(())
 }
+
+pub fn disk_lost_rush(stage: &mut Stage) -> Result<(), LabFault> {
+    stage.until(0.3);
+    stage.fails();
+    let place = stage.duty_holder().unwrap_or(0);
+    stage.fleet.cores[place].kill();
+    stage.closes();
+    Ok(())
+}
+
+/// Each core in turn is lost for good and replaced by an empty one at a new address; then every
+/// front is restarted, with the new cores as its seeds.
+pub fn seeds_replaced(stage: &mut Stage) -> Result<(), LabFault> {
+    stage.until(3.0);
+    stage.fails();
+    for place in 0..3 {
+        let district = stage.deployment.cores[place].clone();
+        stage.fleet.add_core(&district)?;
+        stage.fleet.cores[place].kill();
+        let newcomer = stage.fleet.wire_address(3 + place);
+        until_all_vote(stage, &newcomer);
+    }
+    let seeds: Vec<String> = (3..6)
+        .map(|place| stage.fleet.wire_address(place))
+        .collect();
+    let dir = stage.fleet.dir.clone();
+    for place in 0..stage.fleet.fronts.len() {
+        let front = &mut stage.fleet.fronts[place];
+        front.signal(libc::SIGTERM);
+        front.wait();
+        front.set_flag("--seeds", &seeds.join(","));
+        front.start(&dir)?;
+        stage
+            .fleet
+            .wait_until("the front has standing again", |fleet| {
+                let status = fleet.fronts[place].get_json("/status");
+                status.is_some_and(|status| status["standing"] == true)
+            })?;
+    }
+    stage.closes();
+    let (acknowledged, held) = stage.put_edited(|blueprint| {
+        blueprint["bounds"]["claim_ms"] = 700_000.into();
+    })?;
+    put_figures(stage, acknowledged, held);
+    Ok(())
+}
--- a/crates/lab/src/failing_runners.rs
+++ b/crates/lab/src/failing_runners.rs
@@ -1,9 +1,13 @@
 use crate::deployment::LabFault;
+use crate::judge;
 use crate::ledger::unix_now_ms;
 use crate::stage::Stage;
 
 pub fn misbehave(stage: &mut Stage, mischief: &str, share: f64) -> Result<(), LabFault> {
     stage.until(4.0);
+    if mischief != "slow" {
+        stage.wanted.push(judge::RETRIES);
+    }
     let groups = stage.deployment.groups.clone();
     let functions = groups.iter().flat_map(|group| {
         let names = stage.deployment.functions(&group.prefix);
@@ -22,8 +26,27 @@
     Ok(())
 }
 
+/// Everyone arrives at once; the failure closes with the arrival.
+pub fn rush(stage: &mut Stage) -> Result<(), LabFault> {
+    stage.fails();
+    stage.until(1.0);
+    stage.closes();
+    Ok(())
+}
+
 pub fn zone_lost(stage: &mut Stage) -> Result<(), LabFault> {
     stage.until(5.0);
+    lose_zone(stage);
+    Ok(())
+}
+
+pub fn zone_lost_rush(stage: &mut Stage) -> Result<(), LabFault> {
+    stage.until(0.3);
+    lose_zone(stage);
+    Ok(())
+}
+
+fn lose_zone(stage: &mut Stage) {
     stage.fails();
     let deployment = stage.deployment.clone();
     for (place, district) in deployment.cores.iter().enumerate() {
@@ -42,7 +65,6 @@
         }
     }
     stage.closes();
-    Ok(())
 }
 
 pub fn workers_crash(stage: &mut Stage) -> Result<(), LabFault> {
@@ -123,6 +145,7 @@
     let body = serde_json::to_vec(&order).unwrap_or_default();
     let told = stage.post(&format!("http://{control}/start"), body);
     stage.expect(told == Some(202), "the stranger did not start");
+    stage.wanted.push(judge::MISDIRECTED);
     stage.closes();
     Ok(())
 }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// A process that runs already, to ask it over HTTP only.
+    pub fn asked_at(http: SocketAddr) -> Self {
+        Self::new("", http, "", Vec::new())
+    }
+
     /// Starts the process; its output goes to a log file in the fleet's folder.
     pub fn start(&mut self, dir: &Path) -> Result<(), LabFault> {
         let own = std::env::current_exe().map_err(fleet_fault)?;
@@ -88,6 +93,14 @@
         Ok(())
     }
 
+    /// Gives another value to a flag, from the next start on.
+    pub fn set_flag(&mut self, flag: &str, value: &str) {
+        let place = self.arguments.iter().position(|known| known == flag);
+        if let Some(known) = place.and_then(|place| self.arguments.get_mut(place + 1)) {
+            *known = value.to_string();
+        }
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: i32) {
         if let Some(child) = &self.child {
--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -2,6 +2,7 @@
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
 use std::path::Path;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// The stand-in runners' own record of every run, one line each, written before the work begins so
@@ -23,7 +24,7 @@
     pub call: String,
     /// Idempotency key, `-` where there was none.
     pub key: String,
-    /// Requests in that runner with this one.
+    /// Requests in that runner with this one; 0 where it was meant for another and not run.
     pub in_flight: u32,
 }
 
@@ -42,10 +43,18 @@
         })
     }
 
-    /// Notes a run that begins.
-    pub fn note(&self, runner: &str, function: &str, call: &str, key: &str, in_flight: u32) {
+    /// Notes a run that begins, and counts it among those in flight; lines stand in that order.
+    pub fn note(&self, runner: &str, function: &str, call: &str, key: &str, flying: &AtomicU32) {
+        let mut file = self.file.lock();
+        let in_flight = flying.fetch_add(1, Ordering::SeqCst) + 1;
         let at_ms = unix_now_ms();
         let line = format!("{at_ms} {runner} {function} {call} {key} {in_flight}\n");
+        let _ = file.write_all(line.as_bytes());
+    }
+
+    /// Notes a request that was meant for another runner and was not run.
+    pub fn note_misdirected(&self, runner: &str, function: &str, call: &str) {
+        let line = format!("{} {runner} {function} {call} - 0\n", unix_now_ms());
         let _ = self.file.lock().write_all(line.as_bytes());
     }
 }
--- a/crates/lab/src/worker.rs
+++ b/crates/lab/src/worker.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -24,6 +25,8 @@
     runners: Mutex<HashMap<String, Runner>>,
     ledger: Arc<RunLedger>,
     mischiefs: Mischiefs,
+    /// How many times longer all its runners take.
+    times: Arc<AtomicU32>,
 }
 
 /// Stands in for a worker: it starts and stops runners in its own process.
@@ -34,6 +37,7 @@
         runners: Mutex::default(),
         ledger: Arc::new(open),
         mischiefs: Mischiefs::default(),
+        times: Arc::new(AtomicU32::new(1)),
     };
     serve(http, 64, Duration::from_secs(30), move |request| {
         handle(&state, request)
@@ -53,6 +57,11 @@
     match (request.method(), path.as_str()) {
         (&Method::POST, "/start") => start(state, &body),
         (&Method::POST, "/mischief") => mischief(state, &body),
+        (&Method::POST, path) if path.starts_with("/slow/") => {
+            let times = path.trim_start_matches("/slow/").parse().unwrap_or(1);
+            state.times.store(times, Ordering::Relaxed);
+            json(200, &serde_json::json!({ "times": times }))
+        }
         (&Method::GET, "/runners") => {
             let runners = state.runners.lock();
             json(200, &runners.keys().collect::<Vec<_>>())
@@ -86,6 +95,7 @@
             group.pace_ms,
             state.ledger.clone(),
             state.mischiefs.clone(),
+            state.times.clone(),
         )
     });
     json(202, &serde_json::json!({ "state": "starting" }))
--- a/crates/scaler/src/life.rs
+++ b/crates/scaler/src/life.rs
@@ -133,7 +133,9 @@
             since.get_or_insert(sight.now).saturating_add(time) <= sight.now
         };
         let is_absent = report.is_some_and(|report| report.absent_ms > bounds.lease_ms());
-        let is_lost = worker.is_none() && !sight.workers.is_empty();
+        // A list may miss a worker that lives: who answers there stays, as long as its keeper says so.
+        let is_heard = report.is_some_and(|report| report.is_warm);
+        let is_lost = worker.is_none() && !sight.workers.is_empty() && !is_heard;
         let is_long_lost = held(&mut seen.lost_since, is_lost, bounds.lease_ms());
         let is_unfit = report.is_some_and(|report| report.is_unfit);
         let is_long_unfit = held(&mut seen.unfit_since, is_unfit, bounds.lease_ms());
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 mod http;
 mod inbound;
 mod links;
+mod listening;
 mod message;
 mod voters;
 
@@ -14,5 +15,6 @@
 pub use http::{call, json, read_body, serve, text, Answer, HttpError};
 pub use inbound::{Handler, Responder, WireCounts};
 pub use links::Links;
+pub use listening::close_door;
 pub use message::{BlueprintNews, Copy, Envelope, Message, News, PlanNews, Role};
 pub use voters::WireVoters;
