--- a/crates/core/src/joining.rs
+++ b/crates/core/src/joining.rs
@@ -1,15 +1,14 @@
 use crate::mending::{copy_of, pull};
-use crate::set::Heard;
 use crate::shared::Shared;
 use crate::voting::Work;
 use crossbeam::channel::bounded;
 use register::{merged, replaced, Change, Outcome, Stored, VoterRef, VoterSet, VOTERS_KEY};
 use speedy::{Readable, Writable};
-use voter::{Installing, JoinStep, Joining};
+use voter::{HeardCore, Installing, JoinStep, Joining};
 use wire::{now_ms, Message};
 
 /// Takes the next step of an empty core into the set of voters.
-pub fn step(shared: &Shared, joining: &mut Joining, set: &VoterSet, heard: &[Heard]) {
+pub fn step(shared: &Shared, joining: &mut Joining, set: &VoterSet, heard: &[HeardCore]) {
     let Some((version, newest)) = settled_set(shared, set) else {
         return;
     };
@@ -61,6 +60,7 @@
     let Some(Message::HelloAnswer {
         disk,
         set: their_set,
+        ..
     }) = hello
     else {
         return Err(format!("no core answers at {new}"));
--- a/crates/core/src/mending.rs
+++ b/crates/core/src/mending.rs
@@ -36,7 +36,8 @@
     }
 }
 
-fn own_copy(shared: &Shared) -> Option<Copy> {
+/// This core's own copy in short.
+pub fn own_copy(shared: &Shared) -> Option<Copy> {
     let (told, answer) = bounded(1);
     shared.voter.try_send(Work::Digests(told)).ok()?;
     answer.recv_timeout(shared.patience()).ok()
--- a/crates/core/src/operators.rs
+++ b/crates/core/src/operators.rs
@@ -23,7 +23,12 @@
         shared.settings.http,
         CONNECTIONS_MAX,
         IDLE_TIMEOUT,
-        move |request| handle(&handling, request),
+        move |request| {
+            handling.handling.fetch_add(1, Ordering::SeqCst);
+            let response = handle(&handling, request);
+            handling.handling.fetch_sub(1, Ordering::SeqCst);
+            response
+        },
     )
 }
 
--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -34,6 +34,10 @@
 struct RunnerLine {
     id: String,
     state: String,
+    #[serde(default)]
+    worker: String,
+    #[serde(default)]
+    port: u16,
 }
 
 #[derive(Deserialize)]
@@ -63,6 +67,21 @@
     let workers: WorkerList = get(platform, "/v1/workers", patience)?;
     let runners: RunnerList = get(platform, "/v1/runners", patience)?;
     let is_leaving = |state: &str| state == "leaving";
+    let address_of = |line: &RunnerLine| {
+        let mut workers = workers.workers.iter();
+        let worker = workers.find(|worker| worker.name == line.worker)?;
+        Some(format!("{}:{}", worker.host, line.port))
+    };
+    let listed = runners.runners.iter().map(|line| ListedRunner {
+        state: if is_leaving(&line.state) {
+            ListedState::Leaving
+        } else {
+            ListedState::Up
+        },
+        id: line.id.clone(),
+        address: address_of(line),
+    });
+    let listed = listed.collect();
     Some(Lists {
         workers: workers
             .workers
@@ -77,18 +96,7 @@
                 ports: line.ports,
             })
             .collect(),
-        runners: runners
-            .runners
-            .into_iter()
-            .map(|line| ListedRunner {
-                state: if is_leaving(&line.state) {
-                    ListedState::Leaving
-                } else {
-                    ListedState::Up
-                },
-                id: line.id,
-            })
-            .collect(),
+        runners: listed,
     })
 }
 
--- a/crates/core/src/scaling.rs
+++ b/crates/core/src/scaling.rs
@@ -89,7 +89,7 @@
         fronts: &fronts,
     };
     let holds = duty.term.is_some_and(|term| term >= settled.plan.term);
-    if !holds {
+    if !holds || shared.store.is_blank() {
         scaler.observe(&sight);
         return;
     }
--- a/crates/core/src/set.rs
+++ b/crates/core/src/set.rs
@@ -1,26 +1,20 @@
 use crate::joining;
+use crate::mending;
 use crate::shared::Shared;
 use crate::voting::Work;
 use blueprint::Version;
 use crossbeam::channel::bounded;
-use register::{VoterRef, VoterSet};
+use register::VoterSet;
 use std::net::SocketAddr;
 use std::thread;
-use std::time::{Duration, Instant};
-use voter::Joining;
+use std::time::Instant;
+use voter::{FoundStep, Founding, FrontsHold, HeardCore, Joining};
 use wire::{now_ms, unix_ms, Message, News};
 
-/// What a core said of itself.
-pub struct Heard {
-    pub address: String,
-    pub disk: u64,
-    pub set: VoterSet,
-}
-
 /// Finds out which voters count, again and again. Where all three seeds say that they are empty,
 /// the first of them forms a new era; a core that is empty beside others joins them.
 pub fn settle_set(shared: &Shared) {
-    let mut empty_since: Option<Instant> = None;
+    let mut founding = Founding::default();
     let mut joining = Joining::default();
     loop {
         let heard = hear(shared);
@@ -29,18 +23,16 @@
             .map(|one| &one.set)
             .max_by_key(|set| set.mark());
         let newest = newest.cloned().unwrap_or_default();
-        let is_all_empty = newest.era == 0 && heard.len() == shared.settings.seeds.len();
+        found(shared, &mut founding, &heard, newest.era == 0);
         if newest.era > 0 {
-            empty_since = None;
             shared.store.learn_set(&newest);
             tell_laggards(shared, &newest, &heard);
             let own = heard.iter().find(|one| one.disk == shared.disk);
             if own.is_none_or(|one| one.set.era == 0) {
                 joining::step(shared, &mut joining, &newest, &heard);
+            } else if newest.era > 1 && !shared.store.has_blueprint_of(newest.era) {
+                start_from_fronts(shared, &mut founding);
             }
-        } else if is_all_empty && shared.settings.seeds[0] == shared.settings.address() {
-            let since = *empty_since.get_or_insert_with(Instant::now);
-            form_era(shared, &heard, since.elapsed());
         }
         let is_settled = shared.store.set().era > 0;
         let patience = shared.patience();
@@ -49,8 +41,47 @@
     }
 }
 
+/// Takes the next step of an era's founding.
+fn found(shared: &Shared, founding: &mut Founding, heard: &[HeardCore], is_empty: bool) {
+    let gathered = if is_empty { gather(shared) } else { Ok(None) };
+    let Ok(gathered) = gathered else {
+        return;
+    };
+    let held = gathered.as_ref().map(|found| FrontsHold {
+        era: found.era(),
+        is_majority: found.is_majority,
+    });
+    let bounds = shared.store.settled().blueprint.bounds.clone();
+    let is_first = shared.settings.seeds[0] == shared.settings.address();
+    let seeds = shared.settings.seeds.len();
+    match founding.decide(now_ms(), unix_ms(), &bounds, is_first, seeds, heard, held) {
+        FoundStep::Wait => {}
+        FoundStep::Form(set, floor) => form_era(shared, set, floor, gathered.as_ref()),
+        FoundStep::Tell(set, addresses) => {
+            let Some(floor) = mending::own_copy(shared).map(|copy| copy.floors.1) else {
+                return;
+            };
+            for address in addresses {
+                let form = Message::Form(set.clone(), floor);
+                shared.links.cast(&address, form);
+            }
+        }
+    }
+}
+
+/// Gives the values that fronts hold of an earlier era to this one, where nobody has done so yet.
+fn start_from_fronts(shared: &Shared, founding: &mut Founding) {
+    let Ok(Some(found)) = gather(shared) else {
+        return;
+    };
+    let bounds = shared.store.settled().blueprint.bounds.clone();
+    if founding.may_start(now_ms(), &bounds, found.is_majority) {
+        shared.store.start_from(&found.news);
+    }
+}
+
 /// A member that missed a change of the set is told of it: what another member has taken is settled.
-fn tell_laggards(shared: &Shared, newest: &VoterSet, heard: &[Heard]) {
+fn tell_laggards(shared: &Shared, newest: &VoterSet, heard: &[HeardCore]) {
     for one in heard {
         let is_member = newest.voters.iter().any(|voter| voter.disk == one.disk);
         if is_member && one.set.era == newest.era && one.set.no < newest.no {
@@ -63,7 +94,7 @@
 }
 
 /// Asks all seeds and all voters who they are.
-fn hear(shared: &Shared) -> Vec<Heard> {
+fn hear(shared: &Shared) -> Vec<HeardCore> {
     let seeds = shared.settings.seeds.iter().map(SocketAddr::to_string);
     let mut addresses: Vec<String> = seeds.collect();
     let set = shared.store.set();
@@ -75,9 +106,19 @@
     for address in &addresses {
         let (sender, from) = (sender.clone(), address.clone());
         let on_answer = Box::new(move |answer| {
-            if let Message::HelloAnswer { disk, set } = answer {
+            if let Message::HelloAnswer {
+                disk,
+                set,
+                fronts_era,
+            } = answer
+            {
                 let address = from;
-                let _ = sender.try_send(Heard { address, disk, set });
+                let _ = sender.try_send(HeardCore {
+                    address,
+                    disk,
+                    set,
+                    fronts_era,
+                });
             }
         });
         shared.links.ask(address, Message::Hello, on_answer);
@@ -101,7 +142,21 @@
     is_majority: bool,
 }
 
-fn gather(shared: &Shared) -> Option<Gathered> {
+/// Fronts hold something, and could not be asked for it.
+struct Unheard;
+
+impl Gathered {
+    /// The newest era of which fronts hold a value.
+    fn era(&self) -> u64 {
+        let plan = self.news.plan.as_ref();
+        let plan_era = plan.map_or(0, |news| news.version.era);
+        self.version.era.max(plan_era)
+    }
+}
+
+/// What the fronts hold of earlier eras, or none where they say that they hold nothing. `Err` where they hold
+/// something that they could not be asked for now: an era must not begin without it.
+fn gather(shared: &Shared) -> Result<Option<Gathered>, Unheard> {
     let lease = shared.store.settled().blueprint.bounds.lease_ms();
     let now = now_ms();
     let holders: Vec<(String, Version, Version)> = {
@@ -117,10 +172,13 @@
             })
             .collect()
     };
-    let by_plan = holders.iter().max_by_key(|(_, _, plan)| *plan)?;
-    let by_blueprint = holders.iter().max_by_key(|(_, blueprint, _)| *blueprint)?;
+    let by_plan = holders.iter().max_by_key(|(_, _, plan)| *plan);
+    let by_blueprint = holders.iter().max_by_key(|(_, blueprint, _)| *blueprint);
+    let Some((by_plan, by_blueprint)) = by_plan.zip(by_blueprint) else {
+        return Ok(None);
+    };
     if by_blueprint.1.era == 0 && by_plan.2.era == 0 {
-        return None;
+        return Ok(None);
     }
     let question = || Message::Ask {
         blueprint: Version::default(),
@@ -135,63 +193,32 @@
     let (Some(Message::News(plan)), Some(Message::News(blueprint))) =
         (ask(&by_plan.0), ask(&by_blueprint.0))
     else {
-        return None;
+        return Err(Unheard);
     };
-    // Cores that lost their disks bear no witness, so all members of the roster count here.
     let roster = plan.plan.as_ref().map_or(0, |news| news.plan.roster.len());
-    Some(Gathered {
+    Ok(Some(Gathered {
         version: by_blueprint.1,
         news: News {
             blueprint: blueprint.blueprint,
             plan: plan.plan,
             ..News::default()
         },
-        is_majority: holders.len() > roster / 2,
-    })
+        is_majority: FrontsHold::is_enough(holders.len(), roster, shared.settings.seeds.len()),
+    }))
 }
 
-/// Forms an era with the seeds as its voters. Fronts are listened to first: where they hold values
-/// of an earlier era, these are the start of the new one.
-fn form_era(shared: &Shared, heard: &[Heard], waited: Duration) {
-    let bounds = shared.store.settled().blueprint.bounds.clone();
-    let gathered = gather(shared);
-    let is_complete = gathered.as_ref().is_some_and(|found| found.is_majority);
-    let patience = Duration::from_millis(match &gathered {
-        None => bounds.lease_ms(),
-        Some(_) => bounds.return_ms / 2,
-    });
-    if waited < Duration::from_millis(bounds.lease_ms()) || (!is_complete && waited < patience) {
-        return;
-    }
-    let before = gathered.as_ref().map_or(0, |found| {
-        let plan_era = found.news.plan.as_ref().map_or(0, |news| news.version.era);
-        found.version.era.max(plan_era)
-    });
-    let voters = heard.iter().map(|one| VoterRef {
-        disk: one.disk,
-        address: one.address.clone(),
-    });
-    let set = VoterSet {
-        era: before + 1,
-        no: 1,
-        voters: voters.collect(),
-    };
-    // Keys that callers may have issued before the loss are refused: whether their work ran cannot
-    // be known here. A caller's clock may be ahead by as much as a change may take.
-    let floor = match before {
-        0 => 0,
-        _ => unix_ms() + bounds.change_ms + bounds.slack_ms(),
-    };
-    // This core's own copy first: where it stops half-way, it forms the same set again.
+/// Forms an era on this core's own disk, tells its members, and starts it from what fronts hold.
+fn form_era(shared: &Shared, set: VoterSet, floor: u64, gathered: Option<&Gathered>) {
     let Some(set) = form_here(shared, set, floor) else {
         return;
     };
-    if before > 0 {
+    if let Some(found) = gathered {
         log::warn!(
             "set: ALL VOTERS WERE EMPTY. Era {} starts from what the fronts held: blueprint {:?}, \
-             heard a majority of fronts: {is_complete}. Once-keys issued before now are refused.",
+             heard a majority of fronts: {}. Once-keys issued before now are refused.",
             set.era,
-            gathered.as_ref().map(|found| found.version)
+            found.version,
+            found.is_majority
         );
     } else {
         log::info!("set: formed era 1 with {} voters", set.voters.len());
--- a/crates/core/src/shared.rs
+++ b/crates/core/src/shared.rs
@@ -13,7 +13,7 @@
 use scaler::{FrontSight, FunctionNote};
 use std::collections::BTreeMap;
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use std::{fmt, io, thread};
@@ -76,6 +76,8 @@
     /// Whether this life has read the plan at a majority, so that it cannot tell an older one than
     /// it told before.
     pub is_certain: AtomicBool,
+    /// Operators' requests that are being handled.
+    pub handling: AtomicUsize,
     certain: Sender<(Version, Version, Responder)>,
 }
 
@@ -105,6 +107,16 @@
         }
     }
 
+    /// The newest era of which a front told this core that it holds a value, also one that is silent now.
+    pub fn fronts_era(&self) -> u64 {
+        let fronts = self.fronts.lock();
+        let reports = fronts.values().map(|known| &known.sight.report);
+        let told = reports.filter(|report| !report.is_witness);
+        told.map(|report| report.blueprint.era.max(report.plan.era))
+            .max()
+            .unwrap_or(0)
+    }
+
     pub fn take_report(&self, envelope_from: PeerRef, address: String, report: FrontReport) {
         let mut fronts = self.fronts.lock();
         if fronts.len() >= FRONTS_MAX && !fronts.contains_key(&envelope_from.name) {
@@ -153,7 +165,10 @@
                 shared.take_report(envelope.from, envelope.address, report);
             }
             (Message::Hello, Some(responder)) => {
-                let _ = shared.voter.try_send(Work::Hello(shared.disk, responder));
+                let _ =
+                    shared
+                        .voter
+                        .try_send(Work::Hello(shared.disk, shared.fronts_era(), responder));
             }
             (message, responder) => mending::on_message(shared, message, responder),
         }
@@ -183,6 +198,7 @@
         duty: ArcSwap::default(),
         notes: ArcSwap::default(),
         is_certain: AtomicBool::new(false),
+        handling: AtomicUsize::new(0),
         certain,
         settings,
     });
@@ -215,9 +231,7 @@
             .recv_timeout(Duration::from_millis(bounds.tick_ms()))
             .is_ok()
         {
-            // All that was promised is synced already, so there is nothing to wait for.
-            log::info!("core: stops");
-            return Ok(());
+            return end_in_order(&shared);
         }
         let now = now_ms();
         if now >= refreshed_at + bounds.beat_ms() {
@@ -230,13 +244,29 @@
         witness::report(&shared);
         if now >= aged_at + bounds.retry_window_ms {
             aged_at = now;
-            let before = unix_ms().saturating_sub(bounds.claim_ms);
-            let _ = shared.voter.try_send(Work::AgeOut(before));
+            let work = Work::AgeOut(unix_ms(), bounds.claim_ms);
+            let _ = shared.voter.try_send(work);
         }
         news::answer_all(&shared);
     }
 }
 
+/// Lets the operators' requests that are under way end. All that was promised is synced already.
+fn end_in_order(shared: &Shared) -> Result<(), CoreError> {
+    log::info!("core: stops");
+    let bounds = shared.store.settled().blueprint.bounds.clone();
+    if !wire::close_door(shared.settings.http) {
+        log::warn!("core: new connections could not be kept out");
+    }
+    let stop_by = now_ms() + 2 * bounds.change_ms;
+    loop {
+        thread::sleep(Duration::from_millis(bounds.slack_ms()));
+        if shared.handling.load(Ordering::SeqCst) == 0 || now_ms() >= stop_by {
+            return Ok(());
+        }
+    }
+}
+
 fn answer_certain(shared: &Shared, wanted: &Receiver<(Version, Version, Responder)>) {
     for (blueprint, plan, responder) in wanted {
         news::answer_certain(shared, blueprint, plan, responder);
--- a/crates/core/src/voting.rs
+++ b/crates/core/src/voting.rs
@@ -21,16 +21,16 @@
     Install(Installing, Sender<VoterSet>),
     /// Take newer values from another copy.
     Mend(Vec<(String, Held)>),
-    /// Tell who this is, with the id of the disk.
-    Hello(u64, Responder),
+    /// Tell who this is, with the id of the disk and the newest era that fronts told of.
+    Hello(u64, u64, Responder),
     /// Tell the copy in short, to another core.
     Copy(Responder),
     /// Tell the copy in short, here.
     Digests(Sender<Copy>),
     /// Tell all that is held in a range.
     Range(u16, Responder),
-    /// Forget claims issued before this time.
-    AgeOut(u64),
+    /// Forget claims, by this wall clock and the time for which they are remembered.
+    AgeOut(u64, u64),
     /// Tell the set and how many keys are held.
     Tell(Sender<(VoterSet, usize)>),
 }
@@ -99,10 +99,14 @@
             batch.told_set.push(told);
         }
         Work::Mend(keys) => voter.mend(keys),
-        Work::AgeOut(before) => voter.age_out(before),
-        Work::Hello(disk, responder) => {
+        Work::AgeOut(wall, remembered) => voter.age_out(wall, remembered),
+        Work::Hello(disk, fronts_era, responder) => {
             let set = voter.held().set().clone();
-            responder.answer(Message::HelloAnswer { disk, set });
+            responder.answer(Message::HelloAnswer {
+                disk,
+                set,
+                fronts_era,
+            });
         }
         Work::Copy(responder) => {
             responder.answer(Message::DigestsAnswer(copy_of(voter.held())));
--- a/crates/core/src/witness.rs
+++ b/crates/core/src/witness.rs
@@ -6,7 +6,7 @@
 /// Answers a front's heartbeat. Cores are on the roster beside the fronts, so that fronts keep their
 /// standing when many of them are gone, and when all cores are.
 pub fn answer(shared: &Shared, address: &str, stamp: u64) {
-    if !shared.is_certain.load(Ordering::SeqCst) {
+    if !shared.is_certain.load(Ordering::SeqCst) || shared.store.is_blank() {
         return;
     }
     let settled = shared.store.settled();
@@ -22,7 +22,7 @@
 pub fn report(shared: &Shared) {
     let set = shared.store.set();
     let votes = set.voters.iter().any(|voter| voter.disk == shared.disk);
-    if !votes || !shared.is_certain.load(Ordering::SeqCst) {
+    if !votes || !shared.is_certain.load(Ordering::SeqCst) || shared.store.is_blank() {
         return;
     }
     let settled = shared.store.settled();
--- a/crates/front/src/operators.rs
+++ b/crates/front/src/operators.rs
@@ -1,5 +1,5 @@
 use crate::shared::Shared;
-use blueprint::Blueprint;
+use blueprint::{Blueprint, RunnerState};
 use oxhttp::model::{Body, Method, Request, Response};
 use std::sync::atomic::Ordering;
 use wire::{json, now_ms, text, Message};
@@ -92,11 +92,10 @@
 /// Whether a draining front has no work left: no ticket, and no runner in its keeping.
 pub fn has_drained(shared: &Shared) -> bool {
     shared.with_desk(|desk, _| {
-        let keeps = desk
-            .plan()
-            .runners
-            .iter()
-            .any(|entry| entry.keeper == *shared.links.me());
+        let keeps = desk.plan().runners.iter().any(|entry| {
+            let is_served = matches!(entry.state, RunnerState::Wanted | RunnerState::Draining);
+            is_served && entry.keeper == *shared.links.me()
+        });
         desk.is_idle() && !keeps
     })
 }
--- a/crates/holding/src/desk.rs
+++ b/crates/holding/src/desk.rs
@@ -14,8 +14,6 @@
 /// Seats that one life may number, in bits, and lives that number them apart.
 const SEATS_BITS: u32 = 32;
 const LIVES: u64 = 1 << 31;
-/// Tries of one ticket that may end before a runner was reached.
-const UNSENT_MAX: u32 = 4;
 
 #[derive(Debug, Default)]
 pub(crate) struct Counts {
@@ -71,9 +69,9 @@
     pub(crate) refreshes_bids: bool,
     pub(crate) dirty: BTreeSet<String>,
     pub(crate) actions: Vec<Action>,
-    allowance: Allowance,
+    pub(crate) allowance: Allowance,
     /// Tickets whose try reached no runner, and that wait for credit to be sent again.
-    deferred: VecDeque<Ticket>,
+    pub(crate) deferred: VecDeque<Ticket>,
     next_beat: u64,
 }
 
@@ -189,7 +187,7 @@
         self.settle(now);
     }
 
-    fn hold(&mut self, now: u64, ticket: Ticket) {
+    pub(crate) fn hold(&mut self, now: u64, ticket: Ticket) {
         if ticket.budget_end <= now {
             return self.refuse(ticket, Refusal::BudgetOver);
         }
@@ -229,24 +227,6 @@
             && self.has_standing(now)
     }
 
-    /// Counts the first try of a ticket, which is sent now. What waits for credit may go then.
-    pub fn count_first(&mut self, now: u64) {
-        let bounds = &self.blueprint.bounds;
-        let floor = f64::from(bounds.retry_floor) / self.plan.roster.len().max(1) as f64;
-        self.allowance.first(bounds.retry_share, floor);
-        self.resend_deferred(now);
-    }
-
-    fn resend_deferred(&mut self, now: u64) {
-        while self.allowance.has_credit() {
-            let Some(ticket) = self.deferred.pop_front() else {
-                return;
-            };
-            self.allowance.take();
-            self.hold(now, ticket);
-        }
-    }
-
     /// A try ended: its seat goes back, or stays taken while the work may still run.
     pub fn try_done(&mut self, now: u64, seat: &SeatGrant, end: TryEnd) {
         let key = (seat.keeper.name.clone(), seat.seat_no);
@@ -273,58 +253,6 @@
         self.settle(now);
     }
 
-    /// A repeatable ticket whose try failed asks to be tried again; it is held or refused.
-    pub fn retry(&mut self, now: u64, ticket: Ticket) -> bool {
-        if now >= ticket.budget_end || !self.allowance.take() {
-            return false;
-        }
-        self.hold(now, ticket);
-        self.settle(now);
-        true
-    }
-
-    /// A ticket whose seat was no longer good before anything was sent is held again, a few times
-    /// at most.
-    pub fn hold_again(&mut self, now: u64, ticket: Ticket) {
-        if let Some(ticket) = self.count_unsent(ticket) {
-            self.hold(now, ticket);
-            self.settle(now);
-        }
-    }
-
-    /// A ticket whose runner was not there is sent again, as one of the retries: at once where
-    /// there is credit, and otherwise as soon as first tries have earned it.
-    pub fn send_again(&mut self, now: u64, ticket: Ticket) {
-        let Some(ticket) = self.count_unsent(ticket) else {
-            return;
-        };
-        if self.deferred.len() >= self.blueprint.bounds.holding_max as usize {
-            return self.refuse(ticket, Refusal::Unreachable);
-        }
-        self.deferred.push_back(ticket);
-        self.resend_deferred(now);
-        self.settle(now);
-    }
-
-    fn count_unsent(&mut self, mut ticket: Ticket) -> Option<Ticket> {
-        ticket.unsent += 1;
-        if ticket.unsent > UNSENT_MAX {
-            self.refuse(ticket, Refusal::Unreachable);
-            return None;
-        }
-        Some(ticket)
-    }
-
-    fn refuse_late_deferred(&mut self, now: u64) {
-        let (over, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.deferred)
-            .into_iter()
-            .partition(|ticket| ticket.budget_end <= now);
-        self.deferred = kept.into();
-        for ticket in over {
-            self.refuse(ticket, Refusal::Unreachable);
-        }
-    }
-
     pub(crate) fn longest_budget(&self, function: &str) -> u64 {
         self.blueprint.listing(function).map_or_else(
             || self.blueprint.longest_budget_ms(),
--- a/crates/holding/src/keeping.rs
+++ b/crates/holding/src/keeping.rs
@@ -167,10 +167,15 @@
                     self.actions.push(Action::Send(from.name.clone(), answer));
                 }
             }
-            DeskMessage::BeatAnswer { stamp, plan, .. } => {
+            DeskMessage::BeatAnswer {
+                stamp,
+                plan,
+                blueprint,
+            } => {
                 if stamp <= now {
-                    self.standing
-                        .on_answer(&from.name, stamp, plan, self.plan_version);
+                    let theirs = (plan, blueprint);
+                    let mine = (self.plan_version, self.blueprint_version);
+                    self.standing.on_answer(&from.name, stamp, theirs, mine);
                 }
             }
             DeskMessage::Bid {
--- a/crates/holding/src/lib.rs
+++ b/crates/holding/src/lib.rs
@@ -11,6 +11,7 @@
 mod lending;
 mod message;
 mod reporting;
+mod sending_again;
 mod standing;
 
 pub use action::{Action, Refusal, SeatGrant, Ticket, TryEnd};
--- a/crates/holding/src/standing.rs
+++ b/crates/holding/src/standing.rs
@@ -8,18 +8,25 @@
 }
 
 /// Whether this front may work: a majority of the roster answered it within the lease. An answer
-/// from a front that knows a newer plan does not extend the lease.
+/// from one that knows a newer plan or blueprint does not extend the lease.
 #[derive(Debug, Default)]
 pub struct Standing {
     heard: BTreeMap<String, Heard>,
 }
 
 impl Standing {
-    /// Takes an answer to the heartbeat that was sent at `stamp`; `mine` is this front's plan.
-    pub fn on_answer(&mut self, from: &str, stamp: u64, plan: Version, mine: Version) {
+    /// Takes an answer to the heartbeat that was sent at `stamp`, with the answerer's versions of plan
+    /// and blueprint; `mine` are this front's.
+    pub fn on_answer(
+        &mut self,
+        from: &str,
+        stamp: u64,
+        (plan, blueprint): (Version, Version),
+        mine: (Version, Version),
+    ) {
         let heard = self.heard.entry(from.to_string()).or_default();
         heard.plan = heard.plan.max(plan);
-        if plan <= mine {
+        if plan <= mine.0 && blueprint <= mine.1 {
             heard.stamp = heard.stamp.max(stamp);
         }
     }
--- a/crates/holding/tests/desk.rs
+++ b/crates/holding/tests/desk.rs
@@ -1,120 +1,11 @@
 //! The points of a ticket's life and of a seat's, one by one.
 
-use blueprint::{
-    Blueprint, District, Kind, Listing, PeerRef, Plan, RunnerEntry, RunnerState, Version,
-};
-use holding::{Action, Desk, DeskMessage, RankCount, Refusal, Return, SeatGrant, Ticket, TryEnd};
-use std::sync::Arc;
-
-const LEASE: u64 = 1_500;
-
-fn peer(name: &str) -> PeerRef {
-    PeerRef {
-        name: name.into(),
-        incarnation: 1,
-    }
-}
-
-fn version(no: u64) -> Version {
-    Version { era: 1, no }
-}
-
-fn blueprint(holding_max: u32) -> Arc<Blueprint> {
-    let mut blueprint = Blueprint::empty();
-    blueprint.listings.push(Listing {
-        name: "sign".into(),
-        memory_mb: 1,
-        start_ms: 0,
-        concurrency: 2,
-        budget_ms: 2_000,
-        kinds: vec!["urgent".into(), "batch".into()],
-    });
-    for name in ["urgent", "batch"] {
-        let name = name.to_string();
-        blueprint.ranking.push(Kind { name, once: false });
-    }
-    blueprint.districts.push(District {
-        name: "a".into(),
-        state: Default::default(),
-    });
-    blueprint.bounds.holding_max = holding_max;
-    Arc::new(blueprint)
-}
-
-fn plan(keeper: &str, epoch: u64, no: u64) -> Arc<Plan> {
-    Arc::new(Plan {
-        term: 1,
-        roster_since: version(1),
-        roster: vec!["me".into(), "two".into(), "three".into()],
-        runners: vec![RunnerEntry {
-            id: "sign.1".into(),
-            function: "sign".into(),
-            worker: "w".into(),
-            district: "a".into(),
-            address: "127.0.0.1:1".into(),
-            key: vec![1],
-            memory_mb: 1,
-            pace_ms: 0,
-            quota: 2,
-            keeper: peer(keeper),
-            keeper_epoch: epoch,
-            keeper_since: version(no),
-            state: RunnerState::Wanted,
-        }],
-    })
-}
-
-fn ticket(slot: u64, rank: u8, now: u64) -> Ticket {
-    Ticket {
-        slot,
-        function: "sign".into(),
-        rank,
-        arrived: now,
-        budget_end: now + 2_000,
-        unsent: 0,
-    }
-}
-
-/// A desk with standing at time 1000 that keeps one warm runner of two seats, one of them ramped.
-fn desk(holding_max: u32) -> Desk {
-    let mut desk = Desk::new(peer("me"));
-    desk.set_ready();
-    desk.set_blueprint(1_000, blueprint(holding_max), version(1));
-    desk.set_plan(1_000, plan("me", 1, 1), version(1));
-    hear(&mut desk, 1_000, version(1));
-    desk.probed(1_000, "sign.1", true);
-    desk.take_actions();
-    desk
-}
-
-fn hear(desk: &mut Desk, stamp: u64, plan: Version) {
-    let answer = DeskMessage::BeatAnswer {
-        stamp,
-        plan,
-        blueprint: version(1),
-    };
-    desk.on_message(stamp, &peer("two"), answer);
-}
-
-fn launched(desk: &mut Desk) -> Vec<(Ticket, SeatGrant)> {
-    let actions = desk.take_actions().into_iter();
-    actions
-        .filter_map(|action| match action {
-            Action::Launch(ticket, seat) => Some((ticket, seat)),
-            _ => None,
-        })
-        .collect()
-}
+mod fixtures;
 
-fn refused(desk: &mut Desk) -> Vec<(u64, Refusal)> {
-    let actions = desk.take_actions().into_iter();
-    actions
-        .filter_map(|action| match action {
-            Action::Refuse(ticket, refusal) => Some((ticket.slot, refusal)),
-            _ => None,
-        })
-        .collect()
-}
+use blueprint::{PeerRef, Version};
+use fixtures::*;
+use holding::{Action, Desk, DeskMessage, RankCount, Refusal, Return, TryEnd};
+use std::sync::Arc;
 
 #[test]
 fn a_warming_runner_gets_one_request_and_then_one_more_with_each_answer() {
@@ -210,98 +101,6 @@
     assert_eq!(desk.report(1_010, "a").runners[0].lent, 0);
 }
 
-/// A desk that keeps a quick runner, and a slow one that has shown what it takes.
-fn desk_with_a_slow_runner() -> Desk {
-    let mut blueprint = (*blueprint(10)).clone();
-    blueprint.listings[0].budget_ms = 30_000;
-    let mut own = (*plan("me", 1, 1)).clone();
-    own.runners[0].pace_ms = 50;
-    let mut slow = own.runners[0].clone();
-    slow.id = "sign.2".into();
-    slow.pace_ms = 500;
-    own.runners.push(slow);
-    let mut desk = Desk::new(peer("me"));
-    desk.set_ready();
-    desk.set_blueprint(1_000, Arc::new(blueprint), version(1));
-    desk.set_plan(1_000, Arc::new(own), version(1));
-    hear(&mut desk, 1_000, version(1));
-    for runner in ["sign.1", "sign.2"] {
-        desk.probed(1_000, runner, true);
-    }
-    desk
-}
-
-#[test]
-fn a_slow_runner_gets_trials_alone_until_it_has_mended() {
-    let mut desk = desk_with_a_slow_runner();
-    let mut slow_runs = 0;
-    let mut slot = 0;
-    let (mut now, end) = (1_000, 21_000);
-    while now < end {
-        hear(&mut desk, now, version(1));
-        for _ in 0..2 {
-            slot += 1;
-            let ticket = Ticket {
-                budget_end: now + 30_000,
-                ..ticket(slot, 0, now)
-            };
-            desk.arrive(now, ticket);
-        }
-        for (_, seat) in launched(&mut desk) {
-            let is_slow = seat.runner == "sign.2";
-            slow_runs += u32::from(is_slow);
-            let took = if is_slow { 500 } else { 50 };
-            desk.try_done(now + 20, &seat, TryEnd::Answered(took));
-        }
-        now += 50;
-    }
-    assert!((4..=8).contains(&slow_runs), "{slow_runs} trials in {slot}");
-    assert!(desk.report(now, "a").runners[1].is_slow);
-    // It answers quickly again; each trial shows it, and the newest answers weigh most.
-    for _ in 0..500 {
-        now += 100;
-        hear(&mut desk, now, version(1));
-        slot += 1;
-        let last = Ticket {
-            budget_end: now + 30_000,
-            ..ticket(slot, 0, now)
-        };
-        desk.arrive(now, last.clone());
-        desk.arrive(
-            now,
-            Ticket {
-                slot: slot + 1_000,
-                ..last
-            },
-        );
-        for (_, seat) in launched(&mut desk) {
-            desk.try_done(now + 50, &seat, TryEnd::Answered(50));
-        }
-    }
-    assert!(!desk.report(now, "a").runners[1].is_slow);
-}
-
-#[test]
-fn what_waits_for_longer_than_a_slow_runner_takes_goes_to_it() {
-    let mut desk = desk_with_a_slow_runner();
-    let own = |slot: u64| Ticket {
-        budget_end: 30_000,
-        ..ticket(slot, 0, 1_000)
-    };
-    for slot in 0..4 {
-        desk.arrive(1_000, own(slot));
-    }
-    let first = launched(&mut desk);
-    assert_eq!(first.len(), 1, "the slow runner is left out");
-    hear(&mut desk, 1_400, version(1));
-    desk.tick(1_400);
-    assert!(launched(&mut desk).is_empty(), "they waited for 400 ms");
-    hear(&mut desk, 1_800, version(1));
-    desk.tick(1_800);
-    let late = launched(&mut desk);
-    assert!(late.iter().all(|(_, seat)| seat.runner == "sign.2") && !late.is_empty());
-}
-
 #[test]
 fn a_try_that_reached_no_runner_is_sent_again_only_on_credit() {
     let mut desk = desk(10);
@@ -415,6 +214,21 @@
     assert!(desk.has_standing(2_200 + LEASE - 1));
 }
 
+#[test]
+fn an_answer_from_one_with_a_newer_blueprint_does_not_extend_the_lease() {
+    let mut desk = desk(10);
+    let answer = |stamp: u64, no: u64| DeskMessage::BeatAnswer {
+        stamp,
+        plan: version(1),
+        blueprint: version(no),
+    };
+    desk.on_message(2_000, &peer("two"), answer(2_000, 2));
+    assert!(!desk.has_standing(1_000 + LEASE));
+    desk.set_blueprint(2_100, blueprint(10), version(2));
+    desk.on_message(2_200, &peer("two"), answer(2_200, 2));
+    assert!(desk.has_standing(2_200 + LEASE - 1));
+}
+
 #[test]
 fn a_next_keeper_waits_out_the_former_one_unless_it_is_handed_over() {
     let mut waiting = desk(10);
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -231,6 +231,7 @@
     let mut seen: HashSet<&str> = HashSet::new();
     let marked: Vec<(u64, bool)> = lines
         .iter()
+        .filter(|line| line.call != "-")
         .map(|line| (line.at_ms, !seen.insert(line.call.as_str())))
         .collect();
     let mut worst: f64 = 0.0;
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -201,15 +201,16 @@
         Some(Record::Shut(time))
     }
 
-    /// Forgets claims issued before a time, and refuses them ever after.
-    pub fn age_out(&mut self, before: u64) -> Option<Record> {
-        let is_oldest_older = self
-            .keys
-            .range("once/".to_string()..)
-            .next()
-            .and_then(|(key, _)| claim_time(key))
-            .is_some_and(|time| time < before);
-        if before <= self.water || !is_oldest_older {
+    /// Forgets claims that were issued longer ago than they are remembered, and refuses them ever
+    /// after. The time is this voter's own or that of the newest claim, whichever is earlier, so
+    /// that a clock which jumps ahead makes it forget nothing early.
+    pub fn age_out(&mut self, wall: u64, remembered: u64) -> Option<Record> {
+        let mut claims = self.keys.range("once/".to_string().."once0".to_string());
+        let oldest = claims.next().and_then(|(key, _)| claim_time(key))?;
+        let newest = claims.next_back().and_then(|(key, _)| claim_time(key));
+        let now = wall.min(newest.unwrap_or(oldest));
+        let before = now.saturating_sub(remembered);
+        if before <= self.water || oldest >= before {
             return None;
         }
         let record = Record::Water(before);
--- a/crates/register/tests/rounds.rs
+++ b/crates/register/tests/rounds.rs
@@ -343,7 +343,16 @@
         },
     };
     assert!(voter.handle(ask(500)).0.is_some());
-    assert!(voter.age_out(600).is_some());
+    assert!(voter.handle(ask(1_000)).0.is_some());
+    assert!(
+        voter.age_out(5_000, 600).is_none(),
+        "a clock that jumped ahead"
+    );
+    assert!(
+        voter.age_out(900, 400).is_none(),
+        "a clock that jumped back"
+    );
+    assert!(voter.age_out(5_000, 400).is_some());
     let (record, reply) = voter.handle(ask(500));
     assert!(record.is_none() && reply == VoterReply::AgedOut);
     assert!(voter.handle(ask(600)).0.is_some());
--- a/crates/scaler/src/placing.rs
+++ b/crates/scaler/src/placing.rs
@@ -42,11 +42,14 @@
         .count()
 }
 
-fn free_port(plan: &Plan, worker: &Worker) -> Option<u16> {
+/// A port that no runner of the plan has, nor one that is listed though nobody planned it.
+fn free_port(sight: &Sight, plan: &Plan, worker: &Worker) -> Option<u16> {
     let address = |port: u16| format!("{}:{port}", worker.host);
     (worker.first_port..worker.first_port.saturating_add(worker.ports)).find(|port| {
         let wanted = address(*port);
+        let mut listed = sight.listed.iter();
         !plan.runners.iter().any(|entry| entry.address == wanted)
+            && !listed.any(|runner| runner.address.as_ref() == Some(&wanted))
     })
 }
 
@@ -74,7 +77,7 @@
         if !is_open || used + memory_mb > worker.memory_mb {
             continue;
         }
-        let Some(port) = free_port(plan, worker) else {
+        let Some(port) = free_port(sight, plan, worker) else {
             continue;
         };
         if starting(plan, &is_warm, &worker.name) >= sight.blueprint.bounds.worker_starts as usize {
--- a/crates/scaler/src/scaler.rs
+++ b/crates/scaler/src/scaler.rs
@@ -44,6 +44,7 @@
     lives: Lives,
     notes: BTreeMap<String, FunctionNote>,
     asleep_since: BTreeMap<String, u64>,
+    paces_told_at: u64,
     fresh_key: Box<dyn FnMut() -> Vec<u8> + Send>,
     named: u64,
 }
@@ -56,6 +57,7 @@
             lives: Lives::default(),
             notes: BTreeMap::new(),
             asleep_since: BTreeMap::new(),
+            paces_told_at: 0,
             fresh_key,
             named: 0,
         }
@@ -99,7 +101,11 @@
         for listing in &listings {
             self.scale(sight, &mut plan, listing, &mut room);
         }
-        self.tell_paces(&mut plan);
+        let is_due = self.paces_told_at + sight.blueprint.bounds.change_ms <= sight.now;
+        if is_due || plan != *sight.plan {
+            self.paces_told_at = sight.now;
+            self.tell_paces(&mut plan);
+        }
         let listed = sight.blueprint;
         self.notes
             .retain(|function, _| listed.listing(function).is_some());
--- a/crates/scaler/src/sight.rs
+++ b/crates/scaler/src/sight.rs
@@ -38,6 +38,8 @@
     pub id: String,
     /// Its state.
     pub state: ListedState,
+    /// Address that it has, where the platform tells.
+    pub address: Option<String>,
 }
 
 /// A front as the scaler knows it.
--- /dev/null
+++ b/crates/simulator/src/config.rs
@@ -0,0 +1,68 @@
+use crate::faults::Fault;
+use std::collections::BTreeMap;
+
+/// Sizes and times of a simulated run.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Fronts.
+    pub fronts: usize,
+    /// Functions.
+    pub functions: usize,
+    /// Wishes a second over all functions.
+    pub rate: f64,
+    /// Milliseconds that a run takes, within a factor of two.
+    pub pace_ms: u64,
+    /// Share of runs whose answers are lost.
+    pub answer_loss: f64,
+    /// Share of answers that are cut, unsealed, or another request's.
+    pub mischief: f64,
+    /// How many times slower than others each worker's runners are; empty where all are alike.
+    pub slowness: Vec<u64>,
+    /// How long once-keys are remembered, in milliseconds.
+    pub claim_ms: u64,
+    /// Failures in place of random ones.
+    pub only: Option<Vec<(u64, Fault)>>,
+    /// Failures come between these times, in milliseconds.
+    pub faults: (u64, u64),
+    /// The run ends at this time.
+    pub until: u64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            fronts: 5,
+            functions: 6,
+            rate: 60.0,
+            pace_ms: 60,
+            answer_loss: 0.01,
+            mischief: 0.01,
+            slowness: Vec::new(),
+            claim_ms: 600_000,
+            only: None,
+            faults: (6_000, 16_000),
+            until: 32_000,
+        }
+    }
+}
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Verdict {
+    /// Seed of the run.
+    pub seed: u64,
+    /// What must never happen and did.
+    pub broken: Vec<String>,
+    /// Runs on runners.
+    pub runs: usize,
+    /// Puts that were acknowledged.
+    pub puts: usize,
+    /// Wishes by what the callers were told.
+    pub outcomes: BTreeMap<&'static str, usize>,
+    /// The failures that were brought about.
+    pub faults: Vec<(u64, Fault)>,
+    /// What the oracle's checks looked at.
+    pub looked: BTreeMap<&'static str, usize>,
+    /// When answers came and how long they took, in milliseconds.
+    pub took_ms: Vec<(u64, u64)>,
+}
--- /dev/null
+++ b/crates/simulator/src/core_duties.rs
@@ -0,0 +1,68 @@
+use crate::core_node::{CoreNode, Purpose};
+use crate::net::{Happening, Net};
+use crate::oracle::Oracle;
+use crate::yard::Yard;
+use blueprint::Version;
+use register::Change;
+use scaler::Sight;
+use speedy::Writable;
+
+impl CoreNode {
+    pub fn scale(&mut self, net: &mut Net, yard: &Yard) {
+        let (workers, listed) = yard.lists();
+        let in_force = self.in_force.clone();
+        let term = self.duty.term(net.now);
+        let sight = Sight {
+            now: net.now,
+            next: Version {
+                era: self.set.era,
+                no: in_force.plan_version.no + 1,
+            },
+            term: term.unwrap_or_default(),
+            blueprint: &in_force.blueprint,
+            plan: &in_force.plan,
+            workers: &workers,
+            listed: &listed,
+            fronts: &self.fronts,
+        };
+        let holds = term.is_some_and(|term| term >= in_force.plan.term);
+        if !holds || self.is_planning || self.is_blank() {
+            return self.scaler.observe(&sight);
+        }
+        if let Some(plan) = self.scaler.run(&sight, &self.orders) {
+            let bytes = plan.write_to_vec().unwrap_or_default();
+            let expected = in_force.plan_version.no;
+            self.is_planning = true;
+            return self.propose(
+                net,
+                "plan",
+                Change::Write { expected, bytes },
+                Purpose::Plan,
+            );
+        }
+        let due = self
+            .orders
+            .due(net.now, &in_force.plan, &listed, 1_500, 6_000);
+        for order in due {
+            let time = net.soon(20);
+            let sent = Box::new((order, sight.term));
+            let call = Happening::Platform(self.peer.name.clone(), self.peer.incarnation, sent);
+            net.at(time, call);
+        }
+    }
+
+    /// Forgets old claims every second, as a core does every window of retries.
+    pub fn age_claims(&mut self, net: &Net, oracle: &mut Oracle) {
+        if net.now < self.aged_at + 1_000 || !self.voter.is_open() {
+            return;
+        }
+        self.aged_at = net.now;
+        let water = self.voter.held().floors().0;
+        let remembered = self.in_force.blueprint.bounds.claim_ms;
+        self.voter.age_out(net.wall, remembered);
+        self.voter.sync();
+        if self.voter.held().floors().0 > water {
+            oracle.look("ageing");
+        }
+    }
+}
--- a/crates/simulator/src/core_joining.rs
+++ b/crates/simulator/src/core_joining.rs
@@ -1,15 +1,19 @@
 use crate::core_node::{CoreNode, Purpose};
 use crate::net::{Net, Parcel};
+use crate::oracle::Oracle;
 use register::{merged, Change, Held, Outcome, VoterRef, VoterSet, VOTERS_KEY};
 use speedy::{Readable, Writable};
 use std::collections::{BTreeMap, BTreeSet};
-use voter::{Installing, JoinStep, Joining};
+use voter::{HeardCore, Installing, JoinStep, Joining};
 use wire::{Copy, Message};
 
 const CYCLE: u64 = 500;
+/// Time between comparisons with the other members' copies.
+const REPAIR: u64 = 3_000;
 const PATIENCE: u64 = 12_000;
 /// Numbers of questions for ranges begin here.
 const RANGE_BASE: u64 = 1 << 40;
+const REPAIR_BASE: u64 = 1 << 41;
 
 #[derive(Default)]
 struct Pulled {
@@ -23,7 +27,8 @@
 pub(crate) struct Join {
     joining: Joining,
     next_at: u64,
-    heard: BTreeMap<String, (u64, VoterSet)>,
+    repair_at: u64,
+    heard: BTreeMap<String, HeardCore>,
     pulled: BTreeMap<String, Pulled>,
 }
 
@@ -47,34 +52,78 @@
     }
 
     /// Asks who is there, and goes on from what was heard since the last time.
-    pub fn tend_membership(&mut self, net: &mut Net) {
+    pub fn tend_membership(&mut self, net: &mut Net, oracle: &mut Oracle) {
         if net.now < self.join.next_at || !self.voter.is_open() {
             return;
         }
         self.join.next_at = net.now + CYCLE;
         let heard = std::mem::take(&mut self.join.heard);
-        for (_, set) in heard.values() {
-            self.learn_set(set);
+        for one in heard.values() {
+            self.learn_set(&one.set);
         }
-        for voter in &self.set.voters {
-            self.say(net, &voter.address, 2, Message::Hello);
+        let voters = self.set.voters.iter().map(|voter| voter.address.clone());
+        let mut cores: Vec<String> = self.seeds.iter().cloned().chain(voters).collect();
+        cores.sort();
+        cores.dedup();
+        for core in cores {
+            self.say(net, &core, 2, Message::Hello);
         }
-        for (name, (disk, set)) in &heard {
-            let is_member = self.set.voters.iter().any(|voter| voter.disk == *disk);
+        let known: Vec<HeardCore> = heard.into_values().collect();
+        self.tend_founding(net, oracle, &known);
+        self.tend_repair(net);
+        for one in &known {
+            let (name, set) = (&one.address, &one.set);
+            let is_member = self.set.voters.iter().any(|voter| voter.disk == one.disk);
             if is_member && set.era == self.set.era && set.no < self.set.no {
                 self.say(net, name, 2, Message::Adopt(self.set.clone()));
             }
         }
-        if self.voter.held().set().era != 0 {
+        if self.voter.held().set().era != 0 || self.set.era == 0 {
             return;
         }
-        let answering: Vec<u64> = heard.values().map(|(disk, _)| *disk).collect();
+        let answering: Vec<u64> = known.iter().map(|one| one.disk).collect();
         if !answering.is_empty() {
             let purpose = Purpose::JoinRead(answering);
             self.propose(net, VOTERS_KEY, Change::Read, purpose);
         }
     }
 
+    /// Asks the other members for their digests, now and then.
+    fn tend_repair(&mut self, net: &mut Net) {
+        if net.now < self.join.repair_at || self.voter.held().set().era == 0 {
+            return;
+        }
+        self.join.repair_at = net.now + REPAIR;
+        for voter in self
+            .set
+            .voters
+            .iter()
+            .filter(|voter| voter.disk != self.disk)
+        {
+            self.say(net, &voter.address, 2, Message::Digests);
+        }
+    }
+
+    /// Asks for the ranges in which another member's copy differs.
+    fn compare(&self, net: &mut Net, from: &str, copy: &Copy) {
+        let held = self.voter.held();
+        if held.set().era == 0 || copy.set.mark() != held.set().mark() {
+            return;
+        }
+        for range in held.digests().differing(&copy.ranges) {
+            let number = REPAIR_BASE + u64::from(range);
+            self.say(net, from, number, Message::Range(range));
+        }
+    }
+
+    fn mend(&mut self, oracle: &mut Oracle, keys: Vec<(String, Held)>) {
+        let before = self.voter.held().digests().clone();
+        self.voter.mend(keys);
+        if self.voter.sync() && *self.voter.held().digests() != before {
+            oracle.look("mended");
+        }
+    }
+
     pub fn join_read(&mut self, net: &mut Net, answering: &[u64], outcome: &Outcome) {
         let Outcome::Settled(stored) = outcome else {
             return;
@@ -120,7 +169,13 @@
     }
 
     /// Takes the messages that have to do with sets and copies.
-    pub fn on_membership(&mut self, net: &mut Net, parcel: &Parcel, message: Message) {
+    pub fn on_membership(
+        &mut self,
+        net: &mut Net,
+        oracle: &mut Oracle,
+        parcel: &Parcel,
+        message: Message,
+    ) {
         let from = parcel.from.name.clone();
         let held = self.voter.held();
         match message {
@@ -128,11 +183,22 @@
                 let answer = Message::HelloAnswer {
                     disk: self.disk,
                     set: held.set().clone(),
+                    fronts_era: self.fronts_era(),
                 };
                 self.say(net, &from, parcel.number, answer);
             }
-            Message::HelloAnswer { disk, set } => {
-                self.join.heard.insert(from, (disk, set));
+            Message::HelloAnswer {
+                disk,
+                set,
+                fronts_era,
+            } => {
+                let heard = HeardCore {
+                    address: from.clone(),
+                    disk,
+                    set,
+                    fronts_era,
+                };
+                self.join.heard.insert(from, heard);
             }
             Message::Adopt(set) => {
                 self.voter.adopt(set.clone());
@@ -148,11 +214,23 @@
                 };
                 self.say(net, &from, parcel.number, Message::DigestsAnswer(copy));
             }
-            Message::DigestsAnswer(copy) => self.pull(net, &from, &copy),
+            Message::Form(set, floor) if set.voters.iter().any(|voter| voter.disk == self.disk) => {
+                self.voter.form(set.clone(), floor);
+                if self.voter.sync() {
+                    self.learn_set(&set);
+                }
+            }
+            Message::DigestsAnswer(copy) => {
+                self.compare(net, &from, &copy);
+                self.pull(net, &from, &copy);
+            }
             Message::Range(range) => {
                 let answer = Message::RangeAnswer(held.range(range));
                 self.say(net, &from, parcel.number, answer);
             }
+            Message::RangeAnswer(keys) if parcel.number >= REPAIR_BASE => {
+                self.mend(oracle, keys);
+            }
             Message::RangeAnswer(keys) => {
                 let range = parcel.number.wrapping_sub(RANGE_BASE) as u16;
                 if let Some(pulled) = self.join.pulled.get_mut(&from) {
--- a/crates/simulator/src/core_news.rs
+++ b/crates/simulator/src/core_news.rs
@@ -11,7 +11,7 @@
 impl CoreNode {
     /// Answers a front's heartbeat.
     pub fn bear_witness(&self, net: &mut Net, beat: &Parcel, stamp: u64) {
-        if !self.is_certain {
+        if !self.is_certain || self.is_blank() {
             return;
         }
         let answer = DeskMessage::BeatAnswer {
@@ -25,7 +25,7 @@
 
     /// Tells all cores which versions this one holds.
     pub fn report_witness(&self, net: &mut Net) {
-        if !self.is_certain {
+        if !self.is_certain || self.is_blank() {
             return;
         }
         let report = FrontReport {
@@ -34,9 +34,9 @@
             blueprint: self.in_force.blueprint_version,
             ..FrontReport::default()
         };
-        for voter in &self.set.voters {
+        for core in &self.seeds {
             let parcel = self.parcel(0, Message::Report(report.clone()));
-            net.send(&self.peer.name, &voter.address, parcel);
+            net.send(&self.peer.name, core, parcel);
         }
     }
 
@@ -53,11 +53,14 @@
         }
     }
 
-    pub fn put_in_force(&mut self, key: &str, stored: &Stored) {
+    pub fn put_in_force(&mut self, key: &str, era: u64, stored: &Stored) {
         let version = Version {
-            era: self.set.era,
+            era,
             no: stored.version,
         };
+        if stored.version == 0 {
+            return;
+        }
         if key == "plan" && version > self.in_force.plan_version {
             if let Ok(plan) = Plan::read_from_buffer(&stored.bytes) {
                 self.in_force.plan = Arc::new(plan);
--- a/crates/simulator/src/core_node.rs
+++ b/crates/simulator/src/core_node.rs
@@ -1,6 +1,7 @@
+use crate::core_founding::Found;
 use crate::core_joining::Join;
 use crate::core_puts::Put;
-use crate::net::{Event, Happening, Net, Parcel};
+use crate::net::{Event, Net, Parcel};
 use crate::oracle::Oracle;
 use crate::yard::Yard;
 use ballot::{Duty, Move, Tenure};
@@ -9,7 +10,7 @@
 use journal::MemoryFolder;
 use rand::Rng;
 use register::{Ballot, Change, Outcome, Proposal, ProposalStep, VoterAsk, VoterSet};
-use scaler::{FrontSight, Orders, Scaler, Sight};
+use scaler::{FrontSight, Orders, Scaler};
 use speedy::Writable;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -57,23 +58,32 @@
     pub folder: MemoryFolder,
     pub disk: u64,
     pub join: Join,
+    pub found: Found,
     pub set: VoterSet,
+    pub seeds: Vec<String>,
     pub in_force: InForce,
     pub fronts: BTreeMap<String, FrontSight>,
     pub puts: Vec<(Put, Version, u64)>,
     running: BTreeMap<u64, Running>,
     pub duty: Duty,
-    scaler: Scaler,
-    orders: Orders,
+    pub scaler: Scaler,
+    pub orders: Orders,
     counter: u64,
     refreshed_at: u64,
-    is_planning: bool,
+    pub aged_at: u64,
+    pub is_planning: bool,
     /// Whether the plan was read at a majority in this life.
     pub is_certain: bool,
 }
 
 impl CoreNode {
-    pub fn new(peer: PeerRef, folder: MemoryFolder, disk: u64, set: VoterSet, now: u64) -> Self {
+    pub fn new(
+        peer: PeerRef,
+        folder: MemoryFolder,
+        disk: u64,
+        seeds: Vec<String>,
+        now: u64,
+    ) -> Self {
         let voter = Voter::open(Box::new(folder.clone())).expect("the disk in memory can be read");
         let lease = Blueprint::empty().bounds.duty_ms();
         let mut fresh = 0u64;
@@ -84,11 +94,13 @@
         Self {
             duty: Duty::new(peer.clone(), lease, now),
             peer,
-            voter,
             folder,
             disk,
             join: Join::default(),
-            set,
+            found: Found::default(),
+            set: voter.held().set().clone(),
+            seeds,
+            voter,
             in_force: InForce {
                 blueprint_version: Version::default(),
                 blueprint: Arc::new(Blueprint::empty()),
@@ -103,6 +115,7 @@
             orders: Orders::default(),
             counter: 0,
             refreshed_at: now,
+            aged_at: now,
             is_planning: false,
             is_certain: false,
         }
@@ -179,6 +192,7 @@
             Message::Desk(DeskMessage::Beat { stamp, .. }) => {
                 self.bear_witness(net, &parcel, stamp)
             }
+            Message::News(news) => self.on_news(news),
             Message::Report(report) => {
                 let sight = FrontSight {
                     peer: parcel.from.clone(),
@@ -187,7 +201,7 @@
                 };
                 self.fronts.insert(parcel.from.name, sight);
             }
-            message => self.on_membership(net, &parcel, message),
+            message => self.on_membership(net, oracle, &parcel, message),
         }
     }
 
@@ -266,7 +280,7 @@
             let outcome = running.proposal.give_up();
             self.ended(net, oracle, id, outcome);
         }
-        if now >= self.refreshed_at + 300 {
+        if self.set.era > 0 && now >= self.refreshed_at + 300 {
             self.refreshed_at = now;
             for key in ["blueprint", "plan"] {
                 self.propose(net, key, Change::Read, Purpose::Refresh);
@@ -274,6 +288,7 @@
         }
         let key = "duty/scaler";
         self.duty.in_era(self.set.era);
+        self.age_claims(net, oracle);
         match self.duty.next(now) {
             Move::Wait => {}
             Move::Look => self.propose(net, key, Change::Read, Purpose::Duty(now, None)),
@@ -284,54 +299,11 @@
             }
         }
         self.report_witness(net);
-        self.tend_membership(net);
+        self.tend_membership(net, oracle);
         self.acknowledge(net, oracle);
         self.scale(net, yard);
     }
 
-    fn scale(&mut self, net: &mut Net, yard: &Yard) {
-        let (workers, listed) = yard.lists();
-        let in_force = self.in_force.clone();
-        let term = self.duty.term(net.now);
-        let sight = Sight {
-            now: net.now,
-            next: Version {
-                era: self.set.era,
-                no: in_force.plan_version.no + 1,
-            },
-            term: term.unwrap_or_default(),
-            blueprint: &in_force.blueprint,
-            plan: &in_force.plan,
-            workers: &workers,
-            listed: &listed,
-            fronts: &self.fronts,
-        };
-        let holds = term.is_some_and(|term| term >= in_force.plan.term);
-        if !holds || self.is_planning {
-            return self.scaler.observe(&sight);
-        }
-        if let Some(plan) = self.scaler.run(&sight, &self.orders) {
-            let bytes = plan.write_to_vec().unwrap_or_default();
-            let expected = in_force.plan_version.no;
-            self.is_planning = true;
-            return self.propose(
-                net,
-                "plan",
-                Change::Write { expected, bytes },
-                Purpose::Plan,
-            );
-        }
-        let due = self
-            .orders
-            .due(net.now, &in_force.plan, &listed, 1_500, 6_000);
-        for order in due {
-            let time = net.soon(20);
-            let sent = Box::new((order, sight.term));
-            let call = Happening::Platform(self.peer.name.clone(), self.peer.incarnation, sent);
-            net.at(time, call);
-        }
-    }
-
     fn ended(&mut self, net: &mut Net, oracle: &mut Oracle, id: u64, outcome: Outcome) {
         let Some(running) = self.running.remove(&id) else {
             return;
@@ -341,16 +313,9 @@
             self.learn_set(set);
         }
         if let Outcome::Settled(stored) | Outcome::Stale(stored) = &outcome {
-            let era = self.set.era;
-            oracle.settled(
-                net.now,
-                &key,
-                era,
-                stored.version,
-                stored.tag,
-                &stored.bytes,
-            );
-            self.put_in_force(&key, stored);
+            let era = running.set.era;
+            oracle.settled(&key, era, stored.version, stored.tag, &stored.bytes);
+            self.put_in_force(&key, era, stored);
         }
         match running.purpose {
             Purpose::Refresh => {
--- a/crates/simulator/src/core_puts.rs
+++ b/crates/simulator/src/core_puts.rs
@@ -38,7 +38,7 @@
             let place = place % next.listings.len();
             next.listings[place].memory_mb = 0;
         }
-        _ => next.bounds.claim_ms = 600_000 + seed % 1_000_000,
+        _ => next.bounds.cooldown_ms = 30_000 + seed % 1_000_000,
     }
     next
 }
@@ -120,7 +120,7 @@
                     .filter(|district| district.state == DistrictState::Evacuated)
                     .map(|district| district.name.clone())
                     .collect();
-                oracle.acknowledged(now, version, &evacuated);
+                oracle.acknowledged(version, &evacuated);
             } else if now < until {
                 self.puts.push((put, version, until));
             }
--- a/crates/simulator/src/failing.rs
+++ b/crates/simulator/src/failing.rs
@@ -80,6 +80,17 @@
             Fault::SlowWorker(worker, times) => {
                 self.yard.slowness.insert(worker, times);
             }
+            Fault::JumpWall(name, jump) => {
+                if let Some(clock) = self.clocks.get_mut(&name) {
+                    clock.wall_jump = jump;
+                }
+            }
+            Fault::Wipe(lasts) => {
+                self.oracle.wiped();
+                for name in self.cores.keys().cloned().collect::<Vec<_>>() {
+                    self.fault(Fault::EmptyDisk(name, lasts));
+                }
+            }
             Fault::Put(core) => {
                 self.net.event(now, &core, 0, Event::Put);
             }
@@ -90,11 +101,12 @@
         let now = self.net.now;
         let peer = self.new_life(name);
         if let Some(core) = self.cores.get_mut(name) {
-            let (folder, disk, set) = (core.folder.clone(), core.disk, core.set.clone());
-            *core = CoreNode::new(peer, folder, disk, set, now);
+            let (folder, disk, seeds) = (core.folder.clone(), core.disk, core.seeds.clone());
+            let now = self.clocks[name].now(now);
+            *core = CoreNode::new(peer, folder, disk, seeds, now);
         } else if let Some(front) = self.fronts.get_mut(name) {
             let (district, cores) = (front.district.clone(), front.cores.clone());
-            *front = FrontNode::new(peer, &district, cores, front.set.clone());
+            *front = FrontNode::new(peer, &district, cores);
         }
     }
 }
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -34,6 +34,10 @@
     Replace(usize),
     /// A worker's runners become so many times slower.
     SlowWorker(String, u64),
+    /// A machine's wall clock is set ahead or back by so many milliseconds; 0 sets it right.
+    JumpWall(String, i64),
+    /// All cores lose their disks, and come back empty after so many milliseconds.
+    Wipe(u64),
     /// An operator puts a blueprint at a core.
     Put(String),
 }
@@ -68,7 +72,7 @@
             let most = (until - at).min(5_000);
             let lasts = random.random_range(1..=most);
             let daemon = daemons[random.random_range(0..daemons.len())].clone();
-            match random.random_range(0..16) {
+            match random.random_range(0..19) {
                 0 | 1 => faults.push((at, Fault::Kill(daemon, lasts))),
                 2 | 3 => faults.push((at, Fault::Freeze(daemon, lasts))),
                 4 => {
@@ -110,6 +114,16 @@
                     faults.push((at, Fault::SlowWorker(worker.clone(), times)));
                     faults.push((at + lasts, Fault::SlowWorker(worker, 1)));
                 }
+                15 | 16 => {
+                    let hour = 3_600_000;
+                    let jump = [hour, -hour, 5_000, -5_000][random.random_range(0..4)];
+                    faults.push((at, Fault::JumpWall(daemon.clone(), jump)));
+                    faults.push((at + lasts, Fault::JumpWall(daemon, 0)));
+                }
+                17 if !has_emptied => {
+                    has_emptied = true;
+                    faults.push((at, Fault::Wipe(lasts)));
+                }
                 _ => {
                     for core in cores {
                         faults.push((at, Fault::Kill(core.clone(), lasts)));
--- a/crates/simulator/src/front_claims.rs
+++ b/crates/simulator/src/front_claims.rs
@@ -66,7 +66,7 @@
     pub fn propose(
         &mut self,
         net: &mut Net,
-        key: u64,
+        register: &str,
         expected: u64,
         claim: &Claim,
         purpose: Purpose,
@@ -75,9 +75,8 @@
         let tag = self.peer.incarnation ^ ballot.counter.rotate_left(32);
         let bytes = claim.write_to_vec().unwrap_or_default();
         let change = Change::Write { expected, bytes };
-        let name = format!("once/{key:014}/k");
         let voters = self.set.voters.len();
-        let (proposal, ask) = Proposal::start(&name, change, tag, ballot, voters);
+        let (proposal, ask) = Proposal::start(register, change, tag, ballot, voters);
         let id = ballot.counter;
         let claiming = Claiming {
             proposal,
@@ -112,8 +111,12 @@
                 }
                 self.arrive(net, slot);
             }
-            Outcome::Stale(_) => self.tell(oracle, net.now, slot, "theirs"),
-            _ => self.tell(oracle, net.now, slot, "not-run"),
+            Outcome::Stale(_) => self.tell(oracle, slot, "theirs"),
+            Outcome::AgedOut => {
+                oracle.look("claims aged out");
+                self.tell(oracle, slot, "aged-out");
+            }
+            _ => self.tell(oracle, slot, "not-run"),
         }
     }
 }
--- a/crates/simulator/src/front_node.rs
+++ b/crates/simulator/src/front_node.rs
@@ -3,7 +3,7 @@
 use crate::yard::{ticket_id, Answer, Request};
 use blueprint::{parse, Blueprint, PeerRef, Version};
 use claims::Claim;
-use holding::{Action, Desk, SeatGrant, Ticket, TryEnd};
+use holding::{Action, Desk, DeskMessage, SeatGrant, Ticket, TryEnd};
 use register::{Proposal, VoterSet};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -14,6 +14,7 @@
     /// Tries whose bytes may have reached a runner.
     pub sent: u32,
     pub claimed: Option<u64>,
+    pub register: String,
 }
 
 pub(crate) struct Claiming {
@@ -38,18 +39,18 @@
     pub set: VoterSet,
     pub open: BTreeMap<u64, Open>,
     pub claiming: BTreeMap<u64, Claiming>,
-    next_slot: u64,
+    pub next_slot: u64,
     pub counter: u64,
 }
 
 impl FrontNode {
-    pub fn new(peer: PeerRef, district: &str, cores: Vec<String>, set: VoterSet) -> Self {
+    pub fn new(peer: PeerRef, district: &str, cores: Vec<String>) -> Self {
         Self {
             desk: Desk::new(peer.clone()),
             district: district.to_string(),
             peer,
             cores,
-            set,
+            set: VoterSet::default(),
             open: BTreeMap::new(),
             claiming: BTreeMap::new(),
             next_slot: 0,
@@ -75,7 +76,7 @@
             Event::TryEnd(ticket, seat, end, answer) => {
                 self.try_end(net, oracle, ticket, &seat, end, answer);
             }
-            Event::BudgetOver(slot) => self.budget_over(oracle, now, slot),
+            Event::BudgetOver(slot) => self.budget_over(oracle, slot),
             Event::Probed(runner, is_there) => self.desk.probed(now, &runner, is_there),
             _ => {}
         }
@@ -100,8 +101,8 @@
             net.send(&self.peer.name, &core, parcel);
         }
         if self.desk.has_standing(now) {
-            oracle.serves(now, &self.peer.name, blueprint);
-            oracle.works(now, &self.peer.name, blueprint);
+            oracle.serves(&self.peer.name, blueprint);
+            oracle.works(&self.peer.name, blueprint);
         }
         let over = self.claiming.iter();
         let over: Vec<u64> = over
@@ -119,7 +120,10 @@
     fn deliver(&mut self, net: &mut Net, oracle: &mut Oracle, parcel: Parcel) {
         let now = net.now;
         match parcel.body.clone() {
-            Message::Desk(message) => self.desk.on_message(now, &parcel.from, message),
+            Message::Desk(message) => {
+                self.ask_if_newer(net, &parcel.from.name, &message);
+                self.desk.on_message(now, &parcel.from, message);
+            }
             Message::News(news) => self.news(now, oracle, news),
             Message::Ask {
                 blueprint, plan, ..
@@ -133,10 +137,33 @@
         }
     }
 
+    /// A heartbeat tells of newer versions: whoever has them is asked.
+    fn ask_if_newer(&mut self, net: &mut Net, from: &str, message: &DeskMessage) {
+        let (DeskMessage::Beat {
+            plan, blueprint, ..
+        }
+        | DeskMessage::BeatAnswer {
+            plan, blueprint, ..
+        }) = message
+        else {
+            return;
+        };
+        let own = self.desk.versions();
+        if *blueprint > own.0 || *plan > own.1 {
+            let ask = Message::Ask {
+                blueprint: own.0,
+                plan: own.1,
+                wants_certain: false,
+            };
+            let parcel = self.parcel(1, ask);
+            net.send(&self.peer.name, from, parcel);
+        }
+    }
+
     fn news(&mut self, now: u64, oracle: &mut Oracle, news: News) {
         if let Some(newer) = news.blueprint {
             if let Ok(blueprint) = parse(&newer.text) {
-                oracle.holds_text(now, &self.peer.name, &newer.text);
+                oracle.holds_text(&self.peer.name, &newer.text);
                 self.desk
                     .set_blueprint(now, Arc::new(blueprint), newer.version);
             }
@@ -168,70 +195,6 @@
         }
     }
 
-    fn wish(&mut self, net: &mut Net, oracle: &mut Oracle, wish: Wish) {
-        let now = net.now;
-        if self.desk.may_take(now, &wish.function).is_err() {
-            oracle.tell(now, wish.call, "not-run", &wish.function);
-            return;
-        }
-        self.next_slot += 1;
-        let slot = self.next_slot;
-        let once_key = wish.once_key;
-        let open = Open {
-            wish,
-            sent: 0,
-            claimed: None,
-        };
-        self.open.insert(slot, open);
-        match once_key {
-            None => self.arrive(net, slot),
-            Some(key) => {
-                let claim = Claim::Taken {
-                    by: self.peer.clone(),
-                    slot,
-                    digest: String::new(),
-                };
-                self.propose(net, key, 0, &claim, Purpose::Claim(slot));
-            }
-        }
-    }
-
-    pub fn arrive(&mut self, net: &mut Net, slot: u64) {
-        let now = net.now;
-        let Some(open) = self.open.get(&slot) else {
-            return;
-        };
-        let blueprint = self.desk.blueprint();
-        let budget = blueprint
-            .listing(&open.wish.function)
-            .map_or(1, |listing| listing.budget_ms);
-        let rank = blueprint.kind(&open.wish.kind).map_or(0, |(rank, _)| rank);
-        let ticket = Ticket {
-            slot,
-            function: open.wish.function.clone(),
-            rank,
-            arrived: now,
-            budget_end: now + budget,
-            unsent: 0,
-        };
-        self.desk.count_arrival(&ticket.function);
-        self.desk.arrive(now, ticket);
-        let life = self.peer.incarnation;
-        net.event(now + budget, &self.peer.name, life, Event::BudgetOver(slot));
-    }
-
-    pub fn tell(&mut self, oracle: &mut Oracle, now: u64, slot: u64, outcome: &'static str) {
-        if let Some(open) = self.open.remove(&slot) {
-            oracle.tell(now, open.wish.call, outcome, &open.wish.function);
-        }
-    }
-
-    fn budget_over(&mut self, oracle: &mut Oracle, now: u64, slot: u64) {
-        let is_sent = self.open.get(&slot).is_some_and(|open| open.sent > 0);
-        let outcome = if is_sent { "unknown" } else { "not-run" };
-        self.tell(oracle, now, slot, outcome);
-    }
-
     fn try_start(&mut self, net: &mut Net, ticket: &Ticket, seat: &SeatGrant) {
         let now = net.now;
         let may_send = self.desk.permit(now, ticket, seat);
@@ -280,16 +243,17 @@
             return;
         };
         let (key, claimed) = (open.wish.once_key, open.claimed);
+        let register = open.register.clone();
         match end {
             TryEnd::Answered(_) => {
                 if let Some(answer) = &answer {
-                    oracle.answer(now, open.wish.call, answer.call, answer.took_ms);
+                    oracle.answer(open.wish.call, answer.call, answer.took_ms);
                 }
-                self.tell(oracle, now, slot, "answered");
-                if let Some((key, version)) = key.zip(claimed) {
+                self.tell(oracle, slot, "answered");
+                if let Some(version) = claimed {
                     let digest = String::new();
                     let claim = Claim::Unknown { digest };
-                    self.propose(net, key, version, &claim, Purpose::Note);
+                    self.propose(net, &register, version, &claim, Purpose::Note);
                 }
             }
             TryEnd::Absent => {
@@ -299,7 +263,7 @@
             TryEnd::Unsent => self.desk.hold_again(now, ticket),
             TryEnd::Lost | TryEnd::Broken | TryEnd::Bad => {
                 if key.is_some() || !self.desk.retry(now, ticket) {
-                    self.tell(oracle, now, slot, "unknown");
+                    self.tell(oracle, slot, "unknown");
                 }
             }
         }
@@ -318,18 +282,17 @@
     }
 
     fn carry_out_one(&mut self, net: &mut Net, oracle: &mut Oracle, action: Action) {
-        let now = net.now;
         match action {
             Action::Send(to, message) => {
-                if let holding::DeskMessage::Award(award) = &message {
-                    oracle.lends(now, &award.runner, award.epoch);
+                if let DeskMessage::Award(award) = &message {
+                    oracle.lends(&award.runner, award.epoch);
                 }
                 let parcel = self.parcel(0, Message::Desk(message));
                 net.send(&self.peer.name.clone(), &to, parcel);
             }
             Action::Launch(ticket, seat) => {
                 if seat.keeper == self.peer {
-                    oracle.lends(now, &seat.runner, seat.epoch);
+                    oracle.lends(&seat.runner, seat.epoch);
                 }
                 let time = net.soon(3);
                 let life = self.peer.incarnation;
@@ -342,7 +305,7 @@
                     .get(&ticket.slot)
                     .is_some_and(|open| open.sent > 0);
                 let outcome = if is_sent { "unknown" } else { "not-run" };
-                self.tell(oracle, now, ticket.slot, outcome);
+                self.tell(oracle, ticket.slot, outcome);
             }
             Action::Probe { runner, address } => {
                 let time = net.soon(5);
--- a/crates/simulator/src/net.rs
+++ b/crates/simulator/src/net.rs
@@ -62,9 +62,32 @@
     Caller,
 }
 
+/// Wall time at the start of a simulation, in milliseconds since 1970.
+const WALL_START: u64 = 1_000_000_000;
+
+/// A machine's clocks: the one since boot began earlier and runs a little fast or slow, the wall
+/// clock may be set to another time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Clock {
+    pub booted_before: u64,
+    pub ppm: i64,
+    pub wall_jump: i64,
+}
+
+impl Clock {
+    pub fn now(&self, time: u64) -> u64 {
+        self.booted_before + time + (time as i64 * self.ppm / 1_000_000) as u64
+    }
+}
+
 /// The order of events, and the network between nodes.
 pub(crate) struct Net {
+    /// Time as whoever acts now sees it.
     pub now: u64,
+    /// Wall time as whoever acts now sees it.
+    pub wall: u64,
+    time: u64,
+    clock: Clock,
     pub random: StdRng,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Happening>,
@@ -78,6 +101,9 @@
     pub fn new(random: StdRng) -> Self {
         Self {
             now: 0,
+            wall: WALL_START,
+            time: 0,
+            clock: Clock::default(),
             random,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
@@ -87,7 +113,19 @@
         }
     }
 
+    /// Looks at time as a machine with this clock does, until the next event.
+    pub fn look_by(&mut self, clock: Clock) {
+        self.clock = clock;
+        self.now = clock.now(self.time);
+        let wall = (WALL_START + self.time) as i64 + clock.wall_jump;
+        self.wall = wall.max(0) as u64;
+    }
+
+    /// Something happens at a time, told by the clock of whoever acts now.
     pub fn at(&mut self, time: u64, happening: Happening) {
+        let after = time.saturating_sub(self.now);
+        let after = after * 1_000_000 / (1_000_000 + self.clock.ppm) as u64;
+        let time = self.time + after;
         let number = self.next;
         self.next += 1;
         self.events.insert(number, happening);
@@ -102,7 +140,8 @@
 
     pub fn pop(&mut self) -> Option<(u64, Happening)> {
         let Reverse((time, number)) = self.queue.pop()?;
-        self.now = self.now.max(time);
+        self.time = self.time.max(time);
+        self.look_by(Clock::default());
         let happening = self.events.remove(&number)?;
         Some((number, happening))
     }
--- a/crates/simulator/src/oracle.rs
+++ b/crates/simulator/src/oracle.rs
@@ -1,10 +1,15 @@
 use blueprint::Version;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Most lines that are kept of what is broken.
+const BROKEN_MAX: usize = 10;
+
 /// Looks on and notes what must never happen. It knows only what went over the wire, what ran, and
 /// what callers and operators were told.
 #[derive(Default)]
 pub struct Oracle {
+    /// True time, which no daemon knows.
+    pub now: u64,
     /// What must never happen and did, with the time.
     pub broken: Vec<String>,
     settled: BTreeMap<(String, u64, u64), (u64, Vec<u8>)>,
@@ -36,12 +41,14 @@
 }
 
 impl Oracle {
-    fn note(&mut self, now: u64, text: String) {
-        self.broken.push(format!("at {now} ms: {text}"));
+    fn note(&mut self, text: String) {
+        if self.broken.len() < BROKEN_MAX {
+            self.broken.push(format!("at {} ms: {text}", self.now));
+        }
     }
 
     /// A register's value was called settled.
-    pub fn settled(&mut self, now: u64, key: &str, era: u64, version: u64, tag: u64, bytes: &[u8]) {
+    pub fn settled(&mut self, key: &str, era: u64, version: u64, tag: u64, bytes: &[u8]) {
         if version == 0 {
             return;
         }
@@ -52,48 +59,53 @@
             .or_insert_with(|| (tag, bytes.to_vec()));
         if known.0 != tag || known.1 != bytes {
             let text = format!("two values of {key} are settled at version {version}");
-            self.note(now, text);
+            self.note(text);
         }
     }
 
-    fn look(&mut self, check: &'static str) {
+    /// All disks are lost: what was settled before says nothing of the next era.
+    pub fn wiped(&mut self) {
+        self.look("wiped");
+    }
+
+    pub fn look(&mut self, check: &'static str) {
         *self.looked.entry(check).or_default() += 1;
     }
 
     /// Bytes of a call reach an address, whoever listens there or not.
-    pub fn attempt(&mut self, now: u64, call: u64) {
+    pub fn attempt(&mut self, call: u64) {
         if self.attempted.insert(call) {
-            self.firsts.push(now);
+            self.firsts.push(self.now);
         } else {
             self.look("retries");
-            self.again.push(now);
+            self.again.push(self.now);
         }
     }
 
     /// Bytes of a call reach an address that belongs to another function's runner now.
-    pub fn misdirected(&mut self, now: u64, meant: &str, there: &str, is_stranger: bool) {
+    pub fn misdirected(&mut self, meant: &str, there: &str, is_stranger: bool) {
         self.look("misdirected");
         if !is_stranger && meant != there {
             let text = format!("a request for {meant} reaches a runner of {there}");
-            self.note(now, text);
+            self.note(text);
         }
     }
 
     /// A runner begins a request: the ramp gives one seat, and one more with each answer.
-    pub fn warming(&mut self, now: u64, runner: &str, in_flight: u32, ended: u32) {
+    pub fn warming(&mut self, runner: &str, in_flight: u32, ended: u32) {
         self.look("warming");
         if in_flight > 1 + ended {
             let text = format!("warming {runner} carries {in_flight} after {ended} answers");
-            self.note(now, text);
+            self.note(text);
         }
     }
 
     /// A caller gets a success that answers this call.
-    pub fn answer(&mut self, now: u64, call: u64, answered: u64, took_ms: u64) {
+    pub fn answer(&mut self, call: u64, answered: u64, took_ms: u64) {
         self.look("answers");
-        self.took_ms.push((now, took_ms));
+        self.took_ms.push((self.now, took_ms));
         if call != answered {
-            self.note(now, format!("call {call} gets the answer to {answered}"));
+            self.note(format!("call {call} gets the answer to {answered}"));
         }
     }
 
@@ -106,66 +118,66 @@
     }
 
     /// A runner begins to run a call.
-    pub fn run(&mut self, now: u64, call: u64, key: Option<u64>, district: &str, worker: &str) {
+    pub fn run(&mut self, call: u64, key: Option<u64>, district: &str, worker: &str) {
         self.runs += 1;
         self.ran.insert(call);
         if let Some(since) = self
             .leaving
             .get(worker)
             .copied()
-            .filter(|since| now > *since)
+            .filter(|since| self.now > *since)
         {
             self.look("leaving");
-            if now > since + 3_000 {
-                self.note(now, format!("work runs on the leaving {worker}"));
+            if self.now > since + 3_000 {
+                self.note(format!("work runs on the leaving {worker}"));
             }
         }
         if self.told.get(&call) == Some(&"not-run") {
-            self.note(now, format!("call {call} runs after 'not run'"));
+            self.note(format!("call {call} runs after 'not run'"));
         }
         if let Some(key) = key {
             let runs = self.once_runs.entry(key).or_default();
             *runs += 1;
             if *runs > 1 {
-                self.note(now, format!("once-key {key} runs a second time"));
+                self.note(format!("once-key {key} runs a second time"));
             }
         }
         if let Some(since) = self.evacuated.get(district) {
-            if now > since + 5_000 {
-                self.note(now, format!("work runs in evacuated district {district}"));
+            if self.now > since + 5_000 {
+                self.note(format!("work runs in evacuated district {district}"));
             }
         }
     }
 
     /// How many requests a runner holds.
-    pub fn in_flight(&mut self, now: u64, runner: &str, count: u32, concurrency: u32) {
+    pub fn in_flight(&mut self, runner: &str, count: u32, concurrency: u32) {
         if count > concurrency {
             let text = format!("{runner} carries {count} of {concurrency}");
-            self.note(now, text);
+            self.note(text);
         }
     }
 
     /// A caller was told how its call ended.
-    pub fn tell(&mut self, now: u64, call: u64, outcome: &'static str, function: &str) {
+    pub fn tell(&mut self, call: u64, outcome: &'static str, function: &str) {
         *self.outcomes.entry(outcome).or_default() += 1;
         if outcome == "not-run" && self.ran.contains(&call) {
-            self.note(now, format!("call {call} ran before it was told 'not run'"));
+            self.note(format!("call {call} ran before it was told 'not run'"));
         }
         if outcome == "answered" {
             if !self.ran.contains(&call) {
-                self.note(now, format!("call {call} is answered and never ran"));
+                self.note(format!("call {call} is answered and never ran"));
             }
-            self.answered.push((now, function.to_string()));
+            self.answered.push((self.now, function.to_string()));
         }
         self.told.insert(call, outcome);
     }
 
     /// A front serves under a blueprint.
-    pub fn serves(&mut self, now: u64, front: &str, version: Version) {
+    pub fn serves(&mut self, front: &str, version: Version) {
         let known = self.serving.entry(front.to_string()).or_default();
         if version < *known {
             let text = format!("{front} slips back from {known:?} to {version:?}");
-            self.note(now, text);
+            self.note(text);
             return;
         }
         *known = version;
@@ -173,9 +185,9 @@
 
     /// A front in force with a text that was never acknowledged may hold it, but a refused or
     /// losing text must be nowhere.
-    pub fn holds_text(&mut self, now: u64, front: &str, text: &str) {
+    pub fn holds_text(&mut self, front: &str, text: &str) {
         if self.refused_texts.contains(text) {
-            self.note(now, format!("{front} holds a blueprint that was refused"));
+            self.note(format!("{front} holds a blueprint that was refused"));
         }
     }
 
@@ -185,35 +197,35 @@
     }
 
     /// A put was acknowledged.
-    pub fn acknowledged(&mut self, now: u64, version: Version, evacuated: &[String]) {
+    pub fn acknowledged(&mut self, version: Version, evacuated: &[String]) {
         self.puts += 1;
         if self.acknowledged.is_none_or(|(newest, _)| version > newest) {
-            self.acknowledged = Some((version, now));
+            self.acknowledged = Some((version, self.now));
             self.evacuated
                 .retain(|district, _| evacuated.contains(district));
             for district in evacuated {
-                self.evacuated.entry(district.clone()).or_insert(now);
+                self.evacuated.entry(district.clone()).or_insert(self.now);
             }
         }
     }
 
     /// A front that works under an older blueprint 3 s after the newest was acknowledged.
-    pub fn works(&mut self, now: u64, front: &str, version: Version) {
+    pub fn works(&mut self, front: &str, version: Version) {
         let Some((newest, at)) = self.acknowledged else {
             return;
         };
-        if version < newest && now > at + 3_000 {
+        if version < newest && self.now > at + 3_000 {
             let text = format!("{front} works under {version:?}, acknowledged is {newest:?}");
-            self.note(now, text);
+            self.note(text);
         }
     }
 
     /// A keeper lends a seat.
-    pub fn lends(&mut self, now: u64, runner: &str, epoch: u64) {
+    pub fn lends(&mut self, runner: &str, epoch: u64) {
         let newest = self.lent.entry(runner.to_string()).or_default();
         if epoch < *newest {
             let text = format!("keeper of epoch {epoch} lends {runner} after epoch {newest}");
-            self.note(now, text);
+            self.note(text);
             return;
         }
         *newest = epoch;
@@ -231,7 +243,8 @@
             let firsts = self.firsts.iter().filter(first).count();
             if again as f64 > share * firsts as f64 + floor {
                 let text = format!("{again} retries beside {firsts} first tries");
-                self.note(*end, text);
+                self.now = *end;
+                self.note(text);
                 return;
             }
         }
--- a/crates/simulator/src/start.rs
+++ b/crates/simulator/src/start.rs
@@ -1,4 +1,4 @@
-use crate::world::Config;
+use crate::config::Config;
 use blueprint::{Blueprint, District, Kind, Listing};
 
 pub(crate) fn district(place: usize) -> String {
@@ -31,5 +31,6 @@
         .collect();
     blueprint.districts = districts.collect();
     blueprint.bounds.worker_memory_mb = 2_000;
+    blueprint.bounds.claim_ms = config.claim_ms;
     blueprint
 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -1,7 +1,8 @@
+use crate::config::{Config, Verdict};
 use crate::core_node::CoreNode;
-use crate::faults::{Fault, FaultPlan};
+use crate::faults::FaultPlan;
 use crate::front_node::FrontNode;
-use crate::net::{Event, Happening, Net, Parcel, Wish};
+use crate::net::{Clock, Event, Happening, Net, Parcel, Wish};
 use crate::oracle::Oracle;
 use crate::start::{district, first_blueprint};
 use crate::yard::Yard;
@@ -16,69 +17,11 @@
 use wire::Message;
 
 const TICK: u64 = 100;
+/// Clocks run fast or slow by so much, in millionths.
+const DRIFT: i64 = 1_000;
 /// More events than this in one second are a storm that feeds itself.
 const STORM: u32 = 50_000;
 
-/// Sizes and times of a simulated run.
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// Fronts.
-    pub fronts: usize,
-    /// Functions.
-    pub functions: usize,
-    /// Wishes a second over all functions.
-    pub rate: f64,
-    /// Milliseconds that a run takes, within a factor of two.
-    pub pace_ms: u64,
-    /// Share of runs whose answers are lost.
-    pub answer_loss: f64,
-    /// Share of answers that are cut, unsealed, or another request's.
-    pub mischief: f64,
-    /// How many times slower than others each worker's runners are; empty where all are alike.
-    pub slowness: Vec<u64>,
-    /// Failures come between these times, in milliseconds.
-    pub faults: (u64, u64),
-    /// The run ends at this time.
-    pub until: u64,
-}
-
-impl Default for Config {
-    fn default() -> Self {
-        Self {
-            fronts: 5,
-            functions: 6,
-            rate: 60.0,
-            pace_ms: 60,
-            answer_loss: 0.01,
-            mischief: 0.01,
-            slowness: Vec::new(),
-            faults: (6_000, 16_000),
-            until: 32_000,
-        }
-    }
-}
-
-/// What came of a run.
-#[derive(Debug)]
-pub struct Verdict {
-    /// Seed of the run.
-    pub seed: u64,
-    /// What must never happen and did.
-    pub broken: Vec<String>,
-    /// Runs on runners.
-    pub runs: usize,
-    /// Puts that were acknowledged.
-    pub puts: usize,
-    /// Wishes by what the callers were told.
-    pub outcomes: BTreeMap<&'static str, usize>,
-    /// The failures that were brought about.
-    pub faults: Vec<(u64, Fault)>,
-    /// What the oracle's checks looked at.
-    pub looked: BTreeMap<&'static str, usize>,
-    /// When answers came and how long they took, in milliseconds.
-    pub took_ms: Vec<(u64, u64)>,
-}
-
 pub(crate) struct Life {
     number: u64,
     pub is_up: bool,
@@ -96,6 +39,7 @@
     pub(crate) fronts: BTreeMap<String, FrontNode>,
     pub(crate) cores: BTreeMap<String, CoreNode>,
     pub(crate) lives: BTreeMap<String, Life>,
+    pub(crate) clocks: BTreeMap<String, Clock>,
     faults: FaultPlan,
     seed: u64,
     calls: u64,
@@ -122,7 +66,7 @@
             .collect();
         let worker_names: Vec<String> = workers.iter().map(|one| one.name.clone()).collect();
         let (from, until) = config.faults;
-        let faults = FaultPlan::random(
+        let mut faults = FaultPlan::random(
             &mut random,
             from,
             until,
@@ -130,6 +74,9 @@
             &core_names,
             &worker_names,
         );
+        if let Some(only) = &config.only {
+            faults.faults = only.clone();
+        }
         let blueprint = first_blueprint(&config);
         let text = serde_json::to_string(&blueprint).unwrap_or_default();
         let voters = core_names.iter().enumerate().map(|(place, name)| VoterRef {
@@ -167,6 +114,7 @@
             fronts: BTreeMap::new(),
             cores: BTreeMap::new(),
             lives: BTreeMap::new(),
+            clocks: BTreeMap::new(),
             faults,
             seed,
             calls: 0,
@@ -175,18 +123,29 @@
         world.yard.mischief = world.config.mischief;
         let names = worker_names.into_iter();
         world.yard.slowness = names.zip(world.config.slowness.clone()).collect();
+        for name in core_names.iter().chain(&front_names) {
+            let random = &mut world.net.random;
+            let clock = Clock {
+                booted_before: random.random_range(0..1_000_000),
+                ppm: random.random_range(-DRIFT..=DRIFT),
+                wall_jump: random.random_range(-200..=200),
+            };
+            world.clocks.insert(name.clone(), clock);
+        }
         for (place, name) in core_names.iter().enumerate() {
             let peer = world.new_life(name);
             let folder = MemoryFolder::default();
-            let mut core = CoreNode::new(peer, folder, place as u64 + 1, set.clone(), 0);
+            let now = world.clocks[name].now(0);
+            let mut core = CoreNode::new(peer, folder, place as u64 + 1, core_names.clone(), now);
             core.voter.form(set.clone(), 0);
             core.voter.ask(first.clone());
             core.voter.sync();
+            core.set = set.clone();
             world.cores.insert(name.clone(), core);
         }
         for (place, name) in front_names.iter().enumerate() {
             let peer = world.new_life(name);
-            let front = FrontNode::new(peer, &district(place), core_names.clone(), set.clone());
+            let front = FrontNode::new(peer, &district(place), core_names.clone());
             world.fronts.insert(name.clone(), front);
         }
         world.net.at(0, Happening::PlatformTick);
@@ -239,6 +198,7 @@
 
     fn step(&mut self, number: u64, happening: Happening) {
         let now = self.net.now;
+        self.oracle.now = now;
         match happening {
             Happening::At(node, life, event) => self.at_node(number, node, life, event),
             Happening::Request(request) => {
@@ -288,6 +248,7 @@
         if let Event::Tick(life) = *event {
             self.net.event(now + TICK, &node, life, Event::Tick(life));
         }
+        self.net.look_by(self.clocks[&node]);
         if let Some(front) = self.fronts.get_mut(&node) {
             front.handle(&mut self.net, &mut self.oracle, *event);
         } else if let Some(core) = self.cores.get_mut(&node) {
@@ -304,11 +265,16 @@
         let front = format!("front-{}", random.random_range(0..self.config.fronts));
         let other = format!("front-{}", random.random_range(0..self.config.fronts));
         self.calls += 1;
+        let off = self.net.random.random_range(-300..=300);
+        self.net.look_by(Clock {
+            wall_jump: off,
+            ..Clock::default()
+        });
         let wish = Wish {
             call: self.calls * 2,
             function,
             kind: if is_once { "urgent" } else { "plain" }.into(),
-            once_key: is_once.then_some(now * 1_000 + self.calls % 1_000),
+            once_key: is_once.then_some(self.net.wall * 1_000 + self.calls % 1_000),
         };
         // Every so often a caller asks a second front for the same work under the same key.
         if is_once && self.net.random.random_bool(0.3) {
@@ -316,7 +282,8 @@
                 call: wish.call + 1,
                 ..wish.clone()
             };
-            let time = self.net.soon(400);
+            let is_late = self.net.random.random_bool(0.3);
+            let time = self.net.soon(if is_late { 15_000 } else { 400 });
             self.net.event(time, &other, 0, Event::Wish(twin));
         }
         self.net.event(now, &front, 0, Event::Wish(wish));
--- a/crates/simulator/src/yard.rs
+++ b/crates/simulator/src/yard.rs
@@ -120,14 +120,14 @@
     /// A request reaches an address.
     pub fn request(&mut self, net: &mut Net, oracle: &mut Oracle, request: Request) {
         let now = net.now;
-        oracle.attempt(now, request.call);
+        oracle.attempt(request.call);
         let concurrency = self.concurrency.get(&request.seat.function).copied();
         let (wanted, address) = (request.seat.runner.clone(), request.seat.address.clone());
         let slowness = self.slowness.clone();
         let found = self.at_address(now, &address);
         if let Some(other) = found.as_ref().filter(|there| there.entry.id != wanted) {
             let (function, is_stranger) = (&other.entry.function, other.is_stranger);
-            oracle.misdirected(now, &request.seat.function, function, is_stranger);
+            oracle.misdirected(&request.seat.function, function, is_stranger);
         }
         let Some(runner) = found.filter(|runner| runner.entry.id == wanted) else {
             let back = net.soon(5);
@@ -136,10 +136,10 @@
             return;
         };
         runner.in_flight += 1;
-        oracle.in_flight(now, &wanted, runner.in_flight, concurrency.unwrap_or(0));
-        oracle.warming(now, &wanted, runner.in_flight, runner.ended);
+        oracle.in_flight(&wanted, runner.in_flight, concurrency.unwrap_or(0));
+        oracle.warming(&wanted, runner.in_flight, runner.ended);
         let (district, worker) = (runner.entry.district.clone(), runner.entry.worker.clone());
-        oracle.run(now, request.call, request.once_key, &district, &worker);
+        oracle.run(request.call, request.once_key, &district, &worker);
         let spread = net.random.random_range(0.5..2.0);
         let times = slowness.get(&worker).copied().unwrap_or(1);
         let mut takes = (self.pace_ms as f64 * spread) as u64 * times;
@@ -314,9 +314,10 @@
     pub fn tick(&mut self, now: u64) {
         let alive = self.workers.iter();
         let alive = alive.filter(|worker| !self.dead_workers.contains(&worker.name));
-        let listed = self.runners.keys().map(|id| ListedRunner {
+        let listed = self.runners.iter().map(|(id, runner)| ListedRunner {
             id: id.clone(),
             state: ListedState::Up,
+            address: Some(runner.entry.address.clone()),
         });
         let lists = (now, alive.cloned().collect(), listed.collect());
         self.past.push_back(lists);
--- /dev/null
+++ b/crates/voter/src/founding.rs
@@ -0,0 +1,243 @@
+use blueprint::Bounds;
+use register::{VoterRef, VoterSet};
+
+/// What a core said of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeardCore {
+    /// Address at which it was asked.
+    pub address: String,
+    /// Id of its disk.
+    pub disk: u64,
+    /// Its set; era 0 where it is empty.
+    pub set: VoterSet,
+    /// The newest era of which a front told it that it holds a value; 0 where none did.
+    pub fronts_era: u64,
+}
+
+/// What the fronts still hold of earlier eras.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct FrontsHold {
+    /// The newest era of which they hold a value; 0 where they hold none.
+    pub era: u64,
+    /// Whether a majority of the roster was heard, or all fronts on it.
+    pub is_majority: bool,
+}
+
+impl FrontsHold {
+    /// Whether so many fronts of a roster tell enough. Cores that lost their disks bear no witness, so
+    /// all members count for the majority; but there is nobody else to hear where all but as many as
+    /// there are cores were heard.
+    pub fn is_enough(fronts: usize, roster: usize, cores: usize) -> bool {
+        fronts > 0 && (fronts > roster / 2 || fronts + cores >= roster)
+    }
+}
+
+/// What a core does about the set's first founding in an era.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FoundStep {
+    /// Nothing, or not yet.
+    Wait,
+    /// Form this set, refusing keys issued before a time, and tell its members.
+    Form(VoterSet, u64),
+    /// Tell these members again that the set was formed: they are named in it and are still empty.
+    Tell(VoterSet, Vec<String>),
+}
+
+/// How an era begins: where all seeds say that they are empty, the first of them forms a set. A
+/// pure machine.
+#[derive(Debug, Default)]
+pub struct Founding {
+    empty_since: Option<u64>,
+    blank_since: Option<u64>,
+}
+
+impl Founding {
+    /// Decides the next step. `now` is this core's boot-time clock and `wall` its wall clock.
+    #[allow(clippy::too_many_arguments)]
+    pub fn decide(
+        &mut self,
+        now: u64,
+        wall: u64,
+        bounds: &Bounds,
+        is_first: bool,
+        seeds: usize,
+        heard: &[HeardCore],
+        held: Option<FrontsHold>,
+    ) -> FoundStep {
+        let sets = heard.iter().map(|one| &one.set);
+        let newest = sets
+            .max_by_key(|set| set.mark())
+            .cloned()
+            .unwrap_or_default();
+        if newest.era > 0 {
+            self.empty_since = None;
+            return tell_again(&newest, heard);
+        }
+        let told = heard.iter().map(|one| one.fronts_era).max();
+        let held_era = held.map_or(0, |held| held.era);
+        // An era must not begin from nothing where there was one before: whoever has just woken, or
+        // is cut off from the fronts, hears none of them for a while.
+        if held_era < told.unwrap_or(0) {
+            return FoundStep::Wait;
+        }
+        if !is_first || heard.len() < seeds {
+            self.empty_since = None;
+            return FoundStep::Wait;
+        }
+        let waited = now - *self.empty_since.get_or_insert(now);
+        let is_complete = held.is_some_and(|held| held.is_majority);
+        let patience = match held {
+            None => bounds.lease_ms(),
+            Some(_) => bounds.return_ms / 2,
+        };
+        if waited < bounds.lease_ms() || (!is_complete && waited < patience) {
+            return FoundStep::Wait;
+        }
+        // It has waited for fronts now; the values are not waited for a second time.
+        self.blank_since = Some(now.saturating_sub(bounds.return_ms / 2));
+        let before = held.map_or(0, |held| held.era);
+        let voters = heard.iter().map(|one| VoterRef {
+            disk: one.disk,
+            address: one.address.clone(),
+        });
+        let set = VoterSet {
+            era: before + 1,
+            no: 1,
+            voters: voters.collect(),
+        };
+        // Keys that callers may have issued before the loss are refused: whether their work ran
+        // cannot be known here. A caller's clock may be ahead by as much as a change may take.
+        let floor = match before {
+            0 => 0,
+            _ => wall + bounds.change_ms + bounds.slack_ms(),
+        };
+        FoundStep::Form(set, floor)
+    }
+
+    /// Whether an era that has no values yet may start from what the fronts hold: at once where a
+    /// majority of the roster was heard, else after half the return bound.
+    pub fn may_start(&mut self, now: u64, bounds: &Bounds, is_majority: bool) -> bool {
+        let since = *self.blank_since.get_or_insert(now);
+        is_majority || since + bounds.return_ms / 2 <= now
+    }
+}
+
+/// Members that are named in an era's first set by their disk and are still empty never took part in
+/// the era, so they may be told of it again. Otherwise a lost word would leave the set without a
+/// majority for ever.
+fn tell_again(set: &VoterSet, heard: &[HeardCore]) -> FoundStep {
+    let is_named = |one: &&HeardCore| {
+        let mut voters = set.voters.iter();
+        one.set.era == 0 && voters.any(|voter| voter.disk == one.disk)
+    };
+    let empty = heard.iter().filter(is_named);
+    let empty: Vec<String> = empty.map(|one| one.address.clone()).collect();
+    if set.no != 1 || empty.is_empty() {
+        return FoundStep::Wait;
+    }
+    FoundStep::Tell(set.clone(), empty)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn empty(disk: u64) -> HeardCore {
+        HeardCore {
+            address: format!("at-{disk}"),
+            disk,
+            set: VoterSet::default(),
+            fronts_era: 0,
+        }
+    }
+
+    fn decide(
+        founding: &mut Founding,
+        now: u64,
+        heard: &[HeardCore],
+        held: Option<FrontsHold>,
+    ) -> FoundStep {
+        founding.decide(now, 1_000_000, &Bounds::default(), true, 3, heard, held)
+    }
+
+    #[test]
+    fn an_era_begins_above_what_fronts_hold_once_a_majority_of_them_was_heard() {
+        let heard = [empty(1), empty(2), empty(3)];
+        let mut founding = Founding::default();
+        let some = |is_majority| {
+            Some(FrontsHold {
+                era: 4,
+                is_majority,
+            })
+        };
+        assert_eq!(
+            decide(&mut founding, 0, &heard, some(true)),
+            FoundStep::Wait
+        );
+        assert_eq!(
+            decide(&mut founding, 1_500, &heard, some(false)),
+            FoundStep::Wait
+        );
+        let FoundStep::Form(set, floor) = decide(&mut founding, 1_600, &heard, some(true)) else {
+            panic!("no era");
+        };
+        assert_eq!((set.era, set.no, set.voters.len()), (5, 1, 3));
+        assert!(floor > 1_003_000, "keys from before the loss are refused");
+        assert_eq!(
+            decide(&mut founding, 1_700, &heard[..2], some(true)),
+            FoundStep::Wait
+        );
+        assert_eq!(
+            decide(&mut founding, 1_800, &heard, some(true)),
+            FoundStep::Wait
+        );
+    }
+
+    #[test]
+    fn no_era_begins_from_nothing_where_any_core_heard_of_one_before() {
+        let mut founding = Founding::default();
+        let told = HeardCore {
+            fronts_era: 4,
+            ..empty(3)
+        };
+        let heard = [empty(1), empty(2), told];
+        assert_eq!(decide(&mut founding, 0, &heard, None), FoundStep::Wait);
+        assert_eq!(decide(&mut founding, 60_000, &heard, None), FoundStep::Wait);
+    }
+
+    #[test]
+    fn a_majority_or_all_fronts_of_the_roster_tell_enough() {
+        assert!(FrontsHold::is_enough(6, 10, 3) && !FrontsHold::is_enough(5, 10, 3));
+        assert!(FrontsHold::is_enough(3, 6, 3) && !FrontsHold::is_enough(2, 6, 3));
+        assert!(!FrontsHold::is_enough(0, 3, 3));
+    }
+
+    #[test]
+    fn an_era_without_values_starts_from_what_was_heard_after_a_while() {
+        let (mut founding, bounds) = (Founding::default(), Bounds::default());
+        assert!(!founding.may_start(0, &bounds, false));
+        assert!(!founding.may_start(5_999, &bounds, false));
+        assert!(founding.may_start(6_000, &bounds, false));
+        assert!(Founding::default().may_start(0, &bounds, true));
+    }
+
+    #[test]
+    fn a_member_that_missed_the_founding_is_told_again() {
+        let mut founding = Founding::default();
+        let heard = [empty(1), empty(2), empty(3)];
+        let FoundStep::Wait = decide(&mut founding, 0, &heard, None) else {
+            panic!("too early");
+        };
+        let FoundStep::Form(set, _) = decide(&mut founding, 1_500, &heard, None) else {
+            panic!("no era");
+        };
+        let formed = HeardCore {
+            set: set.clone(),
+            ..empty(1)
+        };
+        let stranger = empty(9);
+        let heard = [formed, empty(2), stranger];
+        let step = decide(&mut founding, 1_600, &heard, None);
+        assert_eq!(step, FoundStep::Tell(set, vec!["at-2".into()]));
+    }
+}
--- a/crates/voter/src/keeper.rs
+++ b/crates/voter/src/keeper.rs
@@ -145,10 +145,11 @@
         }
     }
 
-    /// Forgets claims issued before a time.
-    pub fn age_out(&mut self, before: u64) {
+    /// Forgets claims issued longer ago than they are remembered.
+    pub fn age_out(&mut self, wall: u64, remembered: u64) {
         if self.is_open() {
-            self.unsynced.extend(self.acceptor.age_out(before));
+            self.unsynced
+                .extend(self.acceptor.age_out(wall, remembered));
         }
     }
 
--- a/crates/voter/src/lib.rs
+++ b/crates/voter/src/lib.rs
@@ -1,8 +1,10 @@
 //! A voter with its disk, and an empty voter's way into the set. No threads and no clock: the core
 //! daemon and the simulator run the same code.
 
+mod founding;
 mod joining;
 mod keeper;
 
+pub use founding::{FoundStep, Founding, FrontsHold, HeardCore};
 pub use joining::{JoinStep, Joining};
 pub use keeper::{Installing, Voter, VoterError};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -95,6 +95,8 @@
         disk: u64,
         /// The set that it believes in; era 0 where it is empty.
         set: VoterSet,
+        /// The newest era of which a front told it that it holds a value.
+        fronts_era: u64,
     },
     /// A part of the sender's view; the answer is a part of the receiver's.
     Shuffle(Vec<Neighbour>),
