--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -26,6 +26,7 @@
 mod scenario;
 mod scenarios;
 mod session;
+mod soak;
 mod stage;
 mod watch;
 mod worker;
@@ -108,6 +109,23 @@
         #[arg(long, default_value = "run/interface")]
         dir: PathBuf,
     },
+    /// Draw failures of all kinds from a seed, for as long as asked, and judge what comes of them
+    Soak {
+        /// Deployment file
+        deployment: PathBuf,
+        /// How long
+        #[arg(long, default_value_t = 120)]
+        seconds: u64,
+        /// Seed of the course
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Folder for settings, data and logs; it is emptied first
+        #[arg(long, default_value = "run/soak")]
+        dir: PathBuf,
+        /// File that a line with the verdict and figures is added to
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
     /// Run many seeds of the simulator
     Simulate {
         /// First seed
@@ -160,6 +178,13 @@
         } => scenario::run(&name, &deployment, &dir, report.as_deref()),
         Command::Replay { file, front } => replay::run(&file, front),
         Command::Interface { deployment, dir } => interface::run(&deployment, &dir),
+        Command::Soak {
+            deployment,
+            seconds,
+            seed,
+            dir,
+            report,
+        } => soak::run(&deployment, seconds, seed, &dir, report.as_deref()),
         Command::Simulate { from, seeds } => session::simulate(from, seeds),
         Command::Platform {
             http,
--- a/crates/lab/src/operating.rs
+++ b/crates/lab/src/operating.rs
@@ -21,7 +21,7 @@
     stage.closes();
     put_figures(stage, acknowledged, held);
     let bound = stage.deployment.bounds.evacuation_ms;
-    stage.no_work.push(("a".into(), began + bound));
+    stage.no_work.push(("a".into(), began + bound, u64::MAX));
     Ok(())
 }
 
--- a/crates/lab/src/planned.rs
+++ b/crates/lab/src/planned.rs
@@ -162,7 +162,7 @@
     stage.gone_kind = Some((unkind, gone_kind, kind_since));
     stage
         .no_work
-        .push(("c".into(), acknowledged_at + bounds.evacuation_ms));
+        .push(("c".into(), acknowledged_at + bounds.evacuation_ms, u64::MAX));
     stage.until(8.0);
     stage.fleet.fronts[1].signal(libc::SIGCONT);
     stage.until(10.0);
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -1,6 +1,7 @@
 use crate::callers;
 use crate::deployment::{Deployment, LabFault};
-use crate::scenarios::{all, Scenario};
+use crate::fleet::Needs;
+use crate::scenarios::all;
 use crate::session::make_ready;
 use crate::stage::Stage;
 use crate::watch::Watch;
@@ -27,20 +28,45 @@
         let text = format!("there is no scenario {name:?}; `scenario` alone lists them");
         return Err(LabFault::Input(text));
     };
+    let part = Part {
+        name: scenario.name.to_string(),
+        needs: scenario.needs,
+        with_crowd: scenario.with_crowd,
+        seconds: scenario.seconds,
+    };
+    perform(&part, file, dir, report, 1, scenario.act)
+}
+
+/// What a failure is brought about under.
+pub struct Part {
+    pub name: String,
+    pub needs: Needs,
+    pub with_crowd: bool,
+    pub seconds: u64,
+}
+
+/// Brings a fleet up, acts on it under traffic, and judges.
+pub fn perform(
+    part: &Part,
+    file: &Path,
+    dir: &Path,
+    report: Option<&Path>,
+    seed: u64,
+    act: impl FnOnce(&mut Stage) -> Result<(), LabFault>,
+) -> Result<(), LabFault> {
     let deployment = Deployment::read(file)?;
-    let ready = make_ready(&deployment, file, dir, scenario.needs)?;
+    let ready = make_ready(&deployment, file, dir, part.needs)?;
     let fronts: Vec<SocketAddr> = ready.fleet.fronts.iter().map(|front| front.http).collect();
     let mut stage = Stage::new(ready.fleet, deployment.clone());
-    let seconds = scenario.seconds;
-    let with_crowd = scenario.with_crowd;
+    let (seconds, with_crowd) = (part.seconds, part.with_crowd);
     let daemons = stage.fleet.daemons();
     let daemons = daemons.map(|daemon| (daemon.name.clone(), daemon.http));
     let watch = Watch::begin(daemons.collect());
     let traffic = {
         let deployment = deployment.clone();
-        thread::spawn(move || callers::send(&deployment, &fronts, seconds, with_crowd, 1))
+        thread::spawn(move || callers::send(&deployment, &fronts, seconds, with_crowd, seed))
     };
-    let acted = (scenario.act)(&mut stage);
+    let acted = act(&mut stage);
     let wishes = traffic.join().unwrap_or_default();
     acted?;
     let seen = watch.end();
@@ -67,7 +93,7 @@
     for check in checks.iter().filter(|check| wanted.contains(&check.name)) {
         stage.note(format!("{}: {}", check.name, check.found));
     }
-    conclude(scenario, file, &stage, report)
+    conclude(&part.name, file, &stage, report)
 }
 
 /// The worker of each runner, by the ledger in which it stands.
@@ -87,12 +113,7 @@
     Ok(workers)
 }
 
-fn conclude(
-    scenario: &Scenario,
-    file: &Path,
-    stage: &Stage,
-    report: Option<&Path>,
-) -> Result<(), LabFault> {
+fn conclude(name: &str, file: &Path, stage: &Stage, report: Option<&Path>) -> Result<(), LabFault> {
     let verdict = if stage.broken.is_empty() {
         "good".to_string()
     } else {
@@ -101,7 +122,7 @@
     let deployment = file.file_stem().unwrap_or_default().to_string_lossy();
     let line = format!(
         "| {} | {deployment} | {} | {verdict} |\n",
-        scenario.name,
+        name,
         stage.notes.join("; ")
     );
     print!("{line}");
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -22,8 +22,8 @@
     pub broken: Vec<String>,
     /// When the failure began and when it closed, in milliseconds since 1970.
     pub failed: Option<(u64, u64)>,
-    /// Districts that get no work from a time on.
-    pub no_work: Vec<(String, u64)>,
+    /// Districts that get no work from a time on, until another.
+    pub no_work: Vec<(String, u64, u64)>,
     /// Checks of the judge that this scenario is made for, and that must have something to look at.
     pub wanted: Vec<&'static str>,
     /// Functions that were lowered to one request at once, or removed, and since when it must hold.
@@ -163,10 +163,11 @@
         runs: &[RunLine],
         district_of: impl Fn(&str) -> String,
     ) {
-        for (district, since) in self.no_work.clone() {
+        for (district, since, until) in self.no_work.clone() {
             let late = runs
                 .iter()
-                .filter(|run| run.at_ms > since && district_of(&run.runner) == district);
+                .filter(|run| run.at_ms > since && run.at_ms < until)
+                .filter(|run| district_of(&run.runner) == district);
             let count = late.count();
             let text = format!("{count} runs in {district} after the bound");
             self.expect(count == 0, &text);
