--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -35,11 +35,12 @@
         return text(405, "call a function with POST");
     }
     shared.handling.fetch_add(1, Ordering::SeqCst);
-    let mut response = take_call(shared, request, function).unwrap_or_else(|refused| *refused);
-    // Callers that keep their connection must not be on it when this front ends.
+    let response = take_call(shared, request, function).unwrap_or_else(|refused| *refused);
+    // Callers that keep their connection must not be on it when this front ends. The library closes
+    // it after the answer where the request says so.
     if shared.is_stopping.load(Ordering::SeqCst) {
         let close = HeaderValue::from_static("close");
-        response.headers_mut().insert("connection", close);
+        request.headers_mut().insert("connection", close);
     }
     shared.handled_at.store(now_ms(), Ordering::SeqCst);
     shared.handling.fetch_sub(1, Ordering::SeqCst);
--- a/crates/lab/src/callers.rs
+++ b/crates/lab/src/callers.rs
@@ -12,8 +12,9 @@
 use std::time::{Duration, Instant};
 use wire::{call, Answer, HttpError};
 
-/// Callers at once. The load is open-loop below this bound.
+/// Callers at once in ordinary traffic. The load is open-loop below this bound.
 const CALLERS: usize = 800;
+const STACK: usize = 128 * 1024;
 /// How long a caller goes on asking for one piece of work.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -38,6 +39,8 @@
     pub function: String,
     /// When it was due, in milliseconds since 1970.
     pub due_ms: u64,
+    /// How late the first request left, since callers are bounded.
+    pub late: Duration,
     /// From when it was due until the last answer.
     pub took: Duration,
     pub asks: Vec<Ask>,
@@ -95,24 +98,38 @@
     seconds: u64,
     with_crowd: bool,
     seed: u64,
+) -> Vec<Wish> {
+    send_by(CALLERS, deployment, fronts, seconds, with_crowd, seed)
+}
+
+/// The same, by so many callers.
+pub fn send_by(
+    callers: usize,
+    deployment: &Deployment,
+    fronts: &[SocketAddr],
+    seconds: u64,
+    with_crowd: bool,
+    seed: u64,
 ) -> Vec<Wish> {
     let (sender, receiver) = unbounded::<Due>();
     let wishes = Arc::new(Mutex::new(Vec::new()));
     let deployment = Arc::new(deployment.clone());
     let numbers = Arc::new(AtomicU64::new(0));
     let fronts: Arc<Vec<SocketAddr>> = Arc::new(fronts.to_vec());
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|_| {
+    let callers: Vec<_> = (0..callers)
+        .filter_map(|_| {
             let (receiver, wishes) = (receiver.clone(), wishes.clone());
             let (deployment, numbers) = (deployment.clone(), numbers.clone());
             let fronts = fronts.clone();
-            thread::spawn(move || {
+            let caller = move || {
                 for due in &receiver {
                     let stream = &deployment.streams[due.stream];
                     let wish = pursue(&deployment, stream, &due, &fronts, &numbers, seed);
                     wishes.lock().push(wish);
                 }
-            })
+            };
+            let builder = thread::Builder::new().stack_size(STACK);
+            builder.spawn(caller).ok()
         })
         .collect();
     drop(receiver);
@@ -152,6 +169,7 @@
         kind: stream.kind.clone(),
         function: due.function.clone(),
         due_ms: due.at_unix_ms,
+        late: due.at.elapsed(),
         took: Duration::ZERO,
         asks: Vec::new(),
         is_done: false,
--- a/crates/lab/src/keeping_on.rs
+++ b/crates/lab/src/keeping_on.rs
@@ -84,15 +84,26 @@
                 counts.cut.fetch_add(1, Ordering::SeqCst);
                 return;
             }
-            Ok(is_closing) if is_closing => return,
-            Ok(_) => is_kept = true,
+            Ok(()) => is_kept = true,
         }
         thread::sleep(Duration::from_millis(50));
+        if is_closed(&stream) {
+            return;
+        }
     }
 }
 
-/// Reads one whole answer, and gives whether the front closes the connection after it.
-fn read(stream: &mut TcpStream) -> io::Result<bool> {
+/// Whether the front has closed the connection since its last answer, as callers look before they use
+/// one again.
+fn is_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    matches!(peeked, Ok(0)) || peeked.is_err_and(|error| error.kind() != io::ErrorKind::WouldBlock)
+}
+
+/// Reads one whole answer.
+fn read(stream: &mut TcpStream) -> io::Result<()> {
     let mut bytes = Vec::new();
     let mut part = [0; 4096];
     loop {
@@ -114,7 +125,7 @@
         };
         let length = value("content-length").and_then(|text| text.parse::<usize>().ok());
         if bytes.len() - head >= length.unwrap_or(0) {
-            return Ok(value("connection").is_some_and(|text| text.eq_ignore_ascii_case("close")));
+            return Ok(());
         }
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 //! one machine. It is for trying and testing, never for operating.
 
 mod callers;
+mod cost;
 mod deployment;
 mod failing_daemons;
 mod failing_disks;
@@ -15,6 +16,7 @@
 mod judge;
 mod keeping_on;
 mod ledger;
+mod load;
 mod member;
 mod mishaps;
 mod operating;
@@ -109,6 +111,38 @@
         #[arg(long, default_value = "run/interface")]
         dir: PathBuf,
     },
+    /// Send some times a deployment's crowd and traffic, each to a fresh fleet
+    Load {
+        /// Deployment file
+        deployment: PathBuf,
+        /// Crowds from sleep, as factors of the deployment's own
+        #[arg(long, value_delimiter = ',')]
+        crowds: Vec<f64>,
+        /// Sustained traffic, as factors of the deployment's own
+        #[arg(long, value_delimiter = ',')]
+        rates: Vec<f64>,
+        /// Seconds of each
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        /// Folder for settings, data and logs; it is emptied first
+        #[arg(long, default_value = "run/load")]
+        dir: PathBuf,
+        /// File that the report is written to; standard output where none is named
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
+    /// Measure what a front adds to a call, what a call costs, and what daemons take
+    Cost {
+        /// Deployment file
+        #[arg(default_value = "deploy/cost.toml")]
+        deployment: PathBuf,
+        /// Folder for settings, data and logs; it is emptied first
+        #[arg(long, default_value = "run/cost")]
+        dir: PathBuf,
+        /// File that the lines are added to; standard output where none is named
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
     /// Draw failures of all kinds from a seed, for as long as asked, and judge what comes of them
     Soak {
         /// Deployment file
@@ -178,6 +212,26 @@
         } => scenario::run(&name, &deployment, &dir, report.as_deref()),
         Command::Replay { file, front } => replay::run(&file, front),
         Command::Interface { deployment, dir } => interface::run(&deployment, &dir),
+        Command::Load {
+            deployment,
+            crowds,
+            rates,
+            seconds,
+            dir,
+            report,
+        } => load::run(
+            &deployment,
+            &crowds,
+            &rates,
+            seconds,
+            &dir,
+            report.as_deref(),
+        ),
+        Command::Cost {
+            deployment,
+            dir,
+            report,
+        } => cost::run(&deployment, &dir, report.as_deref()),
         Command::Soak {
             deployment,
             seconds,
--- a/crates/lab/src/member.rs
+++ b/crates/lab/src/member.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Id of the running process.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: i32) {
         if let Some(child) = &self.child {
