--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -251,8 +251,9 @@
 
 fn note_claim(shared: &Shared, key: &OnceKey, version: u64, digest: &str, end: &Ending) {
     let digest = digest.to_string();
+    let patience = Duration::from_millis(shared.blueprint.load().bounds.lease_ms() / 3);
     let claim = match end {
-        Ending::Refused(_) => return shared.ledger.free(key, version),
+        Ending::Refused(_) => return shared.ledger.free(key, version, patience),
         Ending::Failed(_) => Claim::Unknown { digest },
         Ending::Answered {
             status,
@@ -265,7 +266,6 @@
             body: Some(body.clone()),
         },
     };
-    let patience = Duration::from_millis(shared.blueprint.load().bounds.lease_ms() / 3);
     shared.ledger.note(key, version, claim, patience);
 }
 
--- a/crates/front/src/once.rs
+++ b/crates/front/src/once.rs
@@ -195,10 +195,18 @@
         let _ = self.leftovers.0.try_send((register.to_string(), version));
     }
 
-    /// Gives a claim back, of which nothing was sent. Where voters do not answer now it is done
-    /// later.
-    pub fn free(&self, key: &OnceKey, version: u64) {
-        self.leave_over(&key.register, version);
+    /// Gives a claim back, of which nothing was sent, so that the caller may ask elsewhere as soon as
+    /// it is told. Where voters do not answer now it is done later.
+    pub fn free(&self, key: &OnceKey, version: u64, budget: Duration) {
+        match self.write(&key.register, version, &Claim::Free, budget) {
+            Outcome::Settled(_) | Outcome::Stale(_) => {}
+            _ => self.leave_over(&key.register, version),
+        }
+    }
+
+    /// Whether claims are still to be given back.
+    pub fn has_leftovers(&self) -> bool {
+        !self.leftovers.1.is_empty()
     }
 
     /// Notes the answer, or that it was lost.
--- a/crates/front/src/operators.rs
+++ b/crates/front/src/operators.rs
@@ -107,7 +107,9 @@
     let answers_have_left = shared.handled_at.load(Ordering::SeqCst)
         + shared.blueprint.load().bounds.slack_ms()
         < now_ms();
-    shared.handling.load(Ordering::SeqCst) == 0 && answers_have_left
+    shared.handling.load(Ordering::SeqCst) == 0
+        && answers_have_left
+        && !shared.ledger.has_leftovers()
 }
 
 /// Longest time that a drain may take when cores cannot move its runners away.
--- a/crates/simulator/src/failing.rs
+++ b/crates/simulator/src/failing.rs
@@ -22,6 +22,17 @@
                     self.come_back(&name);
                 }
             }
+            Fault::KillDuty(lasts) => {
+                let holds = |core: &&CoreNode| {
+                    let local = self.clocks[&core.peer.name].now(now);
+                    core.duty.term(local).is_some()
+                };
+                let holder = self.cores.values().find(holds);
+                if let Some(name) = holder.map(|core| core.peer.name.clone()) {
+                    self.oracle.look("duty killed");
+                    self.fault(Fault::Kill(name, lasts));
+                }
+            }
             Fault::Freeze(name, lasts) => {
                 if let Some(life) = self.lives.get_mut(&name) {
                     life.frozen_until = life.frozen_until.max(now + lasts);
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -6,6 +6,8 @@
 pub enum Fault {
     /// A daemon is killed; it comes back after so many milliseconds.
     Kill(String, u64),
+    /// The core that scales now is killed; it comes back after so many milliseconds.
+    KillDuty(u64),
     /// A daemon stands still for so many milliseconds, while its clock goes on.
     Freeze(String, u64),
     /// Nothing passes from the first daemon to the second.
--- a/crates/simulator/tests/seeds.rs
+++ b/crates/simulator/tests/seeds.rs
@@ -118,6 +118,33 @@
     assert!(founded >= 24, "{founded} eras were founded");
 }
 
+/// A worker that leaves makes runners drain, stop and start elsewhere; the scaling core is killed a
+/// little later into it with each seed.
+#[test]
+fn the_duty_holder_is_killed_in_each_step_of_a_drain_a_stop_and_a_start() {
+    let (mut killed, mut left) = (0, 0);
+    for seed in 7_000..7_030 {
+        let config = Config {
+            only: Some(vec![
+                (9_000, Fault::LeaveWorker("worker-0".into())),
+                (9_000, Fault::LeaveWorker("worker-1".into())),
+                (10_400 + 50 * (seed - 7_000), Fault::KillDuty(1_000)),
+                (15_500, Fault::StayWorker("worker-0".into())),
+                (15_500, Fault::StayWorker("worker-1".into())),
+            ]),
+            ..Config::default()
+        };
+        let verdict = World::new(config, seed).run();
+        assert!(verdict.broken.is_empty(), "{verdict:#?}");
+        killed += verdict.looked.get("duty killed").copied().unwrap_or(0);
+        left += verdict.looked.get("leaving").copied().unwrap_or(0);
+    }
+    assert!(
+        killed >= 25 && left > 30,
+        "{killed} kills, {left} runs on leaving workers"
+    );
+}
+
 #[test]
 fn one_seed_gives_one_course() {
     let run = || format!("{:?}", World::new(Config::default(), 7).run());
