--- a/crates/core/src/operators.rs
+++ b/crates/core/src/operators.rs
@@ -194,6 +194,7 @@
         Some(report) if report.absent_ms > 0 => "absent",
         Some(report) if !report.is_warm => "starting",
         Some(report) if report.is_unfit => "unfit",
+        Some(report) if report.is_slow => "slow",
         Some(_) => "fit",
     }
 }
--- a/crates/hallkeel/src/show.rs
+++ b/crates/hallkeel/src/show.rs
@@ -5,6 +5,9 @@
 use std::thread;
 use std::time::Duration;
 
+/// A clock that is off by less is not worth a word, in milliseconds.
+const CLOCK_OFF_MS: i64 = 1_000;
+
 /// Everything that the daemons tell of themselves.
 struct Fleet {
     cores: Vec<(SocketAddr, Option<Value>)>,
@@ -76,6 +79,7 @@
     if with_runners {
         show_runners(core);
     }
+    show_clocks(core);
     Ok(())
 }
 
@@ -127,6 +131,17 @@
     }
 }
 
+/// Daemons whose wall clocks are off, by the first core that answers.
+fn show_clocks(core: &Value) {
+    for clock in core["clocks"].as_array().into_iter().flatten() {
+        let off_ms = clock["off_ms"].as_i64().unwrap_or(0);
+        if off_ms.abs() >= CLOCK_OFF_MS {
+            let name = text(&clock["name"]);
+            println!("{name}: its clock is off by {off_ms} ms; it refuses once-keys or soon will");
+        }
+    }
+}
+
 fn show_functions(core: &Value) {
     println!(
         "\n{:<24} {:>8} {:>8} {:>8} {:>7} {:>5} {:>7}  last decision",
@@ -150,16 +165,17 @@
 
 fn show_runners(core: &Value) {
     println!(
-        "\n{:<28} {:<12} {:<22} {:>5} {:<10} {:>5} {:<9} fitness",
-        "runner", "worker", "address", "quota", "keeper", "epoch", "state"
+        "\n{:<28} {:<12} {:<22} {:>5} {:>7} {:<10} {:>5} {:<9} fitness",
+        "runner", "worker", "address", "quota", "pace ms", "keeper", "epoch", "state"
     );
     for runner in core["runners"].as_array().into_iter().flatten() {
         println!(
-            "{:<28} {:<12} {:<22} {:>5} {:<10} {:>5} {:<9} {}",
+            "{:<28} {:<12} {:<22} {:>5} {:>7} {:<10} {:>5} {:<9} {}",
             text(&runner["id"]),
             text(&runner["worker"]),
             text(&runner["address"]),
             text(&runner["quota"]),
+            text(&runner["pace_ms"]),
             text(&runner["keeper"]),
             text(&runner["epoch"]),
             text(&runner["state"]),
