--- a/crates/holding/src/desk.rs
+++ b/crates/holding/src/desk.rs
@@ -2,6 +2,7 @@
 use crate::allowance::Allowance;
 use crate::bids::BidTable;
 use crate::holding::{Admission, Holding};
+use crate::index::Index;
 use crate::kept::Kept;
 use crate::message::DeskMessage;
 use crate::standing::Standing;
@@ -70,6 +71,7 @@
     pub(crate) blueprint_version: Version,
     pub(crate) plan: Arc<Plan>,
     pub(crate) plan_version: Version,
+    pub(crate) index: Index,
     pub(crate) is_ready: bool,
     pub(crate) is_draining: bool,
     pub(crate) standing: Standing,
@@ -103,6 +105,7 @@
             blueprint_version: Version::default(),
             plan: Arc::default(),
             plan_version: Version::default(),
+            index: Index::default(),
             is_ready: false,
             is_draining: false,
             standing: Standing::default(),
@@ -226,7 +229,8 @@
 
     /// Asked right before the bytes of a try leave. Without leave nothing may be sent.
     pub fn permit(&mut self, now: u64, ticket: &Ticket, seat: &SeatGrant) -> bool {
-        let is_current = self.plan.runner(&seat.runner).is_some_and(|entry| {
+        let entry = self.index.runner(&self.plan, &seat.runner);
+        let is_current = entry.is_some_and(|entry| {
             entry.keeper_epoch == seat.epoch
                 && entry.keeper == seat.keeper
                 && entry.address == seat.address
--- /dev/null
+++ b/crates/holding/src/index.rs
@@ -0,0 +1,47 @@
+use blueprint::{Plan, RunnerEntry};
+use std::collections::HashMap;
+
+/// Where things stand in a plan, made once for each plan, since every ticket asks.
+#[derive(Debug, Default)]
+pub(crate) struct Index {
+    by_id: HashMap<String, usize>,
+    by_function: HashMap<String, Vec<usize>>,
+    medians: HashMap<String, u32>,
+}
+
+impl Index {
+    pub fn of(plan: &Plan) -> Self {
+        let mut index = Self::default();
+        for (place, entry) in plan.runners.iter().enumerate() {
+            index.by_id.insert(entry.id.clone(), place);
+            let places = index.by_function.entry(entry.function.clone());
+            places.or_default().push(place);
+        }
+        for function in index.by_function.keys() {
+            if let Some(median) = plan.median_pace(function) {
+                index.medians.insert(function.clone(), median);
+            }
+        }
+        index
+    }
+
+    /// The entry of a runner.
+    pub fn runner<'a>(&self, plan: &'a Plan, id: &str) -> Option<&'a RunnerEntry> {
+        plan.runners.get(*self.by_id.get(id)?)
+    }
+
+    /// The entries of a function.
+    pub fn entries<'a>(
+        &'a self,
+        plan: &'a Plan,
+        function: &str,
+    ) -> impl Iterator<Item = &'a RunnerEntry> {
+        let places = self.by_function.get(function).into_iter().flatten();
+        places.filter_map(|place| plan.runners.get(*place))
+    }
+
+    /// The pace of the function's runner in the middle; 0 where none is known.
+    pub fn median(&self, function: &str) -> u32 {
+        self.medians.get(function).copied().unwrap_or(0)
+    }
+}
--- a/crates/holding/src/keeping.rs
+++ b/crates/holding/src/keeping.rs
@@ -1,6 +1,7 @@
 use crate::action::Action;
 use crate::bids::StandingBid;
 use crate::desk::{Desk, Former};
+use crate::index::Index;
 use crate::kept::Kept;
 use crate::message::{DeskMessage, Return, DESK_LISTS_MAX};
 use blueprint::{Blueprint, PeerRef, Plan, RunnerState, Version};
@@ -41,6 +42,7 @@
         }
         self.plan = plan;
         self.plan_version = version;
+        self.index = Index::of(&self.plan);
         self.standing.keep_only(&self.plan);
         self.bids.keep_only(&self.plan.roster);
         let mut kept_before = std::mem::take(&mut self.kept);
@@ -227,9 +229,8 @@
     fn on_return(&mut self, now: u64, from: &PeerRef, given_back: &Return) {
         let bounds = &self.blueprint.bounds;
         let (seat_no, took_ms) = (given_back.seat_no, given_back.took_ms);
-        let entry = self.plan.runner(&given_back.runner);
-        let median = entry.and_then(|entry| self.plan.median_pace(&entry.function));
-        let median = median.unwrap_or(0);
+        let entry = self.index.runner(&self.plan, &given_back.runner);
+        let median = entry.map_or(0, |entry| self.index.median(&entry.function));
         if let Some(kept) = self.kept.get_mut(&given_back.runner) {
             if kept.take_back(from, seat_no, took_ms, median) {
                 if given_back.is_bad {
--- a/crates/holding/src/lending.rs
+++ b/crates/holding/src/lending.rs
@@ -61,7 +61,7 @@
     fn elect_runner(&self, now: u64, function: &str, waited_ms: u64) -> Option<String> {
         let listing = self.blueprint.listing(function)?;
         let last_resort = self.last_resort(function);
-        let median = self.plan.median_pace(function).unwrap_or(0);
+        let median = self.index.median(function);
         let spare = |kept: &Kept, free: u32| {
             let may_lend = free > 0
                 && self.blueprint.is_open(&kept.entry.district)
@@ -83,11 +83,8 @@
 
     /// One wanted runner of each function is never left out as unfit.
     fn last_resort(&self, function: &str) -> Option<String> {
-        let wanted = self
-            .plan
-            .runners
-            .iter()
-            .filter(|entry| entry.function == function && self.may_run_on(entry));
+        let entries = self.index.entries(&self.plan, function);
+        let wanted = entries.filter(|entry| self.may_run_on(entry));
         wanted.map(|entry| &entry.id).min().cloned()
     }
 
@@ -200,7 +197,8 @@
         if !self.bids.see(from, award.seat_no) {
             return;
         }
-        let entry = self.plan.runner(&award.runner).cloned().filter(|entry| {
+        let entry = self.index.runner(&self.plan, &award.runner);
+        let entry = entry.cloned().filter(|entry| {
             entry.keeper == *from
                 && entry.keeper_epoch == award.epoch
                 && entry.function == award.function
@@ -243,11 +241,10 @@
     /// Bids at other keepers for what waits, shared out by the predicted throughput of their runners.
     fn send_bids(&mut self, now: u64, function: &str) {
         let lease = self.blueprint.bounds.lease_ms();
-        let median = self.plan.median_pace(function).unwrap_or(1).max(1);
+        let median = self.index.median(function).max(1);
         let mut weights: BTreeMap<String, u64> = BTreeMap::new();
-        for entry in &self.plan.runners {
-            let is_candidate = entry.function == function
-                && self.may_run_on(entry)
+        for entry in self.index.entries(&self.plan, function) {
+            let is_candidate = self.may_run_on(entry)
                 && (entry.keeper == self.me
                     || self.standing.heard_within(&entry.keeper.name, now, lease));
             if is_candidate {
--- a/crates/holding/src/lib.rs
+++ b/crates/holding/src/lib.rs
@@ -6,6 +6,7 @@
 mod bids;
 mod desk;
 mod holding;
+mod index;
 mod keeping;
 mod kept;
 mod lending;
--- a/crates/lab/src/failing_disks.rs
+++ b/crates/lab/src/failing_disks.rs
@@ -155,19 +155,12 @@
     let seeds: Vec<String> = (3..6)
         .map(|place| stage.fleet.wire_address(place))
         .collect();
-    let dir = stage.fleet.dir.clone();
     for place in 0..stage.fleet.fronts.len() {
         let front = &mut stage.fleet.fronts[place];
         front.signal(libc::SIGTERM);
         front.wait();
         front.set_flag("--seeds", &seeds.join(","));
-        front.start(&dir)?;
-        stage
-            .fleet
-            .wait_until("the front has standing again", |fleet| {
-                let status = fleet.fronts[place].get_json("/status");
-                status.is_some_and(|status| status["standing"] == true)
-            })?;
+        stage.start_front(place)?;
     }
     stage.closes();
     let (acknowledged, held) = stage.put_edited(|blueprint| {
--- a/crates/lab/src/planned.rs
+++ b/crates/lab/src/planned.rs
@@ -34,14 +34,8 @@
         let front = &mut stage.fleet.fronts[place];
         front.signal(libc::SIGTERM);
         let code = front.wait();
-        front.start(&dir)?;
         stage.expect(code == Some(0), "a front did not stop in order");
-        stage
-            .fleet
-            .wait_until("the front has standing again", |fleet| {
-                let status = fleet.fronts[place].get_json("/status");
-                status.is_some_and(|status| status["standing"] == true)
-            })?;
+        stage.start_front(place)?;
     }
     for place in 0..stage.fleet.cores.len() {
         let core = &mut stage.fleet.cores[place];
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -82,6 +82,19 @@
         self.failed = Some((self.failed.map_or(now, |(began, _)| began), now));
     }
 
+    /// Starts a front that has ended, and waits until it has standing.
+    pub fn start_front(&mut self, place: usize) -> Result<(), LabFault> {
+        let dir = self.fleet.dir.clone();
+        self.fleet.fronts[place].start(&dir)?;
+        let stands = |fleet: &Fleet| {
+            let status = fleet.fronts[place].get_json("/status");
+            status.is_some_and(|status| status["standing"] == true)
+        };
+        self.fleet
+            .wait_until("the front has standing again", stands)?;
+        Ok(())
+    }
+
     pub fn note(&mut self, text: impl Into<String>) {
         self.notes.push(text.into());
     }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -17,6 +17,8 @@
 use wire::Message;
 
 const TICK: u64 = 100;
+/// Some callers' clocks are off by so much.
+const HOUR: i64 = 3_600_000;
 /// Clocks run fast or slow by so much, in millionths.
 const DRIFT: i64 = 1_000;
 /// More events than this in one second are a storm that feeds itself.
@@ -265,7 +267,10 @@
         let front = format!("front-{}", random.random_range(0..self.config.fronts));
         let other = format!("front-{}", random.random_range(0..self.config.fronts));
         self.calls += 1;
-        let off = self.net.random.random_range(-300..=300);
+        let mut off = self.net.random.random_range(-300..=300);
+        if self.net.random.random_bool(0.01) {
+            off += [HOUR, -HOUR][self.net.random.random_range(0..2)];
+        }
         self.net.look_by(Clock {
             wall_jump: off,
             ..Clock::default()
