--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -82,8 +82,11 @@
     },
     /// Bring a failure about against a running fleet and judge what comes of it
     Scenario {
-        /// Name of the scenario; without it they are listed
+        /// Name of the scenario, or `all`; without it they are listed
         name: Option<String>,
+        /// How often all are run
+        #[arg(long, default_value_t = 1)]
+        repeat: u32,
         /// Deployment file
         #[arg(long, default_value = "deploy/union.toml")]
         deployment: PathBuf,
@@ -204,11 +207,19 @@
             report,
         } => session::run(&deployment, steady, rush, &dir, report.as_deref()),
         Command::Scenario { name: None, .. } => scenario::list(),
+        Command::Scenario {
+            name: Some(name),
+            repeat,
+            deployment,
+            dir,
+            report,
+        } if name == "all" => scenario::run_all(&deployment, &dir, report.as_deref(), repeat),
         Command::Scenario {
             name: Some(name),
             deployment,
             dir,
             report,
+            ..
         } => scenario::run(&name, &deployment, &dir, report.as_deref()),
         Command::Replay { file, front } => replay::run(&file, front),
         Command::Interface { deployment, dir } => interface::run(&deployment, &dir),
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -37,6 +37,29 @@
     perform(&part, file, dir, report, 1, scenario.act)
 }
 
+/// Runs every scenario so many times, one after the other, and goes on after one that is broken.
+pub fn run_all(
+    file: &Path,
+    dir: &Path,
+    report: Option<&Path>,
+    repeat: u32,
+) -> Result<(), LabFault> {
+    let mut broken = Vec::new();
+    for round in 0..repeat {
+        for scenario in all() {
+            match run(scenario.name, file, dir, report) {
+                Err(LabFault::Input(text)) => return Err(LabFault::Input(text)),
+                Err(fault) => broken.push(format!("{} {}: {fault}", scenario.name, round + 1)),
+                Ok(()) => {}
+            }
+        }
+    }
+    if broken.is_empty() {
+        return Ok(());
+    }
+    Err(LabFault::Broken(broken.join("; ")))
+}
+
 /// What a failure is brought about under.
 pub struct Part {
     pub name: String,
