--- a/crates/lab/src/session.rs
+++ b/crates/lab/src/session.rs
@@ -53,7 +53,18 @@
         })
     })?;
     let held = put_at.elapsed();
-    let functions = deployment.groups.iter().map(|group| group.count).sum();
+    let groups = deployment.groups.iter();
+    let needed: u64 = groups
+        .clone()
+        .map(|group| group.memory_mb * group.count as u64)
+        .sum();
+    let workers = (deployment.districts.len() * deployment.workers_each) as u64;
+    // Where memory cannot hold all, the first group must be there.
+    let functions = if needed > workers * deployment.worker_memory_mb {
+        deployment.groups[0].count
+    } else {
+        groups.map(|group| group.count).sum()
+    };
     fleet.wait_until("every function has a warm runner", |fleet| {
         fleet.is_warm(functions)
     })?;
--- a/crates/scaler/src/scaler.rs
+++ b/crates/scaler/src/scaler.rs
@@ -45,6 +45,7 @@
     notes: BTreeMap<String, FunctionNote>,
     asleep_since: BTreeMap<String, u64>,
     paces_told_at: u64,
+    no_room_mb: u64,
     fresh_key: Box<dyn FnMut() -> Vec<u8> + Send>,
     named: u64,
 }
@@ -58,6 +59,7 @@
             notes: BTreeMap::new(),
             asleep_since: BTreeMap::new(),
             paces_told_at: 0,
+            no_room_mb: u64::MAX,
             fresh_key,
             named: 0,
         }
@@ -76,6 +78,7 @@
     /// Decides the next plan; none where the plan in force is right as it is.
     pub fn run(&mut self, sight: &Sight, orders: &Orders) -> Option<Plan> {
         self.demand.observe(sight);
+        self.no_room_mb = u64::MAX;
         let mut plan = sight.plan.clone();
         tend_keepers(sight, &mut plan);
         self.lives.tend(sight, orders, &mut plan);
@@ -299,9 +302,17 @@
         listing: &Listing,
         quota: u32,
     ) -> Result<(), NoPlace> {
+        // Within one run memory is only taken, so what had no room has none.
+        if listing.memory_mb >= self.no_room_mb {
+            return Err(NoPlace::NoRoom);
+        }
         let lives = &self.lives;
         let is_warm = |id: &str| lives.is_warm(id);
-        let found = place(sight, plan, listing.memory_mb, is_warm)?;
+        let found = place(sight, plan, listing.memory_mb, is_warm);
+        if matches!(found, Err(NoPlace::NoRoom)) {
+            self.no_room_mb = listing.memory_mb;
+        }
+        let found = found?;
         let Some(elected) = elect_keeper(sight, plan, &found.worker.district) else {
             return Err(NoPlace::Busy);
         };
