--- a/crates/lab/src/mishaps.rs
+++ b/crates/lab/src/mishaps.rs
@@ -1,5 +1,6 @@
 use crate::deployment::LabFault;
 use crate::member::Member;
+use std::collections::HashMap;
 use std::fs;
 use std::path::{Path, PathBuf};
 
@@ -51,20 +52,11 @@
 
 /// Takes from a killed daemon's files all that was not synced. Gives how many bytes went.
 pub fn lose_unsynced(dir: &Path, name: &str) -> Result<u64, LabFault> {
-    let mut lasting = std::collections::HashMap::new();
-    for entry in fs::read_dir(orders_of(dir, name)).map_err(fault)? {
-        let path = entry.map_err(fault)?.path();
-        let is_note = path
-            .file_name()
-            .is_some_and(|name| name.to_string_lossy().starts_with("synced-"));
-        if !is_note {
-            continue;
-        }
-        let text = fs::read_to_string(&path).map_err(fault)?;
-        if let Some((size, file)) = text.split_once(' ') {
-            lasting.insert(PathBuf::from(file), size.parse::<u64>().unwrap_or(0));
-        }
-    }
+    let notes = fs::read_to_string(orders_of(dir, name).join("synced")).map_err(fault)?;
+    let lines = notes.lines().filter_map(|line| line.split_once(' '));
+    let lasting: HashMap<PathBuf, u64> = lines
+        .map(|(size, file)| (PathBuf::from(file), size.parse().unwrap_or(0)))
+        .collect();
     let data = fs::canonicalize(data_of(dir, name)).map_err(fault)?;
     let mut lost = 0;
     let mut folders = vec![data];
--- a/crates/mishaps/src/lib.rs
+++ b/crates/mishaps/src/lib.rs
@@ -3,14 +3,13 @@
 //! the lab orders. The daemons know nothing of it, and it is never part of a fleet.
 //!
 //! `MISHAPS_DATA` is the folder whose files are meant. `MISHAPS_ORDERS` is a folder: a file `orders`
-//! in it holds words (`full`, `stall`, `sync-fails`, `sync-lies`, `wall=<ms>`), and for each file that
-//! was synced a line tells how much of it lasts through a loss of power.
+//! in it holds words (`full`, `stall`, `sync-fails`, `sync-lies`, `wall=<ms>`), and a file `synced` gets a line
+//! for each sync: how much of which file lasts through a loss of power.
 
 use libc::{c_char, c_int, c_long, c_void, size_t, ssize_t, timespec};
-use std::collections::hash_map::DefaultHasher;
 use std::ffi::CStr;
 use std::fs;
-use std::hash::{Hash, Hasher};
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::OnceLock;
@@ -70,22 +69,19 @@
     }
 }
 
-fn note_of(path: &Path) -> Option<PathBuf> {
-    let mut hasher = DefaultHasher::new();
-    path.hash(&mut hasher);
-    Some(
-        places()?
-            .orders
-            .join(format!("synced-{:016x}", hasher.finish())),
-    )
-}
-
-/// Notes how much of a file lasts.
+/// Notes how much of a file lasts. A line is written at once, so that a daemon which is killed leaves
+/// whole lines behind.
 fn note_synced(path: &Path) {
+    let Some(places) = places().filter(|_| path.is_file()) else {
+        return;
+    };
     let size = fs::metadata(path).map_or(0, |known| known.len());
-    if let Some(note) = note_of(path).filter(|_| path.is_file()) {
-        let _ = fs::write(note, format!("{size} {}", path.display()));
-    }
+    let notes = fs::File::options()
+        .create(true)
+        .append(true)
+        .open(places.orders.join("synced"));
+    let line = format!("{size} {}\n", path.display());
+    let _ = notes.and_then(|mut notes| notes.write_all(line.as_bytes()));
 }
 
 fn sync(fd: c_int, number: c_long) -> c_int {
