The scaler's run no longer searches lists of listings and ports for each function

Seen first: deploy/many.toml, 2,000 listings and 30 calls a second to 1,992 rare functions: 60 to 70 % of the rare work done, p50 4 s; the plan stood at version 15 for seconds, since one run of the scaler took longer than that. Cause: for each sleeping function every port of every worker was compared with every runner.

--- a/crates/lab/src/failing_system.rs
+++ b/crates/lab/src/failing_system.rs
@@ -91,13 +91,14 @@
         }
         stage
             .fleet
-            .wait_until("a core tells the blueprint", |fleet| {
-                let mut cores = fleet.cores.iter();
-                cores.any(|core| core.get_json("/blueprint").is_some())
+            .wait_until("a core is certain of the blueprint", |fleet| {
+                let told = fleet.cores[0].get_json("/blueprint");
+                told.is_some_and(|told| told["certain"] == true)
             })?;
-        let (_, after) = stage.blueprint()?;
-        let is_there = after["bounds"]["claim_ms"] == wanted;
-        stage.expect(is_there, "an acknowledged put was lost with the power");
+        let (version, after) = stage.blueprint()?;
+        let found = &after["bounds"]["claim_ms"];
+        let text = format!("put {wanted} was lost with the power: {found} at version {version}");
+        stage.expect(*found == wanted, &text);
     }
     stage.closes();
     stage.note(format!(
--- a/crates/scaler/src/demand.rs
+++ b/crates/scaler/src/demand.rs
@@ -1,7 +1,7 @@
 use crate::forecast::Forecast;
 use crate::sight::Sight;
 use blueprint::{Bounds, PeerRef};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// Milliseconds of one answer that are assumed until answers were seen.
 const PACE_PRIOR_MS: f64 = 100.0;
@@ -68,8 +68,10 @@
         for listing in &sight.blueprint.listings {
             self.functions.entry(listing.name.clone()).or_default();
         }
+        let listed = sight.blueprint.listings.iter();
+        let listed: HashSet<&str> = listed.map(|listing| listing.name.as_str()).collect();
         self.functions
-            .retain(|name, _| sight.blueprint.listing(name).is_some());
+            .retain(|name, _| listed.contains(name.as_str()));
         for demand in self.functions.values_mut() {
             demand.waiting = 0;
         }
--- a/crates/scaler/src/placing.rs
+++ b/crates/scaler/src/placing.rs
@@ -1,5 +1,6 @@
 use crate::sight::{Sight, Worker};
 use blueprint::{Plan, RunnerState};
+use std::collections::HashSet;
 
 /// Where a new runner goes.
 pub(crate) struct Place<'a> {
@@ -45,12 +46,12 @@
 /// A port that no runner of the plan has, nor one that is listed though nobody planned it.
 fn free_port(sight: &Sight, plan: &Plan, worker: &Worker) -> Option<u16> {
     let address = |port: u16| format!("{}:{port}", worker.host);
-    (worker.first_port..worker.first_port.saturating_add(worker.ports)).find(|port| {
-        let wanted = address(*port);
-        let mut listed = sight.listed.iter();
-        !plan.runners.iter().any(|entry| entry.address == wanted)
-            && !listed.any(|runner| runner.address.as_ref() == Some(&wanted))
-    })
+    let planned = plan.runners.iter().map(|entry| entry.address.as_str());
+    let listed = sight.listed.iter();
+    let listed = listed.filter_map(|runner| runner.address.as_deref());
+    let taken: HashSet<&str> = planned.chain(listed).collect();
+    (worker.first_port..worker.first_port.saturating_add(worker.ports))
+        .find(|port| !taken.contains(address(*port).as_str()))
 }
 
 /// Why no place was found.
@@ -77,13 +78,13 @@
         if !is_open || used + memory_mb > worker.memory_mb {
             continue;
         }
-        let Some(port) = free_port(sight, plan, worker) else {
-            continue;
-        };
         if starting(plan, &is_warm, &worker.name) >= sight.blueprint.bounds.worker_starts as usize {
             reason = NoPlace::Busy;
             continue;
         }
+        let Some(port) = free_port(sight, plan, worker) else {
+            continue;
+        };
         let is_fresh = used == 0;
         let occupied = occupancy(sight, plan, worker);
         let is_better = elected
--- a/crates/scaler/src/scaler.rs
+++ b/crates/scaler/src/scaler.rs
@@ -8,7 +8,7 @@
 use crate::steps::{grow, shrink, Pod};
 use blueprint::{Listing, Plan, RunnerEntry, RunnerState};
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Rate below which a function counts as without demand, in requests a second.
 const QUIET_RATE: f64 = 0.2;
@@ -45,7 +45,10 @@
     notes: BTreeMap<String, FunctionNote>,
     asleep_since: BTreeMap<String, u64>,
     paces_told_at: u64,
-    no_room_mb: u64,
+    /// Why nothing of a size found a place in this run.
+    no_place: BTreeMap<u64, NoPlace>,
+    /// Places in this run's plan of each function's runners.
+    places: HashMap<String, Vec<usize>>,
     fresh_key: Box<dyn FnMut() -> Vec<u8> + Send>,
     named: u64,
 }
@@ -59,7 +62,8 @@
             notes: BTreeMap::new(),
             asleep_since: BTreeMap::new(),
             paces_told_at: 0,
-            no_room_mb: u64::MAX,
+            no_place: BTreeMap::new(),
+            places: HashMap::new(),
             fresh_key,
             named: 0,
         }
@@ -78,10 +82,15 @@
     /// Decides the next plan; none where the plan in force is right as it is.
     pub fn run(&mut self, sight: &Sight, orders: &Orders) -> Option<Plan> {
         self.demand.observe(sight);
-        self.no_room_mb = u64::MAX;
+        self.no_place.clear();
         let mut plan = sight.plan.clone();
         tend_keepers(sight, &mut plan);
         self.lives.tend(sight, orders, &mut plan);
+        self.places.clear();
+        for (place, entry) in plan.runners.iter().enumerate() {
+            let places = self.places.entry(entry.function.clone());
+            places.or_default().push(place);
+        }
         let mut listings: Vec<&Listing> = sight.blueprint.listings.iter().collect();
         // Who is called goes first, by rank, and within a rank who has been without a runner longest.
         listings.sort_by_cached_key(|listing| {
@@ -109,11 +118,12 @@
             self.paces_told_at = sight.now;
             self.tell_paces(&mut plan);
         }
-        let listed = sight.blueprint;
+        let names = listings.iter().map(|listing| listing.name.as_str());
+        let names: HashSet<&str> = names.collect();
         self.notes
-            .retain(|function, _| listed.listing(function).is_some());
+            .retain(|function, _| names.contains(function.as_str()));
         self.asleep_since
-            .retain(|function, _| listed.listing(function).is_some());
+            .retain(|function, _| names.contains(function.as_str()));
         if plan == *sight.plan {
             return None;
         }
@@ -165,11 +175,10 @@
 
     /// The runners that count towards the function's capacity.
     fn pods(&self, sight: &Sight, plan: &Plan, listing: &Listing) -> Vec<Pod> {
-        let counted = plan.runners.iter().filter(|entry| {
-            entry.function == listing.name
-                && entry.state == RunnerState::Wanted
-                && self.lives.counts(sight, entry)
-        });
+        let places = self.places.get(&listing.name).into_iter().flatten();
+        let own = places.filter_map(|place| plan.runners.get(*place));
+        let counted = own
+            .filter(|entry| entry.state == RunnerState::Wanted && self.lives.counts(sight, entry));
         counted
             .map(|entry| Pod {
                 id: entry.id.clone(),
@@ -302,21 +311,23 @@
         listing: &Listing,
         quota: u32,
     ) -> Result<(), NoPlace> {
-        // Within one run memory is only taken, so what had no room has none.
-        if listing.memory_mb >= self.no_room_mb {
-            return Err(NoPlace::NoRoom);
+        // Within one run memory and starts are only taken, so what found no place finds none.
+        if let Some(reason) = self.no_place.get(&listing.memory_mb) {
+            return Err(*reason);
         }
         let lives = &self.lives;
         let is_warm = |id: &str| lives.is_warm(id);
         let found = place(sight, plan, listing.memory_mb, is_warm);
-        if matches!(found, Err(NoPlace::NoRoom)) {
-            self.no_room_mb = listing.memory_mb;
+        if let Err(reason) = &found {
+            self.no_place.insert(listing.memory_mb, *reason);
         }
         let found = found?;
         let Some(elected) = elect_keeper(sight, plan, &found.worker.district) else {
             return Err(NoPlace::Busy);
         };
         self.named += 1;
+        let places = self.places.entry(listing.name.clone());
+        places.or_default().push(plan.runners.len());
         plan.runners.push(RunnerEntry {
             id: format!("{}.{}.{}", listing.name, sight.term, self.named),
             function: listing.name.clone(),
