--- a/crates/core/src/shared.rs
+++ b/crates/core/src/shared.rs
@@ -212,8 +212,8 @@
         certain,
         settings,
     });
-    let data = shared.settings.data.clone();
-    spawn("core-voter", move || voting::run(voter, &data, &asked))?;
+    let asked_of = shared.clone();
+    spawn("core-voter", move || voting::run(&asked_of, voter, &asked))?;
     links
         .listen(listener, Arc::new(Incoming(shared.clone())))
         .map_err(CoreError::Io)?;
--- a/crates/core/src/voting.rs
+++ b/crates/core/src/voting.rs
@@ -1,4 +1,4 @@
-use crate::shared::CoreError;
+use crate::shared::{CoreError, Shared};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use journal::DiskFolder;
 use register::{Held, VoterMessage, VoterReply, VoterSet};
@@ -9,8 +9,6 @@
 
 /// Most questions that are answered with one sync.
 const BATCH_MAX: usize = 256;
-/// Time between tries of a disk that failed.
-const REOPEN_PAUSE: Duration = Duration::from_secs(1);
 
 /// What the voter's thread is asked.
 pub enum Work {
@@ -53,11 +51,11 @@
 }
 
 /// What comes next; nothing after a pause, where the disk has failed and may be tried again.
-fn next(voter: &Voter, work: &Receiver<Work>) -> Result<Option<Work>, ()> {
+fn next(voter: &Voter, work: &Receiver<Work>, pause: Duration) -> Result<Option<Work>, ()> {
     if !voter.may_reopen() {
         return work.recv().map(Some).map_err(|_| ());
     }
-    match work.recv_timeout(REOPEN_PAUSE) {
+    match work.recv_timeout(pause) {
         Ok(first) => Ok(Some(first)),
         Err(RecvTimeoutError::Timeout) => Ok(None),
         Err(RecvTimeoutError::Disconnected) => Err(()),
@@ -73,13 +71,14 @@
 }
 
 /// Works until nobody asks any more: one sync for all that has come in meanwhile. A disk that failed
-/// is tried again now and then.
-pub fn run(mut voter: Voter, path: &Path, work: &Receiver<Work>) {
+/// is tried again three times in a bound on changes.
+pub fn run(shared: &Shared, mut voter: Voter, work: &Receiver<Work>) {
+    let pause = || Duration::from_millis(shared.store.settled().blueprint.bounds.change_ms / 3);
     let mut tried_at = Instant::now();
-    while let Ok(first) = next(&voter, work) {
-        if voter.may_reopen() && tried_at.elapsed() >= REOPEN_PAUSE {
+    while let Ok(first) = next(&voter, work, pause()) {
+        if voter.may_reopen() && tried_at.elapsed() >= pause() {
             tried_at = Instant::now();
-            voter = reopen(path).unwrap_or(voter);
+            voter = reopen(&shared.settings.data).unwrap_or(voter);
         }
         let Some(first) = first else {
             continue;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -23,6 +23,9 @@
     report: Option<&Path>,
 ) -> Result<(), LabFault> {
     let deployment = Deployment::read(file)?;
+    if crowds.is_empty() && rates.is_empty() {
+        return Err(LabFault::Input("name --crowds, --rates, or both".into()));
+    }
     let is_bad = |factor: &f64| !(0.1..=20.0).contains(factor);
     if crowds.iter().chain(rates).any(is_bad) || !(5..=600).contains(&seconds) {
         let text = "factors are 0.1 to 20, seconds 5 to 600";
