--- a/crates/front/src/once.rs
+++ b/crates/front/src/once.rs
@@ -8,12 +8,14 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wire::{Links, Message, WireVoters};
 
 /// Largest answer that is kept with a claim, in bytes.
 const KEPT_BODY_MAX: usize = 32 * 1024;
 const LEFTOVERS_MAX: usize = 10_000;
+/// Pauses within a claim's time while the set of voters changes.
+const SET_PAUSES: u32 = 50;
 /// Claims that a front remembers.
 const REMEMBERED_MAX: usize = 20_000;
 /// Remembered claims in one message.
@@ -161,15 +163,18 @@
             digest: digest.to_string(),
         };
         let mut expected = 0;
-        for _ in 0..3 {
-            match self.write(&key.register, expected, &claim, budget) {
+        let end = Instant::now() + budget;
+        while Instant::now() < end {
+            let left = end.saturating_duration_since(Instant::now());
+            match self.write(&key.register, expected, &claim, left) {
                 Outcome::Settled(stored) => return Claimed::Ours(stored.version),
                 Outcome::Stale(stored) => match Claim::read_from_buffer(&stored.bytes) {
                     Ok(Claim::Free) => expected = stored.version,
                     Ok(claim) => return Claimed::Theirs(claim),
                     Err(_) => return Claimed::Shut,
                 },
-                Outcome::OtherSet(_) => {}
+                // While the set changes, some voters are in the old one and some in the next.
+                Outcome::OtherSet(_) => thread::sleep(budget / SET_PAUSES),
                 Outcome::AgedOut => return self.recall(&key.register),
                 Outcome::Undecided => {
                     self.leave_over(&key.register, expected + 1);
