--- a/crates/simulator/src/net.rs
+++ b/crates/simulator/src/net.rs
@@ -76,7 +76,7 @@
 
 impl Clock {
     pub fn now(&self, time: u64) -> u64 {
-        self.booted_before + time + (time as i64 * self.ppm / 1_000_000) as u64
+        (self.booted_before + time).saturating_add_signed(time as i64 * self.ppm / 1_000_000)
     }
 }
 
@@ -124,7 +124,7 @@
     /// Something happens at a time, told by the clock of whoever acts now.
     pub fn at(&mut self, time: u64, happening: Happening) {
         let after = time.saturating_sub(self.now);
-        let after = after * 1_000_000 / (1_000_000 + self.clock.ppm) as u64;
+        let after = after * 1_000_000 / 1_000_000_u64.saturating_add_signed(self.clock.ppm);
         let time = self.time + after;
         let number = self.next;
         self.next += 1;
