--- a/crates/simulator/tests/seeds.rs
+++ b/crates/simulator/tests/seeds.rs
@@ -145,6 +145,29 @@
     );
 }
 
+/// A front is cut off, or stands still, while descriptions are put that it cannot hear of.
+#[test]
+fn a_front_that_hears_nothing_works_under_no_older_description() {
+    let (mut puts, mut runs) = (0, 0);
+    for seed in 8_000..8_012 {
+        let mut faults = vec![match seed % 2 {
+            0 => (9_000, Fault::CutOff("front-1".into())),
+            _ => (9_000, Fault::Freeze("front-1".into(), 3_000)),
+        }];
+        faults.extend((0..8).map(|number| (9_300 + number * 400, Fault::Put("core-1".into()))));
+        faults.push((16_000, Fault::Heal));
+        let config = Config {
+            only: Some(faults),
+            ..Config::default()
+        };
+        let verdict = World::new(config, seed).run();
+        assert!(verdict.broken.is_empty(), "{verdict:#?}");
+        puts += verdict.puts;
+        runs += verdict.runs;
+    }
+    assert!(puts >= 36 && runs > 10_000, "{puts} puts, {runs} runs");
+}
+
 #[test]
 fn one_seed_gives_one_course() {
     let run = || format!("{:?}", World::new(Config::default(), 7).run());
