--- a/crates/core/src/set.rs
+++ b/crates/core/src/set.rs
@@ -54,7 +54,8 @@
     let bounds = shared.store.settled().blueprint.bounds.clone();
     let is_first = shared.settings.seeds[0] == shared.settings.address();
     let seeds = shared.settings.seeds.len();
-    match founding.decide(now_ms(), unix_ms(), &bounds, is_first, seeds, heard, held) {
+    let (now, wall, own) = (now_ms(), unix_ms(), shared.disk);
+    match founding.decide(now, wall, &bounds, own, is_first, seeds, heard, held) {
         FoundStep::Wait => {}
         FoundStep::Form(set, floor) => form_era(shared, set, floor, gathered.as_ref()),
         FoundStep::Tell(set, addresses) => {
--- a/crates/simulator/src/core_founding.rs
+++ b/crates/simulator/src/core_founding.rs
@@ -125,7 +125,7 @@
         let step = self
             .found
             .founding
-            .decide(now, wall, &bounds, is_first, seeds, heard, held);
+            .decide(now, wall, &bounds, self.disk, is_first, seeds, heard, held);
         match step {
             FoundStep::Wait => {}
             FoundStep::Form(set, floor) => {
--- a/crates/voter/src/founding.rs
+++ b/crates/voter/src/founding.rs
@@ -52,13 +52,15 @@
 }
 
 impl Founding {
-    /// Decides the next step. `now` is this core's boot-time clock and `wall` its wall clock.
+    /// Decides the next step. `now` is this core's boot-time clock, `wall` its wall clock, and `own` the
+    /// id of its disk.
     #[allow(clippy::too_many_arguments)]
     pub fn decide(
         &mut self,
         now: u64,
         wall: u64,
         bounds: &Bounds,
+        own: u64,
         is_first: bool,
         seeds: usize,
         heard: &[HeardCore],
@@ -71,7 +73,7 @@
             .unwrap_or_default();
         if newest.era > 0 {
             self.empty_since = None;
-            return tell_again(&newest, heard);
+            return tell_again(own, &newest, heard);
         }
         let told = heard.iter().map(|one| one.fronts_era).max();
         let held_era = held.map_or(0, |held| held.era);
@@ -123,9 +125,13 @@
 }
 
 /// Members that are named in an era's first set by their disk and are still empty never took part in
-/// the era, so they may be told of it again. Otherwise a lost word would leave the set without a
-/// majority for ever.
-fn tell_again(set: &VoterSet, heard: &[HeardCore]) -> FoundStep {
+/// the era, so they may be told of it again, by one that has taken it and knows its floor. Otherwise a
+/// lost word would leave the set without a majority for ever.
+fn tell_again(own: u64, set: &VoterSet, heard: &[HeardCore]) -> FoundStep {
+    let mut mine = heard.iter().filter(|one| one.disk == own);
+    if !mine.any(|one| one.set.mark() == set.mark()) {
+        return FoundStep::Wait;
+    }
     let is_named = |one: &&HeardCore| {
         let mut voters = set.voters.iter();
         one.set.era == 0 && voters.any(|voter| voter.disk == one.disk)
@@ -157,7 +163,7 @@
         heard: &[HeardCore],
         held: Option<FrontsHold>,
     ) -> FoundStep {
-        founding.decide(now, 1_000_000, &Bounds::default(), true, 3, heard, held)
+        founding.decide(now, 1_000_000, &Bounds::default(), 1, true, 3, heard, held)
     }
 
     #[test]
@@ -236,6 +242,13 @@
             ..empty(1)
         };
         let stranger = empty(9);
+        let other = HeardCore {
+            disk: 3,
+            ..formed.clone()
+        };
+        let heard = [empty(1), empty(2), other];
+        let step = decide(&mut founding, 1_550, &heard, None);
+        assert_eq!(step, FoundStep::Wait, "an empty core knows no floor");
         let heard = [formed, empty(2), stranger];
         let step = decide(&mut founding, 1_600, &heard, None);
         assert_eq!(step, FoundStep::Tell(set, vec!["at-2".into()]));
