--- a/crates/core/src/set.rs
+++ b/crates/core/src/set.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::Instant;
 use voter::{FoundStep, Founding, FrontsHold, HeardCore, Joining};
-use wire::{now_ms, unix_ms, Message, News};
+use wire::{now_ms, Message, News};
 
 /// Finds out which voters count, again and again. Where all three seeds say that they are empty,
 /// the first of them forms a new era; a core that is empty beside others joins them.
@@ -54,7 +54,7 @@
     let bounds = shared.store.settled().blueprint.bounds.clone();
     let is_first = shared.settings.seeds[0] == shared.settings.address();
     let seeds = shared.settings.seeds.len();
-    let (now, wall, own) = (now_ms(), unix_ms(), shared.disk);
+    let (now, wall, own) = (now_ms(), shared.agreed_wall(), shared.disk);
     match founding.decide(now, wall, &bounds, own, is_first, seeds, heard, held) {
         FoundStep::Wait => {}
         FoundStep::Form(set, floor) => form_era(shared, set, floor, gathered.as_ref()),
--- a/crates/core/src/shared.rs
+++ b/crates/core/src/shared.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use std::{fmt, io, thread};
+use voter::agreed_wall;
 use voter::VoterError;
 use wire::{now_ms, unix_ms, Envelope, Handler, Links, Message, Responder, Role};
 
@@ -109,6 +110,14 @@
         }
     }
 
+    /// The wall time that this core's and the fronts' clocks agree on.
+    pub fn agreed_wall(&self) -> u64 {
+        let fronts = self.fronts.lock();
+        let told = fronts.values();
+        let told = told.filter(|known| !known.sight.report.is_witness);
+        agreed_wall(unix_ms(), told.map(|known| known.off_ms))
+    }
+
     /// The newest era of which a front told this core that it holds a value, also one that is silent now.
     pub fn fronts_era(&self) -> u64 {
         let fronts = self.fronts.lock();
--- a/crates/simulator/src/core_founding.rs
+++ b/crates/simulator/src/core_founding.rs
@@ -4,7 +4,8 @@
 use blueprint::Version;
 use register::Change;
 use speedy::Writable;
-use voter::{FoundStep, Founding, FrontsHold, HeardCore};
+use std::collections::BTreeMap;
+use voter::{agreed_wall, FoundStep, Founding, FrontsHold, HeardCore};
 use wire::{BlueprintNews, Message, News, PlanNews};
 
 /// Numbers of questions for what fronts hold.
@@ -16,6 +17,15 @@
     founding: Founding,
     blueprint: Option<BlueprintNews>,
     plan: Option<PlanNews>,
+    /// How far each front's wall clock is ahead of this core's.
+    ahead: BTreeMap<String, i64>,
+}
+
+impl Found {
+    /// A front told its wall clock.
+    pub fn note_clock(&mut self, front: &str, ahead: i64) {
+        self.ahead.insert(front.to_string(), ahead);
+    }
 }
 
 /// A front and the version that it holds.
@@ -121,7 +131,8 @@
         };
         let bounds = self.in_force.blueprint.bounds.clone();
         let is_first = self.seeds[0] == self.peer.name;
-        let (now, wall, seeds) = (net.now, net.wall, self.seeds.len());
+        let wall = agreed_wall(net.wall, self.found.ahead.values().copied());
+        let (now, seeds) = (net.now, self.seeds.len());
         let step = self
             .found
             .founding
--- a/crates/simulator/src/core_node.rs
+++ b/crates/simulator/src/core_node.rs
@@ -194,6 +194,10 @@
             }
             Message::News(news) => self.on_news(news),
             Message::Report(report) => {
+                if !report.is_witness {
+                    let ahead = report.wall_ms as i64 - net.wall as i64;
+                    self.found.note_clock(&parcel.from.name, ahead);
+                }
                 let sight = FrontSight {
                     peer: parcel.from.clone(),
                     heard_at: net.now,
--- a/crates/simulator/src/front_node.rs
+++ b/crates/simulator/src/front_node.rs
@@ -88,7 +88,8 @@
         self.desk.tick(now);
         let (blueprint, plan) = self.desk.versions();
         let wants_certain = !self.desk.is_ready();
-        let report = self.desk.report(now, &self.district);
+        let mut report = self.desk.report(now, &self.district);
+        report.wall_ms = net.wall;
         for core in self.cores.clone() {
             let ask = Message::Ask {
                 blueprint,
--- a/crates/voter/src/founding.rs
+++ b/crates/voter/src/founding.rs
@@ -32,6 +32,14 @@
     }
 }
 
+/// The wall time that most clocks agree on, from this core's own and how far others are ahead of it.
+/// A floor by one clock alone that was set back would let in keys from before the loss.
+pub fn agreed_wall(own: u64, ahead: impl Iterator<Item = i64>) -> u64 {
+    let mut ahead: Vec<i64> = ahead.chain([0]).collect();
+    ahead.sort_unstable();
+    own.saturating_add_signed(ahead[ahead.len() / 2])
+}
+
 /// What a core does about the set's first founding in an era.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FoundStep {
@@ -211,6 +219,18 @@
         assert_eq!(decide(&mut founding, 60_000, &heard, None), FoundStep::Wait);
     }
 
+    #[test]
+    fn one_clock_that_was_set_back_or_ahead_does_not_set_the_floor() {
+        let hour = 3_600_000;
+        let others = [hour, hour + 20, hour - 30];
+        assert_eq!(
+            agreed_wall(10 * 3_600_000, others.into_iter()),
+            11 * 3_600_000
+        );
+        assert_eq!(agreed_wall(5_000, [-10, hour, 10].into_iter()), 5_010);
+        assert_eq!(agreed_wall(5_000, std::iter::empty()), 5_000);
+    }
+
     #[test]
     fn a_majority_or_all_fronts_of_the_roster_tell_enough() {
         assert!(FrontsHold::is_enough(6, 10, 3) && !FrontsHold::is_enough(5, 10, 3));
--- a/crates/voter/src/lib.rs
+++ b/crates/voter/src/lib.rs
@@ -5,6 +5,6 @@
 mod joining;
 mod keeper;
 
-pub use founding::{FoundStep, Founding, FrontsHold, HeardCore};
+pub use founding::{agreed_wall, FoundStep, Founding, FrontsHold, HeardCore};
 pub use joining::{JoinStep, Joining};
 pub use keeper::{Installing, Voter, VoterError};
