--- a/crates/simulator/src/oracle.rs
+++ b/crates/simulator/src/oracle.rs
@@ -52,6 +52,13 @@
         if version == 0 {
             return;
         }
+        // A put that was never acknowledged may be in force all the same, and open a district again.
+        let newest = self.acknowledged.map(|(known, _)| (known.era, known.no));
+        if key == "blueprint" && newest.is_none_or(|newest| (era, version) > newest) {
+            for district in open_districts(bytes) {
+                self.evacuated.remove(&district);
+            }
+        }
         let place = (key.to_string(), era, version);
         let known = self
             .settled
@@ -250,3 +257,11 @@
         }
     }
 }
+
+fn open_districts(text: &[u8]) -> Vec<String> {
+    let told: serde_json::Value = serde_json::from_slice(text).unwrap_or_default();
+    let districts = told["districts"].as_array().cloned().unwrap_or_default();
+    let open = districts.iter().filter(|one| one["state"] != "evacuated");
+    open.filter_map(|one| Some(one["name"].as_str()?.to_string()))
+        .collect()
+}
