One place each for a blank era, good paces, what a heartbeat tells, and a runner's since

Reading the change once more: the set's loop tested a blank era beside the store's own test; an index searched the whole plan for each function's good pace, though it had the function's runners at hand; closures over the lives stood twice; a front and the simulator each took a heartbeat's versions apart.

--- a/crates/blueprint/src/plan.rs
+++ b/crates/blueprint/src/plan.rs
@@ -86,15 +86,4 @@
     pub fn runner(&self, id: &str) -> Option<&RunnerEntry> {
         self.runners.iter().find(|entry| entry.id == id)
     }
-
-    /// A good pace of a function's runners, a third of the way from the fastest: of two or three the
-    /// fastest's. None until one is known. Runners of a slow worker may be the most of a function's.
-    pub fn good_pace(&self, function: &str) -> Option<u32> {
-        let wanted = self.runners.iter().filter(|entry| {
-            entry.function == function && entry.state == RunnerState::Wanted && entry.pace_ms > 0
-        });
-        let mut paces: Vec<u32> = wanted.map(|entry| entry.pace_ms).collect();
-        paces.sort_unstable();
-        paces.get(paces.len().saturating_sub(1) / 3).copied()
-    }
 }
--- a/crates/core/src/set.rs
+++ b/crates/core/src/set.rs
@@ -30,7 +30,7 @@
             let own = heard.iter().find(|one| one.disk == shared.disk);
             if own.is_none_or(|one| one.set.era == 0) {
                 joining::step(shared, &mut joining, &newest, &heard);
-            } else if newest.era > 1 && !shared.store.has_blueprint_of(newest.era) {
+            } else if shared.store.is_blank() {
                 start_from_fronts(shared, &mut founding);
             }
         }
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -143,15 +143,10 @@
         }
     }
 
-    /// Whether a blueprint of this era or a later one is in force here.
-    pub fn has_blueprint_of(&self, era: u64) -> bool {
-        self.settled().blueprint_version.era >= era
-    }
-
     /// Whether an era after a loss has not got its values back yet; nothing is planned until then.
     pub fn is_blank(&self) -> bool {
         let era = self.set().era;
-        era > 1 && !self.has_blueprint_of(era)
+        era > 1 && self.settled().blueprint_version.era < era
     }
 
     /// Reads blueprint and plan at a majority and puts them in force. Gives whether both were read.
--- a/crates/front/src/news.rs
+++ b/crates/front/src/news.rs
@@ -110,17 +110,11 @@
 
 /// A heartbeat that tells of newer versions makes this front ask the one that has them.
 pub fn ask_if_newer(shared: &Arc<Shared>, address: &str, message: &DeskMessage) {
-    let (DeskMessage::Beat {
-        plan, blueprint, ..
-    }
-    | DeskMessage::BeatAnswer {
-        plan, blueprint, ..
-    }) = message
-    else {
+    let Some((blueprint, plan)) = message.versions() else {
         return;
     };
     let (own_blueprint, own_plan) = shared.with_desk(|desk, _| desk.versions());
-    if *blueprint <= own_blueprint && *plan <= own_plan {
+    if blueprint <= own_blueprint && plan <= own_plan {
         return;
     }
     let tick = shared.blueprint.load().bounds.tick_ms();
--- a/crates/holding/src/index.rs
+++ b/crates/holding/src/index.rs
@@ -1,4 +1,4 @@
-use blueprint::{Plan, RunnerEntry};
+use blueprint::{Plan, RunnerEntry, RunnerState};
 use std::collections::HashMap;
 
 /// Where things stand in a plan, made once for each plan, since every ticket asks.
@@ -17,8 +17,9 @@
             let places = index.by_function.entry(entry.function.clone());
             places.or_default().push(place);
         }
-        for function in index.by_function.keys() {
-            if let Some(good_pace) = plan.good_pace(function) {
+        for (function, places) in &index.by_function {
+            let entries = places.iter().map(|place| &plan.runners[*place]);
+            if let Some(good_pace) = good_pace(entries) {
                 index.good_paces.insert(function.clone(), good_pace);
             }
         }
@@ -45,3 +46,12 @@
         self.good_paces.get(function).copied().unwrap_or(0)
     }
 }
+
+/// A good pace of a function's runners, a third of the way from the fastest: of two or three the
+/// fastest's. None until one is known. Runners of a slow worker may be the most of a function's.
+fn good_pace<'a>(entries: impl Iterator<Item = &'a RunnerEntry>) -> Option<u32> {
+    let known = entries.filter(|entry| entry.state == RunnerState::Wanted && entry.pace_ms > 0);
+    let mut paces: Vec<u32> = known.map(|entry| entry.pace_ms).collect();
+    paces.sort_unstable();
+    paces.get(paces.len().saturating_sub(1) / 3).copied()
+}
--- a/crates/holding/src/message.rs
+++ b/crates/holding/src/message.rs
@@ -109,6 +109,21 @@
     },
 }
 
+impl DeskMessage {
+    /// Versions of blueprint and plan that the sender holds, where the message tells them.
+    pub fn versions(&self) -> Option<(Version, Version)> {
+        match self {
+            Self::Beat {
+                plan, blueprint, ..
+            }
+            | Self::BeatAnswer {
+                plan, blueprint, ..
+            } => Some((*blueprint, *plan)),
+            _ => None,
+        }
+    }
+}
+
 /// What a front tells the scaler.
 #[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
 pub struct FrontReport {
--- a/crates/scaler/src/life.rs
+++ b/crates/scaler/src/life.rs
@@ -40,7 +40,7 @@
     }
 
     /// Since when a runner has been in the state that it is in.
-    pub fn wanted_since(&self, id: &str) -> u64 {
+    pub fn since(&self, id: &str) -> u64 {
         self.seen.get(id).map_or(0, |seen| seen.since)
     }
 
--- a/crates/scaler/src/room.rs
+++ b/crates/scaler/src/room.rs
@@ -1,5 +1,7 @@
+use crate::life::Lives;
 use crate::sight::Sight;
 use blueprint::{Listing, Plan, RunnerState};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 /// What a function has and what it wants, as far as sharing memory goes.
@@ -78,14 +80,8 @@
     }
 
     /// Makes room for one more runner of a function: what others must give for it is drained, on
-    /// the worker where they give it most willingly. `turn_since` tells since when a runner is wanted.
-    pub fn make(
-        &mut self,
-        sight: &Sight,
-        plan: &mut Plan,
-        needy: &Listing,
-        turn_since: impl Fn(&str) -> u64,
-    ) -> bool {
+    /// the worker where they give it most willingly.
+    pub fn make(&mut self, sight: &Sight, plan: &mut Plan, needy: &Listing, lives: &Lives) -> bool {
         let reserved = self.soon.values_mut().find(|mb| **mb >= needy.memory_mb);
         if let Some(memory) = reserved {
             *memory -= needy.memory_mb;
@@ -96,7 +92,7 @@
         };
         let mut best: Option<(Way, usize, String, Vec<Giver>)> = None;
         for (worker, free) in &self.soon {
-            let givers = self.givers(sight, plan, &share, needy, worker, &turn_since);
+            let givers = self.givers(sight, plan, &share, needy, worker, lives);
             let Some(chosen_givers) = enough(plan, &self.shares, givers, *free, needy) else {
                 continue;
             };
@@ -134,7 +130,7 @@
         share: &Share,
         needy: &Listing,
         worker: &str,
-        turn_since: &impl Fn(&str) -> u64,
+        lives: &Lives,
     ) -> Vec<Giver> {
         let entries = plan.runners.iter().enumerate();
         let there = entries.filter(|(_, entry)| {
@@ -145,7 +141,7 @@
         let mut givers: Vec<Giver> = there
             .filter_map(|(place, entry)| {
                 let other = self.shares.get(&entry.function)?;
-                let since = turn_since(&entry.id);
+                let since = lives.since(&entry.id);
                 let has_had_turn = since + sight.blueprint.bounds.return_ms <= sight.now;
                 let way = way_of(share, other, has_had_turn, sight.blueprint.bounds.alpha)?;
                 let since = if way == Way::Idle {
@@ -175,20 +171,20 @@
         let gained = needy.met(needy.capacity + needy.runner());
         let is_fair = other.met(other.without_one()) > gained;
         return match (has_several, other.rank.cmp(&needy.rank)) {
-            (true, std::cmp::Ordering::Greater) => Some(Way::Below),
-            (true, std::cmp::Ordering::Equal) if is_fair => Some(Way::Beside),
-            (true, std::cmp::Ordering::Less) if is_unneeded => Some(Way::Beside),
+            (true, Ordering::Greater) => Some(Way::Below),
+            (true, Ordering::Equal) if is_fair => Some(Way::Beside),
+            (true, Ordering::Less) if is_unneeded => Some(Way::Beside),
             _ => None,
         };
     }
     match other.rank.cmp(&needy.rank) {
-        std::cmp::Ordering::Greater if has_several => Some(Way::Below),
-        std::cmp::Ordering::Equal if has_several => Some(Way::Beside),
-        std::cmp::Ordering::Less if has_several => is_unneeded.then_some(Way::Beside),
+        Ordering::Greater if has_several => Some(Way::Below),
+        Ordering::Equal if has_several => Some(Way::Beside),
+        Ordering::Less if has_several => is_unneeded.then_some(Way::Beside),
         _ if other.is_idle => Some(Way::Idle),
-        std::cmp::Ordering::Greater => Some(Way::OnlyBelow),
-        std::cmp::Ordering::Equal => has_had_turn.then_some(Way::Turn),
-        std::cmp::Ordering::Less => None,
+        Ordering::Greater => Some(Way::OnlyBelow),
+        Ordering::Equal => has_had_turn.then_some(Way::Turn),
+        Ordering::Less => None,
     }
 }
 
--- a/crates/scaler/src/scaler.rs
+++ b/crates/scaler/src/scaler.rs
@@ -142,12 +142,10 @@
         let started = self.start(sight, plan, listing, 1);
         let demand = self.demand.functions.get(&listing.name);
         let is_wanted = demand.is_some_and(|demand| demand.waiting > 0);
-        let lives = &self.lives;
-        let turn_since = |id: &str| lives.wanted_since(id);
         let reason = match started {
             Ok(()) => "no runner counts: one minimal runner starts",
             Err(NoPlace::Busy) => "waits for a worker with a free start",
-            Err(NoPlace::NoRoom) if is_wanted && room.make(sight, plan, listing, turn_since) => {
+            Err(NoPlace::NoRoom) if is_wanted && room.make(sight, plan, listing, &self.lives) => {
                 "no memory: other functions' runners are drained for it"
             }
             Err(NoPlace::NoRoom) => "sleeps: no worker has the memory",
@@ -222,9 +220,7 @@
             let rest = grow(&mut pods, gap);
             set_quotas(plan, &pods);
             let (started, lacks_room) = self.start_for(sight, plan, listing, rest, seat_rate);
-            let lives = &self.lives;
-            let turn_since = |id: &str| lives.wanted_since(id);
-            let makes_room = lacks_room && room.make(sight, plan, listing, turn_since);
+            let makes_room = lacks_room && room.make(sight, plan, listing, &self.lives);
             let remark = match (lacks_room, makes_room) {
                 (true, true) => "; others give way",
                 (true, false) => "; no memory",
--- a/crates/simulator/src/front_node.rs
+++ b/crates/simulator/src/front_node.rs
@@ -140,17 +140,11 @@
 
     /// A heartbeat tells of newer versions: whoever has them is asked.
     fn ask_if_newer(&mut self, net: &mut Net, from: &str, message: &DeskMessage) {
-        let (DeskMessage::Beat {
-            plan, blueprint, ..
-        }
-        | DeskMessage::BeatAnswer {
-            plan, blueprint, ..
-        }) = message
-        else {
+        let Some((blueprint, plan)) = message.versions() else {
             return;
         };
         let own = self.desk.versions();
-        if *blueprint > own.0 || *plan > own.1 {
+        if blueprint > own.0 || plan > own.1 {
             let ask = Message::Ask {
                 blueprint: own.0,
                 plan: own.1,
