--- a/crates/holding/tests/oracles.rs
+++ b/crates/holding/tests/oracles.rs
@@ -1,18 +1,10 @@
 //! Holdings and the retry allowance against plain lists.
 
-use fuzzing::seeded;
-use holding::{Admission, Allowance, Holding, Ticket};
+mod fixtures;
 
-fn ticket(slot: u64, rank: u8, now: u64) -> Ticket {
-    Ticket {
-        slot,
-        function: "sign".into(),
-        rank,
-        arrived: now,
-        budget_end: now + 2_000,
-        unsent: 0,
-    }
-}
+use fixtures::ticket;
+use fuzzing::seeded;
+use holding::{Admission, Allowance, Holding};
 
 seeded! {
     fn a_holding_agrees_with_a_sorted_list(steps: Vec<(u8, u8)>) -> bool {
--- a/crates/lab/src/cost.rs
+++ b/crates/lab/src/cost.rs
@@ -84,14 +84,8 @@
 
 /// Address and id of a function's runner.
 fn runner_of(ready: &Ready, function: &str) -> Result<(String, String), LabFault> {
-    let statuses = ready.fleet.cores.iter();
-    let statuses = statuses.filter_map(|core| core.get_json("/status"));
-    let runners = statuses.flat_map(|status| {
-        let runners = status["runners"].as_array().cloned();
-        runners.unwrap_or_default()
-    });
-    let runners: Vec<serde_json::Value> = runners.collect();
-    let found = runners.iter().find(|runner| runner["function"] == function);
+    let mut runners = ready.fleet.cores.iter().flat_map(Member::runners);
+    let found = runners.find(|runner| runner["function"] == function);
     let found = found.ok_or_else(|| LabFault::Fleet(format!("no runner of {function}")))?;
     let text = |field: &str| found[field].as_str().unwrap_or_default().to_string();
     Ok((text("address"), text("id")))
--- a/crates/lab/src/failing_platform.rs
+++ b/crates/lab/src/failing_platform.rs
@@ -1,4 +1,5 @@
 use crate::deployment::LabFault;
+use crate::member::Member;
 use crate::stage::Stage;
 use std::collections::BTreeSet;
 
@@ -59,12 +60,7 @@
 
 /// Runners that their keepers call warm.
 fn warm_runners(stage: &Stage) -> BTreeSet<String> {
-    let statuses = stage.fleet.fronts.iter();
-    let statuses = statuses.filter_map(|front| front.get_json("/status"));
-    let runners = statuses.flat_map(|status| {
-        let runners = status["runners"].as_array().cloned();
-        runners.unwrap_or_default()
-    });
+    let runners = stage.fleet.fronts.iter().flat_map(Member::runners);
     runners
         .filter(|runner| runner["warm"] == true)
         .map(|runner| runner["runner"].as_str().unwrap_or_default().to_string())
--- a/crates/lab/src/failing_runners.rs
+++ b/crates/lab/src/failing_runners.rs
@@ -115,10 +115,7 @@
 pub fn address_reused(stage: &mut Stage) -> Result<(), LabFault> {
     stage.until(5.0);
     let holder = stage.duty_holder().unwrap_or(0);
-    let status = stage.fleet.cores[holder]
-        .get_json("/status")
-        .unwrap_or_default();
-    let runners = status["runners"].as_array().cloned().unwrap_or_default();
+    let runners = stage.fleet.cores[holder].runners();
     let groups = stage.deployment.groups.clone();
     let (busy, rare) = (&groups[0].prefix, &groups[1].prefix);
     let found = runners.iter().find(|runner| {
--- a/crates/lab/src/failing_speeds.rs
+++ b/crates/lab/src/failing_speeds.rs
@@ -11,17 +11,26 @@
     stage.look = Some(judge);
     let workers = stage.fleet.workers.len();
     for place in 0..workers {
-        slow(stage, place, [1, 3, 10][place % 3]);
+        slow(stage, place, times_of(place, false));
     }
     stage.until(20.0);
     stage.fails();
-    slow(stage, 0, 10);
+    slow(stage, 0, times_of(0, true));
     stage.until(30.0);
     stage.closes();
     tell_capacity(stage);
     Ok(())
 }
 
+/// How many times longer the runners of a worker take; the first worker's as the slowest once it has
+/// turned.
+fn times_of(place: usize, has_turned: bool) -> u32 {
+    if has_turned && place == 0 {
+        return 10;
+    }
+    [1, 3, 10][place % 3]
+}
+
 fn slow(stage: &Stage, place: usize, times: u32) {
     let control = stage.fleet.workers[place].http;
     stage.post(&format!("http://{control}/slow/{times}"), Vec::new());
@@ -32,9 +41,7 @@
     let Some(holder) = stage.duty_holder() else {
         return;
     };
-    let status = stage.fleet.cores[holder].get_json("/status");
-    let status = status.unwrap_or_default();
-    let runners = status["runners"].as_array().cloned().unwrap_or_default();
+    let runners = stage.fleet.cores[holder].runners();
     let mut off: Vec<f64> = Vec::new();
     let (mut told_capacity, mut real_capacity) = (0.0, 0.0);
     for runner in &runners {
@@ -46,12 +53,8 @@
         let (Some(group), Some(place), true) = (group, place, told > 0.0) else {
             continue;
         };
-        let times = if place == 0 {
-            10
-        } else {
-            [1, 3, 10][place % 3]
-        };
-        let real = (group.pace_ms * times) as f64;
+        let times = times_of(place, true);
+        let real = (group.pace_ms * u64::from(times)) as f64;
         off.push(100.0 * (told - real).abs() / real);
         let quota = runner["quota"].as_f64().unwrap_or(0.0);
         told_capacity += quota / told;
@@ -89,7 +92,7 @@
         ("turning", began, began + 8_000),
         ("after", closed, u64::MAX),
     ] {
-        let mut counts: BTreeMap<usize, usize> = BTreeMap::new();
+        let mut counts: BTreeMap<u32, usize> = BTreeMap::new();
         let there = runs.iter().filter(|run| {
             run.at_ms >= from && run.at_ms < until && run.function.starts_with(&prefix)
         });
@@ -97,9 +100,7 @@
             let worker = worker_of.get(&run.runner).cloned().unwrap_or_default();
             let mut workers = stage.fleet.workers.iter();
             let place = workers.position(|one| one.name == worker).unwrap_or(0);
-            let is_turned = place == 0 && name != "before";
-            let times = if is_turned { 10 } else { [1, 3, 10][place % 3] };
-            *counts.entry(times).or_default() += 1;
+            *counts.entry(times_of(place, name != "before")).or_default() += 1;
         }
         let mut times: Vec<Duration> = wishes
             .iter()
--- a/crates/lab/src/member.rs
+++ b/crates/lab/src/member.rs
@@ -124,6 +124,12 @@
         call(Method::GET, &uri, &[], Vec::new(), patience, 16 << 20).ok()
     }
 
+    /// Runners in the status of a daemon; none where it does not answer.
+    pub fn runners(&self) -> Vec<serde_json::Value> {
+        let status = self.get_json("/status").unwrap_or_default();
+        status["runners"].as_array().cloned().unwrap_or_default()
+    }
+
     /// Asks the process for JSON.
     pub fn get_json(&self, path: &str) -> Option<serde_json::Value> {
         let answer = self.get(path).filter(|answer| answer.status == 200)?;
--- a/crates/mishaps/src/lib.rs
+++ b/crates/mishaps/src/lib.rs
@@ -3,7 +3,7 @@
 //! the lab orders. The daemons know nothing of it, and it is never part of a fleet.
 //!
 //! `MISHAPS_DATA` is the folder whose files are meant. `MISHAPS_ORDERS` is a folder: a file `orders`
-//! in it holds words (`full`, `stall`, `sync-fails`, `sync-lies`, `wall=<ms>`), and a file `synced` gets a line
+//! in it holds words (`full`, `stall`, `sync-fails`, `wall=<ms>`), and a file `synced` gets a line
 //! for each sync: how much of which file lasts through a loss of power.
 
 use libc::{c_char, c_int, c_long, c_void, size_t, ssize_t, timespec};
@@ -93,9 +93,6 @@
     if is_ordered("sync-fails") {
         return fail(libc::EIO);
     }
-    if is_ordered("sync-lies") {
-        return 0;
-    }
     // SAFETY: the call is passed on as it came.
     let code = unsafe { libc::syscall(number, fd) } as c_int;
     if code == 0 {
