--- /dev/null
+++ b/crates/controller/src/controller.rs
@@ -0,0 +1,257 @@
+use crate::changes::Changes;
+use crate::cores::CoreLinks;
+use crate::disk::{self, Disk};
+use crate::fronts::Fronts;
+use crate::kept::{Closures, Kept, CLOSURES, DESCRIPTION};
+use crate::options::{ControllerError, ControllerOptions};
+use crate::scaling::Scaling;
+use council::{Council, CouncilAction, CouncilOptions};
+use courier::{Courier, Event, Hatch, LineId};
+use exchange::RequestReader;
+use speedy::Readable;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What a line is for.
+pub(crate) enum Role {
+    /// An operator's connection; whether its request is being worked on.
+    Operator(RequestReader, bool),
+    /// A front, by name once it told it.
+    Front(Option<String>),
+    /// Another core, by council address once it is known.
+    Core(Option<String>),
+    /// The platform.
+    Platform,
+}
+
+/// All state of the daemon, on one thread beside the disk's.
+pub(crate) struct Controller {
+    pub options: ControllerOptions,
+    pub courier: Courier,
+    pub roles: HashMap<LineId, Role>,
+    pub council: Council,
+    pub disk: Disk,
+    pub cores: CoreLinks,
+    pub fronts: Fronts,
+    pub changes: Changes,
+    pub scaling: Scaling,
+    pub kept: Arc<Kept>,
+    pub kept_at: u64,
+    pub closures: Closures,
+    pub closures_at: u64,
+    pub now: u64,
+    began: Instant,
+    ticked_at: u64,
+    hatches: [Hatch; 3],
+}
+
+const TICK_MS: u64 = 50;
+const LINK_INBOX: usize = 16 << 20;
+const OPERATOR_INBOX: usize = 40 << 20;
+
+/// Runs until it is told to stop.
+pub fn run(options: ControllerOptions) -> Result<(), ControllerError> {
+    let term = Arc::new(AtomicBool::new(false));
+    let hup = Arc::new(AtomicBool::new(false));
+    let watch = |signal, flag: &Arc<AtomicBool>| {
+        signal_hook::flag::register(signal, Arc::clone(flag)).map_err(ControllerError::System)
+    };
+    watch(signal_hook::consts::SIGTERM, &term)?;
+    watch(signal_hook::consts::SIGINT, &term)?;
+    watch(signal_hook::consts::SIGHUP, &hup)?;
+    let mut controller = Controller::open(options)?;
+    let mut events = Vec::new();
+    let mut stops_at = None;
+    loop {
+        controller.now = controller.began.elapsed().as_millis() as u64;
+        if term.load(Ordering::Relaxed) && stops_at.is_none() {
+            log::info!("controller: told to stop");
+            controller.council.resign(controller.now);
+            stops_at = Some(controller.now + controller.options.grace_ms / 4);
+        }
+        if stops_at.is_some_and(|at| controller.now >= at) {
+            return Ok(());
+        }
+        if hup.swap(false, Ordering::Relaxed) {
+            log::info!("controller: the settings name nothing that can change in a life");
+        }
+        if controller.now >= controller.ticked_at + TICK_MS {
+            controller.ticked_at = controller.now;
+            controller.tick();
+        }
+        controller.act();
+        controller.cores.flush(&mut controller.courier);
+        controller.fronts.flush(&mut controller.courier);
+        let next = controller.ticked_at + TICK_MS;
+        let patience = Duration::from_millis(next.saturating_sub(controller.now).max(1));
+        controller.courier.wait(patience, &mut events);
+        controller.now = controller.began.elapsed().as_millis() as u64;
+        for event in events.drain(..) {
+            controller.handle(event);
+        }
+        for done in controller.disk.done() {
+            controller.council.on_disk(controller.now, done);
+        }
+        controller.act();
+        controller.cores.flush(&mut controller.courier);
+        controller.fronts.flush(&mut controller.courier);
+    }
+}
+
+impl Controller {
+    fn open(options: ControllerOptions) -> Result<Self, ControllerError> {
+        let silence = options.lease_ms() as u32;
+        let mut courier = Courier::new(options.lines_max, silence).map_err(ControllerError::System)?;
+        let mut listen = |address, inbox_max| {
+            let hatch = courier.listen(address, inbox_max);
+            hatch.map_err(|error| ControllerError::Listen(address, error))
+        };
+        let operators = listen(options.operators, OPERATOR_INBOX)?;
+        let fronts = listen(options.fronts, LINK_INBOX)?;
+        let council_hatch = listen(options.council, LINK_INBOX)?;
+        let identity = disk::identity(&options.data).map_err(ControllerError::Data)?;
+        let voter = disk::open(&options.data).map_err(ControllerError::Data)?;
+        let held = council::HeldSummary::of(&voter);
+        let council = Council::new(
+            CouncilOptions {
+                name: options.name.clone(),
+                address: options.council.to_string(),
+                seeds: options.seeds.iter().map(ToString::to_string).collect(),
+                is_first_start: options.is_first_start,
+                disk: identity,
+                lease_ms: options.lease_ms(),
+                beat_ms: options.beat_ms(),
+                patience_ms: options.sync_ms * 3 / 5,
+                seed: rand::random(),
+                voters_wanted: options.voters_wanted,
+            },
+            0,
+            held,
+        );
+        let waker = courier.waker().map_err(ControllerError::System)?;
+        let disk = Disk::start(voter, options.data.clone(), waker);
+        Ok(Self {
+            cores: CoreLinks::new(options.council.to_string()),
+            fronts: Fronts::default(),
+            changes: Changes::default(),
+            scaling: Scaling::default(),
+            kept: Arc::default(),
+            kept_at: 0,
+            closures: Closures::default(),
+            closures_at: 0,
+            courier,
+            roles: HashMap::new(),
+            council,
+            disk,
+            now: 0,
+            began: Instant::now(),
+            ticked_at: 0,
+            hatches: [operators, fronts, council_hatch],
+            options,
+        })
+    }
+
+    fn tick(&mut self) {
+        self.council.tick(self.now);
+        self.beat_fronts(false);
+        self.tend_scaling();
+        self.tend_changes();
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Opened(hatch, line) => {
+                let [operators, fronts, _] = self.hatches;
+                let role = if hatch == operators {
+                    Role::Operator(RequestReader::new(), false)
+                } else if hatch == fronts {
+                    Role::Front(None)
+                } else {
+                    Role::Core(None)
+                };
+                self.roles.insert(line, role);
+            }
+            Event::Connected(_) => {}
+            Event::Arrived(line) => match self.roles.get(&line) {
+                Some(Role::Operator(..)) => self.operator_arrived(line),
+                Some(Role::Front(_)) => self.front_arrived(line),
+                Some(Role::Core(_)) => self.core_arrived(line),
+                Some(Role::Platform) => self.platform_arrived(line),
+                None => {}
+            },
+            Event::Ended(line, _) => {
+                match self.roles.remove(&line) {
+                    Some(Role::Front(Some(name))) => self.front_ended(&name, line),
+                    Some(Role::Core(Some(address))) => self.cores.ended(&address, line),
+                    Some(Role::Platform) => self.platform_ended(line),
+                    _ => {}
+                }
+                self.courier.close(line);
+            }
+        }
+    }
+
+    /// Does what the council wants done.
+    fn act(&mut self) {
+        loop {
+            let actions = self.council.actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                match action {
+                    CouncilAction::Send { to, message } => self.send_core(&to, message),
+                    CouncilAction::Disk(work) => self.disk.ask(work),
+                    CouncilAction::Done { token, outcome } => self.change_done(token, outcome),
+                    CouncilAction::News { .. } => {}
+                    CouncilAction::DutyWon { term } => {
+                        log::info!("controller: scales under term {term}");
+                    }
+                    CouncilAction::DutyLost => log::info!("controller: scales no more"),
+                    CouncilAction::Rejoin => {
+                        log::warn!("controller: this core was replaced; it comes back empty");
+                        disk::empty(&self.options.data);
+                        std::process::exit(1);
+                    }
+                }
+            }
+            self.take_settled();
+        }
+    }
+
+    /// Takes newer settled values and tells the fronts of them.
+    fn take_settled(&mut self) {
+        let mut has_news = false;
+        if let Some((version, bytes)) = self.council.settled(DESCRIPTION) {
+            if version > self.kept_at {
+                if let Ok(kept) = Kept::read_from_buffer(bytes.as_ref()) {
+                    self.kept = Arc::new(kept);
+                    self.kept_at = version;
+                    has_news = true;
+                } else {
+                    log::error!("controller: settled description {version} cannot be read");
+                }
+            }
+        }
+        if let Some((version, bytes)) = self.council.settled(CLOSURES) {
+            if version > self.closures_at {
+                if let Ok(closures) = Closures::read_from_buffer(bytes.as_ref()) {
+                    self.closures = closures;
+                    self.closures_at = version;
+                    has_news = true;
+                }
+            }
+        }
+        if has_news {
+            log::info!(
+                "controller: description {} and closures {:?} are settled",
+                self.kept.version,
+                self.closures.districts
+            );
+            self.describe_scaling();
+            self.beat_fronts(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/fronts.rs
@@ -0,0 +1,201 @@
+use crate::controller::{Controller, Role};
+use courier::{Courier, LineId};
+use dispatch::{frame, Frames, Member, Message};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+pub(crate) struct Front {
+    pub member: Member,
+    pub line: LineId,
+    pub heard_at: u64,
+    out: Vec<u8>,
+}
+
+/// Fronts that have a link to this core.
+#[derive(Default)]
+pub(crate) struct Fronts {
+    pub known: BTreeMap<String, Front>,
+    beat_at: u64,
+}
+
+impl Fronts {
+    pub fn tell(&mut self, name: &str, message: &Message) {
+        if let Some(front) = self.known.get_mut(name) {
+            front.out.extend_from_slice(&frame(message));
+        }
+    }
+
+    /// Sends what was told since the last turn, in one piece for each front.
+    pub fn flush(&mut self, courier: &mut Courier) {
+        for front in self.known.values_mut() {
+            if !front.out.is_empty() {
+                courier.send(front.line, &front.out);
+                front.out.clear();
+            }
+        }
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.known.keys().cloned().collect()
+    }
+}
+
+impl Controller {
+    pub fn front_arrived(&mut self, line: LineId) {
+        let Some(inbox) = self.courier.inbox(line) else {
+            return;
+        };
+        let bytes = std::mem::take(inbox);
+        let mut frames = Frames::new(&bytes);
+        let mut messages = Vec::new();
+        let fault = loop {
+            match frames.read::<Message>() {
+                Ok(Some(message)) => messages.push(message),
+                Ok(None) => break None,
+                Err(fault) => break Some(fault),
+            }
+        };
+        let taken = frames.taken();
+        for message in messages {
+            self.hear_front(line, message);
+        }
+        if let Some(fault) = fault {
+            log::warn!("controller: a link to a front is closed: {fault}");
+            if let Some(Role::Front(Some(name))) = self.roles.remove(&line) {
+                self.front_ended(&name, line);
+            }
+            self.courier.close(line);
+            return;
+        }
+        if let Some(inbox) = self.courier.inbox(line) {
+            *inbox = bytes[taken..].to_vec();
+        }
+    }
+
+    fn hear_front(&mut self, line: LineId, message: Message) {
+        if let Message::Front(member) = message {
+            self.front_came(line, member);
+            return;
+        }
+        if let Message::Status = message {
+            let text = Message::StatusText(self.status());
+            self.courier.send(line, &frame(&text));
+            return;
+        }
+        let Some(Role::Front(Some(name))) = self.roles.get(&line) else {
+            return;
+        };
+        let name = name.clone();
+        if let Some(front) = self.fronts.known.get_mut(&name) {
+            front.heard_at = self.now;
+        }
+        match message {
+            Message::Ask {
+                description,
+                closures,
+            } => self.answer_ask(&name, description, closures),
+            Message::Report(reports) => self.take_reports(&name, &reports),
+            _ => {}
+        }
+    }
+
+    fn front_came(&mut self, line: LineId, member: Member) {
+        let name = member.name.clone();
+        self.roles.insert(line, Role::Front(Some(name.clone())));
+        let front = Front {
+            member,
+            line,
+            heard_at: self.now,
+            out: Vec::new(),
+        };
+        if let Some(former) = self.fronts.known.insert(name.clone(), front) {
+            self.roles.remove(&former.line);
+            self.courier.close(former.line);
+        }
+        let beat = self.core_beat();
+        self.fronts.tell(&name, &beat);
+        self.scaling.tell_roster_to(&name);
+    }
+
+    pub fn front_ended(&mut self, name: &str, line: LineId) {
+        if self.fronts.known.get(name).is_some_and(|front| front.line == line) {
+            self.fronts.known.remove(name);
+            self.scaling.forget_front(name);
+        }
+    }
+
+    fn answer_ask(&mut self, name: &str, description: u64, closures: u64) {
+        if self.kept_at > description {
+            let message = Message::Description {
+                mark: self.kept_at,
+                document: self.kept.packed.clone(),
+            };
+            self.fronts.tell(name, &message);
+        }
+        if self.closures_at > closures {
+            let message = Message::Closures {
+                mark: self.closures_at,
+                districts: self.closures.districts.clone(),
+            };
+            self.fronts.tell(name, &message);
+        }
+    }
+
+    fn core_beat(&self) -> Message {
+        let port = self.options.fronts_port;
+        let cores = self.council.cores();
+        let cores = cores.iter().filter_map(|address| {
+            let address: SocketAddr = address.parse().ok()?;
+            Some(SocketAddr::new(address.ip(), port).to_string())
+        });
+        Message::CoreBeat {
+            description: self.kept_at,
+            closures: self.closures_at,
+            term: self.council.term(self.now).unwrap_or(0),
+            cores: cores.collect(),
+            district: self.options.district.clone(),
+        }
+    }
+
+    /// Beats to all fronts when it is time, or at once where there is news.
+    pub fn beat_fronts(&mut self, has_news: bool) {
+        let pause = self.options.beat_ms() * 2;
+        if !has_news && self.now < self.fronts.beat_at + pause {
+            return;
+        }
+        self.fronts.beat_at = self.now;
+        let beat = self.core_beat();
+        let silence = self.options.silence_ms();
+        for name in self.fronts.names() {
+            let is_silent = self
+                .fronts
+                .known
+                .get(&name)
+                .is_some_and(|front| self.now > front.heard_at + silence);
+            if !is_silent {
+                self.fronts.tell(&name, &beat);
+                continue;
+            }
+            if let Some(front) = self.fronts.known.remove(&name) {
+                log::info!("controller: front {name} is silent");
+                self.roles.remove(&front.line);
+                self.courier.close(front.line);
+                self.scaling.forget_front(&name);
+            }
+        }
+    }
+
+    /// This daemon's state as JSON text, for operators.
+    pub fn status(&self) -> String {
+        format!(
+            "{{\"name\":\"{}\",\"version\":{},\"marks\":[{},{}],\"term\":{},\"fronts\":{},\"closed\":{:?}}}",
+            self.options.name,
+            self.kept.version,
+            self.kept_at,
+            self.closures_at,
+            self.council.term(self.now).unwrap_or(0),
+            self.fronts.known.len(),
+            self.closures.districts,
+        )
+    }
+}
--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,18 @@
+//! The control plane over non-blocking lines: keeps the description with the other cores, brings it to the fronts,
+//! and scales functions by calls to the platform. One thread, and one more for the disk.
+
+mod changes;
+mod controller;
+mod cores;
+mod disk;
+mod fronts;
+mod kept;
+mod operators;
+mod options;
+mod scaling;
+mod scaling_calls;
+
+pub use controller::run;
+pub use options::{
+    Call, ControllerError, ControllerOptions, OperatorCall, StartReply, Translator,
+};
--- /dev/null
+++ b/crates/controller/src/operators.rs
@@ -0,0 +1,88 @@
+use crate::controller::{Controller, Role};
+use crate::options::OperatorCall;
+use courier::LineId;
+use exchange::{write_response, Bounds, Request, RequestReader};
+
+const HEAD_MAX: usize = 64 << 10;
+const BODY_MAX: usize = 32 << 20;
+/// Seconds after which operators come back to a core that cannot answer now.
+const RETRY_AFTER: &[u8] = b"0.3";
+
+impl Controller {
+    pub fn operator_arrived(&mut self, line: LineId) {
+        let bounds = Bounds {
+            header_bytes: HEAD_MAX,
+            body_bytes: BODY_MAX,
+        };
+        let Some(Role::Operator(reader, is_busy)) = self.roles.get_mut(&line) else {
+            return;
+        };
+        let Some(inbox) = self.courier.inbox(line).filter(|_| !*is_busy) else {
+            return;
+        };
+        match reader.read(inbox, &bounds) {
+            Ok(None) => {
+                if reader.expects_continue() {
+                    self.courier.send(line, exchange::CONTINUE);
+                }
+            }
+            Ok(Some(request)) => {
+                *is_busy = true;
+                self.take_order(line, request);
+            }
+            Err(fault) => {
+                self.reply(line, fault.status(), fault.to_string().as_bytes(), false);
+            }
+        }
+    }
+
+    fn take_order(&mut self, line: LineId, request: Request) {
+        let translator = &self.options.translator;
+        let call = translator.operator_call(&request.method, &request.target);
+        let keeps = request.keeps_alive;
+        match call {
+            None => self.reply(line, 404, b"there is no such call", keeps),
+            Some(Err(status)) => self.reply(line, status, b"not this method", keeps),
+            Some(Ok(OperatorCall::Close(district) | OperatorCall::Open(district)))
+                if !self.options.districts.contains(&district) =>
+            {
+                self.reply(line, 404, b"there is no such zone", keeps);
+            }
+            Some(Ok(call)) => {
+                let base = self.options.translator.base_version(&request.headers);
+                self.begin_change(line, call, base, request.body, keeps);
+            }
+        }
+    }
+
+    /// Answers an operator and goes on with what was sent meanwhile.
+    pub fn reply(&mut self, line: LineId, status: u16, body: &[u8], keeps_alive: bool) {
+        if !matches!(self.roles.get(&line), Some(Role::Operator(..))) {
+            return;
+        }
+        let mut out = Vec::with_capacity(body.len() + 256);
+        let is_json = body.first() == Some(&b'{');
+        let kind: &[u8] = if is_json {
+            b"application/json"
+        } else {
+            b"text/plain"
+        };
+        let mut headers: Vec<(&str, &[u8])> = vec![("Content-Type", kind)];
+        if status == 503 {
+            headers.push(("Retry-After", RETRY_AFTER));
+        }
+        write_response(&mut out, status, headers.into_iter(), body, keeps_alive, false);
+        self.courier.send(line, &out);
+        if !keeps_alive {
+            self.courier.finish(line);
+            self.roles.remove(&line);
+            return;
+        }
+        self.roles
+            .insert(line, Role::Operator(RequestReader::new(), false));
+        let has_more = self.courier.inbox(line).is_some_and(|inbox| !inbox.is_empty());
+        if has_more {
+            self.operator_arrived(line);
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/scaling.rs
@@ -0,0 +1,211 @@
+use crate::controller::Controller;
+use crate::scaling_calls::PlatformCalls;
+use dispatch::{FunctionReport, Member, Message};
+use launching::{Launcher, Options, Order, RunnerSight};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the holder of the duty to scale knows. All of it is learnt anew by the next holder.
+#[derive(Default)]
+pub(crate) struct Scaling {
+    pub term: u64,
+    pub launcher: Option<Launcher>,
+    pub calls: PlatformCalls,
+    pub pages: Vec<RunnerSight>,
+    pub listed_at: u64,
+    pub is_listing: bool,
+    pub workers_at: u64,
+    pub stopping: BTreeSet<String>,
+    roster: Vec<Member>,
+    roster_no: u64,
+    untold: BTreeSet<String>,
+    keepers: BTreeMap<String, String>,
+    began_at: u64,
+}
+
+impl Scaling {
+    /// A front that came anew is told the roster with the next turn.
+    pub fn tell_roster_to(&mut self, name: &str) {
+        self.untold.insert(name.into());
+    }
+
+    pub fn forget_front(&mut self, name: &str) {
+        if let Some(launcher) = self.launcher.as_mut() {
+            launcher.forget_keeper(name);
+        }
+    }
+}
+
+impl Controller {
+    /// Takes up or lays down the duty, and does what it asks for.
+    pub fn tend_scaling(&mut self) {
+        let term = self.council.term(self.now);
+        let Some(term) = term else {
+            if self.scaling.launcher.is_some() {
+                log::info!("scaler: laid down, term {} is over", self.scaling.term);
+                self.lay_down();
+            }
+            return;
+        };
+        if term != self.scaling.term || self.scaling.launcher.is_none() {
+            self.take_up(term);
+        }
+        self.tend_roster();
+        self.tend_lists();
+        if let Some(launcher) = self.scaling.launcher.as_mut() {
+            launcher.tick(self.now);
+        }
+        self.carry_out();
+        self.tend_calls();
+    }
+
+    fn lay_down(&mut self) {
+        self.scaling.launcher = None;
+        self.scaling.pages.clear();
+        self.scaling.is_listing = false;
+        self.scaling.stopping.clear();
+        self.drop_calls();
+    }
+
+    fn take_up(&mut self, term: u64) {
+        self.lay_down();
+        let options = Options {
+            list_lag_ms: self.options.list_lag_ms,
+            drain_ms: self.options.drain_ms,
+            starts_per_s: self.options.starts_per_s,
+            own_nonce: format!("{term:x}"),
+            term,
+            ..Options::default()
+        };
+        self.scaling.term = term;
+        self.scaling.launcher = Some(Launcher::new(options, self.now));
+        self.scaling.roster.clear();
+        self.scaling.roster_no = 0;
+        self.scaling.listed_at = 0;
+        self.scaling.workers_at = 0;
+        self.scaling.began_at = self.now;
+        self.describe_scaling();
+        self.beat_fronts(true);
+    }
+
+    /// The description or the closed districts are other ones than before.
+    pub fn describe_scaling(&mut self) {
+        let Some(launcher) = self.scaling.launcher.as_mut() else {
+            return;
+        };
+        if self.kept.version > 0 {
+            let documents = self.options.translator.documents();
+            match documents.read(&self.kept.document()) {
+                Ok(description) => launcher.describe(self.now, &description),
+                Err(fault) => log::error!("scaler: the description cannot be read: {fault}"),
+            }
+        }
+        let closed = self.closures.districts.iter().cloned().collect();
+        launcher.close_districts(self.now, &closed);
+        self.carry_out();
+    }
+
+    /// Fronts that are there keep functions; who they are is told to all when it changes.
+    fn tend_roster(&mut self) {
+        // Fronts that have not found this core yet are waited for a little while.
+        let is_early = self.now < self.scaling.began_at + self.options.beat_ms() * 3;
+        let members = self.fronts.known.values();
+        let members: Vec<Member> = members.map(|front| front.member.clone()).collect();
+        if members != self.scaling.roster && !(is_early && self.scaling.roster_no == 0) {
+            self.scaling.roster = members;
+            self.scaling.roster_no += 1;
+            self.scaling.untold = self.fronts.known.keys().cloned().collect();
+        }
+        if self.scaling.roster_no == 0 {
+            return;
+        }
+        let message = Message::Roster {
+            mark: (self.scaling.term, self.scaling.roster_no),
+            members: self.scaling.roster.clone(),
+        };
+        for name in std::mem::take(&mut self.scaling.untold) {
+            self.fronts.tell(&name, &message);
+        }
+    }
+
+    /// Keepers tell about their functions.
+    pub fn take_reports(&mut self, name: &str, reports: &[FunctionReport]) {
+        let incarnation = self.fronts.known.get(name).map(|one| one.member.incarnation);
+        let incarnation = format!("{:x}", incarnation.unwrap_or(0));
+        let Some(launcher) = self.scaling.launcher.as_mut() else {
+            return;
+        };
+        // Counters begin anew with each life of a keeper.
+        let known = self.scaling.keepers.insert(name.into(), incarnation.clone());
+        if known.is_some_and(|known| known != incarnation) {
+            launcher.forget_keeper(name);
+        }
+        for report in reports {
+            launcher.report(self.now, name, report);
+            let news = launcher.news_of(&report.function, self.now);
+            if news.mark.0 > 0 && news.mark.1 != report.news {
+                self.fronts.tell(name, &Message::Runners(vec![news]));
+            }
+        }
+        self.carry_out();
+    }
+
+    /// Gives the launcher's orders to the platform and its news to the keepers.
+    pub fn carry_out(&mut self) {
+        let Some(launcher) = self.scaling.launcher.as_mut() else {
+            return;
+        };
+        let orders = launcher.orders();
+        let news = launcher.news();
+        for order in orders {
+            self.give(order);
+        }
+        let mut by_keeper: BTreeMap<String, Vec<dispatch::FunctionNews>> = BTreeMap::new();
+        for one in news {
+            let keeper = seating::elect(&one.function, &self.scaling.roster, |_| true);
+            if let Some(keeper) = keeper {
+                by_keeper.entry(keeper.name.clone()).or_default().push(one);
+            }
+        }
+        for (name, news) in by_keeper {
+            self.fronts.tell(&name, &Message::Runners(news));
+        }
+    }
+
+    fn give(&mut self, order: Order) {
+        let fence = self.scaling.term;
+        let name = self.options.name.clone();
+        let translator = &self.options.translator;
+        match order {
+            Order::Start {
+                function,
+                worker,
+                nonce,
+            } => {
+                let call = translator.start(&function, &worker, &nonce, (&name, fence));
+                self.call_platform(call, crate::scaling_calls::Purpose::Start(nonce));
+            }
+            Order::Stop { id } => {
+                let call = translator.stop(&id, (&name, fence));
+                self.call_platform(call, crate::scaling_calls::Purpose::Stop(id));
+            }
+        }
+    }
+
+    fn tend_lists(&mut self) {
+        let every = self.options.list_every_ms();
+        let now = self.now;
+        let is_due = |at: u64| at == 0 || now >= at + every;
+        if is_due(self.scaling.workers_at) {
+            self.scaling.workers_at = self.now.max(1);
+            let call = self.options.translator.list_workers();
+            self.call_platform(call, crate::scaling_calls::Purpose::Workers);
+        }
+        if is_due(self.scaling.listed_at) && !self.scaling.is_listing {
+            self.scaling.listed_at = self.now.max(1);
+            self.scaling.is_listing = true;
+            self.scaling.pages.clear();
+            let call = self.options.translator.list_runners(None);
+            self.call_platform(call, crate::scaling_calls::Purpose::Runners);
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/scaling_calls.rs
@@ -0,0 +1,226 @@
+use crate::controller::{Controller, Role};
+use crate::options::Call;
+use courier::LineId;
+use exchange::{write_request, Bounds, Response, ResponseReader};
+use launching::StartFault;
+use std::collections::{HashMap, VecDeque};
+
+const ANSWER_MAX: usize = 16 << 20;
+/// Most connections to the platform.
+const LINES_MAX: usize = 8;
+/// Most calls that wait for a connection.
+const WAITING_MAX: usize = 4_096;
+/// Most pages of a list.
+const LISTED_MAX: usize = 1 << 18;
+
+/// What a call to the platform is for.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Purpose {
+    Workers,
+    Runners,
+    Start(String),
+    Stop(String),
+}
+
+struct Busy {
+    purpose: Purpose,
+    reader: ResponseReader,
+    ends_at: u64,
+}
+
+/// Calls to the platform: some under way, each on a connection of its own, the others waiting.
+#[derive(Default)]
+pub(crate) struct PlatformCalls {
+    waiting: VecDeque<(Call, Purpose)>,
+    busy: HashMap<LineId, Busy>,
+    idle: Vec<LineId>,
+}
+
+impl Controller {
+    pub fn call_platform(&mut self, call: Call, purpose: Purpose) {
+        if self.scaling.calls.waiting.len() >= WAITING_MAX {
+            self.fail(purpose);
+            return;
+        }
+        self.scaling.calls.waiting.push_back((call, purpose));
+        self.send_calls();
+    }
+
+    fn send_calls(&mut self) {
+        while let Some((call, purpose)) = self.scaling.calls.waiting.pop_front() {
+            let Some(address) = self.options.platform else {
+                self.fail(purpose);
+                continue;
+            };
+            let line = match self.scaling.calls.idle.pop() {
+                Some(line) if self.courier.is_open(line) => Some(line),
+                Some(_) => {
+                    self.scaling.calls.waiting.push_front((call, purpose));
+                    continue;
+                }
+                None if self.scaling.calls.busy.len() >= LINES_MAX => {
+                    self.scaling.calls.waiting.push_front((call, purpose));
+                    return;
+                }
+                None => self.courier.connect(address, ANSWER_MAX).ok(),
+            };
+            let Some(line) = line else {
+                self.fail(purpose);
+                continue;
+            };
+            self.roles.insert(line, Role::Platform);
+            let host = address.to_string();
+            let mut headers: Vec<(&str, &[u8])> = vec![("Host", host.as_bytes())];
+            if !call.body.is_empty() {
+                headers.push(("Content-Type", b"application/json"));
+            }
+            let own = call.headers.iter();
+            headers.extend(own.map(|(name, value)| (*name, value.as_bytes())));
+            let mut out = Vec::new();
+            write_request(&mut out, call.method, &call.target, headers.into_iter(), &call.body);
+            self.courier.send(line, &out);
+            let busy = Busy {
+                purpose,
+                reader: ResponseReader::new(false),
+                ends_at: self.now + self.options.call_ms(),
+            };
+            self.scaling.calls.busy.insert(line, busy);
+        }
+    }
+
+    /// Calls whose time is over were perhaps done all the same.
+    pub fn tend_calls(&mut self) {
+        let busy = self.scaling.calls.busy.iter();
+        let late = busy.filter(|(_, busy)| busy.ends_at <= self.now);
+        let late: Vec<LineId> = late.map(|(line, _)| *line).collect();
+        for line in late {
+            self.roles.remove(&line);
+            self.courier.close(line);
+            self.platform_ended(line);
+        }
+        self.send_calls();
+    }
+
+    pub fn drop_calls(&mut self) {
+        let calls = std::mem::take(&mut self.scaling.calls);
+        for line in calls.busy.into_keys().chain(calls.idle) {
+            self.roles.remove(&line);
+            self.courier.close(line);
+        }
+    }
+
+    pub fn platform_ended(&mut self, line: LineId) {
+        self.scaling.calls.idle.retain(|idle| *idle != line);
+        if let Some(busy) = self.scaling.calls.busy.remove(&line) {
+            self.fail(busy.purpose);
+            self.send_calls();
+        }
+    }
+
+    pub fn platform_arrived(&mut self, line: LineId) {
+        let bounds = Bounds {
+            header_bytes: 64 << 10,
+            body_bytes: ANSWER_MAX,
+        };
+        let Some(busy) = self.scaling.calls.busy.get_mut(&line) else {
+            self.scaling.calls.idle.retain(|idle| *idle != line);
+            self.roles.remove(&line);
+            self.courier.close(line);
+            return;
+        };
+        let Some(inbox) = self.courier.inbox(line) else {
+            return;
+        };
+        match busy.reader.read(inbox, &bounds) {
+            Ok(None) => {}
+            Err(fault) => {
+                log::warn!("scaler: the platform sent no answer in the protocol: {fault}");
+                self.roles.remove(&line);
+                self.courier.close(line);
+                self.platform_ended(line);
+            }
+            Ok(Some(response)) => {
+                let Some(busy) = self.scaling.calls.busy.remove(&line) else {
+                    return;
+                };
+                if response.keeps_alive {
+                    self.scaling.calls.idle.push(line);
+                } else {
+                    self.roles.remove(&line);
+                    self.courier.close(line);
+                }
+                self.take_answer(busy.purpose, &response);
+                self.carry_out();
+                self.send_calls();
+            }
+        }
+    }
+
+    fn take_answer(&mut self, purpose: Purpose, response: &Response) {
+        let translator = &self.options.translator;
+        let Some(launcher) = self.scaling.launcher.as_mut() else {
+            return;
+        };
+        match purpose {
+            Purpose::Workers if response.status == 200 => {
+                match translator.read_workers(&response.body) {
+                    Ok(workers) => launcher.see_workers(self.now, workers),
+                    Err(reason) => log::warn!("scaler: the list of workers: {reason}"),
+                }
+            }
+            Purpose::Runners if response.status == 200 => self.take_page(&response.body),
+            Purpose::Start(nonce) => {
+                let reply = translator.read_start(response.status, &response.body);
+                if let Err(fault) = &reply {
+                    log::info!("scaler: start {nonce} gave no runner: {fault:?}");
+                }
+                launcher.started(self.now, &nonce, reply);
+            }
+            Purpose::Stop(id) => {
+                let is_done = translator.is_stopped(response.status);
+                launcher.stopped(self.now, &id, is_done);
+            }
+            purpose => self.fail(purpose),
+        }
+    }
+
+    fn take_page(&mut self, body: &[u8]) {
+        let translator = &self.options.translator;
+        let (runners, next) = match translator.read_runners(body) {
+            Ok(page) => page,
+            Err(reason) => {
+                log::warn!("scaler: the list of runners: {reason}");
+                self.scaling.is_listing = false;
+                return;
+            }
+        };
+        self.scaling.pages.extend(runners);
+        if let Some(next) = next.filter(|_| self.scaling.pages.len() < LISTED_MAX) {
+            let call = translator.list_runners(Some(&next));
+            self.call_platform(call, Purpose::Runners);
+            return;
+        }
+        self.scaling.is_listing = false;
+        let runners = std::mem::take(&mut self.scaling.pages);
+        if let Some(launcher) = self.scaling.launcher.as_mut() {
+            launcher.see_runners(self.now, runners);
+        }
+    }
+
+    fn fail(&mut self, purpose: Purpose) {
+        let Some(launcher) = self.scaling.launcher.as_mut() else {
+            return;
+        };
+        match purpose {
+            Purpose::Workers => {}
+            Purpose::Runners => {
+                self.scaling.is_listing = false;
+                self.scaling.pages.clear();
+            }
+            Purpose::Start(nonce) => {
+                launcher.started(self.now, &nonce, Err(StartFault::Unanswered));
+            }
+            Purpose::Stop(id) => launcher.stopped(self.now, &id, false),
+        }
+    }
+}
--- /dev/null
+++ b/crates/council/src/beating.rs
@@ -0,0 +1,235 @@
+use crate::action::CouncilAction;
+use crate::council::{Council, DUTY_KEY, KEPT};
+use crate::duty::{term_of, Grant};
+use crate::message::{Ack, Beat, CouncilMessage};
+use crate::peer::Peer;
+use std::collections::BTreeSet;
+
+const PEERS_MAX: usize = 64;
+/// Time between beats while no voters are known.
+const FIRST_BEAT_MS: u64 = 100;
+/// Time between beats to an address where nobody answers.
+const SILENT_BEAT_MS: u64 = 1_000;
+/// Least time between beats out of turn.
+const HASTE_MS: u64 = 10;
+/// Time after which a core outside the set is forgotten.
+const FORGET_MS: u64 = 30_000;
+
+impl Council {
+    /// Knows an address from now on, where there is room for it.
+    pub(crate) fn admit(&mut self, address: &str) -> bool {
+        if address == self.options.address {
+            return false;
+        }
+        let has_room = self.peers.len() < PEERS_MAX || self.is_lasting(address);
+        if !self.peers.contains_key(address) && has_room {
+            self.peers.insert(address.to_string(), Peer::default());
+        }
+        self.peers.contains_key(address)
+    }
+
+    fn is_lasting(&self, address: &str) -> bool {
+        let mut voters = self.set.voters.iter();
+        let is_member = voters.any(|voter| voter.address == address);
+        is_member || self.options.seeds.iter().any(|seed| seed == address)
+    }
+
+    /// Forgets cores outside the set that have been silent for long.
+    pub(crate) fn tend_peers(&mut self, now: u64) {
+        let is_gone = |peer: &Peer| !peer.is_fresh(now, FORGET_MS);
+        let gone = self.peers.iter().filter(|(_, peer)| is_gone(peer));
+        let gone: Vec<String> = gone
+            .map(|(address, _)| address.clone())
+            .filter(|address| !self.is_lasting(address))
+            .collect();
+        for address in gone {
+            self.peers.remove(&address);
+        }
+    }
+
+    /// Time for which a beat counts as a sign of life.
+    pub(crate) fn fresh_ms(&self) -> u64 {
+        (3 * self.options.beat_ms).max(600)
+    }
+
+    /// Whether a core was heard lately.
+    pub(crate) fn hears(&self, now: u64, address: &str) -> bool {
+        let peer = self.peers.get(address);
+        peer.is_some_and(|peer| peer.is_fresh(now, self.fresh_ms()))
+    }
+
+    /// Cores that were heard lately.
+    pub(crate) fn fresh(&self, now: u64) -> impl Iterator<Item = (&String, &Beat)> {
+        let span = self.fresh_ms();
+        let fresh = self.peers.iter();
+        fresh
+            .filter(move |(_, peer)| peer.is_fresh(now, span))
+            .map(|(address, peer)| (address, &peer.beat))
+    }
+
+    /// Sends beats where their time has come, or where something is new.
+    pub(crate) fn tend_beats(&mut self, now: u64) {
+        let is_hasty = self.beaten_at.is_none_or(|at| now >= at + HASTE_MS);
+        if now < self.beat_at && !(self.wants_beat && is_hasty) {
+            return;
+        }
+        let has_news = self.wants_beat;
+        self.wants_beat = false;
+        self.beaten_at = Some(now);
+        let pause = match self.set.era {
+            0 => FIRST_BEAT_MS.min(self.options.beat_ms),
+            _ => self.options.beat_ms,
+        };
+        if now >= self.beat_at || has_news {
+            self.beat_at = now + pause;
+        }
+        self.beat_number += 1;
+        self.back_own_claim(now);
+        for to in self.audience(now) {
+            self.beat_to(now, &to);
+        }
+    }
+
+    /// Members tell all cores that live; the others tell members and seeds.
+    fn audience(&self, now: u64) -> BTreeSet<String> {
+        let mut audience: BTreeSet<String> = BTreeSet::new();
+        let voters = self.set.voters.iter();
+        audience.extend(voters.map(|voter| voter.address.clone()));
+        for (address, peer) in &self.peers {
+            let is_heard = peer.is_fresh(now, FORGET_MS);
+            let is_due = peer.told_at.is_none_or(|at| now >= at + SILENT_BEAT_MS);
+            let is_seed = self.options.seeds.iter().any(|seed| seed == address);
+            let is_probed = is_seed && (is_heard || is_due || self.set.era == 0);
+            if is_probed || (is_heard && self.is_named()) {
+                audience.insert(address.clone());
+            }
+        }
+        audience.remove(&self.options.address);
+        audience
+    }
+
+    fn beat_to(&mut self, now: u64, to: &str) {
+        self.admit(to);
+        let beat = self.beat(now, to);
+        if let Some(peer) = self.peers.get_mut(to) {
+            peer.told_at = Some(now);
+        }
+        self.send(to, CouncilMessage::Beat(beat));
+    }
+
+    fn beat(&self, now: u64, to: &str) -> Beat {
+        let mut hears = 0;
+        for (place, voter) in self.set.voters.iter().enumerate().take(64) {
+            let is_own = voter.disk == self.options.disk;
+            let is_heard = self.fresh(now).any(|(_, beat)| beat.disk == voter.disk);
+            hears |= u64::from(is_own || is_heard) << place;
+        }
+        let is_spare = |disk: u64| !self.set.voters.iter().any(|voter| voter.disk == disk);
+        let spares = self.fresh(now).filter(|(_, beat)| is_spare(beat.disk));
+        Beat {
+            disk: self.options.disk,
+            life: self.life,
+            number: self.beat_number,
+            mark: self.own_set.mark(),
+            known: self.set.mark(),
+            settled: KEPT.iter().map(|key| self.settled_mark(key)).collect(),
+            claim: self.duty.claim.as_ref().map_or(0, |claim| claim.term),
+            is_free: self.may_grant(now, to),
+            hears,
+            spares: spares.count().min(255) as u8,
+            is_first_start: self.options.is_first_start,
+        }
+    }
+
+    pub(crate) fn on_beat(&mut self, now: u64, from: &str, beat: Beat) {
+        let Some(peer) = self.peers.get_mut(from) else {
+            return;
+        };
+        let is_new = peer.beat.life != beat.life;
+        if !is_new && beat.number <= peer.beat.number {
+            return;
+        }
+        peer.heard_at = Some(now);
+        peer.beat = beat.clone();
+        self.wants_beat |= is_new;
+        self.compare_sets(from, &beat);
+        self.on_claim(now, from, &beat);
+        let same_era = beat.known.0 == self.set.era;
+        if same_era && self.set.era > 0 {
+            self.on_settled_marks(now, from, &beat.settled);
+        }
+    }
+
+    /// Whichever of two cores knows the older set is told the newer one.
+    fn compare_sets(&mut self, from: &str, beat: &Beat) {
+        if beat.known > self.set.mark() {
+            return self.send(from, CouncilMessage::WantSet);
+        }
+        if beat.known < self.set.mark() && beat.known.0 > 0 {
+            self.send(from, CouncilMessage::Set(self.set.clone()));
+        }
+        if beat.mark.0 > 0 || self.set.era == 0 {
+            return;
+        }
+        // A member that is named by its disk and still empty missed the founding.
+        let mut voters = self.set.voters.iter();
+        let is_named = voters.any(|voter| voter.disk == beat.disk);
+        if is_named && self.set.no == 1 && self.own_set == self.set {
+            self.send(from, CouncilMessage::Form(self.set.clone()));
+        } else if beat.known.0 == 0 {
+            self.send(from, CouncilMessage::Set(self.set.clone()));
+        }
+    }
+
+    fn on_claim(&mut self, now: u64, from: &str, beat: &Beat) {
+        if beat.claim == 0 {
+            return self.duty.on_no_claim(from, beat.life, beat.number);
+        }
+        let known = term_of(self.set.era, self.settled_mark(DUTY_KEY).0);
+        if beat.claim < known {
+            return;
+        }
+        let grant = Grant {
+            holder: from.to_string(),
+            life: beat.life,
+            number: beat.number,
+            term: beat.claim,
+            received: now,
+        };
+        self.duty.on_claim(now, grant, self.options.lease_ms);
+        if !self.backs(from, beat.life, beat.claim) {
+            return;
+        }
+        let ack = Ack {
+            disk: self.options.disk,
+            mark: self.own_set.mark(),
+            term: beat.claim,
+            number: beat.number,
+        };
+        self.send(from, CouncilMessage::Ack(ack));
+    }
+
+    pub(crate) fn on_ack(&mut self, now: u64, ack: Ack) {
+        let mark = self.set.mark();
+        let Some(claim) = self.duty.claim.as_mut() else {
+            return;
+        };
+        if ack.mark == mark && ack.term == claim.term {
+            claim.on_ack(&self.set, ack.disk, ack.number, self.options.lease_ms);
+            self.announce(now);
+        }
+    }
+
+    /// Tells that the duty is held, once a majority has backed the claim.
+    pub(crate) fn announce(&mut self, now: u64) {
+        let Some(claim) = self.duty.claim.as_mut() else {
+            return;
+        };
+        if now < claim.held_until && !claim.is_told {
+            claim.is_told = true;
+            log::info!("council: this core holds the duty, term {}", claim.term);
+            let term = claim.term;
+            self.actions.push(CouncilAction::DutyWon { term });
+        }
+    }
+}
--- /dev/null
+++ b/crates/council/src/catching_up.rs
@@ -0,0 +1,187 @@
+use crate::action::CouncilAction;
+use crate::council::{Council, DUTY_KEY, KEPT};
+use crate::disk::{DiskWork, HeldValue};
+use crate::job::Value;
+use crate::message::CouncilMessage;
+use rand::Rng;
+use register::{Ballot, Held, Stored, VoterSet, VOTERS_KEY};
+use speedy::Readable;
+
+/// Time in which a settled value may still come to this core's own voter.
+const OWN_MS: u64 = 100;
+/// Time after which a value is asked for again.
+const WANT_AGAIN: u64 = 300;
+/// Time between comparisons of this core's voter with what is settled.
+const MEND_MS: u64 = 6_000;
+
+/// A settled value that is not here yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Want {
+    pub mark: (u64, u64),
+    pub from: String,
+    pub ask_at: u64,
+}
+
+impl Council {
+    /// The value of a key that this core has and that others need not send.
+    pub(crate) fn newest_value(&self, key: &str) -> Option<Value> {
+        let settled = self.settled.get(key);
+        let held = self.held.get(key).and_then(own_value);
+        let held = held.filter(|held| settled.is_none_or(|known| held.version > known.version));
+        held.or_else(|| settled.cloned())
+    }
+
+    pub(crate) fn settled_mark(&self, key: &str) -> (u64, u64) {
+        self.settled.get(key).map_or((0, 0), Value::mark)
+    }
+
+    /// Another core says which values are settled.
+    pub(crate) fn on_settled_marks(&mut self, now: u64, from: &str, marks: &[(u64, u64)]) {
+        for (key, mark) in KEPT.iter().zip(marks) {
+            let wanted = self.wants.get(*key).map_or(0, |want| want.mark.0);
+            if mark.0 <= self.settled_mark(key).0 || mark.0 < wanted {
+                continue;
+            }
+            let known = self.wants.get(*key).filter(|want| want.mark == *mark);
+            let patience = if self.is_voting() { OWN_MS } else { 0 };
+            let ask_at = known.map_or(now + patience, |want| want.ask_at);
+            let want = Want {
+                mark: *mark,
+                from: from.to_string(),
+                ask_at,
+            };
+            self.wants.insert((*key).to_string(), want);
+        }
+        self.tend_wants(now);
+    }
+
+    /// Takes settled values that have come to this core's own voter, and asks for the others.
+    pub(crate) fn tend_wants(&mut self, now: u64) {
+        let keys: Vec<String> = self.wants.keys().cloned().collect();
+        for key in keys {
+            let Some(want) = self.wants.get_mut(&key) else {
+                continue;
+            };
+            let own = self.held.get(&key).and_then(own_value);
+            if let Some(own) = own.filter(|own| own.mark() == want.mark) {
+                self.learn_value(now, &key, own);
+                continue;
+            }
+            if now < want.ask_at {
+                continue;
+            }
+            want.ask_at = now + WANT_AGAIN;
+            let (to, version) = (want.from.clone(), want.mark.0);
+            self.send(&to, CouncilMessage::WantValue { key, version });
+        }
+    }
+
+    /// Tells a settled value, with the ballot where this core's voter accepted it.
+    pub(crate) fn on_want_value(&mut self, from: &str, key: String, version: u64) {
+        let Some(value) = self.settled.get(&key) else {
+            return;
+        };
+        if value.version < version {
+            return;
+        }
+        let held = self.held.get(&key);
+        let held = held.filter(|held| (held.version, held.tag) == value.mark());
+        let message = CouncilMessage::Value {
+            ballot: held.map(|held| held.accepted).unwrap_or_default(),
+            stored: value.stored(),
+            key,
+        };
+        self.send(from, message);
+    }
+
+    /// Takes a settled value, also for this core's voter where it lags behind.
+    pub(crate) fn on_value(&mut self, now: u64, key: &str, ballot: Ballot, stored: Stored) {
+        self.learn_settled(now, key, &stored);
+        if ballot == Ballot::default() || !self.is_voting() || !self.is_behind(key, &stored) {
+            return;
+        }
+        let held = Held {
+            promised: ballot,
+            accepted: ballot,
+            stored,
+        };
+        let work = DiskWork::Mend(key.to_string(), held);
+        self.actions.push(CouncilAction::Disk(work));
+    }
+
+    fn is_behind(&self, key: &str, settled: &Stored) -> bool {
+        let (version, tag) = self
+            .held
+            .get(key)
+            .map_or((0, 0), |held| (held.version, held.tag));
+        version < settled.version || (version == settled.version && tag != settled.tag)
+    }
+
+    /// Asks another member for settled values that this core's voter lacks, now and then.
+    pub(crate) fn tend_mending(&mut self, now: u64) {
+        if now < self.mend_at || !self.is_voting() {
+            return;
+        }
+        self.mend_at = now + MEND_MS + self.random.random_range(0..1_000);
+        let voters = self.set.voters.iter().map(|voter| voter.address.clone());
+        let fresh: Vec<String> = voters
+            .filter(|address| *address != self.options.address && self.hears(now, address))
+            .collect();
+        let lacking: Vec<(String, u64)> = self
+            .settled
+            .iter()
+            .filter(|(key, _)| KEPT.contains(&key.as_str()))
+            .filter(|(key, value)| self.is_behind(key, &value.brief()))
+            .map(|(key, value)| (key.clone(), value.version))
+            .collect();
+        if fresh.is_empty() {
+            return;
+        }
+        for (key, version) in lacking {
+            let place = self.random.random_range(0..fresh.len());
+            self.send(&fresh[place], CouncilMessage::WantValue { key, version });
+        }
+    }
+
+    /// A value is known to be settled.
+    pub(crate) fn learn_settled(&mut self, now: u64, key: &str, stored: &Stored) {
+        if stored.version > self.settled_mark(key).0 {
+            self.learn_value(now, key, Value::of(stored));
+        }
+    }
+
+    fn learn_value(&mut self, now: u64, key: &str, value: Value) {
+        let (version, bytes) = (value.version, value.bytes.clone());
+        if self
+            .wants
+            .get(key)
+            .is_some_and(|want| want.mark.0 <= version)
+        {
+            self.wants.remove(key);
+        }
+        if version <= self.settled_mark(key).0 {
+            return;
+        }
+        self.settled.insert(key.to_string(), value);
+        self.wants_beat = true;
+        let key = key.to_string();
+        if key == VOTERS_KEY {
+            if let Ok(set) = VoterSet::read_from_buffer(&bytes) {
+                self.learn_set(now, &set);
+            }
+        }
+        if key == DUTY_KEY {
+            self.on_tenure(now, version, &bytes);
+        }
+        self.actions.push(CouncilAction::News { key, version });
+    }
+}
+
+fn own_value(held: &HeldValue) -> Option<Value> {
+    let bytes = held.bytes.clone()?;
+    Some(Value {
+        version: held.version,
+        tag: held.tag,
+        bytes,
+    })
+}
--- /dev/null
+++ b/crates/council/src/contending.rs
@@ -0,0 +1,168 @@
+use crate::action::CouncilAction;
+use crate::council::{Council, DUTY_KEY};
+use crate::duty::{term_of, Claim, Tenure};
+use crate::job::Purpose;
+use rand::Rng;
+use register::{Change, Outcome};
+use speedy::{Readable, Writable};
+
+/// Time between the tries of two neighbours in the set, so that they don't race.
+const STAGGER_MS: u64 = 40;
+
+impl Council {
+    /// Drops a claim whose lease is over. A core that was frozen does so before anything else.
+    pub(crate) fn expire(&mut self, now: u64) {
+        let lease = self.options.lease_ms;
+        let is_over = self.duty.claim.as_ref().is_some_and(|claim| {
+            let is_young = !claim.is_told && now < claim.won_at + lease / 2;
+            now >= claim.held_until && !is_young
+        });
+        if is_over {
+            self.drop_claim(now);
+        }
+    }
+
+    fn drop_claim(&mut self, now: u64) {
+        let Some(claim) = self.duty.claim.take() else {
+            return;
+        };
+        self.wants_beat = true;
+        self.duty.quiet_until = self.duty.quiet_until.max(now + self.options.lease_ms / 10);
+        if claim.is_told {
+            log::info!("council: this core gave up the duty, term {}", claim.term);
+            self.actions.push(CouncilAction::DutyLost);
+        }
+    }
+
+    /// Gives the duty up for good, since this core leaves.
+    pub fn resign(&mut self, now: u64) {
+        self.duty.is_resigned = true;
+        self.drop_claim(now);
+        self.beat_at = now;
+        self.tend_beats(now);
+    }
+
+    /// Whether this core's voter would let a core have the duty.
+    pub(crate) fn may_grant(&self, now: u64, to: &str) -> bool {
+        let is_calm = self.duty_rounds == 0 && self.set_works == 0;
+        let is_current = self.is_voting() && self.own_set.mark() == self.set.mark();
+        is_calm && is_current && self.duty.may_promise(now, to, self.options.lease_ms)
+    }
+
+    /// Whether this core's voter has accepted a claim's value and has promised nothing since.
+    pub(crate) fn backs(&self, holder: &str, life: u64, term: u64) -> bool {
+        if self.duty_rounds > 0 || self.set_works > 0 || !self.is_voting() {
+            return false;
+        }
+        let Some(held) = self.held.get(DUTY_KEY) else {
+            return false;
+        };
+        let bytes = held.bytes.as_ref().map_or(&[][..], |bytes| bytes);
+        let tenure = Tenure::read_from_buffer(bytes).unwrap_or_default();
+        let is_firm = held.promised == held.accepted;
+        let is_holder = tenure.address == holder && tenure.life == life;
+        is_firm && is_holder && term_of(self.own_set.era, held.version) == term
+    }
+
+    /// A beat is about to leave: it claims the duty where this core has won it.
+    pub(crate) fn back_own_claim(&mut self, now: u64) {
+        let Some(term) = self.duty.claim.as_ref().map(|claim| claim.term) else {
+            return;
+        };
+        let is_current = self.own_set.mark() == self.set.mark();
+        let is_backed = is_current && self.backs(&self.options.address, self.life, term);
+        let (number, lease, disk) = (
+            self.beat_number,
+            self.options.lease_ms,
+            self.options.disk,
+        );
+        if let Some(claim) = self.duty.claim.as_mut() {
+            claim.sending(now, number);
+            if is_backed {
+                claim.on_ack(&self.set, disk, number, lease);
+            }
+        }
+        self.announce(now);
+    }
+
+    /// Contends for the duty where it is vacant and a majority would let this core have it.
+    pub(crate) fn tend_duty(&mut self, now: u64) {
+        let is_free = self.may_grant(now, &self.options.address);
+        if is_free != self.duty.was_free {
+            self.duty.was_free = is_free;
+            self.wants_beat |= is_free;
+        }
+        let is_vacant = is_free
+            && self.is_settled()
+            && !self.duty.is_resigned
+            && now >= self.duty.quiet_until
+            && !self.jobs.values().any(|job| job.purpose == Purpose::Duty)
+            && self.has_consent(now);
+        if !is_vacant {
+            self.duty.contend_at = None;
+            return;
+        }
+        let mut voters = self.set.voters.iter();
+        let place = voters.position(|voter| voter.disk == self.options.disk);
+        let pause = place.unwrap_or(0) as u64 * STAGGER_MS + self.random.random_range(0..20);
+        let at = *self.duty.contend_at.get_or_insert(now + pause);
+        if now >= at {
+            self.duty.contend_at = None;
+            self.contend(now);
+        }
+    }
+
+    fn has_consent(&self, now: u64) -> bool {
+        let mark = self.set.mark();
+        let voters = self.set.voters.iter();
+        let consenting = voters.filter(|voter| {
+            let peer = self.peers.get(&voter.address);
+            let beat = peer.filter(|peer| peer.is_fresh(now, self.fresh_ms()));
+            let beat = beat.map(|peer| &peer.beat);
+            voter.disk == self.options.disk
+                || beat.is_some_and(|beat| {
+                    beat.disk == voter.disk && beat.is_free && beat.mark == mark
+                })
+        });
+        consenting.count() >= self.set.majority()
+    }
+
+    fn contend(&mut self, now: u64) {
+        let tenure = Tenure {
+            address: self.options.address.clone(),
+            name: self.options.name.clone(),
+            life: self.life,
+        };
+        let expected = self.settled_mark(DUTY_KEY).0;
+        let bytes = tenure.write_to_vec().unwrap_or_default();
+        let change = Change::Write { expected, bytes };
+        self.propose(now, Purpose::Duty, DUTY_KEY, change);
+    }
+
+    pub(crate) fn on_contended(&mut self, now: u64, outcome: Outcome) {
+        let Outcome::Settled(stored) = outcome else {
+            let pause = self.random.random_range(50..200);
+            self.duty.quiet_until = self.duty.quiet_until.max(now + pause);
+            return;
+        };
+        let is_newest = stored.version == self.settled_mark(DUTY_KEY).0;
+        if is_newest && !self.duty.is_resigned {
+            self.duty.claim = Some(Claim::new(now, self.set.era, stored.version));
+            self.wants_beat = true;
+            self.beaten_at = None;
+        }
+    }
+
+    /// A newer tenure is settled. Its holder is left time to claim it.
+    pub(crate) fn on_tenure(&mut self, now: u64, version: u64, bytes: &[u8]) {
+        let claim = self.duty.claim.as_ref();
+        if claim.is_some_and(|claim| claim.version < version) {
+            self.drop_claim(now);
+        }
+        let tenure = Tenure::read_from_buffer(bytes).unwrap_or_default();
+        if tenure.address != self.options.address {
+            let pause = self.options.lease_ms / 2;
+            self.duty.quiet_until = self.duty.quiet_until.max(now + pause);
+        }
+    }
+}
--- /dev/null
+++ b/crates/council/src/council.rs
@@ -0,0 +1,337 @@
+use crate::action::{CouncilAction, CouncilOptions};
+use crate::catching_up::Want;
+use crate::disk::{DiskDone, DiskWork, HeldSummary, HeldValue};
+use crate::duty::Duty;
+use crate::installing::Pulled;
+use crate::job::{Job, Purpose, Value};
+use crate::message::CouncilMessage;
+use crate::peer::Peer;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use register::{Change, Outcome, VoterSet, VOTERS_KEY};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use voter::Joining;
+
+/// Key of the blueprint's register.
+pub const BLUEPRINT_KEY: &str = "blueprint";
+/// Key of the plan's register.
+pub const PLAN_KEY: &str = "plan";
+/// Key of the duty's register.
+pub const DUTY_KEY: &str = "duty";
+/// Keys that are read at a majority before a core is settled.
+pub const KEYS: [&str; 2] = [BLUEPRINT_KEY, PLAN_KEY];
+/// Keys whose settled values all cores keep up.
+pub(crate) const KEPT: [&str; 4] = [BLUEPRINT_KEY, PLAN_KEY, DUTY_KEY, VOTERS_KEY];
+const CHANGES_MAX: usize = 64;
+const VALUE_MAX: usize = 4 << 20;
+
+/// A core's part in all that cores decide among themselves.
+pub struct Council {
+    pub(crate) options: CouncilOptions,
+    pub(crate) random: StdRng,
+    pub(crate) life: u64,
+    pub(crate) actions: Vec<CouncilAction>,
+    /// The newest set that is known to be settled.
+    pub(crate) set: VoterSet,
+    /// The set that this core's own voter is in.
+    pub(crate) own_set: VoterSet,
+    pub(crate) is_open: bool,
+    pub(crate) held: BTreeMap<String, HeldValue>,
+    pub(crate) settled: BTreeMap<String, Value>,
+    pub(crate) unread: BTreeSet<&'static str>,
+    pub(crate) settle_at: u64,
+    pub(crate) wants: BTreeMap<String, Want>,
+    pub(crate) mend_at: u64,
+    pub(crate) peers: BTreeMap<String, Peer>,
+    pub(crate) beat_number: u64,
+    pub(crate) beat_at: u64,
+    pub(crate) beaten_at: Option<u64>,
+    pub(crate) wants_beat: bool,
+    pub(crate) jobs: BTreeMap<u64, Job>,
+    pub(crate) number: u64,
+    pub(crate) counter: u64,
+    pub(crate) duty: Duty,
+    /// Rounds over the duty, and changes of the set, that the disk has not ended yet.
+    pub(crate) duty_rounds: usize,
+    pub(crate) set_works: usize,
+    pub(crate) joining: Joining,
+    pub(crate) place_at: u64,
+    pub(crate) pulled: BTreeMap<String, Pulled>,
+    pub(crate) pull_at: u64,
+    pub(crate) left_since: Option<u64>,
+    pub(crate) has_left: bool,
+}
+
+impl Council {
+    /// Begins a life, from what the disk holds.
+    pub fn new(options: CouncilOptions, now: u64, held: HeldSummary) -> Self {
+        let mut random = StdRng::seed_from_u64(options.seed);
+        let values = held.values.into_iter();
+        let values: BTreeMap<String, HeldValue> =
+            values.map(|value| (value.key.clone(), value)).collect();
+        let counter = values.values().map(|value| value.promised.counter).max();
+        let duty = Duty::restored(now, held.set.era, values.get(DUTY_KEY));
+        let mut council = Self {
+            life: random.random::<u64>() | 1,
+            actions: Vec::new(),
+            set: held.set.clone(),
+            own_set: held.set,
+            is_open: held.is_open,
+            held: values,
+            settled: BTreeMap::new(),
+            unread: KEYS.into_iter().collect(),
+            settle_at: now,
+            wants: BTreeMap::new(),
+            mend_at: now + 1_000,
+            peers: BTreeMap::new(),
+            beat_number: 0,
+            beat_at: now,
+            beaten_at: None,
+            wants_beat: true,
+            jobs: BTreeMap::new(),
+            number: random.random::<u64>() >> 16,
+            counter: counter.unwrap_or(0),
+            duty,
+            duty_rounds: 0,
+            set_works: 0,
+            joining: Joining::default(),
+            place_at: now,
+            pulled: BTreeMap::new(),
+            pull_at: now,
+            left_since: None,
+            has_left: false,
+            random,
+            options,
+        };
+        let seeds = council.options.seeds.clone();
+        for seed in seeds {
+            council.admit(&seed);
+        }
+        council
+    }
+
+    /// Takes a message from the core that is reached at an address.
+    pub fn on_message(&mut self, now: u64, from: &str, message: CouncilMessage) {
+        self.expire(now);
+        if from == self.options.address || !self.admit(from) {
+            return;
+        }
+        match message {
+            CouncilMessage::Link { .. } => {}
+            CouncilMessage::Beat(beat) => self.on_beat(now, from, beat),
+            CouncilMessage::Ack(ack) => self.on_ack(now, ack),
+            CouncilMessage::Ask {
+                number,
+                known,
+                message,
+            } => self.take_ask(now, from, number, known, message),
+            CouncilMessage::Answer {
+                number,
+                is_known,
+                reply,
+            } => self.on_answer(now, from, number, is_known, reply),
+            CouncilMessage::WantSet if self.set.era > 0 => {
+                self.send(from, CouncilMessage::Set(self.set.clone()));
+            }
+            CouncilMessage::WantSet => {}
+            CouncilMessage::Set(set) => self.learn_set(now, &set),
+            CouncilMessage::Form(set) => self.on_form(&set),
+            CouncilMessage::Pull { mark, after } => {
+                let to = from.to_string();
+                let work = DiskWork::Pull { to, mark, after };
+                self.actions.push(CouncilAction::Disk(work));
+            }
+            CouncilMessage::Copy(page) => self.on_copy(now, from, page),
+            CouncilMessage::WantValue { key, version } => {
+                self.on_want_value(from, key, version);
+            }
+            CouncilMessage::Value {
+                key,
+                ballot,
+                stored,
+            } => self.on_value(now, &key, ballot, stored),
+        }
+        self.tend(now);
+    }
+
+    /// Takes what the disk's thread has done.
+    pub fn on_disk(&mut self, now: u64, done: DiskDone) {
+        self.expire(now);
+        match done {
+            DiskDone::Held(summary) => self.on_held(now, summary),
+            DiskDone::SetDone => self.set_works = self.set_works.saturating_sub(1),
+            DiskDone::Copy { to, page } => self.send(&to, CouncilMessage::Copy(page)),
+            DiskDone::Reply {
+                to,
+                number,
+                is_known,
+                is_duty_round,
+                reply,
+            } => {
+                let is_over = usize::from(is_duty_round);
+                self.duty_rounds = self.duty_rounds.saturating_sub(is_over);
+                if to == self.options.address {
+                    self.on_answer(now, &to, number, is_known, reply);
+                } else {
+                    self.answer(&to, number, is_known, reply);
+                }
+            }
+        }
+        self.tend(now);
+    }
+
+    fn on_held(&mut self, now: u64, summary: HeldSummary) {
+        self.is_open = summary.is_open;
+        for mut value in summary.values {
+            if value.bytes.is_none() {
+                let old = self.held.get(&value.key);
+                value.bytes = old.and_then(|old| old.bytes.clone());
+            }
+            self.held.insert(value.key.clone(), value);
+        }
+        if summary.set.mark() != self.own_set.mark() {
+            log::info!("council: votes in set {:?}", summary.set.mark());
+            self.own_set = summary.set;
+            self.wants_beat = true;
+            let set = self.own_set.clone();
+            self.learn_set(now, &set);
+        }
+        self.tend_wants(now);
+    }
+
+    /// Lets time pass. It is called every 50 ms or so, and at [`Council::due`].
+    pub fn tick(&mut self, now: u64) {
+        self.expire(now);
+        self.tend_settling(now);
+        self.tend_membership(now);
+        self.tend_wants(now);
+        self.tend_mending(now);
+        self.tend_peers(now);
+        self.tend(now);
+    }
+
+    fn tend(&mut self, now: u64) {
+        self.tend_jobs(now);
+        self.tend_duty(now);
+        self.tend_beats(now);
+    }
+
+    /// When a change that has paused goes on, where that is soon.
+    pub fn due(&self) -> Option<u64> {
+        let paused = self.jobs.values().filter_map(|job| job.paused);
+        let paused = paused.map(|(at, _)| at);
+        paused.chain(self.duty.contend_at).min()
+    }
+
+    fn tend_settling(&mut self, now: u64) {
+        if self.set.era == 0 || now < self.settle_at {
+            return;
+        }
+        for key in self.unread.clone() {
+            let purpose = Purpose::Settle(key);
+            if !self.jobs.values().any(|job| job.purpose == purpose) {
+                self.propose(now, purpose, key, Change::Read);
+            }
+        }
+    }
+
+    /// Reads a register at a majority.
+    pub fn read(&mut self, now: u64, token: u64, key: &str) {
+        self.change(now, token, key, Change::Read);
+    }
+
+    /// Writes a register at a majority where its version is the expected one.
+    pub fn write(&mut self, now: u64, token: u64, key: &str, expected: u64, bytes: Vec<u8>) {
+        if bytes.len() > VALUE_MAX {
+            return self.refuse(token, "the value is too large");
+        }
+        let known = self.settled.get(key);
+        if let Some(newer) = known.filter(|known| known.version > expected) {
+            let outcome = Outcome::Stale(newer.stored());
+            return self.actions.push(CouncilAction::Done { token, outcome });
+        }
+        self.change(now, token, key, Change::Write { expected, bytes });
+    }
+
+    fn change(&mut self, now: u64, token: u64, key: &str, change: Change) {
+        let is_client = |job: &&Job| matches!(job.purpose, Purpose::Client(_));
+        if self.jobs.values().filter(is_client).count() >= CHANGES_MAX {
+            return self.refuse(token, "too many changes at once");
+        }
+        self.propose(now, Purpose::Client(token), key, change);
+    }
+
+    fn refuse(&mut self, token: u64, reason: &str) {
+        let outcome = Outcome::Unreached(reason.into());
+        self.actions.push(CouncilAction::Done { token, outcome });
+    }
+
+    /// Takes out what the daemon has to do, in its order.
+    pub fn actions(&mut self) -> Vec<CouncilAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The newest value of a key that is known to be settled, with its version.
+    pub fn settled(&self, key: &str) -> Option<(u64, &Arc<Vec<u8>>)> {
+        let value = self.settled.get(key)?;
+        Some((value.version, &value.bytes))
+    }
+
+    /// The term under which this core holds the scaling duty at this moment.
+    pub fn term(&self, now: u64) -> Option<u64> {
+        let claim = self.duty.claim.as_ref();
+        claim
+            .filter(|claim| now < claim.held_until)
+            .map(|claim| claim.term)
+    }
+
+    /// Addresses of this core and all others that are known.
+    pub fn cores(&self) -> Vec<String> {
+        let voters = self.set.voters.iter().map(|voter| voter.address.clone());
+        let heard = self.peers.iter().filter(|(_, peer)| peer.heard_at.is_some());
+        let heard = heard.map(|(address, _)| address.clone());
+        let own = std::iter::once(self.options.address.clone());
+        let all: BTreeSet<String> = voters.chain(heard).chain(own).collect();
+        all.into_iter().collect()
+    }
+
+    /// Whether all keys were read at a majority in this life.
+    pub fn is_settled(&self) -> bool {
+        self.unread.is_empty()
+    }
+
+    /// The newest set of voters that is known.
+    pub fn set(&self) -> &VoterSet {
+        &self.set
+    }
+
+    /// What this core is about, in a few words.
+    pub fn reason(&self) -> String {
+        let mark = self.set.mark();
+        match self.unread.first() {
+            _ if !self.is_open => "the disk is not to be trusted".into(),
+            _ if self.set.era == 0 => "no voters are known yet".into(),
+            _ if self.own_set.era == 0 => format!("waits for a place in set {mark:?}"),
+            _ if !self.is_named() => format!("left out of set {mark:?}"),
+            Some(key) => format!("{key} was not read at a majority yet"),
+            None => format!("votes in set {mark:?}"),
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: &str, message: CouncilMessage) {
+        let to = to.to_string();
+        self.actions.push(CouncilAction::Send { to, message });
+    }
+
+    /// Whether the newest set names this core's disk.
+    pub(crate) fn is_named(&self) -> bool {
+        let mut voters = self.set.voters.iter();
+        voters.any(|voter| voter.disk == self.options.disk)
+    }
+
+    /// Whether this core's voter counts.
+    pub(crate) fn is_voting(&self) -> bool {
+        self.is_open && self.own_set.era > 0 && self.is_named()
+    }
+}
--- /dev/null
+++ b/crates/council/src/disk.rs
@@ -0,0 +1,267 @@
+use crate::council::KEPT;
+use crate::duty::is_duty_round;
+use crate::message::CopyPage;
+use register::{Ballot, Held, VoterAsk, VoterMessage, VoterReply, VoterSet};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use voter::{Installing, Voter};
+
+const PAGE_MAX: usize = 1 << 20;
+const RANGES: u16 = 256;
+
+/// Work for the thread that has the disk.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DiskWork {
+    /// Ask the voter.
+    Ask {
+        /// Address of the core that asks.
+        to: String,
+        /// Number of the question.
+        number: u64,
+        /// Version and tag of a value that the asker has.
+        known: (u64, u64),
+        /// The question.
+        message: VoterMessage,
+    },
+    /// Take the first set.
+    Form(VoterSet),
+    /// Take the set that follows.
+    Adopt(VoterSet),
+    /// Take a set with all that its other members hold, into an empty voter.
+    Install(Installation),
+    /// Take a newer value from another copy.
+    Mend(String, Held),
+    /// Tell part of what is held.
+    Pull {
+        /// Address of the core that asks.
+        to: String,
+        /// Mark of the set that it must be held under.
+        mark: (u64, u64),
+        /// The key after which the part begins.
+        after: String,
+    },
+}
+
+/// What an empty voter is given.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Installation {
+    /// The set that it is a member of.
+    pub set: VoterSet,
+    /// Times before which claims are forgotten, and before which unknown ones are refused.
+    pub floors: (u64, u64),
+    /// All that a majority of the other members holds.
+    pub keys: Vec<(String, Held)>,
+}
+
+/// What came of the disk's work. Give it to the council in this order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DiskDone {
+    /// What the voter holds now, of the keys that were touched.
+    Held(HeldSummary),
+    /// A reply to a question.
+    Reply {
+        /// Address of the core that asked.
+        to: String,
+        /// Number of the question.
+        number: u64,
+        /// Whether the value is left out.
+        is_known: bool,
+        /// Whether the question was a round over the duty.
+        is_duty_round: bool,
+        /// The reply.
+        reply: VoterReply,
+    },
+    /// Work on the set is over; what came of it is in [`DiskDone::Held`].
+    SetDone,
+    /// Part of what is held.
+    Copy {
+        /// Address of the core that asked.
+        to: String,
+        /// The part.
+        page: CopyPage,
+    },
+}
+
+/// What a voter holds, as its council knows it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HeldSummary {
+    /// The voter's set; era 0 where it is empty.
+    pub set: VoterSet,
+    /// Whether the disk can be trusted.
+    pub is_open: bool,
+    /// Values of the keys that cores keep up.
+    pub values: Vec<HeldValue>,
+}
+
+/// What a voter holds for one key.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HeldValue {
+    /// Key of the register.
+    pub key: String,
+    /// Highest ballot promised.
+    pub promised: Ballot,
+    /// Ballot of the accepted value.
+    pub accepted: Ballot,
+    /// Version of the accepted value.
+    pub version: u64,
+    /// Tag of the accepted value.
+    pub tag: u64,
+    /// The value itself; none where it is as it was.
+    pub bytes: Option<Arc<Vec<u8>>>,
+}
+
+impl HeldSummary {
+    /// All that a voter holds, when it was just opened.
+    pub fn of(voter: &Voter) -> Self {
+        let keys = KEPT.iter().map(|key| (*key, true));
+        Self::told(voter, keys)
+    }
+
+    fn told<'a>(voter: &Voter, keys: impl Iterator<Item = (&'a str, bool)>) -> Self {
+        let held = voter.held();
+        let values = keys.filter_map(|(key, has_bytes)| {
+            let held = held.held(key)?;
+            Some(HeldValue {
+                key: key.to_string(),
+                promised: held.promised,
+                accepted: held.accepted,
+                version: held.stored.version,
+                tag: held.stored.tag,
+                bytes: has_bytes.then(|| Arc::new(held.stored.bytes.clone())),
+            })
+        });
+        Self {
+            set: held.set().clone(),
+            is_open: voter.is_open(),
+            values: values.collect(),
+        }
+    }
+}
+
+fn accepted(voter: &Voter, key: &str) -> Ballot {
+    let held = voter.held().held(key);
+    held.map(|held| held.accepted).unwrap_or_default()
+}
+
+fn all_accepted(voter: &Voter) -> BTreeMap<&'static str, (Ballot, Ballot)> {
+    let of = |key: &str| {
+        let held = voter.held().held(key);
+        held.map(|held| (held.promised, held.accepted))
+    };
+    let kept = KEPT.iter();
+    kept.map(|key| (*key, of(key).unwrap_or_default()))
+        .collect()
+}
+
+/// Does a batch of work with one sync. What is given back is safe on the disk.
+pub fn perform(voter: &mut Voter, batch: Vec<DiskWork>) -> Vec<DiskDone> {
+    let before = all_accepted(voter);
+    let mut dones: Vec<DiskDone> = batch
+        .into_iter()
+        .filter_map(|work| take(voter, work))
+        .collect();
+    let is_synced = voter.sync();
+    if !is_synced {
+        dones.retain(|done| !matches!(done, DiskDone::Copy { .. }));
+        for done in &mut dones {
+            if let DiskDone::Reply {
+                reply, is_known, ..
+            } = done
+            {
+                *reply = Voter::unsynced_reply();
+                *is_known = false;
+            }
+        }
+    }
+    let after = all_accepted(voter);
+    let touched = before
+        .iter()
+        .filter(|(key, old)| after.get(*key) != Some(old));
+    let touched = touched.map(|(key, old)| (*key, accepted(voter, key) != old.1));
+    dones.insert(0, DiskDone::Held(HeldSummary::told(voter, touched)));
+    dones
+}
+
+fn take(voter: &mut Voter, work: DiskWork) -> Option<DiskDone> {
+    match work {
+        DiskWork::Ask {
+            to,
+            number,
+            known,
+            message,
+        } => {
+            let is_duty_round = is_duty_round(&message.ask);
+            let mut reply = voter.ask(message);
+            let is_known = leave_out(&mut reply, known);
+            return Some(DiskDone::Reply {
+                to,
+                number,
+                is_known,
+                is_duty_round,
+                reply,
+            });
+        }
+        DiskWork::Form(set) => voter.form(set, 0),
+        DiskWork::Adopt(set) => voter.adopt(set),
+        DiskWork::Install(given) => voter.install(Installing {
+            set: given.set,
+            floors: given.floors,
+            keys: given.keys,
+        }),
+        DiskWork::Mend(key, held) => {
+            voter.mend(vec![(key, held)]);
+            return None;
+        }
+        DiskWork::Pull { to, mark, after } => {
+            let page = page(voter, mark, after)?;
+            return Some(DiskDone::Copy { to, page });
+        }
+    }
+    Some(DiskDone::SetDone)
+}
+
+fn leave_out(reply: &mut VoterReply, known: (u64, u64)) -> bool {
+    let VoterReply::Holds { stored, .. } = reply else {
+        return false;
+    };
+    let is_known = known.0 > 0 && (stored.version, stored.tag) == known;
+    if is_known {
+        stored.bytes = Vec::new();
+    }
+    is_known
+}
+
+fn page(voter: &Voter, mark: (u64, u64), after: String) -> Option<CopyPage> {
+    let held = voter.held();
+    if !voter.is_open() || held.set().mark() != mark || mark.0 == 0 {
+        return None;
+    }
+    let mut all: Vec<(String, Held)> = (0..RANGES).flat_map(|range| held.range(range)).collect();
+    all.retain(|(key, _)| *key > after);
+    all.sort_by(|one, other| one.0.cmp(&other.0));
+    let mut size = 0;
+    let count = all.iter().take_while(|(_, held)| {
+        let is_first = size == 0;
+        size += held.stored.bytes.len() + 1;
+        is_first || size <= PAGE_MAX
+    });
+    let count = count.count();
+    let is_last = count == all.len();
+    all.truncate(count);
+    Some(CopyPage {
+        mark,
+        floors: held.floors(),
+        after,
+        keys: all,
+        is_last,
+    })
+}
+
+/// Key that a question is about.
+pub(crate) fn key_of(ask: &VoterAsk) -> &str {
+    match ask {
+        VoterAsk::Peek { key } | VoterAsk::Promise { key, .. } | VoterAsk::Accept { key, .. } => {
+            key
+        }
+    }
+}
--- /dev/null
+++ b/crates/council/src/lib.rs
@@ -0,0 +1,22 @@
+//! All that cores decide among themselves, as one pure state machine: registers changed at a majority
+//! of voters, who the voters are, and which core holds the scaling duty. No threads, no clock, no I/O.
+
+mod action;
+mod asking;
+mod beating;
+mod catching_up;
+mod contending;
+mod council;
+mod disk;
+mod duty;
+mod installing;
+mod job;
+mod membership;
+mod message;
+mod peer;
+
+pub use action::{CouncilAction, CouncilOptions};
+pub use council::{Council, BLUEPRINT_KEY, DUTY_KEY, KEYS, PLAN_KEY};
+pub use disk::{perform, DiskDone, DiskWork, HeldSummary, HeldValue, Installation};
+pub use duty::Tenure;
+pub use message::{Ack, Beat, CopyPage, CouncilMessage};
--- /dev/null
+++ b/crates/council/src/membership.rs
@@ -0,0 +1,204 @@
+use crate::action::CouncilAction;
+use crate::council::Council;
+use crate::disk::DiskWork;
+use crate::job::Purpose;
+use crate::message::{Beat, CouncilMessage};
+use register::{grown, Change, VoterRef, VoterSet, VOTERS_KEY};
+use speedy::Writable;
+use std::collections::BTreeSet;
+use voter::{JoinStep, Joining};
+
+impl Council {
+    /// Learns a set that is settled; an older one is ignored.
+    pub(crate) fn learn_set(&mut self, now: u64, set: &VoterSet) {
+        if set.mark() <= self.set.mark() || set.voters.is_empty() {
+            return;
+        }
+        log::info!(
+            "council: set {:?} has {} voters",
+            set.mark(),
+            set.voters.len()
+        );
+        self.set = set.clone();
+        self.pulled.clear();
+        self.pull_at = now;
+        self.left_since = None;
+        self.wants_beat = true;
+        for voter in &set.voters {
+            self.admit(&voter.address);
+        }
+        self.tend_adopting();
+        self.move_jobs(now);
+    }
+
+    /// Lets this core's own voter follow into the newest set.
+    fn tend_adopting(&mut self) {
+        let (own, set) = (&self.own_set, &self.set);
+        if !self.is_open || own.era != set.era || own.no >= set.no {
+            return;
+        }
+        self.work_on_set(DiskWork::Adopt(self.set.clone()));
+    }
+
+    pub(crate) fn work_on_set(&mut self, work: DiskWork) {
+        self.set_works += 1;
+        self.actions.push(CouncilAction::Disk(work));
+    }
+
+    /// Takes the first set, where it names this disk and the voter is empty.
+    pub(crate) fn on_form(&mut self, set: &VoterSet) {
+        let mut voters = set.voters.iter();
+        let is_named = voters.any(|voter| voter.disk == self.options.disk);
+        let is_empty = self.own_set.era == 0 && self.set_works == 0;
+        let is_current = set.mark() >= self.set.mark();
+        if is_named && is_empty && is_current && set.no == 1 {
+            self.work_on_set(DiskWork::Form(set.clone()));
+        }
+    }
+
+    /// Takes this core's next step into the set of voters.
+    pub(crate) fn tend_membership(&mut self, now: u64) {
+        if !self.is_open || self.set_works > 0 {
+            return;
+        }
+        if self.own_set.era > 0 {
+            self.tend_adopting();
+            return self.tend_leaving(now);
+        }
+        if self.set.era == 0 {
+            return self.found();
+        }
+        if self.is_named() {
+            return self.tend_installing(now);
+        }
+        self.tend_place(now);
+    }
+
+    /// Forms the first set, where this core is the first seed and all seeds say that they are empty.
+    fn found(&mut self) {
+        let mut seeds: Vec<String> = Vec::new();
+        for seed in &self.options.seeds {
+            if !seeds.contains(seed) {
+                seeds.push(seed.clone());
+            }
+        }
+        if !self.options.is_first_start || seeds.first() != Some(&self.options.address) {
+            return;
+        }
+        let voters: Option<Vec<VoterRef>> = seeds.iter().map(|seed| self.founder(seed)).collect();
+        let Some(voters) = voters else {
+            return;
+        };
+        log::info!("council: forms the first set of {} voters", voters.len());
+        self.work_on_set(DiskWork::Form(VoterSet {
+            era: 1,
+            no: 1,
+            voters,
+        }));
+    }
+
+    fn founder(&self, seed: &str) -> Option<VoterRef> {
+        let address = seed.to_string();
+        if address == self.options.address {
+            let disk = self.options.disk;
+            return Some(VoterRef { disk, address });
+        }
+        let peer = self.peers.get(seed)?;
+        let Beat {
+            disk, mark, known, ..
+        } = peer.beat;
+        let is_blank = mark.0 == 0 && known.0 == 0;
+        let is_founder = peer.heard_at.is_some() && is_blank && peer.beat.is_first_start;
+        is_founder.then_some(VoterRef { disk, address })
+    }
+
+    /// Leaves the set for good once its other members vote without this core.
+    fn tend_leaving(&mut self, now: u64) {
+        if self.is_named() || self.has_left {
+            return;
+        }
+        let mark = self.set.mark();
+        let voters = self.set.voters.iter();
+        let voting = voters.filter(|voter| {
+            let mut fresh = self.fresh(now);
+            fresh.any(|(_, beat)| beat.disk == voter.disk && beat.mark == mark)
+        });
+        let voting = voting.count();
+        let since = *self.left_since.get_or_insert(now);
+        let is_long_ago = now >= since + self.options.patience_ms;
+        let is_whole = voting == self.set.voters.len();
+        if is_whole || (voting >= self.set.majority() && is_long_ago) {
+            log::warn!("council: another core took this one's place");
+            self.has_left = true;
+            self.actions.push(CouncilAction::Rejoin);
+        }
+    }
+
+    /// Asks for a place in the set.
+    fn tend_place(&mut self, now: u64) {
+        let mark = self.set.mark();
+        let is_member = |disk: u64| self.set.voters.iter().any(|voter| voter.disk == disk);
+        let fresh: Vec<Beat> = self.fresh(now).map(|(_, beat)| beat.clone()).collect();
+        let voting = fresh
+            .iter()
+            .filter(|beat| is_member(beat.disk) && beat.mark == mark);
+        let voting: Vec<&Beat> = voting.collect();
+        if voting.len() < self.set.majority() {
+            // Silence is only told apart from a cut of its own by a core that hears a majority.
+            self.joining = Joining::default();
+            return;
+        }
+        if now < self.place_at || self.jobs.values().any(|job| job.purpose == Purpose::Place) {
+            return;
+        }
+        let me = VoterRef {
+            disk: self.options.disk,
+            address: self.options.address.clone(),
+        };
+        let mut answering: BTreeSet<u64> = fresh.iter().map(|beat| beat.disk).collect();
+        for (place, voter) in self.set.voters.iter().enumerate().take(64) {
+            let is_heard = voting.iter().any(|beat| beat.hears >> place & 1 == 1);
+            if is_heard && voter.address != me.address {
+                answering.insert(voter.disk);
+            }
+        }
+        let answering: Vec<u64> = answering.into_iter().collect();
+        let expected = self.set.no - 1;
+        let (set, patience) = (self.set.clone(), self.options.patience_ms);
+        let settled = (expected, &set);
+        let step = self
+            .joining
+            .decide(now, patience, &me, &set, &answering, settled);
+        let next = match step {
+            JoinStep::Claim(_, next) => Some(next),
+            _ if self.may_grow(&voting) => grown(&set, me),
+            _ => None,
+        };
+        let Some(next) = next else {
+            return;
+        };
+        log::info!("council: asks for a place in set {:?}", next.mark());
+        let bytes = next.write_to_vec().unwrap_or_default();
+        let change = Change::Write { expected, bytes };
+        self.propose(now, Purpose::Place, VOTERS_KEY, change);
+    }
+
+    /// An odd set grows only where another newcomer follows: an even one tolerates no more losses.
+    fn may_grow(&self, voting: &[&Beat]) -> bool {
+        let count = self.set.voters.len();
+        let spares = voting.iter().map(|beat| beat.spares).max().unwrap_or(0);
+        let is_worth_it = count % 2 == 0 || count == 1 || spares >= 2;
+        count < self.options.voters_wanted && voting.len() == count && is_worth_it
+    }
+
+    /// Tells all members of the newest set.
+    pub(crate) fn spread_set(&mut self) {
+        let voters = self.set.voters.clone();
+        for voter in voters {
+            if voter.address != self.options.address {
+                let message = CouncilMessage::Set(self.set.clone());
+                self.send(&voter.address, message);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/council/src/message.rs
@@ -0,0 +1,120 @@
+use register::{Ballot, Held, Stored, VoterMessage, VoterReply, VoterSet};
+use speedy::{Readable, Writable};
+
+/// What cores say to one another.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+pub enum CouncilMessage {
+    /// Whose link this is. The daemon says it first on each link; a council ignores it.
+    Link {
+        /// Address of the core that opened the link.
+        address: String,
+    },
+    /// A core lives, and knows this.
+    Beat(Beat),
+    /// A member's voter backs the claim of a beat.
+    Ack(Ack),
+    /// A question to a voter.
+    Ask {
+        /// Number that the answer bears.
+        number: u64,
+        /// Version and tag of a value that the asker has, which need not travel.
+        known: (u64, u64),
+        /// The question.
+        message: VoterMessage,
+    },
+    /// A voter's answer.
+    Answer {
+        /// Number of the question.
+        number: u64,
+        /// Whether the value is left out, since it is the one that the asker has.
+        is_known: bool,
+        /// The answer.
+        reply: VoterReply,
+    },
+    /// Tell the newest set.
+    WantSet,
+    /// The newest set that is known to be settled.
+    Set(VoterSet),
+    /// The first set, to a member that is still empty.
+    Form(VoterSet),
+    /// Tell what is held after a key, under the set of this mark.
+    Pull {
+        /// Mark of the set.
+        mark: (u64, u64),
+        /// The last key that is known; empty at the beginning.
+        after: String,
+    },
+    /// Part of what a member holds.
+    Copy(CopyPage),
+    /// Tell the settled value of a key, if it is not older than this version.
+    WantValue {
+        /// Key of the register.
+        key: String,
+        /// Version that is known to be settled.
+        version: u64,
+    },
+    /// A settled value.
+    Value {
+        /// Key of the register.
+        key: String,
+        /// Ballot under which the sender's voter accepted it; blank where it did not.
+        ballot: Ballot,
+        /// The value.
+        stored: Stored,
+    },
+}
+
+/// A core's sign of life.
+#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+pub struct Beat {
+    /// Id of the core's disk.
+    pub disk: u64,
+    /// Random id of the core's life.
+    pub life: u64,
+    /// Counted up with each beat of a life.
+    pub number: u64,
+    /// Mark of the set that the core's voter is in; era 0 where it is empty.
+    pub mark: (u64, u64),
+    /// Mark of the newest set that the core knows.
+    pub known: (u64, u64),
+    /// Version and tag of the settled values of all keys that are kept up, in their order.
+    pub settled: Vec<(u64, u64)>,
+    /// Term under which the core holds the duty or has just won it; 0 for none.
+    pub claim: u64,
+    /// Whether the core's voter would let the receiver have the duty.
+    pub is_free: bool,
+    /// Places of the set whose members the core hears, one bit for each.
+    pub hears: u64,
+    /// Cores outside the set that the core hears.
+    pub spares: u8,
+    /// Whether the core takes this for the first start of the whole system.
+    pub is_first_start: bool,
+}
+
+/// A member's word that its voter backs a claim.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+pub struct Ack {
+    /// Id of the member's disk.
+    pub disk: u64,
+    /// Mark of the set that the member's voter is in.
+    pub mark: (u64, u64),
+    /// Term that was claimed.
+    pub term: u64,
+    /// Number of the beat that claimed it.
+    pub number: u64,
+}
+
+/// Part of what a member holds, in the order of keys.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+pub struct CopyPage {
+    /// Mark of the set that the member is in.
+    pub mark: (u64, u64),
+    /// Times before which claims are forgotten, and before which unknown ones are refused.
+    pub floors: (u64, u64),
+    /// The key after which this part begins.
+    pub after: String,
+    /// Keys with what is held.
+    pub keys: Vec<(String, Held)>,
+    /// Whether nothing comes after this part.
+    pub is_last: bool,
+}
--- /dev/null
+++ b/crates/council/src/peer.rs
@@ -0,0 +1,16 @@
+use crate::message::Beat;
+
+/// Another core, as its newest beat told it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Peer {
+    pub heard_at: Option<u64>,
+    pub beat: Beat,
+    /// When this core last sent it a beat.
+    pub told_at: Option<u64>,
+}
+
+impl Peer {
+    pub fn is_fresh(&self, now: u64, span: u64) -> bool {
+        self.heard_at.is_some_and(|at| now <= at + span)
+    }
+}
--- /dev/null
+++ b/crates/council/tests/seeds.rs
@@ -0,0 +1,81 @@
+//! Seeded runs of cores under troubles of all kinds. What was acknowledged lasts, one core at most holds
+//! the duty at any time, and all is well again soon after the last trouble.
+
+mod world;
+
+use council::{BLUEPRINT_KEY, PLAN_KEY};
+use rand::Rng;
+use world::World;
+
+fn is_well(world: &World, since: u64) -> bool {
+    let holders = world.nodes.iter().filter(|node| node.term(world.now).is_some());
+    holders.count() == 1 && world.oracle.last_write_at > since
+}
+
+fn run(seed: u64, count: usize, wanted: usize) -> (usize, usize) {
+    let mut world = World::first_start(seed, count, wanted);
+    world.run(1_500);
+    assert!(is_well(&world, 0), "seed {seed}: no holder or no writes after the start");
+    for _ in 0..8 {
+        world.loss = [0.0, 0.0, 0.05, 0.3][world.random.random_range(0..4)];
+        for _ in 0..world.random.random_range(1..4) {
+            world.befall();
+        }
+        let span = world.random.random_range(100..3_000);
+        world.run(span);
+        if world.random.random_bool(0.5) {
+            world.heal();
+            world.run(1_000);
+        }
+    }
+    world.heal();
+    let since = world.now;
+    world.run(6_000);
+    assert!(is_well(&world, since + 4_000), "seed {seed}: not well again");
+    read_back(&mut world, seed);
+    (world.oracle.writes, world.oracle.reads)
+}
+
+fn read_back(world: &mut World, seed: u64) {
+    world.is_writing = false;
+    world.run(2_000);
+    for place in 0..world.nodes.len() {
+        for key in [BLUEPRINT_KEY, PLAN_KEY] {
+            let Some(council) = world.nodes[place].council.as_ref() else {
+                continue;
+            };
+            let known = council.settled(key).map_or(0, |(version, _)| version);
+            let newest = world.oracle.newest(key);
+            assert!(known >= newest, "seed {seed}: core {place} lags behind at {key}");
+            let reads = world.oracle.reads;
+            world.change(place, key, false);
+            world.run(100);
+            assert!(world.oracle.reads > reads, "seed {seed}: core {place} reads nothing");
+        }
+    }
+}
+
+fn run_all(seeds: std::ops::Range<u64>, count: usize, wanted: usize) {
+    let (mut writes, mut reads) = (0, 0);
+    for seed in seeds {
+        let (more_writes, more_reads) = run(seed, count, wanted);
+        writes += more_writes;
+        reads += more_reads;
+    }
+    assert!(writes > 5_000 && reads > 5_000, "{writes} writes, {reads} reads");
+}
+
+#[test]
+fn three_cores_keep_what_they_acknowledged() {
+    run_all(std::env::var("LO").map_or(0, |v| v.parse().unwrap())..std::env::var("HI").map_or(160, |v| v.parse().unwrap()), 3, 3);
+}
+
+#[test]
+fn five_cores_keep_what_they_acknowledged() {
+    run_all(std::env::var("LO").map_or(1000, |v| v.parse().unwrap())..std::env::var("HI").map_or(1060, |v| v.parse().unwrap()), 5, 5);
+}
+
+#[test]
+fn three_voters_and_a_spare_core_keep_what_they_acknowledged() {
+    run_all(std::env::var("LO").map_or(2000, |v| v.parse().unwrap())..std::env::var("HI").map_or(2040, |v| v.parse().unwrap()), 4, 3);
+}
--- /dev/null
+++ b/crates/council/tests/world/client.rs
@@ -0,0 +1,38 @@
+use super::{Event, World};
+use council::{BLUEPRINT_KEY, PLAN_KEY};
+use rand::Rng;
+
+impl World {
+    /// Reads or writes at one core, and comes again.
+    pub fn client(&mut self, place: usize) {
+        let delay = self.random.random_range(40..240);
+        self.later(delay, Event::Client(place));
+        if !self.is_writing || self.nodes[place].is_frozen {
+            return;
+        }
+        let key = if self.random.random_bool(0.5) {
+            BLUEPRINT_KEY
+        } else {
+            PLAN_KEY
+        };
+        let is_write = self.random.random_bool(0.6);
+        self.change(place, key, is_write);
+    }
+
+    pub fn change(&mut self, place: usize, key: &str, is_write: bool) {
+        let local = self.nodes[place].clock(self.now);
+        let Some(council) = self.nodes[place].council.as_mut() else {
+            return;
+        };
+        if is_write {
+            let expected = council.settled(key).map_or(0, |(version, _)| version);
+            let bytes = self.random.random::<u64>().to_le_bytes().to_vec();
+            let token = self.oracle.ask(key, Some((expected, bytes.clone())));
+            council.write(local, token, key, expected, bytes);
+        } else {
+            let token = self.oracle.ask(key, None);
+            council.read(local, token, key);
+        }
+        self.drain(place);
+    }
+}
--- /dev/null
+++ b/crates/council/tests/world/mod.rs
@@ -0,0 +1,226 @@
+//! A network of cores in virtual time, with an oracle that looks at every step.
+
+mod client;
+mod faults;
+mod node;
+mod oracle;
+
+pub use node::Node;
+
+use council::{CouncilAction, CouncilMessage};
+use oracle::Oracle;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+pub const LEASE: u64 = 1_000;
+pub const BEAT: u64 = 200;
+pub const PATIENCE: u64 = 2_000;
+const TICK: u64 = 50;
+
+pub enum Event {
+    Deliver(usize, String, CouncilMessage),
+    Tick(usize, u64),
+    Disk(usize, u64),
+    Client(usize),
+    Boot(usize),
+    Thaw(usize),
+}
+
+pub struct World {
+    pub now: u64,
+    pub random: StdRng,
+    pub nodes: Vec<Node>,
+    pub oracle: Oracle,
+    pub wanted: usize,
+    /// Links that are cut, one way each.
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub loss: f64,
+    pub is_writing: bool,
+    pub sent: u64,
+    events: BTreeMap<u64, Event>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    number: u64,
+}
+
+impl World {
+    /// Cores that start for the first time, of which the first three are seeds.
+    pub fn first_start(seed: u64, count: usize, wanted: usize) -> Self {
+        let mut world = Self {
+            now: 0,
+            random: StdRng::seed_from_u64(seed),
+            nodes: Vec::new(),
+            oracle: Oracle::default(),
+            wanted,
+            cuts: BTreeSet::new(),
+            loss: 0.0,
+            is_writing: true,
+            sent: 0,
+            events: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            number: 0,
+        };
+        let seeds: Vec<String> = (0..count.min(3)).map(|place| format!("at-{place}")).collect();
+        for _ in 0..count {
+            world.add(seeds.clone(), true);
+        }
+        world
+    }
+
+    /// Adds a core at a new address.
+    pub fn add(&mut self, seeds: Vec<String>, is_first_start: bool) -> usize {
+        let place = self.nodes.len();
+        let offset = self.random.random_range(0..1_000_000);
+        let node = Node::new(place, seeds, is_first_start, offset, &mut self.random);
+        self.nodes.push(node);
+        let delay = self.random.random_range(0..300);
+        self.later(delay, Event::Boot(place));
+        let delay = self.random.random_range(0..100);
+        self.later(delay, Event::Client(place));
+        place
+    }
+
+    pub fn later(&mut self, delay: u64, event: Event) {
+        self.number += 1;
+        self.events.insert(self.number, event);
+        self.queue.push(Reverse((self.now + delay, self.number)));
+    }
+
+    pub fn run(&mut self, span: u64) {
+        let end = self.now + span;
+        while let Some(Reverse((at, number))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            if let Some(event) = self.events.remove(&number) {
+                self.take(event);
+            }
+            self.oracle.look(self.now, &self.nodes);
+        }
+        self.now = end;
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Boot(place) => self.boot(place),
+            Event::Thaw(place) => self.thaw(place),
+            Event::Client(place) => self.client(place),
+            Event::Tick(place, life) => self.tick(place, life),
+            Event::Disk(place, life) => self.disk(place, life),
+            Event::Deliver(place, from, message) => self.deliver(place, from, message),
+        }
+    }
+
+    fn tick(&mut self, place: usize, life: u64) {
+        let now = self.now;
+        let node = &mut self.nodes[place];
+        if node.life != life || node.council.is_none() {
+            return;
+        }
+        if node.is_frozen {
+            node.frozen.push(Event::Tick(place, life));
+            return;
+        }
+        let local = node.clock(now);
+        let mut pause = TICK;
+        if let Some(council) = node.council.as_mut() {
+            council.tick(local);
+            let due = council.due().map(|at| at.saturating_sub(local).max(1));
+            pause = pause.min(due.unwrap_or(pause));
+        }
+        self.drain(place);
+        self.later(pause, Event::Tick(place, life));
+    }
+
+    fn disk(&mut self, place: usize, life: u64) {
+        let now = self.now;
+        let node = &mut self.nodes[place];
+        if node.life != life || node.council.is_none() {
+            return;
+        }
+        if node.is_frozen {
+            node.frozen.push(Event::Disk(place, life));
+            return;
+        }
+        node.perform(now);
+        self.drain(place);
+    }
+
+    fn deliver(&mut self, place: usize, from: String, message: CouncilMessage) {
+        let now = self.now;
+        let node = &mut self.nodes[place];
+        if node.is_frozen {
+            node.frozen.push(Event::Deliver(place, from, message));
+            return;
+        }
+        let local = node.clock(now);
+        if let Some(council) = node.council.as_mut() {
+            council.on_message(local, &from, message);
+            self.drain(place);
+        }
+    }
+
+    /// Does what a council asks for.
+    pub fn drain(&mut self, place: usize) {
+        let Some(council) = self.nodes[place].council.as_mut() else {
+            return;
+        };
+        for action in council.actions() {
+            match action {
+                CouncilAction::Send { to, message } => self.send(place, &to, message),
+                CouncilAction::Disk(work) => {
+                    self.nodes[place].works.push(work);
+                    if self.nodes[place].works.len() == 1 {
+                        let (delay, life) =
+                            (self.random.random_range(1..6), self.nodes[place].life);
+                        self.later(delay, Event::Disk(place, life));
+                    }
+                }
+                CouncilAction::Done { token, outcome } => {
+                    self.oracle.done(self.now, token, &outcome);
+                }
+                CouncilAction::News { key, version } => {
+                    let settled = self.nodes[place].council.as_ref();
+                    let settled = settled.and_then(|council| council.settled(&key));
+                    if let Some((newest, bytes)) = settled {
+                        assert!(newest >= version);
+                        self.oracle.settled(&key, newest, bytes);
+                    }
+                }
+                CouncilAction::DutyWon { term } => {
+                    self.oracle.won(self.now, term, place, self.nodes[place].life);
+                }
+                CouncilAction::DutyLost => {}
+                CouncilAction::Rejoin => {
+                    self.wipe(place);
+                    let delay = self.random.random_range(10..500);
+                    self.later(delay, Event::Boot(place));
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &str, message: CouncilMessage) {
+        let Some(place) = self.nodes.iter().position(|node| node.address == to) else {
+            return;
+        };
+        self.sent += 1;
+        let is_lost = self.random.random_bool(self.loss);
+        if is_lost || self.cuts.contains(&(from, place)) {
+            return;
+        }
+        let is_doubled = self.loss > 0.0 && self.random.random_bool(0.02);
+        let is_late = self.loss > 0.0 && self.random.random_bool(0.02);
+        let address = self.nodes[from].address.clone();
+        if is_doubled {
+            let delay = self.random.random_range(0..800);
+            let event = Event::Deliver(place, address.clone(), message.clone());
+            self.later(delay, event);
+        }
+        let delay = self.random.random_range(0..if is_late { 1_500 } else { 6 });
+        self.later(delay, Event::Deliver(place, address, message));
+    }
+}
--- /dev/null
+++ b/crates/council/tests/world/node.rs
@@ -0,0 +1,140 @@
+use super::{World, BEAT, LEASE, PATIENCE};
+use crate::world::Event;
+use council::{perform, Council, CouncilOptions, DiskWork, HeldSummary};
+use journal::MemoryFolder;
+use rand::rngs::StdRng;
+use rand::Rng;
+use voter::Voter;
+
+/// A machine with a disk and a core on it.
+pub struct Node {
+    pub address: String,
+    pub seeds: Vec<String>,
+    pub is_first_start: bool,
+    pub disk: u64,
+    pub life: u64,
+    pub folder: MemoryFolder,
+    pub council: Option<Council>,
+    pub voter: Option<Voter>,
+    pub works: Vec<DiskWork>,
+    pub is_frozen: bool,
+    pub is_gone: bool,
+    pub frozen: Vec<Event>,
+    offset: u64,
+}
+
+impl Node {
+    pub fn new(
+        place: usize,
+        seeds: Vec<String>,
+        is_first_start: bool,
+        offset: u64,
+        random: &mut StdRng,
+    ) -> Self {
+        Self {
+            address: format!("at-{place}"),
+            seeds,
+            is_first_start,
+            disk: random.random(),
+            life: 0,
+            folder: MemoryFolder::default(),
+            council: None,
+            voter: None,
+            works: Vec::new(),
+            is_frozen: false,
+            is_gone: false,
+            frozen: Vec::new(),
+            offset,
+        }
+    }
+
+    /// The machine's own steady clock.
+    pub fn clock(&self, now: u64) -> u64 {
+        now + self.offset
+    }
+
+    /// The term under which the core holds the duty, as it would say at this moment.
+    pub fn term(&self, now: u64) -> Option<u64> {
+        self.council.as_ref()?.term(self.clock(now))
+    }
+
+    /// Does the work that has come for the disk.
+    pub fn perform(&mut self, now: u64) {
+        let works = std::mem::take(&mut self.works);
+        let local = self.clock(now);
+        let (Some(voter), Some(council)) = (self.voter.as_mut(), self.council.as_mut()) else {
+            return;
+        };
+        for done in perform(voter, works) {
+            council.on_disk(local, done);
+        }
+    }
+
+    /// Mark of the set in which the core's voter is.
+    pub fn mark(&self) -> (u64, u64) {
+        let voter = self.voter.as_ref();
+        voter.map_or((0, 0), |voter| voter.held().set().mark())
+    }
+}
+
+impl World {
+    pub fn boot(&mut self, place: usize) {
+        if self.nodes[place].council.is_some() || self.nodes[place].is_gone {
+            return;
+        }
+        let (now, seed) = (self.now, self.random.random());
+        let wanted = self.wanted;
+        let node = &mut self.nodes[place];
+        node.life += 1;
+        let voter = Voter::open(Box::new(node.folder.clone())).unwrap();
+        let options = CouncilOptions {
+            name: node.address.clone(),
+            address: node.address.clone(),
+            seeds: node.seeds.clone(),
+            is_first_start: node.is_first_start,
+            disk: node.disk,
+            lease_ms: LEASE,
+            beat_ms: BEAT,
+            patience_ms: PATIENCE,
+            seed,
+            voters_wanted: wanted,
+        };
+        let local = node.clock(now);
+        node.council = Some(Council::new(options, local, HeldSummary::of(&voter)));
+        node.voter = Some(voter);
+        let life = node.life;
+        self.later(0, Event::Tick(place, life));
+    }
+
+    /// Kills the core; work that the disk has not begun may or may not be done.
+    pub fn kill(&mut self, place: usize) {
+        let is_done = self.random.random_bool(0.5);
+        let node = &mut self.nodes[place];
+        let works = std::mem::take(&mut node.works);
+        if let Some(voter) = node.voter.as_mut().filter(|_| is_done) {
+            perform(voter, works);
+        }
+        node.council = None;
+        node.voter = None;
+        node.is_frozen = false;
+        node.frozen.clear();
+    }
+
+    /// Kills the core and empties its disk.
+    pub fn wipe(&mut self, place: usize) {
+        self.kill(place);
+        let disk = self.random.random();
+        let node = &mut self.nodes[place];
+        node.folder = MemoryFolder::default();
+        node.disk = disk;
+        node.is_first_start = false;
+    }
+
+    pub fn thaw(&mut self, place: usize) {
+        self.nodes[place].is_frozen = false;
+        let frozen = std::mem::take(&mut self.nodes[place].frozen);
+        for event in frozen {
+            self.later(0, event);
+        }
+    }
+}
--- /dev/null
+++ b/crates/council/tests/world/oracle.rs
@@ -0,0 +1,97 @@
+use super::Node;
+use register::{Outcome, Stored};
+use std::collections::BTreeMap;
+
+struct Asked {
+    key: String,
+    /// Expected version of a write, and its bytes.
+    write: Option<(u64, Vec<u8>)>,
+    /// The newest acknowledged version when it began.
+    floor: u64,
+}
+
+/// Knows what was promised, and cries where it is not kept.
+#[derive(Default)]
+pub struct Oracle {
+    asked: BTreeMap<u64, Asked>,
+    settled: BTreeMap<(String, u64), Vec<u8>>,
+    acknowledged: BTreeMap<String, u64>,
+    terms: BTreeMap<u64, (usize, u64)>,
+    last_token: u64,
+    pub last_write_at: u64,
+    pub writes: usize,
+    pub reads: usize,
+}
+
+impl Oracle {
+    pub fn ask(&mut self, key: &str, write: Option<(u64, Vec<u8>)>) -> u64 {
+        self.last_token += 1;
+        let floor = self.acknowledged.get(key).copied().unwrap_or(0);
+        let asked = Asked {
+            key: key.to_string(),
+            write,
+            floor,
+        };
+        self.asked.insert(self.last_token, asked);
+        self.last_token
+    }
+
+    pub fn settled(&mut self, key: &str, version: u64, bytes: &[u8]) {
+        if version == 0 {
+            return;
+        }
+        let known = self.settled.entry((key.to_string(), version));
+        let known = known.or_insert_with(|| bytes.to_vec());
+        assert_eq!(known, bytes, "two values are settled at {key} {version}");
+    }
+
+    pub fn done(&mut self, now: u64, token: u64, outcome: &Outcome) {
+        let asked = self.asked.remove(&token).expect("a change ended twice");
+        let (Outcome::Settled(stored) | Outcome::Stale(stored)) = outcome else {
+            return;
+        };
+        self.settled(&asked.key, stored.version, &stored.bytes);
+        if let Outcome::Settled(_) = outcome {
+            self.acknowledge(now, &asked, stored);
+        }
+    }
+
+    fn acknowledge(&mut self, now: u64, asked: &Asked, stored: &Stored) {
+        if let Some((expected, bytes)) = &asked.write {
+            assert_eq!(stored.version, expected + 1);
+            assert_eq!(&stored.bytes, bytes, "another's write was acknowledged");
+            self.writes += 1;
+            self.last_write_at = now;
+        } else {
+            assert!(
+                stored.version >= asked.floor,
+                "{} was acknowledged at version {} and is read at {}",
+                asked.key,
+                asked.floor,
+                stored.version
+            );
+            self.reads += 1;
+        }
+        let newest = self.acknowledged.entry(asked.key.clone()).or_default();
+        *newest = (*newest).max(stored.version);
+    }
+
+    pub fn won(&mut self, now: u64, term: u64, place: usize, life: u64) {
+        let holder = *self.terms.entry(term).or_insert((place, life));
+        assert_eq!(holder, (place, life), "two holders won term {term} at {now}");
+        let newest = self.terms.keys().next_back().copied();
+        assert_eq!(newest, Some(term), "a term fell back at {now}");
+    }
+
+    pub fn look(&self, now: u64, nodes: &[Node]) {
+        let holders = nodes.iter().filter(|node| node.term(now).is_some());
+        let holders: Vec<(&str, Option<u64>)> = holders
+            .map(|node| (node.address.as_str(), node.term(now)))
+            .collect();
+        assert!(holders.len() <= 1, "at {now} several hold: {holders:?}");
+    }
+
+    pub fn newest(&self, key: &str) -> u64 {
+        self.acknowledged.get(key).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/functions.rs
@@ -0,0 +1,77 @@
+use speedy::{Readable, Writable};
+
+/// What the keeper of a function tells the scaler about it. Counters only grow within the keeper's life.
+#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+pub struct FunctionReport {
+    /// The function.
+    pub function: String,
+    /// Number of the news that the keeper holds for it; 0 where it holds none.
+    pub news: u64,
+    /// Requests that came in, by the district of the front that took them.
+    pub arrived: Vec<(String, u64)>,
+    /// Requests that wait for a seat now.
+    pub waiting: u32,
+    /// Requests that were given up for want of a seat.
+    pub given_up: u64,
+    /// What is known of each runner.
+    pub runners: Vec<RunnerReport>,
+}
+
+/// What a keeper knows of one runner.
+#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+pub struct RunnerReport {
+    /// Id that the platform gave it.
+    pub id: String,
+    /// Requests that it holds now.
+    pub in_use: u32,
+    /// Good answers that it gave.
+    pub answered: u64,
+    /// Milliseconds that these answers took, summed.
+    pub took_ms: u64,
+    /// Requests that it turned away as over its concurrency.
+    pub turned_away: u64,
+    /// It was reached at least once.
+    pub is_up: bool,
+    /// It cannot be reached any more, or another runner has its address.
+    pub is_gone: bool,
+}
+
+/// All runners of one function, as the scaler wants them.
+#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+pub struct FunctionNews {
+    /// The function.
+    pub function: String,
+    /// Term of the scaler and number of the news within it; a higher pair wins.
+    pub mark: (u64, u64),
+    /// Its runners.
+    pub runners: Vec<RunnerNews>,
+}
+
+/// One runner as the scaler wants it.
+#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+pub struct RunnerNews {
+    /// Id that the platform gave it.
+    pub id: String,
+    /// Address (ip and port).
+    pub address: String,
+    /// District of its worker.
+    pub district: String,
+    /// Requests that it may hold at once, never above its function's concurrency.
+    pub quota: u32,
+    /// Where it is in its life.
+    pub stage: RunnerStage,
+    /// Milliseconds until it is expected to be up; 0 once it is.
+    pub starts_in_ms: u32,
+}
+
+/// Where a runner is in its life.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub enum RunnerStage {
+    /// It was started and is not known to be up.
+    #[default]
+    Starting,
+    /// It serves.
+    Serving,
+    /// It gets no new requests; those that it holds end.
+    Draining,
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,9 @@
+//! What the daemons of the data plane and the control plane say to one another. Every message is one frame.
+
+mod frame;
+mod functions;
+mod message;
+
+pub use frame::{frame, FrameError, Frames, FRAME_MAX};
+pub use functions::{FunctionNews, FunctionReport, RunnerNews, RunnerReport, RunnerStage};
+pub use message::{Bid, Grant, Member, Message, Outcome, Release};
--- /dev/null
+++ b/crates/dispatch/src/message.rs
@@ -0,0 +1,163 @@
+use crate::functions::{FunctionNews, FunctionReport};
+use speedy::{Readable, Writable};
+
+/// A daemon of the data plane on the roster.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
+pub struct Member {
+    /// Name from its settings.
+    pub name: String,
+    /// Random number of this life.
+    pub incarnation: u64,
+    /// Address at which other daemons reach it.
+    pub address: String,
+    /// District that it stands in.
+    pub district: String,
+}
+
+/// A request that waits for a seat at one of its function's runners.
+#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+pub struct Bid {
+    /// Number that the bidding front gave it, of its own in that front's life.
+    pub ticket: u64,
+    /// The function.
+    pub function: String,
+    /// Rank; 0 goes first.
+    pub rank: u8,
+    /// Milliseconds within which a seat is still of use.
+    pub budget_ms: u32,
+    /// Runners that this request was at already.
+    pub avoid: Vec<String>,
+}
+
+/// A seat that was lent for one request.
+#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+pub struct Grant {
+    /// The bid's ticket.
+    pub ticket: u64,
+    /// Id of the runner.
+    pub runner: String,
+    /// Its address.
+    pub address: String,
+    /// District of its worker.
+    pub district: String,
+}
+
+/// How the use of a seat ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub enum Outcome {
+    /// The runner answered well.
+    #[default]
+    Answered,
+    /// The seat was not used.
+    Unused,
+    /// The runner was full and did not run it.
+    TurnedAway,
+    /// Nobody is at the runner's address, or another runner is.
+    Gone,
+    /// The runner could not be reached in time.
+    Unreached,
+    /// The runner may have run it, and no good answer came.
+    Lost,
+}
+
+/// A seat that is given back.
+#[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
+pub struct Release {
+    /// The bid's ticket.
+    pub ticket: u64,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Milliseconds that the runner took.
+    pub took_ms: u32,
+}
+
+/// Everything that daemons say to one another outside the council of cores.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+pub enum Message {
+    /// A front tells who it is, first on every link.
+    Front(Member),
+    /// A front's beat to a core: versions of description and closures that it holds, and of the roster.
+    FrontBeat {
+        /// Mark of the description in force.
+        description: u64,
+        /// Mark of the closed districts in force.
+        closures: u64,
+        /// Term and number of the roster.
+        roster: (u64, u64),
+    },
+    /// A core's beat to a front.
+    CoreBeat {
+        /// Newest settled mark of the description.
+        description: u64,
+        /// Newest settled mark of the closed districts.
+        closures: u64,
+        /// Term under which it scales; 0 where it does not.
+        term: u64,
+        /// Addresses of all cores that it knows.
+        cores: Vec<String>,
+        /// District that it stands in.
+        district: String,
+    },
+    /// A front asks for what is newer than what it holds.
+    Ask {
+        /// Mark of the description in force.
+        description: u64,
+        /// Mark of the closed districts in force.
+        closures: u64,
+    },
+    /// A settled description, compressed.
+    Description {
+        /// Its mark; a higher one wins.
+        mark: u64,
+        /// The operator's document, deflated.
+        document: Vec<u8>,
+    },
+    /// Settled closed districts.
+    Closures {
+        /// Their mark; a higher one wins.
+        mark: u64,
+        /// Names of the districts that take no requests.
+        districts: Vec<String>,
+    },
+    /// The fronts that keep functions, from the core that scales.
+    Roster {
+        /// Term of the scaler and number of the roster within it; a higher pair wins.
+        mark: (u64, u64),
+        /// The fronts.
+        members: Vec<Member>,
+    },
+    /// A keeper tells the scaler about functions.
+    Report(Vec<FunctionReport>),
+    /// The scaler tells a keeper the runners of functions.
+    Runners(Vec<FunctionNews>),
+    /// A front bids for a seat at the function's keeper.
+    Bid(Bid),
+    /// A front takes a bid back; a seat that was lent for it is free.
+    Withdraw(u64),
+    /// The keeper lends a seat.
+    Grant(Grant),
+    /// The keeper has no seat for a bid and will have none in time.
+    Refuse {
+        /// The bid's ticket.
+        ticket: u64,
+        /// Milliseconds after which it pays to come back.
+        retry_after_ms: u32,
+    },
+    /// A front gives seats back.
+    Release(Release),
+    /// A front tells a function's new keeper which runners it has requests at.
+    Known {
+        /// The function.
+        function: String,
+        /// Runner, address, district, and tickets in flight there.
+        runners: Vec<(String, String, String, Vec<u64>)>,
+    },
+    /// Whoever gets this answers with the same number, so that a silent daemon is noticed.
+    Ping(u64),
+    /// The answer to a ping.
+    Pong(u64),
+    /// An operator's tool asks for a daemon's state.
+    Status,
+    /// A daemon's state as JSON text.
+    StatusText(String),
+}
--- /dev/null
+++ b/crates/exchange/src/head.rs
@@ -0,0 +1,157 @@
+use crate::hops::list;
+use crate::{Bounds, Fault, Headers};
+
+pub(crate) const FIELDS_MAX: usize = 100;
+const KNOWN_CODINGS: [&str; 5] = ["gzip", "x-gzip", "deflate", "compress", "x-compress"];
+
+#[derive(Debug, Default)]
+pub(crate) struct LineScan {
+    scanned: usize,
+}
+
+impl LineScan {
+    pub(crate) fn end(&mut self, bytes: &[u8]) -> Result<Option<usize>, Fault> {
+        let is_break = |byte: &u8| matches!(byte, b'\r' | b'\n');
+        let Some(found) = bytes[self.scanned..].iter().position(is_break) else {
+            self.scanned = bytes.len();
+            return Ok(None);
+        };
+        let at = self.scanned + found;
+        self.scanned = at;
+        match (bytes[at], bytes.get(at + 1)) {
+            (b'\r', None) => Ok(None),
+            (b'\r', Some(b'\n')) => {
+                self.scanned = 0;
+                Ok(Some(at))
+            }
+            _ => Err(Fault::BadRequest("line end is not CRLF")),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct HeadScan {
+    line: LineScan,
+    line_start: usize,
+}
+
+impl HeadScan {
+    pub(crate) fn end(&mut self, bytes: &[u8], bounds: &Bounds) -> Result<Option<usize>, Fault> {
+        let within = &bytes[..bytes.len().min(bounds.header_bytes)];
+        while let Some(length) = self.line.end(&within[self.line_start..])? {
+            self.line_start += length + 2;
+            if length == 0 {
+                return Ok(Some(self.line_start));
+            }
+        }
+        if bytes.len() >= bounds.header_bytes {
+            return Err(Fault::HeadTooLarge);
+        }
+        Ok(None)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    Absent,
+    Length(usize),
+    Chunked,
+}
+
+pub(crate) fn framing(headers: &Headers, is_http_1_0: bool) -> Result<Framing, Fault> {
+    let mut lengths = headers.get_all("Content-Length");
+    let mut codings = headers.get_all("Transfer-Encoding");
+    match (lengths.next(), codings.next()) {
+        (None, None) => Ok(Framing::Absent),
+        (Some(_), Some(_)) => Err(Fault::BadRequest("both a length and a transfer coding")),
+        (Some(length), None) => {
+            if lengths.next().is_some() {
+                return Err(Fault::BadRequest("several lengths"));
+            }
+            number(length).map(Framing::Length)
+        }
+        (None, Some(coding)) => {
+            if is_http_1_0 {
+                return Err(Fault::BadRequest("transfer coding in HTTP/1.0"));
+            }
+            if codings.next().is_some() {
+                return Err(Fault::BadRequest("several transfer codings"));
+            }
+            chunked(coding)
+        }
+    }
+}
+
+fn number(digits: &[u8]) -> Result<usize, Fault> {
+    if digits.is_empty() {
+        return Err(Fault::BadRequest("length is not a number"));
+    }
+    let mut number = 0usize;
+    for digit in digits {
+        if !digit.is_ascii_digit() {
+            return Err(Fault::BadRequest("length is not a number"));
+        }
+        let grown = number.checked_mul(10);
+        let grown = grown.and_then(|grown| grown.checked_add((digit - b'0').into()));
+        number = grown.ok_or(Fault::BadRequest("length overflows"))?;
+    }
+    Ok(number)
+}
+
+fn chunked(value: &[u8]) -> Result<Framing, Fault> {
+    if value.eq_ignore_ascii_case(b"chunked") {
+        return Ok(Framing::Chunked);
+    }
+    let is_known = |coding: &[u8]| {
+        let mut known = KNOWN_CODINGS.iter();
+        known.any(|known| known.as_bytes().eq_ignore_ascii_case(coding))
+    };
+    let mut codings = list(value).skip_while(|coding| is_known(coding));
+    let ends_in_chunked = codings
+        .next()
+        .is_some_and(|last| last.eq_ignore_ascii_case(b"chunked"));
+    if ends_in_chunked && codings.next().is_none() && list(value).count() > 1 {
+        return Err(Fault::NotImplemented);
+    }
+    Err(Fault::BadRequest("transfer coding is not chunked alone"))
+}
+
+pub(crate) fn fault_of(error: httparse::Error, head: &[u8]) -> Fault {
+    match error {
+        httparse::Error::TooManyHeaders => Fault::HeadTooLarge,
+        httparse::Error::Version if names_version(head) => Fault::Version,
+        httparse::Error::HeaderName => Fault::BadRequest("malformed field name"),
+        httparse::Error::HeaderValue => Fault::BadRequest("malformed field value"),
+        httparse::Error::Status => Fault::BadRequest("malformed status"),
+        _ => Fault::BadRequest("malformed first line"),
+    }
+}
+
+fn names_version(head: &[u8]) -> bool {
+    let line = head.split(|&byte| byte == b'\r').next().unwrap_or_default();
+    let mut words = line.split(|&byte| byte == b' ');
+    let is_status_line = words.next().is_some_and(is_version);
+    let is_request_line = words.nth(1).is_some_and(is_version) && words.next().is_none();
+    is_status_line || is_request_line
+}
+
+fn is_version(word: &[u8]) -> bool {
+    let Some([major, b'.', minor]) = word.strip_prefix(b"HTTP/") else {
+        return false;
+    };
+    major.is_ascii_digit() && minor.is_ascii_digit()
+}
+
+pub(crate) fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+pub(crate) fn is_name(name: &[u8]) -> bool {
+    !name.is_empty() && name.iter().all(|&byte| is_token_byte(byte))
+}
+
+pub(crate) fn is_value(value: &[u8]) -> bool {
+    value
+        .iter()
+        .all(|&byte| byte == b'\t' || (byte >= b' ' && byte != 0x7f))
+}
--- /dev/null
+++ b/crates/exchange/src/hops.rs
@@ -0,0 +1,74 @@
+use crate::Headers;
+
+const HOP_BY_HOP: [&str; 11] = [
+    "Connection",
+    "Content-Length",
+    "Expect",
+    "Keep-Alive",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+];
+
+pub(crate) fn is_hop_by_hop(name: &str) -> bool {
+    HOP_BY_HOP.iter().any(|hop| hop.eq_ignore_ascii_case(name))
+}
+
+pub(crate) fn has_option(headers: &Headers, wanted: &str) -> bool {
+    options(headers).any(|option| option.eq_ignore_ascii_case(wanted.as_bytes()))
+}
+
+fn options(headers: &Headers) -> impl Iterator<Item = &[u8]> {
+    headers.get_all("Connection").flat_map(list)
+}
+
+pub(crate) fn list(value: &[u8]) -> impl Iterator<Item = &[u8]> {
+    value
+        .split(|&byte| byte == b',')
+        .map(<[u8]>::trim_ascii)
+        .filter(|item| !item.is_empty())
+}
+
+pub(crate) fn keeps_alive(headers: &Headers, is_http_1_0: bool) -> bool {
+    if has_option(headers, "close") {
+        return false;
+    }
+    !is_http_1_0 || has_option(headers, "keep-alive")
+}
+
+/// The fields that are passed along: all but those that concern one connection, which are the
+/// hop-by-hop fields, the framing, and whatever `Connection` names (`Host` excepted, without which
+/// there is no request).
+pub fn end_to_end(headers: &Headers) -> impl Iterator<Item = (&str, &[u8])> {
+    let names_fields = options(headers).any(|option| {
+        !option.eq_ignore_ascii_case(b"close") && !option.eq_ignore_ascii_case(b"keep-alive")
+    });
+    headers.iter().filter(move |(name, _)| {
+        if is_hop_by_hop(name) {
+            return false;
+        }
+        !names_fields || name.eq_ignore_ascii_case("Host") || !has_option(headers, name)
+    })
+}
+
+/// The seconds after which the peer closes an idle connection, as told by `Keep-Alive`.
+pub fn idle_seconds(headers: &Headers) -> Option<u64> {
+    headers
+        .get_all("Keep-Alive")
+        .flat_map(list)
+        .find_map(|parameter| {
+            let (name, value) = std::str::from_utf8(parameter).ok()?.split_once('=')?;
+            if !name.trim().eq_ignore_ascii_case("timeout") {
+                return None;
+            }
+            let digits = value.trim().trim_matches('"');
+            if !digits.bytes().all(|byte| byte.is_ascii_digit()) {
+                return None;
+            }
+            digits.parse().ok()
+        })
+}
--- /dev/null
+++ b/crates/exchange/src/request.rs
@@ -0,0 +1,194 @@
+use std::mem::MaybeUninit;
+
+use crate::body::BodyReader;
+use crate::head::{fault_of, framing, is_token_byte, Framing, HeadScan, FIELDS_MAX};
+use crate::hops::keeps_alive;
+use crate::{Bounds, Fault, Headers};
+
+/// A request read whole.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The method in the case in which it was sent.
+    pub method: String,
+    /// Path and query exactly as sent: it begins with a slash, or is `*` for OPTIONS.
+    pub target: String,
+    /// All fields, hop-by-hop ones included.
+    pub headers: Headers,
+    /// The body without its framing; trailers are dropped.
+    pub body: Vec<u8>,
+    /// Whether the client takes further answers on the connection.
+    pub keeps_alive: bool,
+    /// Whether the client speaks HTTP/1.0.
+    pub is_http_1_0: bool,
+}
+
+/// Reads requests off the front of a buffer, one after the other. It keeps what it has read of a
+/// partial request, so each connection has one reader and one buffer. After a fault it gives the
+/// same fault forever.
+#[derive(Debug, Default)]
+pub struct RequestReader {
+    scan: HeadScan,
+    has_skipped_line: bool,
+    pending: Option<(Request, BodyReader)>,
+    expects_continue: bool,
+    fault: Option<Fault>,
+}
+
+impl RequestReader {
+    /// A reader for a new connection.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the next whole request off the buffer and leaves the bytes behind it. `None` asks for
+    /// more bytes; what the reader is done with has then left the buffer already.
+    pub fn read(
+        &mut self,
+        buffer: &mut Vec<u8>,
+        bounds: &Bounds,
+    ) -> Result<Option<Request>, Fault> {
+        if let Some(fault) = self.fault {
+            return Err(fault);
+        }
+        let mut at = 0;
+        match self.advance(buffer, &mut at, bounds) {
+            Ok(request) => {
+                buffer.drain(..at);
+                Ok(request)
+            }
+            Err(fault) => {
+                self.fault = Some(fault);
+                Err(fault)
+            }
+        }
+    }
+
+    /// Whether a request has begun to arrive of which the rest is missing.
+    pub fn has_begun(&self, buffer: &[u8]) -> bool {
+        self.pending.is_some() || !(buffer.is_empty() || buffer == b"\r" || buffer == b"\r\n")
+    }
+
+    /// Whether the client waits for [`CONTINUE`](crate::CONTINUE) before it sends the body. Stays
+    /// true until bytes of the body have been read, so the caller remembers what it has sent.
+    pub fn expects_continue(&self) -> bool {
+        self.expects_continue
+    }
+
+    fn advance(
+        &mut self,
+        bytes: &[u8],
+        at: &mut usize,
+        bounds: &Bounds,
+    ) -> Result<Option<Request>, Fault> {
+        let (mut request, mut reader) = match self.pending.take() {
+            Some(pending) => pending,
+            None => {
+                let Some(begun) = self.begin(bytes, at, bounds)? else {
+                    return Ok(None);
+                };
+                begun
+            }
+        };
+        self.expects_continue &= *at == bytes.len();
+        let Some(body) = reader.read(bytes, at, bounds)? else {
+            self.pending = Some((request, reader));
+            return Ok(None);
+        };
+        request.body = body;
+        *self = Self::default();
+        Ok(Some(request))
+    }
+
+    fn begin(
+        &mut self,
+        bytes: &[u8],
+        at: &mut usize,
+        bounds: &Bounds,
+    ) -> Result<Option<(Request, BodyReader)>, Fault> {
+        if !self.has_skipped_line && bytes.first() == Some(&b'\r') {
+            if bytes == b"\r" {
+                return Ok(None);
+            }
+            if bytes[1] != b'\n' {
+                return Err(Fault::BadRequest("line end is not CRLF"));
+            }
+            self.has_skipped_line = true;
+            *at = 2;
+        }
+        let bytes = &bytes[*at..];
+        if bytes.first().is_some_and(|&first| !is_token_byte(first)) {
+            return Err(Fault::BadRequest("malformed first line"));
+        }
+        let Some(end) = self.scan.end(bytes, bounds)? else {
+            return Ok(None);
+        };
+        let request = parse(&bytes[..end])?;
+        *at += end;
+        let reader = match framing(&request.headers, request.is_http_1_0)? {
+            Framing::Absent => BodyReader::Length(0),
+            Framing::Length(length) => BodyReader::of_length(length, bounds)?,
+            Framing::Chunked => BodyReader::of_chunks(),
+        };
+        let expects = request.headers.get("Expect");
+        self.expects_continue = !request.is_http_1_0
+            && !matches!(reader, BodyReader::Length(0))
+            && expects.is_some_and(|value| value.eq_ignore_ascii_case(b"100-continue"));
+        Ok(Some((request, reader)))
+    }
+}
+
+fn parse(head: &[u8]) -> Result<Request, Fault> {
+    let mut fields = [const { MaybeUninit::uninit() }; FIELDS_MAX];
+    let mut parsed = httparse::Request::new(&mut []);
+    let status = parsed.parse_with_uninit_headers(head, &mut fields);
+    let status = status.map_err(|error| fault_of(error, head))?;
+    let (Some(method), Some(target), Some(version)) = (parsed.method, parsed.path, parsed.version)
+    else {
+        return Err(Fault::BadRequest("malformed first line"));
+    };
+    if status != httparse::Status::Complete(head.len()) {
+        return Err(Fault::BadRequest("malformed head"));
+    }
+    check_target(method, target)?;
+    let headers = Headers::of(parsed.headers);
+    let is_http_1_0 = version == 0;
+    check_host(&headers, is_http_1_0)?;
+    Ok(Request {
+        method: method.to_owned(),
+        target: target.to_owned(),
+        keeps_alive: keeps_alive(&headers, is_http_1_0),
+        headers,
+        body: Vec::new(),
+        is_http_1_0,
+    })
+}
+
+fn check_target(method: &str, target: &str) -> Result<(), Fault> {
+    let is_path = target.starts_with('/') || (target == "*" && method == "OPTIONS");
+    if !is_path {
+        return Err(Fault::BadRequest("target is not a path"));
+    }
+    let is_clean = |byte: u8| byte.is_ascii_graphic() && byte != b'#';
+    if !target.bytes().all(is_clean) {
+        return Err(Fault::BadRequest("target holds a forbidden byte"));
+    }
+    Ok(())
+}
+
+fn check_host(headers: &Headers, is_http_1_0: bool) -> Result<(), Fault> {
+    let mut hosts = headers.get_all("Host");
+    let Some(host) = hosts.next() else {
+        if is_http_1_0 {
+            return Ok(());
+        }
+        return Err(Fault::BadRequest("host is missing"));
+    };
+    if hosts.next().is_some() {
+        return Err(Fault::BadRequest("several hosts"));
+    }
+    let is_clean = |byte: &u8| byte.is_ascii_graphic() && !b"/\\@,?#\"<>".contains(byte);
+    if !host.iter().all(is_clean) {
+        return Err(Fault::BadRequest("malformed host"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/exchange/src/writing.rs
@@ -0,0 +1,154 @@
+use crate::head::{is_name, is_value};
+use crate::hops::is_hop_by_hop;
+
+const HEAD_ESTIMATE: usize = 512;
+
+/// What a client that expects it is sent before its body.
+pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Appends a request. Framing is written anew and hop-by-hop fields are left out (`Keep-Alive`
+/// excepted), as are fields that could not be read back; a missing `Host` is written empty.
+/// Method and target are the caller's to check.
+pub fn write_request<'a>(
+    out: &mut Vec<u8>,
+    method: &str,
+    target: &str,
+    headers: impl Iterator<Item = (&'a str, &'a [u8])>,
+    body: &[u8],
+) {
+    out.reserve(HEAD_ESTIMATE + body.len());
+    out.extend_from_slice(method.as_bytes());
+    out.push(b' ');
+    out.extend_from_slice(target.as_bytes());
+    out.extend_from_slice(b" HTTP/1.1\r\n");
+    let mut has_host = false;
+    for (name, value) in headers {
+        has_host |= write_field(out, name, value) && name.eq_ignore_ascii_case("Host");
+    }
+    if !has_host {
+        out.extend_from_slice(b"Host:\r\n");
+    }
+    if !body.is_empty() || matches!(method, "POST" | "PUT" | "PATCH") {
+        write_length(out, body.len());
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body);
+}
+
+/// Appends an answer. Fields are treated as in [`write_request`]. The length is written unless the
+/// status has no body (1xx, 204, 304); for HEAD it is that of the body given, which stays unsent,
+/// and is left out if the body is empty, because then it is not known.
+pub fn write_response<'a>(
+    out: &mut Vec<u8>,
+    status: u16,
+    headers: impl Iterator<Item = (&'a str, &'a [u8])>,
+    body: &[u8],
+    keeps_alive: bool,
+    is_head: bool,
+) {
+    let has_body = status >= 200 && status != 204 && status != 304;
+    let is_sent = has_body && !is_head;
+    out.reserve(HEAD_ESTIMATE + if is_sent { body.len() } else { 0 });
+    out.extend_from_slice(b"HTTP/1.1 ");
+    write_number(out, status.into());
+    out.push(b' ');
+    out.extend_from_slice(reason(status).as_bytes());
+    out.extend_from_slice(b"\r\n");
+    for (name, value) in headers {
+        write_field(out, name, value);
+    }
+    if has_body && !(is_head && body.is_empty()) {
+        write_length(out, body.len());
+    }
+    if !keeps_alive {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+    if is_sent {
+        out.extend_from_slice(body);
+    }
+}
+
+fn write_field(out: &mut Vec<u8>, name: &str, value: &[u8]) -> bool {
+    let is_kept = !is_hop_by_hop(name) || name.eq_ignore_ascii_case("Keep-Alive");
+    if !is_kept || !is_name(name.as_bytes()) || !is_value(value) {
+        return false;
+    }
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+    true
+}
+
+fn write_length(out: &mut Vec<u8>, length: usize) {
+    out.extend_from_slice(b"Content-Length: ");
+    write_number(out, length);
+    out.extend_from_slice(b"\r\n");
+}
+
+fn write_number(out: &mut Vec<u8>, mut number: usize) {
+    let mut digits = [0; 20];
+    let mut start = digits.len();
+    loop {
+        start -= 1;
+        digits[start] = b'0' + (number % 10) as u8;
+        number /= 10;
+        if number == 0 {
+            break;
+        }
+    }
+    out.extend_from_slice(&digits[start..]);
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        100 => "Continue",
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        203 => "Non-Authoritative Information",
+        204 => "No Content",
+        205 => "Reset Content",
+        206 => "Partial Content",
+        300 => "Multiple Choices",
+        301 => "Moved Permanently",
+        302 => "Found",
+        303 => "See Other",
+        304 => "Not Modified",
+        307 => "Temporary Redirect",
+        308 => "Permanent Redirect",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        402 => "Payment Required",
+        403 => "Forbidden",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        406 => "Not Acceptable",
+        407 => "Proxy Authentication Required",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        410 => "Gone",
+        411 => "Length Required",
+        412 => "Precondition Failed",
+        413 => "Content Too Large",
+        414 => "URI Too Long",
+        415 => "Unsupported Media Type",
+        416 => "Range Not Satisfiable",
+        417 => "Expectation Failed",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        425 => "Too Early",
+        426 => "Upgrade Required",
+        428 => "Precondition Required",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        _ => "",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,165 @@
+use crate::gateway::Gateway;
+use binding::{Limits, Table};
+use dispatch::{Member, Message};
+use flate2::read::DeflateDecoder;
+use std::collections::BTreeSet;
+use std::io::Read;
+use std::sync::Arc;
+
+/// Largest document, in bytes.
+const DOCUMENT_MAX: u64 = 64 << 20;
+
+/// What the control plane told, newest first by mark.
+#[derive(Default)]
+pub(crate) struct Control {
+    description: u64,
+    table: Option<Arc<Table>>,
+    closures: u64,
+    closed: BTreeSet<String>,
+    roster: (u64, u64),
+    members: Vec<Member>,
+}
+
+impl Control {
+    pub fn table(&self) -> Option<Arc<Table>> {
+        self.table.clone()
+    }
+
+    pub fn limits(&self) -> Limits {
+        let table = self.table.as_ref();
+        table.map_or_else(Limits::default, |table| table.description().limits.clone())
+    }
+
+    pub fn marks(&self) -> (u64, u64) {
+        (self.description, self.closures)
+    }
+
+    pub fn roster(&self) -> (u64, u64) {
+        self.roster
+    }
+
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    pub fn is_closed(&self, district: &str) -> bool {
+        self.closed.contains(district)
+    }
+
+    /// Whether there is enough to serve with.
+    pub fn is_ready(&self) -> bool {
+        self.table.is_some() && !self.members.is_empty()
+    }
+
+    /// Idle lines that are kept to one runner.
+    pub fn idle_lines(&self) -> usize {
+        if self.members.len() > 24 {
+            1
+        } else {
+            2
+        }
+    }
+
+    /// Version of the operator's description in force.
+    pub fn version(&self) -> u64 {
+        let table = self.table.as_ref();
+        table.map_or(0, |table| table.description().version)
+    }
+}
+
+impl Gateway {
+    /// A settled description; an older one than the one in force is dropped.
+    pub fn take_description(&mut self, mark: u64, packed: &[u8]) {
+        self.links.asked_until = 0;
+        if mark <= self.control.description {
+            return;
+        }
+        let mut document = Vec::new();
+        let read = DeflateDecoder::new(packed)
+            .take(DOCUMENT_MAX)
+            .read_to_end(&mut document);
+        if read.is_err() {
+            log::error!("gateway: description {mark} cannot be unpacked");
+            return;
+        }
+        match self.options.documents.read(&document) {
+            Ok(description) => {
+                log::info!("gateway: description {} in force", description.version);
+                let table = Table::new(Arc::new(description));
+                self.control.table = Some(Arc::new(table));
+                self.control.description = mark;
+            }
+            Err(fault) => log::error!("gateway: description {mark} is refused: {fault}"),
+        }
+    }
+
+    /// Settled closed districts.
+    pub fn take_closures(&mut self, mark: u64, districts: Vec<String>) {
+        if mark <= self.control.closures {
+            return;
+        }
+        log::info!("gateway: closed districts {districts:?}");
+        self.control.closures = mark;
+        self.control.closed = districts.into_iter().collect();
+        self.keeper.close_districts(self.control.closed.clone());
+    }
+
+    /// The fronts that keep functions; requests that wait at a keeper which is none any more bid anew.
+    pub fn take_roster(&mut self, mark: (u64, u64), members: Vec<Member>) {
+        if mark <= self.control.roster || members.is_empty() {
+            return;
+        }
+        log::info!("gateway: roster {mark:?} of {} members", members.len());
+        self.control.roster = mark;
+        self.control.members = members;
+        self.links.forgive();
+        self.move_waiting();
+        for function in self.links.kept_functions() {
+            let keeper = self.keeper_of(&function);
+            if let Some(keeper) = keeper.filter(|keeper| *keeper != self.options.name) {
+                self.introduce(&keeper, &function);
+            }
+        }
+    }
+
+    /// Moves requests that wait at another daemon than the one that keeps their function now.
+    pub fn move_waiting(&mut self) {
+        let waiting = |ticket: &crate::tickets::Ticket| {
+            matches!(ticket.stage, crate::tickets::Stage::Waiting { .. })
+        };
+        for number in self.tickets.numbers(waiting) {
+            let Some(ticket) = self.tickets.get(number) else {
+                continue;
+            };
+            let crate::tickets::Stage::Waiting { lender, .. } = &ticket.stage else {
+                continue;
+            };
+            let (lender, function) = (lender.clone(), ticket.function.clone());
+            if self.keeper_of(&function).as_deref() != Some(&lender) {
+                self.withdraw(number);
+                self.place_bid(number);
+            }
+        }
+    }
+
+    /// Tells the scaler what changed at the functions kept here.
+    pub fn report(&mut self) {
+        let Some((core, is_new)) = self.links.scaler(self.now) else {
+            return;
+        };
+        let reports = self.keeper.reports(self.now, is_new);
+        if !reports.is_empty() || is_new {
+            self.tell_core(&core, &Message::Report(reports));
+        }
+        let name = self.options.name.clone();
+        let now = self.now;
+        let members = std::mem::take(&mut self.control.members);
+        if self.links.is_due_to_forget(now) && !members.is_empty() {
+            self.keeper.forget_others(now, |function| {
+                let elected = seating::elect(function, &members, |_| true);
+                elected.is_some_and(|member| member.name == name)
+            });
+        }
+        self.control.members = members;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,286 @@
+use crate::clients::Client;
+use crate::control::Control;
+use crate::links::Links;
+use crate::options::{GatewayError, GatewayOptions};
+use crate::runners::{Pool, RunnerLine};
+use crate::tickets::Tickets;
+use courier::{Courier, Event, Hatch, LineId, Timers};
+use exchange::RequestReader;
+use seating::{Credit, Errand, Keeper};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What a line is for.
+pub(crate) enum Role {
+    Client(Client),
+    Readiness(RequestReader),
+    Runner(RunnerLine),
+    /// A link to another daemon; its name once it is known.
+    Link(Option<String>),
+    /// A link to a core, by address.
+    Core(String),
+    /// A look whether a runner takes connections.
+    Probe { function: String, runner: String },
+}
+
+/// What is due at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Due {
+    Tick,
+    Ticket(u64),
+    Rest(u64),
+    Connect(LineId),
+    Client(LineId),
+}
+
+/// All state of the daemon, on one thread.
+pub(crate) struct Gateway {
+    pub options: GatewayOptions,
+    pub courier: Courier,
+    pub roles: HashMap<LineId, Role>,
+    pub tickets: Tickets,
+    pub keeper: Keeper,
+    pub pool: Pool,
+    pub links: Links,
+    pub control: Control,
+    pub credits: HashMap<String, Credit>,
+    pub timers: Timers<Due>,
+    pub now: u64,
+    pub drains_since: Option<u64>,
+    pub refusals: u64,
+    began: Instant,
+    hatches: Hatches,
+}
+
+struct Hatches {
+    public: Hatch,
+    readiness: Hatch,
+}
+
+const CLIENT_INBOX: usize = 1 << 20;
+const LINK_INBOX: usize = 16 << 20;
+const TICK_MS: u64 = 50;
+
+/// Runs until it is told to stop and all requests have been answered, or the grace period is nearly over.
+pub fn run(options: GatewayOptions) -> Result<(), GatewayError> {
+    let (term, hup) = signals().map_err(GatewayError::System)?;
+    let mut gateway = Gateway::open(options)?;
+    let mut events = Vec::new();
+    loop {
+        gateway.now = gateway.began.elapsed().as_millis() as u64;
+        if term.load(Ordering::Relaxed) && gateway.drains_since.is_none() {
+            gateway.begin_drain();
+        }
+        if hup.swap(false, Ordering::Relaxed) {
+            gateway.reload();
+        }
+        if gateway.is_drained() {
+            log::info!("gateway: drained, {} requests left", gateway.tickets.len());
+            return Ok(());
+        }
+        gateway.see_to_due();
+        let patience = gateway.patience();
+        gateway.courier.wait(patience, &mut events);
+        gateway.now = gateway.began.elapsed().as_millis() as u64;
+        for event in events.drain(..) {
+            gateway.handle(event);
+        }
+        gateway.run_errands();
+        gateway.flush_links();
+    }
+}
+
+fn signals() -> std::io::Result<(Arc<AtomicBool>, Arc<AtomicBool>)> {
+    let (term, hup) = (Arc::default(), Arc::default());
+    signal_hook::flag::register(signal_hook::consts::SIGTERM, Arc::clone(&term))?;
+    signal_hook::flag::register(signal_hook::consts::SIGINT, Arc::clone(&term))?;
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, Arc::clone(&hup))?;
+    Ok((term, hup))
+}
+
+impl Gateway {
+    fn open(options: GatewayOptions) -> Result<Self, GatewayError> {
+        let silence = options.silence_ms() as u32;
+        let mut courier =
+            Courier::new(options.lines_max, silence).map_err(GatewayError::System)?;
+        let mut listen = |address, inbox_max| {
+            let hatch = courier.listen(address, inbox_max);
+            hatch.map_err(|error| GatewayError::Listen(address, error))
+        };
+        let public = listen(options.public, CLIENT_INBOX)?;
+        let readiness = listen(options.readiness, 1 << 14)?;
+        listen(options.wire, LINK_INBOX)?;
+        let mut gateway = Self {
+            links: Links::new(&options),
+            control: Control::default(),
+            courier,
+            roles: HashMap::new(),
+            tickets: Tickets::default(),
+            keeper: Keeper::default(),
+            pool: Pool::default(),
+            credits: HashMap::new(),
+            timers: Timers::default(),
+            now: 0,
+            drains_since: None,
+            refusals: 0,
+            began: Instant::now(),
+            hatches: Hatches { public, readiness },
+            options,
+        };
+        gateway.timers.set(0, Due::Tick);
+        Ok(gateway)
+    }
+
+    fn patience(&self) -> Duration {
+        let mut next = self.timers.next_at().unwrap_or(self.now + TICK_MS);
+        if let Some(at) = self.keeper.next_at() {
+            next = next.min(at);
+        }
+        Duration::from_millis(next.saturating_sub(self.now).min(TICK_MS * 4))
+    }
+
+    fn see_to_due(&mut self) {
+        while let Some(due) = self.timers.due(self.now) {
+            match due {
+                Due::Tick => {
+                    self.timers.set(self.now + TICK_MS, Due::Tick);
+                    self.tick();
+                }
+                Due::Ticket(number) => self.ticket_is_over(number),
+                Due::Rest(number) => self.bid_again(number),
+                Due::Connect(line) => self.connect_is_over(line),
+                Due::Client(line) => self.client_is_late(line),
+            }
+        }
+        if self.keeper.next_at().is_some_and(|at| at <= self.now) {
+            self.keeper.tick(self.now);
+        }
+        self.run_errands();
+        self.flush_links();
+    }
+
+    fn tick(&mut self) {
+        self.keeper.tick(self.now);
+        self.tend_cores();
+        self.tend_links();
+        self.report();
+        self.pool.expire(&mut self.courier, &mut self.roles, self.now);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Opened(hatch, line) if hatch == self.hatches.public => self.client_opened(line),
+            Event::Opened(hatch, line) if hatch == self.hatches.readiness => {
+                let role = Role::Readiness(RequestReader::new());
+                self.roles.insert(line, role);
+            }
+            Event::Opened(_, line) => {
+                self.roles.insert(line, Role::Link(None));
+            }
+            Event::Connected(line) => self.connected(line),
+            Event::Arrived(line) => self.arrived(line),
+            Event::Ended(line, end) => self.ended(line, end),
+        }
+    }
+
+    fn connected(&mut self, line: LineId) {
+        match self.roles.get(&line) {
+            Some(Role::Probe { function, runner }) => {
+                let (function, runner) = (function.clone(), runner.clone());
+                self.pool_probe(line, &runner);
+                self.keeper.probed(self.now, &function, &runner, true);
+            }
+            Some(Role::Runner(_)) => self.runner_connected(line),
+            _ => {}
+        }
+    }
+
+    fn arrived(&mut self, line: LineId) {
+        match self.roles.get(&line) {
+            Some(Role::Client(_)) => self.client_arrived(line),
+            Some(Role::Readiness(_)) => self.readiness_arrived(line),
+            Some(Role::Runner(_)) => self.runner_arrived(line),
+            Some(Role::Link(_) | Role::Core(_)) => self.link_arrived(line),
+            Some(Role::Probe { .. }) | None => {}
+        }
+    }
+
+    fn ended(&mut self, line: LineId, end: courier::End) {
+        match self.roles.get(&line) {
+            Some(Role::Client(_)) => self.client_ended(line),
+            Some(Role::Runner(_)) => self.runner_ended(line, end),
+            Some(Role::Link(_) | Role::Core(_)) => self.link_ended(line),
+            Some(Role::Probe { function, runner }) => {
+                let (function, runner) = (function.clone(), runner.clone());
+                self.keeper.probed(self.now, &function, &runner, false);
+            }
+            Some(Role::Readiness(_)) | None => {}
+        }
+        self.roles.remove(&line);
+        self.courier.close(line);
+    }
+
+    /// Does what the keeper wants done; grants to this daemon go straight to their tickets.
+    pub fn run_errands(&mut self) {
+        loop {
+            let errands = self.keeper.errands();
+            if errands.is_empty() {
+                return;
+            }
+            for errand in errands {
+                match errand {
+                    Errand::Grant(front, grant) if front == self.options.name => {
+                        self.granted(&front, grant);
+                    }
+                    Errand::Grant(front, grant) => {
+                        self.tell(&front, &dispatch::Message::Grant(grant));
+                    }
+                    Errand::Refuse(front, ticket, after) if front == self.options.name => {
+                        self.refused(ticket, after);
+                    }
+                    Errand::Refuse(front, ticket, retry_after_ms) => {
+                        let refusal = dispatch::Message::Refuse {
+                            ticket,
+                            retry_after_ms,
+                        };
+                        self.tell(&front, &refusal);
+                    }
+                    Errand::Probe(function, runner, address) => {
+                        self.probe(function, runner, &address);
+                    }
+                }
+            }
+        }
+    }
+
+    fn begin_drain(&mut self) {
+        log::info!("gateway: told to stop; {} requests are here", self.tickets.len());
+        self.drains_since = Some(self.now);
+    }
+
+    fn is_drained(&mut self) -> bool {
+        let Some(since) = self.drains_since else {
+            return false;
+        };
+        // Clients learn within two looks, a second apart, that this daemon takes no more.
+        let spent = self.now - since;
+        let has_told = spent >= self.options.grace_ms / 2;
+        if has_told && self.tickets.len() == 0 {
+            self.courier.shut(self.hatches.public);
+            self.close_idle_clients();
+            return !self.has_clients();
+        }
+        spent >= self.options.grace_ms * 11 / 12
+    }
+
+    fn reload(&mut self) {
+        let Some(cores) = (self.options.reload)() else {
+            log::warn!("gateway: the settings cannot be read anew; the old ones stay");
+            return;
+        };
+        log::info!("gateway: settings read anew, {} cores named", cores.len());
+        self.links.learn_cores(cores.iter().map(ToString::to_string));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,15 @@
+//! The data plane over non-blocking lines: requests come in, get a seat from the keeper of their function, go to
+//! a runner, and their answers go back. One thread; nothing waits for a single line.
+
+mod clients;
+mod control;
+mod gateway;
+mod links;
+mod options;
+mod outcomes;
+mod retries;
+mod runners;
+mod tickets;
+
+pub use gateway::run;
+pub use options::{GatewayError, GatewayOptions, Manner};
--- /dev/null
+++ b/crates/gateway/src/links.rs
@@ -0,0 +1,467 @@
+use crate::gateway::{Gateway, Role};
+use crate::options::GatewayOptions;
+use courier::LineId;
+use dispatch::{frame, Frames, Member, Message};
+use std::collections::{BTreeMap, HashMap};
+
+const LINK_INBOX: usize = 16 << 20;
+/// Milliseconds for which a daemon that was silent keeps nothing.
+const SUSPECT_MS: u64 = 1_500;
+/// Milliseconds of silence after which a keeper with waiting bids is asked whether it lives.
+const PING_MS: u64 = 250;
+/// Milliseconds of silence after which such a keeper is taken for gone.
+const SILENT_MS: u64 = 650;
+/// Functions whose keeper is remembered.
+const KEPT_MAX: usize = 65_536;
+
+struct Link {
+    line: LineId,
+    heard_at: u64,
+    pinged_at: u64,
+    out: Vec<u8>,
+}
+
+#[derive(Default)]
+struct Core {
+    line: Option<LineId>,
+    heard_at: u64,
+    tried_at: u64,
+    told_at: u64,
+    description: u64,
+    closures: u64,
+    term: u64,
+    district: String,
+}
+
+/// Links to the other daemons.
+pub(crate) struct Links {
+    me: Member,
+    peers: HashMap<String, Link>,
+    suspects: HashMap<String, u64>,
+    cores: BTreeMap<String, Core>,
+    kept: HashMap<String, String>,
+    scaler_term: u64,
+    forgot_at: u64,
+    /// Until when news that was asked for is waited for.
+    pub asked_until: u64,
+}
+
+impl Links {
+    pub fn new(options: &GatewayOptions) -> Self {
+        let me = Member {
+            name: options.name.clone(),
+            incarnation: rand::random(),
+            address: options.wire.to_string(),
+            district: options.district.clone(),
+        };
+        let cores = options.cores.iter();
+        Self {
+            me,
+            peers: HashMap::new(),
+            suspects: HashMap::new(),
+            cores: cores
+                .map(|address| (address.to_string(), Core::default()))
+                .collect(),
+            kept: HashMap::new(),
+            scaler_term: 0,
+            forgot_at: 0,
+            asked_until: 0,
+        }
+    }
+
+    pub fn learn_cores(&mut self, addresses: impl Iterator<Item = String>) {
+        for address in addresses.take(64) {
+            if address.parse::<std::net::SocketAddr>().is_ok() && self.cores.len() < 64 {
+                self.cores.entry(address).or_default();
+            }
+        }
+    }
+
+    pub fn is_suspect(&self, name: &str, now: u64) -> bool {
+        self.suspects.get(name).is_some_and(|until| now < *until)
+    }
+
+    pub fn forgive(&mut self) {
+        self.suspects.clear();
+    }
+
+    pub fn has_link(&self, name: &str) -> bool {
+        self.peers.contains_key(name)
+    }
+
+    /// Whether a function's keeper is another one than last time.
+    pub fn is_new_keeper(&mut self, function: &str, keeper: &str) -> bool {
+        if self.kept.get(function).is_some_and(|known| known == keeper) {
+            return false;
+        }
+        if self.kept.len() >= KEPT_MAX {
+            self.kept.clear();
+        }
+        let former = self.kept.insert(function.into(), keeper.into());
+        former.is_some()
+    }
+
+    pub fn kept_functions(&self) -> Vec<String> {
+        self.kept.keys().cloned().collect()
+    }
+
+    /// The core that scales, and whether it is another one, or in another term, than last time.
+    pub fn scaler(&mut self, now: u64) -> Option<(String, bool)> {
+        let cores = self.cores.iter();
+        let alive = cores.filter(|(_, core)| {
+            core.line.is_some() && core.term > 0 && now < core.heard_at + 2 * SUSPECT_MS
+        });
+        let (address, core) = alive.max_by_key(|(_, core)| core.term)?;
+        let is_new = core.term != self.scaler_term;
+        self.scaler_term = core.term;
+        Some((address.clone(), is_new))
+    }
+
+    pub fn is_due_to_forget(&mut self, now: u64) -> bool {
+        let is_due = now >= self.forgot_at + SUSPECT_MS;
+        if is_due {
+            self.forgot_at = now;
+        }
+        is_due
+    }
+}
+
+impl Gateway {
+    /// Tells another front something; the link is opened where there is none.
+    pub fn tell(&mut self, name: &str, message: &Message) {
+        if !self.links.peers.contains_key(name) && !self.open_link(name) {
+            return;
+        }
+        if let Some(link) = self.links.peers.get_mut(name) {
+            link.out.extend_from_slice(&frame(message));
+        }
+    }
+
+    fn open_link(&mut self, name: &str) -> bool {
+        let member = self.control.members().iter().find(|one| one.name == name);
+        let address = member.and_then(|member| member.address.parse().ok());
+        let line = address.and_then(|address| self.courier.connect(address, LINK_INBOX).ok());
+        let Some(line) = line else {
+            return false;
+        };
+        self.roles.insert(line, Role::Link(Some(name.into())));
+        let hello = frame(&Message::Front(self.links.me.clone()));
+        self.courier.send(line, &hello);
+        self.add_link(name, line);
+        true
+    }
+
+    fn add_link(&mut self, name: &str, line: LineId) {
+        let link = Link {
+            line,
+            heard_at: self.now,
+            pinged_at: 0,
+            out: Vec::new(),
+        };
+        self.links.peers.insert(name.into(), link);
+    }
+
+    /// Sends what was told since the last turn, in one piece for each daemon.
+    pub fn flush_links(&mut self) {
+        for link in self.links.peers.values_mut() {
+            if !link.out.is_empty() {
+                self.courier.send(link.line, &link.out);
+                link.out.clear();
+            }
+        }
+    }
+
+    pub fn tell_core(&mut self, address: &str, message: &Message) {
+        let core = self.links.cores.get(address);
+        if let Some(line) = core.and_then(|core| core.line) {
+            self.courier.send(line, &frame(message));
+        }
+    }
+
+    pub fn link_arrived(&mut self, line: LineId) {
+        let Some(inbox) = self.courier.inbox(line) else {
+            return;
+        };
+        let bytes = std::mem::take(inbox);
+        let mut frames = Frames::new(&bytes);
+        let mut messages = Vec::new();
+        let fault = loop {
+            match frames.read::<Message>() {
+                Ok(Some(message)) => messages.push(message),
+                Ok(None) => break None,
+                Err(fault) => break Some(fault),
+            }
+        };
+        let taken = frames.taken();
+        for message in messages {
+            self.hear(line, message);
+        }
+        if let Some(fault) = fault {
+            log::warn!("gateway: a link is closed: {fault}");
+            self.link_ended(line);
+            self.roles.remove(&line);
+            self.courier.close(line);
+            return;
+        }
+        if let Some(inbox) = self.courier.inbox(line) {
+            let rest = bytes[taken..].to_vec();
+            *inbox = rest;
+        }
+    }
+
+    fn hear(&mut self, line: LineId, message: Message) {
+        match self.roles.get(&line) {
+            Some(Role::Core(address)) => {
+                let address = address.clone();
+                self.hear_core(&address, message);
+            }
+            Some(Role::Link(Some(name))) => {
+                let name = name.clone();
+                self.hear_front(&name, message);
+            }
+            Some(Role::Link(None)) => self.hear_stranger(line, message),
+            _ => {}
+        }
+    }
+
+    fn hear_stranger(&mut self, line: LineId, message: Message) {
+        match message {
+            Message::Front(member) => {
+                self.roles.insert(line, Role::Link(Some(member.name.clone())));
+                if !self.links.peers.contains_key(&member.name) {
+                    self.add_link(&member.name, line);
+                }
+            }
+            Message::Status => {
+                let text = Message::StatusText(self.status());
+                self.courier.send(line, &frame(&text));
+            }
+            _ => {}
+        }
+    }
+
+    fn hear_front(&mut self, name: &str, message: Message) {
+        self.links.suspects.remove(name);
+        if let Some(link) = self.links.peers.get_mut(name) {
+            link.heard_at = self.now;
+        }
+        match message {
+            Message::Bid(bid) => {
+                let members = self.control.members().iter();
+                let district = members
+                    .clone()
+                    .find(|one| one.name == name)
+                    .map_or_else(String::new, |one| one.district.clone());
+                self.keeper.bid(self.now, name, &district, bid);
+            }
+            Message::Withdraw(ticket) => self.keeper.withdraw(self.now, name, ticket),
+            Message::Release(release) => self.keeper.release(self.now, name, &release),
+            Message::Known { function, runners } => {
+                self.keeper.known(self.now, name, &function, &runners);
+            }
+            Message::Grant(grant) => self.granted(name, grant),
+            Message::Refuse {
+                ticket,
+                retry_after_ms,
+            } => self.refused(ticket, retry_after_ms),
+            Message::Ping(number) => self.tell(name, &Message::Pong(number)),
+            _ => {}
+        }
+    }
+
+    fn hear_core(&mut self, address: &str, message: Message) {
+        let now = self.now;
+        let Some(core) = self.links.cores.get_mut(address) else {
+            return;
+        };
+        core.heard_at = now;
+        match message {
+            Message::CoreBeat {
+                description,
+                closures,
+                term,
+                cores,
+                district,
+            } => {
+                core.description = description;
+                core.closures = closures;
+                core.term = term;
+                core.district = district;
+                self.links.learn_cores(cores.into_iter());
+                self.ask_for_news();
+            }
+            Message::Description { mark, document } => {
+                self.take_description(mark, &document);
+                self.ask_for_news();
+            }
+            Message::Closures { mark, districts } => self.take_closures(mark, districts),
+            Message::Roster { mark, members } => self.take_roster(mark, members),
+            Message::Runners(news) => {
+                for one in news {
+                    self.keeper.news(now, one);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks a core that has news, one at a time and a near one first.
+    fn ask_for_news(&mut self) {
+        let (description, closures) = self.control.marks();
+        if self.now < self.links.asked_until {
+            return;
+        }
+        let newer = self.links.cores.iter().filter(|(_, core)| {
+            core.line.is_some() && (core.description > description || core.closures > closures)
+        });
+        let district = &self.options.district;
+        let elected = newer.min_by_key(|(_, core)| core.district != *district);
+        let Some((address, _)) = elected else {
+            return;
+        };
+        let address = address.clone();
+        self.links.asked_until = self.now + PING_MS;
+        let ask = Message::Ask {
+            description,
+            closures,
+        };
+        self.tell_core(&address, &ask);
+    }
+
+    /// Beats to cores, and opens links to those that have none.
+    pub fn tend_cores(&mut self) {
+        let (beat, silence) = (self.options.beat_ms(), self.options.silence_ms());
+        let (description, closures) = self.control.marks();
+        let roster = self.control.roster();
+        let now = self.now;
+        let addresses: Vec<String> = self.links.cores.keys().cloned().collect();
+        for address in addresses {
+            let Some(core) = self.links.cores.get_mut(&address) else {
+                continue;
+            };
+            if let Some(line) = core.line {
+                if now > core.heard_at + silence {
+                    core.line = None;
+                    core.term = 0;
+                    self.roles.remove(&line);
+                    self.courier.close(line);
+                } else if now >= core.told_at + beat {
+                    core.told_at = now;
+                    let message = Message::FrontBeat {
+                        description,
+                        closures,
+                        roster,
+                    };
+                    self.courier.send(line, &frame(&message));
+                }
+                continue;
+            }
+            if now < core.tried_at + beat && core.tried_at > 0 {
+                continue;
+            }
+            core.tried_at = now.max(1);
+            let parsed = address.parse().ok();
+            let line = parsed.and_then(|parsed| self.courier.connect(parsed, LINK_INBOX).ok());
+            let Some(line) = line else {
+                continue;
+            };
+            core.line = Some(line);
+            core.heard_at = now;
+            core.told_at = now;
+            self.roles.insert(line, Role::Core(address));
+            let hello = frame(&Message::Front(self.links.me.clone()));
+            self.courier.send(line, &hello);
+        }
+        self.ask_for_news();
+    }
+
+    /// Looks whether keepers that requests wait for are alive.
+    pub fn tend_links(&mut self) {
+        let mut awaited: Vec<String> = Vec::new();
+        let waiting = |ticket: &crate::tickets::Ticket| {
+            matches!(ticket.stage, crate::tickets::Stage::Waiting { .. })
+        };
+        for number in self.tickets.numbers(waiting) {
+            if let Some(ticket) = self.tickets.get(number) {
+                if let crate::tickets::Stage::Waiting { lender, since } = &ticket.stage {
+                    let is_old = *since + PING_MS <= self.now;
+                    if is_old && *lender != self.options.name && !awaited.contains(lender) {
+                        awaited.push(lender.clone());
+                    }
+                }
+            }
+        }
+        for name in awaited {
+            let Some(link) = self.links.peers.get_mut(&name) else {
+                self.drop_peer(&name);
+                continue;
+            };
+            if self.now > link.heard_at.max(link.pinged_at) + PING_MS {
+                let is_first = link.pinged_at <= link.heard_at;
+                if is_first {
+                    link.pinged_at = self.now;
+                    link.out.extend_from_slice(&frame(&Message::Ping(self.now)));
+                    continue;
+                }
+            }
+            let is_silent = link.pinged_at > link.heard_at
+                && self.now > link.pinged_at + (SILENT_MS - PING_MS);
+            if is_silent {
+                log::warn!("gateway: {name} is silent");
+                self.drop_peer(&name);
+            }
+        }
+    }
+
+    /// Takes another front for gone: its seats are free, and what waits there bids elsewhere.
+    fn drop_peer(&mut self, name: &str) {
+        self.links.peers.remove(name);
+        let until = self.now + SUSPECT_MS;
+        self.links.suspects.insert(name.into(), until);
+        let lines: Vec<LineId> = self
+            .roles
+            .iter()
+            .filter(|(_, role)| matches!(role, Role::Link(Some(known)) if known == name))
+            .map(|(line, _)| *line)
+            .collect();
+        for line in lines {
+            self.roles.remove(&line);
+            self.courier.close(line);
+        }
+        self.keeper.forget_front(self.now, name);
+        self.move_waiting();
+    }
+
+    pub fn link_ended(&mut self, line: LineId) {
+        match self.roles.get(&line) {
+            Some(Role::Core(address)) => {
+                if let Some(core) = self.links.cores.get_mut(address) {
+                    core.line = None;
+                    core.term = 0;
+                }
+            }
+            Some(Role::Link(Some(name))) => {
+                let name = name.clone();
+                self.drop_peer(&name);
+            }
+            _ => {}
+        }
+    }
+
+    /// This daemon's state as JSON text, for operators.
+    pub fn status(&self) -> String {
+        let (description, closures) = self.control.marks();
+        format!(
+            "{{\"name\":\"{}\",\"ready\":{},\"version\":{},\"marks\":[{description},{closures}],\
+             \"members\":{},\"functions_kept\":{},\"requests\":{},\"lines\":{},\"refused\":{}}}",
+            self.options.name,
+            self.control.is_ready(),
+            self.control.version(),
+            self.control.members().len(),
+            self.keeper.len(),
+            self.tickets.len(),
+            self.courier.len(),
+            self.refusals,
+        )
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/outcomes.rs
@@ -0,0 +1,149 @@
+use crate::gateway::Gateway;
+use crate::tickets::{Stage, Ticket};
+use dispatch::Outcome;
+use exchange::{end_to_end, Response};
+
+/// Milliseconds after which clients come back, at least.
+const RETRY_AFTER_MS: u64 = 150;
+
+impl Gateway {
+    /// The keeper has no seat in time: the request has not run, and the client is told at once.
+    pub fn refused(&mut self, number: u64, after_ms: u32) {
+        let Some(ticket) = self.tickets.get(number) else {
+            return;
+        };
+        if !matches!(ticket.stage, Stage::Waiting { .. }) {
+            return;
+        }
+        self.give_up(number, u64::from(after_ms), "no seat in time");
+    }
+
+    /// Ends a request that no runner answered: 503 where none can have run it, 502 where one may have.
+    pub fn give_up(&mut self, number: u64, after_ms: u64, reason: &str) {
+        let Some(ticket) = self.tickets.remove(number) else {
+            return;
+        };
+        let manner = self.options.manner.clone();
+        let after = format!("{:.3}", after_ms.max(RETRY_AFTER_MS) as f64 / 1_000.0);
+        let mut headers: Vec<(&str, &[u8])> = vec![(manner.id, &ticket.id)];
+        let status = if ticket.may_have_run { 502 } else { 503 };
+        if status == 503 {
+            headers.push((manner.retry_after, after.as_bytes()));
+        }
+        self.note_refusal(&ticket, status, reason);
+        self.answer(&ticket, status, &headers, reason.as_bytes());
+    }
+
+    fn note_refusal(&mut self, ticket: &Ticket, status: u16, reason: &str) {
+        self.refusals += 1;
+        // Told one by one while there are few, then one in a hundred.
+        if self.refusals < 50 || self.refusals % 100 == 0 {
+            let held = self.now - ticket.began_at;
+            log::info!(
+                "gateway: refused {status} for {} after {held} ms: {reason} ({} so far)",
+                ticket.function,
+                self.refusals
+            );
+        }
+    }
+
+    /// The time of a request is over.
+    pub fn ticket_is_over(&mut self, number: u64) {
+        let Some(ticket) = self.tickets.get(number) else {
+            return;
+        };
+        if let Stage::Sent(sent) = &ticket.stage {
+            let (line, lender, runner) = (sent.line, sent.lender.clone(), sent.runner.clone());
+            let has_left = sent.has_left;
+            let function = ticket.function.clone();
+            ticket.may_have_run |= has_left;
+            let outcome = if has_left { Outcome::Lost } else { Outcome::Unreached };
+            self.drop_runner_line(line, &runner);
+            self.give_back(&lender, &function, number, outcome, 0);
+        } else {
+            self.withdraw(number);
+        }
+        let Some(ticket) = self.tickets.get(number) else {
+            return;
+        };
+        if !ticket.may_have_run {
+            self.give_up(number, RETRY_AFTER_MS, "the time is over, and it was not run");
+            return;
+        }
+        let Some(ticket) = self.tickets.remove(number) else {
+            return;
+        };
+        let id = self.options.manner.id;
+        self.note_refusal(&ticket, 504, "the runner did not answer in time");
+        self.answer(&ticket, 504, &[(id, &ticket.id)], b"the runner did not answer in time");
+    }
+
+    /// A runner answered this request.
+    pub fn answered(&mut self, number: u64, response: &Response) {
+        let manner = self.options.manner.clone();
+        let Some(ticket) = self.tickets.get(number) else {
+            return;
+        };
+        let Stage::Sent(sent) = &ticket.stage else {
+            return;
+        };
+        let lender = sent.lender.clone();
+        let runner = sent.runner.clone();
+        let took = self.now - sent.at;
+        let function = ticket.function.clone();
+        let not_run = response.headers.get(manner.not_run).is_some() || response.status == 421;
+        if not_run {
+            let is_other = response.status == 421;
+            let outcome = if is_other { Outcome::Gone } else { Outcome::TurnedAway };
+            ticket.avoid.push(runner);
+            self.give_back(&lender, &function, number, outcome, took);
+            if !self.try_again(number, true) {
+                self.give_up(number, RETRY_AFTER_MS, "the runner turned it away");
+            }
+            return;
+        }
+        let is_good = (200..300).contains(&response.status);
+        if is_good && response.headers.get(manner.seal).is_none() {
+            ticket.avoid.push(runner);
+            self.lost(number, "the answer has no seal");
+            return;
+        }
+        self.give_back(&lender, &function, number, Outcome::Answered, took);
+        let Some(ticket) = self.tickets.get(number) else {
+            return;
+        };
+        ticket.may_have_run = true;
+        if response.status >= 500 && !ticket.is_once {
+            ticket.avoid.push(runner);
+            if self.try_again(number, true) {
+                return;
+            }
+        }
+        let Some(ticket) = self.tickets.remove(number) else {
+            return;
+        };
+        let headers: Vec<(&str, &[u8])> = end_to_end(&response.headers).collect();
+        self.answer(&ticket, response.status, &headers, &response.body);
+    }
+
+    /// A request's runner may have run it, and no good answer came.
+    pub fn lost(&mut self, number: u64, reason: &str) {
+        let Some(ticket) = self.tickets.get(number) else {
+            return;
+        };
+        let Stage::Sent(sent) = &ticket.stage else {
+            return;
+        };
+        let lender = sent.lender.clone();
+        let runner = sent.runner.clone();
+        let function = ticket.function.clone();
+        ticket.may_have_run = true;
+        if !ticket.avoid.contains(&runner) {
+            ticket.avoid.push(runner);
+        }
+        self.give_back(&lender, &function, number, Outcome::Lost, 0);
+        if !self.try_again(number, true) {
+            self.give_up(number, RETRY_AFTER_MS, reason);
+        }
+    }
+}
