--- /dev/null
+++ b/crates/gateway/src/runners.rs
@@ -0,0 +1,404 @@
+use crate::gateway::{Due, Gateway, Role};
+use crate::tickets::{Sent, Stage};
+use courier::{Courier, End, LineId};
+use dispatch::{Grant, Outcome};
+use exchange::{end_to_end, idle_seconds, write_request, Bounds, Response, ResponseReader};
+use std::collections::HashMap;
+
+/// Largest answer of a runner, in bytes.
+const ANSWER_MAX: usize = 4 << 20;
+const HEAD_MAX: usize = 64 << 10;
+/// Milliseconds for which an idle line is kept where the runner does not tell.
+const IDLE_MS: u64 = 5_000;
+/// Most idle lines that are kept.
+const IDLE_MAX: usize = 1_024;
+/// Answers to other requests that are dropped on one line before it is closed.
+const STRAYS_MAX: u32 = 4;
+
+/// A connection to a runner.
+pub(crate) struct RunnerLine {
+    pub runner: String,
+    pub ticket: Option<u64>,
+    reader: ResponseReader,
+    uses: u32,
+    strays: u32,
+    expires_at: u64,
+    is_head: bool,
+}
+
+/// Idle connections by runner.
+#[derive(Default)]
+pub(crate) struct Pool {
+    idle: HashMap<String, Vec<LineId>>,
+    count: usize,
+}
+
+impl Pool {
+    fn take(&mut self, runner: &str) -> Option<LineId> {
+        let lines = self.idle.get_mut(runner)?;
+        let line = lines.pop();
+        if lines.is_empty() {
+            self.idle.remove(runner);
+        }
+        self.count -= usize::from(line.is_some());
+        line
+    }
+
+    fn put(&mut self, runner: &str, line: LineId, most: usize) -> bool {
+        let lines = self.idle.entry(runner.into()).or_default();
+        if lines.len() >= most || self.count >= IDLE_MAX {
+            return false;
+        }
+        lines.push(line);
+        self.count += 1;
+        true
+    }
+
+    fn forget(&mut self, runner: &str, line: LineId) {
+        let Some(lines) = self.idle.get_mut(runner) else {
+            return;
+        };
+        let before = lines.len();
+        lines.retain(|one| *one != line);
+        self.count -= before - lines.len();
+        if lines.is_empty() {
+            self.idle.remove(runner);
+        }
+    }
+
+    /// Closes what was idle for too long.
+    pub fn expire(&mut self, courier: &mut Courier, roles: &mut HashMap<LineId, Role>, now: u64) {
+        let mut count = self.count;
+        self.idle.retain(|_, lines| {
+            lines.retain(|line| {
+                let is_fresh = matches!(roles.get(line),
+                    Some(Role::Runner(runner)) if runner.expires_at > now);
+                if !is_fresh {
+                    roles.remove(line);
+                    courier.close(*line);
+                    count -= 1;
+                }
+                is_fresh
+            });
+            !lines.is_empty()
+        });
+        self.count = count;
+    }
+}
+
+impl Gateway {
+    /// A seat was lent: the request goes to its runner.
+    pub fn granted(&mut self, lender: &str, grant: Grant) {
+        let number = grant.ticket;
+        let closed = self.control.is_closed(&grant.district);
+        let waits = self.tickets.get(number).is_some_and(|ticket| {
+            let is_meant = matches!(&ticket.stage,
+                Stage::Waiting { lender: asked, .. } if asked == lender);
+            is_meant && ticket.client.is_some()
+        });
+        if !waits || closed {
+            self.unused(lender, number);
+            if waits {
+                self.rest_and_bid(number);
+            }
+            return;
+        }
+        let line = self.pool.take(&grant.runner).filter(|line| self.is_clean(*line));
+        let is_reused = line.is_some();
+        let line = line.or_else(|| self.open_runner(&grant));
+        let Some(line) = line else {
+            self.unused(lender, number);
+            self.give_up(number, 0, "no line to a runner could be opened");
+            return;
+        };
+        let now = self.now;
+        if let Some(ticket) = self.tickets.get(number) {
+            ticket.stage = Stage::Sent(Sent {
+                lender: lender.into(),
+                runner: grant.runner,
+                address: grant.address,
+                district: grant.district,
+                line,
+                at: now,
+                has_left: false,
+            });
+        }
+        if let Some(Role::Runner(runner)) = self.roles.get_mut(&line) {
+            runner.ticket = Some(number);
+        }
+        if is_reused {
+            self.send_to_runner(line);
+        }
+    }
+
+    fn unused(&mut self, lender: &str, number: u64) {
+        let release = dispatch::Release {
+            ticket: number,
+            outcome: Outcome::Unused,
+            took_ms: 0,
+        };
+        if lender == self.options.name {
+            self.keeper.release(self.now, lender, &release);
+        } else {
+            self.tell(lender, &dispatch::Message::Release(release));
+        }
+    }
+
+    fn rest_and_bid(&mut self, number: u64) {
+        if let Some(ticket) = self.tickets.get(number) {
+            ticket.stage = Stage::Resting;
+            self.timers.set(self.now + 20, Due::Rest(number));
+        }
+    }
+
+    // Nothing may lie unread on a line that is used again: it would be no answer to the next request.
+    fn is_clean(&mut self, line: LineId) -> bool {
+        let is_clean = self.courier.is_open(line)
+            && self.courier.inbox(line).is_some_and(|inbox| inbox.is_empty());
+        if !is_clean {
+            self.roles.remove(&line);
+            self.courier.close(line);
+        }
+        is_clean
+    }
+
+    fn open_runner(&mut self, grant: &Grant) -> Option<LineId> {
+        let address = grant.address.parse().ok()?;
+        let line = self.courier.connect(address, ANSWER_MAX + HEAD_MAX).ok()?;
+        self.roles.insert(line, runner_role(&grant.runner));
+        let wait = self.options.connect_ms();
+        self.timers.set(self.now + wait, Due::Connect(line));
+        Some(line)
+    }
+
+    /// Opens a line to a runner that is starting, to see whether it is up.
+    pub fn probe(&mut self, function: String, runner: String, address: &str) {
+        let line = address.parse().ok();
+        let line = line.and_then(|address| {
+            let line = self.courier.connect(address, ANSWER_MAX + HEAD_MAX);
+            line.ok()
+        });
+        let Some(line) = line else {
+            self.keeper.probed(self.now, &function, &runner, false);
+            return;
+        };
+        let wait = self.options.connect_ms();
+        self.timers.set(self.now + wait, Due::Connect(line));
+        self.roles.insert(line, Role::Probe { function, runner });
+    }
+
+    /// The line of a probe that was taken is kept for requests.
+    pub fn pool_probe(&mut self, line: LineId, runner: &str) {
+        let mut role = runner_role(runner);
+        if let Role::Runner(runner) = &mut role {
+            runner.expires_at = self.now + IDLE_MS;
+        }
+        self.roles.insert(line, role);
+        self.pool.put(runner, line, 2);
+    }
+
+    pub fn runner_connected(&mut self, line: LineId) {
+        self.send_to_runner(line);
+    }
+
+    fn send_to_runner(&mut self, line: LineId) {
+        let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
+            return;
+        };
+        let Some(number) = runner.ticket else {
+            return;
+        };
+        let manner = &self.options.manner;
+        let Some(ticket) = self.tickets.get(number) else {
+            self.roles.remove(&line);
+            self.courier.close(line);
+            return;
+        };
+        let Stage::Sent(sent) = &mut ticket.stage else {
+            return;
+        };
+        sent.has_left = true;
+        sent.at = self.now;
+        ticket.sends += 1;
+        runner.uses += 1;
+        let request = &ticket.request;
+        let left = ticket.ends_at.saturating_sub(self.now).max(1).to_string();
+        let kept = end_to_end(&request.headers).filter(|(name, _)| {
+            !name.eq_ignore_ascii_case(manner.budget) && !name.eq_ignore_ascii_case(manner.runner)
+        });
+        let own: [(&str, &[u8]); 2] = [
+            (manner.budget, left.as_bytes()),
+            (manner.runner, sent.runner.as_bytes()),
+        ];
+        let mut out = Vec::with_capacity(request.body.len() + 512);
+        let headers = kept.chain(own);
+        write_request(&mut out, &request.method, &request.target, headers, &request.body);
+        runner.is_head = request.method == "HEAD";
+        runner.reader = ResponseReader::new(runner.is_head);
+        self.courier.send(line, &out);
+    }
+
+    pub fn runner_arrived(&mut self, line: LineId) {
+        let bounds = Bounds {
+            header_bytes: HEAD_MAX,
+            body_bytes: ANSWER_MAX,
+        };
+        loop {
+            let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
+                return;
+            };
+            let Some(inbox) = self.courier.inbox(line) else {
+                return;
+            };
+            let Some(number) = runner.ticket else {
+                // Bytes without a request belong to nobody.
+                let name = runner.runner.clone();
+                self.drop_runner_line(line, &name);
+                return;
+            };
+            match runner.reader.read(inbox, &bounds) {
+                Ok(None) => return,
+                Ok(Some(response)) => {
+                    if self.take_response(line, number, &response) {
+                        return;
+                    }
+                }
+                Err(_) => {
+                    let name = runner.runner.clone();
+                    self.drop_runner_line(line, &name);
+                    self.lost(number, "the runner sent no answer in the protocol");
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Takes one whole answer; false where it belonged to another request.
+    fn take_response(&mut self, line: LineId, number: u64, response: &Response) -> bool {
+        let manner = &self.options.manner;
+        let Some(ticket) = self.tickets.get(number) else {
+            return true;
+        };
+        let echoed = response.headers.get(manner.id);
+        let is_own = echoed.is_some_and(|id| id == ticket.id.as_slice());
+        let says_not_run =
+            response.headers.get(manner.not_run).is_some() || response.status == 421;
+        let is_once = ticket.is_once;
+        let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
+            return true;
+        };
+        // A refusal may come without an id; on a line that had another request before, it may be a late one.
+        let is_fresh = runner.uses <= 1 && runner.strays == 0;
+        let may_be_own = echoed.is_none() && says_not_run && (is_fresh || !is_once);
+        if !is_own && !may_be_own {
+            runner.strays += 1;
+            runner.reader = ResponseReader::new(runner.is_head);
+            if runner.strays <= STRAYS_MAX {
+                return false;
+            }
+            let name = runner.runner.clone();
+            self.drop_runner_line(line, &name);
+            self.lost(number, "the runner's answers belong to other requests");
+            return true;
+        }
+        runner.ticket = None;
+        let keep = response.keeps_alive && runner.strays == 0;
+        let idle = idle_seconds(&response.headers);
+        let wait = idle.map_or(IDLE_MS, |seconds| (seconds * 1_000).saturating_sub(500));
+        runner.expires_at = self.now + wait.min(30_000);
+        let name = runner.runner.clone();
+        let is_clean = self.courier.inbox(line).is_some_and(|inbox| inbox.is_empty());
+        let most = self.control.idle_lines();
+        if !(keep && is_clean && wait > 0 && self.pool.put(&name, line, most)) {
+            self.roles.remove(&line);
+            self.courier.close(line);
+        }
+        self.answered(number, response);
+        true
+    }
+
+    pub fn runner_ended(&mut self, line: LineId, end: End) {
+        let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
+            return;
+        };
+        let name = runner.runner.clone();
+        let Some(number) = runner.ticket else {
+            self.pool.forget(&name, line);
+            return;
+        };
+        if end == End::Closed {
+            if let Some(inbox) = self.courier.inbox(line) {
+                if let Ok(Some(response)) = runner.reader.at_end(inbox) {
+                    if response.headers.get(self.options.manner.id).is_some() {
+                        self.take_response(line, number, &response);
+                        return;
+                    }
+                }
+            }
+        }
+        self.roles.remove(&line);
+        self.courier.close(line);
+        self.runner_failed(number, end == End::Unreached);
+    }
+
+    fn runner_failed(&mut self, number: u64, nobody_there: bool) {
+        let Some(ticket) = self.tickets.get(number) else {
+            return;
+        };
+        let Stage::Sent(sent) = &ticket.stage else {
+            return;
+        };
+        if sent.has_left {
+            self.lost(number, "the runner broke off");
+            return;
+        }
+        let (lender, runner) = (sent.lender.clone(), sent.runner.clone());
+        let function = ticket.function.clone();
+        ticket.unreached += 1;
+        ticket.avoid.push(runner);
+        let outcome = if nobody_there { Outcome::Gone } else { Outcome::Unreached };
+        self.give_back(&lender, &function, number, outcome, 0);
+        if !self.try_again(number, false) {
+            self.give_up(number, 0, "no runner could be reached");
+        }
+    }
+
+    /// The time for a connection to come up is over.
+    pub fn connect_is_over(&mut self, line: LineId) {
+        match self.roles.get(&line) {
+            Some(Role::Probe { function, runner }) => {
+                let (function, runner) = (function.clone(), runner.clone());
+                self.roles.remove(&line);
+                self.courier.close(line);
+                self.keeper.probed(self.now, &function, &runner, false);
+            }
+            Some(Role::Runner(runner)) if runner.uses == 0 => {
+                let Some(number) = runner.ticket else {
+                    return;
+                };
+                self.roles.remove(&line);
+                self.courier.close(line);
+                self.runner_failed(number, false);
+            }
+            _ => {}
+        }
+    }
+
+    pub fn drop_runner_line(&mut self, line: LineId, runner: &str) {
+        self.pool.forget(runner, line);
+        self.roles.remove(&line);
+        self.courier.close(line);
+    }
+}
+
+fn runner_role(runner: &str) -> Role {
+    Role::Runner(RunnerLine {
+        runner: runner.into(),
+        ticket: None,
+        reader: ResponseReader::new(false),
+        uses: 0,
+        strays: 0,
+        expires_at: 0,
+        is_head: false,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/tickets.rs
@@ -0,0 +1,83 @@
+use courier::LineId;
+use exchange::Request;
+use slab::Slab;
+
+/// Who lends seats of a function: the daemon's name.
+pub(crate) type Lender = String;
+
+/// Where a request is on its way.
+#[derive(Debug)]
+pub(crate) enum Stage {
+    /// It waits for a seat.
+    Waiting { lender: Lender, since: u64 },
+    /// It is at a runner, or on the way there.
+    Sent(Sent),
+    /// It waits until it may be sent again, or until its function has a keeper.
+    Resting,
+}
+
+/// A request at a runner.
+#[derive(Debug)]
+pub(crate) struct Sent {
+    pub lender: Lender,
+    pub runner: String,
+    pub address: String,
+    pub district: String,
+    pub line: LineId,
+    pub at: u64,
+    pub has_left: bool,
+}
+
+/// A request that was read whole and is not answered yet.
+#[derive(Debug)]
+pub(crate) struct Ticket {
+    pub client: Option<LineId>,
+    pub request: Request,
+    pub id: Vec<u8>,
+    pub function: String,
+    pub is_once: bool,
+    pub rank: u8,
+    pub tries: u32,
+    pub sends: u32,
+    pub unreached: u32,
+    pub may_have_run: bool,
+    pub began_at: u64,
+    pub ends_at: u64,
+    pub avoid: Vec<String>,
+    pub stage: Stage,
+}
+
+/// Continuations of requests, by a number that is never used twice in a daemon's life.
+#[derive(Default)]
+pub(crate) struct Tickets {
+    slab: Slab<(u32, Ticket)>,
+    uses: u32,
+}
+
+impl Tickets {
+    pub fn add(&mut self, ticket: Ticket) -> u64 {
+        self.uses = self.uses.wrapping_add(1);
+        let place = self.slab.insert((self.uses, ticket));
+        (u64::from(self.uses) << 32) | place as u64
+    }
+
+    pub fn get(&mut self, number: u64) -> Option<&mut Ticket> {
+        let (use_no, ticket) = self.slab.get_mut((number & 0xffff_ffff) as usize)?;
+        (u64::from(*use_no) == number >> 32).then_some(ticket)
+    }
+
+    pub fn remove(&mut self, number: u64) -> Option<Ticket> {
+        self.get(number)?;
+        Some(self.slab.remove((number & 0xffff_ffff) as usize).1)
+    }
+
+    pub fn len(&self) -> usize {
+        self.slab.len()
+    }
+
+    pub fn numbers(&self, passes: impl Fn(&Ticket) -> bool) -> Vec<u64> {
+        let kept = self.slab.iter().filter(|(_, (_, ticket))| passes(ticket));
+        kept.map(|(place, (use_no, _))| (u64::from(*use_no) << 32) | place as u64)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/launching/src/placing.rs
@@ -0,0 +1,202 @@
+use crate::launcher::Launcher;
+use crate::runner::{Life, Runner};
+use crate::sights::WorkerSight;
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+
+/// Milliseconds after which a start for which there was no room is tried again.
+const HELD_MS: u64 = 1_000;
+
+/// A worker, and what became of it since it was listed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Worker {
+    pub sight: WorkerSight,
+    pub seen_at: u64,
+    pub aside_until: u64,
+    /// Times and sizes of memory that was freed.
+    pub freed: Vec<(u64, u64)>,
+}
+
+/// How good a worker is for a start; the lowest goes first.
+struct Fitness {
+    is_elsewhere: bool,
+    is_fresh: bool,
+    /// Occupancy in tenths: only workers that are about equal are told apart by the districts.
+    tenths: u64,
+    neighbours: usize,
+    occupancy: f64,
+}
+
+impl Fitness {
+    fn compare(&self, other: &Self) -> Ordering {
+        let key = |fitness: &Self| {
+            (
+                fitness.is_elsewhere,
+                fitness.is_fresh,
+                fitness.tenths,
+                fitness.neighbours,
+            )
+        };
+        let by_occupancy = || self.occupancy.total_cmp(&other.occupancy);
+        key(self).cmp(&key(other)).then_with(by_occupancy)
+    }
+}
+
+impl Launcher {
+    pub(crate) fn is_open(&self, worker: &Worker) -> bool {
+        !self.is_shut(worker) && self.now >= worker.aside_until
+    }
+
+    /// It leaves, or its district is closed.
+    pub(crate) fn is_shut(&self, worker: &Worker) -> bool {
+        worker.sight.is_leaving || self.closed.contains(&worker.sight.district)
+    }
+
+    /// Runners that take memory on a worker, as far as is known.
+    pub(crate) fn placed_on(&self, worker: &str) -> impl Iterator<Item = (u64, &Runner)> {
+        let serials = self.placed.get(worker).into_iter().flatten();
+        serials.filter_map(|serial| Some((*serial, self.runners.get(serial)?)))
+    }
+
+    /// Memory that is free on a worker, by the own account and by the list.
+    pub(crate) fn free_mb(&self, worker: &Worker) -> u64 {
+        let seen_at = worker.seen_at.saturating_sub(self.options.list_lag_ms);
+        let mut used_mb = 0;
+        let mut unlisted_mb = 0;
+        for (_, runner) in self.placed_on(&worker.sight.name) {
+            used_mb += runner.memory_mb;
+            let is_unlisted = match runner.asked_at {
+                Some(at) => at >= seen_at,
+                None => runner.id.is_none(),
+            };
+            if is_unlisted {
+                unlisted_mb += runner.memory_mb;
+            }
+        }
+        let lately = worker.freed.iter().filter(|(at, _)| *at >= seen_at);
+        let freed_mb: u64 = lately.map(|(_, size)| size).sum();
+        let own_mb = worker.sight.memory_mb.saturating_sub(used_mb);
+        let listed_mb = (worker.sight.free_mb + freed_mb).saturating_sub(unlisted_mb);
+        own_mb.min(listed_mb)
+    }
+
+    fn occupancy(&self, worker: &Worker) -> f64 {
+        let shares = self.placed_on(&worker.sight.name).map(|(_, runner)| {
+            let share = f64::from(runner.quota) / f64::from(runner.most.max(1));
+            runner.memory_mb as f64 * share
+        });
+        shares.sum::<f64>() / worker.sight.memory_mb.max(1) as f64
+    }
+
+    /// Runners of a function that count, by district.
+    fn spread(&self, name: &str) -> BTreeMap<&str, usize> {
+        let mut districts = BTreeMap::new();
+        let Some(function) = self.functions.get(name) else {
+            return districts;
+        };
+        for (_, runner) in self.runners_of(function) {
+            if runner.counts() {
+                *districts.entry(runner.district.as_str()).or_default() += 1;
+            }
+        }
+        districts
+    }
+
+    /// District from which most calls come that have no runner there.
+    fn callers_district(&self, name: &str, spread: &BTreeMap<&str, usize>) -> Option<String> {
+        if !self.options.prefers_callers_district {
+            return None;
+        }
+        let calls = self.functions.get(name)?.arrivals.by_district().iter();
+        let unserved = calls.filter(|(district, _)| !spread.contains_key(district.as_str()));
+        let most = unserved.max_by(|(one, count), (other, others)| {
+            count.total_cmp(others).then_with(|| other.cmp(one))
+        });
+        most.map(|(district, _)| district.clone())
+    }
+
+    /// The least-occupied used worker, else a fresh one; in the callers' district where there is
+    /// room and the function has no runner.
+    pub(crate) fn place(&self, name: &str) -> Option<String> {
+        let memory_mb = self.functions.get(name)?.plan.memory_mb;
+        let spread = self.spread(name);
+        let callers = self.callers_district(name, &spread);
+        let mut best: Option<(Fitness, &str)> = None;
+        for worker in self.workers.values() {
+            if !self.is_open(worker) || self.free_mb(worker) < memory_mb {
+                continue;
+            }
+            let district = worker.sight.district.as_str();
+            let occupancy = self.occupancy(worker);
+            let fitness = Fitness {
+                is_elsewhere: callers.as_deref().is_some_and(|name| name != district),
+                is_fresh: self.placed_on(&worker.sight.name).next().is_none(),
+                tenths: (occupancy * 10.0) as u64,
+                neighbours: spread.get(district).copied().unwrap_or(0),
+                occupancy,
+            };
+            let is_better = |(other, _): &(Fitness, &str)| fitness.compare(other).is_lt();
+            if best.as_ref().is_none_or(is_better) {
+                best = Some((fitness, &worker.sight.name));
+            }
+        }
+        best.map(|(_, chosen_worker)| chosen_worker.to_owned())
+    }
+
+    /// Wants one more runner of a function. Tells whether there was room.
+    pub(crate) fn launch(&mut self, name: &str, is_urgent: bool) -> bool {
+        let Some(chosen_worker) = self.place(name) else {
+            self.hold_back(name);
+            self.make_room(name);
+            return false;
+        };
+        let Some(function) = self.functions.get(name) else {
+            return false;
+        };
+        let Some(worker) = self.workers.get(&chosen_worker) else {
+            return false;
+        };
+        let plan = &function.plan;
+        let nonce = format!("{}-{}", self.options.own_nonce, self.serials + 1);
+        let rank = plan.rank;
+        let runner = Runner {
+            function: name.to_owned(),
+            nonce,
+            id: None,
+            address: String::new(),
+            district: worker.sight.district.clone(),
+            worker: chosen_worker,
+            memory_mb: plan.memory_mb,
+            quota: plan.concurrency,
+            most: plan.concurrency,
+            capacity: u32::MAX,
+            life: Life::Wanted { not_before: 0 },
+            asked_at: None,
+            started_at: self.now,
+            tries: 0,
+            known_at: self.now,
+            is_up: false,
+            is_lost: false,
+            was_listed: false,
+            missing_since: None,
+            drain_news: 0,
+            used_at: self.now,
+            pace_ms: function.pace_ms,
+            answers: 0,
+        };
+        log::debug!("scaler: {name} wants a runner on {}", runner.worker);
+        let serial = self.add_runner(runner);
+        self.wanted
+            .insert((if is_urgent { 0 } else { 2 }, rank, serial));
+        self.explain(name, "one more runner");
+        true
+    }
+
+    fn hold_back(&mut self, name: &str) {
+        let until = self.now + HELD_MS;
+        if let Some(function) = self.functions.get_mut(name) {
+            function.held_until = until;
+        }
+        self.explain(name, "no room");
+    }
+}
--- /dev/null
+++ b/crates/launching/src/room.rs
@@ -0,0 +1,95 @@
+use crate::function::Function;
+use crate::launcher::Launcher;
+use crate::runner::{Cause, Life, Runner};
+use std::collections::BTreeMap;
+
+/// Milliseconds for which a runner must be idle before it makes room.
+const IDLE_MS: u64 = 1_000;
+
+impl Launcher {
+    /// Drains runners that have been idle the longest, beyond their functions' minimal ones, on
+    /// the worker that is the first to have room then.
+    pub(crate) fn make_room(&mut self, name: &str) {
+        let Some(function) = self.functions.get(name) else {
+            return;
+        };
+        let memory_mb = function.plan.memory_mb;
+        let mut spare = self.spare_runners(name, function.plan.rank);
+        spare.sort();
+        let mut freed: BTreeMap<&str, (u64, Vec<u64>)> = BTreeMap::new();
+        let mut victims = Vec::new();
+        for (_, serial) in &spare {
+            let Some(runner) = self.runners.get(serial) else {
+                continue;
+            };
+            let Some(worker) = self.workers.get(&runner.worker) else {
+                continue;
+            };
+            if !self.is_open(worker) {
+                continue;
+            }
+            let empty = || {
+                (
+                    self.free_mb(worker) + self.ending_mb(&runner.worker),
+                    Vec::new(),
+                )
+            };
+            let (size, serials) = freed.entry(&runner.worker).or_insert_with(empty);
+            if *size >= memory_mb {
+                // What ends there already will make the room.
+                return;
+            }
+            *size += runner.memory_mb;
+            serials.push(*serial);
+            if *size >= memory_mb {
+                victims.clone_from(serials);
+                break;
+            }
+        }
+        for serial in victims {
+            self.drain(serial, Cause::Surplus);
+        }
+    }
+
+    fn ending_mb(&self, worker: &str) -> u64 {
+        let ending = self
+            .placed_on(worker)
+            .filter(|(_, runner)| !runner.counts());
+        ending.map(|(_, runner)| runner.memory_mb).sum()
+    }
+
+    /// Idle runners that others than this function can do without, by the time of their last use.
+    fn spare_runners(&self, name: &str, rank: u8) -> Vec<(u64, u64)> {
+        let mut spare = Vec::new();
+        let others = self.active.iter().filter(|other| *other != name);
+        for other in others {
+            let Some(function) = self.functions.get(other) else {
+                continue;
+            };
+            let minimal = usize::from(function.plan.is_prewarmed());
+            let load = self.load_of(function);
+            let is_needed = load.waiting > 0 || load.demand > self.options.beta * load.capacity;
+            if is_needed && function.plan.rank <= rank {
+                continue;
+            }
+            let runners = self.runners_of(function);
+            let idle = runners.filter(|(_, runner)| self.is_idle(function, runner));
+            let mut idle: Vec<(u64, u64)> = idle
+                .map(|(serial, runner)| (runner.used_at, serial))
+                .collect();
+            idle.sort_unstable();
+            idle.truncate(load.alive.saturating_sub(minimal));
+            spare.extend(idle);
+        }
+        spare
+    }
+
+    fn is_idle(&self, function: &Function, runner: &Runner) -> bool {
+        let Some(id) = &runner.id else {
+            return false;
+        };
+        runner.life == Life::Serving
+            && function.in_use(id) == 0
+            && runner.used_at + IDLE_MS <= self.now
+    }
+}
--- /dev/null
+++ b/crates/launching/src/telling.rs
@@ -0,0 +1,106 @@
+use crate::function::Function;
+use crate::launcher::Launcher;
+use crate::runner::{Life, Runner};
+use crate::sights::FunctionNote;
+use dispatch::{FunctionNews, RunnerNews, RunnerStage};
+
+impl Launcher {
+    /// News of the functions whose runners changed since the last call.
+    pub fn news(&mut self) -> Vec<FunctionNews> {
+        if !self.knows_enough() {
+            return Vec::new();
+        }
+        let changed = std::mem::take(&mut self.changed);
+        changed.iter().map(|name| self.next_news(name)).collect()
+    }
+
+    fn next_news(&mut self, name: &str) -> FunctionNews {
+        self.counter += 1;
+        let counter = self.counter;
+        if let Some(function) = self.functions.get_mut(name) {
+            function.news = counter;
+            for serial in &function.runners {
+                let Some(runner) = self.runners.get_mut(serial) else {
+                    continue;
+                };
+                let is_draining = matches!(runner.life, Life::Draining { .. });
+                if is_draining && runner.drain_news == 0 {
+                    runner.drain_news = counter;
+                }
+            }
+        }
+        FunctionNews {
+            function: name.to_owned(),
+            mark: (self.options.term, counter),
+            runners: self.runner_news(name, self.now),
+        }
+    }
+
+    /// News of a function for a keeper that asks. Until the lists were seen once they are empty
+    /// with a mark that wins over no other.
+    pub fn news_of(&self, function: &str, now: u64) -> FunctionNews {
+        if !self.knows_enough() {
+            return FunctionNews {
+                function: function.to_owned(),
+                ..FunctionNews::default()
+            };
+        }
+        let first = self.options.term << 32;
+        let known = self.functions.get(function);
+        let counter = known.map_or(first, |known| known.news.max(first));
+        FunctionNews {
+            function: function.to_owned(),
+            mark: (self.options.term, counter),
+            runners: self.runner_news(function, now),
+        }
+    }
+
+    fn runner_news(&self, name: &str, now: u64) -> Vec<RunnerNews> {
+        let Some(function) = self.functions.get(name) else {
+            return Vec::new();
+        };
+        let runners = self.runners_of(function);
+        let told = runners.filter_map(|(_, runner)| tell(function, runner, now));
+        told.collect()
+    }
+
+    /// What is thought of each function that is not asleep.
+    pub fn notes(&self) -> Vec<FunctionNote> {
+        let names = self.active.iter();
+        let notes = names.filter_map(|name| Some(self.note(name, self.functions.get(name)?)));
+        notes.collect()
+    }
+
+    fn note(&self, name: &str, function: &Function) -> FunctionNote {
+        let load = self.load_of(function);
+        FunctionNote {
+            function: name.to_owned(),
+            measured: load.measured,
+            forecast: load.forecast,
+            waiting: load.waiting,
+            demand: load.demand,
+            capacity: load.capacity,
+            pace_ms: function.pace_ms,
+            runners: load.alive,
+            seats: load.seats,
+            reason: function.reason.to_owned(),
+        }
+    }
+}
+
+fn tell(function: &Function, runner: &Runner, now: u64) -> Option<RunnerNews> {
+    let stage = runner.stage()?;
+    let passed_ms = now.saturating_sub(runner.started_at);
+    let starts_in_ms = match stage {
+        RunnerStage::Starting => function.plan.start_ms.saturating_sub(passed_ms),
+        _ => 0,
+    };
+    Some(RunnerNews {
+        id: runner.id.clone()?,
+        address: runner.address.clone(),
+        district: runner.district.clone(),
+        quota: runner.quota,
+        stage,
+        starts_in_ms: u32::try_from(starts_in_ms).unwrap_or(u32::MAX),
+    })
+}
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -9,7 +9,7 @@
 mod round;
 
 pub use acceptor::{Acceptor, Held, Record, KEYS_MAX};
-pub use changing::{merged, replaced, VOTERS_KEY};
+pub use changing::{grown, merged, replaced, VOTERS_KEY};
 pub use client::{RegisterClient, VoterPort};
 pub use message::{Ballot, Stored, VoterAsk, VoterMessage, VoterRef, VoterReply, VoterSet};
 pub use proposal::{Proposal, ProposalStep};
--- /dev/null
+++ b/crates/seating/src/credit.rs
@@ -0,0 +1,39 @@
+/// Allowance for further tries: first tries earn it, and it never holds more than its cap, so that in any window
+/// further tries stay below cap + share x first tries.
+#[derive(Clone, Copy, Debug)]
+pub struct Credit {
+    held: f64,
+    cap: f64,
+    share: f64,
+}
+
+impl Credit {
+    /// An allowance that begins with one try, or with its cap where that is less.
+    pub fn new(share: f64, cap: f64) -> Self {
+        Self {
+            held: cap.min(1.0),
+            cap,
+            share,
+        }
+    }
+
+    /// Changes the cap, as the number of fronts changes.
+    pub fn set_cap(&mut self, cap: f64) {
+        self.cap = cap;
+        self.held = self.held.min(cap);
+    }
+
+    /// A first try was sent.
+    pub fn earn(&mut self) {
+        self.held = (self.held + self.share).min(self.cap.max(self.share));
+    }
+
+    /// Takes one further try, where there is one.
+    pub fn spend(&mut self) -> bool {
+        if self.held < 1.0 {
+            return false;
+        }
+        self.held -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/seating/src/keeper.rs
@@ -0,0 +1,374 @@
+use crate::seats::Seats;
+use dispatch::{Bid, FunctionNews, FunctionReport, Grant, Outcome, Release, RunnerStage};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Most requests that wait for one function.
+const WAITING_MAX: usize = 512;
+/// Most functions that one keeper knows.
+const FUNCTIONS_MAX: usize = 65_536;
+/// Milliseconds between reports of a function, where nothing is urgent.
+const REPORT_MS: u64 = 200;
+/// Milliseconds after which it is told again that requests wait.
+const REMIND_MS: u64 = 500;
+/// Milliseconds between urgent reports of a function.
+const URGENT_MS: u64 = 15;
+/// Milliseconds for which a runner that was full rests.
+const REST_MS: u64 = 25;
+/// Milliseconds after which a function that nobody uses is forgotten.
+const FORGET_MS: u64 = 4_000;
+/// Milliseconds after which a refused request may find a seat, where nothing better is known.
+const RETRY_AFTER_MS: u32 = 250;
+
+/// What the keeper wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Errand {
+    /// Lend a seat to a front.
+    Grant(String, Grant),
+    /// Tell a front that there is no seat for its ticket, and when to come back, in milliseconds.
+    Refuse(String, u64, u32),
+    /// See whether a runner takes connections: function, id, address.
+    Probe(String, String, String),
+}
+
+/// The keeper of all functions that fell to one front. A pure machine: `now` is a steady clock in milliseconds.
+#[derive(Default)]
+pub struct Keeper {
+    functions: HashMap<String, Seats>,
+    tickets: HashMap<(String, u64), String>,
+    dirty: BTreeSet<String>,
+    awaited: BTreeMap<(String, String), u64>,
+    closed: BTreeSet<String>,
+    errands: Vec<Errand>,
+}
+
+impl Keeper {
+    /// Districts that take no requests.
+    pub fn close_districts(&mut self, closed: BTreeSet<String>) {
+        self.closed = closed;
+    }
+
+    /// What is to be done now.
+    pub fn errands(&mut self) -> Vec<Errand> {
+        std::mem::take(&mut self.errands)
+    }
+
+    /// A front's request wants a seat.
+    pub fn bid(&mut self, now: u64, front: &str, district: &str, bid: Bid) {
+        let is_new = !self.functions.contains_key(&bid.function);
+        if is_new && self.functions.len() >= FUNCTIONS_MAX {
+            let refusal = Errand::Refuse(front.into(), bid.ticket, RETRY_AFTER_MS);
+            self.errands.push(refusal);
+            return;
+        }
+        let function = bid.function.clone();
+        let seats = self.functions.entry(function.clone()).or_default();
+        seats.used_at = now;
+        if bid.avoid.is_empty() {
+            *seats.arrived.entry(district.into()).or_insert(0) += 1;
+        }
+        let ahead = seats.ahead_of(bid.rank);
+        let wait = seats.expected_wait(now, ahead);
+        let is_hopeless = wait.is_some_and(|wait| wait > f64::from(bid.budget_ms) * 0.9);
+        if is_hopeless || seats.waiting.len() >= WAITING_MAX {
+            seats.given_up += 1;
+            seats.is_dirty = true;
+            let back = wait.unwrap_or(0.0).max(f64::from(RETRY_AFTER_MS)) as u32;
+            self.errands
+                .push(Errand::Refuse(front.into(), bid.ticket, back));
+            self.dirty.insert(function);
+            return;
+        }
+        let holder = (front.to_string(), bid.ticket);
+        self.tickets.insert(holder.clone(), function.clone());
+        seats.add(now, holder, district, bid);
+        seats.is_dirty = true;
+        self.serve(now, &function);
+        let Some(seats) = self.functions.get_mut(&function) else {
+            return;
+        };
+        seats.is_urgent |= !seats.waiting.is_empty();
+        self.dirty.insert(function);
+    }
+
+    /// A front's request wants no seat any more.
+    pub fn withdraw(&mut self, now: u64, front: &str, ticket: u64) {
+        let holder = (front.to_string(), ticket);
+        let Some(function) = self.tickets.remove(&holder) else {
+            return;
+        };
+        if let Some(seats) = self.functions.get_mut(&function) {
+            seats.withdraw(&holder);
+            seats.is_dirty = true;
+        }
+        self.dirty.insert(function.clone());
+        self.serve(now, &function);
+    }
+
+    /// A front gives a seat back.
+    pub fn release(&mut self, now: u64, front: &str, release: &Release) {
+        let holder = (front.to_string(), release.ticket);
+        let Some(function) = self.tickets.remove(&holder) else {
+            return;
+        };
+        let Some(seats) = self.functions.get_mut(&function) else {
+            return;
+        };
+        seats.used_at = now;
+        seats.is_dirty = true;
+        if let Some(runner) = seats.free(&holder) {
+            match release.outcome {
+                Outcome::Answered => {
+                    runner.is_up = true;
+                    runner.learn(release.took_ms);
+                }
+                Outcome::TurnedAway => runner.turned_away(now, REST_MS),
+                Outcome::Gone => {
+                    runner.is_gone = true;
+                    seats.is_urgent = true;
+                }
+                Outcome::Unreached => seats.is_urgent |= runner.missed(),
+                Outcome::Unused | Outcome::Lost => {}
+            }
+        }
+        self.dirty.insert(function.clone());
+        self.serve(now, &function);
+    }
+
+    /// A front tells which runners of a function it has requests at, to the function's new keeper.
+    pub fn known(
+        &mut self,
+        now: u64,
+        front: &str,
+        function: &str,
+        runners: &[(String, String, String, Vec<u64>)],
+    ) {
+        let seats = self.functions.entry(function.to_string()).or_default();
+        seats.used_at = now;
+        for (id, address, district, tickets) in runners {
+            let runner = seats.know(now, id, address, district);
+            for ticket in tickets {
+                let holder = (front.to_string(), *ticket);
+                runner.holders.insert(holder.clone(), now);
+                self.tickets.insert(holder, function.to_string());
+            }
+        }
+        seats.is_dirty = true;
+        self.dirty.insert(function.to_string());
+    }
+
+    /// The scaler tells a function's runners.
+    pub fn news(&mut self, now: u64, news: FunctionNews) {
+        let function = news.function.clone();
+        let seats = self.functions.entry(function.clone()).or_default();
+        seats.used_at = seats.used_at.max(now.saturating_sub(FORGET_MS / 2));
+        seats.take_news(now, news);
+        for runner in &seats.runners {
+            if runner.is_awaited() {
+                let key = (function.clone(), runner.news.id.clone());
+                self.awaited.entry(key).or_insert(runner.probe_at);
+            }
+        }
+        self.dirty.insert(function.clone());
+        self.serve(now, &function);
+    }
+
+    /// A front is gone; what it held or wanted is free.
+    pub fn forget_front(&mut self, now: u64, front: &str) {
+        let held = self.tickets.iter().filter(|((name, _), _)| name == front);
+        let functions: BTreeSet<String> = held.map(|(_, function)| function.clone()).collect();
+        self.tickets.retain(|(name, _), _| name != front);
+        for function in functions {
+            if let Some(seats) = self.functions.get_mut(&function) {
+                seats.forget_front(front);
+                seats.is_dirty = true;
+            }
+            self.dirty.insert(function.clone());
+            self.serve(now, &function);
+        }
+    }
+
+    /// What came of a probe: whether the runner took the connection.
+    pub fn probed(&mut self, now: u64, function: &str, runner: &str, is_up: bool) {
+        let Some(seats) = self.functions.get_mut(function) else {
+            return;
+        };
+        let mut runners = seats.runners.iter_mut();
+        let Some(runner) = runners.find(|one| one.news.id == runner) else {
+            return;
+        };
+        runner.is_probed = false;
+        if is_up {
+            runner.is_up = true;
+            seats.is_dirty = true;
+            self.awaited
+                .remove(&(function.to_string(), runner.news.id.clone()));
+            self.dirty.insert(function.to_string());
+            self.serve(now, function);
+            return;
+        }
+        // The pause grows with how long the start takes already.
+        let pause = (u64::from(runner.news.starts_in_ms) / 20).clamp(15, 150);
+        runner.probe_at = now + pause;
+        let key = (function.to_string(), runner.news.id.clone());
+        self.awaited.insert(key, now + pause);
+    }
+
+    /// Lends what is free, and sees to what is due; called often.
+    pub fn tick(&mut self, now: u64) {
+        let due: Vec<(String, String)> = self
+            .awaited
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for (function, id) in due {
+            self.probe(&function, &id);
+        }
+        let resting = self.functions.iter().filter(|(_, seats)| !seats.waiting.is_empty());
+        let waiting: Vec<String> = resting.map(|(function, _)| function.clone()).collect();
+        for function in waiting {
+            self.drop_late(now, &function);
+            self.serve(now, &function);
+            self.remind(now, function);
+        }
+    }
+
+    // Who waits is told again and again, since the scaler forgets what it has not heard for long.
+    fn remind(&mut self, now: u64, function: String) {
+        let Some(seats) = self.functions.get_mut(&function) else {
+            return;
+        };
+        if !seats.waiting.is_empty() && now >= seats.told_at + REMIND_MS {
+            seats.is_dirty = true;
+            self.dirty.insert(function);
+        }
+    }
+
+    /// When there is something to do next, at the latest.
+    pub fn next_at(&self) -> Option<u64> {
+        self.awaited.values().min().copied()
+    }
+
+    fn probe(&mut self, function: &str, id: &str) {
+        let key = (function.to_string(), id.to_string());
+        self.awaited.remove(&key);
+        let Some(seats) = self.functions.get_mut(function) else {
+            return;
+        };
+        let mut runners = seats.runners.iter_mut();
+        let Some(runner) = runners.find(|one| one.news.id == id && one.is_awaited()) else {
+            return;
+        };
+        if runner.is_probed {
+            return;
+        }
+        runner.is_probed = true;
+        let address = runner.news.address.clone();
+        let errand = Errand::Probe(function.into(), id.into(), address);
+        self.errands.push(errand);
+    }
+
+    fn drop_late(&mut self, now: u64, function: &str) {
+        let Some(seats) = self.functions.get_mut(function) else {
+            return;
+        };
+        let late = seats.waiting.iter().filter(|(_, one)| one.ends_at <= now);
+        let late: Vec<(u8, u64)> = late.map(|(key, _)| *key).collect();
+        for key in late {
+            let Some(waiting) = seats.waiting.remove(&key) else {
+                continue;
+            };
+            self.tickets.remove(&waiting.holder);
+            seats.given_up += 1;
+            seats.is_dirty = true;
+            let (front, ticket) = waiting.holder;
+            self.errands
+                .push(Errand::Refuse(front, ticket, RETRY_AFTER_MS));
+        }
+    }
+
+    fn serve(&mut self, now: u64, function: &str) {
+        let Some(seats) = self.functions.get_mut(function) else {
+            return;
+        };
+        while let Some((key, place)) = seats.match_next(now, &self.closed) {
+            let Some(waiting) = seats.waiting.remove(&key) else {
+                return;
+            };
+            let runner = &mut seats.runners[place];
+            runner.holders.insert(waiting.holder.clone(), now);
+            let (front, ticket) = waiting.holder;
+            let grant = Grant {
+                ticket,
+                runner: runner.news.id.clone(),
+                address: runner.news.address.clone(),
+                district: runner.news.district.clone(),
+            };
+            self.errands.push(Errand::Grant(front, grant));
+        }
+    }
+
+    /// Reports that are due. `is_all` tells all that is known, as after a new scaler was met.
+    pub fn reports(&mut self, now: u64, is_all: bool) -> Vec<FunctionReport> {
+        let names: Vec<String> = if is_all {
+            self.functions.keys().cloned().collect()
+        } else {
+            self.dirty.iter().cloned().collect()
+        };
+        let mut reports = Vec::new();
+        for name in names {
+            let Some(seats) = self.functions.get_mut(&name) else {
+                self.dirty.remove(&name);
+                continue;
+            };
+            let pause = if seats.is_urgent { URGENT_MS } else { REPORT_MS };
+            if !is_all && (!seats.is_dirty || now < seats.told_at + pause) {
+                if !seats.is_dirty {
+                    self.dirty.remove(&name);
+                }
+                continue;
+            }
+            seats.told_at = now;
+            seats.is_dirty = false;
+            seats.is_urgent = false;
+            self.dirty.remove(&name);
+            reports.push(seats.report(&name));
+        }
+        reports
+    }
+
+    /// Forgets functions that fell to another front and are not used here any more.
+    pub fn forget_others(&mut self, now: u64, is_mine: impl Fn(&str) -> bool) {
+        self.functions.retain(|name, seats| {
+            is_mine(name) || !seats.is_idle() || now < seats.used_at + FORGET_MS
+        });
+        let functions = &self.functions;
+        self.dirty.retain(|name| functions.contains_key(name));
+        self.awaited
+            .retain(|(name, _), _| functions.contains_key(name));
+    }
+
+    /// Runners of a function, for whoever asks: id, quota, in use, whether it serves.
+    pub fn runners(&self, function: &str) -> Vec<(String, u32, u32, bool)> {
+        let Some(seats) = self.functions.get(function) else {
+            return Vec::new();
+        };
+        let runners = seats.runners.iter();
+        runners
+            .map(|one| {
+                let serves = one.serves() && one.news.stage != RunnerStage::Draining;
+                (one.news.id.clone(), one.news.quota, one.in_use(), serves)
+            })
+            .collect()
+    }
+
+    /// Functions known here.
+    pub fn len(&self) -> usize {
+        self.functions.len()
+    }
+
+    /// Whether no function is known here.
+    pub fn is_empty(&self) -> bool {
+        self.functions.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/seating/src/lib.rs
@@ -0,0 +1,12 @@
+//! Seats of a function's runners, lent by one keeper: waiting requests bid, by rank and then by age, and a runner
+//! never gets more at once than its quota. A pure machine; the front that keeps the function runs it.
+
+mod credit;
+mod elect;
+mod keeper;
+mod runner;
+mod seats;
+
+pub use credit::Credit;
+pub use elect::elect;
+pub use keeper::{Errand, Keeper};
--- /dev/null
+++ b/crates/seating/src/seats.rs
@@ -0,0 +1,197 @@
+use crate::runner::{Holder, Runner};
+use dispatch::{Bid, FunctionNews, FunctionReport, RunnerNews, RunnerStage};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Milliseconds of an answer that are assumed until one was seen.
+const PACE_PRIOR_MS: f64 = 60.0;
+
+/// A bid that waits.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    pub holder: Holder,
+    pub district: String,
+    pub avoid: Vec<String>,
+    pub ends_at: u64,
+}
+
+/// Seats of one function's runners, and who waits for them.
+#[derive(Debug, Default)]
+pub(crate) struct Seats {
+    pub mark: (u64, u64),
+    pub runners: Vec<Runner>,
+    pub waiting: BTreeMap<(u8, u64), Waiting>,
+    pub arrived: BTreeMap<String, u64>,
+    pub given_up: u64,
+    pub used_at: u64,
+    pub is_dirty: bool,
+    pub is_urgent: bool,
+    pub told_at: u64,
+    order: u64,
+}
+
+impl Seats {
+    pub fn take_news(&mut self, now: u64, news: FunctionNews) {
+        if news.mark < self.mark {
+            return;
+        }
+        self.mark = news.mark;
+        let mut known: BTreeMap<String, Runner> = std::mem::take(&mut self.runners)
+            .into_iter()
+            .map(|runner| (runner.news.id.clone(), runner))
+            .collect();
+        for told in news.runners {
+            let runner = match known.remove(&told.id) {
+                None => Runner::new(told, now),
+                Some(mut runner) => {
+                    runner.is_up |= told.stage == RunnerStage::Serving;
+                    runner.news = told;
+                    runner
+                }
+            };
+            self.runners.push(runner);
+        }
+        // What is not wanted any more keeps its holders until they are done.
+        for (_, mut runner) in known {
+            runner.news.stage = RunnerStage::Draining;
+            if !runner.holders.is_empty() {
+                self.runners.push(runner);
+            }
+        }
+        self.is_dirty = true;
+    }
+
+    /// A front told of a runner that this keeper may not know yet.
+    pub fn know(&mut self, now: u64, id: &str, address: &str, district: &str) -> &mut Runner {
+        if let Some(place) = self.runners.iter().position(|one| one.news.id == id) {
+            return &mut self.runners[place];
+        }
+        let news = RunnerNews {
+            id: id.into(),
+            address: address.into(),
+            district: district.into(),
+            quota: 1,
+            stage: RunnerStage::Serving,
+            starts_in_ms: 0,
+        };
+        self.runners.push(Runner::new(news, now));
+        let last = self.runners.len() - 1;
+        &mut self.runners[last]
+    }
+
+    pub fn add(&mut self, now: u64, holder: Holder, district: &str, bid: Bid) {
+        self.order += 1;
+        let waiting = Waiting {
+            holder,
+            district: district.into(),
+            avoid: bid.avoid,
+            ends_at: now + u64::from(bid.budget_ms),
+        };
+        self.waiting.insert((bid.rank, self.order), waiting);
+    }
+
+    pub fn withdraw(&mut self, holder: &Holder) {
+        self.waiting.retain(|_, one| one.holder != *holder);
+        self.free(holder);
+    }
+
+    pub fn free(&mut self, holder: &Holder) -> Option<&mut Runner> {
+        let mut runners = self.runners.iter_mut();
+        let found = runners.find(|runner| runner.holders.contains_key(holder))?;
+        found.holders.remove(holder);
+        Some(found)
+    }
+
+    pub fn forget_front(&mut self, front: &str) {
+        self.waiting.retain(|_, one| one.holder.0 != front);
+        for runner in &mut self.runners {
+            runner.holders.retain(|(name, _), _| name != front);
+        }
+    }
+
+    /// The next that gets a seat: its place in line and the runner.
+    pub fn match_next(&self, now: u64, closed: &BTreeSet<String>) -> Option<((u8, u64), usize)> {
+        let free: Vec<usize> = (0..self.runners.len())
+            .filter(|place| {
+                let runner = &self.runners[*place];
+                runner.has_seat(now) && !closed.contains(&runner.news.district)
+            })
+            .collect();
+        if free.is_empty() {
+            return None;
+        }
+        let prior = self.pace_ms();
+        for (key, waiting) in &self.waiting {
+            let able = free.iter().filter(|place| {
+                let id = &self.runners[**place].news.id;
+                !waiting.avoid.contains(id) || self.runners.len() == 1
+            });
+            let elected = able.min_by(|one, other| {
+                let of = |place: usize| self.cost(place, &waiting.district, prior);
+                of(**one).total_cmp(&of(**other))
+            });
+            if let Some(place) = elected {
+                return Some((*key, *place));
+            }
+        }
+        None
+    }
+
+    // Expected time of an answer, with the way to another district as a fifth of one more.
+    fn cost(&self, place: usize, district: &str, prior: f64) -> f64 {
+        let runner = &self.runners[place];
+        let pace = if runner.pace_ms > 0.0 {
+            runner.pace_ms
+        } else {
+            prior
+        };
+        let fullness = f64::from(runner.in_use()) / f64::from(runner.news.quota.max(1));
+        let way = if runner.news.district == district {
+            0.0
+        } else {
+            prior * 0.5
+        };
+        pace * (1.0 + fullness * 0.5) + way
+    }
+
+    /// Milliseconds of an answer, over the runners.
+    pub fn pace_ms(&self) -> f64 {
+        let paces = self.runners.iter().map(|runner| runner.pace_ms);
+        let seen: Vec<f64> = paces.filter(|pace| *pace > 0.0).collect();
+        if seen.is_empty() {
+            return PACE_PRIOR_MS;
+        }
+        seen.iter().sum::<f64>() / seen.len() as f64
+    }
+
+    /// Milliseconds until whoever stands behind so many others gets a seat; none where nothing serves nor starts.
+    pub fn expected_wait(&self, now: u64, ahead: usize) -> Option<f64> {
+        let serving = self.runners.iter().filter(|runner| runner.serves());
+        let seats: u32 = serving.map(|runner| runner.news.quota).sum();
+        let pace = self.pace_ms();
+        if seats > 0 {
+            return Some((ahead as f64 + 1.0) / f64::from(seats) * pace);
+        }
+        let awaited = self.runners.iter().filter(|runner| runner.is_awaited());
+        let first = awaited.map(|runner| runner.probe_at.saturating_sub(now)).min()?;
+        Some(first as f64)
+    }
+
+    pub fn ahead_of(&self, rank: u8) -> usize {
+        self.waiting.range(..=(rank, u64::MAX)).count()
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.runners.iter().all(|one| one.holders.is_empty())
+    }
+
+    pub fn report(&self, function: &str) -> FunctionReport {
+        FunctionReport {
+            function: function.into(),
+            news: self.mark.1,
+            arrived: self.arrived.clone().into_iter().collect(),
+            waiting: self.waiting.len() as u32,
+            given_up: self.given_up,
+            runners: self.runners.iter().map(Runner::report).collect(),
+        }
+    }
+}
