Gateways are told changes, not whole descriptions; keepers are not taken for silent

Each change sent the whole description (about 80 KB deflated) to each gateway; on a link of 2 Mbit/s that is a third of a second, pings queued behind it, 64 keepers were taken for silent within two bursts right after the changes, and two keepers lent the same seats. Excluded: the probe's connection (a reserved seat changed nothing), idle lines.

--- a/crates/binding/src/description.rs
+++ b/crates/binding/src/description.rs
@@ -107,6 +107,9 @@
 pub trait Documents {
     /// Reads and checks a whole document.
     fn read(&self, document: &[u8]) -> Result<Description, Fault>;
+    /// Applies a change of named items to a description that was read before; the same as reading the whole new
+    /// document, and cheaper.
+    fn amend(&self, base: &Description, change: &[u8]) -> Result<Description, Fault>;
     /// Applies a change of named items to a document; gives the whole new document.
     fn change(&self, document: &[u8], change: &[u8]) -> Result<Vec<u8>, Fault>;
 }
--- a/crates/binding/src/lib.rs
+++ b/crates/binding/src/lib.rs
@@ -5,4 +5,4 @@
 mod table;
 
 pub use description::{Binding, Description, Documents, Fault, Function, Limits};
-pub use table::Table;
+pub use table::{plain_host, Table};
--- a/crates/binding/src/table.rs
+++ b/crates/binding/src/table.rs
@@ -81,7 +81,8 @@
     }
 }
 
-fn plain_host(host: &str) -> Cow<'_, str> {
+/// A host in lower case, without a port.
+pub fn plain_host(host: &str) -> Cow<'_, str> {
     let host = match host.rsplit_once(':') {
         Some((host, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => host,
         _ => host,
--- a/crates/controller/src/changes.rs
+++ b/crates/controller/src/changes.rs
@@ -116,7 +116,10 @@
         match self.judge(&change, &stored) {
             Verdict::Reply(status, text) => {
                 if status >= 400 {
-                    log::info!("controller: {:?} refused with {status}: {text}", change.call);
+                    log::info!(
+                        "controller: {:?} refused with {status}: {text}",
+                        change.call
+                    );
                 }
                 self.reply(change.line, status, text.as_bytes(), change.keeps_alive);
             }
@@ -150,9 +153,9 @@
             }
             OperatorCall::Close(district) => self.judge_closure(stored, district, true),
             OperatorCall::Open(district) => self.judge_closure(stored, district, false),
-            OperatorCall::Replace => self.judge_description(change, stored, |_, body| {
-                Ok(body.to_vec())
-            }),
+            OperatorCall::Replace => {
+                self.judge_description(change, stored, |_, body| Ok(body.to_vec()))
+            }
             OperatorCall::Change => self.judge_description(change, stored, |document, body| {
                 self.options.translator.documents().change(document, body)
             }),
@@ -180,12 +183,11 @@
         whole: impl Fn(&[u8], &[u8]) -> Result<Vec<u8>, Fault>,
     ) -> Verdict {
         let kept = Kept::read_from_buffer(&stored.bytes).unwrap_or_default();
-        let order = digest(&change.body);
         let translator = &self.options.translator;
         let Some(version) = translator.version_of(&change.body) else {
             return reply(400, "the version cannot be read");
         };
-        if kept.has_taken(version, order) {
+        if kept.has_taken(version, digest(&change.body)) {
             return reply(200, "{}");
         }
         let Some(base) = change.base else {
@@ -206,7 +208,8 @@
         match translator.documents().read(&document) {
             Err(fault) => Verdict::Reply(400, fault.to_string()),
             Ok(_) => {
-                let next = kept.next(version, &document, order);
+                let is_change = change.call == OperatorCall::Change;
+                let next = kept.next(version, &document, &change.body, is_change);
                 Verdict::Write(next.write_to_vec().unwrap_or_default())
             }
         }
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -2,7 +2,7 @@
 use crate::cores::CoreLinks;
 use crate::disk::{self, Disk};
 use crate::fronts::Fronts;
-use crate::kept::{Closures, Kept, CLOSURES, DESCRIPTION};
+use crate::kept::{Closures, Kept, Steps, CLOSURES, DESCRIPTION};
 use crate::options::{ControllerError, ControllerOptions};
 use crate::scaling::Scaling;
 use council::{Council, CouncilAction, CouncilOptions};
@@ -39,6 +39,7 @@
     pub scaling: Scaling,
     pub kept: Arc<Kept>,
     pub kept_at: u64,
+    pub steps: Steps,
     pub closures: Closures,
     pub closures_at: u64,
     pub now: u64,
@@ -103,7 +104,8 @@
 impl Controller {
     fn open(options: ControllerOptions) -> Result<Self, ControllerError> {
         let silence = options.lease_ms() as u32;
-        let mut courier = Courier::new(options.lines_max, silence).map_err(ControllerError::System)?;
+        let mut courier =
+            Courier::new(options.lines_max, silence).map_err(ControllerError::System)?;
         let mut listen = |address, inbox_max| {
             let hatch = courier.listen(address, inbox_max);
             hatch.map_err(|error| ControllerError::Listen(address, error))
@@ -139,6 +141,7 @@
             scaling: Scaling::default(),
             kept: Arc::default(),
             kept_at: 0,
+            steps: Steps::default(),
             closures: Closures::default(),
             closures_at: 0,
             courier,
@@ -227,6 +230,7 @@
         if let Some((version, bytes)) = self.council.settled(DESCRIPTION) {
             if version > self.kept_at {
                 if let Ok(kept) = Kept::read_from_buffer(bytes.as_ref()) {
+                    self.steps.note(version, &kept);
                     self.kept = Arc::new(kept);
                     self.kept_at = version;
                     has_news = true;
--- a/crates/controller/src/cores.rs
+++ b/crates/controller/src/cores.rs
@@ -40,7 +40,11 @@
     }
 
     pub fn ended(&mut self, address: &str, line: LineId) {
-        if self.links.get(address).is_some_and(|link| link.line == line) {
+        if self
+            .links
+            .get(address)
+            .is_some_and(|link| link.line == line)
+        {
             self.links.remove(address);
         }
     }
--- a/crates/controller/src/fronts.rs
+++ b/crates/controller/src/fronts.rs
@@ -118,7 +118,12 @@
     }
 
     pub fn front_ended(&mut self, name: &str, line: LineId) {
-        if self.fronts.known.get(name).is_some_and(|front| front.line == line) {
+        if self
+            .fronts
+            .known
+            .get(name)
+            .is_some_and(|front| front.line == line)
+        {
             self.fronts.known.remove(name);
             self.scaling.forget_front(name);
         }
@@ -126,10 +131,18 @@
 
     fn answer_ask(&mut self, name: &str, description: u64, closures: u64) {
         if self.kept_at > description {
-            let message = Message::Description {
+            let steps = self.steps.since(description).filter(|changes| {
+                let size: usize = changes.iter().map(Vec::len).sum();
+                size < self.kept.packed.len()
+            });
+            let whole = || Message::Description {
                 mark: self.kept_at,
                 document: self.kept.packed.clone(),
             };
+            let message = steps.map_or_else(whole, |changes| Message::Changes {
+                from: description,
+                changes,
+            });
             self.fronts.tell(name, &message);
         }
         if self.closures_at > closures {
--- a/crates/controller/src/kept.rs
+++ b/crates/controller/src/kept.rs
@@ -2,16 +2,19 @@
 use flate2::write::DeflateEncoder;
 use flate2::Compression;
 use speedy::{Readable, Writable};
+use std::collections::VecDeque;
 use std::io::{Read, Write};
 
 /// Key of the register that holds the description.
-pub(crate) const DESCRIPTION: &str = council::BLUEPRINT_KEY;
+pub(crate) const DESCRIPTION: &str = council::DESCRIPTION_KEY;
 /// Key of the register that holds the closed districts.
-pub(crate) const CLOSURES: &str = council::PLAN_KEY;
+pub(crate) const CLOSURES: &str = council::CLOSURES_KEY;
 /// Taken orders that are remembered, so that a resent one is answered as before.
 const TAKEN_MAX: usize = 64;
 /// Largest document, in bytes.
 const DOCUMENT_MAX: u64 = 64 << 20;
+/// Changes that are kept for fronts that lack only these.
+const CHANGES_KEPT: usize = 64;
 
 /// What the description's register holds.
 #[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
@@ -20,10 +23,43 @@
     pub version: u64,
     /// The whole document, deflated.
     pub packed: Vec<u8>,
+    /// The change that led here from the version of the register before, deflated; empty where a whole document did.
+    pub change: Vec<u8>,
     /// Versions that were taken and digests of the orders that made them, the newest last.
     pub taken: Vec<(u64, u64)>,
 }
 
+/// The changes that led to the description in force, by the register's versions, without a gap.
+#[derive(Default)]
+pub(crate) struct Steps {
+    first: u64,
+    changes: VecDeque<Vec<u8>>,
+}
+
+impl Steps {
+    /// A description came into force at a version of the register.
+    pub fn note(&mut self, version: u64, kept: &Kept) {
+        let follows = version == self.first + self.changes.len() as u64;
+        if !follows || kept.change.is_empty() {
+            self.changes.clear();
+            self.first = version + 1;
+            return;
+        }
+        self.changes.push_back(kept.change.clone());
+        if self.changes.len() > CHANGES_KEPT {
+            self.changes.pop_front();
+            self.first += 1;
+        }
+    }
+
+    /// The changes that lead from a version to the newest; none where they are not all known.
+    pub fn since(&self, version: u64) -> Option<Vec<Vec<u8>>> {
+        let behind = (version + 1).checked_sub(self.first)? as usize;
+        let changes: Vec<Vec<u8>> = self.changes.iter().skip(behind).cloned().collect();
+        (!changes.is_empty()).then_some(changes)
+    }
+}
+
 /// What the closures' register holds.
 #[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
 pub(crate) struct Closures {
@@ -39,16 +75,15 @@
     }
 
     /// The next value.
-    pub fn next(&self, version: u64, document: &[u8], order: u64) -> Self {
-        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-        let _ = encoder.write_all(document);
+    pub fn next(&self, version: u64, document: &[u8], order: &[u8], is_change: bool) -> Self {
         let mut taken = self.taken.clone();
-        taken.push((version, order));
+        taken.push((version, digest(order)));
         let surplus = taken.len().saturating_sub(TAKEN_MAX);
         taken.drain(..surplus);
         Self {
             version,
-            packed: encoder.finish().unwrap_or_default(),
+            packed: packed(document),
+            change: if is_change { packed(order) } else { Vec::new() },
             taken,
         }
     }
@@ -58,6 +93,12 @@
     }
 }
 
+fn packed(bytes: &[u8]) -> Vec<u8> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    let _ = encoder.write_all(bytes);
+    encoder.finish().unwrap_or_default()
+}
+
 /// Digest of an order's body, by which a resent one is known again (FNV-1a).
 pub(crate) fn digest(bytes: &[u8]) -> u64 {
     bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -13,6 +13,4 @@
 mod scaling_calls;
 
 pub use controller::run;
-pub use options::{
-    Call, ControllerError, ControllerOptions, OperatorCall, StartReply, Translator,
-};
+pub use options::{Call, ControllerError, ControllerOptions, OperatorCall, StartReply, Translator};
--- a/crates/controller/src/operators.rs
+++ b/crates/controller/src/operators.rs
@@ -71,7 +71,14 @@
         if status == 503 {
             headers.push(("Retry-After", RETRY_AFTER));
         }
-        write_response(&mut out, status, headers.into_iter(), body, keeps_alive, false);
+        write_response(
+            &mut out,
+            status,
+            headers.into_iter(),
+            body,
+            keeps_alive,
+            false,
+        );
         self.courier.send(line, &out);
         if !keeps_alive {
             self.courier.finish(line);
@@ -80,7 +87,10 @@
         }
         self.roles
             .insert(line, Role::Operator(RequestReader::new(), false));
-        let has_more = self.courier.inbox(line).is_some_and(|inbox| !inbox.is_empty());
+        let has_more = self
+            .courier
+            .inbox(line)
+            .is_some_and(|inbox| !inbox.is_empty());
         if has_more {
             self.operator_arrived(line);
         }
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -152,7 +152,9 @@
 impl fmt::Display for ControllerError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Listen(address, error) => write!(formatter, "cannot listen at {address}: {error}"),
+            Self::Listen(address, error) => {
+                write!(formatter, "cannot listen at {address}: {error}")
+            }
             Self::Data(reason) => write!(formatter, "the data folder cannot be used: {reason}"),
             Self::System(error) => write!(formatter, "the system refused: {error}"),
         }
--- a/crates/controller/src/scaling.rs
+++ b/crates/controller/src/scaling.rs
@@ -129,13 +129,20 @@
 
     /// Keepers tell about their functions.
     pub fn take_reports(&mut self, name: &str, reports: &[FunctionReport]) {
-        let incarnation = self.fronts.known.get(name).map(|one| one.member.incarnation);
+        let incarnation = self
+            .fronts
+            .known
+            .get(name)
+            .map(|one| one.member.incarnation);
         let incarnation = format!("{:x}", incarnation.unwrap_or(0));
         let Some(launcher) = self.scaling.launcher.as_mut() else {
             return;
         };
         // Counters begin anew with each life of a keeper.
-        let known = self.scaling.keepers.insert(name.into(), incarnation.clone());
+        let known = self
+            .scaling
+            .keepers
+            .insert(name.into(), incarnation.clone());
         if known.is_some_and(|known| known != incarnation) {
             launcher.forget_keeper(name);
         }
--- a/crates/controller/src/scaling_calls.rs
+++ b/crates/controller/src/scaling_calls.rs
@@ -77,7 +77,13 @@
             let own = call.headers.iter();
             headers.extend(own.map(|(name, value)| (*name, value.as_bytes())));
             let mut out = Vec::new();
-            write_request(&mut out, call.method, &call.target, headers.into_iter(), &call.body);
+            write_request(
+                &mut out,
+                call.method,
+                &call.target,
+                headers.into_iter(),
+                &call.body,
+            );
             self.courier.send(line, &out);
             let busy = Busy {
                 purpose,
--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -13,16 +13,16 @@
 use std::sync::Arc;
 use voter::Joining;
 
-/// Key of the blueprint's register.
-pub const BLUEPRINT_KEY: &str = "blueprint";
-/// Key of the plan's register.
-pub const PLAN_KEY: &str = "plan";
+/// Key of the description's register.
+pub const DESCRIPTION_KEY: &str = "description";
+/// Key of the closed districts' register.
+pub const CLOSURES_KEY: &str = "closures";
 /// Key of the duty's register.
 pub const DUTY_KEY: &str = "duty";
 /// Keys that are read at a majority before a core is settled.
-pub const KEYS: [&str; 2] = [BLUEPRINT_KEY, PLAN_KEY];
+pub const KEYS: [&str; 2] = [DESCRIPTION_KEY, CLOSURES_KEY];
 /// Keys whose settled values all cores keep up.
-pub(crate) const KEPT: [&str; 4] = [BLUEPRINT_KEY, PLAN_KEY, DUTY_KEY, VOTERS_KEY];
+pub(crate) const KEPT: [&str; 4] = [DESCRIPTION_KEY, CLOSURES_KEY, DUTY_KEY, VOTERS_KEY];
 const CHANGES_MAX: usize = 64;
 const VALUE_MAX: usize = 4 << 20;
 
--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -16,7 +16,7 @@
 mod peer;
 
 pub use action::{CouncilAction, CouncilOptions};
-pub use council::{Council, BLUEPRINT_KEY, DUTY_KEY, KEYS, PLAN_KEY};
+pub use council::{Council, CLOSURES_KEY, DESCRIPTION_KEY, DUTY_KEY, KEYS};
 pub use disk::{perform, DiskDone, DiskWork, HeldSummary, HeldValue, Installation};
 pub use duty::Tenure;
 pub use message::{Ack, Beat, CopyPage, CouncilMessage};
--- a/crates/council/tests/copies.rs
+++ b/crates/council/tests/copies.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code)]
 mod world;
 
-use council::{CouncilAction, BLUEPRINT_KEY};
+use council::{CouncilAction, DESCRIPTION_KEY};
 use journal::Mishap;
 use rand::Rng;
 use register::Outcome;
@@ -19,16 +19,16 @@
 fn known(world: &World, place: usize) -> u64 {
     let council = world.nodes[place].council.as_ref().unwrap();
     council
-        .settled(BLUEPRINT_KEY)
+        .settled(DESCRIPTION_KEY)
         .map_or(0, |(version, _)| version)
 }
 
 fn write(world: &mut World, place: usize) {
-    let newest = world.oracle.newest(BLUEPRINT_KEY);
+    let newest = world.oracle.newest(DESCRIPTION_KEY);
     for _ in 0..10 {
-        world.change(place, BLUEPRINT_KEY, true);
+        world.change(place, DESCRIPTION_KEY, true);
         world.run(150);
-        if world.oracle.newest(BLUEPRINT_KEY) > newest {
+        if world.oracle.newest(DESCRIPTION_KEY) > newest {
             return;
         }
     }
@@ -51,7 +51,7 @@
         world.part(0, 1);
         world.run(1_000);
         for place in [1, 2] {
-            world.change(place, BLUEPRINT_KEY, false);
+            world.change(place, DESCRIPTION_KEY, false);
         }
         world.run(2_000);
         world.cuts.clear();
@@ -68,10 +68,10 @@
         let mut world = started(seed, 4);
         let before = world.bytes;
         let bytes = vec![7; 1 << 20];
-        let token = world.oracle.ask(BLUEPRINT_KEY, Some((0, bytes.clone())));
+        let token = world.oracle.ask(DESCRIPTION_KEY, Some((0, bytes.clone())));
         let local = world.nodes[0].clock(world.now);
         let council = world.nodes[0].council.as_mut().unwrap();
-        council.write(local, token, BLUEPRINT_KEY, 0, bytes);
+        council.write(local, token, DESCRIPTION_KEY, 0, bytes);
         world.drain(0);
         world.run(150);
         assert_eq!(world.oracle.writes, 1, "seed {seed}");
@@ -93,10 +93,10 @@
     for seed in 0..10 {
         let mut world = started(seed, 3);
         let bytes = vec![7; 1 << 20];
-        let token = world.oracle.ask(BLUEPRINT_KEY, Some((0, bytes.clone())));
+        let token = world.oracle.ask(DESCRIPTION_KEY, Some((0, bytes.clone())));
         let local = world.nodes[1].clock(world.now);
         let council = world.nodes[1].council.as_mut().unwrap();
-        council.write(local, token, BLUEPRINT_KEY, 0, bytes);
+        council.write(local, token, DESCRIPTION_KEY, 0, bytes);
         world.drain(1);
         world.run(500);
         for place in 0..3 {
@@ -125,7 +125,7 @@
     world.cuts.clear();
     world.run(1_000);
     let voter = world.nodes[2].voter.as_ref().unwrap();
-    let held = voter.held().held(BLUEPRINT_KEY).unwrap();
+    let held = voter.held().held(DESCRIPTION_KEY).unwrap();
     assert_eq!(held.stored.version, 1);
 }
 
@@ -137,7 +137,7 @@
     let local = world.nodes[0].clock(world.now);
     let council = world.nodes[0].council.as_mut().unwrap();
     for token in 0..65 {
-        council.read(local, token, BLUEPRINT_KEY);
+        council.read(local, token, DESCRIPTION_KEY);
     }
     let done = |action: CouncilAction| match action {
         CouncilAction::Done { token, outcome } => Some((token, outcome)),
@@ -184,5 +184,5 @@
     world.kill(1);
     write(&mut world, 0);
     write(&mut world, 2);
-    assert_eq!(world.oracle.newest(BLUEPRINT_KEY), 3);
+    assert_eq!(world.oracle.newest(DESCRIPTION_KEY), 3);
 }
--- a/crates/council/tests/seeds.rs
+++ b/crates/council/tests/seeds.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod world;
 
-use council::{BLUEPRINT_KEY, PLAN_KEY};
+use council::{CLOSURES_KEY, DESCRIPTION_KEY};
 use rand::Rng;
 use world::World;
 
@@ -50,7 +50,7 @@
     world.is_writing = false;
     world.run(2_000);
     for place in 0..world.nodes.len() {
-        for key in [BLUEPRINT_KEY, PLAN_KEY] {
+        for key in [DESCRIPTION_KEY, CLOSURES_KEY] {
             let Some(council) = world.nodes[place].council.as_ref() else {
                 continue;
             };
--- a/crates/council/tests/world/client.rs
+++ b/crates/council/tests/world/client.rs
@@ -1,5 +1,5 @@
 use super::{Event, World};
-use council::{BLUEPRINT_KEY, PLAN_KEY};
+use council::{CLOSURES_KEY, DESCRIPTION_KEY};
 use rand::Rng;
 
 impl World {
@@ -11,9 +11,9 @@
             return;
         }
         let key = if self.random.random_bool(0.5) {
-            BLUEPRINT_KEY
+            DESCRIPTION_KEY
         } else {
-            PLAN_KEY
+            CLOSURES_KEY
         };
         let is_write = self.random.random_bool(0.6);
         self.change(place, key, is_write);
--- a/crates/courier/src/courier.rs
+++ b/crates/courier/src/courier.rs
@@ -108,10 +108,10 @@
         let place = entry.key();
         let line = entry.insert(Line::new(stream, self.uses, is_up, inbox_max));
         let interest = Interest::READABLE | Interest::WRITABLE;
-        let registered =
-            self.poll
-                .registry()
-                .register(&mut line.stream, Token(place), interest);
+        let registered = self
+            .poll
+            .registry()
+            .register(&mut line.stream, Token(place), interest);
         if let Err(error) = registered {
             self.lines.remove(place);
             return Err(error);
--- a/crates/dispatch/src/frame.rs
+++ b/crates/dispatch/src/frame.rs
@@ -75,4 +75,3 @@
         Ok(Some(message))
     }
 }
-
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -112,6 +112,13 @@
         /// The operator's document, deflated.
         document: Vec<u8>,
     },
+    /// Settled changes of a description, for who has the one on which the first builds.
+    Changes {
+        /// Mark of the description on which the first change builds; each change adds one.
+        from: u64,
+        /// The operator's changes, each deflated, the oldest first.
+        changes: Vec<Vec<u8>>,
+    },
     /// Settled closed districts.
     Closures {
         /// Their mark; a higher one wins.
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -72,7 +72,14 @@
         log::debug!("gateway: bytes refused: {fault}");
         let mut out = Vec::new();
         let text = fault.to_string();
-        write_response(&mut out, fault.status(), std::iter::empty(), text.as_bytes(), false, false);
+        write_response(
+            &mut out,
+            fault.status(),
+            std::iter::empty(),
+            text.as_bytes(),
+            false,
+            false,
+        );
         self.courier.send(line, &out);
         self.courier.finish(line);
         self.roles.remove(&line);
@@ -93,8 +100,19 @@
         });
         let id = request.headers.get(manner.id).unwrap_or(b"").to_vec();
         let Some((binding, function)) = found else {
-            let status = if self.control.table().is_some() { 404 } else { 503 };
-            self.answer_own(line, &id, status, "no binding for this host and path", None, &request);
+            let status = if self.control.table().is_some() {
+                404
+            } else {
+                503
+            };
+            self.answer_own(
+                line,
+                &id,
+                status,
+                "no binding for this host and path",
+                None,
+                &request,
+            );
             return;
         };
         if id.is_empty() {
@@ -106,7 +124,14 @@
             Some(text) => text.trim().parse::<u64>().ok(),
         };
         let Some(budget) = budget else {
-            self.answer_own(line, &id, 400, "the time left is not a number", None, &request);
+            self.answer_own(
+                line,
+                &id,
+                400,
+                "the time left is not a number",
+                None,
+                &request,
+            );
             return;
         };
         let held = budget.min(u64::from(binding.timeout_ms)).min(HELD_MAX_MS);
@@ -158,7 +183,14 @@
         let mut out = Vec::new();
         let is_head = request.method == "HEAD";
         let headers = headers.into_iter();
-        write_response(&mut out, status, headers, text.as_bytes(), keeps_alive, is_head);
+        write_response(
+            &mut out,
+            status,
+            headers,
+            text.as_bytes(),
+            keeps_alive,
+            is_head,
+        );
         self.courier.send(line, &out);
         self.after_answer(line, keeps_alive);
     }
@@ -193,7 +225,10 @@
             let wait = self.control.limits().idle_ms;
             self.timers.set(self.now + wait, Due::Client(line));
         }
-        let has_more = self.courier.inbox(line).is_some_and(|inbox| !inbox.is_empty());
+        let has_more = self
+            .courier
+            .inbox(line)
+            .is_some_and(|inbox| !inbox.is_empty());
         if has_more {
             self.client_arrived(line);
         }
@@ -222,7 +257,14 @@
         }
         if client.is_arriving {
             let mut out = Vec::new();
-            write_response(&mut out, 408, std::iter::empty(), b"the request came too slowly", false, false);
+            write_response(
+                &mut out,
+                408,
+                std::iter::empty(),
+                b"the request came too slowly",
+                false,
+                false,
+            );
             self.courier.send(line, &out);
         }
         self.courier.finish(line);
@@ -271,7 +313,14 @@
         let is_ready = self.control.is_ready() && self.drains_since.is_none();
         let status = if is_ready { 200 } else { 503 };
         let mut out = Vec::new();
-        write_response(&mut out, status, std::iter::empty(), b"", keeps_alive, false);
+        write_response(
+            &mut out,
+            status,
+            std::iter::empty(),
+            b"",
+            keeps_alive,
+            false,
+        );
         self.courier.send(line, &out);
         if !keeps_alive {
             self.courier.finish(line);
@@ -285,7 +334,10 @@
         });
         let idle: Vec<LineId> = idle.map(|(line, _)| *line).collect();
         for line in idle {
-            let has_more = self.courier.inbox(line).is_some_and(|inbox| !inbox.is_empty());
+            let has_more = self
+                .courier
+                .inbox(line)
+                .is_some_and(|inbox| !inbox.is_empty());
             if !has_more {
                 self.courier.finish(line);
                 self.roles.remove(&line);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,5 +1,5 @@
 use crate::gateway::Gateway;
-use binding::{Limits, Table};
+use binding::{Description, Limits, Table};
 use dispatch::{Member, Message};
 use flate2::read::DeflateDecoder;
 use std::collections::BTreeSet;
@@ -16,6 +16,8 @@
 pub(crate) struct Control {
     description: u64,
     table: Option<Arc<Table>>,
+    /// Changes could not be applied, so the whole description is asked for.
+    pub wants_whole: bool,
     closures: u64,
     closed: BTreeSet<String>,
     roster: (u64, u64),
@@ -71,6 +73,13 @@
     }
 }
 
+fn unpacked(packed: &[u8]) -> Option<Vec<u8>> {
+    let mut document = Vec::new();
+    let decoder = DeflateDecoder::new(packed);
+    let read = decoder.take(DOCUMENT_MAX).read_to_end(&mut document);
+    read.ok().map(|_| document)
+}
+
 impl Gateway {
     /// A settled description; an older one than the one in force is dropped.
     pub fn take_description(&mut self, mark: u64, packed: &[u8]) {
@@ -78,25 +87,51 @@
         if mark <= self.control.description {
             return;
         }
-        let mut document = Vec::new();
-        let read = DeflateDecoder::new(packed)
-            .take(DOCUMENT_MAX)
-            .read_to_end(&mut document);
-        if read.is_err() {
+        let Some(document) = unpacked(packed) else {
             log::error!("gateway: description {mark} cannot be unpacked");
             return;
-        }
+        };
         match self.options.documents.read(&document) {
-            Ok(description) => {
-                log::info!("gateway: description {} in force", description.version);
-                let table = Table::new(Arc::new(description));
-                self.control.table = Some(Arc::new(table));
-                self.control.description = mark;
-            }
+            Ok(description) => self.put_in_force(mark, description),
             Err(fault) => log::error!("gateway: description {mark} is refused: {fault}"),
         }
     }
 
+    /// Settled changes of the description in force. Where they cannot be applied the whole one is asked for.
+    pub fn take_changes(&mut self, from: u64, changes: &[Vec<u8>]) {
+        self.links.asked_until = 0;
+        let Some(table) = self
+            .control
+            .table()
+            .filter(|_| from == self.control.description)
+        else {
+            return;
+        };
+        let mut description = table.description().as_ref().clone();
+        for packed in changes {
+            let change = unpacked(packed);
+            let next = change.and_then(|change| {
+                let amended = self.options.documents.amend(&description, &change);
+                amended.ok()
+            });
+            let Some(next) = next else {
+                log::error!("gateway: a change after description {from} cannot be applied");
+                self.control.wants_whole = true;
+                return;
+            };
+            description = next;
+        }
+        self.put_in_force(from + changes.len() as u64, description);
+    }
+
+    fn put_in_force(&mut self, mark: u64, description: Description) {
+        log::info!("gateway: description {} in force", description.version);
+        let table = Table::new(Arc::new(description));
+        self.control.table = Some(Arc::new(table));
+        self.control.description = mark;
+        self.control.wants_whole = false;
+    }
+
     /// Settled closed districts.
     pub fn take_closures(&mut self, mark: u64, districts: Vec<String>) {
         if mark <= self.control.closures {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,7 +22,10 @@
     /// A link to a core, by address.
     Core(String),
     /// A look whether a runner takes connections.
-    Probe { function: String, runner: String },
+    Probe {
+        function: String,
+        runner: String,
+    },
 }
 
 /// What is due at a time.
@@ -103,8 +106,7 @@
 impl Gateway {
     fn open(options: GatewayOptions) -> Result<Self, GatewayError> {
         let silence = options.silence_ms() as u32;
-        let mut courier =
-            Courier::new(options.lines_max, silence).map_err(GatewayError::System)?;
+        let mut courier = Courier::new(options.lines_max, silence).map_err(GatewayError::System)?;
         let mut listen = |address, inbox_max| {
             let hatch = courier.listen(address, inbox_max);
             hatch.map_err(|error| GatewayError::Listen(address, error))
@@ -166,7 +168,8 @@
         self.tend_cores();
         self.tend_links();
         self.report();
-        self.pool.expire(&mut self.courier, &mut self.roles, self.now);
+        self.pool
+            .expire(&mut self.courier, &mut self.roles, self.now);
     }
 
     fn handle(&mut self, event: Event) {
@@ -256,7 +259,10 @@
     }
 
     fn begin_drain(&mut self) {
-        log::info!("gateway: told to stop; {} requests are here", self.tickets.len());
+        log::info!(
+            "gateway: told to stop; {} requests are here",
+            self.tickets.len()
+        );
         self.drains_since = Some(self.now);
     }
 
@@ -281,6 +287,7 @@
             return;
         };
         log::info!("gateway: settings read anew, {} cores named", cores.len());
-        self.links.learn_cores(cores.iter().map(ToString::to_string));
+        self.links
+            .learn_cores(cores.iter().map(ToString::to_string));
     }
 }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -227,7 +227,8 @@
     fn hear_stranger(&mut self, line: LineId, message: Message) {
         match message {
             Message::Front(member) => {
-                self.roles.insert(line, Role::Link(Some(member.name.clone())));
+                self.roles
+                    .insert(line, Role::Link(Some(member.name.clone())));
                 if !self.links.peers.contains_key(&member.name) {
                     self.add_link(&member.name, line);
                 }
@@ -294,6 +295,10 @@
                 self.take_description(mark, &document);
                 self.ask_for_news();
             }
+            Message::Changes { from, changes } => {
+                self.take_changes(from, &changes);
+                self.ask_for_news();
+            }
             Message::Closures { mark, districts } => self.take_closures(mark, districts),
             Message::Roster { mark, members } => self.take_roster(mark, members),
             Message::Runners(news) => {
@@ -321,8 +326,13 @@
         };
         let address = address.clone();
         self.links.asked_until = self.now + PING_MS;
+        let known = if self.control.wants_whole {
+            0
+        } else {
+            description
+        };
         let ask = Message::Ask {
-            description,
+            description: known,
             closures,
         };
         self.tell_core(&address, &ask);
@@ -404,8 +414,8 @@
                     continue;
                 }
             }
-            let is_silent = link.pinged_at > link.heard_at
-                && self.now > link.pinged_at + (SILENT_MS - PING_MS);
+            let is_silent =
+                link.pinged_at > link.heard_at && self.now > link.pinged_at + (SILENT_MS - PING_MS);
             if is_silent {
                 log::warn!("gateway: {name} is silent");
                 self.drop_peer(&name);
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -83,7 +83,9 @@
 impl fmt::Display for GatewayError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Listen(address, error) => write!(formatter, "cannot listen at {address}: {error}"),
+            Self::Listen(address, error) => {
+                write!(formatter, "cannot listen at {address}: {error}")
+            }
             Self::System(error) => write!(formatter, "the system refused: {error}"),
         }
     }
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -57,7 +57,11 @@
             let has_left = sent.has_left;
             let function = ticket.function.clone();
             ticket.may_have_run |= has_left;
-            let outcome = if has_left { Outcome::Lost } else { Outcome::Unreached };
+            let outcome = if has_left {
+                Outcome::Lost
+            } else {
+                Outcome::Unreached
+            };
             self.drop_runner_line(line, &runner);
             self.give_back(&lender, &function, number, outcome, 0);
         } else {
@@ -67,7 +71,11 @@
             return;
         };
         if !ticket.may_have_run {
-            self.give_up(number, RETRY_AFTER_MS, "the time is over, and it was not run");
+            self.give_up(
+                number,
+                RETRY_AFTER_MS,
+                "the time is over, and it was not run",
+            );
             return;
         }
         let Some(ticket) = self.tickets.remove(number) else {
@@ -75,7 +83,12 @@
         };
         let id = self.options.manner.id;
         self.note_refusal(&ticket, 504, "the runner did not answer in time");
-        self.answer(&ticket, 504, &[(id, &ticket.id)], b"the runner did not answer in time");
+        self.answer(
+            &ticket,
+            504,
+            &[(id, &ticket.id)],
+            b"the runner did not answer in time",
+        );
     }
 
     /// A runner answered this request.
@@ -94,7 +107,11 @@
         let not_run = response.headers.get(manner.not_run).is_some() || response.status == 421;
         if not_run {
             let is_other = response.status == 421;
-            let outcome = if is_other { Outcome::Gone } else { Outcome::TurnedAway };
+            let outcome = if is_other {
+                Outcome::Gone
+            } else {
+                Outcome::TurnedAway
+            };
             ticket.avoid.push(runner);
             self.give_back(&lender, &function, number, outcome, took);
             if !self.try_again(number, true) {
--- a/crates/gateway/src/runners.rs
+++ b/crates/gateway/src/runners.rs
@@ -103,7 +103,10 @@
             }
             return;
         }
-        let line = self.pool.take(&grant.runner).filter(|line| self.is_clean(*line));
+        let line = self
+            .pool
+            .take(&grant.runner)
+            .filter(|line| self.is_clean(*line));
         let is_reused = line.is_some();
         let line = line.or_else(|| self.open_runner(&grant));
         let Some(line) = line else {
@@ -154,7 +157,10 @@
     // Nothing may lie unread on a line that is used again: it would be no answer to the next request.
     fn is_clean(&mut self, line: LineId) -> bool {
         let is_clean = self.courier.is_open(line)
-            && self.courier.inbox(line).is_some_and(|inbox| inbox.is_empty());
+            && self
+                .courier
+                .inbox(line)
+                .is_some_and(|inbox| inbox.is_empty());
         if !is_clean {
             self.roles.remove(&line);
             self.courier.close(line);
@@ -232,7 +238,13 @@
         ];
         let mut out = Vec::with_capacity(request.body.len() + 512);
         let headers = kept.chain(own);
-        write_request(&mut out, &request.method, &request.target, headers, &request.body);
+        write_request(
+            &mut out,
+            &request.method,
+            &request.target,
+            headers,
+            &request.body,
+        );
         runner.is_head = request.method == "HEAD";
         runner.reader = ResponseReader::new(runner.is_head);
         self.courier.send(line, &out);
@@ -281,8 +293,7 @@
         };
         let echoed = response.headers.get(manner.id);
         let is_own = echoed.is_some_and(|id| id == ticket.id.as_slice());
-        let says_not_run =
-            response.headers.get(manner.not_run).is_some() || response.status == 421;
+        let says_not_run = response.headers.get(manner.not_run).is_some() || response.status == 421;
         let is_once = ticket.is_once;
         let function = ticket.function.clone();
         let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
@@ -308,7 +319,10 @@
         let wait = idle.map_or(IDLE_MS, |seconds| (seconds * 1_000).saturating_sub(500));
         runner.expires_at = self.now + wait.min(30_000);
         let name = runner.runner.clone();
-        let is_clean = self.courier.inbox(line).is_some_and(|inbox| inbox.is_empty());
+        let is_clean = self
+            .courier
+            .inbox(line)
+            .is_some_and(|inbox| inbox.is_empty());
         let most = self.control.idle_lines(&function);
         if !(keep && is_clean && wait > 0 && self.pool.put(&name, line, most)) {
             self.roles.remove(&line);
@@ -357,7 +371,11 @@
         let function = ticket.function.clone();
         ticket.unreached += 1;
         ticket.avoid.push(runner);
-        let outcome = if nobody_there { Outcome::Gone } else { Outcome::Unreached };
+        let outcome = if nobody_there {
+            Outcome::Gone
+        } else {
+            Outcome::Unreached
+        };
         self.give_back(&lender, &function, number, outcome, 0);
         if !self.try_again(number, false) {
             self.give_up(number, 0, "no runner could be reached");
--- a/crates/seating/src/keeper.rs
+++ b/crates/seating/src/keeper.rs
@@ -227,7 +227,10 @@
         for (function, id) in due {
             self.probe(&function, &id);
         }
-        let resting = self.functions.iter().filter(|(_, seats)| !seats.waiting.is_empty());
+        let resting = self
+            .functions
+            .iter()
+            .filter(|(_, seats)| !seats.waiting.is_empty());
         let waiting: Vec<String> = resting.map(|(function, _)| function.clone()).collect();
         for function in waiting {
             self.drop_late(now, &function);
@@ -324,7 +327,11 @@
                 self.dirty.remove(&name);
                 continue;
             };
-            let pause = if seats.is_urgent { URGENT_MS } else { REPORT_MS };
+            let pause = if seats.is_urgent {
+                URGENT_MS
+            } else {
+                REPORT_MS
+            };
             if !is_all && (!seats.is_dirty || now < seats.told_at + pause) {
                 if !seats.is_dirty {
                     self.dirty.remove(&name);
--- a/crates/seating/src/seats.rs
+++ b/crates/seating/src/seats.rs
@@ -172,7 +172,9 @@
             return Some((ahead as f64 + 1.0) / f64::from(seats) * pace);
         }
         let awaited = self.runners.iter().filter(|runner| runner.is_awaited());
-        let first = awaited.map(|runner| runner.probe_at.saturating_sub(now)).min()?;
+        let first = awaited
+            .map(|runner| runner.probe_at.saturating_sub(now))
+            .min()?;
         Some(first as f64)
     }
 
