--- a/crates/controller/src/scaling.rs
+++ b/crates/controller/src/scaling.rs
@@ -107,7 +107,7 @@
     /// Fronts that are there keep functions; who they are is told to all when it changes.
     fn tend_roster(&mut self) {
         // Fronts that have not found this core yet are waited for a little while.
-        let is_early = self.now < self.scaling.began_at + self.options.beat_ms() * 3;
+        let is_early = self.now < self.scaling.began_at + self.options.beat_ms();
         let members = self.fronts.known.values();
         let members: Vec<Member> = members.map(|front| front.member.clone()).collect();
         if members != self.scaling.roster && !(is_early && self.scaling.roster_no == 0) {
--- a/crates/council/tests/duty.rs
+++ b/crates/council/tests/duty.rs
@@ -42,6 +42,24 @@
     }
 }
 
+#[test]
+fn a_holder_that_comes_back_in_another_life_with_all_others_is_followed_before_the_lease_is_over() {
+    for seed in 0..40 {
+        let (mut world, holder, one, other) = started(seed);
+        for core in [holder, one, other] {
+            world.kill(core);
+        }
+        for core in [holder, one, other] {
+            world.boot(core);
+        }
+        let took = world.until(3_000, |world| world.holder().is_some());
+        assert!(
+            took.is_some_and(|took| took < LEASE / 2),
+            "seed {seed}: {took:?}"
+        );
+    }
+}
+
 #[test]
 fn a_holder_that_resigns_is_followed_at_once_and_does_not_come_back() {
     for seed in 0..20 {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -366,7 +366,9 @@
                 }
                 continue;
             }
-            if now < core.tried_at + beat && core.tried_at > 0 {
+            // A core that starts together with this daemon is there in a moment.
+            let pause = if now < beat * 8 { beat / 6 } else { beat };
+            if now < core.tried_at + pause && core.tried_at > 0 {
                 continue;
             }
             core.tried_at = now.max(1);
--- a/crates/launching/src/deciding.rs
+++ b/crates/launching/src/deciding.rs
@@ -3,8 +3,10 @@
 use crate::runner::{Cause, Life, Runner};
 use scaler::{grow, shrink, Pod};
 
-/// Seconds within which requests that wait are to be served.
-const PATIENCE_S: f64 = 0.5;
+/// Share of a function's aim within which requests that wait are to be served, and its least and most seconds.
+const PATIENCE_AIMS: f64 = 1.0;
+const PATIENCE_MIN_S: f64 = 0.3;
+const PATIENCE_MAX_S: f64 = 0.5;
 /// Runners are bounded by what serves so many times the demand.
 const SPARE: f64 = 4.0;
 const ROUNDING: f64 = 1e-6;
@@ -14,6 +16,7 @@
 pub(crate) struct Load {
     pub measured: f64,
     pub forecast: f64,
+    pub rushing: f64,
     pub waiting: u32,
     pub in_use: u32,
     pub demand: f64,
@@ -24,7 +27,7 @@
 
 impl Load {
     fn rate(&self) -> f64 {
-        self.measured.max(self.forecast)
+        self.measured.max(self.forecast).max(self.rushing)
     }
 }
 
@@ -42,9 +45,12 @@
         if function.is_awake(self.now, &self.options) {
             load.measured = function.arrivals.measured(self.now);
             load.forecast = function.arrivals.forecast();
+            load.rushing = function.arrivals.rushing(self.now);
         }
         load.waiting = function.waiting(self.now);
-        load.demand = load.rate() + f64::from(load.waiting) / PATIENCE_S;
+        let aim_s = f64::from(function.plan.aim_ms) / 1_000.0;
+        let patience_s = (aim_s * PATIENCE_AIMS).clamp(PATIENCE_MIN_S, PATIENCE_MAX_S);
+        load.demand = load.rate() + f64::from(load.waiting) / patience_s;
         for (_, runner) in self.runners_of(function) {
             if let Some(id) = &runner.id {
                 load.in_use += function.in_use(id);
--- a/crates/launching/src/demand.rs
+++ b/crates/launching/src/demand.rs
@@ -4,6 +4,8 @@
 const SAMPLE_MS: u64 = 250;
 const WINDOW_MS: u64 = 1_000;
 const FADE: f64 = 0.8;
+/// A rush is read off so short a time.
+const RUSH_MS: u64 = 250;
 
 /// Arrivals of one function over a sliding window, and what they are forecast to be.
 #[derive(Clone, Debug, Default)]
@@ -63,6 +65,22 @@
         self.lately(now) as f64 * 1_000.0 / passed as f64
     }
 
+    /// Arrivals a second in the last moments, less what chance alone may bring.
+    pub fn rushing(&self, now: u64) -> f64 {
+        let Some((at, before)) = self.samples.back().copied() else {
+            return 0.0;
+        };
+        // The newest sample may be only just taken; the one before it then tells more.
+        let former = self.samples.iter().rev().nth(1).copied();
+        let (at, before) = match former {
+            Some(former) if now < at + RUSH_MS / 2 => former,
+            _ => (at, before),
+        };
+        let count = (self.total - before) as f64;
+        let passed = now.saturating_sub(at).max(RUSH_MS) as f64;
+        (count - 3.0 * count.sqrt()).max(0.0) * 1_000.0 / passed
+    }
+
     pub fn forecast(&self) -> f64 {
         self.forecast.rate()
     }
