--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -73,7 +73,7 @@
         let values: BTreeMap<String, HeldValue> =
             values.map(|value| (value.key.clone(), value)).collect();
         let counter = values.values().map(|value| value.promised.counter).max();
-        let duty = Duty::restored(now, held.set.era, &options.address, values.get(DUTY_KEY));
+        let duty = Duty::restored(now, held.set.era, values.get(DUTY_KEY));
         let mut council = Self {
             life: random.random::<u64>() | 1,
             actions: Vec::new(),
--- a/crates/council/src/duty.rs
+++ b/crates/council/src/duty.rs
@@ -110,16 +110,13 @@
 }
 
 impl Duty {
-    /// As it is after a start, from what the voter holds. A claim of this core's own former life is over.
-    pub fn restored(now: u64, era: u64, own: &str, held: Option<&HeldValue>) -> Self {
+    /// As it is after a start, from what the voter holds.
+    pub fn restored(now: u64, era: u64, held: Option<&HeldValue>) -> Self {
         let Some(held) = held.filter(|held| held.version > 0) else {
             return Self::default();
         };
         let bytes = held.bytes.as_ref().map_or(&[][..], |bytes| bytes);
         let tenure = Tenure::read_from_buffer(bytes).unwrap_or_default();
-        if tenure.address == own {
-            return Self::default();
-        }
         let grant = Grant {
             holder: tenure.address,
             life: tenure.life,
@@ -157,10 +154,7 @@
     /// A core said that it does not hold: it has dropped its claim for good, if it ever had one.
     pub fn on_no_claim(&mut self, from: &str, life: u64, number: u64) {
         let is_over = self.grant.as_ref().is_some_and(|grant| {
-            // What was read back from the disk was granted before this life began, so a core that is heard in
-            // another life has ended the one that held.
-            let is_ended = grant.number == 0 && grant.life != life;
-            grant.holder == from && (is_ended || grant.life == life && grant.number < number)
+            grant.holder == from && grant.life == life && grant.number < number
         });
         if is_over {
             self.grant = None;
