Dispatch: frames against any cuts and garbage, every message round trip

Proves that frames come back unchanged however the bytes are cut, that garbage and spoilt frames never panic, that a too long frame is refused from its head on, and that every kind of message is read as written.

--- /dev/null
+++ b/crates/dispatch/tests/frames.rs
@@ -0,0 +1,121 @@
+//! Messages go through frames unchanged, however the bytes are cut, and bytes that are no frames are refused.
+
+mod drawn;
+
+use dispatch::{frame, FrameError, Frames, Message, FRAME_MAX};
+use drawn::{kind_of, message, Drawn, KINDS};
+use fuzzing::{seeded, TestResult};
+use quickcheck::Gen;
+
+/// Reads frames as a daemon does: what is no whole frame yet stays until more arrives.
+fn read_in_pieces(bytes: &[u8], cuts: &[u8]) -> Result<Vec<Message>, FrameError> {
+    let mut messages = Vec::new();
+    let mut inbox: Vec<u8> = Vec::new();
+    let mut rest = bytes;
+    let mut cuts = cuts.iter().cycle();
+    while !rest.is_empty() {
+        let length = cuts.next().map_or(1, |cut| usize::from(*cut) + 1);
+        let (piece, after) = rest.split_at(length.min(rest.len()));
+        inbox.extend_from_slice(piece);
+        rest = after;
+        let mut frames = Frames::new(&inbox);
+        while let Some(message) = frames.read::<Message>()? {
+            messages.push(message);
+        }
+        let taken = frames.taken();
+        inbox.drain(..taken);
+    }
+    Ok(messages)
+}
+
+#[test]
+fn every_kind_of_message_comes_back_as_it_was() {
+    let mut gen = Gen::from_size_and_seed(20, 20_261_202);
+    for kind in 0..KINDS {
+        for _ in 0..50 {
+            let told = message(kind, &mut gen);
+            assert_eq!(kind_of(&told), kind);
+            let bytes = frame(&told);
+            let mut frames = Frames::new(&bytes);
+            assert_eq!(frames.read(), Ok(Some(told)));
+            assert_eq!(frames.taken(), bytes.len());
+            assert_eq!(frames.read::<Message>(), Ok(None));
+        }
+    }
+    let pong = frame(&Message::Pong(7));
+    assert_eq!(Frames::new(&pong).read(), Ok(Some(Message::Pong(7))));
+}
+
+#[test]
+fn too_long_a_frame_is_refused_from_its_head_on() {
+    let head = (FRAME_MAX as u32 + 1).to_le_bytes();
+    assert_eq!(
+        Frames::new(&head).read::<Message>(),
+        Err(FrameError::TooLong)
+    );
+    let head = u32::MAX.to_le_bytes();
+    assert_eq!(
+        Frames::new(&head).read::<Message>(),
+        Err(FrameError::TooLong)
+    );
+    let longest = (FRAME_MAX as u32).to_le_bytes();
+    assert_eq!(Frames::new(&longest).read::<Message>(), Ok(None));
+}
+
+#[test]
+fn a_frame_without_a_message_is_refused() {
+    let empty = 0u32.to_le_bytes();
+    assert_eq!(
+        Frames::new(&empty).read::<Message>(),
+        Err(FrameError::Unreadable)
+    );
+    let mut unknown = 4u32.to_le_bytes().to_vec();
+    unknown.extend_from_slice(&[0xff; 4]);
+    assert_eq!(
+        Frames::new(&unknown).read::<Message>(),
+        Err(FrameError::Unreadable)
+    );
+}
+
+#[test]
+fn a_count_beyond_the_frame_takes_no_memory() {
+    // A list that says it holds four thousand million items, in a frame of a few bytes.
+    let mut bytes = frame(&Message::Report(Vec::new()));
+    let count = bytes.len() - 4;
+    bytes[count..].copy_from_slice(&u32::MAX.to_le_bytes());
+    assert_eq!(
+        Frames::new(&bytes).read::<Message>(),
+        Err(FrameError::Unreadable)
+    );
+}
+
+seeded! {
+    fn messages_survive_any_cuts(told: Vec<Drawn>, cuts: Vec<u8>) -> TestResult {
+        let told: Vec<Message> = told.into_iter().map(|drawn| drawn.0).collect();
+        let bytes: Vec<u8> = told.iter().flat_map(frame).collect();
+        TestResult::from_bool(read_in_pieces(&bytes, &cuts) == Ok(told))
+    }
+
+    fn garbage_never_panics(bytes: Vec<u8>, cuts: Vec<u8>) -> bool {
+        let _ = read_in_pieces(&bytes, &cuts);
+        true
+    }
+
+    fn spoilt_frames_never_panic(told: Drawn, place: usize, byte: u8) -> bool {
+        let mut bytes = frame(&told.0);
+        let place = place % bytes.len();
+        bytes[place] ^= byte;
+        let mut frames = Frames::new(&bytes);
+        while let Ok(Some(message)) = frames.read::<Message>() {
+            let _ = kind_of(&message);
+        }
+        frames.taken() <= bytes.len()
+    }
+
+    fn frames_are_taken_whole_or_not_at_all(told: Drawn, length: usize) -> bool {
+        let bytes = frame(&told.0);
+        let length = length % bytes.len();
+        let mut frames = Frames::new(&bytes[..length]);
+        frames.read::<Message>() == Ok(None) && frames.taken() == 0
+    }
+}
