Courier: lines on loopback, waits for conditions only

Proves the events of opened, connected, arrived and ended lines, big sends before a close, the bound of an inbox, unreachable addresses, half-closed peers with data, resets, and that a used place has another id.

--- /dev/null
+++ b/crates/courier/tests/lines.rs
@@ -0,0 +1,359 @@
+//! Lines between this daemon and peers on loopback. Every wait is for a condition, with a bounded number of looks.
+
+use courier::{Courier, End, Event, Hatch, LineId, Timers};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+const LOOKS: usize = 500;
+const LOOK: Duration = Duration::from_millis(20);
+const INBOX: usize = 64 << 10;
+
+/// A courier and all that it told so far.
+struct Daemon {
+    courier: Courier,
+    told: Vec<Event>,
+}
+
+impl Daemon {
+    fn new() -> Self {
+        Self {
+            courier: Courier::new(64, 2_000).unwrap(),
+            told: Vec::new(),
+        }
+    }
+
+    fn look(&mut self, patience: Duration) {
+        let mut events = Vec::new();
+        self.courier.wait(patience, &mut events);
+        self.told.extend(events);
+    }
+
+    fn until<T>(&mut self, what: &str, mut found: impl FnMut(&mut Self) -> Option<T>) -> T {
+        for _ in 0..LOOKS {
+            if let Some(found) = found(self) {
+                return found;
+            }
+            self.look(LOOK);
+        }
+        panic!("{what} did not come: {:?}", self.told);
+    }
+
+    fn opened(&mut self) -> (Hatch, LineId) {
+        self.until("a line", |daemon| {
+            let place = daemon
+                .told
+                .iter()
+                .position(|event| matches!(event, Event::Opened(..)))?;
+            let Event::Opened(hatch, line) = daemon.told.remove(place) else {
+                return None;
+            };
+            Some((hatch, line))
+        })
+    }
+
+    fn ended(&mut self, line: LineId) -> End {
+        self.until("an end", |daemon| {
+            daemon.told.iter().find_map(|event| match event {
+                Event::Ended(one, end) if *one == line => Some(*end),
+                _ => None,
+            })
+        })
+    }
+
+    fn has(&self, event: Event) -> bool {
+        self.told.contains(&event)
+    }
+
+    fn holds(&mut self, line: LineId, length: usize) -> Vec<u8> {
+        self.until("bytes", |daemon| {
+            let inbox = daemon.courier.inbox(line)?;
+            (inbox.len() >= length).then(|| std::mem::take(inbox))
+        })
+    }
+}
+
+/// A daemon that listens, a peer's socket, and the line between them.
+fn accepted(inbox: usize) -> (Daemon, TcpStream, LineId) {
+    let mut daemon = Daemon::new();
+    let address = free_address();
+    let hatch = daemon.courier.listen(address, inbox).unwrap();
+    let peer = TcpStream::connect(address).unwrap();
+    let (at, line) = daemon.opened();
+    assert_eq!(at, hatch);
+    (daemon, peer, line)
+}
+
+fn connected(inbox: usize) -> (Daemon, TcpStream, LineId) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut daemon = Daemon::new();
+    let address = listener.local_addr().unwrap();
+    let line = daemon.courier.connect(address, inbox).unwrap();
+    daemon.until("a connection", |daemon| {
+        daemon.has(Event::Connected(line)).then_some(())
+    });
+    (daemon, listener.accept().unwrap().0, line)
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn pattern(length: usize) -> Vec<u8> {
+    (0..length).map(|place| (place % 251) as u8).collect()
+}
+
+#[test]
+fn bytes_go_both_ways_and_a_close_is_told() {
+    let (mut daemon, mut peer, line) = accepted(INBOX);
+    peer.write_all(b"ping").unwrap();
+    assert_eq!(daemon.holds(line, 4), b"ping");
+    assert!(daemon.has(Event::Arrived(line)));
+    daemon.courier.send(line, b"pong");
+    let mut answer = [0; 4];
+    peer.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"pong");
+    drop(peer);
+    assert_eq!(daemon.ended(line), End::Closed);
+    assert!(!daemon.courier.is_open(line));
+    daemon.courier.close(line);
+    assert!(daemon.courier.is_empty());
+}
+
+#[test]
+fn a_line_that_is_opened_here_comes_up_and_carries_bytes() {
+    let (mut daemon, mut peer, line) = connected(INBOX);
+    daemon.courier.send(line, b"ping");
+    let mut question = [0; 4];
+    peer.read_exact(&mut question).unwrap();
+    peer.write_all(b"pong").unwrap();
+    assert_eq!(daemon.holds(line, 4), b"pong");
+}
+
+#[test]
+fn bytes_that_are_sent_before_the_line_is_up_arrive() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut daemon = Daemon::new();
+    let line = daemon
+        .courier
+        .connect(listener.local_addr().unwrap(), INBOX)
+        .unwrap();
+    daemon.courier.send(line, b"early");
+    daemon.until("a connection", |daemon| {
+        daemon.has(Event::Connected(line)).then_some(())
+    });
+    let mut peer = listener.accept().unwrap().0;
+    let mut bytes = [0; 5];
+    peer.read_exact(&mut bytes).unwrap();
+    assert_eq!(&bytes, b"early");
+}
+
+#[test]
+fn a_big_send_arrives_whole_before_the_line_is_closed() {
+    let (mut daemon, mut peer, line) = accepted(INBOX);
+    let bytes = pattern(8 << 20);
+    daemon.courier.send(line, &bytes);
+    assert!(daemon.courier.backlog(line) > 0);
+    daemon.courier.finish(line);
+    let reader = std::thread::spawn(move || {
+        let mut all = Vec::new();
+        peer.read_to_end(&mut all).unwrap();
+        all
+    });
+    daemon.until("the last byte", |daemon| {
+        daemon.courier.is_empty().then_some(())
+    });
+    assert!(reader.join().unwrap() == bytes);
+}
+
+#[test]
+fn a_line_that_holds_too_much_breaks() {
+    let (mut daemon, _peer, line) = accepted(INBOX);
+    let bytes = vec![0; 9 << 20];
+    for _ in 0..4 {
+        daemon.courier.send(line, &bytes);
+    }
+    assert_eq!(daemon.ended(line), End::Broken);
+}
+
+#[test]
+fn an_inbox_takes_no_more_than_its_bound_until_it_is_emptied() {
+    let bound = 32 << 10;
+    let (mut daemon, mut peer, line) = accepted(bound);
+    let bytes = pattern(4 << 20);
+    let sent = bytes.clone();
+    let writer = std::thread::spawn(move || peer.write_all(&sent).map(|()| peer).unwrap());
+    let scratch = 64 << 10;
+    let mut all = Vec::new();
+    while all.len() < bytes.len() {
+        let missing = bytes.len() - all.len();
+        let piece = daemon.holds(line, bound.min(missing));
+        assert!(
+            piece.len() <= bound + scratch,
+            "{} bytes are too many",
+            piece.len()
+        );
+        all.extend(piece);
+    }
+    assert!(all == bytes);
+    drop(writer.join().unwrap());
+    assert_eq!(daemon.ended(line), End::Closed);
+}
+
+#[test]
+fn a_full_inbox_holds_the_peer_back() {
+    let bound = 16 << 10;
+    let (mut daemon, mut peer, line) = accepted(bound);
+    peer.set_nonblocking(true).unwrap();
+    let bytes = vec![1; 64 << 10];
+    let mut sent = 0;
+    // The peer is stuck once neither side takes anything in many looks.
+    let mut idle = 0;
+    while idle < 20 {
+        match peer.write(&bytes) {
+            Ok(count) => {
+                sent += count;
+                idle = 0;
+            }
+            Err(_) => idle += 1,
+        }
+        daemon.look(Duration::from_millis(1));
+        assert!(sent < 64 << 20, "nothing holds the peer back");
+    }
+    let held = daemon.courier.inbox(line).map_or(0, |inbox| inbox.len());
+    assert!(
+        held >= bound && held <= bound + (64 << 10),
+        "{held} bytes are held"
+    );
+}
+
+#[test]
+fn nobody_at_an_address_is_told() {
+    let mut daemon = Daemon::new();
+    let line = daemon.courier.connect(free_address(), INBOX).unwrap();
+    assert_eq!(daemon.ended(line), End::Unreached);
+    assert!(!daemon.has(Event::Connected(line)));
+}
+
+#[test]
+fn what_a_peer_sent_before_it_closed_can_be_read() {
+    let (mut daemon, mut peer, line) = connected(INBOX);
+    peer.write_all(b"last words").unwrap();
+    peer.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(daemon.ended(line), End::Closed);
+    let arrived = daemon
+        .told
+        .iter()
+        .position(|event| *event == Event::Arrived(line));
+    let ended = daemon
+        .told
+        .iter()
+        .position(|event| *event == Event::Ended(line, End::Closed));
+    assert!(arrived.is_some() && arrived < ended, "{:?}", daemon.told);
+    assert_eq!(daemon.courier.inbox(line).unwrap(), b"last words");
+}
+
+#[test]
+fn more_than_an_inbox_before_a_close_is_read_whole() {
+    let bound = 8 << 10;
+    let (mut daemon, mut peer, line) = connected(bound);
+    let bytes = pattern(300 << 10);
+    let sent = bytes.clone();
+    let writer = std::thread::spawn(move || {
+        peer.write_all(&sent).unwrap();
+        peer.shutdown(Shutdown::Write).unwrap();
+        peer
+    });
+    let mut all = Vec::new();
+    daemon.until("the end", |daemon| {
+        if let Some(inbox) = daemon.courier.inbox(line) {
+            all.append(inbox);
+        }
+        daemon.has(Event::Ended(line, End::Closed)).then_some(())
+    });
+    all.append(daemon.courier.inbox(line).unwrap());
+    assert!(all == bytes, "{} of {} bytes", all.len(), bytes.len());
+    drop(writer.join().unwrap());
+}
+
+#[test]
+fn a_reset_is_told_as_a_broken_line() {
+    let (mut daemon, peer, line) = accepted(INBOX);
+    daemon.courier.send(line, b"nobody reads this");
+    // A close with unread bytes resets the connection.
+    let mut first = [0; 1];
+    assert_eq!(peer.peek(&mut first).unwrap(), 1);
+    drop(peer);
+    assert_eq!(daemon.ended(line), End::Broken);
+}
+
+#[test]
+fn a_place_that_is_used_again_has_another_id() {
+    let (mut daemon, _peer, first) = connected(INBOX);
+    daemon.courier.close(first);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let second = daemon.courier.connect(address, INBOX).unwrap();
+    assert_ne!(first, second);
+    daemon.until("a connection", |daemon| {
+        daemon.has(Event::Connected(second)).then_some(())
+    });
+    let mut peer = listener.accept().unwrap().0;
+    // What is meant for the former line touches nothing.
+    daemon.courier.send(first, b"stale");
+    daemon.courier.finish(first);
+    daemon.courier.close(first);
+    assert!(daemon.courier.inbox(first).is_none() && !daemon.courier.is_open(first));
+    daemon.courier.send(second, b"fresh");
+    let mut bytes = [0; 5];
+    peer.read_exact(&mut bytes).unwrap();
+    assert_eq!(&bytes, b"fresh");
+    assert!(daemon.courier.is_open(second));
+}
+
+#[test]
+fn a_hatch_that_is_shut_takes_nobody() {
+    let mut daemon = Daemon::new();
+    let address = free_address();
+    let hatch = daemon.courier.listen(address, INBOX).unwrap();
+    daemon.courier.shut(hatch);
+    assert!(TcpStream::connect(address).is_err());
+}
+
+#[test]
+fn many_peers_at_once_are_all_taken() {
+    let mut daemon = Daemon::new();
+    let address = free_address();
+    daemon.courier.listen(address, INBOX).unwrap();
+    let peers: Vec<TcpStream> = (0..50)
+        .map(|_| TcpStream::connect(address).unwrap())
+        .collect();
+    let lines: std::collections::BTreeSet<LineId> =
+        peers.iter().map(|_| daemon.opened().1).collect();
+    assert_eq!((lines.len(), daemon.courier.len()), (50, 50));
+}
+
+#[test]
+fn another_thread_ends_a_wait() {
+    let mut daemon = Daemon::new();
+    let waker = daemon.courier.waker().unwrap();
+    let thread = std::thread::spawn(move || waker.wake().unwrap());
+    // Without the waker this would last an hour.
+    daemon.look(Duration::from_secs(3_600));
+    thread.join().unwrap();
+}
+
+#[test]
+fn timers_come_in_their_order_and_not_before_their_time() {
+    let mut timers = Timers::default();
+    for (at, what) in [(30, 'c'), (10, 'a'), (20, 'b')] {
+        timers.set(at, what);
+    }
+    assert_eq!(timers.next_at(), Some(10));
+    assert_eq!(timers.due(9), None);
+    assert_eq!(timers.due(20), Some('a'));
+    assert_eq!(timers.due(20), Some('b'));
+    assert_eq!(timers.due(20), None);
+    assert_eq!((timers.len(), timers.is_empty()), (1, false));
+}
