A runner's 503 without a word that it did not run is no promise; once and late answers

Cause: a runner's own 503, 429 or 408 without Not-Run went to the client unchanged, where it promises that the request never ran, though it had run; nor was repeatable work sent on. Change: such an answer counts as lost. Test: once_work_runs_at_most_once_and_promises_are_kept, red without the change.

Also proves that lost, garbled, cut or unsealed answers and dying runners never make once-work run twice, that further tries stay within ratio and slack, and that late or double answers reach no other request.

--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -125,6 +125,11 @@
             self.lost(number, "the answer has no seal");
             return;
         }
+        // These say that nothing ran and nothing will; a runner that does not say so may have run it.
+        if matches!(response.status, 408 | 429 | 503) {
+            self.lost(number, "the runner refused it and did not say that it was not run");
+            return;
+        }
         self.give_back(&lender, &function, number, Outcome::Answered, took);
         let Some(ticket) = self.tickets.get(number) else {
             return;
