--- a/crates/courier/tests/lines.rs
+++ b/crates/courier/tests/lines.rs
@@ -3,7 +3,8 @@
 use courier::{Courier, End, Event, Hatch, LineId, Timers};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 const LOOKS: usize = 500;
 const LOOK: Duration = Duration::from_millis(20);
@@ -338,9 +339,14 @@
 fn another_thread_ends_a_wait() {
     let mut daemon = Daemon::new();
     let waker = daemon.courier.waker().unwrap();
-    let thread = std::thread::spawn(move || waker.wake().unwrap());
-    // Without the waker this would last an hour.
-    daemon.look(Duration::from_secs(3_600));
+    let other = Arc::clone(&waker);
+    let began = Instant::now();
+    let thread = std::thread::spawn(move || other.wake().unwrap());
+    daemon.look(Duration::from_secs(30));
+    assert!(
+        began.elapsed() < Duration::from_secs(20),
+        "nobody ended the wait"
+    );
     thread.join().unwrap();
 }
 
