A gateway that ends takes nobody new from half its grace on, and sends all that it holds

Cause: the public port was shut only in a moment without any request, so under steady traffic the process ended at the end of its grace with requests at runners; and it ended while answers still waited to be sent to clients that read slowly. Change: from half of the grace period on nobody new is taken, and the process ends only once no line has bytes left to send.

--- a/crates/courier/src/courier.rs
+++ b/crates/courier/src/courier.rs
@@ -186,6 +186,12 @@
         line.closes_after_flush = true;
     }
 
+    /// Whether a line that is to be closed still has bytes to send.
+    pub fn is_flushing(&self) -> bool {
+        let mut lines = self.lines.iter();
+        lines.any(|(_, line)| line.closes_after_flush && !line.has_ended)
+    }
+
     /// Closes a line at once.
     pub fn close(&mut self, id: LineId) {
         if self.line(id).is_none() {
--- a/crates/courier/tests/lines.rs
+++ b/crates/courier/tests/lines.rs
@@ -156,7 +156,9 @@
     let bytes = pattern(8 << 20);
     daemon.courier.send(line, &bytes);
     assert!(daemon.courier.backlog(line) > 0);
+    assert!(!daemon.courier.is_flushing());
     daemon.courier.finish(line);
+    assert!(daemon.courier.is_flushing());
     let reader = std::thread::spawn(move || {
         let mut all = Vec::new();
         peer.read_to_end(&mut all).unwrap();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -270,13 +270,15 @@
         let Some(since) = self.drains_since else {
             return false;
         };
-        // Clients learn within two looks, a second apart, that this daemon takes no more.
+        // Clients learn within two looks, a second apart, that this daemon takes no more; some come all the same.
         let spent = self.now - since;
-        let has_told = spent >= self.options.grace_ms / 2;
-        if has_told && self.tickets.len() == 0 {
+        if spent >= self.options.grace_ms / 2 {
             self.courier.shut(self.hatches.public);
             self.close_idle_clients();
-            return !self.has_clients();
+            let is_done = self.tickets.len() == 0 && !self.has_clients();
+            if is_done && !self.courier.is_flushing() {
+                return true;
+            }
         }
         spent >= self.options.grace_ms * 11 / 12
     }
