A client that pauses within an answer gets the rest

Cause: clients' lines had the bound of silence of links between daemons (0.4 of the bound on changes: 0.8 s with 2 s), and the kernel breaks a line also where the peer confirms and only reads nothing for so long. Change: a client's line may be silent for the idle time of the limits.

--- a/crates/courier/src/courier.rs
+++ b/crates/courier/src/courier.rs
@@ -122,6 +122,14 @@
         })
     }
 
+    /// Lets a line's peer be silent for longer or shorter than others before the line breaks.
+    pub fn allow_silence(&mut self, id: LineId, silence_ms: u64) {
+        if let Some(line) = self.line(id) {
+            let silence = Duration::from_millis(silence_ms);
+            let _ = SockRef::from(&line.stream).set_tcp_user_timeout(Some(silence));
+        }
+    }
+
     fn line(&mut self, id: LineId) -> Option<&mut Line> {
         let line = self.lines.get_mut(id.place as usize)?;
         (line.use_no == id.use_no).then_some(line)
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -27,6 +27,8 @@
         };
         self.roles.insert(line, Role::Client(client));
         let wait = self.control.limits().idle_ms;
+        // A client that reads nothing for a while is no daemon that fell silent.
+        self.courier.allow_silence(line, wait);
         self.timers.set(self.now + wait, Due::Client(line));
     }
 
