--- /dev/null
+++ b/tests/hollow/src/cores.rs
@@ -0,0 +1,217 @@
+//! The council in virtual time, without faults.
+
+use crate::meter::{timed, Markdown};
+use council::{
+    perform, Council, CouncilAction, CouncilMessage, CouncilOptions, DiskWork, HeldSummary,
+    DESCRIPTION_KEY,
+};
+use dispatch::frame;
+use journal::MemoryFolder;
+use register::Outcome;
+use std::collections::VecDeque;
+use voter::Voter;
+
+const BEAT_MS: u64 = 550;
+const LEASE_MS: u64 = 4_400;
+const TICK_MS: u64 = 50;
+const WAY_MS: u64 = 5;
+
+struct Core {
+    council: Council,
+    voter: Voter,
+    works: Vec<DiskWork>,
+    cpu: u64,
+    bytes: u64,
+    messages: u64,
+    done: Option<(u64, Outcome)>,
+}
+
+struct World {
+    now: u64,
+    cores: Vec<Core>,
+    ways: VecDeque<(u64, usize, usize, CouncilMessage)>,
+}
+
+fn address(place: usize) -> String {
+    format!("10.16.{place}.2:7002")
+}
+
+impl World {
+    fn new(count: usize) -> Self {
+        let core = |place: usize| {
+            let voter = Voter::open(Box::new(MemoryFolder::default())).expect("an empty voter");
+            let options = CouncilOptions {
+                name: format!("core-{place}"),
+                address: address(place),
+                seeds: (0..count).map(address).collect(),
+                is_first_start: true,
+                disk: 1_000 + place as u64,
+                lease_ms: LEASE_MS,
+                beat_ms: BEAT_MS,
+                patience_ms: 2_000,
+                seed: place as u64,
+                voters_wanted: 5,
+            };
+            Core {
+                council: Council::new(options, 0, HeldSummary::of(&voter)),
+                voter,
+                works: Vec::new(),
+                cpu: 0,
+                bytes: 0,
+                messages: 0,
+                done: None,
+            }
+        };
+        Self {
+            now: 0,
+            cores: (0..count).map(core).collect(),
+            ways: VecDeque::new(),
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += 1;
+        while self.ways.front().is_some_and(|(at, ..)| *at <= self.now) {
+            let Some((_, from, to, message)) = self.ways.pop_front() else {
+                break;
+            };
+            let core = &mut self.cores[to];
+            timed(&mut core.cpu, || {
+                core.council.on_message(self.now, &address(from), message)
+            });
+            self.drain(to);
+        }
+        for place in 0..self.cores.len() {
+            if (self.now + 7 * place as u64).is_multiple_of(TICK_MS) {
+                let core = &mut self.cores[place];
+                timed(&mut core.cpu, || core.council.tick(self.now));
+                self.drain(place);
+            }
+            let core = &mut self.cores[place];
+            let works = std::mem::take(&mut core.works);
+            if !works.is_empty() {
+                for done in perform(&mut core.voter, works) {
+                    timed(&mut core.cpu, || core.council.on_disk(self.now, done));
+                }
+                self.drain(place);
+            }
+        }
+    }
+
+    fn drain(&mut self, from: usize) {
+        let now = self.now;
+        let core = &mut self.cores[from];
+        for action in core.council.actions() {
+            match action {
+                CouncilAction::Send { to, message } => {
+                    let bytes = timed(&mut core.cpu, || frame(&message).len() as u64);
+                    core.bytes += bytes;
+                    core.messages += 1;
+                    let to = to
+                        .strip_prefix("10.16.")
+                        .and_then(|rest| rest.split('.').next());
+                    let to = to.and_then(|text| text.parse().ok()).unwrap_or(from);
+                    self.ways.push_back((now + WAY_MS, from, to, message));
+                }
+                CouncilAction::Disk(work) => core.works.push(work),
+                CouncilAction::Done { token, outcome } => core.done = Some((token, outcome)),
+                _ => {}
+            }
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        (0..ms).for_each(|_| self.step());
+    }
+
+    fn forget(&mut self) {
+        for core in &mut self.cores {
+            (core.cpu, core.bytes, core.messages) = (0, 0, 0);
+        }
+    }
+
+    fn holder(&self) -> usize {
+        let holds = |core: &Core| core.council.term(self.now).is_some();
+        self.cores
+            .iter()
+            .position(holds)
+            .expect("one holds the duty")
+    }
+
+    /// Writes a value at a core and gives the milliseconds that it took.
+    fn write(&mut self, place: usize, size: usize) -> u64 {
+        let began = self.now;
+        let version = self.cores[place]
+            .council
+            .settled(DESCRIPTION_KEY)
+            .map_or(0, |one| one.0);
+        // Of bytes that no deflating makes smaller.
+        let bytes = (0..size).map(|at| (at * 31 % 251) as u8).collect();
+        let core = &mut self.cores[place];
+        core.done = None;
+        core.council
+            .write(self.now, 1, DESCRIPTION_KEY, version, bytes);
+        self.drain(place);
+        while self.cores[place].done.is_none() {
+            self.step();
+            assert!(self.now < began + 20_000, "the write ends");
+        }
+        let done = self.cores[place].done.take();
+        assert!(matches!(done, Some((1, Outcome::Settled(_)))), "{done:?}");
+        self.now - began
+    }
+}
+
+pub fn run() {
+    let columns = [
+        "cores",
+        "messages/s of the holder",
+        "KB/s",
+        "us of processor a s",
+        "of another: KB/s",
+    ];
+    let table = Markdown::head("A quiet council (beat 550 ms, 5 voters wanted)", &columns);
+    for count in [3, 5, 8] {
+        let mut world = World::new(count);
+        world.run(20_000);
+        world.forget();
+        world.run(60_000);
+        let holder = &world.cores[world.holder()];
+        let others: u64 = world.cores.iter().map(|core| core.bytes).sum::<u64>() - holder.bytes;
+        table.row(&[
+            count as f64,
+            holder.messages as f64 / 60.0,
+            holder.bytes as f64 / 60e3,
+            holder.cpu as f64 / 60e3,
+            others as f64 / 60e3 / (count - 1) as f64,
+        ]);
+    }
+    let columns = [
+        "KB of the value",
+        "cores",
+        "KB sent by the writer",
+        "KB sent by all",
+        "ms of processor, all",
+        "ms in virtual time",
+    ];
+    let table = Markdown::head("One write of the description's register", &columns);
+    for (size, count) in [(10, 5), (100, 5), (700, 5), (700, 8)] {
+        let mut world = World::new(count);
+        world.run(20_000);
+        let place = world.holder();
+        world.write(place, size << 10);
+        world.run(5_000);
+        world.forget();
+        let ms = world.write(place, size << 10);
+        world.run(3_000);
+        let sum = |of: fn(&Core) -> u64| world.cores.iter().map(of).sum::<u64>() as f64;
+        table.row(&[
+            size as f64,
+            count as f64,
+            world.cores[place].bytes as f64 / 1e3,
+            sum(|core| core.bytes) / 1e3,
+            sum(|core| core.cpu) / 1e6,
+            ms as f64,
+        ]);
+    }
+}
--- /dev/null
+++ b/tests/hollow/src/fleet.rs
@@ -0,0 +1,372 @@
+//! Keepers and scaler together in virtual time: what each role spends and sends at a size.
+
+use crate::fleet_tables::tell;
+use crate::meter::{cpu_ns, timed};
+use crate::scaler;
+use crate::town::{self, Mix};
+use dispatch::{frame, Bid, Frames, FunctionReport, Member, Message, Outcome, Release};
+use launching::{Launcher, Order, RunnerSight};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use seating::{Errand, Keeper};
+use std::collections::{BTreeMap, HashMap};
+
+const STEP_MS: u64 = 50;
+const LIST_MS: u64 = 1_250;
+
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Flow {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+#[derive(Default)]
+pub(crate) struct Front {
+    pub keeper: Keeper,
+    pub cpu: u64,
+    pub in_bytes: u64,
+    pub report_bytes: u64,
+    pub bids: u64,
+    inbox: Vec<(usize, Message)>,
+}
+
+#[derive(Default)]
+pub(crate) struct Sums {
+    pub flows: BTreeMap<&'static str, Flow>,
+    pub electing: u64,
+    pub ticking: u64,
+    pub longest_tick: u64,
+    pub reporting: u64,
+    pub listing: u64,
+    pub carrying_out: u64,
+    pub calls: u64,
+    pub refused: u64,
+    pub starts: u64,
+    pub stops: u64,
+}
+
+impl Sums {
+    fn count(&mut self, name: &'static str, message: &Message) -> u64 {
+        let bytes = frame(message).len() as u64;
+        let flow = self.flows.entry(name).or_default();
+        flow.messages += 1;
+        flow.bytes += bytes;
+        bytes
+    }
+}
+
+pub(crate) struct Town {
+    now: u64,
+    random: StdRng,
+    pub mix: Mix,
+    pub pace_ms: u64,
+    members: Vec<Member>,
+    places: HashMap<String, usize>,
+    pub fronts: Vec<Front>,
+    pub launcher: Launcher,
+    pub listed: BTreeMap<String, RunnerSight>,
+    born: usize,
+    tickets: u64,
+    held: BTreeMap<u64, Vec<(usize, usize, u64)>>,
+    pub sums: Sums,
+}
+
+impl Town {
+    fn new(fronts: usize, functions: usize, instances: usize, calls: f64) -> Self {
+        let members = town::members(fronts);
+        let names = members.iter().enumerate();
+        let mix = Mix::new(functions, calls);
+        let workers = town::workers(instances);
+        let mut listed = BTreeMap::new();
+        let mut born = 0;
+        for function in 0..mix.hot {
+            let share = instances as f64 * mix.rate(function) / calls;
+            for _ in 0..(share.round() as usize).max(1) {
+                let sight = town::sight(born, function, &workers);
+                listed.insert(sight.id.clone(), sight);
+                born += 1;
+            }
+        }
+        let mut launcher = Launcher::new(scaler::options(), 0);
+        launcher.describe(0, &town::description(functions));
+        launcher.see_workers(0, workers);
+        launcher.see_runners(0, listed.values().cloned().collect());
+        Self {
+            now: 0,
+            random: StdRng::seed_from_u64(7),
+            pace_ms: (650.0 * instances as f64 / calls) as u64,
+            places: names
+                .map(|(place, one)| (one.name.clone(), place))
+                .collect(),
+            fronts: (0..fronts).map(|_| Front::default()).collect(),
+            members,
+            mix,
+            launcher,
+            listed,
+            born,
+            tickets: 0,
+            held: BTreeMap::new(),
+            sums: Sums::default(),
+        }
+    }
+
+    fn elect(&mut self, function: usize) -> usize {
+        let name = town::function_name(function);
+        let member = timed(&mut self.sums.electing, || {
+            seating::elect(&name, &self.members, |_| true)
+        });
+        member.map_or(0, |member| self.places[&member.name])
+    }
+
+    /// Carriers: seats given back, and bids for calls that come in within a step.
+    fn carry(&mut self) {
+        let later = self.held.split_off(&(self.now + 1));
+        for (carrier, keeper, ticket) in std::mem::replace(&mut self.held, later)
+            .into_values()
+            .flatten()
+        {
+            let took_ms = self.pace_ms as u32;
+            let message = Message::Release(Release {
+                ticket,
+                outcome: Outcome::Answered,
+                took_ms,
+            });
+            self.fronts[keeper].in_bytes += self.sums.count("Release", &message);
+            self.fronts[keeper].inbox.push((carrier, message));
+        }
+        let calls = self.mix.calls_per_s * STEP_MS as f64 / 1e3;
+        let calls = calls as u64 + u64::from(self.random.random::<f64>() < calls.fract());
+        for _ in 0..calls {
+            let function = self.mix.draw(self.random.random());
+            let carrier = self.random.random_range(0..self.fronts.len());
+            let keeper = self.elect(function);
+            self.tickets += 1;
+            let message = Message::Bid(Bid {
+                ticket: self.tickets,
+                function: town::function_name(function),
+                rank: 1,
+                budget_ms: 6_000,
+                avoid: Vec::new(),
+            });
+            self.fronts[keeper].in_bytes += self.sums.count("Bid", &message);
+            self.fronts[keeper].bids += 1;
+            self.fronts[keeper].inbox.push((carrier, message));
+            self.sums.calls += 1;
+        }
+    }
+
+    /// Keepers take what came, tick and say what is to be done.
+    fn keep(&mut self) {
+        let now = self.now;
+        for place in 0..self.fronts.len() {
+            let front = &mut self.fronts[place];
+            let inbox: Vec<(usize, Vec<u8>)> = std::mem::take(&mut front.inbox)
+                .into_iter()
+                .map(|(from, message)| (from, frame(&message)))
+                .collect();
+            let members = &self.members;
+            let keeper = &mut front.keeper;
+            let errands = timed(&mut front.cpu, || {
+                for (from, bytes) in inbox {
+                    let member = &members[from];
+                    match Frames::new(&bytes).read() {
+                        Ok(Some(Message::Bid(bid))) => {
+                            keeper.bid(now, &member.name, &member.district, bid);
+                        }
+                        Ok(Some(Message::Release(release))) => {
+                            keeper.release(now, &member.name, &release);
+                        }
+                        _ => {}
+                    }
+                }
+                keeper.tick(now);
+                keeper.errands()
+            });
+            self.run_errands(place, errands);
+        }
+    }
+
+    fn run_errands(&mut self, keeper: usize, errands: Vec<Errand>) {
+        for errand in errands {
+            match errand {
+                Errand::Grant(front, grant) => {
+                    let ends_at = self.now + self.pace_ms.max(1);
+                    let held = (self.places[&front], keeper, grant.ticket);
+                    self.held.entry(ends_at).or_default().push(held);
+                    let message = Message::Grant(grant);
+                    timed(&mut self.fronts[keeper].cpu, || frame(&message).len());
+                    self.sums.count("Grant", &message);
+                }
+                Errand::Refuse(_, ticket, retry_after_ms) => {
+                    self.sums.refused += 1;
+                    let message = Message::Refuse {
+                        ticket,
+                        retry_after_ms,
+                    };
+                    self.sums.count("Refuse", &message);
+                }
+                Errand::Probe(function, runner, _) => {
+                    let now = self.now;
+                    let front = &mut self.fronts[keeper];
+                    timed(&mut front.cpu, || {
+                        front.keeper.probed(now, &function, &runner, true)
+                    });
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, is_all: bool) {
+        let now = self.now;
+        for place in 0..self.fronts.len() {
+            let front = &mut self.fronts[place];
+            let keeper = &mut front.keeper;
+            let (reports, bytes) = timed(&mut front.cpu, || {
+                let reports = keeper.reports(now, is_all);
+                let message = Message::Report(reports);
+                let bytes = frame(&message);
+                let Message::Report(reports) = message else {
+                    return (Vec::new(), bytes);
+                };
+                (reports, bytes)
+            });
+            if reports.is_empty() {
+                continue;
+            }
+            front.report_bytes += bytes.len() as u64;
+            let flow = self.sums.flows.entry("Report").or_default();
+            flow.messages += 1;
+            flow.bytes += bytes.len() as u64;
+            let name = self.members[place].name.clone();
+            self.take_reports(place, &name, &bytes);
+        }
+    }
+
+    fn take_reports(&mut self, place: usize, name: &str, bytes: &[u8]) {
+        let now = self.now;
+        let launcher = &mut self.launcher;
+        let news = timed(&mut self.sums.reporting, || {
+            let mut told = Vec::new();
+            let read: Option<Message> = Frames::new(bytes).read().ok().flatten();
+            let Some(Message::Report(reports)) = read else {
+                return told;
+            };
+            let is_stale = |report: &FunctionReport, news: &dispatch::FunctionNews| {
+                news.mark.0 > 0 && news.mark.1 != report.news
+            };
+            for report in &reports {
+                launcher.report(now, name, report);
+                let news = launcher.news_of(&report.function, now);
+                if is_stale(report, &news) {
+                    told.push(news);
+                }
+            }
+            told
+        });
+        for one in news {
+            self.tell(place, one);
+        }
+        self.carry_out();
+    }
+
+    fn tell(&mut self, place: usize, news: dispatch::FunctionNews) {
+        let message = Message::Runners(vec![news]);
+        self.sums.count("Runners", &message);
+        let Message::Runners(news) = message else {
+            return;
+        };
+        let now = self.now;
+        let front = &mut self.fronts[place];
+        timed(&mut front.cpu, || {
+            news.into_iter().for_each(|one| front.keeper.news(now, one));
+        });
+    }
+
+    /// The platform does orders at once; keepers hear news.
+    fn carry_out(&mut self) {
+        let launcher = &mut self.launcher;
+        let members = &self.members;
+        let (orders, news) = timed(&mut self.sums.carrying_out, || {
+            let orders = launcher.orders();
+            let news = launcher.news().into_iter();
+            let news = news.map(|one| {
+                let keeper = seating::elect(&one.function, members, |_| true);
+                (
+                    keeper.map_or(String::new(), |keeper| keeper.name.clone()),
+                    one,
+                )
+            });
+            (orders, news.collect::<Vec<_>>())
+        });
+        for order in orders {
+            self.obey(order);
+        }
+        for (keeper, one) in news {
+            if let Some(place) = self.places.get(&keeper).copied() {
+                self.tell(place, one);
+            }
+        }
+    }
+
+    fn obey(&mut self, order: Order) {
+        let now = self.now;
+        match order {
+            Order::Start {
+                function,
+                worker,
+                nonce,
+            } => {
+                self.sums.starts += 1;
+                let (id, address) = (town::instance_id(self.born), town::address(self.born));
+                self.born += 1;
+                let sight = RunnerSight {
+                    id: id.clone(),
+                    function,
+                    address: address.clone(),
+                    district: town::zone(self.born).to_string(),
+                    worker,
+                    capacity: 1,
+                    is_leaving: false,
+                };
+                self.listed.insert(id.clone(), sight);
+                self.launcher.started(now, &nonce, Ok((id, address)));
+            }
+            Order::Stop { id } => {
+                self.sums.stops += 1;
+                self.listed.remove(&id);
+                self.launcher.stopped(now, &id, true);
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        self.carry();
+        self.keep();
+        self.report(false);
+        let before = cpu_ns();
+        self.launcher.tick(self.now);
+        let spent = cpu_ns() - before;
+        self.sums.ticking += spent;
+        self.sums.longest_tick = self.sums.longest_tick.max(spent);
+        self.carry_out();
+        if self.now.is_multiple_of(LIST_MS) {
+            let sights: Vec<RunnerSight> = self.listed.values().cloned().collect();
+            let (now, launcher) = (self.now, &mut self.launcher);
+            timed(&mut self.sums.listing, || launcher.see_runners(now, sights));
+        }
+    }
+}
+
+pub fn run(fronts: usize, functions: usize, instances: usize, calls: f64, seconds: u64) {
+    let mut town = Town::new(fronts, functions, instances, calls);
+    town.carry_out();
+    town.report(true);
+    (0..seconds * 1_000 / STEP_MS).for_each(|_| town.step());
+    town.sums = Sums::default();
+    for front in &mut town.fronts {
+        (front.cpu, front.bids, front.in_bytes, front.report_bytes) = (0, 0, 0, 0);
+    }
+    (0..seconds * 1_000 / STEP_MS).for_each(|_| town.step());
+    tell(town, seconds as f64);
+}
--- /dev/null
+++ b/tests/hollow/src/fleet_tables.rs
@@ -0,0 +1,77 @@
+//! What a run of keepers and scaler came to.
+
+use crate::fleet::{Front, Town};
+use crate::meter::{live, Markdown};
+
+/// Prints the tables of a run that was measured for so many virtual seconds.
+pub fn tell(town: Town, seconds: f64) {
+    let size = format!(
+        "{} gateways, {} functions, {} instances at the end, {:.0} calls/s, answers take {} ms",
+        town.fronts.len(),
+        town.mix.functions,
+        town.listed.len(),
+        town.sums.calls as f64 / seconds,
+        town.pace_ms
+    );
+    println!("\n## {size}");
+    let sums = &town.sums;
+    let table = Markdown::head(
+        "Messages, all daemons together",
+        &["kind", "a second", "KB/s", "bytes each"],
+    );
+    for (name, flow) in &sums.flows {
+        let messages = flow.messages as f64;
+        let bytes = flow.bytes as f64;
+        table.named(
+            name,
+            &[
+                messages / seconds,
+                bytes / 1e3 / seconds,
+                bytes / messages.max(1.0),
+            ],
+        );
+    }
+    let count = town.fronts.len() as f64;
+    let share = |ns: u64| ns as f64 / 1e7 / seconds;
+    let columns = ["of a keeper", "mean", "the most"];
+    let table = Markdown::head("Keepers", &columns);
+    type Of = fn(&Front) -> u64;
+    let rows: [(&str, Of, f64); 4] = [
+        ("% of a core", |front| front.cpu, 1e7),
+        ("bids/s", |front| front.bids, 1.0),
+        ("KB/s in (bids, releases)", |front| front.in_bytes, 1e3),
+        ("KB/s of reports", |front| front.report_bytes, 1e3),
+    ];
+    for (name, of, unit) in rows {
+        let sum: u64 = town.fronts.iter().map(of).sum();
+        let most = town.fronts.iter().map(of).max().unwrap_or(0);
+        let of = |value: f64| value / unit / seconds;
+        table.named(name, &[of(sum as f64) / count, of(most as f64)]);
+    }
+    let table = Markdown::head("The scaler", &["part", "% of a core"]);
+    table.named("reports", &[share(sums.reporting)]);
+    table.named("orders and news", &[share(sums.carrying_out)]);
+    table.named("ticks", &[share(sums.ticking)]);
+    table.named("list of instances, read already", &[share(sums.listing)]);
+    println!(
+        "\nlongest tick of the scaler: {:.1} ms",
+        sums.longest_tick as f64 / 1e6
+    );
+    println!(
+        "elections by all gateways: {:.1} % of a core; {:.0} starts/s, {:.0} stops/s, {:.0} refused/s",
+        share(sums.electing),
+        sums.starts as f64 / seconds,
+        sums.stops as f64 / seconds,
+        sums.refused as f64 / seconds
+    );
+    let before = live();
+    drop(town.launcher);
+    let scaler = (before - live()) as f64 / 1e6;
+    let before = live();
+    drop(town.fronts);
+    let keepers = (before - live()) as f64 / 1e6;
+    println!(
+        "memory: scaler {scaler:.1} MB, keepers {:.2} MB each",
+        keepers / count
+    );
+}
--- /dev/null
+++ b/tests/hollow/src/main.rs
@@ -0,0 +1,120 @@
+//! `hallkeel-hollow`: hollow daemons in one process, which measure what each role costs as the site grows.
+
+mod carrier;
+mod configuration;
+mod cores;
+mod fleet;
+mod fleet_tables;
+mod keeper;
+mod meter;
+mod scaler;
+mod town;
+mod wire;
+mod wire_daemons;
+mod wire_fronts;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+
+#[global_allocator]
+static ALLOCATOR: meter::Counting = meter::Counting;
+
+/// Measures what each role costs as the site grows; each table is Markdown.
+#[derive(Parser)]
+#[command(name = "hallkeel-hollow", version)]
+struct Flags {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// A gateway's own part of a call: bytes, lookup, election, frames.
+    Carrier,
+    /// A keeper by runners of a function and by functions.
+    Keeper,
+    /// The scaler by instances and functions.
+    Scaler,
+    /// A change of the description by functions.
+    Configuration,
+    /// The council by cores and size of value.
+    Cores,
+    /// Keepers and scaler together in virtual time.
+    Fleet {
+        /// Gateways.
+        #[arg(long, default_value_t = 50)]
+        fronts: usize,
+        /// Functions.
+        #[arg(long, default_value_t = 2_000)]
+        functions: usize,
+        /// Instances.
+        #[arg(long, default_value_t = 5_000)]
+        instances: usize,
+        /// Calls a second.
+        #[arg(long, default_value_t = 6_600.0)]
+        calls: f64,
+        /// Virtual seconds that are measured, after as many that are not.
+        #[arg(long, default_value_t = 5)]
+        seconds: u64,
+    },
+    /// Real controllers and gateways on loopback with hollow fronts.
+    Wire {
+        /// Hollow fronts.
+        #[arg(long, default_value_t = 50)]
+        fronts: usize,
+        /// Functions of the description.
+        #[arg(long, default_value_t = 2_000)]
+        functions: usize,
+        /// Instances that the platform lists, ten a function.
+        #[arg(long, default_value_t = 0)]
+        instances: usize,
+        /// Controllers.
+        #[arg(long, default_value_t = 5)]
+        controllers: usize,
+        /// Gateways.
+        #[arg(long, default_value_t = 2)]
+        gateways: usize,
+        /// Seconds of each measured part.
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// Folder with the programs.
+        #[arg(long)]
+        programs: PathBuf,
+    },
+}
+
+fn main() {
+    match Flags::parse().command {
+        Command::Carrier => carrier::run(),
+        Command::Keeper => keeper::run(),
+        Command::Scaler => scaler::run(),
+        Command::Configuration => configuration::run(),
+        Command::Cores => cores::run(),
+        Command::Fleet {
+            fronts,
+            functions,
+            instances,
+            calls,
+            seconds,
+        } => fleet::run(fronts, functions, instances, calls, seconds),
+        Command::Wire {
+            fronts,
+            functions,
+            instances,
+            controllers,
+            gateways,
+            seconds,
+            programs,
+        } => {
+            let size = wire::Size {
+                fronts,
+                functions,
+                instances,
+                controllers,
+                gateways,
+                seconds,
+            };
+            wire::run(&size, &programs);
+        }
+    }
+}
--- /dev/null
+++ b/tests/hollow/src/scaler.rs
@@ -0,0 +1,210 @@
+//! The scaler by instances and functions.
+
+use crate::meter::{live, tell_fit, timed, Markdown};
+use crate::town;
+use dispatch::{FunctionReport, RunnerReport};
+use launching::{Launcher, Options, Order, RunnerSight};
+
+const ROUNDS: u64 = 5;
+const STARTS: usize = 21;
+
+pub fn run() {
+    by_instances();
+    by_functions();
+    lists();
+}
+
+/// Options of a site that starts as much as the design size asks for.
+pub fn options() -> Options {
+    Options {
+        starts_per_s: 1_000.0,
+        ..Options::default()
+    }
+}
+
+fn report(function: usize, places: std::ops::Range<usize>, round: u64) -> FunctionReport {
+    let runner = |place| RunnerReport {
+        id: town::instance_id(place),
+        in_use: 1,
+        answered: round * 2,
+        took_ms: round * 120,
+        turned_away: 0,
+        is_up: true,
+        is_gone: false,
+    };
+    let runners: Vec<RunnerReport> = places.map(runner).collect();
+    let arrived = round * 2 * runners.len() as u64;
+    let share = |zone: &&str| ((*zone).to_string(), arrived / 5);
+    FunctionReport {
+        function: town::function_name(function),
+        news: 1 << 32,
+        arrived: town::ZONES.iter().map(share).collect(),
+        waiting: 0,
+        given_up: 0,
+        runners,
+    }
+}
+
+struct Site {
+    launcher: Launcher,
+    sights: Vec<RunnerSight>,
+    each: usize,
+}
+
+fn site(functions: usize, active: usize, instances: usize) -> Site {
+    let mut launcher = Launcher::new(options(), 0);
+    launcher.describe(0, &town::description(functions));
+    let workers = town::workers(instances);
+    let each = (instances / active).max(1);
+    let sights = (0..instances).map(|place| town::sight(place, place / each % functions, &workers));
+    let sights: Vec<RunnerSight> = sights.collect();
+    launcher.see_workers(0, workers);
+    launcher.see_runners(0, sights.clone());
+    launcher.news();
+    Site {
+        launcher,
+        sights,
+        each,
+    }
+}
+
+fn by_instances() {
+    let columns = [
+        "instances (10 a function)",
+        "ms a plain tick (50 ms)",
+        "ms a tick with the look (250 ms)",
+        "ms a list of instances",
+        "us an instance reported",
+        "us an order to start",
+        "MB",
+    ];
+    let table = Markdown::head(
+        "The scaler by instances, 21,000 functions described",
+        &columns,
+    );
+    let mut points: [Vec<(f64, f64)>; 5] = Default::default();
+    for instances in [500, 5_000, 20_000, 61_000] {
+        let before = live();
+        let mut site = site(21_000, instances / 10, instances);
+        let held = (live() - before) as f64 / 1e6;
+        let (mut plain, mut look, mut list, mut told) = (0, 0, 0, 0);
+        let mut now = 0;
+        for round in 1..=ROUNDS {
+            now += 250;
+            for function in 0..instances / site.each {
+                let places = function * site.each..(function + 1) * site.each;
+                let report = report(function, places, round);
+                timed(&mut told, || {
+                    site.launcher.report(now, "edge-0001", &report)
+                });
+            }
+            timed(&mut look, || site.launcher.tick(now));
+            now += 50;
+            timed(&mut plain, || site.launcher.tick(now));
+            let sights = site.sights.clone();
+            timed(&mut list, || site.launcher.see_runners(now, sights));
+            site.launcher.news();
+        }
+        let place = start_ns(&mut site.launcher, now);
+        let size = instances as f64;
+        let of = |sum: u64| sum as f64 / ROUNDS as f64;
+        let told = of(told) / 1e3 / size;
+        let row = [
+            of(plain) / 1e6,
+            of(look) / 1e6,
+            of(list) / 1e6,
+            place / 1e3,
+            held,
+        ];
+        for (points, value) in points.iter_mut().zip(row) {
+            points.push((size, value));
+        }
+        table.row(&[size, row[0], row[1], row[2], told, row[3], row[4]]);
+    }
+    let names = [
+        "ms a plain tick",
+        "ms a look",
+        "ms a list",
+        "us a start",
+        "MB",
+    ];
+    for (name, points) in names.iter().zip(&points) {
+        tell_fit(name, "instances", points);
+    }
+}
+
+/// Rare functions without an instance are called one after the other: the middle one's time until its start is
+/// ordered.
+fn start_ns(launcher: &mut Launcher, now: u64) -> f64 {
+    let mut spent: Vec<u64> = (0..STARTS)
+        .map(|start| {
+            let asked = FunctionReport {
+                function: town::function_name(20_000 + start),
+                arrived: vec![("north-a".to_string(), 1)],
+                waiting: 1,
+                ..FunctionReport::default()
+            };
+            let mut sum = 0;
+            let orders = timed(&mut sum, || {
+                launcher.report(now + start as u64, "edge-0002", &asked);
+                launcher.orders()
+            });
+            let is_start = |order: &Order| matches!(order, Order::Start { .. });
+            assert!(
+                orders.iter().any(is_start),
+                "a start is ordered: {orders:?}"
+            );
+            sum
+        })
+        .collect();
+    spent.sort_unstable();
+    spent[STARTS / 2] as f64
+}
+
+fn by_functions() {
+    let columns = [
+        "functions described",
+        "ms to describe",
+        "MB, no instance",
+        "ms a look",
+    ];
+    let table = Markdown::head("The scaler by functions, none active", &columns);
+    for functions in [200, 2_000, 21_000] {
+        let description = town::description(functions);
+        let before = live();
+        let mut launcher = Launcher::new(options(), 0);
+        launcher.describe(0, &description);
+        let held = (live() - before) as f64 / 1e6;
+        launcher.see_workers(0, town::workers(500));
+        launcher.see_runners(0, Vec::new());
+        let (mut again, mut look) = (0, 0);
+        for round in 1..=ROUNDS {
+            timed(&mut again, || launcher.describe(round * 250, &description));
+            timed(&mut look, || launcher.tick(round * 250));
+        }
+        let of = |sum: u64| sum as f64 / ROUNDS as f64 / 1e6;
+        table.row(&[functions as f64, of(again), held, of(look)]);
+    }
+}
+
+fn lists() {
+    let columns = ["instances", "MB of the list", "ms to read it"];
+    let table = Markdown::head(
+        "The platform's list of instances (`platform::read_list`)",
+        &columns,
+    );
+    let mut points = Vec::new();
+    for instances in [500, 5_000, 20_000, 61_000] {
+        let workers = town::workers(instances);
+        let sights = (0..instances).map(|place| town::sight(place, place / 10, &workers));
+        let body = town::list_body(&sights.collect::<Vec<_>>());
+        let mut sum = 0;
+        for _ in 0..ROUNDS {
+            let _ = timed(&mut sum, || platform::read_list(&body));
+        }
+        let ms = sum as f64 / ROUNDS as f64 / 1e6;
+        points.push((instances as f64, ms));
+        table.row(&[instances as f64, body.len() as f64 / 1e6, ms]);
+    }
+    tell_fit("ms to read a list", "instances", &points);
+}
