Scaler: a start, a tick and a list no longer look at every instance several times

What runners take on a worker is summed once and anew only where something changed there; starts that are under way have their own set; ids are looked up by hash.

--- a/crates/launching/src/deciding.rs
+++ b/crates/launching/src/deciding.rs
@@ -238,6 +238,7 @@
         }
         if let Some(runner) = self.runners.get_mut(&serial) {
             runner.quota = quota;
+            self.accounts.remove(&runner.worker);
             self.changed.insert(runner.function.clone());
         }
         true
--- a/crates/launching/src/describing.rs
+++ b/crates/launching/src/describing.rs
@@ -121,6 +121,7 @@
             let Some(runner) = self.runners.get_mut(serial) else {
                 continue;
             };
+            self.accounts.remove(&runner.worker);
             runner.memory_mb = plan.memory_mb;
             runner.most = runner.capacity.min(plan.concurrency);
             if runner.quota > runner.most {
--- a/crates/launching/src/ending.rs
+++ b/crates/launching/src/ending.rs
@@ -73,20 +73,19 @@
     }
 
     fn late_starts(&self) -> Vec<u64> {
-        let mut late = Vec::new();
-        for name in &self.active {
-            let Some(function) = self.functions.get(name) else {
-                continue;
-            };
-            let limit_ms = self.options.start_limit_ms(function.plan.start_ms);
-            for (serial, runner) in self.runners_of(function) {
-                let is_late = self.now >= runner.known_at + limit_ms;
-                if runner.life == Life::Starting && is_late {
-                    late.push(serial);
-                }
-            }
-        }
-        late
+        let starting = self.starting.iter().copied();
+        starting
+            .filter(|serial| {
+                let Some(runner) = self.runners.get(serial) else {
+                    return false;
+                };
+                let function = self.functions.get(&runner.function);
+                function.is_some_and(|function| {
+                    let limit_ms = self.options.start_limit_ms(function.plan.start_ms);
+                    self.now >= runner.known_at + limit_ms
+                })
+            })
+            .collect()
     }
 
     fn tend_ending(&mut self, serial: u64) {
--- a/crates/launching/src/launcher.rs
+++ b/crates/launching/src/launcher.rs
@@ -1,9 +1,9 @@
 use crate::function::{Function, PACE_MS};
 use crate::options::Options;
 use crate::ordering::Bucket;
-use crate::placing::Worker;
+use crate::placing::{Account, Worker};
 use crate::runner::{Life, Runner};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Milliseconds between two looks at a function of which nothing new was told.
 const LOOK_MS: u64 = 250;
@@ -16,7 +16,7 @@
     pub(crate) functions: BTreeMap<String, Function>,
     pub(crate) runners: BTreeMap<u64, Runner>,
     pub(crate) serials: u64,
-    pub(crate) ids: BTreeMap<String, u64>,
+    pub(crate) ids: HashMap<String, u64>,
     pub(crate) nonces: BTreeMap<String, u64>,
     pub(crate) workers: BTreeMap<String, Worker>,
     pub(crate) placed: BTreeMap<String, BTreeSet<u64>>,
@@ -35,6 +35,10 @@
     pub(crate) counter: u64,
     pub(crate) wanted: BTreeSet<(u8, u8, u64)>,
     pub(crate) ending: BTreeSet<u64>,
+    /// Runners that were started and are not known to be up.
+    pub(crate) starting: BTreeSet<u64>,
+    /// What runners take on each worker, but for those workers where something has changed since.
+    pub(crate) accounts: BTreeMap<String, Account>,
     /// Stopped runners, with the time of the stop; lists may still show them.
     pub(crate) stopped: BTreeMap<String, u64>,
     pub(crate) bucket: Bucket,
@@ -53,7 +57,7 @@
             functions: BTreeMap::new(),
             runners: BTreeMap::new(),
             serials: 0,
-            ids: BTreeMap::new(),
+            ids: HashMap::new(),
             nonces: BTreeMap::new(),
             workers: BTreeMap::new(),
             placed: BTreeMap::new(),
@@ -68,6 +72,8 @@
             changed: BTreeSet::new(),
             wanted: BTreeSet::new(),
             ending: BTreeSet::new(),
+            starting: BTreeSet::new(),
+            accounts: BTreeMap::new(),
             stopped: BTreeMap::new(),
             looked_at: now,
         }
@@ -184,6 +190,7 @@
             function.runners.insert(serial);
         }
         self.active.insert(runner.function.clone());
+        self.accounts.remove(&runner.worker);
         self.placed
             .entry(runner.worker.clone())
             .or_default()
@@ -206,6 +213,7 @@
         if runner.stage().is_some() {
             self.changed.insert(runner.function.clone());
         }
+        self.accounts.remove(&runner.worker);
         if let Some(serials) = self.placed.get_mut(&runner.worker) {
             serials.remove(&serial);
             if serials.is_empty() {
@@ -221,6 +229,7 @@
         self.nonces.remove(&runner.nonce);
         self.wanted.retain(|(_, _, other)| *other != serial);
         self.ending.remove(&serial);
+        self.starting.remove(&serial);
         if let Some(worker) = self.workers.get_mut(&runner.worker) {
             if runner.asked_at.is_some() || runner.id.is_some() {
                 worker.freed.push((self.now, runner.memory_mb));
@@ -240,6 +249,12 @@
         let before = runner.stage();
         runner.life = life;
         runner.drain_news = 0;
+        self.accounts.remove(&runner.worker);
+        if life == Life::Starting {
+            self.starting.insert(serial);
+        } else {
+            self.starting.remove(&serial);
+        }
         if !runner.counts() {
             runner.quota = 0;
             self.ending.insert(serial);
--- a/crates/launching/src/listing.rs
+++ b/crates/launching/src/listing.rs
@@ -3,7 +3,7 @@
 use crate::placing::Worker;
 use crate::runner::{Life, Runner};
 use crate::sights::{RunnerSight, WorkerSight};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, HashSet};
 
 impl Launcher {
     /// Takes the platform's whole list of workers.
@@ -41,6 +41,7 @@
     /// keepers and the list of runners to tell.
     fn lose_worker(&mut self, worker: Worker) {
         let since = self.now;
+        self.accounts.remove(&worker.sight.name);
         let placed = self.placed_on(&worker.sight.name);
         let placed: Vec<(u64, Life)> = placed.map(|(serial, one)| (serial, one.life)).collect();
         for (serial, life) in placed {
@@ -57,11 +58,11 @@
         self.pass(now);
         let is_first = !self.knows_runners;
         self.knows_runners = true;
-        let listed: BTreeSet<String> = sights.iter().map(|sight| sight.id.clone()).collect();
-        for sight in sights {
+        let listed: HashSet<&str> = sights.iter().map(|sight| sight.id.as_str()).collect();
+        for sight in &sights {
             match self.ids.get(&sight.id) {
-                Some(&serial) => self.see_known(serial, &sight),
-                None => self.see_unknown(sight),
+                Some(&serial) => self.see_known(serial, sight),
+                None => self.see_unknown(sight.clone()),
             }
         }
         self.miss_unlisted(&listed);
@@ -69,7 +70,7 @@
         let now = self.now;
         let is_fresh = |at: u64| at + unlisted_ms > now;
         self.stopped
-            .retain(|id, at| listed.contains(id) || is_fresh(*at));
+            .retain(|id, at| listed.contains(id.as_str()) || is_fresh(*at));
         self.settle_lists(is_first);
     }
 
@@ -194,14 +195,14 @@
     }
 
     /// Runners that were listed once and are no more, for longer than the list lags.
-    fn miss_unlisted(&mut self, listed: &BTreeSet<String>) {
+    fn miss_unlisted(&mut self, listed: &HashSet<&str>) {
         let unlisted_ms = self.options.unlisted_ms();
         let mut gone = BTreeMap::new();
         for (&serial, runner) in &mut self.runners {
             let Some(id) = &runner.id else {
                 continue;
             };
-            if listed.contains(id) {
+            if listed.contains(id.as_str()) {
                 continue;
             }
             let missing_since = *runner.missing_since.get_or_insert(self.now);
--- a/crates/launching/src/ordering.rs
+++ b/crates/launching/src/ordering.rs
@@ -106,6 +106,7 @@
         };
         if runner.asked_at.is_none() {
             runner.asked_at = Some(self.now);
+            self.accounts.remove(&runner.worker);
             runner.started_at = self.now;
         }
         runner.life = Life::Asked;
@@ -186,6 +187,7 @@
         let Some(runner) = self.runners.get_mut(&serial) else {
             return;
         };
+        self.accounts.remove(&runner.worker);
         if runner.quota == 0 {
             runner.quota = runner.most;
         }
--- a/crates/launching/src/placing.rs
+++ b/crates/launching/src/placing.rs
@@ -17,6 +17,18 @@
     pub freed: Vec<(u64, u64)>,
 }
 
+/// What the runners on one worker take.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Account {
+    used_mb: u64,
+    /// Memory by share of what each runner may hold.
+    busy_mb: f64,
+    /// Memory of starts that are not ordered yet.
+    unasked_mb: u64,
+    /// Orders that the newest list may lack, with their memory.
+    asked: Vec<(u64, u64)>,
+}
+
 /// How good a worker is for a start; the lowest goes first.
 struct Fitness {
     is_elsewhere: bool,
@@ -58,34 +70,49 @@
         serials.filter_map(|serial| Some((*serial, self.runners.get(serial)?)))
     }
 
-    /// Memory that is free on a worker, by the own account and by the list.
-    pub(crate) fn free_mb(&self, worker: &Worker) -> u64 {
-        let seen_at = worker.seen_at.saturating_sub(self.options.list_lag_ms);
-        let mut used_mb = 0;
-        let mut unlisted_mb = 0;
+    /// The time before which the list of workers knows all orders.
+    fn listed_until(&self, worker: &Worker) -> u64 {
+        worker.seen_at.saturating_sub(self.options.list_lag_ms)
+    }
+
+    /// What the runners on a worker take, summed anew.
+    pub(crate) fn sum_account(&self, worker: &Worker) -> Account {
+        let listed_until = self.listed_until(worker);
+        let mut account = Account::default();
         for (_, runner) in self.placed_on(&worker.sight.name) {
-            used_mb += runner.memory_mb;
-            let is_unlisted = match runner.asked_at {
-                Some(at) => at >= seen_at,
-                None => runner.id.is_none(),
-            };
-            if is_unlisted {
-                unlisted_mb += runner.memory_mb;
+            account.used_mb += runner.memory_mb;
+            let share = f64::from(runner.quota) / f64::from(runner.most.max(1));
+            account.busy_mb += runner.memory_mb as f64 * share;
+            match runner.asked_at {
+                // What one list knows all later ones know.
+                Some(at) if at >= listed_until => account.asked.push((at, runner.memory_mb)),
+                None if runner.id.is_none() => account.unasked_mb += runner.memory_mb,
+                _ => {}
             }
         }
-        let lately = worker.freed.iter().filter(|(at, _)| *at >= seen_at);
-        let freed_mb: u64 = lately.map(|(_, size)| size).sum();
-        let own_mb = worker.sight.memory_mb.saturating_sub(used_mb);
-        let listed_mb = (worker.sight.free_mb + freed_mb).saturating_sub(unlisted_mb);
-        own_mb.min(listed_mb)
+        account
     }
 
-    fn occupancy(&self, worker: &Worker) -> f64 {
-        let shares = self.placed_on(&worker.sight.name).map(|(_, runner)| {
-            let share = f64::from(runner.quota) / f64::from(runner.most.max(1));
-            runner.memory_mb as f64 * share
-        });
-        shares.sum::<f64>() / worker.sight.memory_mb.max(1) as f64
+    fn renew_accounts(&mut self) {
+        let workers = self.workers.values();
+        let stale = workers.filter(|worker| !self.accounts.contains_key(&worker.sight.name));
+        let renewed: Vec<(String, Account)> = stale
+            .map(|worker| (worker.sight.name.clone(), self.sum_account(worker)))
+            .collect();
+        self.accounts.extend(renewed);
+    }
+
+    /// Memory that is free on a worker, by the own account and by the list.
+    pub(crate) fn free_mb(&self, worker: &Worker, account: &Account) -> u64 {
+        let listed_until = self.listed_until(worker);
+        let sum = |sizes: &[(u64, u64)]| -> u64 {
+            let late = sizes.iter().filter(|(at, _)| *at >= listed_until);
+            late.map(|(_, size)| size).sum()
+        };
+        let unlisted_mb = account.unasked_mb + sum(&account.asked);
+        let own_mb = worker.sight.memory_mb.saturating_sub(account.used_mb);
+        let listed_mb = (worker.sight.free_mb + sum(&worker.freed)).saturating_sub(unlisted_mb);
+        own_mb.min(listed_mb)
     }
 
     /// Runners of a function that count, by district.
@@ -117,17 +144,21 @@
 
     /// The least-occupied used worker, else a fresh one; in the callers' district where there is
     /// room and the function has no runner.
-    pub(crate) fn place(&self, name: &str) -> Option<String> {
+    pub(crate) fn place(&mut self, name: &str) -> Option<String> {
+        self.renew_accounts();
         let memory_mb = self.functions.get(name)?.plan.memory_mb;
         let spread = self.spread(name);
         let callers = self.callers_district(name, &spread);
         let mut best: Option<(Fitness, &str)> = None;
         for worker in self.workers.values() {
-            if !self.is_open(worker) || self.free_mb(worker) < memory_mb {
+            let Some(account) = self.accounts.get(&worker.sight.name) else {
+                continue;
+            };
+            if !self.is_open(worker) || self.free_mb(worker, account) < memory_mb {
                 continue;
             }
             let district = worker.sight.district.as_str();
-            let occupancy = self.occupancy(worker);
+            let occupancy = account.busy_mb / worker.sight.memory_mb.max(1) as f64;
             let fitness = Fitness {
                 is_elsewhere: callers.as_deref().is_some_and(|name| name != district),
                 is_fresh: self.placed_on(&worker.sight.name).next().is_none(),
--- a/crates/launching/src/room.rs
+++ b/crates/launching/src/room.rs
@@ -30,7 +30,8 @@
             }
             let empty = || {
                 (
-                    self.free_mb(worker) + self.ending_mb(&runner.worker),
+                    self.free_mb(worker, &self.sum_account(worker))
+                        + self.ending_mb(&runner.worker),
                     Vec::new(),
                 )
             };
