--- a/crates/seating/src/elect.rs
+++ b/crates/seating/src/elect.rs
@@ -1,11 +1,13 @@
 use dispatch::Member;
 
-fn weigh(function: &str, member: &str) -> u64 {
-    // FNV-1a over both names, then mixed, so that each function orders the members in its own way.
-    let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
-    for byte in function.bytes().chain([0]).chain(member.bytes()) {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
-    }
+fn digest(from: u64, bytes: impl Iterator<Item = u8>) -> u64 {
+    // FNV-1a.
+    bytes.fold(from, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3)
+    })
+}
+
+fn mixed(mut hash: u64) -> u64 {
     hash ^= hash >> 33;
     hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
     hash ^= hash >> 33;
@@ -20,6 +22,8 @@
     members: &'a [Member],
     passes: impl Fn(&Member) -> bool,
 ) -> Option<&'a Member> {
+    // Both names are digested and mixed, so that each function orders the members in its own way.
+    let begun = digest(0xcbf2_9ce4_8422_2325, function.bytes().chain([0]));
     let able = members.iter().filter(|member| passes(member));
-    able.max_by_key(|member| weigh(function, &member.name))
+    able.max_by_key(|member| mixed(digest(begun, member.name.bytes())))
 }
--- a/crates/seating/src/seats.rs
+++ b/crates/seating/src/seats.rs
@@ -110,6 +110,9 @@
 
     /// The next that gets a seat: its place in line and the runner.
     pub fn match_next(&self, now: u64, closed: &BTreeSet<String>) -> Option<((u8, u64), usize)> {
+        if self.waiting.is_empty() {
+            return None;
+        }
         let free: Vec<usize> = (0..self.runners.len())
             .filter(|place| {
                 let runner = &self.runners[*place];
@@ -156,11 +159,13 @@
     /// Milliseconds of an answer, over the runners.
     pub fn pace_ms(&self) -> f64 {
         let paces = self.runners.iter().map(|runner| runner.pace_ms);
-        let seen: Vec<f64> = paces.filter(|pace| *pace > 0.0).collect();
-        if seen.is_empty() {
+        let (count, sum) = paces
+            .filter(|pace| *pace > 0.0)
+            .fold((0, 0.0), |(count, sum), pace| (count + 1, sum + pace));
+        if count == 0 {
             return PACE_PRIOR_MS;
         }
-        seen.iter().sum::<f64>() / seen.len() as f64
+        sum / f64::from(count)
     }
 
     /// Milliseconds until whoever stands behind so many others gets a seat; none where nothing serves nor starts.
