--- a/crates/controller/src/fronts.rs
+++ b/crates/controller/src/fronts.rs
@@ -20,8 +20,13 @@
 
 impl Fronts {
     pub fn tell(&mut self, name: &str, message: &Message) {
+        self.tell_frame(name, &frame(message));
+    }
+
+    /// Tells a message that was framed once for many fronts.
+    pub fn tell_frame(&mut self, name: &str, bytes: &[u8]) {
         if let Some(front) = self.known.get_mut(name) {
-            front.out.extend_from_slice(&frame(message));
+            front.out.extend_from_slice(bytes);
         }
     }
 
@@ -177,7 +182,7 @@
             return;
         }
         self.fronts.beat_at = self.now;
-        let beat = self.core_beat();
+        let beat = frame(&self.core_beat());
         let silence = self.options.silence_ms();
         for name in self.fronts.names() {
             let is_silent = self
@@ -186,7 +191,7 @@
                 .get(&name)
                 .is_some_and(|front| self.now > front.heard_at + silence);
             if !is_silent {
-                self.fronts.tell(&name, &beat);
+                self.fronts.tell_frame(&name, &beat);
                 continue;
             }
             if let Some(front) = self.fronts.known.remove(&name) {
--- a/crates/controller/src/scaling.rs
+++ b/crates/controller/src/scaling.rs
@@ -1,6 +1,6 @@
 use crate::controller::Controller;
 use crate::scaling_calls::PlatformCalls;
-use dispatch::{FunctionReport, Member, Message};
+use dispatch::{frame, FunctionReport, Member, Message};
 use launching::{Launcher, Options, Order, RunnerSight};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -109,21 +109,22 @@
         // Fronts that have not found this core yet are waited for a little while.
         let is_early = self.now < self.scaling.began_at + self.options.beat_ms() * 3;
         let members = self.fronts.known.values();
-        let members: Vec<Member> = members.map(|front| front.member.clone()).collect();
-        if members != self.scaling.roster && !(is_early && self.scaling.roster_no == 0) {
-            self.scaling.roster = members;
+        let members = members.map(|front| &front.member);
+        let is_other = !members.clone().eq(&self.scaling.roster);
+        if is_other && !(is_early && self.scaling.roster_no == 0) {
+            self.scaling.roster = members.cloned().collect();
             self.scaling.roster_no += 1;
             self.scaling.untold = self.fronts.known.keys().cloned().collect();
         }
-        if self.scaling.roster_no == 0 {
+        if self.scaling.roster_no == 0 || self.scaling.untold.is_empty() {
             return;
         }
-        let message = Message::Roster {
+        let roster = frame(&Message::Roster {
             mark: (self.scaling.term, self.scaling.roster_no),
             members: self.scaling.roster.clone(),
-        };
+        });
         for name in std::mem::take(&mut self.scaling.untold) {
-            self.fronts.tell(&name, &message);
+            self.fronts.tell_frame(&name, &roster);
         }
     }
 
