--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -153,7 +153,7 @@
         self.control.members = members;
         self.links.forgive();
         self.move_waiting();
-        for function in self.links.kept_functions() {
+        for function in self.functions_at_runners() {
             let keeper = self.keeper_of(&function);
             if let Some(keeper) = keeper.filter(|keeper| *keeper != self.options.name) {
                 self.introduce(&keeper, &function);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -101,10 +101,6 @@
         former.is_some()
     }
 
-    pub fn kept_functions(&self) -> Vec<String> {
-        self.kept.keys().cloned().collect()
-    }
-
     /// The core that scales, and whether it is another one, or in another term, than last time.
     pub fn scaler(&mut self, now: u64) -> Option<(String, bool)> {
         let cores = self.cores.iter();
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -37,7 +37,7 @@
     fn note_refusal(&mut self, ticket: &Ticket, status: u16, reason: &str) {
         self.refusals += 1;
         // Told one by one while there are few, then one in a hundred.
-        if self.refusals < 50 || self.refusals % 100 == 0 {
+        if self.refusals < 50 || self.refusals.is_multiple_of(100) {
             let held = self.now - ticket.began_at;
             log::info!(
                 "gateway: refused {status} for {} after {held} ms: {reason} ({} so far)",
--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -2,6 +2,7 @@
 use crate::tickets::Stage;
 use dispatch::{Bid, Message, Outcome, Release};
 use seating::{elect, Credit};
+use std::collections::BTreeSet;
 
 /// Milliseconds before a request looks again for a keeper, or for credit.
 const REST_MS: u64 = 30;
@@ -78,6 +79,15 @@
         }
     }
 
+    /// Functions at whose runners this daemon has requests now.
+    pub fn functions_at_runners(&mut self) -> BTreeSet<String> {
+        let is_sent = |ticket: &crate::tickets::Ticket| matches!(ticket.stage, Stage::Sent(_));
+        let numbers = self.tickets.numbers(is_sent).into_iter();
+        numbers
+            .filter_map(|number| Some(self.tickets.get(number)?.function.clone()))
+            .collect()
+    }
+
     /// Runners of a function at which this daemon has requests now.
     fn runners_in_use(&mut self, function: &str) -> Vec<(String, String, String, Vec<u64>)> {
         let at_runners = |ticket: &crate::tickets::Ticket| {
