--- a/crates/controller/src/cores.rs
+++ b/crates/controller/src/cores.rs
@@ -1,4 +1,5 @@
 use crate::controller::{Controller, Role};
+use crate::fronts::OUT_KEPT;
 use council::CouncilMessage;
 use courier::{Courier, LineId};
 use dispatch::{frame, Frames};
@@ -55,6 +56,7 @@
             if !link.out.is_empty() {
                 courier.send(link.line, &link.out);
                 link.out.clear();
+                link.out.shrink_to(OUT_KEPT);
             }
         }
     }
--- a/crates/controller/src/fronts.rs
+++ b/crates/controller/src/fronts.rs
@@ -4,6 +4,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Most bytes of an empty buffer that are kept for the next use.
+pub(crate) const OUT_KEPT: usize = 4 << 10;
+
 pub(crate) struct Front {
     pub member: Member,
     pub line: LineId,
@@ -36,6 +39,7 @@
             if !front.out.is_empty() {
                 courier.send(front.line, &front.out);
                 front.out.clear();
+                front.out.shrink_to(OUT_KEPT);
             }
         }
     }
