--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -17,7 +17,7 @@
 /// What a line is for.
 pub(crate) enum Role {
     /// An operator's connection; whether its request is being worked on.
-    Operator(RequestReader, bool),
+    Operator(Box<RequestReader>, bool),
     /// A front, by name once it told it.
     Front(Option<String>),
     /// Another core, by council address once it is known.
@@ -168,7 +168,7 @@
             Event::Opened(hatch, line) => {
                 let [operators, fronts, _] = self.hatches;
                 let role = if hatch == operators {
-                    Role::Operator(RequestReader::new(), false)
+                    Role::Operator(Box::default(), false)
                 } else if hatch == fronts {
                     Role::Front(None)
                 } else {
--- a/crates/controller/src/operators.rs
+++ b/crates/controller/src/operators.rs
@@ -1,7 +1,7 @@
 use crate::controller::{Controller, Role};
 use crate::options::OperatorCall;
 use courier::LineId;
-use exchange::{write_response, Bounds, Request, RequestReader};
+use exchange::{write_response, Bounds, Request};
 
 const HEAD_MAX: usize = 64 << 10;
 const BODY_MAX: usize = 32 << 20;
@@ -86,7 +86,7 @@
             return;
         }
         self.roles
-            .insert(line, Role::Operator(RequestReader::new(), false));
+            .insert(line, Role::Operator(Box::default(), false));
         let has_more = self
             .courier
             .inbox(line)
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -37,7 +37,7 @@
     fn note_refusal(&mut self, ticket: &Ticket, status: u16, reason: &str) {
         self.refusals += 1;
         // Told one by one while there are few, then one in a hundred.
-        if self.refusals < 50 || self.refusals % 100 == 0 {
+        if self.refusals < 50 || self.refusals.is_multiple_of(100) {
             let held = self.now - ticket.began_at;
             log::info!(
                 "gateway: refused {status} for {} after {held} ms: {reason} ({} so far)",
@@ -127,7 +127,10 @@
         }
         // These say that nothing ran and nothing will; a runner that does not say so may have run it.
         if matches!(response.status, 408 | 429 | 503) {
-            self.lost(number, "the runner refused it and did not say that it was not run");
+            self.lost(
+                number,
+                "the runner refused it and did not say that it was not run",
+            );
             return;
         }
         self.give_back(&lender, &function, number, Outcome::Answered, took);
