--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -127,7 +127,10 @@
         }
         // These say that nothing ran and nothing will; a runner that does not say so may have run it.
         if matches!(response.status, 408 | 429 | 503) {
-            self.lost(number, "the runner refused it and did not say that it was not run");
+            self.lost(
+                number,
+                "the runner refused it and did not say that it was not run",
+            );
             return;
         }
         self.give_back(&lender, &function, number, Outcome::Answered, took);
