--- a/crates/launching/src/placing.rs
+++ b/crates/launching/src/placing.rs
@@ -129,7 +129,7 @@
         districts
     }
 
-    /// District from which most calls come that have no runner there.
+    /// District from which most calls come that have no runner there; the emptiest where none calls yet.
     fn callers_district(&self, name: &str, spread: &BTreeMap<&str, usize>) -> Option<String> {
         if !self.options.prefers_callers_district {
             return None;
@@ -139,7 +139,21 @@
         let most = unserved.max_by(|(one, count), (other, others)| {
             count.total_cmp(others).then_with(|| other.cmp(one))
         });
-        most.map(|(district, _)| district.clone())
+        let most = most.map(|(district, _)| district.clone());
+        most.or_else(|| spread.is_empty().then(|| self.emptiest_district()).flatten())
+    }
+
+    /// District whose runners take the least memory: minimal runners that nobody called yet are spread, so that the
+    /// loss of one worker or district does not take them all.
+    fn emptiest_district(&self) -> Option<String> {
+        let mut taken: BTreeMap<&str, u64> = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| self.is_open(worker)) {
+            let placed = self.placed_on(&worker.sight.name);
+            let memory: u64 = placed.map(|(_, runner)| runner.memory_mb).sum();
+            *taken.entry(worker.sight.district.as_str()).or_default() += memory;
+        }
+        let least = taken.into_iter().min_by_key(|(_, memory)| *memory);
+        least.map(|(district, _)| district.to_owned())
     }
 
     /// The least-occupied used worker, else a fresh one; in the callers' district where there is
