--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -6,6 +6,7 @@
 mod cores;
 mod disk;
 mod fronts;
+mod guide;
 mod kept;
 mod operators;
 mod options;
@@ -13,4 +14,5 @@
 mod scaling_calls;
 
 pub use controller::run;
+pub use guide::{guide, GuideOptions};
 pub use options::{Call, ControllerError, ControllerOptions, OperatorCall, StartReply, Translator};
--- a/crates/launching/src/placing.rs
+++ b/crates/launching/src/placing.rs
@@ -140,7 +140,12 @@
             count.total_cmp(others).then_with(|| other.cmp(one))
         });
         let most = most.map(|(district, _)| district.clone());
-        most.or_else(|| spread.is_empty().then(|| self.emptiest_district()).flatten())
+        most.or_else(|| {
+            spread
+                .is_empty()
+                .then(|| self.emptiest_district())
+                .flatten()
+        })
     }
 
     /// District whose runners take the least memory: minimal runners that nobody called yet are spread, so that the
