--- a/crates/controller/src/fronts.rs
+++ b/crates/controller/src/fronts.rs
@@ -4,6 +4,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Most bytes of an empty buffer that are kept for the next use.
+pub(crate) const OUT_KEPT: usize = 4 << 10;
+
 pub(crate) struct Front {
     pub member: Member,
     pub line: LineId,
@@ -20,8 +23,13 @@
 
 impl Fronts {
     pub fn tell(&mut self, name: &str, message: &Message) {
+        self.tell_frame(name, &frame(message));
+    }
+
+    /// Tells a message that was framed once for many fronts.
+    pub fn tell_frame(&mut self, name: &str, bytes: &[u8]) {
         if let Some(front) = self.known.get_mut(name) {
-            front.out.extend_from_slice(&frame(message));
+            front.out.extend_from_slice(bytes);
         }
     }
 
@@ -31,6 +39,7 @@
             if !front.out.is_empty() {
                 courier.send(front.line, &front.out);
                 front.out.clear();
+                front.out.shrink_to(OUT_KEPT);
             }
         }
     }
@@ -177,7 +186,7 @@
             return;
         }
         self.fronts.beat_at = self.now;
-        let beat = self.core_beat();
+        let beat = frame(&self.core_beat());
         let silence = self.options.silence_ms();
         for name in self.fronts.names() {
             let is_silent = self
@@ -186,7 +195,7 @@
                 .get(&name)
                 .is_some_and(|front| self.now > front.heard_at + silence);
             if !is_silent {
-                self.fronts.tell(&name, &beat);
+                self.fronts.tell_frame(&name, &beat);
                 continue;
             }
             if let Some(front) = self.fronts.known.remove(&name) {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -101,10 +101,6 @@
         former.is_some()
     }
 
-    pub fn kept_functions(&self) -> Vec<String> {
-        self.kept.keys().cloned().collect()
-    }
-
     /// The core that scales, and whether it is another one, or in another term, than last time.
     pub fn scaler(&mut self, now: u64) -> Option<(String, bool)> {
         let cores = self.cores.iter();
@@ -366,7 +362,9 @@
                 }
                 continue;
             }
-            if now < core.tried_at + beat && core.tried_at > 0 {
+            // A core that starts together with this daemon is there in a moment.
+            let pause = if now < beat * 8 { beat / 6 } else { beat };
+            if now < core.tried_at + pause && core.tried_at > 0 {
                 continue;
             }
             core.tried_at = now.max(1);
