Seating: a runner with no quota gets nothing

Cause: since a probe's connection counts as a seat, a quota was taken as one at least, so that a runner whose quota fell to 0 was still lent. Change: the probe's connection counts only where there is more than one seat.

--- a/crates/seating/src/runner.rs
+++ b/crates/seating/src/runner.rs
@@ -65,9 +65,10 @@
     }
 
     pub fn has_seat(&self, now: u64) -> bool {
-        let looks = u32::from(now < self.looked_until);
-        let taken = self.in_use() + looks;
-        self.serves() && self.rests_until <= now && taken < self.news.quota.max(1 + looks)
+        let (in_use, quota) = (self.in_use(), self.news.quota);
+        // The connection of a probe may hold a seat, but never the only one.
+        let looks = u32::from(now < self.looked_until && quota > 1);
+        self.serves() && self.rests_until <= now && in_use + looks < quota
     }
 
     /// It could not be reached in time; several times in a row mean that it is gone.
--- a/crates/seating/tests/keeper.rs
+++ b/crates/seating/tests/keeper.rs
@@ -20,6 +20,13 @@
     assert_eq!(tickets(&mut keeper), [3]);
 }
 
+#[test]
+fn a_runner_with_no_quota_gets_nothing() {
+    let mut keeper = keeper(&[runner("a", "north", 0)]);
+    keeper.bid(0, "f", "north", bid(1, 1));
+    assert_eq!(tickets(&mut keeper), [0; 0]);
+}
+
 #[test]
 fn the_lower_rank_goes_first_then_who_waits_longer() {
     let mut keeper = keeper(&[runner("a", "north", 1)]);
