--- a/crates/controller/src/scaling.rs
+++ b/crates/controller/src/scaling.rs
@@ -149,8 +149,9 @@
         }
         for report in reports {
             launcher.report(self.now, name, report);
-            let news = launcher.news_of(&report.function, self.now);
-            if news.mark.0 > 0 && news.mark.1 != report.news {
+            let (term, number) = launcher.news_mark(&report.function);
+            if term > 0 && number != report.news {
+                let news = launcher.news_of(&report.function, self.now);
                 self.fronts.tell(name, &Message::Runners(vec![news]));
             }
         }
--- a/crates/launching/src/telling.rs
+++ b/crates/launching/src/telling.rs
@@ -45,16 +45,24 @@
                 ..FunctionNews::default()
             };
         }
-        let first = self.options.term << 32;
-        let known = self.functions.get(function);
-        let counter = known.map_or(first, |known| known.news.max(first));
         FunctionNews {
             function: function.to_owned(),
-            mark: (self.options.term, counter),
+            mark: self.news_mark(function),
             runners: self.runner_news(function, now),
         }
     }
 
+    /// Mark of what [`Launcher::news_of`] tells of a function; blank until the lists were seen once.
+    pub fn news_mark(&self, function: &str) -> (u64, u64) {
+        if !self.knows_enough() {
+            return (0, 0);
+        }
+        let first = self.options.term << 32;
+        let known = self.functions.get(function);
+        let counter = known.map_or(first, |known| known.news.max(first));
+        (self.options.term, counter)
+    }
+
     fn runner_news(&self, name: &str, now: u64) -> Vec<RunnerNews> {
         let Some(function) = self.functions.get(name) else {
             return Vec::new();
