--- a/tests/hollow/src/fleet.rs
+++ b/tests/hollow/src/fleet.rs
@@ -4,7 +4,7 @@
 use crate::meter::{cpu_ns, timed};
 use crate::scaler;
 use crate::town::{self, Mix};
-use dispatch::{frame, Bid, Frames, FunctionReport, Member, Message, Outcome, Release};
+use dispatch::{frame, Bid, Frames, Member, Message, Outcome, Release};
 use launching::{Launcher, Order, RunnerSight};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -251,14 +251,11 @@
             let Some(Message::Report(reports)) = read else {
                 return told;
             };
-            let is_stale = |report: &FunctionReport, news: &dispatch::FunctionNews| {
-                news.mark.0 > 0 && news.mark.1 != report.news
-            };
             for report in &reports {
                 launcher.report(now, name, report);
-                let news = launcher.news_of(&report.function, now);
-                if is_stale(report, &news) {
-                    told.push(news);
+                let (term, number) = launcher.news_mark(&report.function);
+                if term > 0 && number != report.news {
+                    told.push(launcher.news_of(&report.function, now));
                 }
             }
             told
--- a/tests/hollow/src/wire.rs
+++ b/tests/hollow/src/wire.rs
@@ -107,7 +107,7 @@
 /// Runs it all and prints its tables.
 pub fn run(size: &Size, programs: &Path) {
     let fleet = Fleet::start(size, programs);
-    let fronts = Fronts::new(size.fronts, fleet.cores());
+    let fronts = Fronts::new(size.fronts, size.instances, fleet.cores());
     let mut run = Run {
         fleet,
         fronts,
--- a/tests/hollow/src/wire_fronts.rs
+++ b/tests/hollow/src/wire_fronts.rs
@@ -11,6 +11,8 @@
 const INBOX: usize = 16 << 20;
 const ASK_MS: u64 = 250;
 const REPORT_MS: u64 = 200;
+/// Instances of a function.
+const EACH: usize = 10;
 
 #[derive(Default)]
 struct Front {
@@ -40,10 +42,13 @@
     /// Newest mark of the description that was told.
     pub newest: u64,
     kinds: BTreeMap<&'static str, (u64, u64)>,
+    instances: usize,
+    /// Functions that have instances, by the front that keeps them under the roster of this mark.
+    keepers: ((u64, u64), HashMap<String, Vec<usize>>),
 }
 
 impl Fronts {
-    pub fn new(count: usize, cores: Vec<SocketAddr>) -> Self {
+    pub fn new(count: usize, instances: usize, cores: Vec<SocketAddr>) -> Self {
         let members = town::members(count).into_iter();
         let front = |member| Front {
             member,
@@ -60,6 +65,38 @@
             sent: 0,
             newest: 0,
             kinds: BTreeMap::new(),
+            instances,
+            keepers: Default::default(),
+        }
+    }
+
+    /// A front keeps what falls to it under a roster, with the instances that there are.
+    fn keep(&mut self, place: usize, mark: (u64, u64), members: &[Member]) {
+        if mark > self.keepers.0 {
+            let mut keepers: HashMap<String, Vec<usize>> = HashMap::new();
+            for function in 0..self.instances / EACH {
+                let name = town::function_name(function);
+                if let Some(keeper) = seating::elect(&name, members, |_| true) {
+                    keepers
+                        .entry(keeper.name.clone())
+                        .or_default()
+                        .push(function);
+                }
+            }
+            self.keepers = (mark, keepers);
+        }
+        if mark != self.keepers.0 {
+            return;
+        }
+        let front = &mut self.fronts[place];
+        let functions = self.keepers.1.get(&front.member.name);
+        let mut before = std::mem::take(&mut front.kept);
+        for function in functions.into_iter().flatten() {
+            let name = town::function_name(*function);
+            let places = function * EACH..(function + 1) * EACH;
+            let fresh = || (0, places.map(town::instance_id).collect());
+            let kept = before.remove(&name).unwrap_or_else(fresh);
+            front.kept.insert(name, kept);
         }
     }
 
@@ -262,8 +299,9 @@
                 front.asked_until = 0;
                 "Changes"
             }
-            Message::Roster { mark, .. } => {
+            Message::Roster { mark, members } => {
                 front.roster = mark.max(front.roster);
+                self.keep(place, mark, &members);
                 "Roster"
             }
             Message::Runners(news) => {
