--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,10 +3,12 @@
 
 mod clients;
 mod control;
+mod cores;
 mod gateway;
 mod links;
 mod options;
 mod outcomes;
+mod pool;
 mod retries;
 mod runners;
 mod tickets;
--- a/crates/gateway/src/runners.rs
+++ b/crates/gateway/src/runners.rs
@@ -1,17 +1,14 @@
 use crate::gateway::{Due, Gateway, Role};
 use crate::tickets::{Sent, Stage};
-use courier::{Courier, End, LineId};
+use courier::{End, LineId};
 use dispatch::{Grant, Outcome};
 use exchange::{end_to_end, idle_seconds, write_request, Bounds, Response, ResponseReader};
-use std::collections::HashMap;
 
 /// Largest answer of a runner, in bytes.
 const ANSWER_MAX: usize = 4 << 20;
 const HEAD_MAX: usize = 64 << 10;
 /// Milliseconds for which an idle line is kept where the runner does not tell.
 const IDLE_MS: u64 = 5_000;
-/// Most idle lines that are kept.
-const IDLE_MAX: usize = 1_024;
 /// Answers to other requests that are dropped on one line before it is closed.
 const STRAYS_MAX: u32 = 4;
 
@@ -22,70 +19,10 @@
     reader: ResponseReader,
     uses: u32,
     strays: u32,
-    expires_at: u64,
+    pub expires_at: u64,
     is_head: bool,
 }
 
-/// Idle connections by runner.
-#[derive(Default)]
-pub(crate) struct Pool {
-    idle: HashMap<String, Vec<LineId>>,
-    count: usize,
-}
-
-impl Pool {
-    fn take(&mut self, runner: &str) -> Option<LineId> {
-        let lines = self.idle.get_mut(runner)?;
-        let line = lines.pop();
-        if lines.is_empty() {
-            self.idle.remove(runner);
-        }
-        self.count -= usize::from(line.is_some());
-        line
-    }
-
-    fn put(&mut self, runner: &str, line: LineId, most: usize) -> bool {
-        let lines = self.idle.entry(runner.into()).or_default();
-        if lines.len() >= most || self.count >= IDLE_MAX {
-            return false;
-        }
-        lines.push(line);
-        self.count += 1;
-        true
-    }
-
-    fn forget(&mut self, runner: &str, line: LineId) {
-        let Some(lines) = self.idle.get_mut(runner) else {
-            return;
-        };
-        let before = lines.len();
-        lines.retain(|one| *one != line);
-        self.count -= before - lines.len();
-        if lines.is_empty() {
-            self.idle.remove(runner);
-        }
-    }
-
-    /// Closes what was idle for too long.
-    pub fn expire(&mut self, courier: &mut Courier, roles: &mut HashMap<LineId, Role>, now: u64) {
-        let mut count = self.count;
-        self.idle.retain(|_, lines| {
-            lines.retain(|line| {
-                let is_fresh = matches!(roles.get(line),
-                    Some(Role::Runner(runner)) if runner.expires_at > now);
-                if !is_fresh {
-                    roles.remove(line);
-                    courier.close(*line);
-                    count -= 1;
-                }
-                is_fresh
-            });
-            !lines.is_empty()
-        });
-        self.count = count;
-    }
-}
-
 impl Gateway {
     /// A seat was lent: the request goes to its runner.
     pub fn granted(&mut self, lender: &str, grant: Grant) {
