Overdue answers are tried elsewhere; a runner that loses answers is gone; fleet status

Change: repeatable work is sent on, on the shared credit, once its answer is overdue by 16 paces; three lost answers in a row make a runner gone; lines to runners break after twice the time of a connection.

--- a/crates/controller/src/fronts.rs
+++ b/crates/controller/src/fronts.rs
@@ -207,17 +207,32 @@
         }
     }
 
-    /// This daemon's state as JSON text, for operators.
+    /// This daemon's state as JSON text, for operators; with what the scaler thinks of each function that is called.
     pub fn status(&self) -> String {
-        format!(
-            "{{\"name\":\"{}\",\"version\":{},\"marks\":[{},{}],\"term\":{},\"fronts\":{},\"closed\":{:?}}}",
-            self.options.name,
-            self.kept.version,
-            self.kept_at,
-            self.closures_at,
-            self.council.term(self.now).unwrap_or(0),
-            self.fronts.known.len(),
-            self.closures.districts,
-        )
+        let launcher = self.scaling.launcher.as_ref();
+        let notes = launcher.map(launching::Launcher::notes).unwrap_or_default();
+        let notes = notes
+            .iter()
+            .filter(|note| note.runners > 0 || note.waiting > 0);
+        let functions: Vec<serde_json::Value> = notes
+            .map(|note| {
+                serde_json::json!({
+                    "function": note.function, "measured": note.measured, "forecast": note.forecast,
+                    "waiting": note.waiting, "demand": note.demand, "capacity": note.capacity,
+                    "pace_ms": note.pace_ms, "runners": note.runners, "seats": note.seats,
+                    "reason": note.reason,
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "name": self.options.name, "version": self.kept.version,
+            "marks": [self.kept_at, self.closures_at],
+            "term": self.council.term(self.now).unwrap_or(0),
+            "council": self.council.reason(),
+            "cores": self.council.cores(),
+            "fronts": self.fronts.known.len(), "closed": self.closures.districts,
+            "functions": functions,
+        })
+        .to_string()
     }
 }
--- a/crates/council/tests/seeds.rs
+++ b/crates/council/tests/seeds.rs
@@ -98,3 +98,31 @@
 fn three_voters_and_a_spare_core_keep_what_they_acknowledged() {
     run_all(2_000..2_040, 4, 3);
 }
+
+/// All lose power at once, and as many disks are lost as five voters bear.
+#[test]
+fn five_voters_bear_the_loss_of_two_disks_while_all_lose_power() {
+    for seed in 0..40 {
+        let mut world = World::first_start(seed, 6, 5);
+        world.run(2_500);
+        assert!(is_well(&world, 0), "seed {seed}: not well after the start");
+        let one = world.random.random_range(0..6);
+        let other = (one + world.random.random_range(1..6)) % 6;
+        for place in 0..6 {
+            world.kill(place);
+        }
+        for place in [one, other] {
+            world.wipe(place);
+        }
+        for place in 0..6 {
+            world.boot(place);
+        }
+        let since = world.now;
+        world.run(6_000);
+        assert!(
+            is_well(&world, since + 4_000),
+            "seed {seed}: not well again without the disks of {one} and {other}"
+        );
+        read_back(&mut world, seed);
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,8 @@
     Ticket(u64),
     Rest(u64),
     Connect(LineId),
+    /// A request, and how often it had been sent.
+    Overdue(u64, u32),
     Client(LineId),
 }
 
@@ -50,10 +52,13 @@
     pub links: Links,
     pub control: Control,
     pub credits: HashMap<String, Credit>,
+    /// Milliseconds of a function's answer, the newest weighing most.
+    pub paces: HashMap<String, f64>,
     pub timers: Timers<Due>,
     pub now: u64,
     pub drains_since: Option<u64>,
     pub refusals: u64,
+    reloaded_at: u64,
     began: Instant,
     hatches: Hatches,
 }
@@ -66,6 +71,8 @@
 const CLIENT_INBOX: usize = 1 << 20;
 const LINK_INBOX: usize = 16 << 20;
 const TICK_MS: u64 = 50;
+/// Milliseconds between looks whether the settings have changed.
+const RELOAD_MS: u64 = 2_000;
 
 /// Runs until it is told to stop and all requests have been answered, or the grace period is nearly over.
 pub fn run(options: GatewayOptions) -> Result<(), GatewayError> {
@@ -124,10 +131,12 @@
             keeper: Keeper::default(),
             pool: Pool::default(),
             credits: HashMap::new(),
+            paces: HashMap::new(),
             timers: Timers::default(),
             now: 0,
             drains_since: None,
             refusals: 0,
+            reloaded_at: 0,
             began: Instant::now(),
             hatches: Hatches { public, readiness },
             options,
@@ -154,6 +163,7 @@
                 Due::Ticket(number) => self.ticket_is_over(number),
                 Due::Rest(number) => self.bid_again(number),
                 Due::Connect(line) => self.connect_is_over(line),
+                Due::Overdue(number, sends) => self.answer_is_overdue(number, sends),
                 Due::Client(line) => self.client_is_late(line),
             }
         }
@@ -165,6 +175,11 @@
     }
 
     fn tick(&mut self) {
+        // The settings may change without a signal.
+        if self.now >= self.reloaded_at + RELOAD_MS {
+            self.reloaded_at = self.now;
+            self.reload();
+        }
         self.keeper.tick(self.now);
         self.tend_cores();
         self.tend_links();
@@ -286,7 +301,6 @@
 
     fn reload(&mut self) {
         let Some(cores) = (self.options.reload)() else {
-            log::warn!("gateway: the settings cannot be read anew; the old ones stay");
             return;
         };
         log::info!("gateway: settings read anew, {} cores named", cores.len());
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -50,7 +50,7 @@
     pub change_ms: u64,
     /// Most open lines.
     pub lines_max: usize,
-    /// Reads the settings anew: addresses of cores that they name now.
+    /// Reads the settings anew where they have changed: addresses of cores that they name now.
     pub reload: Box<dyn Fn() -> Option<Vec<SocketAddr>>>,
 }
 
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -2,7 +2,12 @@
 use crate::tickets::{Stage, Ticket};
 use dispatch::Outcome;
 use exchange::{end_to_end, Response};
+use seating::Credit;
 
+/// Functions whose pace is remembered.
+const PACES_MAX: usize = 65_536;
+/// Answers over which a function's pace is taken.
+const PACE_SPAN: f64 = 16.0;
 /// Milliseconds after which clients come back, at least.
 const RETRY_AFTER_MS: u64 = 150;
 
@@ -133,6 +138,7 @@
             );
             return;
         }
+        self.learn_pace(&function, took);
         self.give_back(&lender, &function, number, Outcome::Answered, took);
         let Some(ticket) = self.tickets.get(number) else {
             return;
@@ -151,6 +157,38 @@
         self.answer(&ticket, response.status, &headers, &response.body);
     }
 
+    fn learn_pace(&mut self, function: &str, took_ms: u64) {
+        if let Some(pace) = self.paces.get_mut(function) {
+            *pace += (took_ms as f64 - *pace) / PACE_SPAN;
+            return;
+        }
+        if self.paces.len() >= PACES_MAX {
+            self.paces.clear();
+        }
+        self.paces.insert(function.into(), took_ms as f64);
+    }
+
+    /// A repeatable request has waited for its answer for many times as long as answers take.
+    pub fn answer_is_overdue(&mut self, number: u64, sends: u32) {
+        let Some(ticket) = self.tickets.get(number) else {
+            return;
+        };
+        let Stage::Sent(sent) = &ticket.stage else {
+            return;
+        };
+        let is_due = sent.has_left && ticket.sends == sends && ticket.client.is_some();
+        let has_credit = self
+            .credits
+            .get(&ticket.function)
+            .is_some_and(Credit::has_one);
+        if !is_due || !has_credit {
+            return;
+        }
+        let (line, runner) = (sent.line, sent.runner.clone());
+        self.drop_runner_line(line, &runner);
+        self.lost(number, "the runner's answer is overdue");
+    }
+
     /// A request's runner may have run it, and no good answer came.
     pub fn lost(&mut self, number: u64, reason: &str) {
         let Some(ticket) = self.tickets.get(number) else {
--- a/crates/gateway/src/runners.rs
+++ b/crates/gateway/src/runners.rs
@@ -9,6 +9,11 @@
 const HEAD_MAX: usize = 64 << 10;
 /// Milliseconds for which an idle line is kept where the runner does not tell.
 const IDLE_MS: u64 = 5_000;
+/// Paces of a function after which an answer is overdue, and least milliseconds.
+const OVERDUE_PACES: f64 = 16.0;
+const OVERDUE_MIN_MS: f64 = 400.0;
+/// Milliseconds of an answer that are assumed until one was seen.
+const PACE_PRIOR_MS: f64 = 100.0;
 /// Answers to other requests that are dropped on one line before it is closed.
 const STRAYS_MAX: u32 = 4;
 
@@ -110,6 +115,7 @@
         let line = self.courier.connect(address, ANSWER_MAX + HEAD_MAX).ok()?;
         self.roles.insert(line, runner_role(&grant.runner));
         let wait = self.options.connect_ms();
+        self.courier.allow_silence(line, wait * 2);
         self.timers.set(self.now + wait, Due::Connect(line));
         Some(line)
     }
@@ -137,7 +143,10 @@
             runner.expires_at = self.now + IDLE_MS;
         }
         self.roles.insert(line, role);
-        self.pool.put(runner, line, 2);
+        if !self.pool.put(runner, line, 2) {
+            self.roles.remove(&line);
+            self.courier.close(line);
+        }
     }
 
     pub fn runner_connected(&mut self, line: LineId) {
@@ -164,6 +173,17 @@
         sent.at = self.now;
         ticket.sends += 1;
         runner.uses += 1;
+        // Repeatable work whose answer is long overdue is tried elsewhere.
+        if !ticket.is_once && ticket.sends < ticket.tries {
+            let pace = self
+                .paces
+                .get(&ticket.function)
+                .copied()
+                .unwrap_or(PACE_PRIOR_MS);
+            let patience = (pace * OVERDUE_PACES).max(OVERDUE_MIN_MS) as u64;
+            let due = Due::Overdue(number, ticket.sends);
+            self.timers.set(self.now + patience, due);
+        }
         let request = &ticket.request;
         let left = ticket.ends_at.saturating_sub(self.now).max(1).to_string();
         let kept = end_to_end(&request.headers).filter(|(name, _)| {
--- a/crates/hallkeel/src/main.rs
+++ b/crates/hallkeel/src/main.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod cores;
+mod fleet;
 mod show;
 
 use clap::{Parser, Subcommand};
@@ -40,6 +41,17 @@
         #[arg(long, default_value_t = 2)]
         every: u64,
     },
+    /// Show gateways and controllers by what they tell at their wire addresses
+    Fleet {
+        /// Wire addresses of gateways and controllers
+        daemons: Vec<SocketAddr>,
+        /// Show what the scaler thinks of this function
+        #[arg(long)]
+        function: Option<String>,
+        /// Print everything as JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Print the blueprint in force
     Get,
     /// Hand over a whole blueprint
@@ -109,8 +121,17 @@
 }
 
 fn run(flags: Flags) -> Result<(), ToolFault> {
+    if let Command::Fleet {
+        daemons,
+        function,
+        json,
+    } = &flags.command
+    {
+        return fleet::show(daemons, function.as_deref(), *json);
+    }
     let cores = Cores::new(flags.cores)?;
     match flags.command {
+        Command::Fleet { .. } => Ok(()),
         Command::Status { json, runners } => show::status(&cores, json, runners),
         Command::Watch { every } => show::watch(&cores, every),
         Command::Get => changes::get(&cores),
--- a/crates/seating/src/credit.rs
+++ b/crates/seating/src/credit.rs
@@ -28,9 +28,14 @@
         self.held = (self.held + self.share).min(self.cap.max(self.share));
     }
 
+    /// Whether there is a further try to take.
+    pub fn has_one(&self) -> bool {
+        self.held >= 1.0
+    }
+
     /// Takes one further try, where there is one.
     pub fn spend(&mut self) -> bool {
-        if self.held < 1.0 {
+        if !self.has_one() {
             return false;
         }
         self.held -= 1.0;
--- a/crates/seating/src/keeper.rs
+++ b/crates/seating/src/keeper.rs
@@ -130,8 +130,9 @@
                     runner.is_gone = true;
                     seats.is_urgent = true;
                 }
-                Outcome::Unreached => seats.is_urgent |= runner.missed(),
-                Outcome::Unused | Outcome::Lost => {}
+                // A runner that loses one answer after the other is as good as gone.
+                Outcome::Unreached | Outcome::Lost => seats.is_urgent |= runner.missed(),
+                Outcome::Unused => {}
             }
         }
         self.dirty.insert(function.clone());
