Requests that waited through an outage start no more runners than they need

A keeper's first report counted all that waited as arrivals of that moment, which the rush read off a quarter second made a rate of over a thousand; and all that waited was to be served within 0.3 s by new runners that are up only after 1.4 s. Change: a first report is no rate; what running runners serve before a start is done asks for no new one. Test: two runners with a backlog they serve in time start none; decisions.rs starts its two runners from 50 waiting requests now, since 30 are no rate any more (the assertions are the same).

--- a/crates/launching/src/deciding.rs
+++ b/crates/launching/src/deciding.rs
@@ -48,19 +48,26 @@
             load.rushing = function.arrivals.rushing(self.now);
         }
         load.waiting = function.waiting(self.now);
+        let mut serving = 0.0;
         let aim_s = f64::from(function.plan.aim_ms) / 1_000.0;
         let patience_s = (aim_s * PATIENCE_AIMS).clamp(PATIENCE_MIN_S, PATIENCE_MAX_S);
-        load.demand = load.rate() + f64::from(load.waiting) / patience_s;
         for (_, runner) in self.runners_of(function) {
             if let Some(id) = &runner.id {
                 load.in_use += function.in_use(id);
             }
             if runner.counts() {
-                load.capacity += f64::from(runner.quota) * self.seat_rate(runner);
+                let capacity = f64::from(runner.quota) * self.seat_rate(runner);
+                load.capacity += capacity;
+                serving += if runner.is_up { capacity } else { 0.0 };
                 load.seats += runner.quota;
                 load.alive += 1;
             }
         }
+        // What runs now serves some of those that wait before any new runner is up.
+        let start_s = function.plan.start_ms as f64 / 1_000.0;
+        let served = (serving - load.rate()).max(0.0) * start_s;
+        let left = (f64::from(load.waiting) - served).max(0.0);
+        load.demand = load.rate() + left / patience_s;
         load
     }
 
--- a/crates/launching/src/demand.rs
+++ b/crates/launching/src/demand.rs
@@ -24,6 +24,11 @@
             self.sampled_at = now;
         }
         self.total += count;
+        self.place(district, count);
+    }
+
+    /// Calls that came from a district, at no known rate.
+    pub fn place(&mut self, district: &str, count: u64) {
         *self.by_district.entry(district.to_owned()).or_default() += count as f64;
     }
 
--- a/crates/launching/src/reporting.rs
+++ b/crates/launching/src/reporting.rs
@@ -61,8 +61,13 @@
                 come = come.min(unknown);
                 unknown -= come;
             }
-            if come > 0 {
+            if come > 0 && is_new {
+                // They came at some time before: where from is known, how fast is not.
+                function.arrivals.place(district, come);
+            } else if come > 0 {
                 function.arrivals.add(now, district, come);
+            }
+            if come > 0 {
                 function.busy_at = Some(now);
             }
         }
