Jobs: a job behind several copies is run once, as pure machines; voters forget jobs

A caller may name a job by a key. The keeper of its function lets one copy run it and gives the others its answer; what may run once is claimed in a register before it may leave. Voters forget jobs after one to two spans: a key carries no time, so ballots count it, and what was forgotten counts as promised. Daemons are not wired up yet.

--- a/crates/council/src/asking.rs
+++ b/crates/council/src/asking.rs
@@ -218,7 +218,10 @@
             return;
         };
         if let Outcome::Settled(stored) | Outcome::Stale(stored) = &outcome {
-            self.learn_settled(now, &job.key, stored);
+            // Jobs come and go by the thousand; nobody keeps them up.
+            if !register::is_job(&job.key) {
+                self.learn_settled(now, &job.key, stored);
+            }
         }
         let outcome = job.judge(outcome);
         self.on_outcome(now, job.purpose, &job.key, outcome);
--- a/crates/council/src/disk.rs
+++ b/crates/council/src/disk.rs
@@ -31,6 +31,8 @@
     Install(Installation),
     /// Take a newer value from another copy.
     Mend(String, Held),
+    /// Let one span pass for which jobs are remembered.
+    TurnJobs,
     /// Tell part of what is held.
     Pull {
         /// Address of the core that asks.
@@ -213,6 +215,10 @@
             voter.mend(vec![(key, held)]);
             return None;
         }
+        DiskWork::TurnJobs => {
+            voter.turn_jobs();
+            return None;
+        }
         DiskWork::Pull { to, mark, after } => {
             let page = page(voter, mark, after)?;
             return Some(DiskDone::Copy { to, page });
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod frame;
 mod functions;
+mod jobs;
 mod message;
 
 pub use frame::{frame, FrameError, Frames, FRAME_MAX};
 pub use functions::{FunctionNews, FunctionReport, RunnerNews, RunnerReport, RunnerStage};
+pub use jobs::{JobEnd, JobMark, JobResult, JobVerdict, RegisterSaid};
 pub use message::{Bid, Grant, Member, Message, Outcome, Release};
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -1,4 +1,5 @@
 use crate::functions::{FunctionNews, FunctionReport};
+use crate::jobs::{JobEnd, JobMark, JobVerdict, RegisterSaid};
 use speedy::{Readable, Writable};
 
 /// A daemon of the data plane on the roster.
@@ -27,6 +28,8 @@
     pub budget_ms: u32,
     /// Runners that this request was at already.
     pub avoid: Vec<String>,
+    /// The job of which it may be one of several copies, where its caller named one.
+    pub job: Option<JobMark>,
 }
 
 /// A seat that was lent for one request.
@@ -167,4 +170,51 @@
     Status,
     /// A daemon's state as JSON text.
     StatusText(String),
+    /// The keeper tells a front that its request has the claim on its job, and may leave for a runner.
+    Claimed {
+        /// The bid's ticket.
+        ticket: u64,
+        /// Number of the bid.
+        attempt: u32,
+        /// Version of the register that bears the claim.
+        version: u64,
+    },
+    /// The keeper tells a front that its request is a copy of one that may be running, and waits for its answer.
+    Joined {
+        /// The bid's ticket.
+        ticket: u64,
+        /// Number of the bid.
+        attempt: u32,
+    },
+    /// The keeper tells a front what came of the job.
+    JobTold {
+        /// The bid's ticket.
+        ticket: u64,
+        /// Number of the bid.
+        attempt: u32,
+        /// What came of it.
+        verdict: JobVerdict,
+    },
+    /// A front tells the keeper how a request of a job ended.
+    JobEnd(JobEnd),
+    /// The keeper tells a front that the answer to its ticket's job is on the disks of a majority of cores.
+    JobKept(u64),
+    /// A front asks a core to read or write a job's register.
+    JobAsk {
+        /// Number that the answer bears.
+        number: u64,
+        /// Key of the register.
+        key: String,
+        /// Version that the register must have to be written; none to read it.
+        expected: Option<u64>,
+        /// The new value.
+        bytes: Vec<u8>,
+    },
+    /// A core's answer.
+    JobSaid {
+        /// Number of the question.
+        number: u64,
+        /// The answer.
+        said: RegisterSaid,
+    },
 }
--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -42,6 +42,7 @@
             rank: ticket.rank,
             budget_ms: ticket.ends_at.saturating_sub(self.now) as u32,
             avoid: ticket.avoid.clone(),
+            job: None,
         };
         let Some(keeper) = self.keeper_of(&function) else {
             self.rest(number);
--- /dev/null
+++ b/crates/jobs/src/errand.rs
@@ -0,0 +1,40 @@
+use dispatch::{Bid, JobVerdict};
+
+/// What the keeper of jobs wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum JobErrand {
+    /// Put a copy's bid in for a seat: front, district, bid.
+    Seat(String, String, Bid),
+    /// Take a copy's bid back: front, ticket.
+    Withdraw(String, u64),
+    /// Tell a front that its request has the claim and may leave.
+    Claimed {
+        /// The front.
+        front: String,
+        /// Its ticket.
+        ticket: u64,
+        /// Number of its bid.
+        attempt: u32,
+        /// Version of the register that bears the claim.
+        version: u64,
+    },
+    /// Tell a front that its request waits for the answer to another: front, ticket, number of its bid.
+    Joined(String, u64, u32),
+    /// Tell a front what came of the job: front, ticket, number of its bid.
+    Tell(String, u64, u32, JobVerdict),
+    /// Tell a front that the answer to its ticket is on the cores' disks.
+    Kept(String, u64),
+    /// Ask a core about a register.
+    Ask {
+        /// Number that the answer bears.
+        number: u64,
+        /// Key of the register.
+        key: String,
+        /// Expected version of a write; none for a read.
+        expected: Option<u64>,
+        /// The new value.
+        bytes: Vec<u8>,
+        /// How often this was asked before; another core is asked each time.
+        tries: u32,
+    },
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,17 @@
+//! One job behind several copies of a request: the function's keeper lets one copy run it and gives all others its
+//! answer. What may run once at most is claimed in a register on the cores' disks before it leaves for a runner.
+//! Pure machines; the daemons run them.
+
+mod claim;
+mod ends;
+mod errand;
+mod job;
+mod jobs;
+mod pass;
+mod saying;
+
+pub use claim::{digest, is_key, register_key, Claim, ClaimState, RunnerId, KEPT_MAX, KEY_MAX};
+pub use ends::Ends;
+pub use errand::JobErrand;
+pub use jobs::Jobs;
+pub use pass::Pass;
--- /dev/null
+++ b/crates/jobs/tests/town/cores.rs
@@ -0,0 +1,260 @@
+use super::{Event, Town, MS};
+use dispatch::{Message, RegisterSaid};
+use rand::Rng;
+use register::{
+    Acceptor, Ballot, Change, Outcome, Proposal, ProposalStep, Record, VoterAsk, VoterMessage,
+    VoterRef, VoterReply, VoterSet,
+};
+use std::collections::BTreeMap;
+
+/// Milliseconds in which a proposal ends, as in the council.
+const BUDGET_MS: u64 = 1_500;
+
+struct Asked {
+    proposal: Proposal,
+    ask_number: u64,
+    from: (usize, u64),
+    number: u64,
+    until: u64,
+}
+
+/// A core: its voter, and proposals for gateways.
+pub struct Core {
+    pub is_up: bool,
+    pub life: u64,
+    pub acceptor: Acceptor,
+    records: Vec<Record>,
+    counter: u64,
+    asked: BTreeMap<u64, Asked>,
+    last: u64,
+}
+
+fn voters(count: usize) -> VoterSet {
+    let voters = (0..count as u64).map(|disk| VoterRef {
+        disk,
+        address: String::new(),
+    });
+    VoterSet {
+        era: 1,
+        no: 1,
+        voters: voters.collect(),
+    }
+}
+
+impl Core {
+    pub fn new(place: usize, count: usize) -> Self {
+        let mut acceptor = Acceptor::default();
+        let formed = acceptor.form(voters(count));
+        Self {
+            is_up: true,
+            life: 1 + place as u64,
+            acceptor,
+            records: formed.into_iter().collect(),
+            counter: 0,
+            asked: BTreeMap::new(),
+            last: 0,
+        }
+    }
+}
+
+fn said_of(outcome: Outcome, is_write: bool) -> RegisterSaid {
+    match outcome {
+        Outcome::Settled(stored) if is_write => RegisterSaid::Written(stored.version),
+        Outcome::Settled(stored) | Outcome::Stale(stored) => {
+            RegisterSaid::Found(stored.version, stored.bytes)
+        }
+        Outcome::Undecided => RegisterSaid::Unsure,
+        _ => RegisterSaid::Unreached,
+    }
+}
+
+impl Town {
+    pub fn core_asked(&mut self, place: usize, from: (usize, u64), message: Message) {
+        let Message::JobAsk {
+            number,
+            key,
+            expected,
+            bytes,
+        } = message
+        else {
+            return;
+        };
+        let (now, tag) = (self.now, self.random.random::<u64>() | 1);
+        let core = &mut self.cores[place];
+        if !core.is_up {
+            return;
+        }
+        let change = expected.map_or(Change::Read, |expected| Change::Write { expected, bytes });
+        core.counter += 1;
+        let ballot = Ballot {
+            counter: core.counter,
+            proposer: core.life,
+        };
+        let (proposal, ask) = Proposal::start(&key, change, tag, ballot, 3);
+        core.last += 1;
+        let id = core.last;
+        let is_write = expected.is_some();
+        let asked = Asked {
+            proposal,
+            ask_number: 0,
+            from,
+            number: number << 1 | u64::from(is_write),
+            until: now + BUDGET_MS * MS,
+        };
+        core.asked.insert(id, asked);
+        let life = core.life;
+        self.ask_all(place, id, &ask);
+        self.later(BUDGET_MS * MS, Event::Over(place, life, id));
+    }
+
+    fn ask_all(&mut self, place: usize, id: u64, ask: &VoterAsk) {
+        let core = &mut self.cores[place];
+        core.last += 1;
+        let (life, ask_number) = (core.life, core.last);
+        if let Some(asked) = core.asked.get_mut(&id) {
+            asked.ask_number = ask_number;
+        }
+        for to in 0..self.cores.len() {
+            let delay = if to == place { 1 } else { self.hop() };
+            let message = VoterMessage {
+                mark: (1, 1),
+                ask: ask.clone(),
+            };
+            self.later(
+                delay,
+                Event::VoterAsk(to, place, life, (id, ask_number), message),
+            );
+        }
+    }
+
+    pub fn voter_asked(
+        &mut self,
+        place: usize,
+        from: usize,
+        life: u64,
+        ask: (u64, u64),
+        message: VoterMessage,
+    ) {
+        let core = &mut self.cores[place];
+        if !core.is_up {
+            return;
+        }
+        let (record, reply) = core.acceptor.handle(message);
+        let syncs = record.is_some();
+        core.records.extend(record);
+        let sync = if syncs {
+            self.random.random_range(300..1_500)
+        } else {
+            10
+        };
+        let way = if from == place { 1 } else { self.hop() };
+        self.later(sync + way, Event::VoterReply(from, life, ask, place, reply));
+    }
+
+    pub fn voter_replied(
+        &mut self,
+        place: usize,
+        life: u64,
+        (id, number): (u64, u64),
+        voter: usize,
+        reply: VoterReply,
+    ) {
+        let now = self.now;
+        let core = &mut self.cores[place];
+        if !core.is_up || core.life != life {
+            return;
+        }
+        let Some(asked) = core.asked.get_mut(&id) else {
+            return;
+        };
+        if asked.ask_number != number {
+            return;
+        }
+        match asked.proposal.on_reply(voter, reply) {
+            ProposalStep::Wait => {}
+            ProposalStep::Ask(ask) => self.ask_all(place, id, &ask),
+            ProposalStep::Again(above) => {
+                asked.ask_number = 0;
+                let pause = self.random.random_range(1..=10) * MS;
+                self.later(pause, Event::Again(place, life, id, above.counter));
+            }
+            ProposalStep::Done(Outcome::Unreached(_) | Outcome::Undecided)
+                if now + 100 * MS < asked.until =>
+            {
+                asked.ask_number = 0;
+                self.later(100 * MS, Event::Again(place, life, id, 0));
+            }
+            ProposalStep::Done(outcome) => self.core_done(place, id, outcome),
+        }
+    }
+
+    pub fn propose_again(&mut self, place: usize, life: u64, id: u64, above: u64) {
+        let core = &mut self.cores[place];
+        if !core.is_up || core.life != life {
+            return;
+        }
+        core.counter = core.counter.max(above) + 1;
+        let ballot = Ballot {
+            counter: core.counter,
+            proposer: core.life,
+        };
+        if let Some(asked) = core.asked.get_mut(&id) {
+            let ask = asked.proposal.again(ballot);
+            self.ask_all(place, id, &ask);
+        }
+    }
+
+    pub fn proposal_over(&mut self, place: usize, life: u64, id: u64) {
+        let core = &self.cores[place];
+        if !core.is_up || core.life != life {
+            return;
+        }
+        if let Some(asked) = core.asked.get(&id) {
+            let outcome = asked.proposal.give_up();
+            self.core_done(place, id, outcome);
+        }
+    }
+
+    fn core_done(&mut self, place: usize, id: u64, outcome: Outcome) {
+        let Some(asked) = self.cores[place].asked.remove(&id) else {
+            return;
+        };
+        let said = said_of(outcome, asked.number & 1 == 1);
+        let (node, life) = asked.from;
+        let way = self.hop();
+        self.later(way, Event::CoreSaid(node, life, asked.number >> 1, said));
+    }
+
+    pub fn kill_core(&mut self, place: usize) {
+        let core = &mut self.cores[place];
+        core.is_up = false;
+        core.asked.clear();
+        core.life += 10;
+        core.counter = 0;
+    }
+
+    /// A core comes back with what its disk holds.
+    pub fn boot_core(&mut self, place: usize) {
+        let core = &mut self.cores[place];
+        if core.is_up {
+            return;
+        }
+        core.is_up = true;
+        core.acceptor = Acceptor::default();
+        for record in core.records.clone() {
+            core.acceptor.replay(record);
+        }
+        core.acceptor.restore_digests();
+    }
+
+    /// One span of remembering is over at a core.
+    pub fn turn_jobs(&mut self, place: usize) {
+        let core = &mut self.cores[place];
+        if core.is_up {
+            let record = core.acceptor.turn_jobs();
+            core.records.extend(record);
+        }
+        let span = self.weather.remembered_ms * MS;
+        self.later(span, Event::TurnJobs(place));
+    }
+}
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -1,3 +1,4 @@
+use crate::jobs::{is_job, JobWindow, FORGOTTEN_KEY};
 use crate::message::{Ballot, Stored, VoterAsk, VoterMessage, VoterReply, VoterSet};
 use repair::{range_of, Digests};
 use speedy::{Readable, Writable};
@@ -41,6 +42,8 @@
     keys: BTreeMap<String, Held>,
     #[speedy(skip)]
     digests: Digests,
+    #[speedy(skip)]
+    window: JobWindow,
 }
 
 fn stamp_of(held: &Held) -> (u64, u64) {
@@ -82,7 +85,12 @@
     pub fn replay(&mut self, record: Record) {
         match record {
             Record::Key(key, held) => {
+                if key == FORGOTTEN_KEY {
+                    self.drop_jobs(held.promised.counter);
+                }
                 let new = Some(stamp_of(&held));
+                let old = self.keys.get(&key);
+                self.window.note(&key, old, Some(&held));
                 let old = self.keys.insert(key.clone(), held);
                 self.digests.change(&key, old.as_ref().map(stamp_of), new);
             }
@@ -102,8 +110,30 @@
         }
     }
 
-    /// Makes the digests anew, after a snapshot was read back.
+    fn drop_jobs(&mut self, counter: u64) {
+        let (digests, window) = (&mut self.digests, &mut self.window);
+        self.keys.retain(|key, held| {
+            let is_kept = !is_job(key) || held.promised.counter > counter;
+            if !is_kept {
+                digests.change(key, Some(stamp_of(held)), None);
+                window.note(key, Some(held), None);
+            }
+            is_kept
+        });
+    }
+
+    /// Lets one span of remembering pass: jobs that were claimed before the last turn are forgotten, all others
+    /// last for one more at least.
+    pub fn turn_jobs(&mut self) -> Option<Record> {
+        let held = self.window.turn(&self.keys)?;
+        let record = Record::Key(FORGOTTEN_KEY.to_string(), held);
+        self.replay(record.clone());
+        Some(record)
+    }
+
+    /// Makes anew what is not kept on the disk, after a snapshot was read back.
     pub fn restore_digests(&mut self) {
+        self.window = JobWindow::of(&self.keys);
         self.digests = Digests::default();
         for (key, held) in &self.keys {
             self.digests.change(key, None, Some(stamp_of(held)));
@@ -165,6 +195,7 @@
         for record in records.clone() {
             self.replay(record);
         }
+        self.window = JobWindow::of(&self.keys);
         records
     }
 
@@ -174,7 +205,8 @@
         for (key, theirs) in keys {
             let mine = self.keys.get(&key).cloned().unwrap_or_default();
             let is_known = self.set.era != 0 && key.len() <= KEY_MAX;
-            let is_aged = claim_time(&key).is_some_and(|time| time < self.water);
+            let is_aged = claim_time(&key).is_some_and(|time| time < self.water)
+                || self.window.has_forgotten(&self.keys, &key, theirs.accepted);
             let has_room = self.keys.contains_key(&key) || self.keys.len() < KEYS_MAX;
             let is_newer = theirs.accepted > mine.accepted && theirs.accepted >= mine.promised;
             if !is_known || is_aged || !has_room || !is_newer {
@@ -238,6 +270,9 @@
         }) {
             return (None, VoterReply::AgedOut);
         }
+        if let Some(refusal) = self.window.refusal(&self.keys, &message.ask) {
+            return (None, refusal);
+        }
         let mut held = self.keys.get(key).cloned().unwrap_or_default();
         if let Some(ballot) = ballot {
             if ballot < held.promised {
--- /dev/null
+++ b/crates/register/src/jobs.rs
@@ -0,0 +1,113 @@
+use crate::acceptor::Held;
+use crate::message::{Ballot, VoterAsk, VoterReply};
+use std::collections::BTreeMap;
+
+/// What the keys of jobs begin with.
+pub const JOB_PREFIX: &str = "job/";
+/// Key under which the promise stands that a voter gave for all jobs which it does not hold.
+pub(crate) const FORGOTTEN_KEY: &str = "job";
+/// Most bytes that the values of all jobs take.
+const BYTES_MAX: usize = 64 << 20;
+/// Most bytes of one job's value.
+const VALUE_MAX: usize = 40 << 10;
+/// Bytes up to which a value is taken also where there is no room for answers any more.
+const SMALL: usize = 1 << 10;
+
+/// Whether a key is a job's.
+pub fn is_job(key: &str) -> bool {
+    key.starts_with(JOB_PREFIX)
+}
+
+/// A voter's memory of jobs. Jobs carry no time, so ballots count it: a turn forgets what was promised before the
+/// turn before it, and from then on all that is not held counts as promised up to there, so that nothing old is
+/// ever taken for new.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct JobWindow {
+    /// Highest counter of any ballot for a job.
+    seen: u64,
+    /// What was seen at the last turn. New jobs need ballots above it, so that the next turn spares them.
+    rising: u64,
+    bytes: usize,
+}
+
+impl JobWindow {
+    /// What a voter knows that was just opened: all that it holds is as if it were new.
+    pub fn of(keys: &BTreeMap<String, Held>) -> Self {
+        let jobs = keys.iter().filter(|(key, _)| is_job(key));
+        let (mut seen, mut bytes) = (forgotten(keys), 0);
+        for (_, held) in jobs {
+            seen = seen.max(held.promised.counter);
+            bytes += held.stored.bytes.len();
+        }
+        Self {
+            seen,
+            rising: seen,
+            bytes,
+        }
+    }
+
+    pub fn note(&mut self, key: &str, old: Option<&Held>, new: Option<&Held>) {
+        if !is_job(key) {
+            return;
+        }
+        let size = |held: Option<&Held>| held.map_or(0, |held| held.stored.bytes.len());
+        self.bytes = (self.bytes + size(new)).saturating_sub(size(old));
+        let promised = new.map_or(0, |held| held.promised.counter);
+        self.seen = self.seen.max(promised);
+    }
+
+    /// The promise that stands for all jobs below it, once a turn has come; none where nothing falls under it.
+    pub fn turn(&mut self, keys: &BTreeMap<String, Held>) -> Option<Held> {
+        let floor = self.rising;
+        self.rising = self.seen;
+        let mut jobs = keys.iter().filter(|(key, _)| is_job(key));
+        let has_old = jobs.any(|(_, held)| held.promised.counter <= floor);
+        has_old.then(|| Held {
+            promised: ballot(floor),
+            ..Held::default()
+        })
+    }
+
+    /// Whether another copy's value for a job that is not held is one that was forgotten here.
+    pub fn has_forgotten(&self, keys: &BTreeMap<String, Held>, key: &str, theirs: Ballot) -> bool {
+        is_job(key) && !keys.contains_key(key) && theirs.counter <= self.rising.max(forgotten(keys))
+    }
+
+    /// Why a question about a job is refused, if it is.
+    pub fn refusal(&self, keys: &BTreeMap<String, Held>, ask: &VoterAsk) -> Option<VoterReply> {
+        let (key, asked) = match ask {
+            VoterAsk::Peek { .. } => return None,
+            VoterAsk::Promise { key, ballot } | VoterAsk::Accept { key, ballot, .. } => {
+                (key, ballot)
+            }
+        };
+        if !is_job(key) {
+            return None;
+        }
+        let floor = self.rising.max(forgotten(keys));
+        if !keys.contains_key(key) && asked.counter <= floor {
+            let promised = ballot(floor);
+            return Some(VoterReply::Refused { promised });
+        }
+        let VoterAsk::Accept { stored, .. } = ask else {
+            return None;
+        };
+        let size = stored.bytes.len();
+        let is_full = size > SMALL && self.bytes + size > BYTES_MAX;
+        (size > VALUE_MAX || is_full).then(|| VoterReply::Closed {
+            reason: "there is no room for the value".into(),
+        })
+    }
+}
+
+fn ballot(counter: u64) -> Ballot {
+    Ballot {
+        counter,
+        proposer: u64::MAX,
+    }
+}
+
+fn forgotten(keys: &BTreeMap<String, Held>) -> u64 {
+    let held = keys.get(FORGOTTEN_KEY);
+    held.map_or(0, |held| held.promised.counter)
+}
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -4,6 +4,7 @@
 mod acceptor;
 mod changing;
 mod client;
+mod jobs;
 mod message;
 mod proposal;
 mod round;
@@ -11,6 +12,7 @@
 pub use acceptor::{Acceptor, Held, Record, KEYS_MAX};
 pub use changing::{grown, merged, replaced, VOTERS_KEY};
 pub use client::{RegisterClient, VoterPort};
+pub use jobs::{is_job, JOB_PREFIX};
 pub use message::{Ballot, Stored, VoterAsk, VoterMessage, VoterRef, VoterReply, VoterSet};
 pub use proposal::{Proposal, ProposalStep};
 pub use round::{Change, Outcome, Round, Step};
--- /dev/null
+++ b/crates/register/tests/jobs.rs
@@ -0,0 +1,275 @@
+//! Voters forget jobs after a time, and take nothing old for new afterwards.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use register::{
+    Acceptor, Ballot, Change, Held, Outcome, Proposal, ProposalStep, Record, Stored, VoterAsk,
+    VoterMessage, VoterReply, VoterSet,
+};
+
+const VOTERS: usize = 3;
+
+fn founded() -> (Acceptor, Vec<Record>) {
+    let mut acceptor = Acceptor::default();
+    let record = acceptor.form(VoterSet {
+        era: 1,
+        no: 1,
+        voters: Vec::new(),
+    });
+    (acceptor, record.into_iter().collect())
+}
+
+struct Voter {
+    acceptor: Acceptor,
+    records: Vec<Record>,
+}
+
+impl Voter {
+    fn ask(&mut self, ask: VoterAsk) -> VoterReply {
+        let (record, reply) = self.acceptor.handle(VoterMessage { mark: (1, 1), ask });
+        self.records.extend(record);
+        reply
+    }
+
+    fn turn(&mut self) {
+        let record = self.acceptor.turn_jobs();
+        self.records.extend(record);
+    }
+
+    fn restart(&mut self) {
+        self.acceptor = Acceptor::default();
+        for record in self.records.clone() {
+            self.acceptor.replay(record);
+        }
+        self.acceptor.restore_digests();
+    }
+}
+
+/// Changes a register at those voters that answer.
+fn change(
+    voters: &mut [Voter],
+    counter: &mut u64,
+    proposer: u64,
+    key: &str,
+    change: Change,
+    answers: impl Fn(usize) -> bool,
+) -> Outcome {
+    let ballot = |counter: &mut u64, above: u64| {
+        *counter = (*counter).max(above) + 1;
+        Ballot {
+            counter: *counter,
+            proposer,
+        }
+    };
+    let first = ballot(counter, 0);
+    let tag = first.counter << 16 | proposer;
+    let (mut proposal, mut ask) = Proposal::start(key, change, tag, first, VOTERS);
+    for _ in 0..20 {
+        let mut next = None;
+        for place in (0..VOTERS).filter(|place| answers(*place)) {
+            let reply = voters[place].ask(ask.clone());
+            match proposal.on_reply(place, reply) {
+                ProposalStep::Wait => continue,
+                ProposalStep::Done(outcome) => return outcome,
+                ProposalStep::Ask(ask) => next = Some(ask),
+                ProposalStep::Again(above) => {
+                    next = Some(proposal.again(ballot(counter, above.counter)));
+                }
+            }
+            break;
+        }
+        let Some(again) = next else {
+            return proposal.give_up();
+        };
+        ask = again;
+    }
+    proposal.give_up()
+}
+
+fn three() -> Vec<Voter> {
+    let voter = |_| {
+        let (acceptor, records) = founded();
+        Voter { acceptor, records }
+    };
+    (0..VOTERS).map(voter).collect()
+}
+
+fn write(bytes: &[u8]) -> Change {
+    Change::Write {
+        expected: 0,
+        bytes: bytes.to_vec(),
+    }
+}
+
+#[test]
+fn a_job_lasts_for_one_turn_at_least_and_two_at_most() {
+    let mut voters = three();
+    let (mut counter, all) = (0, |_| true);
+    for job in 0..50 {
+        let key = format!("job/{job}");
+        let outcome = change(&mut voters, &mut counter, 1, &key, write(b"one"), all);
+        assert!(matches!(outcome, Outcome::Settled(_)));
+        voters.iter_mut().for_each(Voter::turn);
+        let outcome = change(&mut voters, &mut counter, 1, &key, write(b"two"), all);
+        assert!(
+            matches!(outcome, Outcome::Stale(_)),
+            "{job} is forgotten early"
+        );
+        voters.iter_mut().for_each(Voter::turn);
+        voters.iter_mut().for_each(Voter::turn);
+        assert!(voters
+            .iter()
+            .all(|voter| voter.acceptor.held(&key).is_none()));
+    }
+    assert!(
+        voters[0].acceptor.len() <= 2,
+        "{}",
+        voters[0].acceptor.len()
+    );
+}
+
+#[test]
+fn an_accept_that_comes_after_its_job_was_forgotten_is_refused() {
+    let mut voters = three();
+    let ballot = Ballot {
+        counter: 7,
+        proposer: 3,
+    };
+    let key = "job/late".to_string();
+    let promise = VoterAsk::Promise {
+        key: key.clone(),
+        ballot,
+    };
+    voters[0].ask(promise);
+    voters[0].turn();
+    voters[0].turn();
+    assert!(voters[0].acceptor.held(&key).is_none());
+    for restarts in [false, true] {
+        if restarts {
+            voters[0].restart();
+        }
+        let stored = Stored {
+            version: 1,
+            tag: 1,
+            bytes: vec![1],
+        };
+        let accept = VoterAsk::Accept {
+            key: key.clone(),
+            ballot,
+            stored,
+        };
+        let reply = voters[0].ask(accept);
+        assert!(matches!(reply, VoterReply::Refused { .. }), "{reply:?}");
+    }
+}
+
+#[test]
+fn other_keys_are_never_forgotten() {
+    let mut voters = three();
+    let mut counter = 0;
+    for key in ["description", "once/00000000000001/f/x", "job"] {
+        change(&mut voters, &mut counter, 1, key, write(b"kept"), |_| true);
+    }
+    for _ in 0..6 {
+        voters.iter_mut().for_each(Voter::turn);
+    }
+    assert_eq!(voters[0].acceptor.len(), 3);
+}
+
+#[test]
+fn answers_are_taken_up_to_a_bound_and_claims_beyond_it() {
+    let (mut acceptor, records) = founded();
+    let held = |size: usize, counter: u64| Held {
+        promised: Ballot {
+            counter,
+            proposer: 1,
+        },
+        accepted: Ballot {
+            counter,
+            proposer: 1,
+        },
+        stored: Stored {
+            version: 1,
+            tag: 1,
+            bytes: vec![0; size],
+        },
+    };
+    for place in 0..1_700 {
+        acceptor.replay(Record::Key(format!("job/{place}"), held(40 << 10, 5)));
+    }
+    let mut voter = Voter { acceptor, records };
+    let mut accept = |size: usize| {
+        let ballot = Ballot {
+            counter: 9,
+            proposer: 1,
+        };
+        let stored = held(size, 9).stored;
+        let key = "job/new".to_string();
+        voter.ask(VoterAsk::Accept {
+            key,
+            ballot,
+            stored,
+        })
+    };
+    assert!(matches!(accept(2_000), VoterReply::Closed { .. }));
+    assert!(matches!(accept(41 << 10), VoterReply::Closed { .. }));
+    assert_eq!(accept(200), VoterReply::Accepted);
+}
+
+/// A voter that was away comes back with jobs that the others have forgotten. What is settled after that stays.
+#[test]
+fn what_one_voter_still_holds_never_undoes_what_was_settled_since() {
+    let mut outcomes = [0; 2];
+    for seed in 0..400 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut voters = three();
+        let mut counters = [0; 3];
+        let mut ids = [0, 1, 2];
+        let (mut newest, mut acknowledged): (u64, Option<Stored>) = (0, None);
+        for step in 0..60 {
+            let away = random.random_range(0..VOTERS);
+            let who = random.random_range(0..3);
+            match random.random_range(0..10) {
+                0 => voters[away].restart(),
+                // Another life, with another id.
+                1 => (counters[who], ids[who]) = (0, ids[who] + 3),
+                2 => {
+                    // Two voters turn; the third, as if it were down, does not.
+                    for place in (0..VOTERS).filter(|place| *place != away) {
+                        voters[place].turn();
+                    }
+                    (newest, acknowledged) = (0, None);
+                }
+                pick => {
+                    let change_wanted = if pick < 7 {
+                        Change::Write {
+                            expected: newest,
+                            bytes: vec![step],
+                        }
+                    } else {
+                        Change::Read
+                    };
+                    let is_write = pick < 7;
+                    let answers = |place| place != away;
+                    let (counter, id) = (&mut counters[who], ids[who]);
+                    let outcome = change(&mut voters, counter, id, "job/x", change_wanted, answers);
+                    let (Outcome::Settled(stored) | Outcome::Stale(stored)) = outcome else {
+                        continue;
+                    };
+                    if let Some(known) = &acknowledged {
+                        let is_next = is_write && stored.version == known.version + 1;
+                        assert!(
+                            is_next || stored == *known,
+                            "seed {seed}: {known:?} was undone by {stored:?}"
+                        );
+                    }
+                    outcomes[usize::from(is_write)] += 1;
+                    newest = stored.version;
+                    // That there is nothing is not settled: a voter that forgets late may still hold something.
+                    acknowledged = (stored.version > 0).then_some(stored);
+                }
+            }
+        }
+    }
+    assert!(outcomes.iter().all(|count| *count > 3_000), "{outcomes:?}");
+}
--- a/crates/voter/src/keeper.rs
+++ b/crates/voter/src/keeper.rs
@@ -174,6 +174,13 @@
         }
     }
 
+    /// Lets one span pass for which jobs are remembered.
+    pub fn turn_jobs(&mut self) {
+        if self.is_open() {
+            self.unsynced.extend(self.acceptor.turn_jobs());
+        }
+    }
+
     /// Syncs all that was taken. After a failure the voter is closed until it is opened again: what
     /// it holds in memory may be more than what the disk has.
     pub fn sync(&mut self) -> bool {
