Gateways and controllers wired up: a job with an Idempotency-Key runs once over all gateways

A request with the header bids with its job's mark. Its function's keeper claims once-work in a register at a majority of cores while the request gets its seat and its line; only the bytes wait. Answers are kept on the cores' disks.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -2,6 +2,7 @@
 use crate::cores::CoreLinks;
 use crate::disk::{self, Disk};
 use crate::fronts::Fronts;
+use crate::jobs::JobAsks;
 use crate::kept::{Closures, Kept, Steps, CLOSURES, DESCRIPTION};
 use crate::options::{ControllerError, ControllerOptions};
 use crate::scaling::Scaling;
@@ -36,6 +37,7 @@
     pub cores: CoreLinks,
     pub fronts: Fronts,
     pub changes: Changes,
+    pub jobs: JobAsks,
     pub scaling: Scaling,
     pub kept: Arc<Kept>,
     pub kept_at: u64,
@@ -138,6 +140,7 @@
             cores: CoreLinks::new(options.council.to_string()),
             fronts: Fronts::default(),
             changes: Changes::default(),
+            jobs: JobAsks::default(),
             scaling: Scaling::default(),
             kept: Arc::default(),
             kept_at: 0,
@@ -161,6 +164,7 @@
         self.beat_fronts(false);
         self.tend_scaling();
         self.tend_changes();
+        self.tend_jobs();
     }
 
     fn handle(&mut self, event: Event) {
@@ -207,7 +211,11 @@
                 match action {
                     CouncilAction::Send { to, message } => self.send_core(&to, message),
                     CouncilAction::Disk(work) => self.disk.ask(work),
-                    CouncilAction::Done { token, outcome } => self.change_done(token, outcome),
+                    CouncilAction::Done { token, outcome } => {
+                        if !self.job_done(token, &outcome) {
+                            self.change_done(token, outcome);
+                        }
+                    }
                     CouncilAction::News { .. } => {}
                     CouncilAction::DutyWon { term } => {
                         log::info!("controller: scales under term {term}");
--- a/crates/controller/src/fronts.rs
+++ b/crates/controller/src/fronts.rs
@@ -103,6 +103,12 @@
                 description,
                 closures,
             } => self.answer_ask(&name, description, closures),
+            Message::JobAsk {
+                number,
+                key,
+                expected,
+                bytes,
+            } => self.ask_job(&name, number, &key, expected, bytes),
             Message::Report(reports) => self.take_reports(&name, &reports),
             _ => {}
         }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -7,6 +7,7 @@
 mod disk;
 mod fronts;
 mod guide;
+mod jobs;
 mod kept;
 mod operators;
 mod options;
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -103,6 +103,8 @@
     pub sync_ms: u64,
     /// Milliseconds from the order to stop until the process is ended.
     pub grace_ms: u64,
+    /// Milliseconds for which a job is remembered, at least.
+    pub remembered_ms: u64,
     /// Cores that vote where there are enough of them.
     pub voters_wanted: usize,
     /// Most open lines.
--- a/crates/dispatch/tests/drawn/mod.rs
+++ b/crates/dispatch/tests/drawn/mod.rs
@@ -1,12 +1,12 @@
 //! Messages of every kind, drawn at random.
 
 use dispatch::{
-    Bid, FunctionNews, FunctionReport, Grant, Member, Message, Outcome, Release, RunnerNews,
-    RunnerReport, RunnerStage,
+    Bid, FunctionNews, FunctionReport, Grant, JobEnd, JobMark, JobResult, JobVerdict, Member,
+    Message, Outcome, RegisterSaid, Release, RunnerNews, RunnerReport, RunnerStage,
 };
 use quickcheck::{Arbitrary, Gen};
 
-pub const KINDS: u8 = 19;
+pub const KINDS: u8 = 26;
 
 #[derive(Clone, Debug)]
 pub struct Drawn(pub Message);
@@ -87,6 +87,49 @@
     *gen.choose(&outcomes).unwrap()
 }
 
+fn mark(gen: &mut Gen) -> JobMark {
+    let mut digest = [0; 16];
+    digest.fill_with(|| any(gen));
+    JobMark {
+        key: any(gen),
+        digest,
+        is_once: any(gen),
+        incarnation: any(gen),
+        attempt: any(gen),
+    }
+}
+
+fn verdict(gen: &mut Gen) -> JobVerdict {
+    let verdicts = [
+        JobVerdict::Answer(any(gen)),
+        JobVerdict::TooLarge,
+        JobVerdict::MayHaveRun,
+        JobVerdict::OtherRequest,
+        JobVerdict::NotRun(any(gen)),
+    ];
+    gen.choose(&verdicts).unwrap().clone()
+}
+
+fn result(gen: &mut Gen) -> JobResult {
+    let results = [
+        JobResult::Answer(any(gen)),
+        JobResult::TooLarge,
+        JobResult::Lost,
+        JobResult::NotRun,
+    ];
+    gen.choose(&results).unwrap().clone()
+}
+
+fn said(gen: &mut Gen) -> RegisterSaid {
+    let saids = [
+        RegisterSaid::Written(any(gen)),
+        RegisterSaid::Found(any(gen), any(gen)),
+        RegisterSaid::Unreached,
+        RegisterSaid::Unsure,
+    ];
+    gen.choose(&saids).unwrap().clone()
+}
+
 pub fn message(kind: u8, gen: &mut Gen) -> Message {
     match kind {
         0 => Message::Front(member(gen)),
@@ -126,6 +169,7 @@
             rank: any(gen),
             budget_ms: any(gen),
             avoid: any(gen),
+            job: bool::arbitrary(gen).then(|| mark(gen)),
         }),
         10 => Message::Withdraw(any(gen)),
         11 => Message::Grant(Grant {
@@ -153,6 +197,38 @@
             from: any(gen),
             changes: any(gen),
         },
+        19 => Message::Claimed {
+            ticket: any(gen),
+            attempt: any(gen),
+            version: any(gen),
+        },
+        20 => Message::Joined {
+            ticket: any(gen),
+            attempt: any(gen),
+        },
+        21 => Message::JobTold {
+            ticket: any(gen),
+            attempt: any(gen),
+            verdict: verdict(gen),
+        },
+        22 => Message::JobEnd(JobEnd {
+            ticket: any(gen),
+            function: any(gen),
+            mark: mark(gen),
+            version: any(gen),
+            result: result(gen),
+        }),
+        23 => Message::JobKept(any(gen)),
+        24 => Message::JobAsk {
+            number: any(gen),
+            key: any(gen),
+            expected: any(gen),
+            bytes: any(gen),
+        },
+        25 => Message::JobSaid {
+            number: any(gen),
+            said: said(gen),
+        },
         _ => Message::StatusText(any(gen)),
     }
 }
@@ -179,5 +255,12 @@
         Message::Status => 16,
         Message::Changes { .. } => 17,
         Message::StatusText(_) => 18,
+        Message::Claimed { .. } => 19,
+        Message::Joined { .. } => 20,
+        Message::JobTold { .. } => 21,
+        Message::JobEnd(_) => 22,
+        Message::JobKept(_) => 23,
+        Message::JobAsk { .. } => 24,
+        Message::JobSaid { .. } => 25,
     }
 }
--- a/crates/dispatch/tests/frames.rs
+++ b/crates/dispatch/tests/frames.rs
@@ -46,6 +46,19 @@
     assert_eq!(Frames::new(&pong).read(), Ok(Some(Message::Pong(7))));
 }
 
+#[test]
+fn a_bid_without_a_job_says_so_in_one_byte() {
+    let bid = dispatch::Bid {
+        ticket: 7,
+        function: "sign".into(),
+        ..dispatch::Bid::default()
+    };
+    let bytes = frame(&Message::Bid(bid));
+    // Length, kind, ticket, function, rank, budget, no runners to avoid, no job.
+    assert_eq!(bytes.len(), 4 + 4 + 8 + (4 + 4) + 1 + 4 + 4 + 1);
+    assert_eq!(bytes.last(), Some(&0));
+}
+
 #[test]
 fn too_long_a_frame_is_refused_from_its_head_on() {
     let head = (FRAME_MAX as u32 + 1).to_le_bytes();
--- /dev/null
+++ b/crates/gateway/src/answers.rs
@@ -0,0 +1,43 @@
+use exchange::{end_to_end, Response};
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use flate2::Compression;
+use speedy::{Readable, Writable};
+use std::io::{Read, Write};
+
+/// Most bytes of a packed answer that is told to copies.
+pub(crate) const TOLD_MAX: usize = 1 << 20;
+/// Most bytes of an answer, unpacked.
+const ANSWER_MAX: u64 = 5 << 20;
+
+/// A runner's answer as all copies of a request get it.
+#[derive(Debug, Default, PartialEq, Readable, Writable)]
+pub(crate) struct Told {
+    pub status: u16,
+    pub headers: Vec<(String, Vec<u8>)>,
+    pub body: Vec<u8>,
+}
+
+/// An answer, deflated.
+pub(crate) fn pack(response: &Response) -> Option<Vec<u8>> {
+    let headers = end_to_end(&response.headers);
+    let told = Told {
+        status: response.status,
+        headers: headers
+            .map(|(name, value)| (name.to_string(), value.to_vec()))
+            .collect(),
+        body: response.body.clone(),
+    };
+    let bytes = told.write_to_vec().ok()?;
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&bytes).ok()?;
+    encoder.finish().ok()
+}
+
+/// An answer that was packed.
+pub(crate) fn unpack(packed: &[u8]) -> Option<Told> {
+    let mut bytes = Vec::new();
+    let decoder = DeflateDecoder::new(packed);
+    decoder.take(ANSWER_MAX).read_to_end(&mut bytes).ok()?;
+    Told::read_from_buffer(&bytes).ok()
+}
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -136,6 +136,11 @@
             );
             return;
         };
+        let Ok(job) = self.pass_of(&request, binding.is_once) else {
+            let text = "the idempotency key is not up to 200 visible ASCII characters, told once";
+            self.answer_own(line, &id, 400, text, None, &request);
+            return;
+        };
         let held = budget.min(u64::from(binding.timeout_ms)).min(HELD_MAX_MS);
         let ticket = Ticket {
             client: Some(line),
@@ -151,6 +156,7 @@
             ends_at: self.now + held,
             avoid: Vec::new(),
             stage: Stage::Resting,
+            job,
             request,
         };
         let number = self.tickets.add(ticket);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -179,6 +179,7 @@
                 self.place_bid(number);
             }
         }
+        self.move_gated();
     }
 
     /// Tells the scaler what changed at the functions kept here.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use crate::tickets::Tickets;
 use courier::{Courier, Event, Hatch, LineId, Timers};
 use exchange::RequestReader;
+use jobs::{Ends, Jobs};
 use seating::{Credit, Errand, Keeper};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -45,6 +46,8 @@
     pub roles: HashMap<LineId, Role>,
     pub tickets: Tickets,
     pub keeper: Keeper,
+    pub jobs: Jobs,
+    pub ends: Ends,
     pub pool: Pool,
     pub links: Links,
     pub control: Control,
@@ -114,8 +117,11 @@
         let public = listen(options.public, CLIENT_INBOX)?;
         let readiness = listen(options.readiness, 1 << 14)?;
         listen(options.wire, LINK_INBOX)?;
+        let links = Links::new(&options);
         let mut gateway = Self {
-            links: Links::new(&options),
+            jobs: Jobs::new(links.incarnation(), options.remembered_ms),
+            ends: Ends::default(),
+            links,
             control: Control::default(),
             courier,
             roles: HashMap::new(),
@@ -165,6 +171,7 @@
 
     fn tick(&mut self) {
         self.keeper.tick(self.now);
+        self.tend_jobs();
         self.tend_cores();
         self.tend_links();
         self.report();
@@ -229,7 +236,7 @@
     pub fn run_errands(&mut self) {
         loop {
             let errands = self.keeper.errands();
-            if errands.is_empty() {
+            if errands.is_empty() && !self.run_job_errands() {
                 return;
             }
             for errand in errands {
@@ -240,6 +247,8 @@
                     Errand::Grant(front, grant) => {
                         self.tell(&front, &dispatch::Message::Grant(grant));
                     }
+                    Errand::Refuse(front, ticket, after)
+                        if self.jobs.refused(self.now, &front, ticket, after) => {}
                     Errand::Refuse(front, ticket, after) if front == self.options.name => {
                         self.refused(ticket, after);
                     }
@@ -275,7 +284,7 @@
         if spent >= self.options.grace_ms / 2 {
             self.courier.shut(self.hatches.public);
             self.close_idle_clients();
-            let is_done = self.tickets.len() == 0 && !self.has_clients();
+            let is_done = self.tickets.len() == 0 && self.ends.is_empty() && !self.has_clients();
             if is_done && !self.courier.is_flushing() {
                 return true;
             }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -77,6 +77,20 @@
         }
     }
 
+    /// Random number of this daemon's life.
+    pub fn incarnation(&self) -> u64 {
+        self.me.incarnation
+    }
+
+    /// A core to ask something after so many tries, a near one first.
+    pub fn core_for(&self, district: &str, tries: u32) -> Option<String> {
+        let linked = self.cores.iter().filter(|(_, core)| core.line.is_some());
+        let mut linked: Vec<_> = linked.collect();
+        linked.sort_by_key(|(_, core)| core.district != district);
+        let place = tries as usize % linked.len().max(1);
+        linked.get(place).map(|(address, _)| (*address).clone())
+    }
+
     pub fn is_suspect(&self, name: &str, now: u64) -> bool {
         self.suspects.get(name).is_some_and(|until| now < *until)
     }
@@ -249,7 +263,7 @@
                     .clone()
                     .find(|one| one.name == name)
                     .map_or_else(String::new, |one| one.district.clone());
-                self.keeper.bid(self.now, name, &district, bid);
+                self.take_bid(name, &district, bid);
             }
             Message::Withdraw(ticket) => self.keeper.withdraw(self.now, name, ticket),
             Message::Release(release) => self.keeper.release(self.now, name, &release),
@@ -262,7 +276,7 @@
                 retry_after_ms,
             } => self.refused(ticket, retry_after_ms),
             Message::Ping(number) => self.tell(name, &Message::Pong(number)),
-            _ => {}
+            other => self.hear_job(name, other),
         }
     }
 
@@ -297,6 +311,7 @@
             }
             Message::Closures { mark, districts } => self.take_closures(mark, districts),
             Message::Roster { mark, members } => self.take_roster(mark, members),
+            Message::JobSaid { number, said } => self.jobs.said(now, number, said),
             Message::Runners(news) => {
                 for one in news {
                     self.keeper.news(now, one);
@@ -386,13 +401,11 @@
     /// Looks whether keepers that requests wait for are alive.
     pub fn tend_links(&mut self) {
         let mut awaited: Vec<String> = Vec::new();
-        let waiting = |ticket: &crate::tickets::Ticket| {
-            matches!(ticket.stage, crate::tickets::Stage::Waiting { .. })
-        };
+        let waiting = |ticket: &crate::tickets::Ticket| ticket.awaits().is_some();
         for number in self.tickets.numbers(waiting) {
             if let Some(ticket) = self.tickets.get(number) {
-                if let crate::tickets::Stage::Waiting { lender, since } = &ticket.stage {
-                    let is_old = *since + PING_MS <= self.now;
+                if let Some((lender, since)) = ticket.awaits() {
+                    let is_old = since + PING_MS <= self.now;
                     if is_old && *lender != self.options.name && !awaited.contains(lender) {
                         awaited.push(lender.clone());
                     }
@@ -437,6 +450,7 @@
             self.courier.close(line);
         }
         self.keeper.forget_front(self.now, name);
+        self.jobs.forget_front(self.now, name);
         self.move_waiting();
     }
 
@@ -461,12 +475,14 @@
         let (description, closures) = self.control.marks();
         format!(
             "{{\"name\":\"{}\",\"ready\":{},\"version\":{},\"marks\":[{description},{closures}],\
-             \"members\":{},\"functions_kept\":{},\"requests\":{},\"lines\":{},\"refused\":{}}}",
+             \"members\":{},\"functions_kept\":{},\"jobs\":{},\"owed\":{},\"requests\":{},\"lines\":{},\"refused\":{}}}",
             self.options.name,
             self.control.is_ready(),
             self.control.version(),
             self.control.members().len(),
             self.keeper.len(),
+            self.jobs.len(),
+            self.ends.len(),
             self.tickets.len(),
             self.courier.len(),
             self.refusals,
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -48,6 +48,8 @@
     pub grace_ms: u64,
     /// Milliseconds within which an acknowledged change holds everywhere.
     pub change_ms: u64,
+    /// Milliseconds for which a job is remembered, above the time of any request.
+    pub remembered_ms: u64,
     /// Most open lines.
     pub lines_max: usize,
     /// Reads the settings anew: addresses of cores that they name now.
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -1,6 +1,6 @@
 use crate::gateway::Gateway;
 use crate::tickets::{Stage, Ticket};
-use dispatch::Outcome;
+use dispatch::{JobResult, Outcome};
 use exchange::{end_to_end, Response};
 
 /// Milliseconds after which clients come back, at least.
@@ -30,11 +30,17 @@
         if status == 503 {
             headers.push((manner.retry_after, after.as_bytes()));
         }
+        let result = if ticket.may_have_run {
+            JobResult::Lost
+        } else {
+            JobResult::NotRun
+        };
+        self.end_job(number, &ticket, result);
         self.note_refusal(&ticket, status, reason);
         self.answer(&ticket, status, &headers, reason.as_bytes());
     }
 
-    fn note_refusal(&mut self, ticket: &Ticket, status: u16, reason: &str) {
+    pub fn note_refusal(&mut self, ticket: &Ticket, status: u16, reason: &str) {
         self.refusals += 1;
         // Told one by one while there are few, then one in a hundred.
         if self.refusals < 50 || self.refusals.is_multiple_of(100) {
@@ -70,7 +76,7 @@
         let Some(ticket) = self.tickets.get(number) else {
             return;
         };
-        if !ticket.may_have_run {
+        if !ticket.may_have_run && !ticket.is_unsure() {
             self.give_up(
                 number,
                 RETRY_AFTER_MS,
@@ -82,13 +88,17 @@
             return;
         };
         let id = self.options.manner.id;
-        self.note_refusal(&ticket, 504, "the runner did not answer in time");
-        self.answer(
-            &ticket,
-            504,
-            &[(id, &ticket.id)],
-            b"the runner did not answer in time",
-        );
+        let (result, text) = if ticket.may_have_run {
+            (JobResult::Lost, "the runner did not answer in time")
+        } else {
+            (
+                JobResult::NotRun,
+                "another copy may have run, and did not end in time",
+            )
+        };
+        self.end_job(number, &ticket, result);
+        self.note_refusal(&ticket, 504, text);
+        self.answer(&ticket, 504, &[(id, &ticket.id)], text.as_bytes());
     }
 
     /// A runner answered this request.
@@ -147,6 +157,7 @@
         let Some(ticket) = self.tickets.remove(number) else {
             return;
         };
+        self.job_answered(number, &ticket, response);
         let headers: Vec<(&str, &[u8])> = end_to_end(&response.headers).collect();
         self.answer(&ticket, response.status, &headers, &response.body);
     }
--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -37,7 +37,7 @@
             return;
         };
         let function = ticket.function.clone();
-        let bid = Bid {
+        let mut bid = Bid {
             ticket: number,
             function: function.clone(),
             rank: ticket.rank,
@@ -55,10 +55,11 @@
                 lender: keeper.clone(),
                 since: now,
             };
+            bid.job = ticket.job.as_mut().map(|pass| pass.bid(&keeper));
         }
         if keeper == self.options.name {
             let district = self.options.district.clone();
-            self.keeper.bid(self.now, &keeper, &district, bid);
+            self.take_bid(&keeper, &district, bid);
             return;
         }
         self.introduce(&keeper, &function);
@@ -142,9 +143,10 @@
         ticket.stage = Stage::Resting;
         if lender == self.options.name {
             self.keeper.withdraw(self.now, &lender, number);
-            return;
+        } else {
+            self.tell(&lender, &Message::Withdraw(number));
         }
-        self.tell(&lender, &Message::Withdraw(number));
+        self.void_bid(&lender, number);
     }
 
     /// Gives a seat back to who lent it, and tells the function's keeper where that is another by now.
--- a/crates/gateway/src/runners.rs
+++ b/crates/gateway/src/runners.rs
@@ -207,7 +207,8 @@
         self.send_to_runner(line);
     }
 
-    fn send_to_runner(&mut self, line: LineId) {
+    /// The last step: a request leaves for its runner, where nothing holds it back.
+    pub fn send_to_runner(&mut self, line: LineId) {
         let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
             return;
         };
@@ -220,6 +221,13 @@
             self.courier.close(line);
             return;
         };
+        if ticket.is_gated() {
+            // It leaves when its job is claimed.
+            if let Some(pass) = &mut ticket.job {
+                pass.is_ready = true;
+            }
+            return;
+        }
         let Stage::Sent(sent) = &mut ticket.stage else {
             return;
         };
@@ -268,6 +276,13 @@
                 self.drop_runner_line(line, &name);
                 return;
             };
+            if self.tickets.get(number).is_some_and(|one| one.is_gated()) {
+                // Nothing was asked yet, so that this is no answer.
+                let name = runner.runner.clone();
+                self.drop_runner_line(line, &name);
+                self.runner_failed(number, false);
+                return;
+            }
             match runner.reader.read(inbox, &bounds) {
                 Ok(None) => return,
                 Ok(Some(response)) => {
@@ -395,6 +410,10 @@
                 let Some(number) = runner.ticket else {
                     return;
                 };
+                let pass = self.tickets.get(number).and_then(|one| one.job.as_ref());
+                if pass.is_some_and(|pass| pass.is_ready) {
+                    return;
+                }
                 self.roles.remove(&line);
                 self.courier.close(line);
                 self.runner_failed(number, false);
--- a/crates/gateway/src/tickets.rs
+++ b/crates/gateway/src/tickets.rs
@@ -1,5 +1,6 @@
 use courier::LineId;
 use exchange::Request;
+use jobs::Pass;
 use slab::Slab;
 
 /// Who lends seats of a function: the daemon's name.
@@ -45,6 +46,30 @@
     pub ends_at: u64,
     pub avoid: Vec<String>,
     pub stage: Stage,
+    /// The request's part in its job, where its caller named one.
+    pub job: Option<Box<Pass>>,
+}
+
+impl Ticket {
+    /// Whether it may not leave for a runner yet, since its job is not claimed.
+    pub fn is_gated(&self) -> bool {
+        let has_line = matches!(&self.stage, Stage::Sent(sent) if !sent.has_left);
+        has_line && self.job.as_ref().is_some_and(|pass| !pass.may_leave())
+    }
+
+    /// Whether a copy of it may have run, for all that is known here.
+    pub fn is_unsure(&self) -> bool {
+        self.job.as_ref().is_some_and(|pass| pass.is_unsure())
+    }
+
+    /// The keeper from which word is awaited, and since when.
+    pub fn awaits(&self) -> Option<(&Lender, u64)> {
+        match &self.stage {
+            Stage::Waiting { lender, since } => Some((lender, *since)),
+            Stage::Sent(sent) if self.is_gated() => Some((&sent.lender, sent.at)),
+            _ => None,
+        }
+    }
 }
 
 /// Continuations of requests, by a number that is never used twice in a daemon's life.
--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -41,6 +41,11 @@
         .collect()
     }
 
+    /// Answers that are owed.
+    pub fn len(&self) -> usize {
+        self.owed.len()
+    }
+
     /// Whether nothing is owed.
     pub fn is_empty(&self) -> bool {
         self.owed.is_empty()
--- a/crates/jobs/tests/town/oracle.rs
+++ b/crates/jobs/tests/town/oracle.rs
@@ -34,7 +34,7 @@
 
 /// Jobs with even numbers may run once at most.
 pub fn is_once(job: usize) -> bool {
-    job % 2 == 0
+    job.is_multiple_of(2)
 }
 
 impl Oracle {
--- a/crates/jobs/tests/town_runs.rs
+++ b/crates/jobs/tests/town_runs.rs
@@ -99,7 +99,7 @@
     for asked in &town.oracle.asked[before..] {
         let (_, told) = asked.told.as_ref().expect("told nothing");
         assert!(is_settled(told), "seed {seed}: {asked:?}");
-        let is_once = asked.job % 2 == 0;
+        let is_once = asked.job.is_multiple_of(2);
         let has_run = town.oracle.runs.contains_key(&asked.job);
         assert!(
             has_run || *told == Told::MayHaveRun,
--- a/crates/seating/tests/common/mod.rs
+++ b/crates/seating/tests/common/mod.rs
@@ -13,6 +13,7 @@
         rank,
         budget_ms: 5_000,
         avoid: Vec::new(),
+        job: None,
     }
 }
 
