--- a/crates/gateway/src/cores.rs
+++ b/crates/gateway/src/cores.rs
@@ -41,6 +41,7 @@
             }
             Message::Closures { mark, districts } => self.take_closures(mark, districts),
             Message::Roster { mark, members } => self.take_roster(mark, members),
+            Message::JobSaid { number, said } => self.jobs.said(now, number, said),
             Message::Runners(news) => {
                 for one in news {
                     self.keeper.news(now, one);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,14 +1,17 @@
 //! The data plane over non-blocking lines: requests come in, get a seat from the keeper of their function, go to
 //! a runner, and their answers go back. One thread; nothing waits for a single line.
 
+mod answers;
 mod clients;
 mod control;
 mod cores;
 mod gateway;
+mod jobs;
 mod links;
 mod options;
 mod outcomes;
 mod pool;
+mod probes;
 mod retries;
 mod runners;
 mod tickets;
--- /dev/null
+++ b/crates/gateway/src/probes.rs
@@ -0,0 +1,34 @@
+use crate::gateway::{Due, Gateway, Role};
+use crate::runners::{runner_role, ANSWER_MAX, HEAD_MAX, IDLE_MS};
+use courier::LineId;
+
+impl Gateway {
+    /// Opens a line to a runner that is starting, to see whether it is up.
+    pub fn probe(&mut self, function: String, runner: String, address: &str) {
+        let line = address.parse().ok();
+        let line = line.and_then(|address| {
+            let line = self.courier.connect(address, ANSWER_MAX + HEAD_MAX);
+            line.ok()
+        });
+        let Some(line) = line else {
+            self.keeper.probed(self.now, &function, &runner, false);
+            return;
+        };
+        let wait = self.options.connect_ms();
+        self.timers.set(self.now + wait, Due::Connect(line));
+        self.roles.insert(line, Role::Probe { function, runner });
+    }
+
+    /// The line of a probe that was taken is kept for requests.
+    pub fn pool_probe(&mut self, line: LineId, runner: &str) {
+        let mut role = runner_role(runner);
+        if let Role::Runner(runner) = &mut role {
+            runner.expires_at = self.now + IDLE_MS;
+        }
+        self.roles.insert(line, role);
+        if !self.pool.put(runner, line, 2) {
+            self.roles.remove(&line);
+            self.courier.close(line);
+        }
+    }
+}
--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -37,12 +37,13 @@
             return;
         };
         let function = ticket.function.clone();
-        let bid = Bid {
+        let mut bid = Bid {
             ticket: number,
             function: function.clone(),
             rank: ticket.rank,
             budget_ms: ticket.ends_at.saturating_sub(self.now) as u32,
             avoid: ticket.avoid.clone(),
+            job: None,
         };
         let Some(keeper) = self.keeper_of(&function) else {
             self.rest(number);
@@ -54,10 +55,11 @@
                 lender: keeper.clone(),
                 since: now,
             };
+            bid.job = ticket.job.as_mut().map(|pass| pass.bid(&keeper));
         }
         if keeper == self.options.name {
             let district = self.options.district.clone();
-            self.keeper.bid(self.now, &keeper, &district, bid);
+            self.take_bid(&keeper, &district, bid);
             return;
         }
         self.introduce(&keeper, &function);
@@ -141,9 +143,10 @@
         ticket.stage = Stage::Resting;
         if lender == self.options.name {
             self.keeper.withdraw(self.now, &lender, number);
-            return;
+        } else {
+            self.tell(&lender, &Message::Withdraw(number));
         }
-        self.tell(&lender, &Message::Withdraw(number));
+        self.void_bid(&lender, number);
     }
 
     /// Gives a seat back to who lent it, and tells the function's keeper where that is another by now.
--- a/crates/gateway/src/runners.rs
+++ b/crates/gateway/src/runners.rs
@@ -5,10 +5,10 @@
 use exchange::{end_to_end, idle_seconds, write_request, Bounds, Response, ResponseReader};
 
 /// Largest answer of a runner, in bytes.
-const ANSWER_MAX: usize = 4 << 20;
-const HEAD_MAX: usize = 64 << 10;
+pub(crate) const ANSWER_MAX: usize = 4 << 20;
+pub(crate) const HEAD_MAX: usize = 64 << 10;
 /// Milliseconds for which an idle line is kept where the runner does not tell.
-const IDLE_MS: u64 = 5_000;
+pub(crate) const IDLE_MS: u64 = 5_000;
 /// Paces of a function after which an answer is overdue, and least milliseconds.
 const OVERDUE_PACES: f64 = 16.0;
 const OVERDUE_MIN_MS: f64 = 400.0;
@@ -120,40 +120,12 @@
         Some(line)
     }
 
-    /// Opens a line to a runner that is starting, to see whether it is up.
-    pub fn probe(&mut self, function: String, runner: String, address: &str) {
-        let line = address.parse().ok();
-        let line = line.and_then(|address| {
-            let line = self.courier.connect(address, ANSWER_MAX + HEAD_MAX);
-            line.ok()
-        });
-        let Some(line) = line else {
-            self.keeper.probed(self.now, &function, &runner, false);
-            return;
-        };
-        let wait = self.options.connect_ms();
-        self.timers.set(self.now + wait, Due::Connect(line));
-        self.roles.insert(line, Role::Probe { function, runner });
-    }
-
-    /// The line of a probe that was taken is kept for requests.
-    pub fn pool_probe(&mut self, line: LineId, runner: &str) {
-        let mut role = runner_role(runner);
-        if let Role::Runner(runner) = &mut role {
-            runner.expires_at = self.now + IDLE_MS;
-        }
-        self.roles.insert(line, role);
-        if !self.pool.put(runner, line, 2) {
-            self.roles.remove(&line);
-            self.courier.close(line);
-        }
-    }
-
     pub fn runner_connected(&mut self, line: LineId) {
         self.send_to_runner(line);
     }
 
-    fn send_to_runner(&mut self, line: LineId) {
+    /// The last step: a request leaves for its runner, where nothing holds it back.
+    pub fn send_to_runner(&mut self, line: LineId) {
         let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
             return;
         };
@@ -166,6 +138,13 @@
             self.courier.close(line);
             return;
         };
+        if ticket.is_gated() {
+            // It leaves when its job is claimed.
+            if let Some(pass) = &mut ticket.job {
+                pass.is_ready = true;
+            }
+            return;
+        }
         let Stage::Sent(sent) = &mut ticket.stage else {
             return;
         };
@@ -225,6 +204,13 @@
                 self.drop_runner_line(line, &name);
                 return;
             };
+            if self.tickets.get(number).is_some_and(|one| one.is_gated()) {
+                // Nothing was asked yet, so that this is no answer.
+                let name = runner.runner.clone();
+                self.drop_runner_line(line, &name);
+                self.runner_failed(number, false);
+                return;
+            }
             match runner.reader.read(inbox, &bounds) {
                 Ok(None) => return,
                 Ok(Some(response)) => {
@@ -326,9 +312,13 @@
         }
         let (lender, runner) = (sent.lender.clone(), sent.runner.clone());
         let function = ticket.function.clone();
+        // An open line that ends before its request may leave says nothing of the runner.
+        let was_ready = ticket.job.as_ref().is_some_and(|pass| pass.is_ready);
         ticket.unreached += 1;
         ticket.avoid.push(runner);
-        let outcome = if nobody_there {
+        let outcome = if was_ready {
+            Outcome::Unused
+        } else if nobody_there {
             Outcome::Gone
         } else {
             Outcome::Unreached
@@ -352,6 +342,10 @@
                 let Some(number) = runner.ticket else {
                     return;
                 };
+                let pass = self.tickets.get(number).and_then(|one| one.job.as_ref());
+                if pass.is_some_and(|pass| pass.is_ready) {
+                    return;
+                }
                 self.roles.remove(&line);
                 self.courier.close(line);
                 self.runner_failed(number, false);
@@ -367,7 +361,7 @@
     }
 }
 
-fn runner_role(runner: &str) -> Role {
+pub(crate) fn runner_role(runner: &str) -> Role {
     Role::Runner(RunnerLine {
         runner: runner.into(),
         ticket: None,
--- a/tests/hollow/src/carrier.rs
+++ b/tests/hollow/src/carrier.rs
@@ -22,6 +22,7 @@
         rank: 1,
         budget_ms: 6_000,
         avoid: Vec::new(),
+        job: None,
     })
 }
 
--- a/tests/hollow/src/fleet.rs
+++ b/tests/hollow/src/fleet.rs
@@ -147,6 +147,7 @@
                 rank: 1,
                 budget_ms: 6_000,
                 avoid: Vec::new(),
+                job: None,
             });
             self.fronts[keeper].in_bytes += self.sums.count("Bid", &message);
             self.fronts[keeper].bids += 1;
--- a/tests/hollow/src/keeper.rs
+++ b/tests/hollow/src/keeper.rs
@@ -19,6 +19,7 @@
         rank: 1,
         budget_ms: 6_000,
         avoid: Vec::new(),
+        job: None,
     }
 }
 
