One reader of frames, one packing, no copies for each request; dead parts go

Behaviour stays. - Frames of a link's inbox were read by three copies of one loop (gateway links, controller cores and fronts): dispatch::take_frames serves all. Deflating stood in three places: dispatch::pack and unpack. - A request copied its whole binding, names and homes, on its way in: it is read in place. - A closed district made the controller read and describe the whole document anew: it only closes the district. - Requests that wait and requests whose claim is awaited were moved by two loops: one, by Ticket::awaits.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -235,6 +235,7 @@
     /// Takes newer settled values and tells the fronts of them.
     fn take_settled(&mut self) {
         let mut has_news = false;
+        let mut is_described = false;
         if let Some((version, bytes)) = self.council.settled(DESCRIPTION) {
             if version > self.kept_at {
                 if let Ok(kept) = Kept::read_from_buffer(bytes.as_ref()) {
@@ -242,6 +243,7 @@
                     self.kept = Arc::new(kept);
                     self.kept_at = version;
                     has_news = true;
+                    is_described = true;
                 } else {
                     log::error!("controller: settled description {version} cannot be read");
                 }
@@ -262,7 +264,10 @@
                 self.kept.version,
                 self.closures.districts
             );
-            self.describe_scaling();
+            if is_described {
+                self.describe_scaling();
+            }
+            self.close_scaling();
             self.beat_fronts(true);
         }
     }
--- a/crates/controller/src/cores.rs
+++ b/crates/controller/src/cores.rs
@@ -2,7 +2,7 @@
 use crate::fronts::OUT_KEPT;
 use council::CouncilMessage;
 use courier::{Courier, LineId};
-use dispatch::{frame, Frames};
+use dispatch::{frame, take_frames};
 use speedy::{Readable, Writable};
 use std::collections::HashMap;
 
@@ -88,17 +88,7 @@
         let Some(inbox) = self.courier.inbox(line) else {
             return;
         };
-        let bytes = std::mem::take(inbox);
-        let mut frames = Frames::new(&bytes);
-        let mut messages = Vec::new();
-        let fault = loop {
-            match frames.read::<CoreFrame>() {
-                Ok(Some(message)) => messages.push(message),
-                Ok(None) => break None,
-                Err(fault) => break Some(fault),
-            }
-        };
-        let taken = frames.taken();
+        let (messages, fault) = take_frames::<CoreFrame>(inbox);
         for message in messages {
             self.hear_core(line, message);
         }
@@ -108,10 +98,6 @@
                 self.cores.ended(&address, line);
             }
             self.courier.close(line);
-            return;
-        }
-        if let Some(inbox) = self.courier.inbox(line) {
-            *inbox = bytes[taken..].to_vec();
         }
     }
 
--- a/crates/controller/src/fronts.rs
+++ b/crates/controller/src/fronts.rs
@@ -1,6 +1,6 @@
 use crate::controller::{Controller, Role};
 use courier::{Courier, LineId};
-use dispatch::{frame, Frames, Member, Message};
+use dispatch::{frame, take_frames, Member, Message};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -54,17 +54,7 @@
         let Some(inbox) = self.courier.inbox(line) else {
             return;
         };
-        let bytes = std::mem::take(inbox);
-        let mut frames = Frames::new(&bytes);
-        let mut messages = Vec::new();
-        let fault = loop {
-            match frames.read::<Message>() {
-                Ok(Some(message)) => messages.push(message),
-                Ok(None) => break None,
-                Err(fault) => break Some(fault),
-            }
-        };
-        let taken = frames.taken();
+        let (messages, fault) = take_frames::<Message>(inbox);
         for message in messages {
             self.hear_front(line, message);
         }
@@ -74,10 +64,6 @@
                 self.front_ended(&name, line);
             }
             self.courier.close(line);
-            return;
-        }
-        if let Some(inbox) = self.courier.inbox(line) {
-            *inbox = bytes[taken..].to_vec();
         }
     }
 
--- a/crates/controller/src/kept.rs
+++ b/crates/controller/src/kept.rs
@@ -1,9 +1,6 @@
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
-use flate2::Compression;
+use dispatch::{pack, unpack};
 use speedy::{Readable, Writable};
 use std::collections::VecDeque;
-use std::io::{Read, Write};
 
 /// Key of the register that holds the description.
 pub(crate) const DESCRIPTION: &str = council::DESCRIPTION_KEY;
@@ -68,10 +65,7 @@
 
 impl Kept {
     pub fn document(&self) -> Vec<u8> {
-        let mut document = Vec::new();
-        let decoder = DeflateDecoder::new(self.packed.as_slice());
-        let _ = decoder.take(DOCUMENT_MAX).read_to_end(&mut document);
-        document
+        unpack(&self.packed, DOCUMENT_MAX).unwrap_or_default()
     }
 
     /// The next value.
@@ -82,8 +76,8 @@
         taken.drain(..surplus);
         Self {
             version,
-            packed: packed(document),
-            change: if is_change { packed(order) } else { Vec::new() },
+            packed: pack(document),
+            change: if is_change { pack(order) } else { Vec::new() },
             taken,
         }
     }
@@ -93,12 +87,6 @@
     }
 }
 
-fn packed(bytes: &[u8]) -> Vec<u8> {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    let _ = encoder.write_all(bytes);
-    encoder.finish().unwrap_or_default()
-}
-
 /// Digest of an order's body, by which a resent one is known again (FNV-1a).
 pub(crate) fn digest(bytes: &[u8]) -> u64 {
     bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -41,10 +41,8 @@
 pub trait Translator {
     /// Reader of the operators' documents.
     fn documents(&self) -> &dyn Documents;
-    /// Another one for another owner.
+    /// The operator's version that a document bears.
     fn version_of(&self, document: &[u8]) -> Option<u64>;
-    /// Whether two documents say the same.
-    fn is_same(&self, one: &[u8], other: &[u8]) -> bool;
     /// What an operator's request asks for; a status where it is wrong, none where it is no such call.
     fn operator_call(&self, method: &str, target: &str) -> Option<Result<OperatorCall, u16>>;
     /// The version on which a change builds.
--- a/crates/controller/src/scaling.rs
+++ b/crates/controller/src/scaling.rs
@@ -84,10 +84,11 @@
         self.scaling.workers_at = 0;
         self.scaling.began_at = self.now;
         self.describe_scaling();
+        self.close_scaling();
         self.beat_fronts(true);
     }
 
-    /// The description or the closed districts are other ones than before.
+    /// The description is another one than before.
     pub fn describe_scaling(&mut self) {
         let Some(launcher) = self.scaling.launcher.as_mut() else {
             return;
@@ -99,8 +100,14 @@
                 Err(fault) => log::error!("scaler: the description cannot be read: {fault}"),
             }
         }
-        let closed = self.closures.districts.iter().cloned().collect();
-        launcher.close_districts(self.now, &closed);
+    }
+
+    /// The closed districts may be others than before.
+    pub fn close_scaling(&mut self) {
+        if let Some(launcher) = self.scaling.launcher.as_mut() {
+            let closed = self.closures.districts.iter().cloned().collect();
+            launcher.close_districts(self.now, &closed);
+        }
         self.carry_out();
     }
 
--- a/crates/dispatch/src/frame.rs
+++ b/crates/dispatch/src/frame.rs
@@ -1,4 +1,4 @@
-use speedy::{Readable, Writable};
+use speedy::{LittleEndian, Readable, Writable};
 use std::fmt;
 
 /// Largest frame, in bytes.
@@ -28,7 +28,7 @@
 /// A message as one frame: its length in four bytes, the lowest first, then the message.
 pub fn frame<M>(message: &M) -> Vec<u8>
 where
-    M: Writable<speedy::LittleEndian>,
+    M: Writable<LittleEndian>,
 {
     let body = message.write_to_vec().unwrap_or_default();
     let mut bytes = Vec::with_capacity(HEAD + body.len());
@@ -57,7 +57,7 @@
     /// The next message, none where no whole frame is left.
     pub fn read<M>(&mut self) -> Result<Option<M>, FrameError>
     where
-        M: Readable<'a, speedy::LittleEndian>,
+        M: Readable<'a, LittleEndian>,
     {
         let rest = &self.bytes[self.taken..];
         let Some(head) = rest.get(..HEAD) else {
@@ -75,3 +75,22 @@
         Ok(Some(message))
     }
 }
+
+/// Takes the whole messages that lie in a link's inbox, and tells why the rest is none, if it is not.
+pub fn take_frames<M>(inbox: &mut Vec<u8>) -> (Vec<M>, Option<FrameError>)
+where
+    M: for<'a> Readable<'a, LittleEndian>,
+{
+    let mut frames = Frames::new(inbox);
+    let mut messages = Vec::new();
+    let fault = loop {
+        match frames.read::<M>() {
+            Ok(Some(message)) => messages.push(message),
+            Ok(None) => break None,
+            Err(fault) => break Some(fault),
+        }
+    };
+    let taken = frames.taken();
+    inbox.drain(..taken);
+    (messages, fault)
+}
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -1,9 +1,5 @@
 use exchange::{end_to_end, Response};
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
-use flate2::Compression;
 use speedy::{Readable, Writable};
-use std::io::{Read, Write};
 
 /// Most bytes of a packed answer that is told to copies.
 pub(crate) const TOLD_MAX: usize = 1 << 20;
@@ -29,15 +25,11 @@
         body: response.body.clone(),
     };
     let bytes = told.write_to_vec().ok()?;
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(&bytes).ok()?;
-    encoder.finish().ok()
+    Some(dispatch::pack(&bytes))
 }
 
 /// An answer that was packed.
 pub(crate) fn unpack(packed: &[u8]) -> Option<Told> {
-    let mut bytes = Vec::new();
-    let decoder = DeflateDecoder::new(packed);
-    decoder.take(ANSWER_MAX).read_to_end(&mut bytes).ok()?;
+    let bytes = dispatch::unpack(packed, ANSWER_MAX)?;
     Told::read_from_buffer(&bytes).ok()
 }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -89,36 +89,29 @@
 
     /// A whole request: it is bound to a function and bids for a seat.
     fn take(&mut self, line: LineId, request: Request) {
-        let manner = self.options.manner.clone();
+        let manner = self.options.manner;
         if (manner.is_readiness)(&request.method, &request.target) {
             self.tell_readiness(line, request.keeps_alive);
             return;
         }
         let host = request.headers.get_text("host").unwrap_or("");
         let path = request.target.split('?').next().unwrap_or("");
-        let found = self.control.table().and_then(|table| {
-            let (_, binding, function) = table.find(host, path)?;
-            Some((binding.clone(), function.name.clone()))
-        });
+        let table = self.control.table();
+        let found = table.as_ref().and_then(|table| table.find(host, path));
         let id = request.headers.get(manner.id).unwrap_or(b"").to_vec();
-        let Some((binding, function)) = found else {
-            let status = if self.control.table().is_some() {
-                404
-            } else {
-                503
-            };
+        let Some((_, binding, function)) = found else {
+            let status = if table.is_some() { 404 } else { 503 };
             self.answer_own(
                 line,
                 &id,
                 status,
                 "no binding for this host and path",
-                None,
                 &request,
             );
             return;
         };
         if id.is_empty() {
-            self.answer_own(line, &id, 400, "the request has no id", None, &request);
+            self.answer_own(line, &id, 400, "the request has no id", &request);
             return;
         }
         let budget = match request.headers.get_text(manner.budget) {
@@ -126,26 +119,19 @@
             Some(text) => text.trim().parse::<u64>().ok(),
         };
         let Some(budget) = budget else {
-            self.answer_own(
-                line,
-                &id,
-                400,
-                "the time left is not a number",
-                None,
-                &request,
-            );
+            self.answer_own(line, &id, 400, "the time left is not a number", &request);
             return;
         };
         let Ok(job) = self.pass_of(&request, binding.is_once) else {
             let text = "the idempotency key is not up to 200 visible ASCII characters, told once";
-            self.answer_own(line, &id, 400, text, None, &request);
+            self.answer_own(line, &id, 400, text, &request);
             return;
         };
         let held = budget.min(u64::from(binding.timeout_ms)).min(HELD_MAX_MS);
         let ticket = Ticket {
             client: Some(line),
             id,
-            function,
+            function: function.name.clone(),
             is_once: binding.is_once,
             rank: binding.rank,
             tries: binding.tries.max(1),
@@ -169,24 +155,12 @@
     }
 
     /// Answers with this daemon's own word, before there is a ticket.
-    fn answer_own(
-        &mut self,
-        line: LineId,
-        id: &[u8],
-        status: u16,
-        text: &str,
-        retry_after: Option<u64>,
-        request: &Request,
-    ) {
-        let after = retry_after.map(|ms| format!("{:.3}", ms as f64 / 1_000.0));
-        let manner = &self.options.manner;
+    fn answer_own(&mut self, line: LineId, id: &[u8], status: u16, text: &str, request: &Request) {
+        let manner = self.options.manner;
         let mut headers: Vec<(&str, &[u8])> = Vec::new();
         if !id.is_empty() {
             headers.push((manner.id, id));
         }
-        if let Some(after) = &after {
-            headers.push((manner.retry_after, after.as_bytes()));
-        }
         let keeps_alive = request.keeps_alive && self.drains_since.is_none();
         let mut out = Vec::new();
         let is_head = request.method == "HEAD";
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,9 +1,7 @@
 use crate::gateway::Gateway;
 use binding::{Description, Limits, Table};
-use dispatch::{Member, Message};
-use flate2::read::DeflateDecoder;
+use dispatch::{unpack, Member, Message};
 use std::collections::BTreeSet;
-use std::io::Read;
 use std::sync::Arc;
 
 /// Largest document, in bytes.
@@ -73,13 +71,6 @@
     }
 }
 
-fn unpacked(packed: &[u8]) -> Option<Vec<u8>> {
-    let mut document = Vec::new();
-    let decoder = DeflateDecoder::new(packed);
-    let read = decoder.take(DOCUMENT_MAX).read_to_end(&mut document);
-    read.ok().map(|_| document)
-}
-
 impl Gateway {
     /// A settled description; an older one than the one in force is dropped.
     pub fn take_description(&mut self, mark: u64, packed: &[u8]) {
@@ -87,7 +78,7 @@
         if mark <= self.control.description {
             return;
         }
-        let Some(document) = unpacked(packed) else {
+        let Some(document) = unpack(packed, DOCUMENT_MAX) else {
             log::error!("gateway: description {mark} cannot be unpacked");
             return;
         };
@@ -109,7 +100,7 @@
         };
         let mut description = table.description().as_ref().clone();
         for packed in changes {
-            let change = unpacked(packed);
+            let change = unpack(packed, DOCUMENT_MAX);
             let next = change.and_then(|change| {
                 let amended = self.options.documents.amend(&description, &change);
                 amended.ok()
@@ -161,25 +152,28 @@
         }
     }
 
-    /// Moves requests that wait at another daemon than the one that keeps their function now.
+    /// Moves requests that await word from another daemon than the one that keeps their function now.
     pub fn move_waiting(&mut self) {
-        let waiting = |ticket: &crate::tickets::Ticket| {
-            matches!(ticket.stage, crate::tickets::Stage::Waiting { .. })
-        };
-        for number in self.tickets.numbers(waiting) {
+        for number in self.tickets.numbers(|ticket| ticket.awaits().is_some()) {
             let Some(ticket) = self.tickets.get(number) else {
                 continue;
             };
-            let crate::tickets::Stage::Waiting { lender, .. } = &ticket.stage else {
+            let Some((lender, _)) = ticket.awaits() else {
                 continue;
             };
             let (lender, function) = (lender.clone(), ticket.function.clone());
-            if self.keeper_of(&function).as_deref() != Some(&lender) {
+            let is_gated = ticket.is_gated();
+            if self.keeper_of(&function).as_deref() == Some(&lender) {
+                continue;
+            }
+            if is_gated {
+                self.leave_runner(number);
+                self.void_bid(&lender, number);
+            } else {
                 self.withdraw(number);
-                self.place_bid(number);
             }
+            self.place_bid(number);
         }
-        self.move_gated();
     }
 
     /// Tells the scaler what changed at the functions kept here.
@@ -191,15 +185,12 @@
         if !reports.is_empty() || is_new {
             self.tell_core(&core, &Message::Report(reports));
         }
-        let name = self.options.name.clone();
-        let now = self.now;
-        let members = std::mem::take(&mut self.control.members);
-        if self.links.is_due_to_forget(now) && !members.is_empty() {
-            self.keeper.forget_others(now, |function| {
-                let elected = seating::elect(function, &members, |_| true);
-                elected.is_some_and(|member| member.name == name)
+        let (name, members) = (&self.options.name, self.control.members());
+        if self.links.is_due_to_forget(self.now) && !members.is_empty() {
+            self.keeper.forget_others(self.now, |function| {
+                let elected = seating::elect(function, members, |_| true);
+                elected.is_some_and(|member| member.name == *name)
             });
         }
-        self.control.members = members;
     }
 }
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -161,7 +161,7 @@
     }
 
     /// A request that has not left gives up its line to a runner, and its seat.
-    fn leave_runner(&mut self, number: u64) {
+    pub fn leave_runner(&mut self, number: u64) {
         let Some(ticket) = self.tickets.get(number) else {
             return;
         };
@@ -264,24 +264,6 @@
         self.tell_end(lender, end);
     }
 
-    /// Requests with a line to a runner whose claim is awaited from a keeper that is none any more bid anew.
-    pub fn move_gated(&mut self) {
-        for number in self.tickets.numbers(Ticket::is_gated) {
-            let Some(ticket) = self.tickets.get(number) else {
-                continue;
-            };
-            let Stage::Sent(sent) = &ticket.stage else {
-                continue;
-            };
-            let (lender, function) = (sent.lender.clone(), ticket.function.clone());
-            if self.keeper_of(&function).as_deref() != Some(&lender) {
-                self.leave_runner(number);
-                self.void_bid(&lender, number);
-                self.place_bid(number);
-            }
-        }
-    }
-
     /// Sees to jobs that are due.
     pub fn tend_jobs(&mut self) {
         let members = self.control.members();
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -1,7 +1,7 @@
 use crate::gateway::{Gateway, Role};
 use crate::options::GatewayOptions;
 use courier::LineId;
-use dispatch::{frame, Frames, Member, Message};
+use dispatch::{frame, take_frames, Member, Message};
 use std::collections::{BTreeMap, HashMap};
 
 pub(crate) const LINK_INBOX: usize = 16 << 20;
@@ -185,17 +185,7 @@
         let Some(inbox) = self.courier.inbox(line) else {
             return;
         };
-        let bytes = std::mem::take(inbox);
-        let mut frames = Frames::new(&bytes);
-        let mut messages = Vec::new();
-        let fault = loop {
-            match frames.read::<Message>() {
-                Ok(Some(message)) => messages.push(message),
-                Ok(None) => break None,
-                Err(fault) => break Some(fault),
-            }
-        };
-        let taken = frames.taken();
+        let (messages, fault) = take_frames::<Message>(inbox);
         for message in messages {
             self.hear(line, message);
         }
@@ -204,11 +194,6 @@
             self.link_ended(line);
             self.roles.remove(&line);
             self.courier.close(line);
-            return;
-        }
-        if let Some(inbox) = self.courier.inbox(line) {
-            let rest = bytes[taken..].to_vec();
-            *inbox = rest;
         }
     }
 
@@ -348,19 +333,13 @@
     /// This daemon's state as JSON text, for operators.
     pub fn status(&self) -> String {
         let (description, closures) = self.control.marks();
-        format!(
-            "{{\"name\":\"{}\",\"ready\":{},\"version\":{},\"marks\":[{description},{closures}],\
-             \"members\":{},\"functions_kept\":{},\"jobs\":{},\"owed\":{},\"requests\":{},\"lines\":{},\"refused\":{}}}",
-            self.options.name,
-            self.control.is_ready(),
-            self.control.version(),
-            self.control.members().len(),
-            self.keeper.len(),
-            self.jobs.len(),
-            self.ends.len(),
-            self.tickets.len(),
-            self.courier.len(),
-            self.refusals,
-        )
+        serde_json::json!({
+            "name": self.options.name, "ready": self.control.is_ready(),
+            "version": self.control.version(), "marks": [description, closures],
+            "members": self.control.members().len(), "functions_kept": self.keeper.len(),
+            "jobs": self.jobs.len(), "owed": self.ends.len(), "requests": self.tickets.len(),
+            "lines": self.courier.len(), "refused": self.refusals,
+        })
+        .to_string()
     }
 }
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 /// How callers and runners name what goes with requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Manner {
     /// Header with a request's own id.
     pub id: &'static str,
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -28,7 +28,7 @@
         let Some(ticket) = self.tickets.remove(number) else {
             return;
         };
-        let manner = self.options.manner.clone();
+        let manner = self.options.manner;
         let after = format!("{:.3}", after_ms.max(RETRY_AFTER_MS) as f64 / 1_000.0);
         let mut headers: Vec<(&str, &[u8])> = vec![(manner.id, &ticket.id)];
         let status = if ticket.may_have_run { 502 } else { 503 };
@@ -110,7 +110,7 @@
 
     /// A runner answered this request.
     pub fn answered(&mut self, number: u64, response: &Response) {
-        let manner = self.options.manner.clone();
+        let manner = self.options.manner;
         let Some(ticket) = self.tickets.get(number) else {
             return;
         };
--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -166,11 +166,16 @@
         let keeper = self.keeper_of(function);
         let other = keeper.filter(|keeper| keeper != lender);
         for name in std::iter::once(lender.to_string()).chain(other) {
-            if name == self.options.name {
-                self.keeper.release(self.now, &name, &release);
-            } else if self.links.has_link(&name) {
-                self.tell(&name, &Message::Release(release.clone()));
-            }
+            self.release_at(&name, &release);
+        }
+    }
+
+    /// Gives a seat back at one keeper, which may be this daemon.
+    pub fn release_at(&mut self, keeper: &str, release: &Release) {
+        if keeper == self.options.name {
+            self.keeper.release(self.now, keeper, release);
+        } else if self.links.has_link(keeper) {
+            self.tell(keeper, &Message::Release(release.clone()));
         }
     }
 
--- a/crates/gateway/src/runners.rs
+++ b/crates/gateway/src/runners.rs
@@ -82,11 +82,7 @@
             outcome: Outcome::Unused,
             took_ms: 0,
         };
-        if lender == self.options.name {
-            self.keeper.release(self.now, lender, &release);
-        } else {
-            self.tell(lender, &dispatch::Message::Release(release));
-        }
+        self.release_at(lender, &release);
     }
 
     fn rest_and_bid(&mut self, number: u64) {
--- a/crates/hallkeel/src/main.rs
+++ b/crates/hallkeel/src/main.rs
@@ -121,39 +121,36 @@
 }
 
 fn run(flags: Flags) -> Result<(), ToolFault> {
-    if let Command::Fleet {
-        daemons,
-        function,
-        json,
-    } = &flags.command
-    {
-        return fleet::show(daemons, function.as_deref(), *json);
-    }
-    let cores = Cores::new(flags.cores)?;
+    // Only gateways and controllers are asked without cores.
+    let cores = Cores::new(flags.cores);
     match flags.command {
-        Command::Fleet { .. } => Ok(()),
-        Command::Status { json, runners } => show::status(&cores, json, runners),
-        Command::Watch { every } => show::watch(&cores, every),
-        Command::Get => changes::get(&cores),
+        Command::Fleet {
+            daemons,
+            function,
+            json,
+        } => fleet::show(&daemons, function.as_deref(), json),
+        Command::Status { json, runners } => show::status(&cores?, json, runners),
+        Command::Watch { every } => show::watch(&cores?, every),
+        Command::Get => changes::get(&cores?),
         Command::Put {
             file,
             expected,
             note,
-        } => changes::put(&cores, &file, expected, &note),
-        Command::Check { file } => changes::check(&cores, &file),
-        Command::History => changes::history(&cores),
-        Command::Change { fields } => changes::change(&cores, &fields),
-        Command::Evacuate { district } => changes::district(&cores, &district, "evacuated"),
-        Command::Reopen { district } => changes::district(&cores, &district, "open"),
-        Command::Drain { front } => changes::drain(&cores, &front),
-        Command::Explain { function } => show::explain(&cores, &function),
+        } => changes::put(&cores?, &file, expected, &note),
+        Command::Check { file } => changes::check(&cores?, &file),
+        Command::History => changes::history(&cores?),
+        Command::Change { fields } => changes::change(&cores?, &fields),
+        Command::Evacuate { district } => changes::district(&cores?, &district, "evacuated"),
+        Command::Reopen { district } => changes::district(&cores?, &district, "open"),
+        Command::Drain { front } => changes::drain(&cores?, &front),
+        Command::Explain { function } => show::explain(&cores?, &function),
         Command::Voters {
             action: VotersAction::List,
-        } => show::voters(&cores),
+        } => show::voters(&cores?),
         Command::Voters {
             action: VotersAction::Replace { old, new },
-        } => changes::replace_voter(&cores, old, new),
-        Command::Metrics => show::metrics(&cores),
+        } => changes::replace_voter(&cores?, old, new),
+        Command::Metrics => show::metrics(&cores?),
     }
 }
 
--- a/crates/seating/tests/keeper.rs
+++ b/crates/seating/tests/keeper.rs
@@ -142,46 +142,41 @@
     assert!(reports[0].runners[0].is_gone);
 }
 
-#[test]
-fn three_misses_in_a_row_mean_gone_and_an_answer_between_them_does_not() {
+/// A runner of one seat, used with one outcome after the other, is gone after the last and not before.
+fn assert_gone_after(outcomes: &[Outcome]) {
     let mut keeper = keeper(&[runner("a", "north", 1)]);
-    let outcomes = [
-        Outcome::Unreached,
-        Outcome::Unreached,
-        Outcome::Answered,
-        Outcome::Unreached,
-        Outcome::Unreached,
-        Outcome::Unreached,
-    ];
     for (ticket, outcome) in (1..).zip(outcomes) {
         keeper.bid(0, "f", "north", bid(ticket, 1));
         assert_eq!(tickets(&mut keeper), [ticket], "before {outcome:?}");
-        keeper.release(0, "f", &release(ticket, outcome, 10));
+        keeper.release(0, "f", &release(ticket, *outcome, 10));
     }
     keeper.bid(0, "f", "north", bid(9, 1));
     assert_eq!(tickets(&mut keeper), [0; 0]);
     assert!(keeper.reports(1_000, true)[0].runners[0].is_gone);
 }
 
+#[test]
+fn three_misses_in_a_row_mean_gone_and_an_answer_between_them_does_not() {
+    assert_gone_after(&[
+        Outcome::Unreached,
+        Outcome::Unreached,
+        Outcome::Answered,
+        Outcome::Unreached,
+        Outcome::Unreached,
+        Outcome::Unreached,
+    ]);
+}
+
 #[test]
 fn a_runner_that_loses_three_answers_in_a_row_gets_no_more() {
-    let mut keeper = keeper(&[runner("a", "north", 1)]);
-    let outcomes = [
+    assert_gone_after(&[
         Outcome::Lost,
         Outcome::Lost,
         Outcome::Answered,
         Outcome::Lost,
         Outcome::Unreached,
         Outcome::Lost,
-    ];
-    for (ticket, outcome) in (1..).zip(outcomes) {
-        keeper.bid(0, "f", "north", bid(ticket, 1));
-        assert_eq!(tickets(&mut keeper), [ticket], "before {outcome:?}");
-        keeper.release(0, "f", &release(ticket, outcome, 10));
-    }
-    keeper.bid(0, "f", "north", bid(9, 1));
-    assert_eq!(tickets(&mut keeper), [0; 0]);
-    assert!(keeper.reports(1_000, true)[0].runners[0].is_gone);
+    ]);
 }
 
 #[test]
