--- a/crates/journal/src/folder.rs
+++ b/crates/journal/src/folder.rs
@@ -1,8 +1,14 @@
+//! The port through which a journal reaches its files, and its implementation for a directory on a disk.
+
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-/// Port to the place where files live. Nothing lasts until it is synced.
+/// Suffix of a file that is being written and has not been put in place yet.
+pub(crate) const TEMPORARY_SUFFIX: &str = ".new";
+
+/// Port to a directory of files. Bytes last once their file is synced, and names that were made, renamed or
+/// removed last once the directory is synced; until then each of them may be kept or lost by itself.
 pub trait Folder: Send {
     /// Names of all files.
     fn list(&self) -> io::Result<Vec<String>>;
@@ -10,29 +16,40 @@
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
     /// Adds bytes at the end of a file, which is made where it is missing.
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
-    /// Makes the file's bytes, and its name, last.
+    /// Makes a file's bytes last, but not its name.
     fn sync(&mut self, name: &str) -> io::Result<()>;
-    /// Puts a whole file in place at once, synced.
-    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
-    /// Cuts a file to a length.
-    fn cut(&mut self, name: &str, length: u64) -> io::Result<()>;
+    /// Renames a file, in place of another one where there is one.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
     /// Removes a file.
     fn remove(&mut self, name: &str) -> io::Result<()>;
+    /// Makes all names last.
+    fn sync_names(&mut self) -> io::Result<()>;
+
+    /// Puts a whole file in place at once; when this returns, both its bytes and its name last.
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let temporary = format!("{name}{TEMPORARY_SUFFIX}");
+        if self.list()?.contains(&temporary) {
+            self.remove(&temporary)?;
+        }
+        self.append(&temporary, bytes)?;
+        self.sync(&temporary)?;
+        self.rename(&temporary, name)?;
+        self.sync_names()
+    }
 }
 
-/// A folder on a disk.
+/// A directory on a disk.
 pub struct DiskFolder {
     path: PathBuf,
     open: Option<(String, File)>,
 }
 
 impl DiskFolder {
-    /// Opens a folder and makes it where it is missing.
+    /// Opens a directory, and makes it where it is missing.
     pub fn open(path: &Path) -> io::Result<Self> {
-        let is_new = !path.exists();
         fs::create_dir_all(path)?;
-        // The folder's own name must last too.
-        if let Some(parent) = path.parent().filter(|_| is_new) {
+        // Also where the directory was found: whoever made it may have been killed before this.
+        if let Some(parent) = path.parent() {
             File::open(parent)?.sync_all()?;
         }
         Ok(Self {
@@ -41,19 +58,11 @@
         })
     }
 
-    fn sync_names(&self) -> io::Result<()> {
-        File::open(&self.path)?.sync_all()
-    }
-
     fn file(&mut self, name: &str) -> io::Result<&mut File> {
         if self.open.as_ref().is_none_or(|(open, _)| open != name) {
             let path = self.path.join(name);
-            let is_new = !path.exists();
             let file = OpenOptions::new().create(true).append(true).open(path)?;
             self.open = Some((name.to_string(), file));
-            if is_new {
-                self.sync_names()?;
-            }
         }
         match self.open.as_mut() {
             Some((_, file)) => Ok(file),
@@ -83,24 +92,17 @@
         self.file(name)?.sync_data()
     }
 
-    fn replace(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        let passing = self.path.join(format!("{name}.new"));
-        let mut file = File::create(&passing)?;
-        file.write_all(bytes)?;
-        file.sync_all()?;
-        fs::rename(&passing, self.path.join(name))?;
-        self.sync_names()
-    }
-
-    fn cut(&mut self, name: &str, length: u64) -> io::Result<()> {
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
         self.open = None;
-        let file = OpenOptions::new().write(true).open(self.path.join(name))?;
-        file.set_len(length)?;
-        file.sync_all()
+        fs::rename(self.path.join(from), self.path.join(to))
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
         self.open = None;
         fs::remove_file(self.path.join(name))
     }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
 }
--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -1,18 +1,24 @@
+//! Records as they lie in a file: a mark, the length, a checksum, the payload.
+
+/// Begins each frame; its last byte is the version of the format.
 const MARK: [u8; 4] = *b"hkJ1";
 const HEAD: usize = 12;
 
-pub(crate) fn framed(payload: &[u8]) -> Vec<u8> {
+/// A payload as a frame that begins at a place of its file.
+pub(crate) fn framed(place: usize, payload: &[u8]) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(HEAD + payload.len());
     bytes.extend_from_slice(&MARK);
     bytes.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-    bytes.extend_from_slice(&digest(payload).to_le_bytes());
+    bytes.extend_from_slice(&checksum(place, payload).to_le_bytes());
     bytes.extend_from_slice(payload);
     bytes
 }
 
-// The length is part of what is summed, so that an empty frame of zeros is no frame.
-fn digest(payload: &[u8]) -> u32 {
+// The length is part of what is summed, so that an empty frame of zeros is no frame; so is the place, so
+// that a frame inside another one's payload is none.
+fn checksum(place: usize, payload: &[u8]) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&(place as u64).to_le_bytes());
     hasher.update(&(payload.len() as u64).to_le_bytes());
     hasher.update(payload);
     hasher.finalize()
@@ -29,12 +35,17 @@
     }
     let length = word(&head[4..8]) as usize;
     let payload = bytes.get(place + HEAD..(place + HEAD).checked_add(length)?)?;
-    (digest(payload) == word(&head[8..12])).then_some(payload)
+    (checksum(place, payload) == word(&head[8..12])).then_some(payload)
 }
 
+/// What the bytes of a file are.
+#[derive(Debug, PartialEq)]
 pub(crate) enum Scan {
+    /// Frames alone.
     Whole,
+    /// Frames up to a place, and then a frame that was never written whole.
     Torn(usize),
+    /// Frames up to a place, and then something that no loss of power leaves behind.
     Damaged(usize),
 }
 
@@ -43,7 +54,7 @@
     while place < bytes.len() {
         let Some(payload) = frame_at(bytes, place) else {
             let later = (place + 1..bytes.len()).any(|next| frame_at(bytes, next).is_some());
-            return if later {
+            return if later || !may_be_torn(&bytes[place..]) {
                 Scan::Damaged(place)
             } else {
                 Scan::Torn(place)
@@ -54,3 +65,10 @@
     }
     Scan::Whole
 }
+
+/// Whether a frame of this format may have been begun here: bytes that did not reach the disk are missing or
+/// zero. Anything else was written by another program, or by another version of this one.
+fn may_be_torn(bytes: &[u8]) -> bool {
+    let mut marks = bytes.iter().zip(MARK);
+    marks.all(|(byte, mark)| *byte == mark || *byte == 0)
+}
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -6,5 +6,5 @@
 mod memory;
 
 pub use folder::{DiskFolder, Folder};
-pub use log_file::{Journal, JournalError, Recovered};
-pub use memory::{MemoryFolder, Mishap};
+pub use log_file::{Journal, JournalError, Recovered, SEGMENTS_MAX};
+pub use memory::{Fate, Fault, MemoryFolder, Mishap};
