--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -34,6 +34,8 @@
     pub roles: HashMap<LineId, Role>,
     pub council: Council,
     pub disk: Disk,
+    /// Random id made with the disk.
+    identity: u64,
     pub cores: CoreLinks,
     pub fronts: Fronts,
     pub changes: Changes,
@@ -116,7 +118,7 @@
         let fronts = listen(options.fronts, LINK_INBOX)?;
         let council_hatch = listen(options.council, LINK_INBOX)?;
         let identity = disk::identity(&options.data).map_err(ControllerError::Data)?;
-        let voter = disk::open(&options.data).map_err(ControllerError::Data)?;
+        let voter = disk::open(&options.data, identity);
         let held = council::HeldSummary::of(&voter);
         let council = Council::new(
             CouncilOptions {
@@ -135,7 +137,7 @@
             held,
         );
         let waker = courier.waker().map_err(ControllerError::System)?;
-        let disk = Disk::start(voter, options.data.clone(), waker);
+        let disk = Disk::start(voter, options.data.clone(), identity, waker);
         Ok(Self {
             cores: CoreLinks::new(options.council.to_string()),
             fronts: Fronts::default(),
@@ -151,6 +153,7 @@
             roles: HashMap::new(),
             council,
             disk,
+            identity,
             now: 0,
             began: Instant::now(),
             ticked_at: 0,
@@ -223,7 +226,9 @@
                     CouncilAction::DutyLost => log::info!("controller: scales no more"),
                     CouncilAction::Rejoin => {
                         log::warn!("controller: this core was replaced; it comes back empty");
-                        disk::empty(&self.options.data);
+                        if let Err(reason) = disk::empty(&self.options.data, self.identity) {
+                            log::error!("controller: the old journal stays: {reason}");
+                        }
                         std::process::exit(1);
                     }
                 }
--- a/crates/core/src/voting.rs
+++ b/crates/core/src/voting.rs
@@ -96,6 +96,7 @@
             };
             responder.answer(Message::VoterAnswer(reply));
         }
+        voter.compact();
         if !is_synced {
             continue;
         }
--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -188,6 +188,11 @@
     }
 
     fn on_held(&mut self, now: u64, summary: HeldSummary) {
+        if summary.is_open && !self.is_open {
+            // A claim that this voter backed before its disk failed may still be held.
+            let lease_end = now + self.options.lease_ms;
+            self.duty.closed_until = self.duty.closed_until.max(lease_end);
+        }
         self.is_open = summary.is_open;
         for mut value in summary.values {
             if value.bytes.is_none() {
--- a/crates/council/src/disk.rs
+++ b/crates/council/src/disk.rs
@@ -1,3 +1,5 @@
+//! Work for the thread that has the disk, and what comes of it.
+
 use crate::council::KEPT;
 use crate::duty::is_duty_round;
 use crate::message::CopyPage;
@@ -6,8 +8,10 @@
 use std::sync::Arc;
 use voter::{Installing, Voter};
 
-const PAGE_MAX: usize = 1 << 20;
-const RANGES: u16 = 256;
+/// Most bytes of a part of a copy, unless one key alone is larger: a quarter of a second at 2 Mbit/s.
+const PAGE_MAX: usize = 64 << 10;
+/// Bytes that a key takes beside its name and its value.
+const KEY_OVERHEAD: usize = 80;
 
 /// Work for the thread that has the disk.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,6 +48,47 @@
     },
 }
 
+impl DiskWork {
+    /// Bytes that the work takes while it waits for the disk.
+    pub fn size(&self) -> usize {
+        let held = |key: &String, held: &Held| key.len() + held.stored.bytes.len() + KEY_OVERHEAD;
+        match self {
+            Self::Ask { message, .. } => match &message.ask {
+                VoterAsk::Accept { key, stored, .. } => {
+                    key.len() + stored.bytes.len() + KEY_OVERHEAD
+                }
+                VoterAsk::Peek { key } | VoterAsk::Promise { key, .. } => key.len() + KEY_OVERHEAD,
+            },
+            Self::Install(given) => given.keys.iter().map(|(key, value)| held(key, value)).sum(),
+            Self::Mend(key, value) => held(key, value),
+            Self::Form(_) | Self::Adopt(_) | Self::TurnJobs | Self::Pull { .. } => KEY_OVERHEAD,
+        }
+    }
+
+    /// What is said of work that was never given to the disk, since too much waits for it already. It is no
+    /// other than a question whose answer got lost, or work on the set that comes again.
+    pub fn refused(self) -> Option<DiskDone> {
+        match self {
+            Self::Ask {
+                to,
+                number,
+                message,
+                ..
+            } => Some(DiskDone::Reply {
+                to,
+                number,
+                is_known: false,
+                is_duty_round: is_duty_round(&message.ask),
+                reply: VoterReply::Closed {
+                    reason: "too much waits for the disk".into(),
+                },
+            }),
+            Self::Form(_) | Self::Adopt(_) | Self::Install(_) => Some(DiskDone::SetDone),
+            Self::Mend(..) | Self::TurnJobs | Self::Pull { .. } => None,
+        }
+    }
+}
+
 /// What an empty voter is given.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Installation {
@@ -243,24 +288,23 @@
     if !voter.is_open() || held.set().mark() != mark || mark.0 == 0 {
         return None;
     }
-    let mut all: Vec<(String, Held)> = (0..RANGES).flat_map(|range| held.range(range)).collect();
-    all.retain(|(key, _)| *key > after);
-    all.sort_by(|one, other| one.0.cmp(&other.0));
+    let mut keys: Vec<(String, Held)> = Vec::new();
     let mut size = 0;
-    let count = all.iter().take_while(|(_, held)| {
-        let is_first = size == 0;
-        size += held.stored.bytes.len() + 1;
-        is_first || size <= PAGE_MAX
-    });
-    let count = count.count();
-    let is_last = count == all.len();
-    all.truncate(count);
+    let mut is_last = true;
+    for (key, value) in held.after(&after) {
+        size += key.len() + value.stored.bytes.len() + KEY_OVERHEAD;
+        if size > PAGE_MAX && !keys.is_empty() {
+            is_last = false;
+            break;
+        }
+        keys.push((key.clone(), value.clone()));
+    }
     Some(CopyPage {
         disk: 0,
         mark,
         floors: held.floors(),
         after,
-        keys: all,
+        keys,
         is_last,
     })
 }
--- a/crates/council/tests/world/node.rs
+++ b/crates/council/tests/world/node.rs
@@ -68,6 +68,7 @@
         for done in perform(voter, works) {
             council.on_disk(local, done);
         }
+        voter.compact();
     }
 
     /// Mark of the set in which the core's voter is.
--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -14,6 +14,11 @@
     bytes
 }
 
+/// Bytes that a payload takes as a frame.
+pub(crate) fn framed_length(payload: usize) -> u64 {
+    (HEAD + payload) as u64
+}
+
 // The length is part of what is summed, so that an empty frame of zeros is no frame; so is the place, so
 // that a frame inside another one's payload is none.
 fn checksum(place: usize, payload: &[u8]) -> u32 {
--- a/crates/journal/src/log_file.rs
+++ b/crates/journal/src/log_file.rs
@@ -5,7 +5,7 @@
 //! snapshot that fails at any point costs nothing: older files and the newer segments still hold everything.
 
 use crate::folder::{Folder, TEMPORARY_SUFFIX};
-use crate::frame::{framed, scan, Scan};
+use crate::frame::{framed, framed_length, scan, Scan};
 use error_stack::{Report, ResultExt};
 use std::fmt;
 
@@ -170,6 +170,12 @@
         Ok(())
     }
 
+    /// Whether a record of so many bytes may be appended. Where it may not, a snapshot must come first, which
+    /// may as well hold what the record says.
+    pub fn has_room(&self, length: usize) -> bool {
+        self.segments_length + framed_length(length) <= SEGMENTS_MAX
+    }
+
     /// Writes one record and syncs it. After a failure nothing more is taken: what lies on the
     /// disk is no longer known until the journal is opened again.
     pub fn append(&mut self, payload: &[u8]) -> Result<(), Report<JournalError>> {
@@ -177,10 +183,10 @@
             return Err(Report::new(JournalError::Disk).attach("an earlier write failed"));
         }
         let bytes = framed(self.length as usize, payload);
-        if self.segments_length + bytes.len() as u64 > SEGMENTS_MAX {
+        if !self.has_room(payload.len()) {
             self.failed = true;
             let full = Report::new(JournalError::Disk);
-            return Err(full.attach("the log is full, and no snapshot could be made"));
+            return Err(full.attach("the log is full; a snapshot must come first"));
         }
         let written = self.write(&bytes);
         self.failed = written.is_err();
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -3,6 +3,7 @@
 use repair::{range_of, Digests};
 use speedy::{Readable, Writable};
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 /// Most keys that a voter keeps.
 pub const KEYS_MAX: usize = 200_000;
@@ -153,6 +154,12 @@
             .collect()
     }
 
+    /// All that is held for keys after one, in their order.
+    pub fn after(&self, key: &str) -> impl Iterator<Item = (&String, &Held)> {
+        let after = (Bound::Excluded(key), Bound::Unbounded);
+        self.keys.range::<str, _>(after)
+    }
+
     /// Time before which claims are forgotten, and time before which claims not held are refused.
     pub fn floors(&self) -> (u64, u64) {
         (self.water, self.shut)
--- a/crates/register/src/jobs.rs
+++ b/crates/register/src/jobs.rs
@@ -6,11 +6,15 @@
 pub const JOB_PREFIX: &str = "job/";
 /// Key under which the promise stands that a voter gave for all jobs which it does not hold.
 pub(crate) const FORGOTTEN_KEY: &str = "job";
-/// Most bytes that the values of all jobs take.
-const BYTES_MAX: usize = 64 << 20;
+/// Bytes of jobs up to which answers are taken.
+const ANSWER_BYTES_MAX: usize = 12 << 20;
+/// Bytes of jobs up to which claims are taken. Two snapshots and a full log must fit on a disk of 64 MB.
+const CLAIM_BYTES_MAX: usize = 16 << 20;
+/// Bytes that a job takes on the disk beside its key and its value.
+const JOB_OVERHEAD: usize = 80;
 /// Most bytes of one job's value.
 const VALUE_MAX: usize = 40 << 10;
-/// Bytes up to which a value is taken also where there is no room for answers any more.
+/// Bytes up to which a value counts as a claim, which is taken also where there is no room for answers any more.
 const SMALL: usize = 1 << 10;
 
 /// Whether a key is a job's.
@@ -35,9 +39,9 @@
     pub fn of(keys: &BTreeMap<String, Held>) -> Self {
         let jobs = keys.iter().filter(|(key, _)| is_job(key));
         let (mut seen, mut bytes) = (forgotten(keys), 0);
-        for (_, held) in jobs {
+        for (key, held) in jobs {
             seen = seen.max(held.promised.counter);
-            bytes += held.stored.bytes.len();
+            bytes += size_of(key, held);
         }
         Self {
             seen,
@@ -50,7 +54,7 @@
         if !is_job(key) {
             return;
         }
-        let size = |held: Option<&Held>| held.map_or(0, |held| held.stored.bytes.len());
+        let size = |held: Option<&Held>| held.map_or(0, |held| size_of(key, held));
         self.bytes = (self.bytes + size(new)).saturating_sub(size(old));
         let promised = new.map_or(0, |held| held.promised.counter);
         self.seen = self.seen.max(promised);
@@ -89,17 +93,25 @@
             let promised = ballot(floor);
             return Some(VoterReply::Refused { promised });
         }
-        let VoterAsk::Accept { stored, .. } = ask else {
-            return None;
+        let size = match ask {
+            VoterAsk::Accept { stored, .. } => stored.bytes.len(),
+            _ => 0,
+        };
+        let bytes_max = match size {
+            0..=SMALL => CLAIM_BYTES_MAX,
+            _ => ANSWER_BYTES_MAX,
         };
-        let size = stored.bytes.len();
-        let is_full = size > SMALL && self.bytes + size > BYTES_MAX;
+        let is_full = self.bytes + key.len() + JOB_OVERHEAD + size > bytes_max;
         (size > VALUE_MAX || is_full).then(|| VoterReply::Closed {
             reason: "there is no room for the value".into(),
         })
     }
 }
 
+fn size_of(key: &str, held: &Held) -> usize {
+    key.len() + JOB_OVERHEAD + held.stored.bytes.len()
+}
+
 fn ballot(counter: u64) -> Ballot {
     Ballot {
         counter,
--- a/crates/voter/src/keeper.rs
+++ b/crates/voter/src/keeper.rs
@@ -1,5 +1,7 @@
+//! A voter with its journal.
+
 use error_stack::{Report, ResultExt};
-use journal::{Folder, Journal, JournalError};
+use journal::{Folder, Journal, JournalError, Recovered};
 use register::{Acceptor, Held, Record, VoterMessage, VoterReply, VoterSet};
 use speedy::{Readable, Writable};
 use std::fmt;
@@ -50,37 +52,27 @@
 }
 
 impl Voter {
-    /// Reads back what the disk holds. Where records in the middle are damaged the voter stays
-    /// closed, since it no longer knows what it promised.
+    /// Reads back what the disk holds. Where it is damaged, or was not written by a voter of this version, the
+    /// voter stays closed, since it no longer knows what it promised; the files stay as they are.
     pub fn open(folder: Box<dyn Folder>) -> Result<Self, Report<VoterError>> {
         let (journal, found) = match Journal::open(folder) {
             Ok(opened) => opened,
             Err(report) if *report.current_context() == JournalError::Damaged => {
                 log::error!("voter: closed, since the journal is damaged: {report:#}");
-                return Ok(Self {
-                    acceptor: Acceptor::default(),
-                    journal: None,
-                    unsynced: Vec::new(),
-                    is_damaged: true,
-                });
+                return Ok(Self::closed(true));
             }
             Err(report) => return Err(report.change_context(VoterError::Journal)),
         };
         if found.torn > 0 {
             log::warn!("voter: cut {} bytes of a torn last record", found.torn);
         }
-        let mut acceptor = match &found.snapshot {
-            None => Acceptor::default(),
-            Some(bytes) => Acceptor::read_from_buffer(bytes).change_context(VoterError::Records)?,
-        };
-        for bytes in &found.records {
-            let records =
-                Vec::<Record>::read_from_buffer(bytes).change_context(VoterError::Records)?;
-            for record in records {
-                acceptor.replay(record);
+        let acceptor = match recovered(&found) {
+            Ok(acceptor) => acceptor,
+            Err(report) => {
+                log::error!("voter: closed, since the journal is not a voter's: {report:#}");
+                return Ok(Self::closed(true));
             }
-        }
-        acceptor.restore_digests();
+        };
         Ok(Self {
             acceptor,
             journal: Some(journal),
@@ -89,6 +81,20 @@
         })
     }
 
+    /// A voter whose disk cannot be read at the moment. It answers nothing until it is opened again.
+    pub fn unreadable() -> Self {
+        Self::closed(false)
+    }
+
+    fn closed(is_damaged: bool) -> Self {
+        Self {
+            acceptor: Acceptor::default(),
+            journal: None,
+            unsynced: Vec::new(),
+            is_damaged,
+        }
+    }
+
     /// What the voter holds, also what is not synced yet.
     pub fn held(&self) -> &Acceptor {
         &self.acceptor
@@ -192,17 +198,51 @@
             return false;
         };
         let bytes = records.write_to_vec().unwrap_or_default();
-        if let Err(report) = journal.append(&bytes) {
-            log::error!("voter: closed until a restart, since the disk failed: {report:#}");
+        // What is too large for the log, such as all that a newcomer is given, lasts as a snapshot.
+        let written = if journal.has_room(bytes.len()) {
+            journal.append(&bytes)
+        } else {
+            let state = self.acceptor.write_to_vec().unwrap_or_default();
+            journal.snapshot(&state)
+        };
+        if let Err(report) = written {
+            log::error!(
+                "voter: closed until it is opened again, since the disk failed: {report:#}"
+            );
             self.journal = None;
             return false;
         }
-        if journal.wants_snapshot() {
-            let state = self.acceptor.write_to_vec().unwrap_or_default();
-            if let Err(report) = journal.snapshot(&state) {
-                log::error!("voter: no snapshot: {report:#}");
-            }
-        }
         true
     }
+
+    /// Shortens the log by a snapshot where it has grown long. Call it after the answers that waited for
+    /// [`Voter::sync`] have left: it writes all that is held once.
+    pub fn compact(&mut self) {
+        let Some(journal) = self.journal.as_mut() else {
+            return;
+        };
+        if !self.unsynced.is_empty() || !journal.wants_snapshot() {
+            return;
+        }
+        let state = self.acceptor.write_to_vec().unwrap_or_default();
+        if let Err(report) = journal.snapshot(&state) {
+            log::error!("voter: no snapshot: {report:#}");
+        }
+    }
+}
+
+/// The state that a journal's snapshot and records add up to.
+fn recovered(found: &Recovered) -> Result<Acceptor, Report<VoterError>> {
+    let mut acceptor = match &found.snapshot {
+        None => Acceptor::default(),
+        Some(bytes) => Acceptor::read_from_buffer(bytes).change_context(VoterError::Records)?,
+    };
+    for bytes in &found.records {
+        let records = Vec::<Record>::read_from_buffer(bytes).change_context(VoterError::Records)?;
+        for record in records {
+            acceptor.replay(record);
+        }
+    }
+    acceptor.restore_digests();
+    Ok(acceptor)
 }
--- /dev/null
+++ b/crates/voter/tests/power_loss.rs
@@ -0,0 +1,270 @@
+//! A voter whose power goes after every operation of its disk: what it answered holds, and nothing else does.
+
+use journal::{Fate, Fault, MemoryFolder};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use register::{Ballot, Held, Stored, VoterAsk, VoterMessage, VoterRef, VoterReply, VoterSet};
+use speedy::Writable;
+use voter::{Installing, Voter};
+
+const KEYS: [&str; 3] = ["description", "job/one", "job/two"];
+/// Turns after which a job that nobody touched is forgotten.
+const FORGET_TURNS: usize = 2;
+const STEPS: usize = 14;
+const SEEDS: u64 = 24;
+
+fn set(no: u64) -> VoterSet {
+    let disk = 1;
+    let address = "one".into();
+    VoterSet {
+        era: 1,
+        no,
+        voters: vec![VoterRef { disk, address }],
+    }
+}
+
+fn held(counter: u64) -> Held {
+    let ballot = Ballot {
+        counter,
+        proposer: 9,
+    };
+    Held {
+        promised: ballot,
+        accepted: ballot,
+        stored: Stored {
+            version: counter,
+            tag: counter,
+            bytes: vec![counter as u8; 2],
+        },
+    }
+}
+
+/// The strongest that was answered for a key, or read back and so open to be answered.
+#[derive(Clone, Default)]
+struct Answered {
+    promised: Ballot,
+    accepted: Ballot,
+    mark: (u64, u64),
+}
+
+#[derive(Clone)]
+struct Oracle {
+    answered: [Answered; KEYS.len()],
+    /// States that the disk may hold: the last one that lasts, and those tried since.
+    states: Vec<Vec<u8>>,
+}
+
+fn state(voter: &Voter) -> Vec<u8> {
+    voter.held().write_to_vec().unwrap()
+}
+
+impl Oracle {
+    fn new() -> Self {
+        Self {
+            answered: Default::default(),
+            states: vec![register::Acceptor::default().write_to_vec().unwrap()],
+        }
+    }
+
+    fn check(&mut self, voter: &Voter) {
+        assert!(voter.is_open(), "a loss of power damages nothing");
+        let found = state(voter);
+        assert!(
+            self.states.contains(&found),
+            "a state that the voter never had"
+        );
+        for (key, answered) in KEYS.iter().zip(&self.answered) {
+            let floor = voter.held().held("job").map(|held| held.promised);
+            let floor = floor.filter(|_| register::is_job(key)).unwrap_or_default();
+            let held = voter.held().held(key).cloned().unwrap_or_default();
+            let promised = held.promised.max(floor);
+            assert!(promised >= answered.promised, "{key}: a weaker promise");
+            let accepted = held.accepted.max(floor);
+            assert!(accepted >= answered.accepted, "{key}: a value is lost");
+            assert!(voter.held().set().mark() >= answered.mark);
+        }
+        self.states = vec![found];
+    }
+
+    fn synced(&mut self, voter: &Voter, key: usize, ask: &VoterAsk, reply: &VoterReply) {
+        self.states = vec![state(voter)];
+        let answered = &mut self.answered[key];
+        answered.mark = voter.held().set().mark();
+        match (ask, reply) {
+            (VoterAsk::Promise { ballot, .. }, VoterReply::Holds { .. }) => {
+                answered.promised = answered.promised.max(*ballot);
+            }
+            (VoterAsk::Accept { ballot, .. }, VoterReply::Accepted) => {
+                answered.promised = answered.promised.max(*ballot);
+                answered.accepted = answered.accepted.max(*ballot);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// One random script over a disk, which fails from an operation on.
+struct Run {
+    disk: MemoryFolder,
+    voter: Option<Voter>,
+    oracle: Oracle,
+    random: StdRng,
+}
+
+impl Run {
+    fn new(seed: u64) -> Self {
+        Self {
+            disk: MemoryFolder::default(),
+            voter: None,
+            oracle: Oracle::new(),
+            random: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    fn open(&mut self, is_reopened: bool) -> bool {
+        let folder = Box::new(self.disk.clone());
+        let opened = match is_reopened {
+            true => Voter::reopen(folder),
+            false => Voter::open(folder),
+        };
+        let Ok(voter) = opened else {
+            return false;
+        };
+        self.oracle.check(&voter);
+        self.voter = Some(voter);
+        true
+    }
+
+    fn step(&mut self) {
+        let (choice, key) = (
+            self.random.random_range(0..12),
+            self.random.random_range(0..KEYS.len()),
+        );
+        let counter = self.random.random_range(1..30);
+        let is_reopened = choice == 0;
+        if self.voter.is_none() || choice < 2 {
+            self.voter = None;
+            if !self.open(is_reopened) {
+                return;
+            }
+        }
+        let Some(voter) = self.voter.as_mut() else {
+            return;
+        };
+        let message = message(voter, choice, key, counter);
+        let ask = message.ask.clone();
+        match choice {
+            2 => voter.mend(vec![(KEYS[key].into(), held(counter))]),
+            3 => (0..FORGET_TURNS).for_each(|_| voter.turn_jobs()),
+            4 => voter.adopt(set(counter)),
+            5 => voter.install(Installing {
+                set: set(1),
+                floors: (0, 0),
+                keys: vec![(KEYS[key].into(), held(counter))],
+            }),
+            _ => voter.form(set(1), 0),
+        }
+        let reply = voter.ask(message);
+        self.oracle.states.push(state(voter));
+        if voter.sync() {
+            self.oracle.synced(voter, key, &ask, &reply);
+        } else {
+            self.voter = None;
+        }
+    }
+
+    fn lose_power(&self, fates: &[Fate]) {
+        let disk = self.disk.copy();
+        disk.lose_power(fates);
+        let mut after = Self {
+            disk,
+            voter: None,
+            oracle: self.oracle.clone(),
+            random: self.random.clone(),
+        };
+        assert!(after.open(false));
+        // What was read back may have been answered; it must last from now on.
+        after.voter = None;
+        after.disk.lose_power(&[]);
+        assert!(after.open(true));
+        after.step();
+        after.voter = None;
+        after.disk.lose_power(&[]);
+        assert!(after.open(false));
+    }
+}
+
+fn message(voter: &Voter, choice: usize, key: usize, counter: u64) -> VoterMessage {
+    let key = KEYS[key].to_string();
+    let ballot = Ballot {
+        counter,
+        proposer: 1,
+    };
+    let ask = match choice {
+        6 | 7 => VoterAsk::Promise { key, ballot },
+        8 => VoterAsk::Peek { key },
+        _ => VoterAsk::Accept {
+            key,
+            ballot,
+            stored: Stored {
+                version: counter,
+                tag: counter,
+                bytes: vec![counter as u8; 3],
+            },
+        },
+    };
+    let mark = match voter.held().set().mark() {
+        (0, _) => (1, 1),
+        mark => mark,
+    };
+    VoterMessage { mark, ask }
+}
+
+#[test]
+fn no_promise_is_weaker_and_no_value_is_lost_when_the_power_goes_after_any_operation() {
+    let mut tried = 0;
+    for seed in 0..SEEDS {
+        for operations in 0.. {
+            let mut run = Run::new(seed);
+            run.disk.fail_after(operations, Fault::Stopped);
+            (0..STEPS).for_each(|_| run.step());
+            let unsynced = run.disk.unsynced();
+            let longest = unsynced.iter().copied().max().unwrap_or(0);
+            let same = |fate| vec![fate; unsynced.len()];
+            run.lose_power(&same(Fate::Kept));
+            (0..longest).for_each(|count| run.lose_power(&same(Fate::Torn(count))));
+            for _ in 0..12 {
+                let draw = |length: &usize| match run.random.random_range(0..3) {
+                    0 => Fate::Kept,
+                    1 => Fate::Lost,
+                    _ => Fate::Torn(run.random.random_range(0..=*length)),
+                };
+                let fates: Vec<Fate> = unsynced.iter().map(draw).collect();
+                run.lose_power(&fates);
+            }
+            tried += 13 + longest;
+            if run.disk.operations() <= operations {
+                break;
+            }
+        }
+    }
+    println!("{tried} losses of power");
+    assert!(tried > 10_000);
+}
+
+#[test]
+fn a_disk_that_fails_for_a_while_weakens_no_promise() {
+    for fault in [Fault::Full, Fault::ShortWrite, Fault::SyncFails] {
+        for seed in 0..SEEDS {
+            for operations in 0..30 {
+                let mut run = Run::new(seed);
+                run.disk.fail_after(operations, fault);
+                (0..STEPS / 2).for_each(|_| run.step());
+                run.disk.fail_after(u64::MAX, fault);
+                (0..STEPS / 2).for_each(|_| run.step());
+                run.lose_power(&[]);
+                run.lose_power(&vec![Fate::Kept; run.disk.unsynced().len()]);
+            }
+        }
+    }
+}
