--- a/crates/council/src/asking.rs
+++ b/crates/council/src/asking.rs
@@ -1,5 +1,5 @@
 use crate::action::CouncilAction;
-use crate::council::{Council, DUTY_KEY};
+use crate::council::{Council, DUTY_KEY, KEYS};
 use crate::disk::DiskWork;
 use crate::duty::is_duty_round;
 use crate::job::{Job, Purpose};
@@ -28,6 +28,7 @@
         let ballot = self.next_ballot(Ballot::default());
         let count = set.voters.len();
         let (proposal, ask) = Proposal::start(key, change.clone(), tag, ballot, count);
+        let is_early = self.is_early(now, &purpose, key);
         let job = Job {
             purpose,
             key: key.to_string(),
@@ -40,13 +41,21 @@
             has_answered: Vec::new(),
             asked_at: now,
             until: now + BUDGET,
-            paused: None,
+            paused: is_early.then_some((now + PAUSE, Ballot::default())),
             has_proposed: false,
             known: self.newest_value(key),
         };
         let id = self.next_number();
         self.jobs.insert(id, job);
-        self.ask_all(now, id);
+        if !is_early {
+            self.ask_all(now, id);
+        }
+    }
+
+    /// Whether a caller's change had better wait until this core has the value that is on its way to it.
+    fn is_early(&self, now: u64, purpose: &Purpose, key: &str) -> bool {
+        let is_client = matches!(purpose, Purpose::Client(_));
+        is_client && KEYS.contains(&key) && self.awaits_value(now, key)
     }
 
     pub(crate) fn next_ballot(&mut self, above: Ballot) -> Ballot {
@@ -274,8 +283,18 @@
 
     fn ask_again(&mut self, now: u64, id: u64, above: Ballot) {
         let ballot = self.next_ballot(above);
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let is_early = self.is_early(now, &job.purpose, &job.key);
+        let known = self.newest_value(&job.key);
         if let Some(job) = self.jobs.get_mut(&id) {
+            if is_early {
+                job.paused = Some((now + PAUSE, above));
+                return;
+            }
             job.paused = None;
+            job.known = known;
             job.ask = job.proposal.again(ballot);
         }
         self.ask_all(now, id);
--- a/crates/council/tests/catching_up.rs
+++ b/crates/council/tests/catching_up.rs
@@ -122,7 +122,8 @@
         let mut world = returned_after_thousands_of_changes(seed);
         let reads = world.oracle.reads;
         let took = read_while_it_returns(&mut world, 5_000);
-        println!("caught up in {took:?} ms beside reads");
+        let answered = world.oracle.reads - reads;
+        println!("caught up in {took:?} ms, {answered} reads answered beside it");
         assert!(took.is_some_and(|took| took < 4_000), "{took:?}");
         assert!(world.oracle.reads > reads + 15);
     }
