--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -1,5 +1,5 @@
 use crate::action::{CouncilAction, CouncilOptions};
-use crate::catching_up::Want;
+use crate::catching_up::{Want, VALUE_PATIENCE_MS};
 use crate::disk::{DiskDone, DiskWork, HeldSummary, HeldValue};
 use crate::duty::Duty;
 use crate::installing::Pulled;
@@ -41,6 +41,8 @@
     pub(crate) settled: BTreeMap<String, Value>,
     pub(crate) unread: BTreeSet<&'static str>,
     pub(crate) settle_at: u64,
+    /// Until then a value that is on its way is waited for before its register is read.
+    pub(crate) value_patience_until: u64,
     pub(crate) wants: BTreeMap<String, Want>,
     pub(crate) mend_at: u64,
     pub(crate) peers: BTreeMap<String, Peer>,
@@ -84,6 +86,7 @@
             settled: BTreeMap::new(),
             unread: KEYS.into_iter().collect(),
             settle_at: now,
+            value_patience_until: now + VALUE_PATIENCE_MS,
             wants: BTreeMap::new(),
             mend_at: now + 1_000,
             peers: BTreeMap::new(),
@@ -188,6 +191,11 @@
     }
 
     fn on_held(&mut self, now: u64, summary: HeldSummary) {
+        if summary.is_open && !self.is_open {
+            // A claim that this voter backed before its disk failed may still be held.
+            let lease_end = now + self.options.lease_ms;
+            self.duty.closed_until = self.duty.closed_until.max(lease_end);
+        }
         self.is_open = summary.is_open;
         for mut value in summary.values {
             if value.bytes.is_none() {
@@ -236,6 +244,9 @@
         }
         for key in self.unread.clone() {
             let purpose = Purpose::Settle(key);
+            if self.awaits_value(now, key) {
+                continue;
+            }
             if !self.jobs.values().any(|job| job.purpose == purpose) {
                 self.propose(now, purpose, key, Change::Read);
             }
