Requests that no runner can be started for in time are refused at once

Cause: where no worker had room for a runner, the scaler noted "no room" and tried again each second, but told the keeper nothing. A keeper of a function without runners expects no wait (`expected_wait` is none where nothing serves nor starts), so it held each request to its end.

Excluded: the platform's lists (a list showed the workers as leaving or gone within their lag, and orders for them stopped) and the gateways, which refuse as soon as the keeper does.

Change: the news of a function carry a `StartBlock` while it has no runner and its start found no worker: within which time no new runner can be up (none named where nothing known would make room), when to come back, and for how long that holds. The keeper refuses requests that end before that time, also those that wait, while it knows no runner that serves, rests or starts. What is told expires after 2 s, is renewed with each try, falls with the first start that finds room and with news of a later term. A scaler whose list of runners may lack starts of an earlier term says nothing. A list that shows more room lets blocked functions try at once, by rank.

--- a/crates/dispatch/src/functions.rs
+++ b/crates/dispatch/src/functions.rs
@@ -45,6 +45,20 @@
     pub mark: (u64, u64),
     /// Its runners.
     pub runners: Vec<RunnerNews>,
+    /// Set while no worker has room for a runner of it and it has none.
+    pub start_block: Option<StartBlock>,
+}
+
+/// The scaler's statement that a function has no runner and that no worker can take one now. It holds for a bounded
+/// time and is repeated, so that it ends by itself where the scaler that made it is gone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct StartBlock {
+    /// Milliseconds within which no new runner can be up; none where nothing is known that would make room.
+    pub earliest_ready_ms: Option<u32>,
+    /// Milliseconds after which a refused request may find a runner.
+    pub retry_after_ms: u32,
+    /// Milliseconds for which the statement may be acted on.
+    pub valid_ms: u32,
 }
 
 /// One runner as the scaler wants it.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,7 +7,9 @@
 mod packing;
 
 pub use frame::{frame, take_frames, FrameError, Frames, FRAME_MAX};
-pub use functions::{FunctionNews, FunctionReport, RunnerNews, RunnerReport, RunnerStage};
+pub use functions::{
+    FunctionNews, FunctionReport, RunnerNews, RunnerReport, RunnerStage, StartBlock,
+};
 pub use jobs::{JobEnd, JobMark, JobResult, JobVerdict, RegisterSaid};
 pub use message::{Bid, Grant, Member, Message, Outcome, Release};
 pub use packing::{pack, unpack};
--- a/crates/dispatch/tests/drawn/mod.rs
+++ b/crates/dispatch/tests/drawn/mod.rs
@@ -2,7 +2,7 @@
 
 use dispatch::{
     Bid, FunctionNews, FunctionReport, Grant, JobEnd, JobMark, JobResult, JobVerdict, Member,
-    Message, Outcome, RegisterSaid, Release, RunnerNews, RunnerReport, RunnerStage,
+    Message, Outcome, RegisterSaid, Release, RunnerNews, RunnerReport, RunnerStage, StartBlock,
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -72,6 +72,11 @@
             stage: *gen.choose(&stages).unwrap(),
             starts_in_ms: any(gen),
         }),
+        start_block: bool::arbitrary(gen).then(|| StartBlock {
+            earliest_ready_ms: any(gen),
+            retry_after_ms: any(gen),
+            valid_ms: any(gen),
+        }),
     }
 }
 
--- a/crates/jobs/tests/town/front.rs
+++ b/crates/jobs/tests/town/front.rs
@@ -68,6 +68,7 @@
         function: FUNCTION.into(),
         mark: (1, 1),
         runners: (0..3).map(runner).collect(),
+        start_block: None,
     }
 }
 
--- a/crates/launching/src/function.rs
+++ b/crates/launching/src/function.rs
@@ -1,5 +1,6 @@
 use crate::demand::Arrivals;
 use crate::options::Options;
+use crate::start_block::NoRoom;
 use dispatch::RunnerReport;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -64,6 +65,8 @@
     pub calm_since: Option<u64>,
     /// No start before this, since the platform knows no such function or no worker has room.
     pub held_until: u64,
+    /// That the last start found no room, where it has no runner either.
+    pub no_room: Option<NoRoom>,
     pub news: u64,
     pub reason: &'static str,
 }
@@ -79,6 +82,7 @@
             busy_at: None,
             calm_since: None,
             held_until: 0,
+            no_room: None,
             news: 0,
             reason: "",
         }
--- a/crates/launching/src/launcher.rs
+++ b/crates/launching/src/launcher.rs
@@ -12,6 +12,8 @@
 /// no threads, and does nothing itself.
 pub struct Launcher {
     pub(crate) options: Options,
+    /// When it took up its work.
+    pub(crate) began_at: u64,
     pub(crate) now: u64,
     pub(crate) functions: BTreeMap<String, Function>,
     pub(crate) runners: BTreeMap<u64, Runner>,
@@ -24,6 +26,8 @@
     pub(crate) kept: BTreeMap<String, BTreeSet<String>>,
     pub(crate) knows_workers: bool,
     pub(crate) knows_runners: bool,
+    /// When the list of runners came last.
+    pub(crate) runners_seen_at: u64,
     pub(crate) is_described: bool,
     pub(crate) longest_ms: u64,
     /// Functions that are looked at regularly.
@@ -53,6 +57,7 @@
             bucket: Bucket::new(options.starts_per_s, now),
             counter: options.term << 32,
             options,
+            began_at: now,
             now,
             functions: BTreeMap::new(),
             runners: BTreeMap::new(),
@@ -65,6 +70,7 @@
             kept: BTreeMap::new(),
             knows_workers: false,
             knows_runners: false,
+            runners_seen_at: now,
             is_described: false,
             longest_ms: 0,
             active: BTreeSet::new(),
--- a/crates/launching/src/lib.rs
+++ b/crates/launching/src/lib.rs
@@ -15,6 +15,7 @@
 mod room;
 mod runner;
 mod sights;
+mod start_block;
 mod telling;
 
 pub use launcher::Launcher;
--- a/crates/launching/src/listing.rs
+++ b/crates/launching/src/listing.rs
@@ -5,6 +5,12 @@
 use crate::sights::{RunnerSight, WorkerSight};
 use std::collections::{BTreeMap, HashSet};
 
+/// Whether a worker can take more than when it was listed before.
+fn has_more_room(before: &WorkerSight, now: &WorkerSight) -> bool {
+    let is_back = before.is_leaving && !now.is_leaving;
+    is_back || !now.is_leaving && now.free_mb > before.free_mb
+}
+
 impl Launcher {
     /// Takes the platform's whole list of workers.
     pub fn see_workers(&mut self, now: u64, sights: Vec<WorkerSight>) {
@@ -13,8 +19,10 @@
         self.knows_workers = true;
         let mut before = std::mem::take(&mut self.workers);
         let oldest = self.now.saturating_sub(2 * self.options.list_lag_ms);
+        let mut has_gained = false;
         for sight in sights {
             let mut worker = before.remove(&sight.name).unwrap_or_default();
+            has_gained |= has_more_room(&worker.sight, &sight);
             worker.freed.retain(|(at, _)| *at >= oldest);
             worker.seen_at = self.now;
             worker.sight = sight;
@@ -34,6 +42,9 @@
         for serial in serials {
             self.heed_worker(serial);
         }
+        if has_gained {
+            self.try_blocked_again();
+        }
         self.settle_lists(is_first);
     }
 
@@ -58,6 +69,7 @@
         self.pass(now);
         let is_first = !self.knows_runners;
         self.knows_runners = true;
+        self.runners_seen_at = self.now;
         let listed: HashSet<&str> = sights.iter().map(|sight| sight.id.as_str()).collect();
         for sight in &sights {
             match self.ids.get(&sight.id) {
--- a/crates/launching/src/placing.rs
+++ b/crates/launching/src/placing.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// Milliseconds after which a start for which there was no room is tried again.
-const HELD_MS: u64 = 1_000;
+pub(crate) const HELD_MS: u64 = 1_000;
 
 /// A worker, and what became of it since it was listed.
 #[derive(Clone, Debug, Default)]
@@ -198,8 +198,10 @@
         let Some(chosen_worker) = self.place(name) else {
             self.hold_back(name);
             self.make_room(name);
+            self.judge_room(name);
             return false;
         };
+        self.lift_no_room(name);
         let Some(function) = self.functions.get(name) else {
             return false;
         };
--- a/crates/launching/src/room.rs
+++ b/crates/launching/src/room.rs
@@ -3,9 +3,6 @@
 use crate::runner::{Cause, Life, Runner};
 use std::collections::BTreeMap;
 
-/// Milliseconds for which a runner must be idle before it makes room.
-const IDLE_MS: u64 = 1_000;
-
 impl Launcher {
     /// Drains runners that have been idle the longest, beyond their functions' minimal ones, on
     /// the worker that is the first to have room then.
@@ -14,7 +11,8 @@
             return;
         };
         let memory_mb = function.plan.memory_mb;
-        let mut spare = self.spare_runners(name, function.plan.rank);
+        let is_idle = |runner: &Runner| runner.idle_at() <= self.now;
+        let mut spare = self.spare_runners(name, function.plan.rank, is_idle);
         spare.sort();
         let mut freed: BTreeMap<&str, (u64, Vec<u64>)> = BTreeMap::new();
         let mut victims = Vec::new();
@@ -59,8 +57,14 @@
         ending.map(|(_, runner)| runner.memory_mb).sum()
     }
 
-    /// Idle runners that others than this function can do without, by the time of their last use.
-    fn spare_runners(&self, name: &str, rank: u8) -> Vec<(u64, u64)> {
+    /// Runners with nothing in flight, of those that `passes`, that others than this function can do without, by the
+    /// time of their last use.
+    pub(crate) fn spare_runners(
+        &self,
+        name: &str,
+        rank: u8,
+        passes: impl Fn(&Runner) -> bool,
+    ) -> Vec<(u64, u64)> {
         let mut spare = Vec::new();
         let others = self.active.iter().filter(|other| *other != name);
         for other in others {
@@ -74,7 +78,7 @@
                 continue;
             }
             let runners = self.runners_of(function);
-            let idle = runners.filter(|(_, runner)| self.is_idle(function, runner));
+            let idle = runners.filter(|(_, runner)| is_unused(function, runner) && passes(runner));
             let mut idle: Vec<(u64, u64)> = idle
                 .map(|(serial, runner)| (runner.used_at, serial))
                 .collect();
@@ -84,13 +88,12 @@
         }
         spare
     }
+}
 
-    fn is_idle(&self, function: &Function, runner: &Runner) -> bool {
-        let Some(id) = &runner.id else {
-            return false;
-        };
-        runner.life == Life::Serving
-            && function.in_use(id) == 0
-            && runner.used_at + IDLE_MS <= self.now
-    }
+/// It serves, and no keeper told of a request in flight at it.
+fn is_unused(function: &Function, runner: &Runner) -> bool {
+    let Some(id) = &runner.id else {
+        return false;
+    };
+    runner.life == Life::Serving && function.in_use(id) == 0
 }
--- a/crates/launching/src/runner.rs
+++ b/crates/launching/src/runner.rs
@@ -1,6 +1,8 @@
 use dispatch::RunnerStage;
 
 const SPAN: f64 = 20.0;
+/// Milliseconds for which a runner must be idle before it makes room.
+const IDLE_MS: u64 = 1_000;
 
 /// Why a runner gets no new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,6 +86,11 @@
         self.counts() && self.life != Life::Serving
     }
 
+    /// When it has been idle for long enough to make room, if it is not used again.
+    pub fn idle_at(&self) -> u64 {
+        self.used_at + IDLE_MS
+    }
+
     pub fn can_revive(&self) -> bool {
         let cause = Cause::Surplus;
         matches!(self.life, Life::Draining { cause: own, .. } if own == cause)
--- a/crates/launching/src/telling.rs
+++ b/crates/launching/src/telling.rs
@@ -33,6 +33,7 @@
             function: name.to_owned(),
             mark: (self.options.term, counter),
             runners: self.runner_news(name, self.now),
+            start_block: self.start_block(name, self.now),
         }
     }
 
@@ -49,6 +50,7 @@
             function: function.to_owned(),
             mark: self.news_mark(function),
             runners: self.runner_news(function, now),
+            start_block: self.start_block(function, now),
         }
     }
 
--- a/crates/seating/src/keeper.rs
+++ b/crates/seating/src/keeper.rs
@@ -73,10 +73,12 @@
         // Where a seat is free there is nothing to wait for, and only who is sent there shows its pace.
         let is_hopeless = wait.is_some_and(|wait| wait > f64::from(bid.budget_ms) * 0.9)
             && !seats.has_free(now, &self.closed, &bid.avoid);
-        if is_hopeless || seats.waiting.len() >= WAITING_MAX {
+        let blocked = seats.hopeless_until(now, now + u64::from(bid.budget_ms));
+        if is_hopeless || blocked.is_some() || seats.waiting.len() >= WAITING_MAX {
             seats.given_up += 1;
             seats.is_dirty = true;
             let back = wait.unwrap_or(0.0).max(f64::from(RETRY_AFTER_MS)) as u32;
+            let back = blocked.unwrap_or(back);
             self.errands
                 .push(Errand::Refuse(front.into(), bid.ticket, back));
             self.dirty.insert(function);
@@ -175,6 +177,7 @@
         }
         self.dirty.insert(function.clone());
         self.serve(now, &function);
+        self.refuse_hopeless(now, &function);
     }
 
     /// A front is gone; what it held or wanted is free.
@@ -236,7 +239,7 @@
             .filter(|(_, seats)| !seats.waiting.is_empty());
         let waiting: Vec<String> = resting.map(|(function, _)| function.clone()).collect();
         for function in waiting {
-            self.drop_late(now, &function);
+            self.refuse_hopeless(now, &function);
             self.serve(now, &function);
             self.remind(now, function);
         }
@@ -277,13 +280,15 @@
         self.errands.push(errand);
     }
 
-    fn drop_late(&mut self, now: u64, function: &str) {
+    /// Refuses requests whose time is over, and those that nothing can serve in time.
+    fn refuse_hopeless(&mut self, now: u64, function: &str) {
         let Some(seats) = self.functions.get_mut(function) else {
             return;
         };
         let late = seats.waiting.iter().filter(|(_, one)| one.ends_at <= now);
-        let late: Vec<(u8, u64)> = late.map(|(key, _)| *key).collect();
-        for key in late {
+        let late = late.map(|(key, _)| (*key, RETRY_AFTER_MS));
+        let hopeless: Vec<((u8, u64), u32)> = late.chain(seats.hopeless(now)).collect();
+        for (key, retry_after_ms) in hopeless {
             let Some(waiting) = seats.waiting.remove(&key) else {
                 continue;
             };
@@ -292,7 +297,7 @@
             seats.is_dirty = true;
             let (front, ticket) = waiting.holder;
             self.errands
-                .push(Errand::Refuse(front, ticket, RETRY_AFTER_MS));
+                .push(Errand::Refuse(front, ticket, retry_after_ms));
         }
     }
 
--- a/crates/seating/src/lib.rs
+++ b/crates/seating/src/lib.rs
@@ -6,6 +6,7 @@
 mod keeper;
 mod runner;
 mod seats;
+mod start_block;
 
 pub use credit::Credit;
 pub use elect::elect;
--- a/crates/seating/src/seats.rs
+++ b/crates/seating/src/seats.rs
@@ -1,4 +1,5 @@
 use crate::runner::{Holder, Runner};
+use crate::start_block::HeldBlock;
 use dispatch::{Bid, FunctionNews, FunctionReport, RunnerNews, RunnerStage};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,6 +21,8 @@
     pub mark: (u64, u64),
     pub runners: Vec<Runner>,
     pub waiting: BTreeMap<(u8, u64), Waiting>,
+    /// That no new runner can be up in time, as the scaler said last.
+    pub start_block: Option<HeldBlock>,
     pub arrived: BTreeMap<String, u64>,
     pub given_up: u64,
     pub used_at: u64,
@@ -35,6 +38,7 @@
             return;
         }
         self.mark = news.mark;
+        self.start_block = news.start_block.map(|told| HeldBlock::new(now, told));
         let mut known: BTreeMap<String, Runner> = std::mem::take(&mut self.runners)
             .into_iter()
             .map(|runner| (runner.news.id.clone(), runner))
--- a/crates/seating/tests/common/mod.rs
+++ b/crates/seating/tests/common/mod.rs
@@ -40,6 +40,7 @@
         function: FUNCTION.into(),
         mark: (1, number),
         runners: runners.to_vec(),
+        start_block: None,
     }
 }
 
--- /dev/null
+++ b/crates/seating/tests/start_block.rs
@@ -0,0 +1,162 @@
+//! Requests of a function that has no runner while no worker has room for one: refused at once, never too early.
+
+mod common;
+
+use common::{bid, grants, keeper, news, refusals, release, runner, FUNCTION};
+use dispatch::{Bid, FunctionNews, Outcome, RunnerNews, RunnerStage, StartBlock};
+use seating::Keeper;
+
+const RETRY_AFTER_MS: u32 = 2_400;
+const VALID_MS: u32 = 2_000;
+
+fn blocked(number: u64, earliest_ready_ms: Option<u32>, runners: &[RunnerNews]) -> FunctionNews {
+    FunctionNews {
+        start_block: Some(StartBlock {
+            earliest_ready_ms,
+            retry_after_ms: RETRY_AFTER_MS,
+            valid_ms: VALID_MS,
+        }),
+        ..news(number, runners)
+    }
+}
+
+fn short(ticket: u64, budget_ms: u32) -> Bid {
+    Bid {
+        budget_ms,
+        ..bid(ticket, 1)
+    }
+}
+
+#[test]
+fn who_waits_already_is_refused_when_the_news_comes() {
+    let mut keeper = Keeper::default();
+    keeper.bid(0, "f", "north", bid(1, 1));
+    keeper.bid(5, "g", "north", bid(2, 0));
+    assert_eq!(refusals(&mut keeper), []);
+    keeper.news(40, blocked(1, None, &[]));
+    let expected = [(2, RETRY_AFTER_MS), (1, RETRY_AFTER_MS)];
+    assert_eq!(refusals(&mut keeper), expected);
+    let report = keeper.reports(1_000, true).remove(0);
+    assert_eq!((report.waiting, report.given_up), (0, 2));
+}
+
+#[test]
+fn who_comes_later_is_refused_at_once_and_still_counts_as_arrived() {
+    let mut keeper = keeper(&[]);
+    keeper.news(0, blocked(2, None, &[]));
+    keeper.bid(400, "f", "north", bid(1, 1));
+    assert_eq!(refusals(&mut keeper), [(1, RETRY_AFTER_MS - 400)]);
+    let report = keeper.reports(1_000, true).remove(0);
+    assert_eq!(report.arrived, [("north".to_string(), 1)]);
+}
+
+#[test]
+fn the_statement_expires_unless_it_is_repeated() {
+    let mut keeper = Keeper::default();
+    keeper.news(0, blocked(1, None, &[]));
+    keeper.bid(1_999, "f", "north", bid(1, 1));
+    assert_eq!(refusals(&mut keeper).len(), 1);
+    keeper.bid(2_000, "f", "north", bid(2, 1));
+    keeper.tick(2_100);
+    assert_eq!(refusals(&mut keeper), [], "nobody repeated it");
+    keeper.news(2_200, blocked(2, None, &[]));
+    assert_eq!(refusals(&mut keeper), [(2, RETRY_AFTER_MS)]);
+}
+
+#[test]
+fn a_statement_without_a_bound_is_bounded_here() {
+    let mut keeper = Keeper::default();
+    let mut told = blocked(1, None, &[]);
+    let block = told.start_block.as_mut().unwrap();
+    block.valid_ms = u32::MAX;
+    block.retry_after_ms = u32::MAX;
+    keeper.news(0, told);
+    keeper.bid(4_999, "f", "north", bid(1, 1));
+    assert_eq!(refusals(&mut keeper), [(1, 60_000)]);
+    keeper.bid(5_000, "f", "north", bid(2, 1));
+    assert_eq!(refusals(&mut keeper), []);
+}
+
+#[test]
+fn newer_news_without_the_statement_ends_it_and_older_news_does_not_bring_it_back() {
+    let mut keeper = Keeper::default();
+    keeper.news(0, blocked(3, None, &[]));
+    keeper.news(100, news(4, &[]));
+    keeper.news(110, blocked(3, None, &[]));
+    keeper.bid(120, "f", "north", bid(1, 1));
+    keeper.tick(200);
+    assert_eq!(refusals(&mut keeper), []);
+}
+
+#[test]
+fn a_later_term_that_knows_nothing_yet_does_not_repeat_it() {
+    let mut keeper = Keeper::default();
+    keeper.news(0, blocked(9, None, &[]));
+    let later = FunctionNews {
+        mark: (2, 1),
+        ..news(1, &[])
+    };
+    keeper.news(100, later);
+    keeper.bid(120, "f", "north", bid(1, 1));
+    assert_eq!(refusals(&mut keeper), []);
+}
+
+#[test]
+fn only_requests_that_end_before_the_earliest_start_are_refused() {
+    let mut keeper = Keeper::default();
+    keeper.bid(0, "f", "north", short(1, 1_000));
+    keeper.bid(0, "f", "north", short(2, 1_001));
+    keeper.news(100, blocked(1, Some(900), &[]));
+    keeper.bid(100, "f", "north", short(3, 900));
+    keeper.bid(100, "f", "north", short(4, 901));
+    let refused: Vec<u64> = refusals(&mut keeper).iter().map(|one| one.0).collect();
+    assert_eq!(refused, [1, 3]);
+}
+
+#[test]
+fn a_starting_runner_keeps_hope() {
+    let starting = RunnerNews {
+        stage: RunnerStage::Starting,
+        starts_in_ms: 1_000,
+        ..runner("a", "north", 2)
+    };
+    let mut keeper = Keeper::default();
+    keeper.bid(0, "f", "north", bid(1, 1));
+    keeper.news(0, blocked(1, None, &[starting]));
+    keeper.bid(10, "f", "north", bid(2, 1));
+    keeper.tick(20);
+    assert_eq!(refusals(&mut keeper), []);
+    keeper.probed(900, FUNCTION, "a", true);
+    keeper.tick(1_100);
+    assert_eq!(grants(&mut keeper).len(), 2);
+}
+
+#[test]
+fn a_full_or_resting_runner_keeps_hope_and_its_loss_ends_it() {
+    let mut keeper = Keeper::default();
+    keeper.news(0, blocked(1, None, &[runner("a", "north", 1)]));
+    keeper.bid(0, "f", "north", bid(1, 1));
+    keeper.bid(0, "f", "north", bid(2, 1));
+    assert_eq!(grants(&mut keeper), [(1, "a".to_string())]);
+    keeper.release(100, "f", &release(1, Outcome::TurnedAway, 5));
+    keeper.bid(101, "f", "north", bid(3, 1));
+    keeper.tick(110);
+    assert_eq!(refusals(&mut keeper), [], "the runner only rests");
+    keeper.tick(200);
+    assert_eq!(grants(&mut keeper), [(2, "a".to_string())]);
+    keeper.release(300, "f", &release(2, Outcome::Gone, 5));
+    keeper.tick(310);
+    assert_eq!(refusals(&mut keeper), [(3, RETRY_AFTER_MS - 310)]);
+}
+
+#[test]
+fn runners_that_only_drain_give_no_hope() {
+    let draining = RunnerNews {
+        stage: RunnerStage::Draining,
+        ..runner("a", "north", 1)
+    };
+    let mut keeper = Keeper::default();
+    keeper.news(0, blocked(1, None, &[draining]));
+    keeper.bid(0, "f", "north", bid(1, 1));
+    assert_eq!(refusals(&mut keeper).len(), 1);
+}
--- a/tests/hollow/src/town.rs
+++ b/tests/hollow/src/town.rs
@@ -151,6 +151,7 @@
         function: function_name(function),
         mark: (1, mark),
         runners: (0..runners).map(runner).collect(),
+        start_block: None,
     }
 }
 
