--- a/crates/launching/tests/start_block.rs
+++ b/crates/launching/tests/start_block.rs
@@ -183,7 +183,7 @@
     let sights = [worker("w-1", "a", 100)];
     let idle = listed("r-1", "g", "w-1", "a");
     let functions = [("f", 9_000), ("g", 9_000)];
-    let mut launcher = town(options(), &functions, &sights, &[idle.clone()]);
+    let mut launcher = town(options(), &functions, &sights, std::slice::from_ref(&idle));
     launcher.see_runners(LATER, vec![idle]);
     launcher.see_workers(LATER, sights.to_vec());
     launcher.news();
@@ -197,7 +197,7 @@
     let sights = [full(worker("w-1", "a", 100))];
     let busy = listed("r-1", "g", "w-1", "a");
     let functions = [("f", 9_000), ("g", 9_000)];
-    let mut launcher = town(options(), &functions, &sights, &[busy.clone()]);
+    let mut launcher = town(options(), &functions, &sights, std::slice::from_ref(&busy));
     launcher.see_runners(LATER, vec![busy]);
     launcher.see_workers(LATER, sights.to_vec());
     let report = |in_use: u32| dispatch::FunctionReport {
