--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -115,16 +115,15 @@
         let operators = listen(options.operators, OPERATOR_INBOX)?;
         let fronts = listen(options.fronts, LINK_INBOX)?;
         let council_hatch = listen(options.council, LINK_INBOX)?;
-        let identity = disk::identity(&options.data).map_err(ControllerError::Data)?;
-        let voter = disk::open(&options.data).map_err(ControllerError::Data)?;
-        let held = council::HeldSummary::of(&voter);
+        let voter_disk = disk::open(&options.data).map_err(ControllerError::Data)?;
+        let held = council::HeldSummary::of(voter_disk.voter());
         let council = Council::new(
             CouncilOptions {
                 name: options.name.clone(),
                 address: options.council.to_string(),
                 seeds: options.seeds.iter().map(ToString::to_string).collect(),
                 is_first_start: options.is_first_start,
-                disk: identity,
+                disk: voter_disk.identity(),
                 lease_ms: options.lease_ms(),
                 beat_ms: options.beat_ms(),
                 patience_ms: options.sync_ms * 3 / 5,
@@ -135,7 +134,7 @@
             held,
         );
         let waker = courier.waker().map_err(ControllerError::System)?;
-        let disk = Disk::start(voter, options.data.clone(), waker);
+        let disk = Disk::start(voter_disk, waker);
         Ok(Self {
             cores: CoreLinks::new(options.council.to_string()),
             fronts: Fronts::default(),
@@ -221,11 +220,6 @@
                         log::info!("controller: scales under term {term}");
                     }
                     CouncilAction::DutyLost => log::info!("controller: scales no more"),
-                    CouncilAction::Rejoin => {
-                        log::warn!("controller: this core was replaced; it comes back empty");
-                        disk::empty(&self.options.data);
-                        std::process::exit(1);
-                    }
                 }
             }
             self.take_settled();
--- a/crates/council/src/action.rs
+++ b/crates/council/src/action.rs
@@ -60,6 +60,4 @@
     },
     /// This core holds the scaling duty no more.
     DutyLost,
-    /// Another took this core's place: wipe the disk, make a new id, and begin a new council.
-    Rejoin,
 }
--- a/crates/council/src/asking.rs
+++ b/crates/council/src/asking.rs
@@ -6,7 +6,8 @@
 use crate::message::CouncilMessage;
 use rand::Rng;
 use register::{
-    Ballot, Change, Outcome, Proposal, ProposalStep, VoterAsk, VoterMessage, VoterReply, VoterSet,
+    Ballot, Change, Outcome, Proposal, ProposalStep, VoterAsk, VoterMessage, VoterRef, VoterReply,
+    VoterSet,
 };
 
 /// Time in which a change ends.
@@ -86,10 +87,11 @@
         };
         let voters = job.set.voters.iter().zip(&job.has_answered);
         let missing = voters.filter(|(_, has_answered)| !**has_answered);
-        let missing: Vec<String> = missing.map(|(voter, _)| voter.address.clone()).collect();
-        for to in missing {
+        let missing: Vec<VoterRef> = missing.map(|(voter, _)| voter.clone()).collect();
+        for voter in missing {
             let message = message.clone();
-            if to == self.options.address {
+            let to = self.locate(&voter);
+            if voter.disk == self.options.disk {
                 self.take_ask(now, &to, number, known, message);
                 continue;
             }
@@ -135,6 +137,7 @@
 
     pub(crate) fn answer(&mut self, to: &str, number: u64, is_known: bool, reply: VoterReply) {
         let message = CouncilMessage::Answer {
+            disk: self.options.disk,
             number,
             is_known,
             reply,
@@ -142,11 +145,12 @@
         self.send(to, message);
     }
 
-    /// Takes a voter's answer.
+    /// Takes a voter's answer. It counts for the member whose disk gave it, wherever that is reached.
     pub(crate) fn on_answer(
         &mut self,
         now: u64,
         from: &str,
+        disk: u64,
         number: u64,
         is_known: bool,
         mut reply: VoterReply,
@@ -156,7 +160,7 @@
             return;
         };
         let mut voters = job.set.voters.iter();
-        let Some(place) = voters.position(|voter| voter.address == from) else {
+        let Some(place) = voters.position(|voter| voter.disk == disk) else {
             return;
         };
         if let VoterReply::OtherSet { set } = &reply {
@@ -186,7 +190,7 @@
             return self.learn_set(now, set);
         }
         if set.era != 0 && set.mark() < self.set.mark() && from != self.options.address {
-            self.send(from, CouncilMessage::Set(self.set.clone()));
+            self.send(from, CouncilMessage::Set(self.set_news()));
         }
     }
 
--- a/crates/council/src/beating.rs
+++ b/crates/council/src/beating.rs
@@ -3,6 +3,7 @@
 use crate::duty::{term_of, Grant};
 use crate::message::{Ack, Beat, CouncilMessage};
 use crate::peer::Peer;
+use register::VoterRef;
 use std::collections::BTreeSet;
 
 const PEERS_MAX: usize = 64;
@@ -58,6 +59,23 @@
         peer.is_some_and(|peer| peer.is_fresh(now, self.fresh_ms()))
     }
 
+    /// Address of a member: where its disk was heard last, else what the set says.
+    pub(crate) fn locate(&self, voter: &VoterRef) -> String {
+        if voter.disk == self.options.disk {
+            return self.options.address.clone();
+        }
+        let mut heard: Vec<(u64, &String)> = Vec::new();
+        for (address, peer) in &self.peers {
+            if let Some(at) = peer.heard_at.filter(|_| peer.beat.disk == voter.disk) {
+                heard.push((at, address));
+            }
+        }
+        let newest = heard.into_iter().max();
+        newest
+            .map_or(&voter.address, |(_, address)| address)
+            .clone()
+    }
+
     /// Cores that were heard lately.
     pub(crate) fn fresh(&self, now: u64) -> impl Iterator<Item = (&String, &Beat)> {
         let span = self.fresh_ms();
@@ -146,9 +164,13 @@
             return;
         };
         let is_new = peer.beat.life != beat.life;
-        if !is_new && beat.number <= peer.beat.number {
+        let is_of_former_life = peer.former_life == Some(beat.life);
+        if is_of_former_life || (!is_new && beat.number <= peer.beat.number) {
             return;
         }
+        if is_new && peer.heard_at.is_some() {
+            peer.former_life = Some(peer.beat.life);
+        }
         peer.heard_at = Some(now);
         peer.beat = beat.clone();
         self.wants_beat |= is_new;
@@ -166,7 +188,7 @@
             return self.send(from, CouncilMessage::WantSet);
         }
         if beat.known < self.set.mark() && beat.known.0 > 0 {
-            self.send(from, CouncilMessage::Set(self.set.clone()));
+            self.send(from, CouncilMessage::Set(self.set_news()));
         }
         if beat.mark.0 > 0 || self.set.era == 0 {
             return;
@@ -177,7 +199,7 @@
         if is_named && self.set.no == 1 && self.own_set == self.set {
             self.send(from, CouncilMessage::Form(self.set.clone()));
         } else if beat.known.0 == 0 {
-            self.send(from, CouncilMessage::Set(self.set.clone()));
+            self.send(from, CouncilMessage::Set(self.set_news()));
         }
     }
 
--- a/crates/council/src/contending.rs
+++ b/crates/council/src/contending.rs
@@ -22,7 +22,7 @@
         }
     }
 
-    fn drop_claim(&mut self, now: u64) {
+    pub(crate) fn drop_claim(&mut self, now: u64) {
         let Some(claim) = self.duty.claim.take() else {
             return;
         };
@@ -112,13 +112,9 @@
         let mark = self.set.mark();
         let voters = self.set.voters.iter();
         let consenting = voters.filter(|voter| {
-            let peer = self.peers.get(&voter.address);
-            let beat = peer.filter(|peer| peer.is_fresh(now, self.fresh_ms()));
-            let beat = beat.map(|peer| &peer.beat);
+            let mut fresh = self.fresh(now).map(|(_, beat)| beat);
             voter.disk == self.options.disk
-                || beat.is_some_and(|beat| {
-                    beat.disk == voter.disk && beat.is_free && beat.mark == mark
-                })
+                || fresh.any(|beat| beat.disk == voter.disk && beat.is_free && beat.mark == mark)
         });
         consenting.count() >= self.set.majority()
     }
--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -4,6 +4,7 @@
 use crate::duty::Duty;
 use crate::installing::Pulled;
 use crate::job::{Job, Purpose, Value};
+use crate::leaving::Departure;
 use crate::message::CouncilMessage;
 use crate::peer::Peer;
 use rand::rngs::StdRng;
@@ -61,8 +62,7 @@
     pub(crate) previous: Option<VoterSet>,
     pub(crate) pulled: BTreeMap<u64, Pulled>,
     pub(crate) pull_at: u64,
-    pub(crate) left_since: Option<u64>,
-    pub(crate) has_left: bool,
+    pub(crate) departure: Option<Departure>,
 }
 
 impl Council {
@@ -102,8 +102,7 @@
             previous: None,
             pulled: BTreeMap::new(),
             pull_at: now,
-            left_since: None,
-            has_left: false,
+            departure: None,
             random,
             options,
         };
@@ -130,16 +129,23 @@
                 message,
             } => self.take_ask(now, from, number, known, message),
             CouncilMessage::Answer {
+                disk,
                 number,
                 is_known,
                 reply,
-            } => self.on_answer(now, from, number, is_known, reply),
+            } => self.on_answer(now, from, disk, number, is_known, reply),
             CouncilMessage::WantSet if self.set.era > 0 => {
-                self.send(from, CouncilMessage::Set(self.set.clone()));
+                self.send(from, CouncilMessage::Set(self.set_news()));
             }
             CouncilMessage::WantSet => {}
-            CouncilMessage::Set(set) => self.learn_set(now, &set),
+            CouncilMessage::Set(news) => self.on_set_news(now, news),
             CouncilMessage::Form(set) => self.on_form(&set),
+            CouncilMessage::WantInstalled { mark } => {
+                let to = from.to_string();
+                let work = DiskWork::ConfirmInstalled { to, mark };
+                self.actions.push(CouncilAction::Disk(work));
+            }
+            CouncilMessage::Installed { disk, mark } => self.on_installed(disk, mark),
             CouncilMessage::Pull { mark, after } => {
                 let to = from.to_string();
                 let work = DiskWork::Pull { to, mark, after };
@@ -164,6 +170,11 @@
         match done {
             DiskDone::Held(summary) => self.on_held(now, summary),
             DiskDone::SetDone => self.set_works = self.set_works.saturating_sub(1),
+            DiskDone::Installed { to, mark } => {
+                let disk = self.options.disk;
+                self.send(&to, CouncilMessage::Installed { disk, mark });
+            }
+            DiskDone::BegunAnew(identity) => self.on_begun_anew(now, identity),
             DiskDone::Copy { to, mut page } => {
                 page.disk = self.options.disk;
                 self.send(&to, CouncilMessage::Copy(page));
@@ -178,7 +189,7 @@
                 let is_over = usize::from(is_duty_round);
                 self.duty_rounds = self.duty_rounds.saturating_sub(is_over);
                 if to == self.options.address {
-                    self.on_answer(now, &to, number, is_known, reply);
+                    self.on_answer(now, &to, self.options.disk, number, is_known, reply);
                 } else {
                     self.answer(&to, number, is_known, reply);
                 }
@@ -196,7 +207,8 @@
             }
             self.held.insert(value.key.clone(), value);
         }
-        if summary.set.mark() != self.own_set.mark() {
+        // What a failed disk has taken in memory alone is not a set that this core's voter is in.
+        if self.is_open && summary.set.mark() != self.own_set.mark() {
             log::info!("council: votes in set {:?}", summary.set.mark());
             self.own_set = summary.set;
             self.wants_beat = true;
@@ -322,6 +334,7 @@
             _ if !self.is_open => "the disk is not to be trusted".into(),
             _ if self.set.era == 0 => "no voters are known yet".into(),
             _ if self.own_set.era == 0 => format!("waits for a place in set {mark:?}"),
+            _ if self.is_beginning_anew() => "empties its disk".into(),
             _ if !self.is_named() => format!("left out of set {mark:?}"),
             Some(key) => format!("{key} was not read at a majority yet"),
             None => format!("votes in set {mark:?}"),
--- a/crates/council/src/disk.rs
+++ b/crates/council/src/disk.rs
@@ -4,7 +4,7 @@
 use register::{Ballot, Held, VoterAsk, VoterMessage, VoterReply, VoterSet};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use voter::{Installing, Voter};
+use voter::{Installing, Voter, VoterDisk};
 
 const PAGE_MAX: usize = 1 << 20;
 const RANGES: u16 = 256;
@@ -33,6 +33,15 @@
     Mend(String, Held),
     /// Let one span pass for which jobs are remembered.
     TurnJobs,
+    /// Say so where the voter is in the set of this mark, or in a later one.
+    ConfirmInstalled {
+        /// Address of the core that asks.
+        to: String,
+        /// Mark of the set.
+        mark: (u64, u64),
+    },
+    /// Give up all that is held and begin as an empty voter under this identity.
+    BeginAnew(u64),
     /// Tell part of what is held.
     Pull {
         /// Address of the core that asks.
@@ -75,6 +84,16 @@
     },
     /// Work on the set is over; what came of it is in [`DiskDone::Held`].
     SetDone,
+    /// The voter is durably in the set of this mark, or in a later one.
+    Installed {
+        /// Address of the core that asked.
+        to: String,
+        /// Mark of the set that was asked about.
+        mark: (u64, u64),
+    },
+    /// The voter began anew under this identity; none where the disk failed and nothing is known to
+    /// have changed.
+    BegunAnew(Option<u64>),
     /// Part of what is held.
     Copy {
         /// Address of the core that asked.
@@ -156,6 +175,28 @@
         .collect()
 }
 
+/// Does a batch of work on a disk, in its order, with as few syncs as that allows.
+pub fn perform_on(disk: &mut VoterDisk, batch: Vec<DiskWork>) -> Vec<DiskDone> {
+    let mut dones = Vec::new();
+    let mut waiting = Vec::new();
+    for work in batch {
+        let DiskWork::BeginAnew(identity) = work else {
+            waiting.push(work);
+            continue;
+        };
+        dones.extend(perform(disk.voter_mut(), std::mem::take(&mut waiting)));
+        let begun = disk.begin_anew(identity);
+        if let Err(report) = &begun {
+            log::error!("council: the disk could not be emptied: {report:#}");
+        }
+        dones.push(DiskDone::BegunAnew(begun.ok().map(|()| identity)));
+    }
+    if !waiting.is_empty() {
+        dones.extend(perform(disk.voter_mut(), waiting));
+    }
+    dones
+}
+
 /// Does a batch of work with one sync. What is given back is safe on the disk.
 pub fn perform(voter: &mut Voter, batch: Vec<DiskWork>) -> Vec<DiskDone> {
     let before = all_accepted(voter);
@@ -165,7 +206,7 @@
         .collect();
     let is_synced = voter.sync();
     if !is_synced {
-        dones.retain(|done| !matches!(done, DiskDone::Copy { .. }));
+        dones.retain(|done| !matches!(done, DiskDone::Copy { .. } | DiskDone::Installed { .. }));
         for done in &mut dones {
             if let DiskDone::Reply {
                 reply, is_known, ..
@@ -219,6 +260,13 @@
             voter.turn_jobs();
             return None;
         }
+        DiskWork::ConfirmInstalled { to, mark } => {
+            let own = voter.held().set().mark();
+            let is_installed = voter.is_open() && own.0 == mark.0 && own >= mark && mark.0 > 0;
+            return is_installed.then_some(DiskDone::Installed { to, mark });
+        }
+        // It needs the whole disk: see `perform_on`.
+        DiskWork::BeginAnew(_) => return Some(DiskDone::BegunAnew(None)),
         DiskWork::Pull { to, mark, after } => {
             let page = page(voter, mark, after)?;
             return Some(DiskDone::Copy { to, page });
--- a/crates/council/src/installing.rs
+++ b/crates/council/src/installing.rs
@@ -25,7 +25,7 @@
             }
         }
         let own = &self.options;
-        sources.retain(|voter| voter.disk != own.disk && voter.address != own.address);
+        sources.retain(|voter| voter.disk != own.disk);
         sources
     }
 
@@ -47,7 +47,10 @@
         let pulled = self.pulled.get(&from.disk);
         let after = pulled.map(|copy| copy.after.clone()).unwrap_or_default();
         let mark = self.set.mark();
-        self.send(&from.address, CouncilMessage::Pull { mark, after });
+        let to = self.locate(from);
+        if to != self.options.address {
+            self.send(&to, CouncilMessage::Pull { mark, after });
+        }
     }
 
     /// Takes a part of a member's copy. Each part may be of its own time, as long as the member was
--- /dev/null
+++ b/crates/council/src/leaving.rs
@@ -0,0 +1,148 @@
+//! How a core whose place another took leaves the set and becomes a newcomer, within its life.
+
+use crate::council::{Council, KEYS};
+use crate::disk::DiskWork;
+use crate::message::CouncilMessage;
+use rand::Rng;
+use register::VoterSet;
+use std::collections::BTreeSet;
+
+/// Time between questions whether the members have installed the set.
+const ASK_AGAIN_MS: u64 = 250;
+/// Spans of patience for which a member that is heard may take to install the set.
+const INSTALL_SPANS: u64 = 4;
+
+/// Where a core stands with the set of voters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Membership {
+    /// No set is known yet.
+    Founding,
+    /// The voter is empty and has no place in the newest set.
+    Joining,
+    /// The newest set names the voter's disk, and the voter is still empty.
+    Installing,
+    /// The voter counts.
+    Voting,
+    /// The newest set names the voter's disk no more. It keeps its copy until the set is installed.
+    Leaving,
+    /// The disk is being emptied.
+    BeginningAnew,
+}
+
+/// How far a core is with leaving.
+#[derive(Clone, Debug)]
+pub(crate) struct Departure {
+    since: u64,
+    ask_at: u64,
+    /// Disks of members that said that they have durably installed the newest set.
+    installed: BTreeSet<u64>,
+    is_beginning_anew: bool,
+}
+
+impl Council {
+    /// Where this core stands with the set of voters.
+    pub fn membership(&self) -> Membership {
+        match (self.own_set.era > 0, self.is_named()) {
+            _ if self.is_beginning_anew() => Membership::BeginningAnew,
+            _ if self.set.era == 0 => Membership::Founding,
+            (true, true) => Membership::Voting,
+            (true, false) => Membership::Leaving,
+            (false, true) => Membership::Installing,
+            (false, false) => Membership::Joining,
+        }
+    }
+
+    pub(crate) fn is_beginning_anew(&self) -> bool {
+        let departure = self.departure.as_ref();
+        departure.is_some_and(|departure| departure.is_beginning_anew)
+    }
+
+    /// Keeps this core's copy until the newest set can do without it, and gives it up then.
+    pub(crate) fn tend_leaving(&mut self, now: u64) {
+        let departure = self.departure.get_or_insert_with(|| Departure {
+            since: now,
+            ask_at: now,
+            installed: BTreeSet::new(),
+            is_beginning_anew: false,
+        });
+        let wants_answers = now >= departure.ask_at;
+        if wants_answers {
+            departure.ask_at = now + ASK_AGAIN_MS;
+        }
+        if self.may_leave(now) {
+            return self.begin_anew();
+        }
+        if wants_answers {
+            self.ask_whether_installed();
+        }
+    }
+
+    fn ask_whether_installed(&mut self) {
+        let mark = self.set.mark();
+        for voter in self.set.voters.clone() {
+            let to = self.locate(&voter);
+            if to != self.options.address {
+                self.send(&to, CouncilMessage::WantInstalled { mark });
+            }
+        }
+    }
+
+    /// A member said that it durably is in the set of a mark.
+    pub(crate) fn on_installed(&mut self, disk: u64, mark: (u64, u64)) {
+        let is_current = mark == self.set.mark();
+        if let Some(departure) = self.departure.as_mut().filter(|_| is_current) {
+            departure.installed.insert(disk);
+        }
+    }
+
+    /// A majority must have installed the set, so that whatever was acknowledged is held by a member of
+    /// it. The others are left time beyond that, since a newcomer may need this copy to install.
+    fn may_leave(&self, now: u64) -> bool {
+        let Some(departure) = self.departure.as_ref() else {
+            return false;
+        };
+        let members = self.set.voters.iter();
+        let missing = members.filter(|voter| !departure.installed.contains(&voter.disk));
+        let missing: Vec<u64> = missing.map(|voter| voter.disk).collect();
+        let installed = self.set.voters.len() - missing.len();
+        let is_heard = self
+            .fresh(now)
+            .any(|(_, beat)| missing.contains(&beat.disk));
+        let spans = if is_heard { INSTALL_SPANS } else { 1 };
+        let is_long_ago = now >= departure.since + spans * self.options.patience_ms;
+        installed >= self.set.majority() && (missing.is_empty() || is_long_ago)
+    }
+
+    fn begin_anew(&mut self) {
+        log::warn!("council: another core took this one's place; it begins anew as a newcomer");
+        if let Some(departure) = self.departure.as_mut() {
+            departure.is_beginning_anew = true;
+        }
+        let identity = self.random.random();
+        self.work_on_set(DiskWork::BeginAnew(identity));
+    }
+
+    /// The disk was emptied: this core is another one from now on, which has voted for nothing. What it
+    /// knows of others, and which values are settled, stays true.
+    pub(crate) fn on_begun_anew(&mut self, now: u64, identity: Option<u64>) {
+        self.set_works = self.set_works.saturating_sub(1);
+        self.departure = None;
+        let Some(identity) = identity else {
+            return;
+        };
+        self.drop_claim(now);
+        self.options.disk = identity;
+        self.options.is_first_start = false;
+        self.life = self.random.random::<u64>() | 1;
+        self.own_set = VoterSet::default();
+        self.is_open = true;
+        self.held.clear();
+        self.unread = KEYS.into_iter().collect();
+        self.settle_at = now;
+        self.joining = voter::Joining::default();
+        self.place_at = now;
+        self.pulled.clear();
+        self.wants_beat = true;
+        log::info!("council: the disk is empty; this core asks for a place as a newcomer");
+    }
+}
--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -11,12 +11,14 @@
 mod duty;
 mod installing;
 mod job;
+mod leaving;
 mod membership;
 mod message;
 mod peer;
 
 pub use action::{CouncilAction, CouncilOptions};
 pub use council::{Council, CLOSURES_KEY, DESCRIPTION_KEY, DUTY_KEY, KEYS};
-pub use disk::{perform, DiskDone, DiskWork, HeldSummary, HeldValue, Installation};
+pub use disk::{perform, perform_on, DiskDone, DiskWork, HeldSummary, HeldValue, Installation};
 pub use duty::Tenure;
-pub use message::{Ack, Beat, CopyPage, CouncilMessage};
+pub use leaving::Membership;
+pub use message::{Ack, Beat, CopyPage, CouncilMessage, SetNews};
--- a/crates/council/src/membership.rs
+++ b/crates/council/src/membership.rs
@@ -2,7 +2,8 @@
 use crate::council::Council;
 use crate::disk::DiskWork;
 use crate::job::Purpose;
-use crate::message::{Beat, CouncilMessage};
+use crate::leaving::Membership;
+use crate::message::{Beat, CouncilMessage, SetNews};
 use register::{grown, Change, VoterRef, VoterSet, VOTERS_KEY};
 use speedy::Writable;
 use std::collections::BTreeSet;
@@ -24,7 +25,9 @@
         self.previous = follows.then_some(old);
         self.pulled.clear();
         self.pull_at = now;
-        self.left_since = None;
+        if !self.is_beginning_anew() {
+            self.departure = None;
+        }
         self.wants_beat = true;
         for voter in &set.voters {
             self.admit(&voter.address);
@@ -36,7 +39,7 @@
     /// Lets this core's own voter follow into the newest set.
     fn tend_adopting(&mut self) {
         let (own, set) = (&self.own_set, &self.set);
-        if !self.is_open || own.era != set.era || own.no >= set.no {
+        if !self.is_open || own.era == 0 || own.era != set.era || own.no >= set.no {
             return;
         }
         self.work_on_set(DiskWork::Adopt(self.set.clone()));
@@ -63,17 +66,32 @@
         if !self.is_open || self.set_works > 0 {
             return;
         }
-        if self.own_set.era > 0 {
-            self.tend_adopting();
-            return self.tend_leaving(now);
+        self.tend_adopting();
+        match self.membership() {
+            Membership::Founding => self.found(),
+            Membership::Joining => self.tend_place(now),
+            Membership::Installing => self.tend_installing(now),
+            Membership::Voting | Membership::BeginningAnew => {}
+            Membership::Leaving => self.tend_leaving(now),
         }
-        if self.set.era == 0 {
-            return self.found();
+    }
+
+    /// The newest set, and the one before it where that is known.
+    pub(crate) fn set_news(&self) -> SetNews {
+        SetNews {
+            set: self.set.clone(),
+            previous: self.previous.clone(),
         }
-        if self.is_named() {
-            return self.tend_installing(now);
+    }
+
+    pub(crate) fn on_set_news(&mut self, now: u64, news: SetNews) {
+        self.learn_set(now, &news.set);
+        if news.set.mark() != self.set.mark() || self.previous.is_some() {
+            return;
         }
-        self.tend_place(now);
+        let set = &self.set;
+        let follows = |old: &VoterSet| old.era == set.era && old.no + 1 == set.no;
+        self.previous = news.previous.filter(follows);
     }
 
     /// Forms the first set, where this core is the first seed and all seeds say that they are empty.
@@ -114,28 +132,6 @@
         is_founder.then_some(VoterRef { disk, address })
     }
 
-    /// Leaves the set for good once its other members vote without this core.
-    fn tend_leaving(&mut self, now: u64) {
-        if self.is_named() || self.has_left {
-            return;
-        }
-        let mark = self.set.mark();
-        let voters = self.set.voters.iter();
-        let voting = voters.filter(|voter| {
-            let mut fresh = self.fresh(now);
-            fresh.any(|(_, beat)| beat.disk == voter.disk && beat.mark == mark)
-        });
-        let voting = voting.count();
-        let since = *self.left_since.get_or_insert(now);
-        let is_long_ago = now >= since + self.options.patience_ms;
-        let is_whole = voting == self.set.voters.len();
-        if is_whole || (voting >= self.set.majority() && is_long_ago) {
-            log::warn!("council: another core took this one's place");
-            self.has_left = true;
-            self.actions.push(CouncilAction::Rejoin);
-        }
-    }
-
     /// Asks for a place in the set.
     fn tend_place(&mut self, now: u64) {
         let mark = self.set.mark();
@@ -197,9 +193,10 @@
     pub(crate) fn spread_set(&mut self) {
         let voters = self.set.voters.clone();
         for voter in voters {
-            if voter.address != self.options.address {
-                let message = CouncilMessage::Set(self.set.clone());
-                self.send(&voter.address, message);
+            let to = self.locate(&voter);
+            if to != self.options.address {
+                let message = CouncilMessage::Set(self.set_news());
+                self.send(&to, message);
             }
         }
     }
--- a/crates/council/src/message.rs
+++ b/crates/council/src/message.rs
@@ -24,6 +24,8 @@
     },
     /// A voter's answer.
     Answer {
+        /// Identity of the disk that the answer was given from.
+        disk: u64,
         /// Number of the question.
         number: u64,
         /// Whether the value is left out, since it is the one that the asker has.
@@ -34,9 +36,21 @@
     /// Tell the newest set.
     WantSet,
     /// The newest set that is known to be settled.
-    Set(VoterSet),
+    Set(SetNews),
     /// The first set, to a member that is still empty.
     Form(VoterSet),
+    /// Say so once the set of this mark, or a later one, is durable at the receiver's voter.
+    WantInstalled {
+        /// Mark of the set.
+        mark: (u64, u64),
+    },
+    /// A voter with all that it must hold is durably in a set.
+    Installed {
+        /// Identity of the voter's disk.
+        disk: u64,
+        /// Mark of the set.
+        mark: (u64, u64),
+    },
     /// Tell what is held after a key, under the set of this mark.
     Pull {
         /// Mark of the set.
@@ -64,6 +78,16 @@
     },
 }
 
+/// The newest set that a core knows to be settled.
+#[derive(Clone, Debug, PartialEq, Readable, Writable)]
+pub struct SetNews {
+    /// The set.
+    pub set: VoterSet,
+    /// The set before it, where that is known. Copies of a majority of its members are enough for a
+    /// newcomer.
+    pub previous: Option<VoterSet>,
+}
+
 /// A core's sign of life.
 #[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
 pub struct Beat {
--- a/crates/council/src/peer.rs
+++ b/crates/council/src/peer.rs
@@ -5,6 +5,8 @@
 pub(crate) struct Peer {
     pub heard_at: Option<u64>,
     pub beat: Beat,
+    /// The life before the present one; its messages may still be on the way.
+    pub former_life: Option<u64>,
     /// When this core last sent it a beat.
     pub told_at: Option<u64>,
 }
--- a/crates/council/tests/copies.rs
+++ b/crates/council/tests/copies.rs
@@ -124,7 +124,7 @@
     write(&mut world, 0);
     world.cuts.clear();
     world.run(1_000);
-    let voter = world.nodes[2].voter.as_ref().unwrap();
+    let voter = world.nodes[2].voter.as_ref().unwrap().voter();
     let held = voter.held().held(DESCRIPTION_KEY).unwrap();
     assert_eq!(held.stored.version, 1);
 }
@@ -178,7 +178,7 @@
     let mut world = started(7, 3);
     world.nodes[2].folder.suffer(Mishap::Full);
     write(&mut world, 0);
-    assert!(!world.nodes[2].voter.as_ref().unwrap().is_open());
+    assert!(!world.nodes[2].voter.as_ref().unwrap().voter().is_open());
     world.nodes[2].folder.suffer(Mishap::Room);
     world.reopen(2);
     world.kill(1);
--- a/crates/council/tests/world/mod.rs
+++ b/crates/council/tests/world/mod.rs
@@ -206,11 +206,6 @@
                         .won(self.now, term, place, self.nodes[place].life);
                 }
                 CouncilAction::DutyLost => {}
-                CouncilAction::Rejoin => {
-                    self.wipe(place);
-                    let delay = self.random.random_range(10..500);
-                    self.later(delay, Event::Boot(place));
-                }
             }
         }
     }
--- a/crates/council/tests/world/node.rs
+++ b/crates/council/tests/world/node.rs
@@ -1,10 +1,12 @@
 use super::{World, BEAT, LEASE, PATIENCE};
 use crate::world::Event;
-use council::{perform, Council, CouncilOptions, DiskDone, DiskWork, HeldSummary};
-use journal::MemoryFolder;
+use council::{perform_on, Council, CouncilOptions, DiskDone, DiskWork, HeldSummary};
+use journal::{Folder, MemoryFolder};
 use rand::rngs::StdRng;
 use rand::Rng;
-use voter::Voter;
+use register::VoterSet;
+use std::io;
+use voter::VoterDisk;
 
 /// A machine with a disk and a core on it.
 pub struct Node {
@@ -15,7 +17,7 @@
     pub life: u64,
     pub folder: MemoryFolder,
     pub council: Option<Council>,
-    pub voter: Option<Voter>,
+    pub voter: Option<VoterDisk>,
     pub works: Vec<DiskWork>,
     pub is_frozen: bool,
     pub is_gone: bool,
@@ -65,15 +67,31 @@
         let (Some(voter), Some(council)) = (self.voter.as_mut(), self.council.as_mut()) else {
             return;
         };
-        for done in perform(voter, works) {
+        for done in perform_on(voter, works) {
             council.on_disk(local, done);
         }
+        self.disk = voter.identity();
     }
 
     /// Mark of the set in which the core's voter is.
     pub fn mark(&self) -> (u64, u64) {
         let voter = self.voter.as_ref();
-        voter.map_or((0, 0), |voter| voter.held().set().mark())
+        voter.map_or((0, 0), |disk| disk.voter().held().set().mark())
+    }
+
+    /// The set in which the core's voter is.
+    pub fn voter_set(&self) -> Option<&VoterSet> {
+        let disk = self.voter.as_ref()?;
+        let set = disk.voter().held().set();
+        (set.era > 0).then_some(set)
+    }
+
+    fn open_disk(&mut self, fresh: u64) -> VoterDisk {
+        let folder = self.folder.clone();
+        let open_folder = move || -> io::Result<Box<dyn Folder>> { Ok(Box::new(folder.clone())) };
+        let disk = VoterDisk::open(Box::new(open_folder), fresh).unwrap();
+        self.disk = disk.identity();
+        disk
     }
 }
 
@@ -86,7 +104,7 @@
         let wanted = self.wanted;
         let node = &mut self.nodes[place];
         node.life += 1;
-        let voter = Voter::open(Box::new(node.folder.clone())).unwrap();
+        let voter = node.open_disk(node.disk);
         let options = CouncilOptions {
             name: node.address.clone(),
             address: node.address.clone(),
@@ -100,7 +118,7 @@
             voters_wanted: wanted,
         };
         let local = node.clock(now);
-        node.council = Some(Council::new(options, local, HeldSummary::of(&voter)));
+        node.council = Some(Council::new(options, local, HeldSummary::of(voter.voter())));
         node.voter = Some(voter);
         let life = node.life;
         self.later(0, Event::Tick(place, life));
@@ -109,9 +127,9 @@
     /// Opens a disk anew that had failed.
     pub fn reopen(&mut self, place: usize) {
         let node = &mut self.nodes[place];
-        let voter = Voter::reopen(Box::new(node.folder.clone())).unwrap();
-        let held = HeldSummary::of(&voter);
-        node.voter = Some(voter);
+        let disk = node.voter.as_mut().unwrap();
+        disk.reopen().unwrap();
+        let held = HeldSummary::of(disk.voter());
         let local = node.clock(self.now);
         if let Some(council) = node.council.as_mut() {
             council.on_disk(local, DiskDone::Held(held));
@@ -125,7 +143,7 @@
         let node = &mut self.nodes[place];
         let works = std::mem::take(&mut node.works);
         if let Some(voter) = node.voter.as_mut().filter(|_| is_done) {
-            perform(voter, works);
+            perform_on(voter, works);
         }
         node.council = None;
         node.voter = None;
--- a/crates/voter/src/keeper.rs
+++ b/crates/voter/src/keeper.rs
@@ -7,6 +7,8 @@
 /// Why a voter's disk could not be read.
 #[derive(Debug, PartialEq)]
 pub enum VoterError {
+    /// The data folder could not be used.
+    Folder,
     /// The journal could not be opened.
     Journal,
     /// Its records are not a voter's.
@@ -16,6 +18,7 @@
 impl fmt::Display for VoterError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
+            Self::Folder => "the data folder could not be used",
             Self::Journal => "the journal could not be opened",
             Self::Records => "the journal's records cannot be read",
         })
--- a/crates/voter/src/lib.rs
+++ b/crates/voter/src/lib.rs
@@ -4,7 +4,9 @@
 mod founding;
 mod joining;
 mod keeper;
+mod voter_disk;
 
 pub use founding::{agreed_wall, FoundStep, Founding, FrontsHold, HeardCore};
 pub use joining::{JoinStep, Joining};
 pub use keeper::{Installing, Voter, VoterError};
+pub use voter_disk::{OpenFolder, VoterDisk};
