--- /dev/null
+++ b/crates/council/tests/world/machines.rs
@@ -0,0 +1,91 @@
+//! Machines that come and go, and what is seen of the sets of voters on the way.
+
+use super::{Event, World};
+use council::{CouncilMessage, DESCRIPTION_KEY};
+use register::{VoterAsk, VoterSet, VOTERS_KEY};
+
+impl World {
+    /// Cuts a core from all others.
+    pub fn isolate(&mut self, place: usize) {
+        for other in 0..self.nodes.len() {
+            if other != place {
+                self.part(place, other);
+            }
+        }
+    }
+
+    /// Joins a core with all others again.
+    pub fn rejoin(&mut self, place: usize) {
+        for other in 0..self.nodes.len() {
+            self.join(place, other);
+        }
+    }
+
+    /// Takes a machine away for good.
+    pub fn lose(&mut self, place: usize) {
+        self.kill(place);
+        self.nodes[place].is_gone = true;
+    }
+
+    /// Adds an empty machine that may join.
+    pub fn add_newcomer(&mut self) -> usize {
+        let seeds = (0..self.nodes.len().min(3)).map(|place| format!("at-{place}"));
+        self.add(seeds.collect(), false)
+    }
+
+    /// Takes a machine away, and puts its disk into another one at a new address.
+    pub fn move_disk(&mut self, place: usize) -> usize {
+        self.lose(place);
+        let newcomer = self.add_newcomer();
+        self.nodes[newcomer].folder = self.nodes[place].folder.clone();
+        newcomer
+    }
+
+    /// Brings back a machine with the disk that it had when it was taken away.
+    pub fn bring_back(&mut self, place: usize) {
+        self.nodes[place].is_gone = false;
+        self.later(0, Event::Boot(place));
+    }
+
+    /// The newest set that any core knows.
+    pub fn newest_set(&self) -> VoterSet {
+        let councils = self.nodes.iter().filter_map(|node| node.council.as_ref());
+        let sets = councils.map(|council| council.set().clone());
+        sets.max_by_key(VoterSet::mark).unwrap_or_default()
+    }
+
+    /// Writes the next version at one core, and fails where that is not acknowledged in time.
+    pub fn must_write(&mut self, place: usize) {
+        let newest = self.oracle.newest(DESCRIPTION_KEY);
+        for _ in 0..20 {
+            self.change(place, DESCRIPTION_KEY, true);
+            self.run(200);
+            if self.oracle.newest(DESCRIPTION_KEY) > newest {
+                return;
+            }
+        }
+        panic!("at {} core {place} writes nothing", self.now);
+    }
+
+    /// Reads the newest version at one core, and fails where that does not succeed in time.
+    pub fn must_read(&mut self, place: usize) {
+        for _ in 0..20 {
+            let reads = self.oracle.reads;
+            self.change(place, DESCRIPTION_KEY, false);
+            self.run(200);
+            if self.oracle.reads > reads {
+                return;
+            }
+        }
+        panic!("at {} core {place} reads nothing", self.now);
+    }
+
+    pub fn note_proposal(&mut self, from: usize, message: &CouncilMessage) {
+        let CouncilMessage::Ask { message, .. } = message else {
+            return;
+        };
+        if matches!(&message.ask, VoterAsk::Promise { key, .. } if key == VOTERS_KEY) {
+            self.set_proposals.push((self.now, from));
+        }
+    }
+}
--- a/crates/council/tests/world/mod.rs
+++ b/crates/council/tests/world/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod faults;
 mod links;
+mod machines;
 mod node;
 mod oracle;
 
@@ -47,6 +48,8 @@
     pub is_writing: bool,
     pub sent: u64,
     pub bytes: u64,
+    /// Cores that asked for another set of voters, and when.
+    pub set_proposals: Vec<(u64, usize)>,
     events: BTreeMap<u64, Event>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     number: u64,
@@ -66,6 +69,7 @@
             is_writing: true,
             sent: 0,
             bytes: 0,
+            set_proposals: Vec::new(),
             events: BTreeMap::new(),
             queue: BinaryHeap::new(),
             number: 0,
@@ -214,6 +218,7 @@
         let Some(place) = self.nodes.iter().position(|node| node.address == to) else {
             return;
         };
+        self.note_proposal(from, &message);
         self.sent += 1;
         self.bytes += size(&message) as u64;
         let is_lost = self.random.random_bool(self.loss);
--- a/crates/council/tests/world/oracle.rs
+++ b/crates/council/tests/world/oracle.rs
@@ -10,6 +10,29 @@
     floor: u64,
 }
 
+/// No two sets of voters may have a majority at one time.
+fn look_at_sets(now: u64, nodes: &[Node]) {
+    let mut voting: BTreeMap<(u64, u64), usize> = BTreeMap::new();
+    let mut quorate: Vec<(u64, u64)> = Vec::new();
+    for node in nodes {
+        let Some(set) = node.voter_set() else {
+            continue;
+        };
+        if !set.voters.iter().any(|voter| voter.disk == node.disk) {
+            continue;
+        }
+        let count = voting.entry(set.mark()).or_default();
+        *count += 1;
+        if *count == set.majority() {
+            quorate.push(set.mark());
+        }
+    }
+    assert!(
+        quorate.len() <= 1,
+        "at {now} several sets have a majority: {quorate:?}"
+    );
+}
+
 /// Knows what was promised, and cries where it is not kept.
 #[derive(Default)]
 pub struct Oracle {
@@ -93,6 +116,7 @@
             .map(|node| (node.address.as_str(), node.term(now)))
             .collect();
         assert!(holders.len() <= 1, "at {now} several hold: {holders:?}");
+        look_at_sets(now, nodes);
     }
 
     pub fn newest(&self, key: &str) -> u64 {
