--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -63,6 +63,8 @@
     pub(crate) pulled: BTreeMap<u64, Pulled>,
     pub(crate) pull_at: u64,
     pub(crate) departure: Option<Departure>,
+    /// Since when a member that is heard has not installed the newest set.
+    pub(crate) pending_since: Option<u64>,
 }
 
 impl Council {
@@ -103,6 +105,7 @@
             pulled: BTreeMap::new(),
             pull_at: now,
             departure: None,
+            pending_since: None,
             random,
             options,
         };
--- a/crates/council/src/membership.rs
+++ b/crates/council/src/membership.rs
@@ -1,10 +1,10 @@
 use crate::action::CouncilAction;
 use crate::council::Council;
 use crate::disk::DiskWork;
-use crate::job::Purpose;
+use crate::job::{Job, Purpose};
 use crate::leaving::Membership;
 use crate::message::{Beat, CouncilMessage, SetNews};
-use register::{grown, Change, VoterRef, VoterSet, VOTERS_KEY};
+use register::{grown, relocated, Change, VoterRef, VoterSet, VOTERS_KEY};
 use speedy::Writable;
 use std::collections::BTreeSet;
 use voter::{JoinStep, Joining};
@@ -25,6 +25,7 @@
         self.previous = follows.then_some(old);
         self.pulled.clear();
         self.pull_at = now;
+        self.pending_since = None;
         if !self.is_beginning_anew() {
             self.departure = None;
         }
@@ -71,7 +72,8 @@
             Membership::Founding => self.found(),
             Membership::Joining => self.tend_place(now),
             Membership::Installing => self.tend_installing(now),
-            Membership::Voting | Membership::BeginningAnew => {}
+            Membership::Voting => self.tend_relocating(now),
+            Membership::BeginningAnew => {}
             Membership::Leaving => self.tend_leaving(now),
         }
     }
@@ -146,7 +148,7 @@
             self.joining = Joining::default();
             return;
         }
-        if now < self.place_at || self.jobs.values().any(|job| job.purpose == Purpose::Place) {
+        if !self.may_propose_set(now) {
             return;
         }
         let me = VoterRef {
@@ -176,11 +178,53 @@
             return;
         };
         log::info!("council: asks for a place in set {:?}", next.mark());
+        self.propose_set(now, &next);
+    }
+
+    /// Asks the members to take the set that follows theirs. It settles at a majority of voters that
+    /// are durably in the present one, and only where none other follows yet.
+    fn propose_set(&mut self, now: u64, next: &VoterSet) {
         let bytes = next.write_to_vec().unwrap_or_default();
+        let expected = self.set.no - 1;
         let change = Change::Write { expected, bytes };
         self.propose(now, Purpose::Place, VOTERS_KEY, change);
     }
 
+    /// Whether this core may ask for another set now.
+    fn may_propose_set(&mut self, now: u64) -> bool {
+        let is_asking = |job: &Job| job.purpose == Purpose::Place;
+        !self.is_change_pending(now) && now >= self.place_at && !self.jobs.values().any(is_asking)
+    }
+
+    /// Tells the set where this member is reached, after its disk was moved to another address.
+    fn tend_relocating(&mut self, now: u64) {
+        let (disk, address) = (self.options.disk, self.options.address.clone());
+        let Some(next) = relocated(&self.set, disk, &address) else {
+            return;
+        };
+        if self.may_propose_set(now) {
+            log::info!(
+                "council: is reached at {address} from set {:?} on",
+                next.mark()
+            );
+            self.propose_set(now, &next);
+        }
+    }
+
+    /// Whether a member that is heard has not installed the newest set yet. The next change leaves it
+    /// time, so that one copy is missing at most; a member that never gets there must not block repair.
+    fn is_change_pending(&mut self, now: u64) -> bool {
+        let mark = self.set.mark();
+        let members: Vec<u64> = self.set.voters.iter().map(|voter| voter.disk).collect();
+        let is_pending = |beat: &Beat| members.contains(&beat.disk) && beat.mark != mark;
+        if !self.fresh(now).any(|(_, beat)| is_pending(beat)) {
+            self.pending_since = None;
+            return false;
+        }
+        let since = *self.pending_since.get_or_insert(now);
+        now < since + self.options.patience_ms
+    }
+
     /// An odd set grows only where another newcomer follows: an even one tolerates no more losses.
     fn may_grow(&self, voting: &[&Beat]) -> bool {
         let count = self.set.voters.len();
--- a/crates/council/tests/world/machines.rs
+++ b/crates/council/tests/world/machines.rs
@@ -36,6 +36,7 @@
     /// Takes a machine away, and puts its disk into another one at a new address.
     pub fn move_disk(&mut self, place: usize) -> usize {
         self.lose(place);
+        self.moved.insert(place);
         let newcomer = self.add_newcomer();
         self.nodes[newcomer].folder = self.nodes[place].folder.clone();
         newcomer
@@ -47,6 +48,18 @@
         self.later(0, Event::Boot(place));
     }
 
+    /// Whether a core that holds nothing has nobody to ask, since all its seeds are gone.
+    pub fn is_lost(&self, place: usize) -> bool {
+        let node = &self.nodes[place];
+        let is_live = |seed: &String| {
+            let mut nodes = self.nodes.iter();
+            nodes.any(|other| {
+                other.address == *seed && !other.is_gone && other.address != node.address
+            })
+        };
+        node.mark() == (0, 0) && !node.seeds.iter().any(is_live)
+    }
+
     /// The newest set that any core knows.
     pub fn newest_set(&self) -> VoterSet {
         let councils = self.nodes.iter().filter_map(|node| node.council.as_ref());
@@ -54,6 +67,23 @@
         sets.max_by_key(VoterSet::mark).unwrap_or_default()
     }
 
+    /// The newest set, and where each core stands with it.
+    pub fn describe(&self) -> String {
+        let mut text = format!("{:?}", self.newest_set());
+        for node in &self.nodes {
+            let reason = node.council.as_ref().map(|council| council.reason());
+            let reason = reason.unwrap_or_else(|| format!("down, gone {}", node.is_gone));
+            let line = format!(
+                "\n{} disk {} {:?}: {reason}",
+                node.address,
+                node.disk,
+                node.mark()
+            );
+            text.push_str(&line);
+        }
+        text
+    }
+
     /// Writes the next version at one core, and fails where that is not acknowledged in time.
     pub fn must_write(&mut self, place: usize) {
         let newest = self.oracle.newest(DESCRIPTION_KEY);
--- a/crates/council/tests/world/mod.rs
+++ b/crates/council/tests/world/mod.rs
@@ -50,6 +50,8 @@
     pub bytes: u64,
     /// Cores that asked for another set of voters, and when.
     pub set_proposals: Vec<(u64, usize)>,
+    /// Machines whose disks were carried over to others.
+    pub moved: BTreeSet<usize>,
     events: BTreeMap<u64, Event>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     number: u64,
@@ -70,6 +72,7 @@
             sent: 0,
             bytes: 0,
             set_proposals: Vec::new(),
+            moved: BTreeSet::new(),
             events: BTreeMap::new(),
             queue: BinaryHeap::new(),
             number: 0,
--- a/crates/register/src/changing.rs
+++ b/crates/register/src/changing.rs
@@ -20,6 +20,19 @@
     Some(next)
 }
 
+/// The set that follows when a member is reached at another address.
+pub fn relocated(set: &VoterSet, disk: u64, address: &str) -> Option<VoterSet> {
+    let mut next = set.clone();
+    next.no += 1;
+    let mut members = next.voters.iter_mut();
+    let member = members.find(|voter| voter.disk == disk)?;
+    if member.address == address {
+        return None;
+    }
+    member.address = address.to_string();
+    Some(next)
+}
+
 /// What a newcomer must hold, from the copies of a majority of the others: for each key the newest
 /// accepted value and the highest promise.
 pub fn merged(copies: Vec<Vec<(String, Held)>>) -> Vec<(String, Held)> {
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -10,7 +10,7 @@
 mod round;
 
 pub use acceptor::{Acceptor, Held, Record, KEYS_MAX};
-pub use changing::{grown, merged, replaced, VOTERS_KEY};
+pub use changing::{grown, merged, relocated, replaced, VOTERS_KEY};
 pub use client::{RegisterClient, VoterPort};
 pub use jobs::{is_job, JOB_PREFIX};
 pub use message::{Ballot, Stored, VoterAsk, VoterMessage, VoterRef, VoterReply, VoterSet};
