--- /dev/null
+++ b/crates/council/tests/durable.rs
@@ -0,0 +1,112 @@
+//! What a core says of its voter's set is durable: a set that its disk has not taken is not passed on.
+
+#[allow(dead_code)]
+mod world;
+
+use council::{
+    perform_on, Beat, CouncilAction, CouncilMessage, DiskDone, DiskWork, Membership, SetNews,
+};
+use journal::{Folder, MemoryFolder, Mishap};
+use register::{replaced, VoterRef, VoterSet};
+use std::io;
+use voter::VoterDisk;
+use world::World;
+
+const FIRST: (u64, u64) = (1, 1);
+const SECOND: (u64, u64) = (1, 2);
+
+fn set(no: u64) -> VoterSet {
+    let voter = |disk: u64| VoterRef {
+        disk,
+        address: format!("at-{disk}"),
+    };
+    VoterSet {
+        era: 1,
+        no,
+        voters: (1..=3).map(voter).collect(),
+    }
+}
+
+fn opened(folder: &MemoryFolder) -> VoterDisk {
+    let folder = folder.clone();
+    let open_folder = move || -> io::Result<Box<dyn Folder>> { Ok(Box::new(folder.clone())) };
+    VoterDisk::open(Box::new(open_folder), 1).unwrap()
+}
+
+fn confirm(mark: (u64, u64)) -> DiskWork {
+    let to = "at-3".to_string();
+    DiskWork::ConfirmInstalled { to, mark }
+}
+
+fn is_confirmed(dones: &[DiskDone]) -> bool {
+    let is_installed = |done: &DiskDone| matches!(done, DiskDone::Installed { .. });
+    dones.iter().any(is_installed)
+}
+
+#[test]
+fn a_set_is_confirmed_once_it_is_synced_and_not_before() {
+    let folder = MemoryFolder::default();
+    let mut disk = opened(&folder);
+    assert!(!is_confirmed(&perform_on(&mut disk, vec![confirm(FIRST)])));
+    let form = DiskWork::Form(set(1));
+    assert!(is_confirmed(&perform_on(
+        &mut disk,
+        vec![form, confirm(FIRST)]
+    )));
+    assert!(!is_confirmed(&perform_on(&mut disk, vec![confirm(SECOND)])));
+    assert!(!is_confirmed(&perform_on(&mut disk, vec![confirm((2, 1))])));
+    folder.suffer(Mishap::Full);
+    let adopt = DiskWork::Adopt(set(2));
+    assert!(!is_confirmed(&perform_on(
+        &mut disk,
+        vec![adopt, confirm(SECOND)]
+    )));
+    folder.suffer(Mishap::Room);
+    disk.reopen().unwrap();
+    assert!(!is_confirmed(&perform_on(&mut disk, vec![confirm(SECOND)])));
+    let adopt = DiskWork::Adopt(set(2));
+    perform_on(&mut disk, vec![adopt]);
+    assert!(is_confirmed(&perform_on(&mut disk, vec![confirm(FIRST)])));
+    assert!(is_confirmed(&perform_on(&mut disk, vec![confirm(SECOND)])));
+}
+
+#[test]
+fn a_heartbeat_tells_no_set_that_a_failed_disk_took_in_memory_alone() {
+    let mut world = World::first_start(4, 3, 3);
+    world.is_writing = false;
+    world.run(1_500);
+    world.isolate(0);
+    world.nodes[0].folder.suffer(Mishap::Full);
+    let newcomer = VoterRef {
+        disk: 77,
+        address: "at-9".into(),
+    };
+    let next = replaced(&world.newest_set(), world.nodes[2].disk, newcomer).unwrap();
+    let news = SetNews {
+        set: next,
+        previous: None,
+    };
+    let local = world.nodes[0].clock(world.now);
+    let council = world.nodes[0].council.as_mut().unwrap();
+    council.on_message(local, "at-1", CouncilMessage::Set(news));
+    world.drain(0);
+    world.run(500);
+    let local = world.nodes[0].clock(world.now) + 500;
+    let council = world.nodes[0].council.as_mut().unwrap();
+    assert_eq!(council.set().mark(), SECOND);
+    council.tick(local);
+    let beats: Vec<Beat> = council.actions().into_iter().filter_map(beat).collect();
+    assert!(!beats.is_empty());
+    assert!(beats.iter().all(|beat| beat.mark == FIRST), "{beats:?}");
+    assert_eq!(council.membership(), Membership::Voting);
+}
+
+fn beat(action: CouncilAction) -> Option<Beat> {
+    match action {
+        CouncilAction::Send {
+            message: CouncilMessage::Beat(beat),
+            ..
+        } => Some(beat),
+        _ => None,
+    }
+}
--- a/crates/council/tests/membership.rs
+++ b/crates/council/tests/membership.rs
@@ -336,3 +336,21 @@
         world.must_write(3);
     }
 }
+
+#[test]
+fn a_leaving_member_waits_for_a_newcomer_that_is_heard_and_has_not_installed_yet() {
+    for seed in SEEDS {
+        let (mut world, newcomer) = replaced_holder(seed);
+        world.nodes[newcomer].folder.suffer(Mishap::Full);
+        world.cuts.clear();
+        world.run(2 * PATIENCE);
+        assert_eq!(membership(&world, 2), Membership::Leaving, "seed {seed}");
+        world.lose(0);
+        world.nodes[newcomer].folder.suffer(Mishap::Room);
+        world.reopen(newcomer);
+        let took = world.until(3_000, |world| world.nodes[newcomer].mark() >= (1, 2));
+        assert!(took.is_some(), "seed {seed}: the newcomer installs nothing");
+        world.must_read(newcomer);
+        world.must_write(1);
+    }
+}
