--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -34,8 +34,6 @@
     pub roles: HashMap<LineId, Role>,
     pub council: Council,
     pub disk: Disk,
-    /// Random id made with the disk.
-    identity: u64,
     pub cores: CoreLinks,
     pub fronts: Fronts,
     pub changes: Changes,
@@ -117,16 +115,15 @@
         let operators = listen(options.operators, OPERATOR_INBOX)?;
         let fronts = listen(options.fronts, LINK_INBOX)?;
         let council_hatch = listen(options.council, LINK_INBOX)?;
-        let identity = disk::identity(&options.data).map_err(ControllerError::Data)?;
-        let voter = disk::open(&options.data, identity);
-        let held = council::HeldSummary::of(&voter);
+        let voter_disk = disk::open(&options.data).map_err(ControllerError::Data)?;
+        let held = council::HeldSummary::of(voter_disk.voter());
         let council = Council::new(
             CouncilOptions {
                 name: options.name.clone(),
                 address: options.council.to_string(),
                 seeds: options.seeds.iter().map(ToString::to_string).collect(),
                 is_first_start: options.is_first_start,
-                disk: identity,
+                disk: voter_disk.identity(),
                 lease_ms: options.lease_ms(),
                 beat_ms: options.beat_ms(),
                 patience_ms: options.sync_ms * 3 / 5,
@@ -137,7 +134,7 @@
             held,
         );
         let waker = courier.waker().map_err(ControllerError::System)?;
-        let disk = Disk::start(voter, options.data.clone(), identity, waker);
+        let disk = Disk::start(voter_disk, waker);
         Ok(Self {
             cores: CoreLinks::new(options.council.to_string()),
             fronts: Fronts::default(),
@@ -153,7 +150,6 @@
             roles: HashMap::new(),
             council,
             disk,
-            identity,
             now: 0,
             began: Instant::now(),
             ticked_at: 0,
@@ -224,13 +220,6 @@
                         log::info!("controller: scales under term {term}");
                     }
                     CouncilAction::DutyLost => log::info!("controller: scales no more"),
-                    CouncilAction::Rejoin => {
-                        log::warn!("controller: this core was replaced; it comes back empty");
-                        if let Err(reason) = disk::empty(&self.options.data, self.identity) {
-                            log::error!("controller: the old journal stays: {reason}");
-                        }
-                        std::process::exit(1);
-                    }
                 }
             }
             self.take_settled();
--- a/crates/council/src/installing.rs
+++ b/crates/council/src/installing.rs
@@ -5,6 +5,9 @@
 
 /// Time after which a part of a copy is asked for again the first time; it doubles with each time.
 const PULL_AGAIN: u64 = 250;
+/// Time of silence after which nothing is taken to be on its way from a member. Behind a slow line a sign of
+/// life may wait for a part that is on its way.
+const SOURCE_SILENT_MS: u64 = 2_000;
 /// How often it doubles.
 const PULL_DOUBLINGS: u32 = 4;
 
@@ -38,7 +41,7 @@
             }
         }
         let own = &self.options;
-        sources.retain(|voter| voter.disk != own.disk && voter.address != own.address);
+        sources.retain(|voter| voter.disk != own.disk);
         sources
     }
 
@@ -49,7 +52,14 @@
         }
         self.pull_at = now + PULL_AGAIN;
         for source in self.sources() {
+            let peer = self.peers.get(&self.locate(&source));
+            let is_heard = peer.is_some_and(|peer| peer.is_fresh(now, SOURCE_SILENT_MS));
             let copy = self.pulled.entry(source.disk).or_default();
+            if !is_heard {
+                // Nothing is on its way from there: once it is heard again it is asked at once.
+                copy.repeats = 0;
+                copy.asked_at = None;
+            }
             if copy.is_due(now) {
                 copy.repeats += u32::from(copy.asked_at.is_some());
                 self.pull(now, &source);
@@ -62,7 +72,10 @@
         pulled.asked_at = Some(now);
         let after = pulled.after.clone();
         let mark = self.set.mark();
-        self.send(&from.address, CouncilMessage::Pull { mark, after });
+        let to = self.locate(from);
+        if to != self.options.address {
+            self.send(&to, CouncilMessage::Pull { mark, after });
+        }
     }
 
     /// Takes a part of a member's copy. Each part may be of its own time, as long as the member was
--- a/crates/voter/src/keeper.rs
+++ b/crates/voter/src/keeper.rs
@@ -9,6 +9,12 @@
 /// Why a voter's disk could not be read.
 #[derive(Debug, PartialEq)]
 pub enum VoterError {
+    /// The data folder could not be used.
+    Folder,
+    /// The identity could not be read.
+    Identity,
+    /// The identity is damaged, and journals of several identities lie beside it.
+    SeveralIdentities,
     /// The journal could not be opened.
     Journal,
     /// Its records are not a voter's.
@@ -18,6 +24,11 @@
 impl fmt::Display for VoterError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
+            Self::Folder => "the data folder could not be used",
+            Self::Identity => "the identity cannot be read",
+            Self::SeveralIdentities => {
+                "the identity is damaged, and several journals lie beside it"
+            }
             Self::Journal => "the journal could not be opened",
             Self::Records => "the journal's records cannot be read",
         })
