--- a/crates/council/tests/durable.rs
+++ b/crates/council/tests/durable.rs
@@ -110,3 +110,22 @@
         _ => None,
     }
 }
+
+#[test]
+fn a_copy_is_given_under_the_set_that_it_is_asked_for_and_under_no_other() {
+    let folder = MemoryFolder::default();
+    let mut disk = opened(&folder);
+    let pull = |mark| DiskWork::Pull {
+        to: "at-3".into(),
+        mark,
+        after: String::new(),
+    };
+    let is_given = |dones: &[DiskDone]| {
+        let is_copy = |done: &DiskDone| matches!(done, DiskDone::Copy { .. });
+        dones.iter().any(is_copy)
+    };
+    assert!(!is_given(&perform_on(&mut disk, vec![pull((0, 0))])));
+    perform_on(&mut disk, vec![DiskWork::Form(set(1))]);
+    assert!(!is_given(&perform_on(&mut disk, vec![pull(SECOND)])));
+    assert!(is_given(&perform_on(&mut disk, vec![pull(FIRST)])));
+}
