--- /dev/null
+++ b/crates/orders/src/order.rs
@@ -0,0 +1,70 @@
+//! What an operator asks for, as far as decisions need it.
+
+/// What an order asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Read the newest configuration.
+    Read,
+    /// Put a whole configuration in place.
+    Replace,
+    /// Change named items of the configuration.
+    Update,
+    /// Send nothing more to the runners of a zone.
+    BeginEvacuation(String),
+    /// Take the evacuation of a zone back.
+    FinishEvacuation(String),
+}
+
+/// The version that a configuration order builds on, as the operator told it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BaseVersion {
+    /// Exactly one readable number.
+    Told(u64),
+    /// It was not told.
+    Missing,
+    /// It was told more than once.
+    Repeated,
+    /// It is not a whole number in decimal digits, or too large.
+    Malformed,
+}
+
+impl BaseVersion {
+    /// Reads the values of the header field that carries it.
+    pub fn read<'a>(values: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut values = values.into_iter();
+        let Some(value) = values.next() else {
+            return Self::Missing;
+        };
+        if values.next().is_some() {
+            return Self::Repeated;
+        }
+        let value = value.trim_ascii();
+        let is_decimal = value.iter().all(u8::is_ascii_digit);
+        let text = std::str::from_utf8(value).ok().filter(|_| is_decimal);
+        let number = text.and_then(|text| text.parse().ok());
+        number.map_or(Self::Malformed, Self::Told)
+    }
+}
+
+/// One order of an operator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// What it asks for.
+    pub kind: OrderKind,
+    /// The version that it builds on; of no meaning for reads and evacuations.
+    pub base: BaseVersion,
+    /// The version that its body bears, where that can be read.
+    pub version: Option<u64>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl Order {
+    /// Whether the order is about the evacuations' register and not about the configuration's.
+    pub fn is_evacuation(&self) -> bool {
+        matches!(
+            self.kind,
+            OrderKind::BeginEvacuation(_) | OrderKind::FinishEvacuation(_)
+        )
+    }
+}
--- /dev/null
+++ b/crates/orders/tests/town/documents.rs
@@ -0,0 +1,75 @@
+//! A small document format: named numbers, of which none may be zero.
+
+use binding::{Description, Documents, Fault};
+use serde_json::{json, Map, Value};
+
+/// Item that holds the number of the order that a document came from.
+pub const ORDER: &str = "order";
+const VERSION: &str = "version";
+const ITEMS: &str = "items";
+const DROPPED: &str = "dropped";
+
+/// Reader of the format.
+pub struct TownDocuments;
+
+fn parse(bytes: &[u8]) -> Result<Map<String, Value>, Fault> {
+    serde_json::from_slice(bytes).map_err(|error| Fault::Unreadable(error.to_string()))
+}
+
+fn items_of(document: &mut Map<String, Value>) -> Result<&mut Map<String, Value>, Fault> {
+    let items = document.get_mut(ITEMS).and_then(Value::as_object_mut);
+    items.ok_or_else(|| Fault::Invalid("there are no items".into()))
+}
+
+impl Documents for TownDocuments {
+    fn read(&self, document: &[u8]) -> Result<Description, Fault> {
+        let mut document = parse(document)?;
+        if items_of(&mut document)?.values().any(|value| *value == 0) {
+            return Err(Fault::Invalid("an item is zero".into()));
+        }
+        Ok(Description::default())
+    }
+
+    fn amend(&self, _: &Description, change: &[u8]) -> Result<Description, Fault> {
+        self.read(change)
+    }
+
+    fn change(&self, document: &[u8], change: &[u8]) -> Result<Vec<u8>, Fault> {
+        let mut document = parse(document)?;
+        let mut change = parse(change)?;
+        let items = items_of(&mut document)?;
+        items.append(items_of(&mut change)?);
+        if let Some(dropped) = change.get(DROPPED).and_then(Value::as_str) {
+            if items.remove(dropped).is_none() {
+                return Err(Fault::Invalid("there is no such item".into()));
+            }
+        }
+        document.insert(VERSION.into(), change[VERSION].clone());
+        Ok(Value::Object(document).to_string().into_bytes())
+    }
+}
+
+/// A body that sets the order's number and one more item.
+pub fn body(version: u64, order: u64, item: &str, value: u64) -> Vec<u8> {
+    json!({ VERSION: version, ITEMS: { ORDER: order, item: value } })
+        .to_string()
+        .into_bytes()
+}
+
+/// A change that drops an item which may not be there.
+pub fn dropping_body(version: u64, order: u64, item: &str) -> Vec<u8> {
+    json!({ VERSION: version, ITEMS: { ORDER: order }, DROPPED: item })
+        .to_string()
+        .into_bytes()
+}
+
+/// The version that a body or document bears.
+pub fn version_of(document: &[u8]) -> Option<u64> {
+    parse(document).ok()?.get(VERSION)?.as_u64()
+}
+
+/// The number of the order that a document came from.
+pub fn order_of(document: &[u8]) -> Option<u64> {
+    let mut document = parse(document).ok()?;
+    items_of(&mut document).ok()?.get(ORDER)?.as_u64()
+}
--- /dev/null
+++ b/crates/orders/tests/town/faults.rs
@@ -0,0 +1,53 @@
+//! Troubles of members and voters.
+
+use super::members::Member;
+use super::{Town, CONFIGURATION, EVACUATIONS};
+use rand::Rng;
+use register::{Acceptor, Held};
+
+impl Town {
+    pub fn befall(&mut self) {
+        match self.random.random_range(0..400) {
+            0..=2 => self.restart_member(),
+            3 => self.replace_voter(),
+            4 => self.settings.loss = [0.0, 0.05, 0.3][self.random.random_range(0..3)],
+            _ => {}
+        }
+    }
+
+    /// A member forgets all that it works on; its callers hear nothing more.
+    fn restart_member(&mut self) {
+        let place = self.random.random_range(0..self.members.len());
+        self.last_life += 1;
+        self.members[place] = Member::new(self.last_life);
+    }
+
+    /// A voter loses its disk. The next set is installed with all that the other two hold.
+    fn replace_voter(&mut self) {
+        let place = self.random.random_range(0..self.voters.len());
+        let mut set = self.set.clone();
+        set.no += 1;
+        set.voters[place].disk = 1_000 + set.no;
+        let others = (0..self.voters.len()).filter(|other| *other != place);
+        let others: Vec<usize> = others.collect();
+        let keys = [CONFIGURATION, EVACUATIONS].into_iter().filter_map(|key| {
+            let held = others
+                .iter()
+                .filter_map(|other| self.voters[*other].held(key));
+            let newest = held.max_by_key(|held| held.accepted)?;
+            let newest = Held {
+                promised: newest.accepted,
+                ..newest.clone()
+            };
+            Some((key.to_string(), newest))
+        });
+        let mut replacement = Acceptor::default();
+        replacement.install(set.clone(), (0, 0), keys.collect());
+        for other in others {
+            self.voters[other].adopt(set.clone());
+        }
+        self.voters[place] = replacement;
+        self.set = set;
+        self.oracle.look(&self.voters);
+    }
+}
--- /dev/null
+++ b/crates/orders/tests/town/members.rs
@@ -0,0 +1,210 @@
+//! Members: each executes orders over rounds of the register.
+
+use super::documents::{version_of, TownDocuments};
+use super::{Copy, Parcel, Town, CONFIGURATION, EVACUATIONS};
+use orders::{Execution, Reply, Step};
+use rand::Rng;
+use register::{
+    Ballot, Change, Outcome, Proposal, ProposalStep, VoterAsk, VoterMessage, VoterReply,
+};
+use std::collections::BTreeMap;
+
+/// Steps after which a round that has not ended is given up.
+const ROUND_STEPS: u64 = 40;
+
+pub struct Running {
+    copy: Copy,
+    execution: Execution,
+    proposal: Proposal,
+    ask: u64,
+    began_at: u64,
+    /// Set of voters that the round was begun under; it ends with it.
+    mark: (u64, u64),
+}
+
+pub struct Member {
+    pub life: u64,
+    counter: u64,
+    last_ask: u64,
+    pub running: BTreeMap<u64, Running>,
+}
+
+impl Member {
+    pub fn new(life: u64) -> Self {
+        Self {
+            life,
+            counter: 0,
+            last_ask: 0,
+            running: BTreeMap::new(),
+        }
+    }
+
+    fn next_ballot(&mut self, above: Ballot) -> Ballot {
+        self.counter = self.counter.max(above.counter) + 1;
+        Ballot {
+            counter: self.counter,
+            proposer: self.life,
+        }
+    }
+}
+
+fn key_of(execution: &Execution) -> &'static str {
+    if execution.order().is_evacuation() {
+        EVACUATIONS
+    } else {
+        CONFIGURATION
+    }
+}
+
+impl Town {
+    pub fn take_order(&mut self, member: usize, copy: Copy) {
+        let order = self.oracle.order(copy.order).clone();
+        assert!(order.version == version_of(&order.body));
+        self.propose(member, copy, Execution::new(order), Change::Read);
+    }
+
+    fn propose(&mut self, member: usize, copy: Copy, execution: Execution, change: Change) {
+        let tag = self.random.random::<u64>() | 1;
+        let voters = self.voters.len();
+        let ballot = self.members[member].next_ballot(Ballot::default());
+        let key = key_of(&execution);
+        let (proposal, ask) = Proposal::start(key, change, tag, ballot, voters);
+        let began_at = self.now;
+        let running = Running {
+            copy,
+            execution,
+            proposal,
+            ask: 0,
+            began_at,
+            mark: self.set.mark(),
+        };
+        self.members[member].running.insert(copy.number, running);
+        self.ask_voters(member, copy.number, &ask);
+    }
+
+    fn ask_voters(&mut self, member: usize, copy: u64, ask: &VoterAsk) {
+        let asking = &mut self.members[member];
+        asking.last_ask += 1;
+        let (life, number) = (asking.life, asking.last_ask);
+        let Some(running) = asking.running.get_mut(&copy) else {
+            return;
+        };
+        running.ask = number;
+        let mark = running.mark;
+        for voter in 0..self.voters.len() {
+            let message = VoterMessage {
+                mark: mark,
+                ask: ask.clone(),
+            };
+            self.send(Parcel::Ask {
+                member,
+                life,
+                number,
+                voter,
+                message,
+            });
+        }
+    }
+
+    pub fn take_voter_answer(
+        &mut self,
+        member: usize,
+        life: u64,
+        number: u64,
+        voter: usize,
+        reply: VoterReply,
+    ) {
+        if self.members[member].life != life {
+            return;
+        }
+        let mut running = self.members[member].running.values_mut();
+        let Some(running) = running.find(|running| running.ask == number) else {
+            return;
+        };
+        let copy = running.copy.number;
+        match running.proposal.on_reply(voter, reply) {
+            ProposalStep::Wait => {}
+            ProposalStep::Ask(ask) => self.ask_voters(member, copy, &ask),
+            ProposalStep::Again(above) => {
+                let ballot = self.members[member].next_ballot(above);
+                let Some(running) = self.members[member].running.get_mut(&copy) else {
+                    return;
+                };
+                let ask = running.proposal.again(ballot);
+                self.ask_voters(member, copy, &ask);
+            }
+            ProposalStep::Done(outcome) => self.go_on(member, copy, outcome),
+        }
+    }
+
+    fn go_on(&mut self, member: usize, copy: u64, outcome: Outcome) {
+        let Some(mut running) = self.members[member].running.remove(&copy) else {
+            return;
+        };
+        let copy = running.copy;
+        match running.execution.on_outcome(outcome, &TownDocuments) {
+            Step::Write { expected, bytes } => {
+                let change = Change::Write { expected, bytes };
+                self.propose(member, copy, running.execution, change);
+            }
+            Step::Reply(reply) => {
+                self.oracle.replied(copy.order, &reply);
+                self.send(Parcel::Answer { copy, reply });
+            }
+        }
+    }
+
+    /// Gives up rounds that have not ended in time.
+    pub fn tend_members(&mut self) {
+        for member in 0..self.members.len() {
+            let running = self.members[member].running.iter();
+            let late = running.filter(|(_, running)| running.began_at + ROUND_STEPS < self.now);
+            let late: Vec<u64> = late.map(|(copy, _)| *copy).collect();
+            for copy in late {
+                let outcome = self.members[member].running[&copy].proposal.give_up();
+                self.go_on(member, copy, outcome);
+            }
+        }
+    }
+
+    /// Reads the configuration at a member, with every message delivered.
+    pub fn read_now(&mut self, member: usize) -> Reply {
+        let ballot = self.members[member].next_ballot(Ballot {
+            counter: 1 << 40,
+            proposer: 0,
+        });
+        let count = self.voters.len();
+        let (mut proposal, mut ask) =
+            Proposal::start(CONFIGURATION, Change::Read, 1, ballot, count);
+        'asking: loop {
+            for voter in 0..count {
+                let message = VoterMessage {
+                    mark: self.set.mark(),
+                    ask: ask.clone(),
+                };
+                let (_, reply) = self.voters[voter].handle(message);
+                self.oracle.look(&self.voters);
+                match proposal.on_reply(voter, reply) {
+                    ProposalStep::Wait => {}
+                    ProposalStep::Ask(next) => {
+                        ask = next;
+                        continue 'asking;
+                    }
+                    ProposalStep::Again(above) => {
+                        ask = proposal.again(self.members[member].next_ballot(above));
+                        continue 'asking;
+                    }
+                    ProposalStep::Done(outcome) => {
+                        let mut execution = Execution::new(super::operators::read_order());
+                        let step = execution.on_outcome(outcome, &TownDocuments);
+                        let Step::Reply(reply) = step else {
+                            panic!("a read wants to write");
+                        };
+                        return reply;
+                    }
+                }
+            }
+            panic!("a read does not end");
+        }
+    }
+}
--- /dev/null
+++ b/crates/orders/tests/town/operators.rs
@@ -0,0 +1,173 @@
+//! Operators: each has up to eight orders under way and sends each again, unchanged, to any member, until it is
+//! acknowledged or refused.
+
+use super::documents::{body, dropping_body, version_of};
+use super::{Copy, Parcel, Town, ZONES};
+use orders::{BaseVersion, Order, OrderKind, Reply};
+use rand::Rng;
+
+const UNDER_WAY_MAX: usize = 8;
+/// Steps of silence after which an order is sent again.
+const PATIENCE: u64 = 60;
+/// Times that an evacuation is sent at most.
+const EVACUATION_TRIES: u32 = 6;
+
+pub struct Pending {
+    order: u64,
+    copy: u64,
+    sent_at: u64,
+    tries: u32,
+    /// Acknowledged orders after which the operator goes on with this one.
+    resumes_at: u64,
+}
+
+#[derive(Default)]
+pub struct Operator {
+    pending: Vec<Pending>,
+}
+
+impl Operator {
+    pub fn is_idle(&self) -> bool {
+        self.pending.is_empty()
+    }
+}
+
+pub fn read_order() -> Order {
+    Order {
+        kind: OrderKind::Read,
+        base: BaseVersion::Missing,
+        version: None,
+        body: Vec::new(),
+    }
+}
+
+impl Town {
+    pub fn tend_operator(&mut self, place: usize) {
+        let is_free = self.operators[place].pending.len() < UNDER_WAY_MAX;
+        if is_free && !self.is_ending && self.random.random_bool(0.6) {
+            self.begin_order(place);
+        }
+        let (now, acknowledged) = (self.now, self.oracle.acknowledged_count());
+        let is_ending = self.is_ending;
+        let mut due = Vec::new();
+        for pending in &mut self.operators[place].pending {
+            let has_resumed = is_ending || acknowledged >= pending.resumes_at;
+            if has_resumed && now >= pending.sent_at + PATIENCE {
+                due.push(pending.order);
+            }
+        }
+        for order in due {
+            self.send_order(place, order);
+        }
+    }
+
+    fn begin_order(&mut self, place: usize) {
+        self.last_order += 1;
+        let number = self.last_order;
+        let order = self.draw_order(number);
+        self.oracle.begin(number, order, self.now);
+        let pauses = self.settings.longest_pause > 0 && self.random.random_bool(0.1);
+        let pause = if pauses {
+            self.random.random_range(0..=self.settings.longest_pause)
+        } else {
+            0
+        };
+        let resumes_at = self.oracle.acknowledged_count() + pause;
+        let pending = Pending {
+            order: number,
+            copy: 0,
+            sent_at: 0,
+            tries: 0,
+            resumes_at,
+        };
+        self.operators[place].pending.push(pending);
+        self.send_order(place, number);
+    }
+
+    fn draw_order(&mut self, number: u64) -> Order {
+        if self.random.random_bool(0.15) {
+            return self.draw_evacuation();
+        }
+        let known = self.oracle.newest_version();
+        let base = match self.random.random_range(0..20) {
+            0 => known.saturating_sub(self.random.random_range(0..4)),
+            1 => known + self.random.random_range(0..3),
+            _ => known,
+        };
+        // Few numbers to choose from, so that operators pick the same one.
+        let version =
+            base + self.random.random_range(0..3) + u64::from(self.random.random_bool(0.9));
+        let item = ["one", "two", "three"][self.random.random_range(0..3)];
+        let value = u64::from(!self.random.random_bool(0.05));
+        let (kind, body) = match self.random.random_range(0..5) {
+            0 => (OrderKind::Update, dropping_body(version, number, item)),
+            1 | 2 if known > 0 => (OrderKind::Update, body(version, number, item, value)),
+            _ => (OrderKind::Replace, body(version, number, item, value)),
+        };
+        let version = version_of(&body);
+        Order {
+            kind,
+            base: BaseVersion::Told(base),
+            version,
+            body,
+        }
+    }
+
+    fn draw_evacuation(&mut self) -> Order {
+        let zone = ZONES[self.random.random_range(0..ZONES.len())].to_string();
+        let kind = if self.random.random_bool(0.5) {
+            OrderKind::BeginEvacuation(zone)
+        } else {
+            OrderKind::FinishEvacuation(zone)
+        };
+        Order {
+            kind,
+            ..read_order()
+        }
+    }
+
+    fn send_order(&mut self, place: usize, order: u64) {
+        self.last_copy += 1;
+        let copy = Copy {
+            order,
+            number: self.last_copy,
+        };
+        let is_evacuation = self.oracle.order(order).is_evacuation();
+        let pending = &mut self.operators[place].pending;
+        let Some(at) = pending.iter().position(|pending| pending.order == order) else {
+            return;
+        };
+        if is_evacuation && pending[at].tries >= EVACUATION_TRIES {
+            pending.swap_remove(at);
+            return;
+        }
+        pending[at].copy = copy.number;
+        pending[at].sent_at = self.now;
+        pending[at].tries += 1;
+        let is_too_old = self.is_ending && pending[at].tries > 200;
+        if is_too_old {
+            pending.swap_remove(at);
+            return;
+        }
+        let member = self.random.random_range(0..self.members.len());
+        self.send(Parcel::Order { member, copy });
+    }
+
+    /// The operator hears the answer to the copy that it waits for; others are lost on closed connections.
+    pub fn take_answer(&mut self, copy: Copy, reply: &Reply) {
+        let now = self.now;
+        for operator in &mut self.operators {
+            let mut pending = operator.pending.iter();
+            let waits = pending.position(|pending| pending.copy == copy.number);
+            let Some(at) = waits else {
+                continue;
+            };
+            if let Reply::Unclear(_) = reply {
+                operator.pending[at].sent_at = now.saturating_sub(PATIENCE / 2);
+                continue;
+            }
+            operator.pending.swap_remove(at);
+            self.oracle.answered(copy.order, reply, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/orders/tests/town/oracle.rs
@@ -0,0 +1,217 @@
+//! Knows which values were chosen, by looking at all voters, and what was answered; panics where a promise is broken.
+
+use super::documents::{order_of, TownDocuments};
+use super::{CONFIGURATION, EVACUATIONS};
+use binding::Documents;
+use orders::{BaseVersion, Configuration, Evacuations, Order, OrderKind, Reply};
+use register::{Acceptor, Ballot, Stored};
+use std::collections::{BTreeMap, BTreeSet};
+
+struct Begun {
+    order: Order,
+    /// Version of the evacuations' register when the order was first sent.
+    evacuations_at: u64,
+}
+
+#[derive(Default)]
+pub struct Oracle {
+    /// Voters that accepted a value, by key and ballot.
+    accepted: BTreeMap<(&'static str, Ballot), BTreeSet<usize>>,
+    begun: BTreeMap<u64, Begun>,
+    /// Order that made each version of the configuration's register.
+    chain: BTreeMap<u64, u64>,
+    configurations: BTreeMap<u64, Configuration>,
+    evacuations: BTreeMap<u64, Evacuations>,
+    acknowledged: BTreeSet<u64>,
+    refused: BTreeSet<u64>,
+    seen: BTreeMap<(String, u64), (u64, Vec<u8>)>,
+    pub unclear: usize,
+    pub acknowledged_again: usize,
+    pub stale: usize,
+}
+
+impl Oracle {
+    pub fn begin(&mut self, number: u64, order: Order, _now: u64) {
+        let evacuations_at = self.evacuations.keys().next_back().copied().unwrap_or(0);
+        self.begun.insert(
+            number,
+            Begun {
+                order,
+                evacuations_at,
+            },
+        );
+    }
+
+    pub fn order(&self, number: u64) -> &Order {
+        &self.begun[&number].order
+    }
+
+    pub fn newest_version(&self) -> u64 {
+        let newest = self.configurations.values().next_back();
+        newest.map_or(0, |newest| newest.version)
+    }
+
+    pub fn acknowledged_count(&self) -> u64 {
+        self.acknowledged.len() as u64
+    }
+
+    pub fn chosen_count(&self) -> usize {
+        self.chain.len()
+    }
+
+    /// Looks for values that a majority of voters has accepted under one ballot, at once or one after the other.
+    pub fn look(&mut self, voters: &[Acceptor]) {
+        for key in [CONFIGURATION, EVACUATIONS] {
+            for (place, voter) in voters.iter().enumerate() {
+                let held = voter.held(key).filter(|held| held.stored.version > 0);
+                let Some(held) = held else {
+                    continue;
+                };
+                let accepted = self.accepted.entry((key, held.accepted)).or_default();
+                let is_new = accepted.insert(place);
+                if is_new && accepted.len() > voters.len() / 2 {
+                    self.note_chosen(key, &held.stored);
+                }
+            }
+        }
+    }
+
+    fn note_chosen(&mut self, key: &str, stored: &Stored) {
+        let place = (key.to_string(), stored.version);
+        if let Some((tag, bytes)) = self.seen.get(&place) {
+            assert!(
+                *tag == stored.tag && *bytes == stored.bytes,
+                "two values at {place:?}"
+            );
+            return;
+        }
+        self.seen.insert(place, (stored.tag, stored.bytes.clone()));
+        if key == EVACUATIONS {
+            let evacuations = Evacuations::read(&stored.bytes).unwrap();
+            self.evacuations.insert(stored.version, evacuations);
+            return;
+        }
+        let configuration = Configuration::read(&stored.bytes).unwrap();
+        self.note_configuration(stored.version, configuration);
+    }
+
+    fn note_configuration(&mut self, at: u64, configuration: Configuration) {
+        let document = configuration.document().unwrap();
+        assert!(
+            TownDocuments.read(&document).is_ok(),
+            "an invalid one is in force"
+        );
+        let number = order_of(&document).unwrap();
+        let order = self.order(number);
+        assert_eq!(order.version, Some(configuration.version));
+        let former = self.configurations.get(&(at - 1));
+        let former_version = former.map_or(0, |former| former.version);
+        assert!(
+            at == 1 || former.is_some(),
+            "a version of the register was skipped"
+        );
+        assert_eq!(
+            order.base,
+            BaseVersion::Told(former_version),
+            "taken on another base"
+        );
+        assert!(configuration.version > former_version);
+        let is_again = self.chain.values().any(|taken| *taken == number);
+        assert!(!is_again, "order {number} was taken twice");
+        assert!(
+            !self.refused.contains(&number),
+            "order {number} was refused and is in force"
+        );
+        self.chain.insert(at, number);
+        self.configurations.insert(at, configuration);
+    }
+
+    fn is_chosen(&self, number: u64) -> bool {
+        self.chain.values().any(|taken| *taken == number)
+    }
+
+    /// A member answers, whether the operator hears it or not.
+    pub fn replied(&mut self, number: u64, reply: &Reply) {
+        let order = self.order(number).clone();
+        match reply {
+            Reply::Acknowledged if order.is_evacuation() => self.check_evacuation(number, &order),
+            Reply::Acknowledged => {
+                assert!(
+                    self.is_chosen(number),
+                    "order {number} was acknowledged and is not in force"
+                );
+                self.acknowledged_again += usize::from(!self.acknowledged.insert(number));
+                let same_base = self
+                    .acknowledged
+                    .iter()
+                    .filter(|other| self.order(**other).base == order.base);
+                assert_eq!(
+                    same_base.count(),
+                    1,
+                    "two were acknowledged on {:?}",
+                    order.base
+                );
+            }
+            Reply::Refused(kind, reason) => {
+                assert!(
+                    !self.is_chosen(number),
+                    "order {number} is in force and is refused: {reason}"
+                );
+                self.stale += usize::from(*kind == orders::RefusalKind::Stale);
+                self.refused.insert(number);
+            }
+            Reply::Unclear(_) => self.unclear += 1,
+            Reply::Document(_) => {}
+        }
+    }
+
+    /// What was acknowledged held at some moment since the order was first sent.
+    fn check_evacuation(&self, number: u64, order: &Order) {
+        let (zone, is_begin) = match &order.kind {
+            OrderKind::BeginEvacuation(zone) => (zone, true),
+            OrderKind::FinishEvacuation(zone) => (zone, false),
+            _ => return,
+        };
+        let since = self.begun[&number].evacuations_at;
+        let mut states = self.evacuations.range(since..);
+        let held = states.any(|(_, state)| state.is_evacuated(zone) == is_begin);
+        assert!(
+            held || (since == 0 && !is_begin),
+            "an evacuation never held"
+        );
+    }
+
+    pub fn answered(&mut self, number: u64, reply: &Reply, _now: u64) {
+        if matches!(reply, Reply::Acknowledged) {
+            assert!(
+                !self.refused.contains(&number),
+                "order {number} has two answers"
+            );
+        }
+    }
+
+    pub fn read_back(&self, reply: &Reply) {
+        let Some(newest) = self.configurations.values().next_back() else {
+            return;
+        };
+        let Reply::Document(document) = reply else {
+            panic!("nothing is read back: {reply:?}");
+        };
+        assert_eq!(*document, newest.document().unwrap());
+        let newest_acknowledged = self
+            .acknowledged
+            .iter()
+            .filter_map(|number| self.order(*number).version);
+        assert!(newest.version >= newest_acknowledged.max().unwrap_or(0));
+    }
+
+    pub fn end(&self) {
+        assert!(self.refused.is_disjoint(&self.acknowledged));
+        for number in self.chain.values() {
+            assert!(
+                !self.refused.contains(number),
+                "order {number} was refused and is in force"
+            );
+        }
+    }
+}
