Orders: a taken order is acknowledged again or left unclear, never refused

Cause: the register remembered the last 64 taken orders by an FNV-1a digest of their body alone, and refused with 412 whatever it did not find. A storm of a change every 80 ms outlives 64 orders in 5 s, while configurations are sent again without any limit of time. An order whose base was not in place yet was refused with 412 as well, although a second copy of it could be taken later. A late copy of an evacuation order that lost its write was judged anew by whatever was in place then, and could undo a newer, acknowledged order of the same zone.

What may have been forgotten, and what builds on a version that is not in place yet, is left unclear; only what can never be taken is refused. An evacuation order is written only on the state of its zone that it first met, and an order whose caller has gone is dropped unless its write has begun. A base that is missing, told twice or malformed is an error of its own. A value that cannot be read is no longer taken for an empty one, and is never overwritten.

--- a/crates/controller/src/changes.rs
+++ b/crates/controller/src/changes.rs
@@ -1,52 +1,66 @@
+//! Operators' orders that are being worked on: connections and time-outs round the pure executions of `orders`.
+
 use crate::controller::Controller;
-use crate::kept::{digest, Closures, Kept, CLOSURES, DESCRIPTION};
-use crate::options::OperatorCall;
-use binding::Fault;
+use council::{CLOSURES_KEY, DESCRIPTION_KEY};
 use courier::LineId;
-use register::{Outcome, Stored};
-use speedy::{Readable, Writable};
+use orders::{BaseVersion, Execution, Order, OrderKind, RefusalKind, Reply, Step};
+use register::Outcome;
 use std::collections::HashMap;
 
-/// Most changes that are worked on at once.
+/// Most orders that are worked on at once.
 const CHANGES_MAX: usize = 32;
-/// Times that a change begins anew because another one was faster.
-const ROUNDS_MAX: u32 = 8;
 
-/// One operator's call that is being worked on.
+/// One operator's order that is being worked on.
 struct Change {
     line: LineId,
     keeps_alive: bool,
-    call: OperatorCall,
-    base: Option<u64>,
-    body: Vec<u8>,
-    rounds: u32,
+    execution: Execution,
     ends_at: u64,
-    has_written: bool,
+    is_writing: bool,
 }
 
-/// Operators' calls that wait for the council.
+/// Operators' orders that wait for a majority.
 #[derive(Default)]
 pub(crate) struct Changes {
     pending: HashMap<u64, Change>,
     last: u64,
 }
 
-/// What a change comes to, given what is in force.
-enum Verdict {
-    Reply(u16, String),
-    Write(Vec<u8>),
+impl Changes {
+    /// Drops the orders of a caller that has gone, unless they are being written. The caller sends them again
+    /// elsewhere, and a copy that is applied late could undo a newer order.
+    pub fn caller_left(&mut self, line: LineId) {
+        self.pending
+            .retain(|_, change| change.line != line || change.is_writing);
+    }
 }
 
-fn reply(status: u16, text: &str) -> Verdict {
-    Verdict::Reply(status, text.into())
+fn key_of(order: &Order) -> &'static str {
+    if order.is_evacuation() {
+        CLOSURES_KEY
+    } else {
+        DESCRIPTION_KEY
+    }
+}
+
+/// Status and body of a reply.
+fn response(reply: Reply) -> (u16, Vec<u8>) {
+    match reply {
+        Reply::Acknowledged => (200, b"{}".to_vec()),
+        Reply::Document(document) => (200, document),
+        Reply::Refused(RefusalKind::Invalid, reason) => (400, reason.into_bytes()),
+        Reply::Refused(RefusalKind::Stale, reason) => (412, reason.into_bytes()),
+        Reply::Refused(RefusalKind::NotFound, reason) => (404, reason.into_bytes()),
+        Reply::Unclear(reason) => (503, reason.into_bytes()),
+    }
 }
 
 impl Controller {
     pub fn begin_change(
         &mut self,
         line: LineId,
-        call: OperatorCall,
-        base: Option<u64>,
+        kind: OrderKind,
+        base: BaseVersion,
         body: Vec<u8>,
         keeps_alive: bool,
     ) {
@@ -56,19 +70,19 @@
         }
         self.changes.last += 1;
         let token = self.changes.last;
-        let key = match call {
-            OperatorCall::Close(_) | OperatorCall::Open(_) => CLOSURES,
-            _ => DESCRIPTION,
+        let order = Order {
+            version: self.options.translator.version_of(&body),
+            kind,
+            base,
+            body,
         };
+        let key = key_of(&order);
         let change = Change {
             line,
             keeps_alive,
-            call,
-            base,
-            body,
-            rounds: 0,
+            execution: Execution::new(order),
             ends_at: self.now + self.options.change_ms,
-            has_written: false,
+            is_writing: false,
         };
         self.changes.pending.insert(token, change);
         // What is in force is read at a majority first, so that a core which missed it refuses nothing wrongly.
@@ -93,125 +107,32 @@
         let Some(mut change) = self.changes.pending.remove(&token) else {
             return;
         };
-        let has_written = std::mem::take(&mut change.has_written);
-        let stored = match outcome {
-            Outcome::Settled(_) if has_written => {
-                self.take_settled_change(&change);
-                return;
-            }
-            Outcome::Settled(stored) | Outcome::Stale(stored) => stored,
-            other => {
-                log::info!("controller: a change got no clear answer: {other:?}");
-                let text = b"it is not known whether it was taken; send it again";
-                self.reply(change.line, 503, text, change.keeps_alive);
-                return;
-            }
-        };
-        change.rounds += 1;
-        if change.rounds > ROUNDS_MAX {
-            let text = b"other changes kept winning; send it again";
-            self.reply(change.line, 503, text, change.keeps_alive);
-            return;
-        }
-        match self.judge(&change, &stored) {
-            Verdict::Reply(status, text) => {
-                if status >= 400 {
-                    log::info!(
-                        "controller: {:?} refused with {status}: {text}",
-                        change.call
-                    );
-                }
-                self.reply(change.line, status, text.as_bytes(), change.keeps_alive);
-            }
-            Verdict::Write(bytes) => {
-                let key = match change.call {
-                    OperatorCall::Close(_) | OperatorCall::Open(_) => CLOSURES,
-                    _ => DESCRIPTION,
-                };
-                change.has_written = true;
+        let documents = self.options.translator.documents();
+        match change.execution.on_outcome(outcome, documents) {
+            Step::Reply(reply) => self.end_change(&change, reply),
+            Step::Write { expected, bytes } => {
+                let key = key_of(change.execution.order());
+                change.is_writing = true;
                 self.changes.pending.insert(token, change);
-                self.council
-                    .write(self.now, token, key, stored.version, bytes);
+                self.council.write(self.now, token, key, expected, bytes);
             }
         }
     }
 
-    fn take_settled_change(&mut self, change: &Change) {
-        log::info!("controller: {:?} taken", change.call);
-        self.reply(change.line, 200, b"{}", change.keeps_alive);
-    }
-
-    fn judge(&self, change: &Change, stored: &Stored) -> Verdict {
-        match &change.call {
-            OperatorCall::Read => {
-                let kept = Kept::read_from_buffer(&stored.bytes).unwrap_or_default();
-                if kept.version == 0 {
-                    return reply(404, "there is no configuration yet");
-                }
-                let text = String::from_utf8(kept.document());
-                Verdict::Reply(200, text.unwrap_or_default())
+    fn end_change(&mut self, change: &Change, reply: Reply) {
+        let order = change.execution.order();
+        let (kind, version) = (&order.kind, order.version);
+        match &reply {
+            Reply::Acknowledged => log::info!("controller: {kind:?} of {version:?} taken"),
+            Reply::Document(_) => {}
+            Reply::Refused(_, reason) => {
+                log::info!("controller: {kind:?} of {version:?} refused: {reason}");
             }
-            OperatorCall::Close(district) => self.judge_closure(stored, district, true),
-            OperatorCall::Open(district) => self.judge_closure(stored, district, false),
-            OperatorCall::Replace => {
-                self.judge_description(change, stored, |_, body| Ok(body.to_vec()))
-            }
-            OperatorCall::Change => self.judge_description(change, stored, |document, body| {
-                self.options.translator.documents().change(document, body)
-            }),
-        }
-    }
-
-    fn judge_closure(&self, stored: &Stored, district: &str, closes: bool) -> Verdict {
-        let mut closures = Closures::read_from_buffer(&stored.bytes).unwrap_or_default();
-        let is_closed = closures.districts.iter().any(|known| known == district);
-        if is_closed == closes {
-            return reply(200, "{}");
-        }
-        if closes {
-            closures.districts.push(district.into());
-        } else {
-            closures.districts.retain(|known| known != district);
-        }
-        Verdict::Write(closures.write_to_vec().unwrap_or_default())
-    }
-
-    fn judge_description(
-        &self,
-        change: &Change,
-        stored: &Stored,
-        whole: impl Fn(&[u8], &[u8]) -> Result<Vec<u8>, Fault>,
-    ) -> Verdict {
-        let kept = Kept::read_from_buffer(&stored.bytes).unwrap_or_default();
-        let translator = &self.options.translator;
-        let Some(version) = translator.version_of(&change.body) else {
-            return reply(400, "the version cannot be read");
-        };
-        if kept.has_taken(version, digest(&change.body)) {
-            return reply(200, "{}");
-        }
-        let Some(base) = change.base else {
-            return reply(400, "it is not told on which version this builds");
-        };
-        if base != kept.version {
-            let text = format!("version {} is in place", kept.version);
-            return Verdict::Reply(412, text);
-        }
-        if version <= kept.version {
-            let text = format!("version {version} is not above {}", kept.version);
-            return Verdict::Reply(400, text);
-        }
-        let document = match whole(&kept.document(), &change.body) {
-            Ok(document) => document,
-            Err(fault) => return Verdict::Reply(400, fault.to_string()),
-        };
-        match translator.documents().read(&document) {
-            Err(fault) => Verdict::Reply(400, fault.to_string()),
-            Ok(_) => {
-                let is_change = change.call == OperatorCall::Change;
-                let next = kept.next(version, &document, &change.body, is_change);
-                Verdict::Write(next.write_to_vec().unwrap_or_default())
+            Reply::Unclear(reason) => {
+                log::info!("controller: {kind:?} of {version:?} got no clear answer: {reason}");
             }
         }
+        let (status, body) = response(reply);
+        self.reply(change.line, status, &body, change.keeps_alive);
     }
 }
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -3,13 +3,13 @@
 use crate::disk::{self, Disk};
 use crate::fronts::Fronts;
 use crate::jobs::JobAsks;
-use crate::kept::{Closures, Kept, Steps, CLOSURES, DESCRIPTION};
 use crate::options::{ControllerError, ControllerOptions};
+use crate::recent_changes::RecentChanges;
 use crate::scaling::Scaling;
-use council::{Council, CouncilAction, CouncilOptions};
+use council::{Council, CouncilAction, CouncilOptions, CLOSURES_KEY, DESCRIPTION_KEY};
 use courier::{Courier, Event, Hatch, LineId};
 use exchange::RequestReader;
-use speedy::Readable;
+use orders::{Configuration, Evacuations};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -39,10 +39,10 @@
     pub changes: Changes,
     pub jobs: JobAsks,
     pub scaling: Scaling,
-    pub kept: Arc<Kept>,
+    pub kept: Arc<Configuration>,
     pub kept_at: u64,
-    pub steps: Steps,
-    pub closures: Closures,
+    pub steps: RecentChanges,
+    pub closures: Evacuations,
     pub closures_at: u64,
     pub now: u64,
     began: Instant,
@@ -144,8 +144,8 @@
             scaling: Scaling::default(),
             kept: Arc::default(),
             kept_at: 0,
-            steps: Steps::default(),
-            closures: Closures::default(),
+            steps: RecentChanges::default(),
+            closures: Evacuations::default(),
             closures_at: 0,
             courier,
             roles: HashMap::new(),
@@ -193,6 +193,7 @@
                     Some(Role::Front(Some(name))) => self.front_ended(&name, line),
                     Some(Role::Core(Some(address))) => self.cores.ended(&address, line),
                     Some(Role::Platform) => self.platform_ended(line),
+                    Some(Role::Operator(..)) => self.changes.caller_left(line),
                     _ => {}
                 }
                 self.courier.close(line);
@@ -236,9 +237,9 @@
     fn take_settled(&mut self) {
         let mut has_news = false;
         let mut is_described = false;
-        if let Some((version, bytes)) = self.council.settled(DESCRIPTION) {
+        if let Some((version, bytes)) = self.council.settled(DESCRIPTION_KEY) {
             if version > self.kept_at {
-                if let Ok(kept) = Kept::read_from_buffer(bytes.as_ref()) {
+                if let Some(kept) = Configuration::read(bytes) {
                     self.steps.note(version, &kept);
                     self.kept = Arc::new(kept);
                     self.kept_at = version;
@@ -249,9 +250,9 @@
                 }
             }
         }
-        if let Some((version, bytes)) = self.council.settled(CLOSURES) {
+        if let Some((version, bytes)) = self.council.settled(CLOSURES_KEY) {
             if version > self.closures_at {
-                if let Ok(closures) = Closures::read_from_buffer(bytes.as_ref()) {
+                if let Some(closures) = Evacuations::read(bytes) {
                     self.closures = closures;
                     self.closures_at = version;
                     has_news = true;
@@ -262,7 +263,7 @@
             log::info!(
                 "controller: description {} and closures {:?} are settled",
                 self.kept.version,
-                self.closures.districts
+                self.closures.zones
             );
             if is_described {
                 self.describe_scaling();
--- a/crates/controller/src/fronts.rs
+++ b/crates/controller/src/fronts.rs
@@ -149,7 +149,7 @@
         if self.closures_at > closures {
             let message = Message::Closures {
                 mark: self.closures_at,
-                districts: self.closures.districts.clone(),
+                districts: self.closures.zones.clone(),
             };
             self.fronts.tell(name, &message);
         }
@@ -222,7 +222,7 @@
             "term": self.council.term(self.now).unwrap_or(0),
             "council": self.council.reason(),
             "cores": self.council.cores(),
-            "fronts": self.fronts.known.len(), "closed": self.closures.districts,
+            "fronts": self.fronts.known.len(), "closed": self.closures.zones,
             "functions": functions,
         })
         .to_string()
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -8,12 +8,12 @@
 mod fronts;
 mod guide;
 mod jobs;
-mod kept;
 mod operators;
 mod options;
+mod recent_changes;
 mod scaling;
 mod scaling_calls;
 
 pub use controller::run;
 pub use guide::{guide, GuideOptions};
-pub use options::{Call, ControllerError, ControllerOptions, OperatorCall, StartReply, Translator};
+pub use options::{Call, ControllerError, ControllerOptions, StartReply, Translator};
--- a/crates/controller/src/operators.rs
+++ b/crates/controller/src/operators.rs
@@ -1,7 +1,7 @@
 use crate::controller::{Controller, Role};
-use crate::options::OperatorCall;
 use courier::LineId;
 use exchange::{write_response, Bounds, Request};
+use orders::OrderKind;
 
 const HEAD_MAX: usize = 64 << 10;
 const BODY_MAX: usize = 32 << 20;
@@ -43,9 +43,9 @@
         match call {
             None => self.reply(line, 404, b"there is no such call", keeps),
             Some(Err(status)) => self.reply(line, status, b"not this method", keeps),
-            Some(Ok(OperatorCall::Close(district) | OperatorCall::Open(district)))
-                if !self.options.districts.contains(&district) =>
-            {
+            Some(Ok(
+                OrderKind::BeginEvacuation(district) | OrderKind::FinishEvacuation(district),
+            )) if !self.options.districts.contains(&district) => {
                 self.reply(line, 404, b"there is no such zone", keeps);
             }
             Some(Ok(call)) => {
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -1,26 +1,12 @@
 use binding::Documents;
 use exchange::Headers;
 use launching::{RunnerSight, StartFault, WorkerSight};
+use orders::{BaseVersion, OrderKind};
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// What an operator asks for.
-#[derive(Clone, Debug, PartialEq)]
-pub enum OperatorCall {
-    /// Put a whole description in place.
-    Replace,
-    /// Change named items.
-    Change,
-    /// Read the newest description.
-    Read,
-    /// Send nothing more to a district.
-    Close(String),
-    /// Take that back.
-    Open(String),
-}
-
 /// A call to the platform.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Call {
@@ -44,9 +30,9 @@
     /// The operator's version that a document bears.
     fn version_of(&self, document: &[u8]) -> Option<u64>;
     /// What an operator's request asks for; a status where it is wrong, none where it is no such call.
-    fn operator_call(&self, method: &str, target: &str) -> Option<Result<OperatorCall, u16>>;
+    fn operator_call(&self, method: &str, target: &str) -> Option<Result<OrderKind, u16>>;
     /// The version on which a change builds.
-    fn base_version(&self, headers: &Headers) -> Option<u64>;
+    fn base_version(&self, headers: &Headers) -> BaseVersion;
     /// Asks for a page of the list of runners.
     fn list_runners(&self, page: Option<&str>) -> Call;
     /// Reads such a page, with the name of the next.
--- a/crates/controller/src/scaling.rs
+++ b/crates/controller/src/scaling.rs
@@ -95,7 +95,7 @@
         };
         if self.kept.version > 0 {
             let documents = self.options.translator.documents();
-            match documents.read(&self.kept.document()) {
+            match documents.read(&self.kept.document().unwrap_or_default()) {
                 Ok(description) => launcher.describe(self.now, &description),
                 Err(fault) => log::error!("scaler: the description cannot be read: {fault}"),
             }
@@ -105,7 +105,7 @@
     /// The closed districts may be others than before.
     pub fn close_scaling(&mut self) {
         if let Some(launcher) = self.scaling.launcher.as_mut() {
-            let closed = self.closures.districts.iter().cloned().collect();
+            let closed = self.closures.zones.iter().cloned().collect();
             launcher.close_districts(self.now, &closed);
         }
         self.carry_out();
--- a/crates/orders/tests/town/members.rs
+++ b/crates/orders/tests/town/members.rs
@@ -93,7 +93,7 @@
         let mark = running.mark;
         for voter in 0..self.voters.len() {
             let message = VoterMessage {
-                mark: mark,
+                mark,
                 ask: ask.clone(),
             };
             self.send(Parcel::Ask {
