One connection to a runner is a state machine of its own; five faults of bytes mended

Whose answer it is and what it says was decided in the gateway's wiring, where no test could cut it at each byte. It is now gateway::runner_connection, pure: bytes and the end of a connection in, the request's fate out. One request is read at a time now. - An answer whose length only the connection's end tells was passed on as whole wherever it was cut. Such an answer is not known to be whole: 502, or another try where the work may be repeated. - An answer with a second, foreign id, with two seals, with a Content-Encoding, or a success that says that it was not run was passed on or taken for a refusal (and the work sent again). It is a lost one. - A close-delimited answer to another request left its request without an end until its time was over (4,001 ms seen). It fails at once. - A first line that was cut lent its status to the answer behind it. It is a fault.

Also: a request counts as left exactly if the system took a byte of it (Courier::send tells), not where its line ended before; work that may run once goes on a kept line only if the system knows of nothing to read on it; a line whose request had not left whole when its answer came is not used again; a request whose client left before it had is not sent; a refusal without an id behind another request is no promise; numbers of requests do not come round after 2^32.

--- a/crates/courier/src/courier.rs
+++ b/crates/courier/src/courier.rs
@@ -1,4 +1,4 @@
-use crate::line::{End, Line, LineId, Taken};
+use crate::line::{End, Line, LineId, Taken, Written};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
 use slab::Slab;
@@ -143,7 +143,7 @@
     /// Whether the line is there and its peer has not ended it.
     pub fn is_open(&self, id: LineId) -> bool {
         let line = self.lines.get(id.place as usize);
-        line.is_some_and(|line| line.use_no == id.use_no && !line.has_ended)
+        line.is_some_and(|line| line.use_no == id.use_no && !line.has_ended && !line.has_failed)
     }
 
     /// Bytes that wait to be sent.
@@ -163,23 +163,32 @@
         self.lines.is_empty()
     }
 
-    /// Sends bytes, now or as soon as the line takes them. A line that holds too much breaks.
-    pub fn send(&mut self, id: LineId, bytes: &[u8]) {
+    /// Whether the system knows of nothing to read on an open line, and of no end of it, at this moment. Events tell the
+    /// same, but only at the next wait.
+    pub fn is_quiet(&mut self, id: LineId) -> bool {
+        self.line(id)
+            .is_some_and(|line| !line.has_ended && line.is_quiet())
+    }
+
+    /// Sends bytes, now or as soon as the line takes them. A line that holds too much breaks. False where none of them
+    /// has left or ever will.
+    pub fn send(&mut self, id: LineId, bytes: &[u8]) -> bool {
         let Some(line) = self.line(id) else {
-            return;
+            return false;
         };
-        if line.has_ended || line.closes_after_flush {
-            return;
+        if line.has_ended || line.has_failed || line.closes_after_flush {
+            return false;
         }
         if line.waits_to_send() + bytes.len() > OUTBOX_MAX {
+            line.has_failed = true;
             self.broken.push(id);
-            return;
+            return false;
         }
-        line.outbox.extend_from_slice(bytes);
-        let is_whole = !line.is_connected || line.flush();
-        if !is_whole {
+        let written = line.write(bytes);
+        if written != Written::Accepted {
             self.broken.push(id);
         }
+        written != Written::Nothing
     }
 
     /// Closes a line once all that was sent has left.
@@ -337,7 +346,7 @@
             place: place as u32,
             use_no: line.use_no,
         };
-        if line.has_ended {
+        if line.has_ended || line.has_failed {
             return;
         }
         if !line.is_connected {
--- a/crates/courier/src/line.rs
+++ b/crates/courier/src/line.rs
@@ -27,6 +27,8 @@
     pub is_paused: bool,
     pub closes_after_flush: bool,
     pub has_ended: bool,
+    /// Nothing more is written: writing failed, and the line's end is about to be told.
+    pub has_failed: bool,
     pub inbox: Vec<u8>,
     pub inbox_max: usize,
     pub outbox: Vec<u8>,
@@ -41,6 +43,17 @@
     BytesAndEnded(End),
 }
 
+/// What came of writing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Written {
+    /// All of it was written, or will be as soon as the line takes it.
+    Accepted,
+    /// The line broke, and none of these bytes was taken.
+    Nothing,
+    /// The line broke when some of these bytes had been taken.
+    Broke,
+}
+
 impl Line {
     pub fn new(stream: TcpStream, use_no: u32, is_connected: bool, inbox_max: usize) -> Self {
         Self {
@@ -51,6 +64,7 @@
             is_paused: false,
             closes_after_flush: false,
             has_ended: false,
+            has_failed: false,
             inbox: Vec::new(),
             inbox_max,
             outbox: Vec::new(),
@@ -97,6 +111,28 @@
         }
     }
 
+    /// Whether an open line has nothing to read and is not ended by its peer, as the system knows it at this moment.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [0; 1];
+        let peeked = self.stream.peek(&mut byte);
+        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Queues bytes and writes what it can.
+    pub fn write(&mut self, bytes: &[u8]) -> Written {
+        let before = self.outbox.len();
+        self.outbox.extend_from_slice(bytes);
+        if !self.is_connected || self.flush() {
+            return Written::Accepted;
+        }
+        self.has_failed = true;
+        if self.sent > before {
+            Written::Broke
+        } else {
+            Written::Nothing
+        }
+    }
+
     /// Writes what it can; false where the line broke.
     pub fn flush(&mut self) -> bool {
         while self.is_writable && self.sent < self.outbox.len() {
--- a/crates/exchange/src/response.rs
+++ b/crates/exchange/src/response.rs
@@ -22,7 +22,7 @@
 
 /// Reads answers off the front of a buffer. Like the reader of requests it keeps what it has read
 /// of a partial answer, and gives the same fault forever after one.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct ResponseReader {
     is_head_request: bool,
     scan: HeadScan,
@@ -207,6 +207,11 @@
     if !(100..=599).contains(&code) {
         return Err(Fault::BadRequest("malformed status"));
     }
+    // A first line that was cut short, with the next answer behind it, is neither's.
+    let reason = parsed.reason.unwrap_or_default().as_bytes();
+    if reason.windows(PREFIX.len()).any(|part| part == PREFIX) {
+        return Err(Fault::BadRequest("an answer within a first line"));
+    }
     let headers = Headers::of(parsed.headers);
     let is_http_1_0 = version == 0;
     let response = Response {
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,3 +1,5 @@
+//! Connections of clients: requests come in, and each gets its answer before the next one is read.
+
 use crate::gateway::{Due, Gateway, Role};
 use crate::tickets::{Stage, Ticket};
 use courier::LineId;
@@ -92,6 +94,7 @@
         let manner = self.options.manner;
         if (manner.is_readiness)(&request.method, &request.target) {
             self.tell_readiness(line, request.keeps_alive);
+            self.note_unread(line);
             return;
         }
         let host = request.headers.get_text("host").unwrap_or("");
@@ -207,11 +210,21 @@
             let wait = self.control.limits().idle_ms;
             self.timers.set(self.now + wait, Due::Client(line));
         }
-        let has_more = self
-            .courier
-            .inbox(line)
-            .is_some_and(|inbox| !inbox.is_empty());
-        if has_more {
+        self.note_unread(line);
+    }
+
+    /// A client's next request may have arrived already. It is read in its turn: not from within the answer to the one
+    /// before, since a client may send any number of requests at once.
+    fn note_unread(&mut self, line: LineId) {
+        let inbox = self.courier.inbox(line);
+        if inbox.is_some_and(|inbox| !inbox.is_empty()) {
+            self.unread.push(line);
+        }
+    }
+
+    /// Reads one more request of each client that sent several at once.
+    pub fn read_on(&mut self) {
+        for line in std::mem::take(&mut self.unread) {
             self.client_arrived(line);
         }
     }
@@ -253,7 +266,7 @@
         self.roles.remove(&line);
     }
 
-    /// A client left. What waits is withdrawn; what is at a runner goes on, since it may be once-work.
+    /// A client left. What has left for a runner goes on, since it may be once-work; all else is withdrawn.
     pub fn client_ended(&mut self, line: LineId) {
         let Some(Role::Client(client)) = self.roles.get(&line) else {
             return;
@@ -265,10 +278,16 @@
             return;
         };
         ticket.client = None;
-        if !matches!(ticket.stage, Stage::Sent(_)) {
-            self.withdraw(number);
-            self.tickets.remove(number);
+        match &ticket.stage {
+            Stage::Sent(sent) if sent.has_left => return,
+            Stage::Sent(sent) => {
+                let lender = sent.lender.clone();
+                self.leave_runner(number);
+                self.void_bid(&lender, number);
+            }
+            Stage::Waiting { .. } | Stage::Resting => self.withdraw(number),
         }
+        self.tickets.remove(number);
     }
 
     pub fn readiness_arrived(&mut self, line: LineId) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -61,6 +61,8 @@
     pub now: u64,
     pub drains_since: Option<u64>,
     pub refusals: u64,
+    /// Clients of whom more requests have arrived.
+    pub unread: Vec<LineId>,
     reloaded_at: u64,
     began: Instant,
     hatches: Hatches,
@@ -95,6 +97,8 @@
             return Ok(());
         }
         gateway.see_to_due();
+        gateway.read_on();
+        gateway.run_errands();
         let patience = gateway.patience();
         gateway.courier.wait(patience, &mut events);
         gateway.now = gateway.began.elapsed().as_millis() as u64;
@@ -142,6 +146,7 @@
             now: 0,
             drains_since: None,
             refusals: 0,
+            unread: Vec::new(),
             reloaded_at: 0,
             began: Instant::now(),
             hatches: Hatches { public, readiness },
@@ -152,6 +157,9 @@
     }
 
     fn patience(&self) -> Duration {
+        if !self.unread.is_empty() {
+            return Duration::ZERO;
+        }
         let mut next = self.timers.next_at().unwrap_or(self.now + TICK_MS);
         if let Some(at) = self.keeper.next_at() {
             next = next.min(at);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod pool;
 mod probes;
 mod retries;
+pub mod runner_connection;
 mod runners;
 mod tickets;
 
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -1,4 +1,7 @@
+//! How requests end: answered by a runner, tried again, or given up.
+
 use crate::gateway::Gateway;
+use crate::runner_connection::{judge, RunnerAnswer, Verdict};
 use crate::tickets::{Stage, Ticket};
 use dispatch::{JobResult, Outcome};
 use exchange::{end_to_end, Response};
@@ -109,58 +112,54 @@
     }
 
     /// A runner answered this request.
-    pub fn answered(&mut self, number: u64, response: &Response) {
-        let manner = self.options.manner;
+    pub fn answered(&mut self, number: u64, answer: &RunnerAnswer) {
+        let response = &answer.response;
+        match judge(response, &self.options.manner) {
+            Verdict::Answered => self.ran(number, response),
+            Verdict::TurnedAway => self.not_run(number, answer, Outcome::TurnedAway),
+            Verdict::Misdirected => self.not_run(number, answer, Outcome::Gone),
+            Verdict::Doubtful(reason) => self.lost(number, reason),
+        }
+    }
+
+    /// A runner says that it did not run a request.
+    fn not_run(&mut self, number: u64, answer: &RunnerAnswer, outcome: Outcome) {
+        let now = self.now;
         let Some(ticket) = self.tickets.get(number) else {
             return;
         };
         let Stage::Sent(sent) = &ticket.stage else {
             return;
         };
-        let lender = sent.lender.clone();
-        let runner = sent.runner.clone();
-        let took = self.now - sent.at;
+        let took = now - sent.at;
+        let (lender, runner) = (sent.lender.clone(), sent.runner.clone());
         let function = ticket.function.clone();
-        let not_run = response.headers.get(manner.not_run).is_some() || response.status == 421;
-        if not_run {
-            let is_other = response.status == 421;
-            let outcome = if is_other {
-                Outcome::Gone
-            } else {
-                Outcome::TurnedAway
-            };
-            ticket.avoid.push(runner);
-            self.give_back(&lender, &function, number, outcome, took);
-            if !self.try_again(number, true) {
-                self.give_up(number, RETRY_AFTER_MS, "the runner turned it away");
-            }
-            return;
+        // What may be another request's refusal promises nothing for this one.
+        ticket.may_have_run |= !answer.is_certain;
+        ticket.avoid.push(runner);
+        self.give_back(&lender, &function, number, outcome, took);
+        if !self.try_again(number, true) {
+            self.give_up(number, RETRY_AFTER_MS, "the runner turned it away");
         }
-        let is_good = (200..300).contains(&response.status);
-        if is_good && response.headers.get(manner.seal).is_none() {
-            ticket.avoid.push(runner);
-            self.lost(number, "the answer has no seal");
+    }
+
+    /// A runner ran a request, and this is its answer.
+    fn ran(&mut self, number: u64, response: &Response) {
+        let now = self.now;
+        let Some(ticket) = self.tickets.get(number) else {
             return;
-        }
-        // These say that nothing ran and nothing will; a runner that does not say so may have run it.
-        if matches!(response.status, 408 | 429 | 503) {
-            self.lost(
-                number,
-                "the runner refused it and did not say that it was not run",
-            );
+        };
+        let Stage::Sent(sent) = &ticket.stage else {
             return;
-        }
+        };
+        let took = now - sent.at;
+        let (lender, runner) = (sent.lender.clone(), sent.runner.clone());
+        let function = ticket.function.clone();
+        ticket.may_have_run = true;
         self.learn_pace(&function, took);
         self.give_back(&lender, &function, number, Outcome::Answered, took);
-        let Some(ticket) = self.tickets.get(number) else {
+        if response.status >= 500 && self.fails_over(number, runner) {
             return;
-        };
-        ticket.may_have_run = true;
-        if response.status >= 500 && !ticket.is_once {
-            ticket.avoid.push(runner);
-            if self.try_again(number, true) {
-                return;
-            }
         }
         let Some(ticket) = self.tickets.remove(number) else {
             return;
@@ -170,6 +169,16 @@
         self.job_answered(number, &ticket, response);
     }
 
+    /// Whether a request that a runner failed is tried at another.
+    fn fails_over(&mut self, number: u64, runner: String) -> bool {
+        let ticket = self.tickets.get(number);
+        let Some(ticket) = ticket.filter(|ticket| !ticket.is_once) else {
+            return false;
+        };
+        ticket.avoid.push(runner);
+        self.try_again(number, true)
+    }
+
     fn learn_pace(&mut self, function: &str, took_ms: u64) {
         if let Some(pace) = self.paces.get_mut(function) {
             *pace += (took_ms as f64 - *pace) / PACE_SPAN;
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -1,5 +1,5 @@
 use crate::gateway::{Due, Gateway, Role};
-use crate::runners::{runner_role, ANSWER_MAX, HEAD_MAX, IDLE_MS};
+use crate::runners::{runner_role, IDLE_MS, INBOX_MAX};
 use courier::LineId;
 
 impl Gateway {
@@ -7,7 +7,7 @@
     pub fn probe(&mut self, function: String, runner: String, address: &str) {
         let line = address.parse().ok();
         let line = line.and_then(|address| {
-            let line = self.courier.connect(address, ANSWER_MAX + HEAD_MAX);
+            let line = self.courier.connect(address, INBOX_MAX);
             line.ok()
         });
         let Some(line) = line else {
--- a/crates/gateway/src/runners.rs
+++ b/crates/gateway/src/runners.rs
@@ -1,12 +1,16 @@
+//! Connections to runners: requests leave on them, and what comes back goes to the request that is on it.
+
 use crate::gateway::{Due, Gateway, Role};
+use crate::runner_connection::{
+    Outstanding, Reading, RunnerAnswer, RunnerConnection, ANSWER_MAX, HEAD_MAX,
+};
 use crate::tickets::{Sent, Stage};
 use courier::{End, LineId};
 use dispatch::{Grant, Outcome};
-use exchange::{end_to_end, idle_seconds, write_request, Bounds, Response, ResponseReader};
+use exchange::{end_to_end, idle_seconds, write_request};
 
-/// Largest answer of a runner, in bytes.
-pub(crate) const ANSWER_MAX: usize = 4 << 20;
-pub(crate) const HEAD_MAX: usize = 64 << 10;
+/// Most bytes of a runner that wait to be read.
+pub(crate) const INBOX_MAX: usize = ANSWER_MAX + HEAD_MAX;
 /// Milliseconds for which an idle line is kept where the runner does not tell.
 pub(crate) const IDLE_MS: u64 = 5_000;
 /// Paces of a function after which an answer is overdue, and least milliseconds.
@@ -14,18 +18,16 @@
 const OVERDUE_MIN_MS: f64 = 400.0;
 /// Milliseconds of an answer that are assumed until one was seen.
 const PACE_PRIOR_MS: f64 = 100.0;
-/// Answers to other requests that are dropped on one line before it is closed.
-const STRAYS_MAX: u32 = 4;
+/// Most milliseconds for which an idle line is kept, and how much earlier than its runner it is closed here.
+const IDLE_MAX_MS: u64 = 30_000;
+const IDLE_MARGIN_MS: u64 = 500;
 
 /// A connection to a runner.
 pub(crate) struct RunnerLine {
     pub runner: String,
     pub ticket: Option<u64>,
-    reader: ResponseReader,
-    uses: u32,
-    strays: u32,
+    connection: RunnerConnection,
     pub expires_at: u64,
-    is_head: bool,
 }
 
 impl Gateway {
@@ -45,10 +47,9 @@
             }
             return;
         }
-        let line = self
-            .pool
-            .take(&grant.runner)
-            .filter(|line| self.is_clean(*line));
+        let is_once = self.tickets.get(number).is_some_and(|one| one.is_once);
+        let line = self.pool.take(&grant.runner);
+        let line = line.filter(|line| self.is_clean(*line, is_once));
         let is_reused = line.is_some();
         let line = line.or_else(|| self.open_runner(&grant));
         let Some(line) = line else {
@@ -92,13 +93,13 @@
         }
     }
 
-    // Nothing may lie unread on a line that is used again: it would be no answer to the next request.
-    fn is_clean(&mut self, line: LineId) -> bool {
+    // Nothing may lie unread on a line that is used again: it would be no answer to the next request. For work that may
+    // run once the system is asked too, since a line whose runner has ended it would take the request and lose it.
+    fn is_clean(&mut self, line: LineId, is_once: bool) -> bool {
+        let has_nothing = |inbox: &mut Vec<u8>| inbox.is_empty();
         let is_clean = self.courier.is_open(line)
-            && self
-                .courier
-                .inbox(line)
-                .is_some_and(|inbox| inbox.is_empty());
+            && self.courier.inbox(line).is_some_and(has_nothing)
+            && (!is_once || self.courier.is_quiet(line));
         if !is_clean {
             self.roles.remove(&line);
             self.courier.close(line);
@@ -108,7 +109,7 @@
 
     fn open_runner(&mut self, grant: &Grant) -> Option<LineId> {
         let address = grant.address.parse().ok()?;
-        let line = self.courier.connect(address, ANSWER_MAX + HEAD_MAX).ok()?;
+        let line = self.courier.connect(address, INBOX_MAX).ok()?;
         self.roles.insert(line, runner_role(&grant.runner));
         let wait = self.options.connect_ms();
         self.courier.allow_silence(line, wait * 2);
@@ -128,7 +129,6 @@
         let Some(number) = runner.ticket else {
             return;
         };
-        let manner = &self.options.manner;
         let Some(ticket) = self.tickets.get(number) else {
             self.roles.remove(&line);
             self.courier.close(line);
@@ -144,21 +144,27 @@
         let Stage::Sent(sent) = &mut ticket.stage else {
             return;
         };
-        sent.has_left = true;
         sent.at = self.now;
-        ticket.sends += 1;
-        runner.uses += 1;
-        // Repeatable work whose answer is long overdue is tried elsewhere.
-        if !ticket.is_once && ticket.sends < ticket.tries {
-            let pace = self
-                .paces
-                .get(&ticket.function)
-                .copied()
-                .unwrap_or(PACE_PRIOR_MS);
-            let patience = (pace * OVERDUE_PACES).max(OVERDUE_MIN_MS) as u64;
-            let due = Due::Overdue(number, ticket.sends);
-            self.timers.set(self.now + patience, due);
+        runner.connection.sends(Outstanding {
+            id: ticket.id.clone(),
+            is_head: ticket.request.method == "HEAD",
+            is_once: ticket.is_once,
+        });
+        let out = self.request_bytes(number);
+        // Where nothing was taken the line's end is told next, and the request has not left.
+        if self.courier.send(line, &out) {
+            self.has_left(number);
         }
+    }
+
+    fn request_bytes(&mut self, number: u64) -> Vec<u8> {
+        let manner = &self.options.manner;
+        let Some(ticket) = self.tickets.get(number) else {
+            return Vec::new();
+        };
+        let Stage::Sent(sent) = &ticket.stage else {
+            return Vec::new();
+        };
         let request = &ticket.request;
         let left = ticket.ends_at.saturating_sub(self.now).max(1).to_string();
         let kept = end_to_end(&request.headers).filter(|(name, _)| {
@@ -177,122 +183,125 @@
             headers,
             &request.body,
         );
-        runner.is_head = request.method == "HEAD";
-        runner.reader = ResponseReader::new(runner.is_head);
-        self.courier.send(line, &out);
+        out
     }
 
-    pub fn runner_arrived(&mut self, line: LineId) {
-        let bounds = Bounds {
-            header_bytes: HEAD_MAX,
-            body_bytes: ANSWER_MAX,
+    /// The first byte of a request may be at its runner: from here on it may have run.
+    fn has_left(&mut self, number: u64) {
+        let Some(ticket) = self.tickets.get(number) else {
+            return;
         };
-        loop {
-            let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
-                return;
-            };
-            let Some(inbox) = self.courier.inbox(line) else {
-                return;
-            };
-            let Some(number) = runner.ticket else {
-                // Bytes without a request belong to nobody.
-                let name = runner.runner.clone();
-                self.drop_runner_line(line, &name);
-                return;
-            };
-            if self.tickets.get(number).is_some_and(|one| one.is_gated()) {
-                // Nothing was asked yet, so that this is no answer.
-                let name = runner.runner.clone();
-                self.drop_runner_line(line, &name);
-                self.runner_failed(number, false);
-                return;
-            }
-            match runner.reader.read(inbox, &bounds) {
-                Ok(None) => return,
-                Ok(Some(response)) => {
-                    if self.take_response(line, number, &response) {
-                        return;
-                    }
-                }
-                Err(_) => {
-                    let name = runner.runner.clone();
-                    self.drop_runner_line(line, &name);
-                    self.lost(number, "the runner sent no answer in the protocol");
-                    return;
-                }
-            }
+        if let Stage::Sent(sent) = &mut ticket.stage {
+            sent.has_left = true;
         }
+        ticket.sends += 1;
+        if ticket.is_once || ticket.sends >= ticket.tries {
+            return;
+        }
+        // Repeatable work whose answer is long overdue is tried elsewhere.
+        let pace = self.paces.get(&ticket.function).copied();
+        let pace = pace.unwrap_or(PACE_PRIOR_MS);
+        let patience = (pace * OVERDUE_PACES).max(OVERDUE_MIN_MS) as u64;
+        let due = Due::Overdue(number, ticket.sends);
+        self.timers.set(self.now + patience, due);
     }
 
-    /// Takes one whole answer; false where it belonged to another request.
-    fn take_response(&mut self, line: LineId, number: u64, response: &Response) -> bool {
-        let manner = &self.options.manner;
-        let Some(ticket) = self.tickets.get(number) else {
-            return true;
-        };
-        let echoed = response.headers.get(manner.id);
-        let is_own = echoed.is_some_and(|id| id == ticket.id.as_slice());
-        let says_not_run = response.headers.get(manner.not_run).is_some() || response.status == 421;
-        let is_once = ticket.is_once;
-        let function = ticket.function.clone();
+    /// Bytes of a runner arrived.
+    pub fn runner_arrived(&mut self, line: LineId) {
         let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
-            return true;
+            return;
         };
-        // A refusal may come without an id; on a line that had another request before, it may be a late one.
-        let is_fresh = runner.uses <= 1 && runner.strays == 0;
-        let may_be_own = echoed.is_none() && says_not_run && (is_fresh || !is_once);
-        if !is_own && !may_be_own {
-            runner.strays += 1;
-            runner.reader = ResponseReader::new(runner.is_head);
-            if runner.strays <= STRAYS_MAX {
-                return false;
-            }
-            let name = runner.runner.clone();
-            self.drop_runner_line(line, &name);
-            self.lost(number, "the runner's answers belong to other requests");
-            return true;
-        }
-        runner.ticket = None;
-        let keep = response.keeps_alive && runner.strays == 0 && response.status != 421;
-        let idle = idle_seconds(&response.headers);
-        let wait = idle.map_or(IDLE_MS, |seconds| (seconds * 1_000).saturating_sub(500));
-        runner.expires_at = self.now + wait.min(30_000);
-        let name = runner.runner.clone();
-        let is_clean = self
-            .courier
-            .inbox(line)
-            .is_some_and(|inbox| inbox.is_empty());
-        let most = self.control.idle_lines(&function);
-        if !(keep && is_clean && wait > 0 && self.pool.put(&name, line, most)) {
-            self.roles.remove(&line);
-            self.courier.close(line);
-        }
-        self.answered(number, response);
-        true
+        let Some(inbox) = self.courier.inbox(line) else {
+            return;
+        };
+        let reading = runner.connection.received(inbox, &self.options.manner);
+        self.take_reading(line, reading);
     }
 
+    /// A runner's line ended.
     pub fn runner_ended(&mut self, line: LineId, end: End) {
         let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
             return;
         };
-        let name = runner.runner.clone();
-        let Some(number) = runner.ticket else {
-            self.pool.forget(&name, line);
+        let reading = runner.connection.ended();
+        let (number, name) = (runner.ticket, runner.runner.clone());
+        self.drop_runner_line(line, &name);
+        let Some(number) = number else {
+            return;
+        };
+        match reading {
+            Reading::Failed(reason) if self.has_left_on(number, line) => self.lost(number, reason),
+            _ => self.runner_failed(number, end == End::Unreached),
+        }
+    }
+
+    /// Whether a request has left on this very line.
+    fn has_left_on(&mut self, number: u64, line: LineId) -> bool {
+        let ticket = self.tickets.get(number);
+        let sent = ticket.and_then(|ticket| match &ticket.stage {
+            Stage::Sent(sent) => Some(sent),
+            _ => None,
+        });
+        sent.is_some_and(|sent| sent.line == line && sent.has_left)
+    }
+
+    /// Does what a line's bytes mean for its request.
+    fn take_reading(&mut self, line: LineId, reading: Reading) {
+        let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
             return;
         };
-        if end == End::Closed {
-            if let Some(inbox) = self.courier.inbox(line) {
-                if let Ok(Some(response)) = runner.reader.at_end(inbox) {
-                    if response.headers.get(self.options.manner.id).is_some() {
-                        self.take_response(line, number, &response);
-                        return;
-                    }
+        let (number, name) = (runner.ticket, runner.runner.clone());
+        let is_on_it = number.is_some_and(|number| self.has_left_on(number, line));
+        match reading {
+            Reading::Incomplete => {}
+            Reading::Answer(answer) if is_on_it => {
+                self.release_line(line, &answer);
+                if let Some(number) = number {
+                    self.answered(number, &answer);
+                }
+            }
+            Reading::Failed(reason) if is_on_it => {
+                self.drop_runner_line(line, &name);
+                if let Some(number) = number {
+                    self.lost(number, reason);
+                }
+            }
+            // Bytes without a request on its way belong to nobody; one that has not left yet finds another line.
+            Reading::Answer(_) | Reading::Failed(_) | Reading::Unasked => {
+                self.drop_runner_line(line, &name);
+                if let Some(number) = number {
+                    self.runner_failed(number, false);
                 }
             }
         }
-        self.roles.remove(&line);
-        self.courier.close(line);
-        self.runner_failed(number, end == End::Unreached);
+    }
+
+    /// A line's request is answered: the line is kept for others where nothing speaks against it.
+    fn release_line(&mut self, line: LineId, answer: &RunnerAnswer) {
+        let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
+            return;
+        };
+        let number = runner.ticket.take();
+        let idle = idle_seconds(&answer.response.headers);
+        let wait = idle.map_or(IDLE_MS, |seconds| {
+            seconds.saturating_mul(1_000).saturating_sub(IDLE_MARGIN_MS)
+        });
+        runner.expires_at = self.now + wait.min(IDLE_MAX_MS);
+        let name = runner.runner.clone();
+        let ticket = number.and_then(|number| self.tickets.get(number));
+        let function = ticket.map(|ticket| ticket.function.clone());
+        let most = function.map_or(0, |function| self.control.idle_lines(&function));
+        // An answer that came before its whole request had left leaves a rest that would look like the next request.
+        let is_sent = self.courier.backlog(line) == 0;
+        let is_kept = answer.is_reusable
+            && is_sent
+            && self.courier.is_open(line)
+            && wait > 0
+            && self.pool.put(&name, line, most);
+        if !is_kept {
+            self.roles.remove(&line);
+            self.courier.close(line);
+        }
     }
 
     fn runner_failed(&mut self, number: u64, nobody_there: bool) {
@@ -334,7 +343,7 @@
                 self.courier.close(line);
                 self.keeper.probed(self.now, &function, &runner, false);
             }
-            Some(Role::Runner(runner)) if runner.uses == 0 => {
+            Some(Role::Runner(runner)) if runner.connection.requests() == 0 => {
                 let Some(number) = runner.ticket else {
                     return;
                 };
@@ -361,10 +370,7 @@
     Role::Runner(RunnerLine {
         runner: runner.into(),
         ticket: None,
-        reader: ResponseReader::new(false),
-        uses: 0,
-        strays: 0,
+        connection: RunnerConnection::default(),
         expires_at: 0,
-        is_head: false,
     })
 }
--- a/crates/gateway/src/tickets.rs
+++ b/crates/gateway/src/tickets.rs
@@ -72,28 +72,39 @@
     }
 }
 
-/// Continuations of requests, by a number that is never used twice in a daemon's life.
+/// Bits of a ticket's number that tell its place; the others count the tickets of the daemon's life.
+const PLACE_BITS: u32 = 24;
+const PLACE_MASK: u64 = (1 << PLACE_BITS) - 1;
+
+/// Requests by a number that is never used twice in a daemon's life: the count lasts for 10^12 requests.
 #[derive(Default)]
 pub(crate) struct Tickets {
-    slab: Slab<(u32, Ticket)>,
-    uses: u32,
+    slab: Slab<(u64, Ticket)>,
+    count: u64,
+}
+
+fn number(count: u64, place: usize) -> u64 {
+    (count << PLACE_BITS) | place as u64
+}
+
+fn place(number: u64) -> usize {
+    (number & PLACE_MASK) as usize
 }
 
 impl Tickets {
     pub fn add(&mut self, ticket: Ticket) -> u64 {
-        self.uses = self.uses.wrapping_add(1);
-        let place = self.slab.insert((self.uses, ticket));
-        (u64::from(self.uses) << 32) | place as u64
+        self.count += 1;
+        number(self.count, self.slab.insert((self.count, ticket)))
     }
 
     pub fn get(&mut self, number: u64) -> Option<&mut Ticket> {
-        let (use_no, ticket) = self.slab.get_mut((number & 0xffff_ffff) as usize)?;
-        (u64::from(*use_no) == number >> 32).then_some(ticket)
+        let (count, ticket) = self.slab.get_mut(place(number))?;
+        (*count == number >> PLACE_BITS).then_some(ticket)
     }
 
     pub fn remove(&mut self, number: u64) -> Option<Ticket> {
         self.get(number)?;
-        Some(self.slab.remove((number & 0xffff_ffff) as usize).1)
+        Some(self.slab.remove(place(number)).1)
     }
 
     pub fn len(&self) -> usize {
@@ -102,7 +113,7 @@
 
     pub fn numbers(&self, passes: impl Fn(&Ticket) -> bool) -> Vec<u64> {
         let kept = self.slab.iter().filter(|(_, (_, ticket))| passes(ticket));
-        kept.map(|(place, (use_no, _))| (u64::from(*use_no) << 32) | place as u64)
+        kept.map(|(place, (count, _))| number(*count, place))
             .collect()
     }
 }
