--- a/crates/council/src/beating.rs
+++ b/crates/council/src/beating.rs
@@ -1,7 +1,7 @@
 use crate::action::CouncilAction;
 use crate::council::{Council, DUTY_KEY, KEPT};
 use crate::duty::{term_of, Grant};
-use crate::message::{Ack, Beat, CouncilMessage};
+use crate::message::{Ack, Beat, CouncilMessage, HeardHeartbeat};
 use crate::peer::Peer;
 use std::collections::BTreeSet;
 
@@ -84,6 +84,7 @@
             self.beat_at = now + pause;
         }
         self.beat_number += 1;
+        self.contact.sending(now, self.beat_number);
         self.back_own_claim(now);
         let beat = self.beat(now);
         for to in self.audience(now) {
@@ -93,6 +94,7 @@
             }
             let beat = Beat {
                 is_free: self.may_grant(now, &to),
+                heard: self.heard_from(&to),
                 ..beat.clone()
             };
             self.send(&to, CouncilMessage::Beat(beat));
@@ -138,6 +140,8 @@
             hears,
             spares: fresh.difference(&members).count().min(255) as u8,
             is_first_start: self.options.is_first_start,
+            is_in_contact: self.is_in_contact(now),
+            heard: HeardHeartbeat::default(),
         }
     }
 
@@ -153,6 +157,7 @@
         peer.beat = beat.clone();
         self.wants_beat |= is_new;
         self.compare_sets(from, &beat);
+        self.on_acknowledgement(&beat);
         self.on_claim(now, from, &beat);
         let same_era = beat.known.0 == self.set.era;
         if same_era && self.set.era > 0 {
--- /dev/null
+++ b/crates/council/src/contact.rs
@@ -0,0 +1,73 @@
+//! The contact lease: until when a controller may take itself to be connected to a majority of voters.
+
+use register::VoterSet;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Share of the span that counts, in fifths; the rest is left for clocks that run apart.
+const COUNTED_FIFTHS: u64 = 4;
+/// Most heartbeats whose sending is remembered.
+const SENT_MAX: usize = 256;
+
+/// A heartbeat of this controller that others may still acknowledge.
+#[derive(Clone, Copy, Debug)]
+struct SentHeartbeat {
+    number: u64,
+    sent_at: u64,
+}
+
+/// When the newest acknowledged heartbeats of this controller left, by the voter that acknowledged them.
+///
+/// The lease is counted from the *sending* of an acknowledged heartbeat on this controller's own monotonic
+/// clock. It needs both directions of a link, and nothing that arrives late or twice makes it longer.
+#[derive(Clone, Debug)]
+pub struct ContactLease {
+    span_ms: u64,
+    sent: VecDeque<SentHeartbeat>,
+    /// By the id of the voter's disk.
+    acknowledged: BTreeMap<u64, u64>,
+}
+
+impl ContactLease {
+    /// No contact yet. The lease lasts four fifths of the span, counted from a heartbeat's sending.
+    pub fn new(span_ms: u64) -> Self {
+        Self {
+            span_ms: span_ms * COUNTED_FIFTHS / 5,
+            sent: VecDeque::new(),
+            acknowledged: BTreeMap::new(),
+        }
+    }
+
+    /// A heartbeat leaves now. The numbers of a life ascend.
+    pub fn sending(&mut self, now: u64, number: u64) {
+        let span = self.span_ms;
+        self.sent.retain(|beat| now < beat.sent_at + span);
+        self.acknowledged.retain(|_, sent_at| now < *sent_at + span);
+        if self.sent.len() >= SENT_MAX {
+            self.sent.pop_front();
+        }
+        let sent_at = now;
+        self.sent.push_back(SentHeartbeat { number, sent_at });
+    }
+
+    /// A controller has heard a heartbeat of this one. A number that was never sent, or long ago, says nothing.
+    pub fn acknowledged(&mut self, disk: u64, number: u64) {
+        let sent = self.sent.iter().find(|beat| beat.number == number);
+        let Some(sent_at) = sent.map(|beat| beat.sent_at) else {
+            return;
+        };
+        let newest = self.acknowledged.entry(disk).or_default();
+        *newest = (*newest).max(sent_at);
+    }
+
+    /// Whether a majority of a set is in contact now. A voter on this controller's own disk always is.
+    pub fn is_held(&self, now: u64, set: &VoterSet, own_disk: u64) -> bool {
+        if set.voters.is_empty() {
+            return false;
+        }
+        let in_contact = set.voters.iter().filter(|voter| {
+            let sent_at = self.acknowledged.get(&voter.disk);
+            voter.disk == own_disk || sent_at.is_some_and(|sent_at| now < sent_at + self.span_ms)
+        });
+        in_contact.count() >= set.majority()
+    }
+}
--- a/crates/council/src/contending.rs
+++ b/crates/council/src/contending.rs
@@ -10,8 +10,9 @@
 const STAGGER_MS: u64 = 40;
 
 impl Council {
-    /// Drops a claim whose lease is over. A core that was frozen does so before anything else.
+    /// Ends contact and drops a claim where their lease is over. A core that was frozen does so before anything else.
     pub(crate) fn expire(&mut self, now: u64) {
+        self.tend_contact(now);
         let lease = self.options.lease_ms;
         let is_over = self.duty.claim.as_ref().is_some_and(|claim| {
             let is_young = !claim.is_told && now < claim.won_at + lease / 2;
--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -1,5 +1,6 @@
 use crate::action::{CouncilAction, CouncilOptions};
 use crate::catching_up::Want;
+use crate::contact::ContactLease;
 use crate::disk::{DiskDone, DiskWork, HeldSummary, HeldValue};
 use crate::duty::Duty;
 use crate::installing::Pulled;
@@ -45,6 +46,9 @@
     pub(crate) mend_at: u64,
     pub(crate) peers: BTreeMap<String, Peer>,
     pub(crate) beat_number: u64,
+    pub(crate) contact: ContactLease,
+    /// Whether contact lasted when it was last looked at.
+    pub(crate) has_contact: bool,
     pub(crate) beat_at: u64,
     pub(crate) beaten_at: Option<u64>,
     pub(crate) wants_beat: bool,
@@ -88,6 +92,8 @@
             mend_at: now + 1_000,
             peers: BTreeMap::new(),
             beat_number: 0,
+            contact: ContactLease::new(options.lease_ms),
+            has_contact: false,
             beat_at: now,
             beaten_at: None,
             wants_beat: true,
@@ -218,6 +224,7 @@
     }
 
     fn tend(&mut self, now: u64) {
+        self.tend_contact(now);
         self.tend_jobs(now);
         self.tend_duty(now);
         self.tend_beats(now);
@@ -230,7 +237,7 @@
         paused.chain(self.duty.contend_at).min()
     }
 
-    fn tend_settling(&mut self, now: u64) {
+    pub(crate) fn tend_settling(&mut self, now: u64) {
         if self.set.era == 0 || now < self.settle_at {
             return;
         }
--- a/crates/council/src/message.rs
+++ b/crates/council/src/message.rs
@@ -89,6 +89,19 @@
     pub spares: u8,
     /// Whether the core takes this for the first start of the whole system.
     pub is_first_start: bool,
+    /// Whether the core is in contact with a majority.
+    pub is_in_contact: bool,
+    /// The newest heartbeat that the core has heard from the receiver.
+    pub heard: HeardHeartbeat,
+}
+
+/// Acknowledges a heartbeat: the newest one that its receiver has heard from the sender.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Readable, Writable)]
+pub struct HeardHeartbeat {
+    /// Random id of the sender's life; 0 where nothing was heard.
+    pub life: u64,
+    /// Number of the heartbeat within that life.
+    pub number: u64,
 }
 
 /// A member's word that its voter backs a claim.
--- a/crates/council/src/peer.rs
+++ b/crates/council/src/peer.rs
@@ -1,4 +1,4 @@
-use crate::message::Beat;
+use crate::message::{Beat, HeardHeartbeat};
 
 /// Another core, as its newest beat told it.
 #[derive(Clone, Debug, Default)]
@@ -10,6 +10,14 @@
 }
 
 impl Peer {
+    /// The newest heartbeat, as it is acknowledged.
+    pub fn heard(&self) -> HeardHeartbeat {
+        HeardHeartbeat {
+            life: self.beat.life,
+            number: self.beat.number,
+        }
+    }
+
     pub fn is_fresh(&self, now: u64, span: u64) -> bool {
         self.heard_at.is_some_and(|at| now <= at + span)
     }
--- /dev/null
+++ b/crates/council/src/serving.rs
@@ -0,0 +1,77 @@
+//! Whether what a controller knows may pass for current: it needs contact with a majority of the newest set, and
+//! to have read everything at a majority since that contact began.
+
+use crate::council::{Council, KEYS};
+use crate::job::Purpose;
+use crate::message::{Beat, HeardHeartbeat};
+use crate::peer::Peer;
+
+impl Council {
+    /// Whether a majority of the newest known set has lately acknowledged a heartbeat of this core.
+    pub fn is_in_contact(&self, now: u64) -> bool {
+        let disk = self.options.disk;
+        self.contact.is_held(now, &self.set, disk)
+    }
+
+    /// Whether what this core knows may be told as the newest: it is in contact, and has read all keys at a
+    /// majority since it came into contact.
+    pub fn is_current(&self, now: u64) -> bool {
+        self.has_contact && self.is_in_contact(now) && self.is_settled()
+    }
+
+    /// Addresses of other cores that were heard lately and said that they are in contact.
+    pub fn members_in_contact(&self, now: u64) -> Vec<String> {
+        let fresh = self.fresh(now).filter(|(_, beat)| beat.is_in_contact);
+        fresh.map(|(address, _)| address.clone()).collect()
+    }
+
+    /// Takes further addresses at which other cores may be found.
+    pub fn learn_seeds(&mut self, seeds: Vec<String>) {
+        self.options.seeds = seeds;
+        for seed in self.options.seeds.clone() {
+            self.admit(&seed);
+        }
+    }
+
+    /// The newest heartbeat that was heard from a core, which acknowledges it.
+    pub(crate) fn heard_from(&self, address: &str) -> HeardHeartbeat {
+        let peer = self.peers.get(address);
+        let peer = peer.filter(|peer| peer.heard_at.is_some());
+        peer.map(Peer::heard).unwrap_or_default()
+    }
+
+    /// A heartbeat acknowledges what its sender heard from this core. A sender that knows a newer set counts no
+    /// more under the one that is known here.
+    pub(crate) fn on_acknowledgement(&mut self, beat: &Beat) {
+        if beat.heard.life != self.life || beat.known > self.set.mark() {
+            return;
+        }
+        self.contact.acknowledged(beat.disk, beat.heard.number);
+    }
+
+    /// Notes where contact has begun or ended. It comes first and last in all that a council does, so that a core
+    /// that was frozen sees the end before anything can renew the lease.
+    pub(crate) fn tend_contact(&mut self, now: u64) {
+        let is_in_contact = self.is_in_contact(now);
+        if is_in_contact == self.has_contact {
+            return;
+        }
+        self.has_contact = is_in_contact;
+        self.wants_beat = true;
+        if is_in_contact {
+            log::info!("council: in contact with a majority");
+            self.read_all_again(now);
+        } else {
+            log::warn!("council: out of contact with a majority");
+        }
+    }
+
+    /// All keys are read at a majority again; what was begun before says nothing about this contact.
+    fn read_all_again(&mut self, now: u64) {
+        let is_settling = |purpose| matches!(purpose, Purpose::Settle(_));
+        self.jobs.retain(|_, job| !is_settling(job.purpose));
+        self.unread = KEYS.into_iter().collect();
+        self.settle_at = now;
+        self.tend_settling(now);
+    }
+}
--- a/crates/council/tests/world/node.rs
+++ b/crates/council/tests/world/node.rs
@@ -58,6 +58,19 @@
         self.council.as_ref()?.term(self.clock(now))
     }
 
+    /// Whether the core would pass for current at this moment.
+    pub fn is_current(&self, now: u64) -> bool {
+        let council = self.council.as_ref();
+        council.is_some_and(|council| council.is_current(self.clock(now)))
+    }
+
+    /// The newest version of a key that the core knows to be settled.
+    pub fn settled(&self, key: &str) -> u64 {
+        let council = self.council.as_ref();
+        let settled = council.and_then(|council| council.settled(key));
+        settled.map_or(0, |(version, _)| version)
+    }
+
     /// Does the work that has come for the disk.
     pub fn perform(&mut self, now: u64) {
         let works = std::mem::take(&mut self.works);
