--- a/crates/controller/src/changes.rs
+++ b/crates/controller/src/changes.rs
@@ -12,6 +12,11 @@
 /// Times that a change begins anew because another one was faster.
 const ROUNDS_MAX: u32 = 8;
 
+/// Milliseconds after which an order gets its answer, so that an operator who waits for a second hears it.
+const ANSWER_MS: u64 = 800;
+/// Bytes of an order for which an operator waits a millisecond longer.
+const BYTES_EACH_MS: u64 = 250;
+
 /// One operator's call that is being worked on.
 struct Change {
     line: LineId,
@@ -60,6 +65,8 @@
             OperatorCall::Close(_) | OperatorCall::Open(_) => CLOSURES,
             _ => DESCRIPTION,
         };
+        let answer_ms = ANSWER_MS + body.len() as u64 / BYTES_EACH_MS;
+        let answer_ms = answer_ms.min(self.options.change_ms.max(ANSWER_MS));
         let change = Change {
             line,
             keeps_alive,
@@ -67,7 +74,7 @@
             base,
             body,
             rounds: 0,
-            ends_at: self.now + self.options.change_ms,
+            ends_at: self.now + answer_ms,
             has_written: false,
         };
         self.changes.pending.insert(token, change);
@@ -75,14 +82,16 @@
         self.council.read(self.now, token, key);
     }
 
-    /// Changes whose time is over get no clear answer.
+    /// Changes whose time is over, or that lost contact with a majority on the way, get no clear answer.
     pub fn tend_changes(&mut self) {
         let late = self.changes.pending.iter();
-        let late = late.filter(|(_, change)| change.ends_at <= self.now);
+        let has_contact = self.council.is_in_contact(self.now);
+        let late = late.filter(|(_, change)| !has_contact || change.ends_at <= self.now);
         let late: Vec<u64> = late.map(|(token, _)| *token).collect();
         for token in late {
             if let Some(change) = self.changes.pending.remove(&token) {
-                let text = b"no majority of cores answered in time";
+                let text =
+                    b"it is not known whether it was taken: no majority of cores answered in time";
                 self.reply(change.line, 503, text, change.keeps_alive);
             }
         }
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -68,7 +68,7 @@
     let mut events = Vec::new();
     let mut stops_at = None;
     loop {
-        controller.now = controller.began.elapsed().as_millis() as u64;
+        controller.now = controller.clock();
         if term.load(Ordering::Relaxed) && stops_at.is_none() {
             log::info!("controller: told to stop");
             controller.council.resign(controller.now);
@@ -78,7 +78,7 @@
             return Ok(());
         }
         if hup.swap(false, Ordering::Relaxed) {
-            log::info!("controller: the settings name nothing that can change in a life");
+            controller.reload();
         }
         if controller.now >= controller.ticked_at + TICK_MS {
             controller.ticked_at = controller.now;
@@ -90,7 +90,7 @@
         let next = controller.ticked_at + TICK_MS;
         let patience = Duration::from_millis(next.saturating_sub(controller.now).max(1));
         controller.courier.wait(patience, &mut events);
-        controller.now = controller.began.elapsed().as_millis() as u64;
+        controller.now = controller.clock();
         for event in events.drain(..) {
             controller.handle(event);
         }
@@ -159,8 +159,14 @@
         })
     }
 
+    /// Milliseconds since the start, at this very moment.
+    pub fn clock(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
     fn tick(&mut self) {
         self.council.tick(self.now);
+        self.tell_contact();
         self.beat_fronts(false);
         self.tend_scaling();
         self.tend_changes();
@@ -200,6 +206,19 @@
         }
     }
 
+    /// Takes other cores' addresses from settings that have changed.
+    fn reload(&mut self) {
+        let Some(seeds) = (self.options.reload)() else {
+            return;
+        };
+        log::info!(
+            "controller: settings read anew, {} cores named",
+            seeds.len()
+        );
+        let seeds = seeds.iter().map(ToString::to_string).collect();
+        self.council.learn_seeds(seeds);
+    }
+
     /// Does what the council wants done.
     fn act(&mut self) {
         loop {
--- a/crates/controller/src/fronts.rs
+++ b/crates/controller/src/fronts.rs
@@ -19,6 +19,8 @@
 pub(crate) struct Fronts {
     pub known: BTreeMap<String, Front>,
     beat_at: u64,
+    /// Whether they were told last that this core is in contact with a majority.
+    was_current: bool,
 }
 
 impl Fronts {
@@ -77,6 +79,11 @@
             self.courier.send(line, &frame(&text));
             return;
         }
+        if let Message::AskHeartbeat = message {
+            let heartbeat = frame(&self.core_beat());
+            self.courier.send(line, &heartbeat);
+            return;
+        }
         let Some(Role::Front(Some(name))) = self.roles.get(&line) else {
             return;
         };
@@ -131,6 +138,8 @@
     }
 
     fn answer_ask(&mut self, name: &str, description: u64, closures: u64) {
+        // A front hears that contact is over before it hears anything that may be old.
+        self.tell_contact();
         if self.kept_at > description {
             let steps = self.steps.since(description).filter(|changes| {
                 let size: usize = changes.iter().map(Vec::len).sum();
@@ -168,6 +177,15 @@
             term: self.council.term(self.now).unwrap_or(0),
             cores: cores.collect(),
             district: self.options.district.clone(),
+            is_current: self.council.is_current(self.now),
+        }
+    }
+
+    /// Tells all fronts at once where contact with a majority has begun or ended.
+    pub fn tell_contact(&mut self) {
+        self.now = self.clock();
+        if self.council.is_current(self.now) != self.fronts.was_current {
+            self.beat_fronts(true);
         }
     }
 
@@ -178,6 +196,7 @@
             return;
         }
         self.fronts.beat_at = self.now;
+        self.fronts.was_current = self.council.is_current(self.now);
         let beat = frame(&self.core_beat());
         let silence = self.options.silence_ms();
         for name in self.fronts.names() {
@@ -221,7 +240,7 @@
             "marks": [self.kept_at, self.closures_at],
             "term": self.council.term(self.now).unwrap_or(0),
             "council": self.council.reason(),
-            "cores": self.council.cores(),
+            "cores": self.council.cores(), "current": self.council.is_current(self.now),
             "fronts": self.fronts.known.len(), "closed": self.closures.districts,
             "functions": functions,
         })
--- a/crates/controller/src/guide.rs
+++ b/crates/controller/src/guide.rs
@@ -1,116 +1,277 @@
-use crate::options::{ControllerError, Translator};
+//! A daemon of the control plane without a disk: it keeps nothing, and sends operators on to members of the core
+//! that are alive and in contact with a majority.
+
+use crate::directory::MemberDirectory;
+use crate::operators::{location_of, RETRY_AFTER};
+use crate::options::{ControllerError, Reload, Translator};
 use courier::{Courier, Event, LineId};
+use dispatch::{frame, take_frames, Message};
 use exchange::{write_response, Bounds, Request, RequestReader};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-const INBOX_MAX: usize = 40 << 20;
-const PATIENCE: Duration = Duration::from_millis(500);
+const OPERATOR_INBOX: usize = 40 << 20;
+const MEMBER_INBOX: usize = 1 << 20;
+const TICK_MS: u64 = 50;
+const BOUNDS: Bounds = Bounds {
+    header_bytes: 64 << 10,
+    body_bytes: 32 << 20,
+};
 
 /// What a daemon of the control plane without a disk needs to know.
 pub struct GuideOptions {
     /// Address for operators.
     pub operators: SocketAddr,
-    /// Operators' addresses of daemons that may have a disk.
-    pub others: Vec<SocketAddr>,
+    /// Address at which this daemon would listen for gateways, if it had a disk.
+    pub fronts: SocketAddr,
+    /// Such addresses of daemons that may have a disk, as far as they are known at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// Milliseconds within which an acknowledged change holds everywhere.
+    pub change_ms: u64,
     /// Most open lines.
     pub lines_max: usize,
     /// How operators speak.
     pub translator: Box<dyn Translator>,
+    /// Reads the settings anew: the seeds, where the settings have changed.
+    pub reload: Reload,
 }
 
-/// Serves operators on a machine without a disk: nothing is kept here, so each call is sent on to another daemon.
-pub fn guide(options: &GuideOptions) -> Result<(), ControllerError> {
-    let term = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, Arc::clone(&term)).map_err(ControllerError::System)?;
+impl GuideOptions {
+    /// Milliseconds between questions to a member: a tenth of the bound on changes.
+    fn ask_ms(&self) -> u64 {
+        self.change_ms / 10
+    }
+
+    /// Milliseconds for which a member's word counts: three tenths of the bound on changes.
+    fn fresh_ms(&self) -> u64 {
+        self.change_ms * 3 / 10
     }
-    let mut courier = Courier::new(options.lines_max, 5_000).map_err(ControllerError::System)?;
-    let listening = courier.listen(options.operators, INBOX_MAX);
-    listening.map_err(|error| ControllerError::Listen(options.operators, error))?;
-    log::info!(
-        "controller: no disk here; calls are sent on to {:?}",
-        options.others
-    );
-    let mut readers: HashMap<LineId, RequestReader> = HashMap::new();
+}
+
+/// What a line is for.
+enum Role {
+    Operator(Box<RequestReader>),
+    Member(SocketAddr),
+}
+
+struct Guide {
+    options: GuideOptions,
+    courier: Courier,
+    roles: HashMap<LineId, Role>,
+    links: HashMap<SocketAddr, LineId>,
+    directory: MemberDirectory,
+    began: Instant,
+    now: u64,
+    ticked_at: u64,
+    turn: usize,
+}
+
+/// Serves operators on a machine without a disk: nothing is kept here, so each call is sent on to another daemon.
+pub fn guide(options: GuideOptions) -> Result<(), ControllerError> {
+    let (term, hup) = (Arc::default(), Arc::default());
+    let watch = |signal, flag: &Arc<AtomicBool>| {
+        signal_hook::flag::register(signal, Arc::clone(flag)).map_err(ControllerError::System)
+    };
+    watch(signal_hook::consts::SIGTERM, &term)?;
+    watch(signal_hook::consts::SIGINT, &term)?;
+    watch(signal_hook::consts::SIGHUP, &hup)?;
+    let mut guide = Guide::open(options)?;
     let mut events = Vec::new();
-    let mut turn = 0;
     while !term.load(Ordering::Relaxed) {
-        courier.wait(PATIENCE, &mut events);
+        if hup.swap(false, Ordering::Relaxed) {
+            guide.reload();
+        }
+        guide.now = guide.clock();
+        if guide.now >= guide.ticked_at + TICK_MS {
+            guide.ticked_at = guide.now;
+            guide.tick();
+        }
+        let patience = Duration::from_millis(TICK_MS);
+        guide.courier.wait(patience, &mut events);
+        guide.now = guide.clock();
         for event in events.drain(..) {
-            match event {
-                Event::Opened(_, line) => {
-                    readers.insert(line, RequestReader::new());
-                }
-                Event::Arrived(line) => serve(options, &mut courier, &mut readers, line, &mut turn),
-                Event::Connected(_) => {}
-                Event::Ended(line, _) => {
-                    readers.remove(&line);
-                    courier.close(line);
-                }
-            }
+            guide.handle(event);
         }
     }
     Ok(())
 }
 
-fn serve(
-    options: &GuideOptions,
-    courier: &mut Courier,
-    readers: &mut HashMap<LineId, RequestReader>,
-    line: LineId,
-    turn: &mut usize,
-) {
-    let bounds = Bounds {
-        header_bytes: 64 << 10,
-        body_bytes: 32 << 20,
-    };
-    let (Some(reader), Some(inbox)) = (readers.get_mut(&line), courier.inbox(line)) else {
-        return;
-    };
-    let mut out = Vec::new();
-    match reader.read(inbox, &bounds) {
-        Ok(None) => return,
-        Ok(Some(request)) => {
-            *turn += 1;
-            send_on(options, &request, *turn, &mut out);
+impl Guide {
+    fn open(options: GuideOptions) -> Result<Self, ControllerError> {
+        let silence = options.fresh_ms() as u32;
+        let mut courier =
+            Courier::new(options.lines_max, silence).map_err(ControllerError::System)?;
+        let listening = courier.listen(options.operators, OPERATOR_INBOX);
+        listening.map_err(|error| ControllerError::Listen(options.operators, error))?;
+        let seeds = options.seeds.clone();
+        let (ask, fresh) = (options.ask_ms(), options.fresh_ms());
+        log::info!(
+            "controller: no disk here; calls are sent on, members are learnt from {seeds:?}"
+        );
+        Ok(Self {
+            directory: MemberDirectory::new(options.fronts, seeds, ask, fresh),
+            courier,
+            roles: HashMap::new(),
+            links: HashMap::new(),
+            began: Instant::now(),
+            now: 0,
+            ticked_at: 0,
+            turn: 0,
+            options,
+        })
+    }
+
+    fn clock(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    fn reload(&mut self) {
+        let Some(seeds) = (self.options.reload)() else {
+            return;
+        };
+        log::info!(
+            "controller: settings read anew, {} seeds named",
+            seeds.len()
+        );
+        self.directory.set_seeds(self.now, seeds);
+    }
+
+    fn tick(&mut self) {
+        for address in self.directory.forget(self.now) {
+            log::info!("controller: member {address} is forgotten");
+            self.close_link(address);
         }
-        Err(fault) => {
-            let text = fault.to_string();
-            let none = std::iter::empty();
-            write_response(
-                &mut out,
-                fault.status(),
-                none,
-                text.as_bytes(),
-                false,
-                false,
-            );
+        for address in self.directory.due(self.now) {
+            self.ask_member(address);
         }
     }
-    courier.send(line, &out);
-    courier.finish(line);
-    readers.remove(&line);
-}
 
-fn send_on(options: &GuideOptions, request: &Request, turn: usize, out: &mut Vec<u8>) {
-    let call = options
-        .translator
-        .operator_call(&request.method, &request.target);
-    let status = match &call {
-        None => 404,
-        Some(Err(status)) => *status,
-        Some(Ok(_)) if options.others.is_empty() => 503,
-        Some(Ok(_)) => 307,
-    };
-    let place = turn % options.others.len().max(1);
-    let other = options.others.get(place).filter(|_| status == 307);
-    let location = other.map(|other| format!("http://{other}{}", request.target));
-    let headers = location
-        .iter()
-        .map(|location| ("Location", location.as_bytes()));
-    write_response(out, status, headers, b"", false, false);
+    fn close_link(&mut self, address: SocketAddr) {
+        if let Some(line) = self.links.remove(&address) {
+            self.roles.remove(&line);
+            self.courier.close(line);
+        }
+    }
+
+    fn ask_member(&mut self, address: SocketAddr) {
+        if !self.links.contains_key(&address) {
+            let Ok(line) = self.courier.connect(address, MEMBER_INBOX) else {
+                return;
+            };
+            self.roles.insert(line, Role::Member(address));
+            self.links.insert(address, line);
+        }
+        if let Some(line) = self.links.get(&address) {
+            self.courier.send(*line, &frame(&Message::AskHeartbeat));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Opened(_, line) => {
+                let role = Role::Operator(Box::default());
+                self.roles.insert(line, role);
+            }
+            Event::Connected(_) => {}
+            Event::Arrived(line) => match self.roles.get(&line) {
+                Some(Role::Operator(_)) => self.operator_arrived(line),
+                Some(Role::Member(address)) => self.member_arrived(line, *address),
+                None => {}
+            },
+            Event::Ended(line, _) => {
+                if let Some(Role::Member(address)) = self.roles.remove(&line) {
+                    self.links.remove(&address);
+                    self.directory.on_link_ended(address);
+                }
+                self.courier.close(line);
+            }
+        }
+    }
+
+    fn member_arrived(&mut self, line: LineId, address: SocketAddr) {
+        let Some(inbox) = self.courier.inbox(line) else {
+            return;
+        };
+        let (messages, fault) = take_frames::<Message>(inbox);
+        for message in messages {
+            if let Message::CoreBeat {
+                cores, is_current, ..
+            } = message
+            {
+                let members = cores.iter().filter_map(|core| core.parse().ok());
+                self.directory
+                    .on_heartbeat(self.now, address, is_current, members);
+            }
+        }
+        if let Some(fault) = fault {
+            log::warn!("controller: the link to member {address} is closed: {fault}");
+            self.directory.on_link_ended(address);
+            self.close_link(address);
+        }
+    }
+
+    fn operator_arrived(&mut self, line: LineId) {
+        let Some(Role::Operator(reader)) = self.roles.get_mut(&line) else {
+            return;
+        };
+        let Some(inbox) = self.courier.inbox(line) else {
+            return;
+        };
+        let mut out = Vec::new();
+        match reader.read(inbox, &BOUNDS) {
+            Ok(None) => return,
+            Ok(Some(request)) => self.send_on(&request, &mut out),
+            Err(fault) => {
+                let text = fault.to_string();
+                let none = std::iter::empty();
+                write_response(
+                    &mut out,
+                    fault.status(),
+                    none,
+                    text.as_bytes(),
+                    false,
+                    false,
+                );
+            }
+        }
+        self.courier.send(line, &out);
+        self.courier.finish(line);
+        self.roles.remove(&line);
+    }
+
+    /// Sends a call on to a member in contact with a majority; where none is known the caller comes again.
+    fn send_on(&mut self, request: &Request, out: &mut Vec<u8>) {
+        let translator = &self.options.translator;
+        let call = translator.operator_call(&request.method, &request.target);
+        let mut header: Vec<(&str, String)> = Vec::new();
+        let status = match call {
+            None => 404,
+            Some(Err(status)) => status,
+            Some(Ok(_)) => match self.next_member() {
+                Some(member) => {
+                    let port = self.options.operators.port();
+                    let location = location_of(member.ip(), port, &request.target);
+                    header.push(("Location", location));
+                    307
+                }
+                None => {
+                    let after = String::from_utf8_lossy(RETRY_AFTER).into_owned();
+                    header.push(("Retry-After", after));
+                    503
+                }
+            },
+        };
+        let headers = header.iter().map(|(name, value)| (*name, value.as_bytes()));
+        write_response(out, status, headers, b"", false, false);
+    }
+
+    fn next_member(&mut self) -> Option<SocketAddr> {
+        let now = self.clock();
+        let current = self.directory.current(now);
+        self.turn = self.turn.wrapping_add(1);
+        current.get(self.turn % current.len().max(1)).copied()
+    }
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod controller;
 mod cores;
+mod directory;
 mod disk;
 mod fronts;
 mod guide;
@@ -15,5 +16,6 @@
 mod scaling_calls;
 
 pub use controller::run;
+pub use directory::MemberDirectory;
 pub use guide::{guide, GuideOptions};
 pub use options::{Call, ControllerError, ControllerOptions, OperatorCall, StartReply, Translator};
--- a/crates/controller/src/operators.rs
+++ b/crates/controller/src/operators.rs
@@ -2,11 +2,24 @@
 use crate::options::OperatorCall;
 use courier::LineId;
 use exchange::{write_response, Bounds, Request};
+use std::net::{IpAddr, SocketAddr};
 
 const HEAD_MAX: usize = 64 << 10;
 const BODY_MAX: usize = 32 << 20;
 /// Seconds after which operators come back to a core that cannot answer now.
-const RETRY_AFTER: &[u8] = b"0.3";
+pub(crate) const RETRY_AFTER: &[u8] = b"0.3";
+
+/// What an operator is answered.
+struct Answer<'a> {
+    status: u16,
+    body: &'a [u8],
+    location: Option<String>,
+}
+
+/// Where an operator finds another daemon of the control plane.
+pub(crate) fn location_of(ip: IpAddr, port: u16, target: &str) -> String {
+    format!("http://{}{target}", SocketAddr::new(ip, port))
+}
 
 impl Controller {
     pub fn operator_arrived(&mut self, line: LineId) {
@@ -48,6 +61,9 @@
             {
                 self.reply(line, 404, b"there is no such zone", keeps);
             }
+            Some(Ok(_)) if !self.council.is_in_contact(self.clock()) => {
+                self.send_on(line, &request.target, keeps);
+            }
             Some(Ok(call)) => {
                 let base = self.options.translator.base_version(&request.headers);
                 self.begin_change(line, call, base, request.body, keeps);
@@ -55,8 +71,41 @@
         }
     }
 
+    /// Sends an operator on to a core in contact with a majority, since this one may neither take nor refuse orders.
+    fn send_on(&mut self, line: LineId, target: &str, keeps_alive: bool) {
+        let members = self.council.members_in_contact(self.now);
+        let turn: usize = rand::random::<u32>() as usize;
+        let member = members.get(turn % members.len().max(1));
+        let port = self.options.operators.port();
+        let address: Option<SocketAddr> = member.and_then(|member| member.parse().ok());
+        let location = address.map(|address| location_of(address.ip(), port, target));
+        let answer = match location {
+            Some(location) => Answer {
+                status: 307,
+                body: b"",
+                location: Some(location),
+            },
+            None => Answer {
+                status: 503,
+                body: b"no majority of cores is in contact; nothing was done",
+                location: None,
+            },
+        };
+        self.answer(line, &answer, keeps_alive);
+    }
+
     /// Answers an operator and goes on with what was sent meanwhile.
     pub fn reply(&mut self, line: LineId, status: u16, body: &[u8], keeps_alive: bool) {
+        let answer = Answer {
+            status,
+            body,
+            location: None,
+        };
+        self.answer(line, &answer, keeps_alive);
+    }
+
+    fn answer(&mut self, line: LineId, answer: &Answer<'_>, keeps_alive: bool) {
+        let (status, body) = (answer.status, answer.body);
         if !matches!(self.roles.get(&line), Some(Role::Operator(..))) {
             return;
         }
@@ -71,6 +120,9 @@
         if status == 503 {
             headers.push(("Retry-After", RETRY_AFTER));
         }
+        if let Some(location) = &answer.location {
+            headers.push(("Location", location.as_bytes()));
+        }
         write_response(
             &mut out,
             status,
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -65,6 +65,9 @@
     fn is_stopped(&self, status: u16) -> bool;
 }
 
+/// Reads addresses of cores anew, where the settings have changed.
+pub type Reload = Box<dyn Fn() -> Option<Vec<SocketAddr>>>;
+
 /// What a daemon of the control plane needs to know.
 pub struct ControllerOptions {
     /// Name, its own in the fleet.
@@ -109,6 +112,8 @@
     pub lines_max: usize,
     /// How operators and the platform speak.
     pub translator: Box<dyn Translator>,
+    /// Reads the settings anew: the cores' council addresses, where the settings have changed.
+    pub reload: Reload,
 }
 
 impl ControllerOptions {
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -100,7 +100,11 @@
         cores: Vec<String>,
         /// District that it stands in.
         district: String,
+        /// Whether it is in contact with a majority of voters, so that what it tells may be taken for the newest.
+        is_current: bool,
     },
+    /// A daemon that is no front asks a core for its heartbeat.
+    AskHeartbeat,
     /// A front asks for what is newer than what it holds.
     Ask {
         /// Mark of the description in force.
--- a/crates/dispatch/tests/drawn/mod.rs
+++ b/crates/dispatch/tests/drawn/mod.rs
@@ -6,7 +6,7 @@
 };
 use quickcheck::{Arbitrary, Gen};
 
-pub const KINDS: u8 = 26;
+pub const KINDS: u8 = 27;
 
 #[derive(Clone, Debug)]
 pub struct Drawn(pub Message);
@@ -144,6 +144,7 @@
             term: any(gen),
             cores: any(gen),
             district: any(gen),
+            is_current: any(gen),
         },
         3 => Message::Ask {
             description: any(gen),
@@ -229,6 +230,7 @@
             number: any(gen),
             said: said(gen),
         },
+        26 => Message::AskHeartbeat,
         _ => Message::StatusText(any(gen)),
     }
 }
@@ -262,5 +264,6 @@
         Message::JobKept(_) => 23,
         Message::JobAsk { .. } => 24,
         Message::JobSaid { .. } => 25,
+        Message::AskHeartbeat => 26,
     }
 }
--- a/crates/gateway/src/cores.rs
+++ b/crates/gateway/src/cores.rs
@@ -16,6 +16,8 @@
             return;
         };
         core.heard_at = now;
+        // A daemon that serves may move forward by what any core holds; one that starts waits for a current core.
+        let is_trusted = core.is_current || self.control.is_ready();
         match message {
             Message::CoreBeat {
                 description,
@@ -23,14 +25,21 @@
                 term,
                 cores,
                 district,
+                is_current,
             } => {
                 core.description = description;
                 core.closures = closures;
                 core.term = term;
                 core.district = district;
+                core.is_current = is_current;
                 self.links.learn_cores(cores.into_iter());
                 self.ask_for_news();
             }
+            Message::Description { .. } | Message::Changes { .. } | Message::Closures { .. }
+                if !is_trusted =>
+            {
+                log::info!("gateway: {address} is out of contact; its configuration is not taken");
+            }
             Message::Description { mark, document } => {
                 self.take_description(mark, &document);
                 self.ask_for_news();
@@ -51,17 +60,20 @@
         }
     }
 
-    /// Asks a core that has news, one at a time and a near one first.
+    /// Asks a core that has news, one at a time: one in contact with a majority and near by first. Before this daemon
+    /// serves it asks none that is out of contact.
     fn ask_for_news(&mut self) {
         let (description, closures) = self.control.marks();
         if self.now < self.links.asked_until {
             return;
         }
+        let serves = self.control.is_ready();
         let newer = self.links.cores.iter().filter(|(_, core)| {
-            core.line.is_some() && (core.description > description || core.closures > closures)
+            let has_news = core.description > description || core.closures > closures;
+            core.line.is_some() && has_news && (core.is_current || serves)
         });
         let district = &self.options.district;
-        let elected = newer.min_by_key(|(_, core)| core.district != *district);
+        let elected = newer.min_by_key(|(_, core)| (!core.is_current, core.district != *district));
         let Some((address, _)) = elected else {
             return;
         };
@@ -92,8 +104,7 @@
             };
             if let Some(line) = core.line {
                 if now > core.heard_at + silence {
-                    core.line = None;
-                    core.term = 0;
+                    core.end_link();
                     self.roles.remove(&line);
                     self.courier.close(line);
                 } else if now >= core.told_at + beat {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -31,6 +31,17 @@
     pub closures: u64,
     pub term: u64,
     pub district: String,
+    /// Whether it said last that it is in contact with a majority.
+    pub is_current: bool,
+}
+
+impl Core {
+    /// The link is gone, and with it what the core said of itself.
+    pub fn end_link(&mut self) {
+        self.line = None;
+        self.term = 0;
+        self.is_current = false;
+    }
 }
 
 /// Links to the other daemons.
@@ -82,10 +93,14 @@
         self.me.incarnation
     }
 
-    /// A core to ask something after so many tries, a near one first.
+    /// A core to ask something after so many tries, a near one first; where any is in contact with a majority, one
+    /// of these.
     pub fn core_for(&self, district: &str, tries: u32) -> Option<String> {
         let linked = self.cores.iter().filter(|(_, core)| core.line.is_some());
         let mut linked: Vec<_> = linked.collect();
+        if linked.iter().any(|(_, core)| core.is_current) {
+            linked.retain(|(_, core)| core.is_current);
+        }
         linked.sort_by_key(|(_, core)| core.district != district);
         let place = tries as usize % linked.len().max(1);
         linked.get(place).map(|(address, _)| (*address).clone())
@@ -318,8 +333,7 @@
         match self.roles.get(&line) {
             Some(Role::Core(address)) => {
                 if let Some(core) = self.links.cores.get_mut(address) {
-                    core.line = None;
-                    core.term = 0;
+                    core.end_link();
                 }
             }
             Some(Role::Link(Some(name))) => {
