--- a/crates/controller/src/changes.rs
+++ b/crates/controller/src/changes.rs
@@ -10,6 +10,11 @@
 /// Most orders that are worked on at once.
 const CHANGES_MAX: usize = 32;
 
+/// Milliseconds after which an order gets its answer, so that an operator who waits for a second hears it.
+const ANSWER_MS: u64 = 800;
+/// Bytes of an order for which an operator waits a millisecond longer.
+const BYTES_EACH_MS: u64 = 250;
+
 /// One operator's order that is being worked on.
 struct Change {
     line: LineId,
@@ -76,12 +81,14 @@
             base,
             body,
         };
+        let answer_ms = ANSWER_MS + order.body.len() as u64 / BYTES_EACH_MS;
+        let answer_ms = answer_ms.min(self.options.change_ms.max(ANSWER_MS));
         let key = key_of(&order);
         let change = Change {
             line,
             keeps_alive,
             execution: Execution::new(order),
-            ends_at: self.now + self.options.change_ms,
+            ends_at: self.now + answer_ms,
             is_writing: false,
         };
         self.changes.pending.insert(token, change);
@@ -89,14 +96,16 @@
         self.council.read(self.now, token, key);
     }
 
-    /// Changes whose time is over get no clear answer.
+    /// Changes whose time is over, or that lost contact with a majority on the way, get no clear answer.
     pub fn tend_changes(&mut self) {
         let late = self.changes.pending.iter();
-        let late = late.filter(|(_, change)| change.ends_at <= self.now);
+        let has_contact = self.council.is_in_contact(self.now);
+        let late = late.filter(|(_, change)| !has_contact || change.ends_at <= self.now);
         let late: Vec<u64> = late.map(|(token, _)| *token).collect();
         for token in late {
             if let Some(change) = self.changes.pending.remove(&token) {
-                let text = b"no majority of cores answered in time";
+                let text =
+                    b"it is not known whether it was taken: no majority of cores answered in time";
                 self.reply(change.line, 503, text, change.keeps_alive);
             }
         }
