--- /dev/null
+++ b/tests/model/src/lib.rs
@@ -0,0 +1,1 @@
+//! Explicit-state model checks.
--- /dev/null
+++ b/tests/mutations/src/entry.rs
@@ -0,0 +1,108 @@
+use crate::error::MutationError;
+use figment::providers::{Format, Toml};
+use figment::Figment;
+use serde::Deserialize;
+use std::path::{Path, PathBuf};
+use std::{fs, io};
+
+/// Folder of the entries, from the root of the workspace.
+const ENTRIES_FOLDER: &str = "tests/mutations/entries";
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Description {
+    removes: String,
+    file: PathBuf,
+    from: String,
+    to: String,
+    tests: Vec<String>,
+}
+
+/// One safety mechanism and how to remove it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// File name without its ending, such as `01-ballot-not-compared`.
+    pub name: String,
+    /// Number at the beginning of the name.
+    pub number: u32,
+    /// The mechanism that is removed.
+    pub removes: String,
+    /// Source file, from the root of the workspace.
+    pub file: PathBuf,
+    /// Text that stands exactly once in the file.
+    pub from: String,
+    /// Text that replaces it.
+    pub to: String,
+    /// Arguments of `cargo test`, one run each; at least one of them must fail.
+    pub tests: Vec<String>,
+}
+
+impl Entry {
+    fn read(path: &Path) -> Result<Self, MutationError> {
+        let name = path.file_stem().unwrap_or_default().to_string_lossy();
+        let invalid = |reason: String| MutationError::Description {
+            entry: name.to_string(),
+            reason,
+        };
+        let text = fs::read_to_string(path)?;
+        let description: Description = Figment::from(Toml::string(&text))
+            .extract()
+            .map_err(|error| invalid(error.to_string()))?;
+        let number = name
+            .split('-')
+            .next()
+            .and_then(|digits| digits.parse().ok());
+        let number = number.ok_or_else(|| invalid("its name begins with no number".into()))?;
+        if description.tests.is_empty() {
+            return Err(invalid("it names no test".into()));
+        }
+        Ok(Self {
+            name: name.to_string(),
+            number,
+            removes: description.removes,
+            file: description.file,
+            from: description.from,
+            to: description.to,
+            tests: description.tests,
+        })
+    }
+
+    /// The mutated content of the entry's file, given its present content.
+    pub fn mutated(&self, source: &str) -> Result<String, MutationError> {
+        let found = source.matches(&self.from).count();
+        if found != 1 || self.from == self.to {
+            return Err(MutationError::TextNotUnique {
+                entry: self.name.clone(),
+                found,
+            });
+        }
+        Ok(source.replacen(&self.from, &self.to, 1))
+    }
+
+    /// Whether the entry still applies to the sources under a root.
+    pub fn check(&self, root: &Path) -> Result<(), MutationError> {
+        let source = fs::read_to_string(root.join(&self.file)).map_err(|error| {
+            let path = self.file.display();
+            io::Error::new(error.kind(), format!("{}: {path}: {error}", self.name))
+        })?;
+        self.mutated(&source).map(|_| ())
+    }
+}
+
+/// All entries under a workspace's root, in the order of their numbers.
+pub fn load_entries(root: &Path) -> Result<Vec<Entry>, MutationError> {
+    let mut entries = Vec::new();
+    for file in fs::read_dir(root.join(ENTRIES_FOLDER))? {
+        entries.push(Entry::read(&file?.path())?);
+    }
+    entries.sort_by_key(|entry| entry.number);
+    for pair in entries.windows(2) {
+        if pair[0].number == pair[1].number {
+            return Err(MutationError::Description {
+                entry: pair[1].name.clone(),
+                reason: "its number is taken".into(),
+            });
+        }
+    }
+    Ok(entries)
+}
--- /dev/null
+++ b/tests/mutations/tests/entries.rs
@@ -0,0 +1,19 @@
+//! Every mutation still applies to the sources, and there are enough of them.
+
+use mutations::load_entries;
+use std::path::Path;
+
+const ENTRIES_MIN: usize = 25;
+
+#[test]
+fn every_mutation_applies_exactly_once() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let entries = load_entries(&root).expect("the entries can be read");
+    assert!(entries.len() >= ENTRIES_MIN);
+    let failures: Vec<String> = entries
+        .iter()
+        .filter_map(|entry| entry.check(&root).err())
+        .map(|error| error.to_string())
+        .collect();
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
