--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -27,6 +27,7 @@
 const VALUE_MAX: usize = 4 << 20;
 
 /// A core's part in all that cores decide among themselves.
+#[derive(Clone, Debug)]
 pub struct Council {
     pub(crate) options: CouncilOptions,
     pub(crate) random: StdRng,
--- a/crates/council/src/job.rs
+++ b/crates/council/src/job.rs
@@ -54,6 +54,7 @@
 }
 
 /// A change of a register under way.
+#[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub purpose: Purpose,
     pub key: String,
--- a/crates/journal/src/memory.rs
+++ b/crates/journal/src/memory.rs
@@ -18,13 +18,13 @@
     PowerLoss(usize),
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Held {
     bytes: Vec<u8>,
     synced: usize,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Disk {
     files: BTreeMap<String, Held>,
     is_full: bool,
@@ -71,6 +71,14 @@
         }
     }
 
+    /// A disk of its own with the same content; later changes of either are not seen by the other.
+    pub fn copied(&self) -> Self {
+        let disk = self.disk.lock().clone();
+        Self {
+            disk: Arc::new(Mutex::new(disk)),
+        }
+    }
+
     /// Empties the disk, and gives it room again.
     pub fn wipe(&self) {
         *self.disk.lock() = Disk::default();
--- a/crates/register/src/proposal.rs
+++ b/crates/register/src/proposal.rs
@@ -16,6 +16,7 @@
 }
 
 /// One change of one register, over as many rounds as it takes. A pure machine.
+#[derive(Clone, Debug)]
 pub struct Proposal {
     key: String,
     change: Change,
--- a/crates/register/src/round.rs
+++ b/crates/register/src/round.rs
@@ -44,7 +44,7 @@
     Done(Outcome),
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
     Peek,
     Promise,
@@ -52,6 +52,7 @@
 }
 
 /// One try of a proposer: a pure machine, fed with the voters' answers.
+#[derive(Clone, Debug)]
 pub struct Round {
     key: String,
     change: Change,
--- a/crates/voter/src/joining.rs
+++ b/crates/voter/src/joining.rs
@@ -14,7 +14,7 @@
 }
 
 /// An empty voter's way into the set. A pure machine.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Joining {
     /// Members that did not answer, and since when.
     silent: Vec<(u64, u64)>,
--- /dev/null
+++ b/tests/model/src/councils/invariants.rs
@@ -0,0 +1,95 @@
+//! What must hold in every state, and what must be reached at all for that to mean something.
+
+use super::system::System;
+use council::DESCRIPTION_KEY;
+use register::VoterSet;
+use std::collections::BTreeMap;
+
+/// Situations that an exploration of sufficient depth brings about.
+pub const MILESTONES: [&str; 4] = [
+    "a member was replaced",
+    "two members were replaced",
+    "a holder was followed by another",
+    "a newcomer votes",
+];
+
+/// What a voter's disk holds, as far as invariants look at it.
+struct Copy {
+    mark: (u64, u64),
+    version: u64,
+    bytes: Vec<u8>,
+}
+
+fn copies(system: &System) -> BTreeMap<u64, Copy> {
+    let mut copies = BTreeMap::new();
+    for node in &system.nodes {
+        let held = node.held().held(DESCRIPTION_KEY);
+        let stored = held.map(|held| held.stored.clone()).unwrap_or_default();
+        let copy = Copy {
+            mark: node.held().set().mark(),
+            version: stored.version,
+            bytes: stored.bytes,
+        };
+        copies.insert(node.disk(), copy);
+    }
+    copies
+}
+
+/// The newest set that any voter is in.
+fn newest_set(system: &System) -> VoterSet {
+    let sets = system.nodes.iter();
+    let sets = sets.map(|node| node.held().set().clone());
+    sets.max_by_key(VoterSet::mark).unwrap_or_default()
+}
+
+/// Every majority of the newest set whose members all vote in it holds what was acknowledged.
+pub fn check(system: &System) -> Result<(), String> {
+    let version = system.history.acknowledged(DESCRIPTION_KEY);
+    if version == 0 {
+        return Ok(());
+    }
+    let set = newest_set(system);
+    let copies = copies(system);
+    let voting = set.voters.iter().filter_map(|voter| {
+        let copy = copies.get(&voter.disk)?;
+        (copy.mark == set.mark()).then_some(copy)
+    });
+    let voting: Vec<&Copy> = voting.collect();
+    let holding = voting.iter().filter(|copy| copy.version >= version);
+    let lacking = voting.len() - holding.count();
+    if lacking >= set.majority() {
+        return Err(format!(
+            "version {version} was acknowledged, and {lacking} of the set {:?} that vote do not hold it",
+            set.mark()
+        ));
+    }
+    check_settled_copies(system, &set, &voting)
+}
+
+/// A value that a majority holds is the one that was told to be settled.
+fn check_settled_copies(system: &System, set: &VoterSet, voting: &[&Copy]) -> Result<(), String> {
+    for copy in voting {
+        let same = voting
+            .iter()
+            .filter(|other| other.version == copy.version && other.bytes == copy.bytes);
+        let told = system.history.settled(DESCRIPTION_KEY, copy.version);
+        let differs = told.is_some_and(|bytes| *bytes != copy.bytes);
+        if same.count() >= set.majority() && differs {
+            return Err(format!("a majority holds another version {}", copy.version));
+        }
+    }
+    Ok(())
+}
+
+/// Which of the milestones a state shows.
+pub fn reached(system: &System) -> Vec<bool> {
+    let replaced = newest_set(system).no.saturating_sub(1);
+    let newcomer = system.nodes.last();
+    let votes = newcomer.is_some_and(|node| node.held().set().era > 0);
+    vec![
+        replaced >= 1,
+        replaced >= 2,
+        system.history.terms_won() >= 2,
+        votes,
+    ]
+}
--- /dev/null
+++ b/tests/model/src/councils/node.rs
@@ -0,0 +1,179 @@
+use super::{BEAT_MS, LEASE_MS, PATIENCE_MS};
+use crate::fingerprint::Fingerprinter;
+use council::{perform, Council, CouncilAction, CouncilOptions, DiskWork, HeldSummary};
+use journal::{MemoryFolder, Mishap};
+use register::Acceptor;
+use speedy::Writable;
+use std::sync::{Arc, Mutex};
+use voter::Voter;
+
+/// Seeds of the random numbers of two lives never meet: place and life are part of them.
+const SEED_STRIDE: u64 = 1_000;
+/// Ids of disks are made alike from place and number.
+const DISK_STRIDE: u64 = 100;
+
+/// A voter that is open on a machine's disk for the time of one round. It cannot be cloned, and need not be: what it
+/// holds is on the disk.
+#[derive(Default)]
+struct OpenVoter(Mutex<Option<Voter>>);
+
+impl OpenVoter {
+    fn slot(&mut self) -> &mut Option<Voter> {
+        self.0.get_mut().expect("no thread panicked with it")
+    }
+}
+
+impl Clone for OpenVoter {
+    fn clone(&self) -> Self {
+        Self::default()
+    }
+}
+
+/// A controller's machine: its disk and, where it runs, its council.
+#[derive(Clone)]
+pub struct Node {
+    /// Number of the machine.
+    pub place: usize,
+    /// The controller's council; none while it is down.
+    pub council: Option<Council>,
+    folder: MemoryFolder,
+    disks: u64,
+    lives: u64,
+    is_first_start: bool,
+    voter: OpenVoter,
+    held: Arc<Acceptor>,
+    digest: u128,
+}
+
+impl Node {
+    /// A machine with an empty disk.
+    pub fn new(place: usize, is_first_start: bool) -> Self {
+        Self {
+            place,
+            council: None,
+            folder: MemoryFolder::default(),
+            disks: 1,
+            lives: 0,
+            is_first_start,
+            voter: OpenVoter::default(),
+            held: Arc::default(),
+            digest: 0,
+        }
+    }
+
+    /// Id of the disk that it has now.
+    pub fn disk(&self) -> u64 {
+        self.place as u64 * DISK_STRIDE + self.disks
+    }
+
+    /// Number of its controller's life.
+    pub fn life(&self) -> u64 {
+        self.lives
+    }
+
+    /// What the voter held at the end of the round.
+    pub fn held(&self) -> &Acceptor {
+        &self.held
+    }
+
+    fn open_disk(&self) -> Voter {
+        Voter::open(Box::new(self.folder.clone())).expect("the disk can be read")
+    }
+
+    /// Replaces the journal by a snapshot of the same state, which is faster to read.
+    pub fn compact(&mut self) {
+        self.folder = self.folder.copied();
+        let folder = Box::new(self.folder.clone());
+        Voter::reopen(folder).expect("the disk can be written");
+    }
+
+    /// Starts the controller on its disk.
+    pub fn boot(&mut self, now: u64, seeds: &[String], voters_wanted: usize) {
+        self.lives += 1;
+        let held = HeldSummary::of(&self.open_disk());
+        let options = CouncilOptions {
+            name: address(self.place),
+            address: address(self.place),
+            seeds: seeds.to_vec(),
+            is_first_start: self.is_first_start,
+            disk: self.disk(),
+            lease_ms: LEASE_MS,
+            beat_ms: BEAT_MS,
+            patience_ms: PATIENCE_MS,
+            seed: self.place as u64 * SEED_STRIDE + self.lives,
+            voters_wanted,
+        };
+        self.council = Some(Council::new(options, now, held));
+    }
+
+    /// Stops the controller and loses what was not synced.
+    pub fn crash(&mut self) {
+        self.council = None;
+        self.voter = OpenVoter::default();
+        self.folder = self.folder.copied();
+        self.folder.suffer(Mishap::PowerLoss(0));
+    }
+
+    /// Gives the machine an empty disk with a new id.
+    pub fn wipe(&mut self) {
+        self.crash();
+        self.folder = MemoryFolder::default();
+        self.disks += 1;
+        self.is_first_start = false;
+    }
+
+    /// Does the disk's work and gives the council what came of it.
+    pub fn perform(&mut self, now: u64, work: Vec<DiskWork>) {
+        let Some(council) = self.council.as_mut() else {
+            return;
+        };
+        let folder = &mut self.folder;
+        let voter = self.voter.slot().get_or_insert_with(|| {
+            // Each state has a disk of its own, since clones of a folder share theirs.
+            *folder = folder.copied();
+            Voter::open(Box::new(folder.clone())).expect("the disk can be read")
+        });
+        for done in perform(voter, work) {
+            council.on_disk(now, done);
+        }
+    }
+
+    /// What the council wants done.
+    pub fn take_actions(&mut self) -> Vec<CouncilAction> {
+        let council = self.council.as_mut();
+        council.map(Council::actions).unwrap_or_default()
+    }
+
+    /// The term under which the controller holds the scaling duty.
+    pub fn term(&self, now: u64) -> Option<u64> {
+        self.council.as_ref()?.term(now)
+    }
+
+    /// Hash of all that decides the machine's future but for the position of its random generator.
+    pub fn digest(&self) -> u128 {
+        self.digest
+    }
+
+    /// Makes the hash anew, after the machine has changed.
+    pub fn update_digest(&mut self) {
+        let mut fingerprinter = Fingerprinter::default();
+        fingerprinter.number(u128::from(self.disks) << 64 | u128::from(self.lives));
+        fingerprinter.debug(&self.council);
+        let voter = self.voter.slot().take();
+        let voter = voter.unwrap_or_else(|| self.open_disk());
+        self.held = Arc::new(voter.held().clone());
+        let held = self.held.write_to_vec().expect("a voter can be written");
+        fingerprinter.bytes(&held);
+        self.digest = fingerprinter.finish();
+    }
+}
+
+/// Address of the machine with a number.
+pub fn address(place: usize) -> String {
+    format!("controller-{place}")
+}
+
+/// Number of the machine at an address.
+pub fn place_of(address: &str) -> Option<usize> {
+    address.rsplit('-').next()?.parse().ok()
+}
--- a/tests/model/src/lib.rs
+++ b/tests/model/src/lib.rs
@@ -1,1 +1,8 @@
-//! Explicit-state model checks.
+//! Explicit-state model checks of the product's own state machines: a breadth-first explorer and the models it runs.
+
+pub mod councils;
+mod explorer;
+mod fingerprint;
+
+pub use explorer::{explore, Counterexample, Limits, Model, Report};
+pub use fingerprint::Fingerprinter;
--- /dev/null
+++ b/tests/model/tests/councils.rs
@@ -0,0 +1,47 @@
+//! The consensus core under every schedule of a few faults, at a scope for each run of the tests; `docs/model-check.md`
+//! tells of larger ones.
+
+use model::councils::{Councils, FaultScope};
+use model::{explore, Limits, Report};
+
+fn explored(faults: usize, depth: usize, scope: FaultScope) -> Report {
+    let model = Councils {
+        members: 3,
+        newcomers: 1,
+        faults,
+        scope,
+    };
+    let limits = Limits {
+        depth,
+        states: 1_000_000,
+        threads: 2,
+    };
+    let report = explore(&model, limits);
+    println!("{report}");
+    assert!(report.counterexample.is_none(), "{report}");
+    assert!(report.is_exhausted, "{report}");
+    report
+}
+
+#[test]
+fn one_fault_of_any_kind_at_any_time_breaks_no_invariant() {
+    let scope = FaultScope {
+        spans: vec![3, 9],
+        crash_points: vec![0, 3, 6],
+        has_links: true,
+    };
+    let report = explored(1, 14, scope);
+    let replaced = report.milestones.iter();
+    let mut replaced = replaced.filter(|(milestone, _)| *milestone == "a member was replaced");
+    assert!(replaced.any(|(_, states)| *states > 0), "{report}");
+}
+
+#[test]
+fn two_machines_that_are_lost_cut_off_or_frozen_at_any_time_break_no_invariant() {
+    let scope = FaultScope {
+        spans: vec![7],
+        crash_points: Vec::new(),
+        has_links: false,
+    };
+    explored(2, 9, scope);
+}
