--- a/crates/journal/tests/recovery.rs
+++ b/crates/journal/tests/recovery.rs
@@ -73,3 +73,24 @@
     assert_eq!(found.records, vec![record(7)]);
     assert_eq!(disk.list().unwrap().len(), 2);
 }
+
+#[test]
+fn a_snapshot_that_cannot_be_written_loses_nothing() {
+    let disk = filled(4);
+    let (mut journal, _) = Journal::open(Box::new(disk.clone())).unwrap();
+    disk.suffer(Mishap::Full);
+    assert!(journal.snapshot(b"state").is_err());
+    disk.suffer(Mishap::Room);
+    disk.suffer(Mishap::PowerLoss(0));
+    let (_, found) = Journal::open(Box::new(disk)).unwrap();
+    assert_eq!(found.snapshot, None);
+    assert_eq!(found.records, (0..4).map(record).collect::<Vec<_>>());
+}
+
+#[test]
+fn what_was_appended_outlives_a_loss_of_power() {
+    let disk = filled(4);
+    disk.suffer(Mishap::PowerLoss(0));
+    let (_, found) = Journal::open(Box::new(disk)).unwrap();
+    assert_eq!(found.records, (0..4).map(record).collect::<Vec<_>>());
+}
