--- a/crates/council/tests/duty.rs
+++ b/crates/council/tests/duty.rs
@@ -158,3 +158,14 @@
     };
     assert!(world::size(&link) < 32);
 }
+
+#[test]
+fn a_holder_that_reaches_nobody_stops_within_four_fifths_of_a_lease() {
+    for seed in 0..20 {
+        let (mut world, holder, one, other) = started(seed);
+        world.part(holder, one);
+        world.part(holder, other);
+        world.run(LEASE * 4 / 5);
+        assert_eq!(world.nodes[holder].term(world.now), None, "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/council/tests/granting.rs
@@ -0,0 +1,149 @@
+//! What a member grants a holder of the scaling duty, shown at one council alone, without a network.
+
+use council::{
+    Beat, Council, CouncilAction, CouncilMessage, CouncilOptions, DiskWork, HeldSummary, HeldValue,
+    Tenure, DUTY_KEY,
+};
+use register::{Ballot, VoterAsk, VoterMessage, VoterRef, VoterReply, VoterSet};
+use speedy::Writable;
+use std::sync::Arc;
+
+const LEASE_MS: u64 = 1_000;
+const STARTED_AT: u64 = 50_000;
+const MEMBER: &str = "member";
+const HOLDER: &str = "holder";
+const OTHER: &str = "other";
+const HOLDER_LIFE: u64 = 7;
+/// The first version of the register under the first era.
+const TERM: u64 = (1 << 40) | 1;
+
+fn set() -> VoterSet {
+    let addresses = [MEMBER, HOLDER, OTHER].into_iter().zip(1..);
+    let voters = addresses.map(|(address, disk)| VoterRef {
+        disk,
+        address: address.into(),
+    });
+    VoterSet {
+        era: 1,
+        no: 1,
+        voters: voters.collect(),
+    }
+}
+
+fn ballot(counter: u64) -> Ballot {
+    Ballot {
+        counter,
+        proposer: 1,
+    }
+}
+
+/// A member that is started with the holder's value accepted under the first ballot.
+fn started(promised: Ballot) -> Council {
+    let tenure = Tenure {
+        address: HOLDER.into(),
+        name: HOLDER.into(),
+        life: HOLDER_LIFE,
+    };
+    let bytes = tenure.write_to_vec().expect("it can be written");
+    let held = HeldSummary {
+        set: set(),
+        is_open: true,
+        values: vec![HeldValue {
+            key: DUTY_KEY.into(),
+            promised,
+            accepted: ballot(1),
+            version: 1,
+            tag: 1,
+            bytes: Some(Arc::new(bytes)),
+        }],
+    };
+    let options = CouncilOptions {
+        name: MEMBER.into(),
+        address: MEMBER.into(),
+        seeds: vec![MEMBER.into(), HOLDER.into(), OTHER.into()],
+        is_first_start: false,
+        disk: 1,
+        lease_ms: LEASE_MS,
+        beat_ms: 200,
+        patience_ms: 2_000,
+        seed: 1,
+        voters_wanted: 3,
+    };
+    Council::new(options, STARTED_AT, held)
+}
+
+/// Whether the member backs the holder's claim when it hears of it.
+fn backs_claim(council: &mut Council) -> bool {
+    let beat = Beat {
+        disk: 2,
+        life: HOLDER_LIFE,
+        number: 1,
+        mark: (1, 1),
+        known: (1, 1),
+        claim: TERM,
+        ..Beat::default()
+    };
+    council.on_message(STARTED_AT, HOLDER, CouncilMessage::Beat(beat));
+    let mut actions = council.actions().into_iter();
+    actions.any(|action| {
+        matches!(action, CouncilAction::Send { to, message: CouncilMessage::Ack(ack) }
+            if to == HOLDER && ack.term == TERM)
+    })
+}
+
+/// Whether the member's voter is asked for a promise that another core wants at a time; if not, it is refused.
+fn passes_promise_on(council: &mut Council, now: u64) -> bool {
+    let ask = VoterAsk::Promise {
+        key: DUTY_KEY.into(),
+        ballot: ballot(9),
+    };
+    let message = CouncilMessage::Ask {
+        number: 1,
+        known: (0, 0),
+        message: VoterMessage { mark: (1, 1), ask },
+    };
+    council.on_message(now, OTHER, message);
+    let actions = council.actions();
+    let is_refused = actions.iter().any(|action| {
+        matches!(action, CouncilAction::Send { to, message: CouncilMessage::Answer { reply, .. } }
+            if to == OTHER && matches!(reply, VoterReply::Closed { .. }))
+    });
+    let is_passed_on = actions.iter().any(
+        |action| matches!(action, CouncilAction::Disk(DiskWork::Ask { to, .. }) if to == OTHER),
+    );
+    assert_ne!(is_refused, is_passed_on);
+    is_passed_on
+}
+
+#[test]
+fn a_member_backs_a_claim_only_while_its_voter_has_promised_nothing_since() {
+    assert!(backs_claim(&mut started(ballot(1))));
+    assert!(!backs_claim(&mut started(ballot(2))));
+}
+
+#[test]
+fn a_member_that_is_started_anew_promises_the_duty_to_no_other_for_a_lease() {
+    let promises = |after: u64| passes_promise_on(&mut started(ballot(1)), STARTED_AT + after);
+    assert!(!promises(0));
+    assert!(!promises(LEASE_MS - 1));
+    assert!(promises(LEASE_MS));
+}
+
+#[test]
+fn a_member_that_hears_a_claim_promises_the_duty_to_no_other_for_a_lease() {
+    let mut council = started(ballot(1));
+    let late = STARTED_AT + 400;
+    let beat = Beat {
+        disk: 2,
+        life: HOLDER_LIFE,
+        number: 1,
+        mark: (1, 1),
+        known: (1, 1),
+        claim: TERM,
+        ..Beat::default()
+    };
+    council.on_message(late, HOLDER, CouncilMessage::Beat(beat));
+    council.actions();
+    assert!(!passes_promise_on(&mut council, late + LEASE_MS - 1));
+    assert!(passes_promise_on(&mut council, late + LEASE_MS));
+}
--- a/tests/model/src/registers/mod.rs
+++ b/tests/model/src/registers/mod.rs
@@ -17,8 +17,10 @@
 //! * Two journals that are read back alike are taken for the same disk.
 
 mod disk;
+mod exploration;
 mod proposer;
 mod state;
 
+pub use exploration::{Registers, Step};
 pub use proposer::Proposer;
-pub use state::{Registers, Step};
+pub use state::System;
