--- /dev/null
+++ b/tests/model/src/registers/state.rs
@@ -0,0 +1,234 @@
+use super::disk::VoterDisk;
+use super::exploration::Step;
+use super::proposer::{Proposer, Question};
+use council::{CopyPage, DiskWork, Installation};
+use register::{merged, Change, Outcome, VoterMessage, VoterRef, VoterReply, VoterSet, VOTERS_KEY};
+use speedy::Readable;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub(super) const VALUE_KEY: &str = "value";
+pub(super) const MEMBERS: u64 = 3;
+pub(super) const NEWCOMER: u64 = 4;
+/// The member whose place the newcomer takes.
+pub(super) const REPLACED: u64 = 3;
+/// Majorities of the first set.
+pub(super) const MAJORITIES: [[u64; 2]; 3] = [[1, 2], [1, 3], [2, 3]];
+
+/// A question that was sent to all voters of a set.
+#[derive(Clone, Debug)]
+pub(super) struct Sent {
+    pub(super) proposer: usize,
+    pub(super) number: u64,
+    pub(super) message: VoterMessage,
+}
+
+/// The whole system.
+#[derive(Clone)]
+pub struct System {
+    pub(super) disks: BTreeMap<u64, VoterDisk>,
+    pub(super) proposers: Vec<Proposer>,
+    pub(super) sent: Vec<Sent>,
+    /// Answers to questions that are out, by proposer and voter.
+    pub(super) answers: Vec<(usize, u64, VoterReply)>,
+    /// The newest set that is settled.
+    pub(super) set: VoterSet,
+    pub(super) copies: BTreeMap<u64, CopyPage>,
+    pub(super) settled: BTreeMap<u64, Vec<u8>>,
+    pub(super) acknowledged: u64,
+}
+
+pub(super) fn voter(disk: u64) -> VoterRef {
+    VoterRef {
+        disk,
+        address: format!("controller-{disk}"),
+    }
+}
+
+pub(super) fn first_set() -> VoterSet {
+    VoterSet {
+        era: 1,
+        no: 1,
+        voters: (1..=MEMBERS).map(voter).collect(),
+    }
+}
+
+impl System {
+    pub(super) fn send(&mut self, proposer: usize, question: Option<Question>) {
+        let Some(Question { number, ask }) = question else {
+            return;
+        };
+        let mark = self.proposers[proposer].set.mark();
+        let message = VoterMessage { mark, ask };
+        self.sent.push(Sent {
+            proposer,
+            number,
+            message,
+        });
+    }
+
+    /// Lets the last proposer settle the next set at a majority that answers at once.
+    pub(super) fn settle_next_set(&mut self, majority: &[u64]) {
+        let changer = self.proposers.len() - 1;
+        let mut question = Some(self.proposers[changer].begin(first_set()));
+        while let Some(Question { ask, .. }) = question.take() {
+            for disk in majority {
+                let mark = first_set().mark();
+                let ask = ask.clone();
+                let voter = self.disks.get_mut(disk).expect("the member has a disk");
+                let reply = voter.ask(VoterMessage { mark, ask });
+                let reply = reply.expect("the voter answers");
+                let place = *disk as usize - 1;
+                question = question.or(self.proposers[changer].answer(place, reply));
+            }
+        }
+        let noted = self.note_outcome(changer);
+        noted.expect("the next set can be read");
+    }
+
+    fn forget_old_answers(&mut self) {
+        let proposers = &self.proposers;
+        let mut kept: BTreeSet<String> = BTreeSet::new();
+        self.answers.retain(|(proposer, disk, reply)| {
+            proposers[*proposer].is_running() && kept.insert(format!("{proposer} {disk} {reply:?}"))
+        });
+        self.answers
+            .sort_by_cached_key(|(proposer, disk, reply)| (*proposer, *disk, format!("{reply:?}")));
+    }
+
+    fn drop_answers_of(&mut self, proposer: usize) {
+        self.answers.retain(|(one, _, _)| *one != proposer);
+    }
+
+    pub(super) fn handle(&mut self, place: usize, disk: u64) {
+        let sent = self.sent[place].clone();
+        let Some(voter) = self.disks.get_mut(&disk) else {
+            return;
+        };
+        let Some(reply) = voter.ask(sent.message) else {
+            return;
+        };
+        let proposer = &self.proposers[sent.proposer];
+        if proposer.is_running() && proposer.number == sent.number {
+            self.answers.push((sent.proposer, disk, reply));
+        }
+        self.forget_old_answers();
+    }
+
+    pub(super) fn answer(&mut self, place: usize) -> Result<(), String> {
+        let (proposer, disk, reply) = self.answers.remove(place);
+        if let VoterReply::OtherSet { set } = reply {
+            // As the product does: the proposer begins anew under a newer set, and asks on under its own else.
+            if set.mark() > self.proposers[proposer].set.mark() {
+                let question = self.proposers[proposer].begin(set);
+                self.drop_answers_of(proposer);
+                self.send(proposer, Some(question));
+            }
+            return Ok(());
+        }
+        let voters = &self.proposers[proposer].set.voters;
+        let Some(voter) = voters.iter().position(|voter| voter.disk == disk) else {
+            return Ok(());
+        };
+        let number = self.proposers[proposer].number;
+        let question = self.proposers[proposer].answer(voter, reply);
+        if self.proposers[proposer].number != number {
+            self.drop_answers_of(proposer);
+        }
+        self.send(proposer, question);
+        self.note_outcome(proposer)
+    }
+
+    fn note_outcome(&mut self, place: usize) -> Result<(), String> {
+        let proposer = self.proposers[place].clone();
+        let Some(Outcome::Settled(stored) | Outcome::Stale(stored)) = &proposer.outcome else {
+            return Ok(());
+        };
+        let is_settled = matches!(proposer.outcome, Some(Outcome::Settled(_)));
+        if proposer.key == VOTERS_KEY {
+            let set = VoterSet::read_from_buffer(&stored.bytes);
+            self.set = set.map_err(|error| error.to_string())?;
+            return Ok(());
+        }
+        if stored.version == 0 && proposer.floor == 0 {
+            return Ok(());
+        }
+        let known = self.settled.entry(stored.version);
+        let known = known.or_insert_with(|| stored.bytes.clone());
+        if *known != stored.bytes {
+            return Err(format!(
+                "two values are settled at version {}",
+                stored.version
+            ));
+        }
+        let is_foreign =
+            matches!(&proposer.change, Change::Write { bytes, .. } if *bytes != stored.bytes);
+        if is_settled && is_foreign {
+            return Err("another's write was acknowledged".into());
+        }
+        if is_settled && stored.version < proposer.floor {
+            return Err(format!(
+                "version {} was acknowledged and {} read later",
+                proposer.floor, stored.version
+            ));
+        }
+        if is_settled {
+            self.acknowledged = self.acknowledged.max(stored.version);
+        }
+        Ok(())
+    }
+
+    fn has_enough_copies(&self) -> bool {
+        let others = self.set.voters.iter().filter(|one| one.disk != NEWCOMER);
+        let given = others
+            .clone()
+            .filter(|one| self.copies.contains_key(&one.disk));
+        given.count() > others.count() / 2
+    }
+
+    pub(super) fn install(&mut self) {
+        let pages = std::mem::take(&mut self.copies);
+        let floors = pages.values().fold((0, 0), |floors: (u64, u64), page| {
+            (floors.0.max(page.floors.0), floors.1.max(page.floors.1))
+        });
+        let installation = Installation {
+            set: self.set.clone(),
+            floors,
+            keys: merged(pages.into_values().map(|page| page.keys).collect()),
+        };
+        if let Some(disk) = self.disks.get_mut(&NEWCOMER) {
+            disk.work(DiskWork::Install(installation));
+        }
+    }
+
+    /// Steps of the change of sets.
+    pub(super) fn membership_steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        if self.set.no < 2 {
+            return steps;
+        }
+        let newcomer_votes = self.disks[&NEWCOMER].held().set().era > 0;
+        for (disk, voter) in &self.disks {
+            let set = voter.held().set();
+            if set.era > 0 && set.no < self.set.no {
+                steps.push(Step::Adopt(*disk));
+            }
+            let is_source = *disk != NEWCOMER && set.mark() == self.set.mark();
+            if is_source && !newcomer_votes && !self.copies.contains_key(disk) {
+                steps.push(Step::Copy(*disk));
+            }
+        }
+        if !newcomer_votes && self.has_enough_copies() {
+            steps.push(Step::Install);
+        }
+        steps
+    }
+
+    pub(super) fn is_for(&self, sent: &Sent, disk: u64) -> bool {
+        // A question is sent to the voters of its set.
+        let voters = match sent.message.mark {
+            mark if mark == self.set.mark() => self.set.voters.clone(),
+            _ => first_set().voters,
+        };
+        voters.iter().any(|voter| voter.disk == disk)
+    }
+}
