Contact: reads that began within the lease count; a new contact hastens none

When contact began, all keys were read again at once, before the other members had the first set: those reads paused and the duty waited. Change: what makes a member settled after a start is no longer forgotten when contact begins; what passes for current is kept apart, and reads that began within one span of the lease count.

--- a/crates/council/src/asking.rs
+++ b/crates/council/src/asking.rs
@@ -40,6 +40,7 @@
             number: 0,
             set,
             has_answered: Vec::new(),
+            begun_at: now,
             asked_at: now,
             until: now + BUDGET,
             paused: is_early.then_some((now + PAUSE, Ballot::default())),
@@ -236,6 +237,9 @@
                 self.learn_settled(now, &job.key, stored);
             }
         }
+        if let (Purpose::Settle(key), Outcome::Settled(_)) = (job.purpose, &outcome) {
+            self.on_read(key, job.begun_at);
+        }
         let outcome = job.judge(outcome);
         self.on_outcome(now, job.purpose, &job.key, outcome);
     }
--- a/crates/council/src/contact.rs
+++ b/crates/council/src/contact.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Time for which the lease lasts from a heartbeat's sending.
+    pub fn span_ms(&self) -> u64 {
+        self.span_ms
+    }
+
     /// A heartbeat leaves now. The numbers of a life ascend.
     pub fn sending(&mut self, now: u64, number: u64) {
         let span = self.span_ms;
@@ -70,4 +75,20 @@
         });
         in_contact.count() >= set.majority()
     }
+
+    /// Since when a majority has been in contact: the sending of the oldest heartbeat on which the lease rests. A
+    /// voter on this controller's own disk counts at any time.
+    pub fn since(&self, set: &VoterSet, own_disk: u64) -> Option<u64> {
+        let mut times: Vec<u64> = Vec::new();
+        for voter in &set.voters {
+            if voter.disk == own_disk {
+                times.push(u64::MAX);
+            } else if let Some(sent_at) = self.acknowledged.get(&voter.disk) {
+                times.push(*sent_at);
+            }
+        }
+        times.sort_unstable_by(|one, other| other.cmp(one));
+        let oldest = times.get(set.majority().checked_sub(1)?);
+        oldest.copied().filter(|sent_at| *sent_at != u64::MAX)
+    }
 }
--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -44,6 +44,11 @@
     pub(crate) settled: BTreeMap<String, Value>,
     pub(crate) unread: BTreeSet<&'static str>,
     pub(crate) settle_at: u64,
+    /// When the last reads at a majority began, of the keys that were read so.
+    pub(crate) read_begun: BTreeMap<&'static str, u64>,
+    /// Since when contact with a majority has lasted, and keys that were not read since.
+    pub(crate) contact_since: u64,
+    pub(crate) unconfirmed: BTreeSet<&'static str>,
     /// Until then a value that is on its way is waited for before its register is read.
     pub(crate) value_patience_until: u64,
     pub(crate) wants: BTreeMap<String, Want>,
@@ -93,6 +98,9 @@
             settled: BTreeMap::new(),
             unread: KEYS.into_iter().collect(),
             settle_at: now,
+            read_begun: BTreeMap::new(),
+            contact_since: now,
+            unconfirmed: BTreeSet::new(),
             value_patience_until: now + VALUE_PATIENCE_MS,
             wants: BTreeMap::new(),
             mend_at: now + 1_000,
@@ -261,11 +269,12 @@
         paused.chain(self.duty.contend_at).min()
     }
 
-    pub(crate) fn tend_settling(&mut self, now: u64) {
+    fn tend_settling(&mut self, now: u64) {
         if self.set.era == 0 || now < self.settle_at {
             return;
         }
-        for key in self.unread.clone() {
+        let missing: Vec<&'static str> = self.unread.union(&self.unconfirmed).copied().collect();
+        for key in missing {
             let purpose = Purpose::Settle(key);
             if self.awaits_value(now, key) {
                 continue;
--- a/crates/council/src/job.rs
+++ b/crates/council/src/job.rs
@@ -65,6 +65,7 @@
     pub number: u64,
     pub set: VoterSet,
     pub has_answered: Vec<bool>,
+    pub begun_at: u64,
     pub asked_at: u64,
     pub until: u64,
     /// When to go on, above which ballot, where it pauses.
--- a/crates/council/src/leaving.rs
+++ b/crates/council/src/leaving.rs
@@ -138,6 +138,7 @@
         self.is_open = true;
         self.held.clear();
         self.unread = KEYS.into_iter().collect();
+        self.read_begun.clear();
         self.settle_at = now;
         self.joining = voter::Joining::default();
         self.place_at = now;
--- a/crates/council/src/serving.rs
+++ b/crates/council/src/serving.rs
@@ -2,7 +2,6 @@
 //! to have read everything at a majority since that contact began.
 
 use crate::council::{Council, KEYS};
-use crate::job::Purpose;
 use crate::message::{Beat, HeardHeartbeat};
 use crate::peer::Peer;
 
@@ -16,7 +15,10 @@
     /// Whether what this core knows may be told as the newest: it is in contact, and has read all keys at a
     /// majority since it came into contact.
     pub fn is_current(&self, now: u64) -> bool {
-        self.has_contact && self.is_in_contact(now) && self.is_settled()
+        self.has_contact
+            && self.is_in_contact(now)
+            && self.is_settled()
+            && self.unconfirmed.is_empty()
     }
 
     /// Addresses of other cores that were heard lately and said that they are in contact.
@@ -66,12 +68,26 @@
         }
     }
 
-    /// All keys are read at a majority again; what was begun before says nothing about this contact.
+    /// All keys are read at a majority again before they pass for current, but for reads that began within this
+    /// contact or within one span of the lease before it. A read that came to its end needed both ways to a
+    /// majority, as contact does, so what it told is older by that span at most.
     fn read_all_again(&mut self, now: u64) {
-        let is_settling = |purpose| matches!(purpose, Purpose::Settle(_));
-        self.jobs.retain(|_, job| !is_settling(job.purpose));
-        self.unread = KEYS.into_iter().collect();
-        self.settle_at = now;
-        self.tend_settling(now);
+        let since = self.contact.since(&self.set, self.options.disk);
+        self.contact_since = since.unwrap_or(now);
+        let since = self.contact_since.saturating_sub(self.contact.span_ms());
+        let is_read = |key: &&str| {
+            self.read_begun
+                .get(*key)
+                .is_some_and(|begun| *begun >= since)
+        };
+        self.unconfirmed = KEYS.into_iter().filter(|key| !is_read(key)).collect();
+    }
+
+    /// A read of a key that began at this time came to its end at a majority.
+    pub(crate) fn on_read(&mut self, key: &'static str, begun_at: u64) {
+        self.read_begun.insert(key, begun_at);
+        if begun_at + self.contact.span_ms() >= self.contact_since {
+            self.unconfirmed.remove(key);
+        }
     }
 }
