Seats: a runner that refuses is trusted with less, and so are its neighbours for a while

Which gateways lent what was not traced. Change: after a refusal a runner gets what it has beside the refused request, for 1 s, doubled twice at most, then one more a second; where it has nothing from here it rests for 25 ms, doubled up to 800 ms; where two runners of a function refuse within a second the others get no more than they have. Conclusion: this bounds what two lenders cost. It does not keep two from lending; that is left.

--- a/crates/seating/src/keeper.rs
+++ b/crates/seating/src/keeper.rs
@@ -14,8 +14,6 @@
 const URGENT_MS: u64 = 15;
 /// Milliseconds for which the connection of a probe may hold a seat.
 const LOOK_MS: u64 = 120;
-/// Milliseconds for which a runner that was full rests.
-const REST_MS: u64 = 25;
 /// Milliseconds after which a function that nobody uses is forgotten.
 const FORGET_MS: u64 = 4_000;
 /// Milliseconds after which a refused request may find a seat, where nothing better is known.
@@ -127,7 +125,10 @@
                     runner.is_up = true;
                     runner.learn(release.took_ms);
                 }
-                Outcome::TurnedAway => runner.turned_away(now, REST_MS),
+                Outcome::TurnedAway => {
+                    runner.turned_away(now);
+                    seats.heed_refusals(now);
+                }
                 Outcome::Gone => {
                     runner.is_gone = true;
                     seats.is_urgent = true;
--- a/crates/seating/src/lib.rs
+++ b/crates/seating/src/lib.rs
@@ -4,6 +4,7 @@
 mod credit;
 mod elect;
 mod keeper;
+mod refusal_backoff;
 mod runner;
 mod seats;
 mod start_block;
--- a/crates/seating/src/runner.rs
+++ b/crates/seating/src/runner.rs
@@ -1,3 +1,4 @@
+use crate::refusal_backoff::RefusalBackoff;
 use dispatch::{RunnerNews, RunnerReport, RunnerStage};
 use std::collections::BTreeMap;
 
@@ -16,7 +17,7 @@
     pub is_up: bool,
     pub is_gone: bool,
     pub holders: BTreeMap<Holder, u64>,
-    pub rests_until: u64,
+    backoff: RefusalBackoff,
     /// Until when the connection of a probe may hold a seat.
     pub looked_until: u64,
     pub probe_at: u64,
@@ -39,7 +40,7 @@
             is_up,
             is_gone: false,
             holders: BTreeMap::new(),
-            rests_until: 0,
+            backoff: RefusalBackoff::default(),
             looked_until: 0,
             probe_at,
             is_probed: false,
@@ -65,10 +66,10 @@
     }
 
     pub fn has_seat(&self, now: u64) -> bool {
-        let (in_use, quota) = (self.in_use(), self.news.quota);
+        let (in_use, quota) = (self.in_use(), self.backoff.limit(now, self.news.quota));
         // The connection of a probe may hold a seat, but never the only one.
         let looks = u32::from(now < self.looked_until && quota > 1);
-        self.serves() && self.rests_until <= now && in_use + looks < quota
+        self.serves() && in_use + looks < quota
     }
 
     /// It could not be reached in time; several times in a row mean that it is gone.
@@ -86,9 +87,20 @@
         self.pace_ms += (f64::from(took_ms) - self.pace_ms) / self.answers;
     }
 
-    pub fn turned_away(&mut self, now: u64, rest_ms: u64) {
+    /// It refused a request beside those that are still at it.
+    pub fn turned_away(&mut self, now: u64) {
+        self.backoff.refused(now, self.in_use());
         self.turned_away += 1;
-        self.rests_until = now + rest_ms;
+    }
+
+    /// Whether it refused a request lately.
+    pub fn has_refused_lately(&self, now: u64) -> bool {
+        self.backoff.has_refused_lately(now)
+    }
+
+    /// Other runners of the function refuse: this one gets no more than it has for a while.
+    pub fn be_cautious(&mut self, now: u64) {
+        self.backoff.be_cautious(now, self.in_use());
     }
 
     pub fn report(&self) -> RunnerReport {
--- a/crates/seating/src/seats.rs
+++ b/crates/seating/src/seats.rs
@@ -3,6 +3,8 @@
 use dispatch::{Bid, FunctionNews, FunctionReport, RunnerNews, RunnerStage};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Runners of one function that refuse within a second where another keeper must be lending their seats too.
+const CONTENDED_RUNNERS: usize = 2;
 /// Milliseconds of an answer that are assumed until one was seen.
 const PACE_PRIOR_MS: f64 = 60.0;
 
@@ -105,6 +107,21 @@
         Some(found)
     }
 
+    /// Where several runners refuse at a time, somebody else lends the function's seats too: none of its runners gets
+    /// more than it has for a while.
+    pub fn heed_refusals(&mut self, now: u64) {
+        let refusing = self
+            .runners
+            .iter()
+            .filter(|one| one.has_refused_lately(now));
+        if refusing.count() < CONTENDED_RUNNERS {
+            return;
+        }
+        for runner in &mut self.runners {
+            runner.be_cautious(now);
+        }
+    }
+
     pub fn forget_front(&mut self, front: &str) {
         self.waiting.retain(|_, one| one.holder.0 != front);
         for runner in &mut self.runners {
