--- a/crates/launching/src/describing.rs
+++ b/crates/autoscaler/src/describing.rs
@@ -1,7 +1,7 @@
 use crate::function::{Function, Plan};
 use crate::launcher::Launcher;
 use crate::runner::{Cause, Life};
-use binding::Description;
+use routing::Description;
 use std::collections::{BTreeMap, BTreeSet};
 
 fn plans_of(description: &Description) -> BTreeMap<String, Plan> {
--- a/crates/launching/src/function.rs
+++ b/crates/autoscaler/src/function.rs
@@ -1,7 +1,7 @@
 use crate::demand::Arrivals;
 use crate::options::Options;
 use crate::start_block::NoRoom;
-use dispatch::RunnerReport;
+use protocol::RunnerReport;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Milliseconds after which a keeper that tells nothing is taken as no keeper of the function.
--- a/crates/launching/src/launcher.rs
+++ b/crates/autoscaler/src/launcher.rs
@@ -124,7 +124,7 @@
         };
         function.arrivals.sample(now);
         let mut current = function.keepers.values();
-        let holds = |report: &dispatch::RunnerReport| report.in_use > 0;
+        let holds = |report: &protocol::RunnerReport| report.in_use > 0;
         if current
             .any(|keeper| keeper.heard_at + quiet_ms > now && keeper.runners.values().any(holds))
         {
--- a/crates/launching/src/lib.rs
+++ b/crates/autoscaler/src/lib.rs
@@ -1,5 +1,6 @@
 //! The scaler's decisions as a pure state machine: reports of keepers and the platform's lists go
 //! in; orders to the platform and news for the keepers come out. Nothing is stored.
+#![warn(missing_docs)]
 
 mod deciding;
 mod demand;
--- a/crates/launching/src/reporting.rs
+++ b/crates/autoscaler/src/reporting.rs
@@ -1,7 +1,7 @@
 use crate::function::Keeper;
 use crate::launcher::Launcher;
 use crate::runner::Life;
-use dispatch::{FunctionReport, RunnerReport};
+use protocol::{FunctionReport, RunnerReport};
 
 impl Launcher {
     /// Takes what a keeper tells of a function. Where requests wait it is decided at once.
--- a/crates/launching/src/runner.rs
+++ b/crates/autoscaler/src/runner.rs
@@ -1,4 +1,4 @@
-use dispatch::RunnerStage;
+use protocol::RunnerStage;
 
 const SPAN: f64 = 20.0;
 /// Milliseconds for which a runner must be idle before it makes room.
--- a/crates/launching/src/start_block.rs
+++ b/crates/autoscaler/src/start_block.rs
@@ -4,7 +4,7 @@
 use crate::launcher::Launcher;
 use crate::placing::{Worker, HELD_MS};
 use crate::runner::{Life, Runner};
-use dispatch::StartBlock;
+use protocol::StartBlock;
 use std::collections::BTreeMap;
 
 /// Milliseconds for which a judgement is told. It is renewed as often as the start is tried again.
--- a/crates/launching/src/telling.rs
+++ b/crates/autoscaler/src/telling.rs
@@ -2,7 +2,7 @@
 use crate::launcher::Launcher;
 use crate::runner::{Life, Runner};
 use crate::sights::FunctionNote;
-use dispatch::{FunctionNews, RunnerNews, RunnerStage};
+use protocol::{FunctionNews, RunnerNews, RunnerStage};
 
 impl Launcher {
     /// News of the functions whose runners changed since the last call.
--- a/crates/launching/tests/decisions.rs
+++ b/crates/autoscaler/tests/decisions.rs
@@ -2,8 +2,8 @@
 
 mod town;
 
-use dispatch::{FunctionReport, RunnerStage};
-use launching::{Launcher, Order};
+use autoscaler::{Launcher, Order};
+use protocol::{FunctionReport, RunnerStage};
 use town::*;
 
 /// Tells the rate for some seconds, with a report and a tick each 100 ms.
@@ -24,7 +24,7 @@
     orders
 }
 
-fn workers() -> Vec<launching::WorkerSight> {
+fn workers() -> Vec<autoscaler::WorkerSight> {
     vec![
         worker("w-1", "a", 1_000),
         worker("w-2", "a", 1_000),
@@ -202,7 +202,7 @@
         assert!(launcher.orders().is_empty());
     }
     let lost = FunctionReport {
-        runners: vec![dispatch::RunnerReport {
+        runners: vec![protocol::RunnerReport {
             is_gone: true,
             ..held(&id, 0)
         }],
--- a/crates/launching/tests/platform.rs
+++ b/crates/autoscaler/tests/platform.rs
@@ -2,8 +2,8 @@
 
 mod town;
 
-use dispatch::RunnerStage;
-use launching::{Launcher, Options, StartFault, WorkerSight};
+use autoscaler::{Launcher, Options, StartFault, WorkerSight};
+use protocol::RunnerStage;
 use std::collections::BTreeSet;
 use town::*;
 
@@ -141,7 +141,7 @@
     assert_eq!(begun[0].2, "w-2");
     let news = launcher.news().remove(0);
     assert_eq!(stage(&news, "r-1"), Some(RunnerStage::Draining));
-    let drained = dispatch::FunctionReport {
+    let drained = protocol::FunctionReport {
         news: news.mark.1,
         runners: vec![held("r-1", 0)],
         ..told("f", 0, 0)
--- a/crates/launching/tests/random.rs
+++ b/crates/autoscaler/tests/random.rs
@@ -2,8 +2,8 @@
 
 mod town;
 
-use dispatch::{FunctionReport, RunnerReport, RunnerStage};
-use launching::{Launcher, Order, StartFault, WorkerSight};
+use autoscaler::{Launcher, Order, StartFault, WorkerSight};
+use protocol::{FunctionReport, RunnerReport, RunnerStage};
 use std::collections::{BTreeMap, BTreeSet};
 use town::*;
 
--- a/crates/launching/tests/start_block.rs
+++ b/crates/autoscaler/tests/start_block.rs
@@ -2,8 +2,8 @@
 
 mod town;
 
-use dispatch::{FunctionNews, StartBlock};
-use launching::{Launcher, Options, Order, StartFault, WorkerSight};
+use autoscaler::{Launcher, Options, Order, StartFault, WorkerSight};
+use protocol::{FunctionNews, StartBlock};
 use town::*;
 
 /// A moment by which the lists tell all that was there when the launcher began.
@@ -200,7 +200,7 @@
     let mut launcher = town(options(), &functions, &sights, std::slice::from_ref(&busy));
     launcher.see_runners(LATER, vec![busy]);
     launcher.see_workers(LATER, sights.to_vec());
-    let report = |in_use: u32| dispatch::FunctionReport {
+    let report = |in_use: u32| protocol::FunctionReport {
         runners: vec![held("r-1", in_use)],
         ..told("g", 0, 0)
     };
--- a/crates/launching/tests/town/mod.rs
+++ b/crates/autoscaler/tests/town/mod.rs
@@ -1,11 +1,11 @@
 //! What the tests share: a small town of workers, functions and one keeper.
 #![allow(dead_code)]
 
-use binding::{Binding, Description, Function};
-use dispatch::{FunctionNews, FunctionReport, RunnerReport, RunnerStage};
-use launching::{Launcher, Options, Order, RunnerSight, WorkerSight};
+use autoscaler::{Launcher, Options, Order, RunnerSight, WorkerSight};
+use protocol::{FunctionNews, FunctionReport, RunnerReport, RunnerStage};
+use routing::{Binding, Description, Function};
 
-pub const KEEPER: &str = "front-a/1";
+pub const KEEPER: &str = "gateway-a/1";
 
 pub fn options() -> Options {
     Options {
--- a/crates/blueprint/src/lib.rs
+++ b/crates/blueprint/src/lib.rs
@@ -1,4 +1,5 @@
 //! What operators write: the blueprint, its checks, and the daemons' own settings.
+#![warn(missing_docs)]
 
 mod bounds;
 mod checks;
--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -1,4 +1,5 @@
 //! Claims on work that must never run twice, their keys, and the seal on a runner's answer.
+#![warn(missing_docs)]
 
 mod claim;
 mod key;
--- a/crates/council/src/asking.rs
+++ b/crates/consensus/src/asking.rs
@@ -1,9 +1,9 @@
-use crate::action::CouncilAction;
-use crate::council::{Council, DUTY_KEY, KEYS};
+use crate::action::ConsensusAction;
+use crate::consensus::{Consensus, DUTY_KEY, KEYS};
 use crate::disk::DiskWork;
 use crate::duty::is_duty_round;
 use crate::job::{Job, Purpose};
-use crate::message::CouncilMessage;
+use crate::message::ConsensusMessage;
 use rand::Rng;
 use register::{
     Ballot, Change, Outcome, Proposal, ProposalStep, VoterAsk, VoterMessage, VoterRef, VoterReply,
@@ -17,7 +17,7 @@
 /// Pause after too few voters could answer.
 const PAUSE: u64 = 100;
 
-impl Council {
+impl Consensus {
     /// Starts a change of a register under the set that is known.
     pub(crate) fn propose(&mut self, now: u64, purpose: Purpose, key: &str, change: Change) {
         let set = self.set.clone();
@@ -54,7 +54,7 @@
         }
     }
 
-    /// Whether a caller's change had better wait until this core has the value that is on its way to it.
+    /// Whether a caller's change had better wait until this controller has the value that is on its way to it.
     fn is_early(&self, now: u64, purpose: &Purpose, key: &str) -> bool {
         let is_client = matches!(purpose, Purpose::Client(_));
         is_client && KEYS.contains(&key) && self.awaits_value(now, key)
@@ -105,7 +105,7 @@
                 self.take_ask(now, &to, number, known, message);
                 continue;
             }
-            let message = CouncilMessage::Ask {
+            let message = ConsensusMessage::Ask {
                 number,
                 known,
                 message,
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Gives a question to this core's voter, unless it is about a duty that is granted.
+    /// Gives a question to this controller's voter, unless it is about a duty that is granted.
     pub(crate) fn take_ask(
         &mut self,
         now: u64,
@@ -137,7 +137,7 @@
         }
         self.duty_rounds += usize::from(is_duty_round);
         let to = from.to_string();
-        self.actions.push(CouncilAction::Disk(DiskWork::Ask {
+        self.actions.push(ConsensusAction::Disk(DiskWork::Ask {
             to,
             number,
             known,
@@ -146,7 +146,7 @@
     }
 
     pub(crate) fn answer(&mut self, to: &str, number: u64, is_known: bool, reply: VoterReply) {
-        let message = CouncilMessage::Answer {
+        let message = ConsensusMessage::Answer {
             disk: self.options.disk,
             number,
             is_known,
@@ -200,7 +200,7 @@
             return self.learn_set(now, set);
         }
         if set.era != 0 && set.mark() < self.set.mark() && from != self.options.address {
-            self.send(from, CouncilMessage::Set(self.set_news()));
+            self.send(from, ConsensusMessage::Set(self.set_news()));
         }
     }
 
@@ -247,7 +247,7 @@
     fn on_outcome(&mut self, now: u64, purpose: Purpose, key: &str, outcome: Outcome) {
         match purpose {
             Purpose::Client(token) => {
-                self.actions.push(CouncilAction::Done { token, outcome });
+                self.actions.push(ConsensusAction::Done { token, outcome });
             }
             Purpose::Settle(key) => {
                 if let Outcome::Settled(_) = outcome {
--- a/crates/council/src/catching_up.rs
+++ b/crates/consensus/src/catching_up.rs
@@ -1,15 +1,15 @@
-//! How a core learns the settled values that it missed, and how its own voter comes to hold them.
+//! How a controller learns the settled values that it missed, and how its own voter comes to hold them.
 
-use crate::action::CouncilAction;
-use crate::council::{Council, DUTY_KEY, KEPT};
+use crate::action::ConsensusAction;
+use crate::consensus::{Consensus, DUTY_KEY, KEPT};
 use crate::disk::{DiskWork, HeldValue};
 use crate::job::Value;
-use crate::message::CouncilMessage;
+use crate::message::ConsensusMessage;
 use rand::Rng;
 use register::{Ballot, Held, Stored, VoterSet, VOTERS_KEY};
 use speedy::Readable;
 
-/// Time in which a settled value may still come to this core's own voter.
+/// Time in which a settled value may still come to this controller's own voter.
 const OWN_MS: u64 = 100;
 /// Time after which a value is asked for again the first time; it doubles with each time.
 const WANT_AGAIN: u64 = 300;
@@ -17,7 +17,7 @@
 const WANT_AGAIN_MAX: u64 = 4_800;
 /// Time after a start in which values that are on their way are waited for.
 pub(crate) const VALUE_PATIENCE_MS: u64 = 1_500;
-/// Time between comparisons of this core's voter with what is settled.
+/// Time between comparisons of this controller's voter with what is settled.
 const MEND_MS: u64 = 6_000;
 
 /// A settled value that is not here yet.
@@ -30,8 +30,8 @@
     pub pause: u64,
 }
 
-impl Council {
-    /// The value of a key that this core has and that others need not send.
+impl Consensus {
+    /// The value of a key that this controller has and that others need not send.
     pub(crate) fn newest_value(&self, key: &str) -> Option<Value> {
         let settled = self.settled.get(key);
         let held = self.held.get(key).and_then(own_value);
@@ -39,21 +39,21 @@
         held.or_else(|| settled.cloned())
     }
 
-    /// Whether a value is on its way to this core after its start, or may be: nobody told it yet what is settled.
+    /// Whether a value is on its way to this controller after its start, or may be: nobody told it yet what is settled.
     /// A read that begins before would make the value travel from each of the others, in each of its rounds.
     pub(crate) fn awaits_value(&self, now: u64, key: &str) -> bool {
         let own = &self.options.address;
         let voters = self.set.voters.iter();
         let heard = voters.filter(|voter| voter.address == *own || self.hears(now, &voter.address));
-        let is_told = heard.count() >= self.set.majority();
-        now < self.value_patience_until && (self.wants.contains_key(key) || !is_told)
+        let is_announced = heard.count() >= self.set.majority();
+        now < self.value_patience_until && (self.wants.contains_key(key) || !is_announced)
     }
 
     pub(crate) fn settled_mark(&self, key: &str) -> (u64, u64) {
         self.settled.get(key).map_or((0, 0), Value::mark)
     }
 
-    /// Another core says which values are settled.
+    /// Another controller says which values are settled.
     pub(crate) fn on_settled_marks(&mut self, now: u64, from: &str, marks: &[(u64, u64)]) {
         for (key, mark) in KEPT.iter().zip(marks) {
             let wanted = self.wants.get(*key).map_or(0, |want| want.mark.0);
@@ -74,7 +74,7 @@
         self.tend_wants(now);
     }
 
-    /// Takes settled values that have come to this core's own voter, and asks for the others.
+    /// Takes settled values that have come to this controller's own voter, and asks for the others.
     pub(crate) fn tend_wants(&mut self, now: u64) {
         let keys: Vec<String> = self.wants.keys().cloned().collect();
         for key in keys {
@@ -92,11 +92,11 @@
             want.ask_at = now + want.pause;
             want.pause = (2 * want.pause).min(WANT_AGAIN_MAX);
             let (to, version) = (want.from.clone(), want.mark.0);
-            self.send(&to, CouncilMessage::WantValue { key, version });
+            self.send(&to, ConsensusMessage::WantValue { key, version });
         }
     }
 
-    /// Tells a settled value, with the ballot where this core's voter accepted it.
+    /// Tells a settled value, with the ballot where this controller's voter accepted it.
     pub(crate) fn on_want_value(&mut self, from: &str, key: String, version: u64) {
         let Some(value) = self.settled.get(&key) else {
             return;
@@ -106,7 +106,7 @@
         }
         let held = self.held.get(&key);
         let held = held.filter(|held| (held.version, held.tag) == value.mark());
-        let message = CouncilMessage::Value {
+        let message = ConsensusMessage::Value {
             ballot: held.map(|held| held.accepted).unwrap_or_default(),
             stored: value.stored(),
             key,
@@ -114,7 +114,7 @@
         self.send(from, message);
     }
 
-    /// Takes a settled value, also for this core's voter where it lags behind.
+    /// Takes a settled value, also for this controller's voter where it lags behind.
     pub(crate) fn on_value(&mut self, now: u64, key: &str, ballot: Ballot, stored: Stored) {
         self.learn_settled(now, key, &stored);
         if ballot == Ballot::default() || !self.is_voting() || !self.is_behind(key, &stored) {
@@ -126,7 +126,7 @@
             stored,
         };
         let work = DiskWork::Mend(key.to_string(), held);
-        self.actions.push(CouncilAction::Disk(work));
+        self.actions.push(ConsensusAction::Disk(work));
     }
 
     fn is_behind(&self, key: &str, settled: &Stored) -> bool {
@@ -137,7 +137,7 @@
         version < settled.version || (version == settled.version && tag != settled.tag)
     }
 
-    /// Asks another member for settled values that this core's voter lacks, now and then.
+    /// Asks another member for settled values that this controller's voter lacks, now and then.
     pub(crate) fn tend_mending(&mut self, now: u64) {
         if now < self.mend_at || !self.is_voting() {
             return;
@@ -159,7 +159,7 @@
         }
         for (key, version) in lacking {
             let place = self.random.random_range(0..fresh.len());
-            self.send(&fresh[place], CouncilMessage::WantValue { key, version });
+            self.send(&fresh[place], ConsensusMessage::WantValue { key, version });
         }
     }
 
@@ -188,7 +188,7 @@
             return;
         }
         self.settled.insert(key.to_string(), value);
-        self.wants_beat = true;
+        self.wants_heartbeat = true;
         let key = key.to_string();
         if key == VOTERS_KEY {
             if let Ok(set) = VoterSet::read_from_buffer(&bytes) {
@@ -196,9 +196,9 @@
             }
         }
         if key == DUTY_KEY {
-            self.on_tenure(now, version, &bytes);
+            self.on_term_holder(now, version, &bytes);
         }
-        self.actions.push(CouncilAction::News { key, version });
+        self.actions.push(ConsensusAction::News { key, version });
     }
 }
 
--- a/crates/council/src/council.rs
+++ b/crates/consensus/src/consensus.rs
@@ -1,4 +1,4 @@
-use crate::action::{CouncilAction, CouncilOptions};
+use crate::action::{ConsensusAction, ConsensusOptions};
 use crate::catching_up::{Want, VALUE_PATIENCE_MS};
 use crate::contact::ContactLease;
 use crate::disk::{DiskDone, DiskWork, HeldSummary, HeldValue};
@@ -6,7 +6,7 @@
 use crate::installing::Pulled;
 use crate::job::{Job, Purpose, Value};
 use crate::leaving::Departure;
-use crate::message::CouncilMessage;
+use crate::message::ConsensusMessage;
 use crate::peer::Peer;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -21,23 +21,23 @@
 pub const CLOSURES_KEY: &str = "closures";
 /// Key of the duty's register.
 pub const DUTY_KEY: &str = "duty";
-/// Keys that are read at a majority before a core is settled.
+/// Keys that are read at a majority before a controller is settled.
 pub const KEYS: [&str; 2] = [DESCRIPTION_KEY, CLOSURES_KEY];
-/// Keys whose settled values all cores keep up.
+/// Keys whose settled values all controllers keep up.
 pub(crate) const KEPT: [&str; 4] = [DESCRIPTION_KEY, CLOSURES_KEY, DUTY_KEY, VOTERS_KEY];
 const CHANGES_MAX: usize = 64;
 const VALUE_MAX: usize = 4 << 20;
 
-/// A core's part in all that cores decide among themselves.
+/// A controller's part in all that controllers decide among themselves.
 #[derive(Clone, Debug)]
-pub struct Council {
-    pub(crate) options: CouncilOptions,
+pub struct Consensus {
+    pub(crate) options: ConsensusOptions,
     pub(crate) random: StdRng,
     pub(crate) life: u64,
-    pub(crate) actions: Vec<CouncilAction>,
+    pub(crate) actions: Vec<ConsensusAction>,
     /// The newest set that is known to be settled.
     pub(crate) set: VoterSet,
-    /// The set that this core's own voter is in.
+    /// The set that this controller's own voter is in.
     pub(crate) own_set: VoterSet,
     pub(crate) is_open: bool,
     pub(crate) held: BTreeMap<String, HeldValue>,
@@ -54,13 +54,13 @@
     pub(crate) wants: BTreeMap<String, Want>,
     pub(crate) mend_at: u64,
     pub(crate) peers: BTreeMap<String, Peer>,
-    pub(crate) beat_number: u64,
+    pub(crate) heartbeat_number: u64,
     pub(crate) contact: ContactLease,
     /// Whether contact lasted when it was last looked at.
     pub(crate) has_contact: bool,
-    pub(crate) beat_at: u64,
-    pub(crate) beaten_at: Option<u64>,
-    pub(crate) wants_beat: bool,
+    pub(crate) next_heartbeat_at: u64,
+    pub(crate) heartbeat_sent_at: Option<u64>,
+    pub(crate) wants_heartbeat: bool,
     pub(crate) jobs: BTreeMap<u64, Job>,
     pub(crate) number: u64,
     pub(crate) counter: u64,
@@ -79,16 +79,16 @@
     pub(crate) pending_since: Option<u64>,
 }
 
-impl Council {
+impl Consensus {
     /// Begins a life, from what the disk holds.
-    pub fn new(options: CouncilOptions, now: u64, held: HeldSummary) -> Self {
+    pub fn new(options: ConsensusOptions, now: u64, held: HeldSummary) -> Self {
         let mut random = StdRng::seed_from_u64(options.seed);
         let values = held.values.into_iter();
         let values: BTreeMap<String, HeldValue> =
             values.map(|value| (value.key.clone(), value)).collect();
         let counter = values.values().map(|value| value.promised.counter).max();
         let duty = Duty::restored(now, held.set.era, values.get(DUTY_KEY));
-        let mut council = Self {
+        let mut consensus = Self {
             life: random.random::<u64>() | 1,
             actions: Vec::new(),
             set: held.set.clone(),
@@ -105,12 +105,12 @@
             wants: BTreeMap::new(),
             mend_at: now + 1_000,
             peers: BTreeMap::new(),
-            beat_number: 0,
+            heartbeat_number: 0,
             contact: ContactLease::new(options.lease_ms),
             has_contact: false,
-            beat_at: now,
-            beaten_at: None,
-            wants_beat: true,
+            next_heartbeat_at: now,
+            heartbeat_sent_at: None,
+            wants_heartbeat: true,
             jobs: BTreeMap::new(),
             number: random.random::<u64>() >> 16,
             counter: counter.unwrap_or(0),
@@ -127,56 +127,56 @@
             random,
             options,
         };
-        let seeds = council.options.seeds.clone();
+        let seeds = consensus.options.seeds.clone();
         for seed in seeds {
-            council.admit(&seed);
+            consensus.admit(&seed);
         }
-        council
+        consensus
     }
 
-    /// Takes a message from the core that is reached at an address.
-    pub fn on_message(&mut self, now: u64, from: &str, message: CouncilMessage) {
+    /// Takes a message from the controller that is reached at an address.
+    pub fn on_message(&mut self, now: u64, from: &str, message: ConsensusMessage) {
         self.expire(now);
         if from == self.options.address || !self.admit(from) {
             return;
         }
         match message {
-            CouncilMessage::Link { .. } => {}
-            CouncilMessage::Beat(beat) => self.on_beat(now, from, beat),
-            CouncilMessage::Ack(ack) => self.on_ack(now, ack),
-            CouncilMessage::Ask {
+            ConsensusMessage::Link { .. } => {}
+            ConsensusMessage::Heartbeat(heartbeat) => self.on_heartbeat(now, from, heartbeat),
+            ConsensusMessage::Ack(ack) => self.on_ack(now, ack),
+            ConsensusMessage::Ask {
                 number,
                 known,
                 message,
             } => self.take_ask(now, from, number, known, message),
-            CouncilMessage::Answer {
+            ConsensusMessage::Answer {
                 disk,
                 number,
                 is_known,
                 reply,
             } => self.on_answer(now, from, disk, number, is_known, reply),
-            CouncilMessage::WantSet if self.set.era > 0 => {
-                self.send(from, CouncilMessage::Set(self.set_news()));
+            ConsensusMessage::WantSet if self.set.era > 0 => {
+                self.send(from, ConsensusMessage::Set(self.set_news()));
             }
-            CouncilMessage::WantSet => {}
-            CouncilMessage::Set(news) => self.on_set_news(now, news),
-            CouncilMessage::Form(set) => self.on_form(&set),
-            CouncilMessage::WantInstalled { mark } => {
+            ConsensusMessage::WantSet => {}
+            ConsensusMessage::Set(news) => self.on_set_news(now, news),
+            ConsensusMessage::Form(set) => self.on_form(&set),
+            ConsensusMessage::WantInstalled { mark } => {
                 let to = from.to_string();
                 let work = DiskWork::ConfirmInstalled { to, mark };
-                self.actions.push(CouncilAction::Disk(work));
+                self.actions.push(ConsensusAction::Disk(work));
             }
-            CouncilMessage::Installed { disk, mark } => self.on_installed(disk, mark),
-            CouncilMessage::Pull { mark, after } => {
+            ConsensusMessage::Installed { disk, mark } => self.on_installed(disk, mark),
+            ConsensusMessage::Pull { mark, after } => {
                 let to = from.to_string();
                 let work = DiskWork::Pull { to, mark, after };
-                self.actions.push(CouncilAction::Disk(work));
+                self.actions.push(ConsensusAction::Disk(work));
             }
-            CouncilMessage::Copy(page) => self.on_copy(now, page),
-            CouncilMessage::WantValue { key, version } => {
+            ConsensusMessage::Copy(page) => self.on_copy(now, page),
+            ConsensusMessage::WantValue { key, version } => {
                 self.on_want_value(from, key, version);
             }
-            CouncilMessage::Value {
+            ConsensusMessage::Value {
                 key,
                 ballot,
                 stored,
@@ -193,12 +193,12 @@
             DiskDone::SetDone => self.set_works = self.set_works.saturating_sub(1),
             DiskDone::Installed { to, mark } => {
                 let disk = self.options.disk;
-                self.send(&to, CouncilMessage::Installed { disk, mark });
+                self.send(&to, ConsensusMessage::Installed { disk, mark });
             }
             DiskDone::BegunAnew(identity) => self.on_begun_anew(now, identity),
             DiskDone::Copy { to, mut page } => {
                 page.disk = self.options.disk;
-                self.send(&to, CouncilMessage::Copy(page));
+                self.send(&to, ConsensusMessage::Copy(page));
             }
             DiskDone::Reply {
                 to,
@@ -233,18 +233,18 @@
             }
             self.held.insert(value.key.clone(), value);
         }
-        // What a failed disk has taken in memory alone is not a set that this core's voter is in.
+        // What a failed disk has taken in memory alone is not a set that this controller's voter is in.
         if self.is_open && summary.set.mark() != self.own_set.mark() {
-            log::info!("council: votes in set {:?}", summary.set.mark());
+            log::info!("consensus: votes in set {:?}", summary.set.mark());
             self.own_set = summary.set;
-            self.wants_beat = true;
+            self.wants_heartbeat = true;
             let set = self.own_set.clone();
             self.learn_set(now, &set);
         }
         self.tend_wants(now);
     }
 
-    /// Lets time pass. It is called every 50 ms or so, and at [`Council::due`].
+    /// Lets time pass. It is called every 50 ms or so, and at [`Consensus::due`].
     pub fn tick(&mut self, now: u64) {
         self.expire(now);
         self.tend_settling(now);
@@ -259,7 +259,7 @@
         self.tend_contact(now);
         self.tend_jobs(now);
         self.tend_duty(now);
-        self.tend_beats(now);
+        self.send_due_heartbeats(now);
     }
 
     /// When a change that has paused goes on, where that is soon.
@@ -298,7 +298,7 @@
         let known = self.settled.get(key);
         if let Some(newer) = known.filter(|known| known.version > expected) {
             let outcome = Outcome::Stale(newer.stored());
-            return self.actions.push(CouncilAction::Done { token, outcome });
+            return self.actions.push(ConsensusAction::Done { token, outcome });
         }
         self.change(now, token, key, Change::Write { expected, bytes });
     }
@@ -313,11 +313,11 @@
 
     fn refuse(&mut self, token: u64, reason: &str) {
         let outcome = Outcome::Unreached(reason.into());
-        self.actions.push(CouncilAction::Done { token, outcome });
+        self.actions.push(ConsensusAction::Done { token, outcome });
     }
 
     /// Takes out what the daemon has to do, in its order.
-    pub fn actions(&mut self) -> Vec<CouncilAction> {
+    pub fn actions(&mut self) -> Vec<ConsensusAction> {
         std::mem::take(&mut self.actions)
     }
 
@@ -327,7 +327,7 @@
         Some((value.version, &value.bytes))
     }
 
-    /// The term under which this core holds the scaling duty at this moment.
+    /// The term under which this controller holds the scaling duty at this moment.
     pub fn term(&self, now: u64) -> Option<u64> {
         let claim = self.duty.claim.as_ref();
         claim
@@ -335,8 +335,8 @@
             .map(|claim| claim.term)
     }
 
-    /// Addresses of this core and all others that are known.
-    pub fn cores(&self) -> Vec<String> {
+    /// Addresses of this controller and all others that are known.
+    pub fn controllers(&self) -> Vec<String> {
         let voters = self.set.voters.iter().map(|voter| voter.address.clone());
         let heard = self
             .peers
@@ -358,7 +358,7 @@
         &self.set
     }
 
-    /// What this core is about, in a few words.
+    /// What this controller is about, in a few words.
     pub fn reason(&self) -> String {
         let mark = self.set.mark();
         match self.unread.first() {
@@ -372,18 +372,18 @@
         }
     }
 
-    pub(crate) fn send(&mut self, to: &str, message: CouncilMessage) {
+    pub(crate) fn send(&mut self, to: &str, message: ConsensusMessage) {
         let to = to.to_string();
-        self.actions.push(CouncilAction::Send { to, message });
+        self.actions.push(ConsensusAction::Send { to, message });
     }
 
-    /// Whether the newest set names this core's disk.
+    /// Whether the newest set names this controller's disk.
     pub(crate) fn is_named(&self) -> bool {
         let mut voters = self.set.voters.iter();
         voters.any(|voter| voter.disk == self.options.disk)
     }
 
-    /// Whether this core's voter counts.
+    /// Whether this controller's voter counts.
     pub(crate) fn is_voting(&self) -> bool {
         self.is_open && self.own_set.era > 0 && self.is_named()
     }
--- a/crates/council/src/contact.rs
+++ b/crates/consensus/src/contact.rs
@@ -45,7 +45,7 @@
     /// A heartbeat leaves now. The numbers of a life ascend.
     pub fn sending(&mut self, now: u64, number: u64) {
         let span = self.span_ms;
-        self.sent.retain(|beat| now < beat.sent_at + span);
+        self.sent.retain(|heartbeat| now < heartbeat.sent_at + span);
         self.acknowledged.retain(|_, sent_at| now < *sent_at + span);
         if self.sent.len() >= SENT_MAX {
             self.sent.pop_front();
@@ -56,8 +56,11 @@
 
     /// A controller has heard a heartbeat of this one. A number that was never sent, or long ago, says nothing.
     pub fn acknowledged(&mut self, disk: u64, number: u64) {
-        let sent = self.sent.iter().find(|beat| beat.number == number);
-        let Some(sent_at) = sent.map(|beat| beat.sent_at) else {
+        let sent = self
+            .sent
+            .iter()
+            .find(|heartbeat| heartbeat.number == number);
+        let Some(sent_at) = sent.map(|heartbeat| heartbeat.sent_at) else {
             return;
         };
         let newest = self.acknowledged.entry(disk).or_default();
--- a/crates/council/src/contending.rs
+++ b/crates/consensus/src/contending.rs
@@ -1,6 +1,6 @@
-use crate::action::CouncilAction;
-use crate::council::{Council, DUTY_KEY};
-use crate::duty::{term_of, Claim, Tenure};
+use crate::action::ConsensusAction;
+use crate::consensus::{Consensus, DUTY_KEY};
+use crate::duty::{term_of, Claim, TermHolder};
 use crate::job::Purpose;
 use rand::Rng;
 use register::{Change, Outcome};
@@ -9,13 +9,13 @@
 /// Time between the tries of two neighbours in the set, so that they don't race.
 const STAGGER_MS: u64 = 40;
 
-impl Council {
-    /// Ends contact and drops a claim where their lease is over. A core that was frozen does so before anything else.
+impl Consensus {
+    /// Ends contact and drops a claim where their lease is over. A controller that was frozen does so before anything else.
     pub(crate) fn expire(&mut self, now: u64) {
         self.tend_contact(now);
         let lease = self.options.lease_ms;
         let is_over = self.duty.claim.as_ref().is_some_and(|claim| {
-            let is_young = !claim.is_told && now < claim.won_at + lease / 2;
+            let is_young = !claim.is_announced && now < claim.won_at + lease / 2;
             now >= claim.held_until && !is_young
         });
         if is_over {
@@ -27,30 +27,33 @@
         let Some(claim) = self.duty.claim.take() else {
             return;
         };
-        self.wants_beat = true;
+        self.wants_heartbeat = true;
         self.duty.quiet_until = self.duty.quiet_until.max(now + self.options.lease_ms / 10);
-        if claim.is_told {
-            log::info!("council: this core gave up the duty, term {}", claim.term);
-            self.actions.push(CouncilAction::DutyLost);
+        if claim.is_announced {
+            log::info!(
+                "consensus: this controller gave up the duty, term {}",
+                claim.term
+            );
+            self.actions.push(ConsensusAction::DutyLost);
         }
     }
 
-    /// Gives the duty up for good, since this core leaves.
+    /// Gives the duty up for good, since this controller leaves.
     pub fn resign(&mut self, now: u64) {
         self.duty.is_resigned = true;
         self.drop_claim(now);
-        self.beat_at = now;
-        self.tend_beats(now);
+        self.next_heartbeat_at = now;
+        self.send_due_heartbeats(now);
     }
 
-    /// Whether this core's voter would let a core have the duty.
+    /// Whether this controller's voter would let a controller have the duty.
     pub(crate) fn may_grant(&self, now: u64, to: &str) -> bool {
         let is_calm = self.duty_rounds == 0 && self.set_works == 0;
         let is_current = self.is_voting() && self.own_set.mark() == self.set.mark();
         is_calm && is_current && self.duty.may_promise(now, to, self.options.lease_ms)
     }
 
-    /// Whether this core's voter has accepted a claim's value and has promised nothing since.
+    /// Whether this controller's voter has accepted a claim's value and has promised nothing since.
     pub(crate) fn backs(&self, holder: &str, life: u64, term: u64) -> bool {
         if self.duty_rounds > 0 || self.set_works > 0 || !self.is_voting() {
             return false;
@@ -59,20 +62,24 @@
             return false;
         };
         let bytes = held.bytes.as_ref().map_or(&[][..], |bytes| bytes);
-        let tenure = Tenure::read_from_buffer(bytes).unwrap_or_default();
+        let term_holder = TermHolder::read_from_buffer(bytes).unwrap_or_default();
         let is_firm = held.promised == held.accepted;
-        let is_holder = tenure.address == holder && tenure.life == life;
+        let is_holder = term_holder.address == holder && term_holder.life == life;
         is_firm && is_holder && term_of(self.own_set.era, held.version) == term
     }
 
-    /// A beat is about to leave: it claims the duty where this core has won it.
+    /// A heartbeat is about to leave: it claims the duty where this controller has won it.
     pub(crate) fn back_own_claim(&mut self, now: u64) {
         let Some(term) = self.duty.claim.as_ref().map(|claim| claim.term) else {
             return;
         };
         let is_current = self.own_set.mark() == self.set.mark();
         let is_backed = is_current && self.backs(&self.options.address, self.life, term);
-        let (number, lease, disk) = (self.beat_number, self.options.lease_ms, self.options.disk);
+        let (number, lease, disk) = (
+            self.heartbeat_number,
+            self.options.lease_ms,
+            self.options.disk,
+        );
         if let Some(claim) = self.duty.claim.as_mut() {
             claim.sending(now, number);
             if is_backed {
@@ -82,12 +89,12 @@
         self.announce(now);
     }
 
-    /// Contends for the duty where it is vacant and a majority would let this core have it.
+    /// Contends for the duty where it is vacant and a majority would let this controller have it.
     pub(crate) fn tend_duty(&mut self, now: u64) {
         let is_free = self.may_grant(now, &self.options.address);
         if is_free != self.duty.was_free {
             self.duty.was_free = is_free;
-            self.wants_beat |= is_free;
+            self.wants_heartbeat |= is_free;
         }
         let is_vacant = is_free
             && self.is_settled()
@@ -113,21 +120,23 @@
         let mark = self.set.mark();
         let voters = self.set.voters.iter();
         let consenting = voters.filter(|voter| {
-            let mut fresh = self.fresh(now).map(|(_, beat)| beat);
+            let mut fresh = self.fresh(now).map(|(_, heartbeat)| heartbeat);
             voter.disk == self.options.disk
-                || fresh.any(|beat| beat.disk == voter.disk && beat.is_free && beat.mark == mark)
+                || fresh.any(|heartbeat| {
+                    heartbeat.disk == voter.disk && heartbeat.is_free && heartbeat.mark == mark
+                })
         });
         consenting.count() >= self.set.majority()
     }
 
     fn contend(&mut self, now: u64) {
-        let tenure = Tenure {
+        let term_holder = TermHolder {
             address: self.options.address.clone(),
             name: self.options.name.clone(),
             life: self.life,
         };
         let expected = self.settled_mark(DUTY_KEY).0;
-        let bytes = tenure.write_to_vec().unwrap_or_default();
+        let bytes = term_holder.write_to_vec().unwrap_or_default();
         let change = Change::Write { expected, bytes };
         self.propose(now, Purpose::Duty, DUTY_KEY, change);
     }
@@ -141,19 +150,19 @@
         let is_newest = stored.version == self.settled_mark(DUTY_KEY).0;
         if is_newest && !self.duty.is_resigned {
             self.duty.claim = Some(Claim::new(now, self.set.era, stored.version));
-            self.wants_beat = true;
-            self.beaten_at = None;
+            self.wants_heartbeat = true;
+            self.heartbeat_sent_at = None;
         }
     }
 
-    /// A newer tenure is settled. Its holder is left time to claim it.
-    pub(crate) fn on_tenure(&mut self, now: u64, version: u64, bytes: &[u8]) {
+    /// A newer term_holder is settled. Its holder is left time to claim it.
+    pub(crate) fn on_term_holder(&mut self, now: u64, version: u64, bytes: &[u8]) {
         let claim = self.duty.claim.as_ref();
         if claim.is_some_and(|claim| claim.version < version) {
             self.drop_claim(now);
         }
-        let tenure = Tenure::read_from_buffer(bytes).unwrap_or_default();
-        if tenure.address != self.options.address {
+        let term_holder = TermHolder::read_from_buffer(bytes).unwrap_or_default();
+        if term_holder.address != self.options.address {
             let pause = self.options.lease_ms / 2;
             self.duty.quiet_until = self.duty.quiet_until.max(now + pause);
         }
--- a/crates/council/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -1,6 +1,6 @@
 //! Work for the thread that has the disk, and what comes of it.
 
-use crate::council::KEPT;
+use crate::consensus::KEPT;
 use crate::duty::is_duty_round;
 use crate::message::CopyPage;
 use register::{Ballot, Held, VoterAsk, VoterMessage, VoterReply, VoterSet};
@@ -18,7 +18,7 @@
 pub enum DiskWork {
     /// Ask the voter.
     Ask {
-        /// Address of the core that asks.
+        /// Address of the controller that asks.
         to: String,
         /// Number of the question.
         number: u64,
@@ -39,7 +39,7 @@
     TurnJobs,
     /// Say so where the voter is in the set of this mark, or in a later one.
     ConfirmInstalled {
-        /// Address of the core that asks.
+        /// Address of the controller that asks.
         to: String,
         /// Mark of the set.
         mark: (u64, u64),
@@ -48,7 +48,7 @@
     BeginAnew(u64),
     /// Tell part of what is held.
     Pull {
-        /// Address of the core that asks.
+        /// Address of the controller that asks.
         to: String,
         /// Mark of the set that it must be held under.
         mark: (u64, u64),
@@ -117,14 +117,14 @@
     pub keys: Vec<(String, Held)>,
 }
 
-/// What came of the disk's work. Give it to the council in this order.
+/// What came of the disk's work. Give it to the consensus in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum DiskDone {
     /// What the voter holds now, of the keys that were touched.
     Held(HeldSummary),
     /// A reply to a question.
     Reply {
-        /// Address of the core that asked.
+        /// Address of the controller that asked.
         to: String,
         /// Number of the question.
         number: u64,
@@ -139,7 +139,7 @@
     SetDone,
     /// The voter is durably in the set of this mark, or in a later one.
     Installed {
-        /// Address of the core that asked.
+        /// Address of the controller that asked.
         to: String,
         /// Mark of the set that was asked about.
         mark: (u64, u64),
@@ -149,21 +149,21 @@
     BegunAnew(Option<u64>),
     /// Part of what is held.
     Copy {
-        /// Address of the core that asked.
+        /// Address of the controller that asked.
         to: String,
         /// The part.
         page: CopyPage,
     },
 }
 
-/// What a voter holds, as its council knows it.
+/// What a voter holds, as its consensus knows it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HeldSummary {
     /// The voter's set; era 0 where it is empty.
     pub set: VoterSet,
     /// Whether the disk can be trusted.
     pub is_open: bool,
-    /// Values of the keys that cores keep up.
+    /// Values of the keys that controllers keep up.
     pub values: Vec<HeldValue>,
 }
 
@@ -186,7 +186,7 @@
 
 impl HeldSummary {
     /// All that a voter holds, when it was just opened. After its disk had failed and was opened again,
-    /// the council is told by [`DiskDone::Held`].
+    /// the consensus is told by [`DiskDone::Held`].
     pub fn of(voter: &Voter) -> Self {
         let keys = KEPT.iter().map(|key| (*key, true));
         Self::told(voter, keys)
@@ -240,7 +240,7 @@
         dones.extend(perform(disk.voter_mut(), std::mem::take(&mut waiting)));
         let begun = disk.begin_anew(identity);
         if let Err(report) = &begun {
-            log::error!("council: the disk could not be emptied: {report:#}");
+            log::error!("consensus: the disk could not be emptied: {report:#}");
         }
         dones.push(DiskDone::BegunAnew(begun.ok().map(|()| identity)));
     }
--- a/crates/council/src/duty.rs
+++ b/crates/consensus/src/duty.rs
@@ -1,4 +1,4 @@
-use crate::council::DUTY_KEY;
+use crate::consensus::DUTY_KEY;
 use crate::disk::{key_of, HeldValue};
 use register::{VoterAsk, VoterSet};
 use speedy::{Readable, Writable};
@@ -9,7 +9,7 @@
 
 /// What the duty's register holds.
 #[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
-pub struct Tenure {
+pub struct TermHolder {
     /// Address of the holder.
     pub address: String,
     /// Name of the holder.
@@ -28,7 +28,7 @@
     (era << ERA_SHIFT) | version
 }
 
-/// What this core's voter grants the holder that it heard last.
+/// What this controller's voter grants the holder that it heard last.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Grant {
     pub holder: String,
@@ -38,14 +38,14 @@
     pub received: u64,
 }
 
-/// This core's own claim to the duty, won in the register.
+/// This controller's own claim to the duty, won in the register.
 #[derive(Clone, Debug)]
 pub(crate) struct Claim {
     pub version: u64,
     pub term: u64,
     pub won_at: u64,
     pub held_until: u64,
-    pub is_told: bool,
+    pub is_announced: bool,
     sent: VecDeque<(u64, u64)>,
     acks: BTreeMap<u64, u64>,
 }
@@ -57,13 +57,13 @@
             term: term_of(era, version),
             won_at: now,
             held_until: 0,
-            is_told: false,
+            is_announced: false,
             sent: VecDeque::new(),
             acks: BTreeMap::new(),
         }
     }
 
-    /// A beat that claims the duty leaves now.
+    /// A heartbeat that claims the duty leaves now.
     pub fn sending(&mut self, now: u64, number: u64) {
         self.sent.push_back((number, now));
         if self.sent.len() > SENT_MAX {
@@ -71,7 +71,7 @@
         }
     }
 
-    /// A member's voter backs the claim of a beat.
+    /// A member's voter backs the claim of a heartbeat.
     pub fn on_ack(&mut self, set: &VoterSet, disk: u64, number: u64, lease: u64) {
         let sent = self.sent.iter().find(|(one, _)| *one == number);
         let Some((_, sent_at)) = sent else {
@@ -91,7 +91,7 @@
     }
 }
 
-/// One core's part in who has the duty.
+/// One controller's part in who has the duty.
 ///
 /// A member backs a claim only where its voter accepted the claim's value and has promised nothing
 /// since, and lets its voter promise something only when it has heard no claim for a lease. Both last
@@ -100,9 +100,9 @@
 pub(crate) struct Duty {
     pub grant: Option<Grant>,
     pub claim: Option<Claim>,
-    /// This core's voter promises nothing about the duty before.
+    /// This controller's voter promises nothing about the duty before.
     pub closed_until: u64,
-    /// This core does not contend before.
+    /// This controller does not contend before.
     pub quiet_until: u64,
     pub contend_at: Option<u64>,
     pub is_resigned: bool,
@@ -116,10 +116,10 @@
             return Self::default();
         };
         let bytes = held.bytes.as_ref().map_or(&[][..], |bytes| bytes);
-        let tenure = Tenure::read_from_buffer(bytes).unwrap_or_default();
+        let term_holder = TermHolder::read_from_buffer(bytes).unwrap_or_default();
         let grant = Grant {
-            holder: tenure.address,
-            life: tenure.life,
+            holder: term_holder.address,
+            life: term_holder.life,
             number: 0,
             term: term_of(era, held.version),
             received: now,
@@ -130,7 +130,7 @@
         }
     }
 
-    /// Whether this core's voter may promise the duty to a core now. A holder that contends anew has
+    /// Whether this controller's voter may promise the duty to a controller now. A holder that contends anew has
     /// dropped its claim, or was started anew.
     pub fn may_promise(&self, now: u64, to: &str, lease: u64) -> bool {
         let is_granted = self
@@ -151,7 +151,7 @@
         }
     }
 
-    /// A core said that it does not hold: it has dropped its claim for good, if it ever had one.
+    /// A controller said that it does not hold: it has dropped its claim for good, if it ever had one.
     pub fn on_no_claim(&mut self, from: &str, life: u64, number: u64) {
         let is_over = self.grant.as_ref().is_some_and(|grant| {
             grant.holder == from && grant.life == life && grant.number < number
--- a/crates/council/src/beating.rs
+++ b/crates/consensus/src/heartbeats.rs
@@ -1,22 +1,22 @@
-use crate::action::CouncilAction;
-use crate::council::{Council, DUTY_KEY, KEPT};
+use crate::action::ConsensusAction;
+use crate::consensus::{Consensus, DUTY_KEY, KEPT};
 use crate::duty::{term_of, Grant};
-use crate::message::{Ack, Beat, CouncilMessage, HeardHeartbeat};
+use crate::message::{Ack, ConsensusMessage, HeardHeartbeat, Heartbeat};
 use crate::peer::Peer;
 use register::VoterRef;
 use std::collections::BTreeSet;
 
 const PEERS_MAX: usize = 64;
-/// Time between beats while no voters are known.
-const FIRST_BEAT_MS: u64 = 100;
-/// Time between beats to an address where nobody answers.
-const SILENT_BEAT_MS: u64 = 1_000;
-/// Least time between beats out of turn.
+/// Time between heartbeats while no voters are known.
+const FIRST_HEARTBEAT_MS: u64 = 100;
+/// Time between heartbeats to an address where nobody answers.
+const SILENT_HEARTBEAT_MS: u64 = 1_000;
+/// Least time between heartbeats out of turn.
 const HASTE_MS: u64 = 10;
-/// Time after which a core outside the set is forgotten.
+/// Time after which a controller outside the set is forgotten.
 const FORGET_MS: u64 = 30_000;
 
-impl Council {
+impl Consensus {
     /// Knows an address from now on, where there is room for it.
     pub(crate) fn admit(&mut self, address: &str) -> bool {
         if address == self.options.address {
@@ -35,7 +35,7 @@
         is_member || self.options.seeds.iter().any(|seed| seed == address)
     }
 
-    /// Forgets cores outside the set that have been silent for long.
+    /// Forgets controllers outside the set that have been silent for long.
     pub(crate) fn tend_peers(&mut self, now: u64) {
         let is_gone = |peer: &Peer| !peer.is_fresh(now, FORGET_MS);
         let gone = self.peers.iter().filter(|(_, peer)| is_gone(peer));
@@ -48,12 +48,12 @@
         }
     }
 
-    /// Time for which a beat counts as a sign of life.
+    /// Time for which a heartbeat counts as a sign of life.
     pub(crate) fn fresh_ms(&self) -> u64 {
-        (3 * self.options.beat_ms).max(600)
+        (3 * self.options.heartbeat_ms).max(600)
     }
 
-    /// Whether a core was heard lately.
+    /// Whether a controller was heard lately.
     pub(crate) fn hears(&self, now: u64, address: &str) -> bool {
         let peer = self.peers.get(address);
         peer.is_some_and(|peer| peer.is_fresh(now, self.fresh_ms()))
@@ -66,7 +66,7 @@
         }
         let mut heard: Vec<(u64, &String)> = Vec::new();
         for (address, peer) in &self.peers {
-            if let Some(at) = peer.heard_at.filter(|_| peer.beat.disk == voter.disk) {
+            if let Some(at) = peer.heard_at.filter(|_| peer.heartbeat.disk == voter.disk) {
                 heard.push((at, address));
             }
         }
@@ -76,56 +76,58 @@
             .clone()
     }
 
-    /// Cores that were heard lately.
-    pub(crate) fn fresh(&self, now: u64) -> impl Iterator<Item = (&String, &Beat)> {
+    /// Controllers that were heard lately.
+    pub(crate) fn fresh(&self, now: u64) -> impl Iterator<Item = (&String, &Heartbeat)> {
         let span = self.fresh_ms();
         let fresh = self.peers.iter();
         fresh
             .filter(move |(_, peer)| peer.is_fresh(now, span))
-            .map(|(address, peer)| (address, &peer.beat))
+            .map(|(address, peer)| (address, &peer.heartbeat))
     }
 
-    /// Sends beats where their time has come, or where something is new.
-    pub(crate) fn tend_beats(&mut self, now: u64) {
-        let is_hasty = self.beaten_at.is_none_or(|at| now >= at + HASTE_MS);
-        if now < self.beat_at && !(self.wants_beat && is_hasty) {
+    /// Sends heartbeats where their time has come, or where something is new.
+    pub(crate) fn send_due_heartbeats(&mut self, now: u64) {
+        let is_hasty = self.heartbeat_sent_at.is_none_or(|at| now >= at + HASTE_MS);
+        if now < self.next_heartbeat_at && !(self.wants_heartbeat && is_hasty) {
             return;
         }
-        let has_news = self.wants_beat;
-        self.wants_beat = false;
-        self.beaten_at = Some(now);
+        let has_news = self.wants_heartbeat;
+        self.wants_heartbeat = false;
+        self.heartbeat_sent_at = Some(now);
         let pause = match self.set.era {
-            0 => FIRST_BEAT_MS.min(self.options.beat_ms),
-            _ => self.options.beat_ms,
+            0 => FIRST_HEARTBEAT_MS.min(self.options.heartbeat_ms),
+            _ => self.options.heartbeat_ms,
         };
-        if now >= self.beat_at || has_news {
-            self.beat_at = now + pause;
+        if now >= self.next_heartbeat_at || has_news {
+            self.next_heartbeat_at = now + pause;
         }
-        self.beat_number += 1;
-        self.contact.sending(now, self.beat_number);
+        self.heartbeat_number += 1;
+        self.contact.sending(now, self.heartbeat_number);
         self.back_own_claim(now);
-        let beat = self.beat(now);
+        let heartbeat = self.heartbeat(now);
         for to in self.audience(now) {
             self.admit(&to);
             if let Some(peer) = self.peers.get_mut(&to) {
                 peer.told_at = Some(now);
             }
-            let beat = Beat {
+            let heartbeat = Heartbeat {
                 is_free: self.may_grant(now, &to),
                 heard: self.heard_from(&to),
-                ..beat.clone()
+                ..heartbeat.clone()
             };
-            self.send(&to, CouncilMessage::Beat(beat));
+            self.send(&to, ConsensusMessage::Heartbeat(heartbeat));
         }
     }
 
-    /// Members tell all cores that live; the others tell members and seeds.
+    /// Members tell all controllers that live; the others tell members and seeds.
     fn audience(&self, now: u64) -> BTreeSet<String> {
         let voters = self.set.voters.iter();
         let mut audience: BTreeSet<String> = voters.map(|voter| voter.address.clone()).collect();
         for (address, peer) in &self.peers {
             let is_heard = peer.is_fresh(now, FORGET_MS);
-            let is_due = peer.told_at.is_none_or(|at| now >= at + SILENT_BEAT_MS);
+            let is_due = peer
+                .told_at
+                .is_none_or(|at| now >= at + SILENT_HEARTBEAT_MS);
             let is_seed = self.options.seeds.iter().any(|seed| seed == address);
             let is_probed = is_seed && (is_heard || is_due || self.set.era == 0);
             if is_probed || (is_heard && self.is_named()) {
@@ -136,9 +138,12 @@
         audience
     }
 
-    /// What this core tells of itself, but for what it tells each one.
-    fn beat(&self, now: u64) -> Beat {
-        let fresh: BTreeSet<u64> = self.fresh(now).map(|(_, beat)| beat.disk).collect();
+    /// What this controller tells of itself, but for what it tells each one.
+    fn heartbeat(&self, now: u64) -> Heartbeat {
+        let fresh: BTreeSet<u64> = self
+            .fresh(now)
+            .map(|(_, heartbeat)| heartbeat.disk)
+            .collect();
         let members = self.set.voters.iter().map(|voter| voter.disk);
         let mut hears = 0;
         for (place, disk) in members.clone().enumerate().take(64) {
@@ -146,10 +151,10 @@
             hears |= u64::from(is_heard) << place;
         }
         let members: BTreeSet<u64> = members.collect();
-        Beat {
+        Heartbeat {
             disk: self.options.disk,
             life: self.life,
-            number: self.beat_number,
+            number: self.heartbeat_number,
             mark: self.own_set.mark(),
             known: self.set.mark(),
             settled: KEPT.iter().map(|key| self.settled_mark(key)).collect(),
@@ -163,77 +168,79 @@
         }
     }
 
-    pub(crate) fn on_beat(&mut self, now: u64, from: &str, beat: Beat) {
+    pub(crate) fn on_heartbeat(&mut self, now: u64, from: &str, heartbeat: Heartbeat) {
         let Some(peer) = self.peers.get_mut(from) else {
             return;
         };
-        let is_new = peer.beat.life != beat.life;
-        let is_of_former_life = peer.former_life == Some(beat.life);
-        if is_of_former_life || (!is_new && beat.number <= peer.beat.number) {
+        let is_new = peer.heartbeat.life != heartbeat.life;
+        let is_of_former_life = peer.former_life == Some(heartbeat.life);
+        if is_of_former_life || (!is_new && heartbeat.number <= peer.heartbeat.number) {
             return;
         }
         if is_new && peer.heard_at.is_some() {
-            peer.former_life = Some(peer.beat.life);
+            peer.former_life = Some(peer.heartbeat.life);
         }
         peer.heard_at = Some(now);
-        peer.beat = beat.clone();
-        self.wants_beat |= is_new;
-        self.compare_sets(from, &beat);
-        self.on_acknowledgement(&beat);
-        self.on_claim(now, from, &beat);
-        let same_era = beat.known.0 == self.set.era;
+        peer.heartbeat = heartbeat.clone();
+        self.wants_heartbeat |= is_new;
+        self.compare_sets(from, &heartbeat);
+        self.on_acknowledgement(&heartbeat);
+        self.on_claim(now, from, &heartbeat);
+        let same_era = heartbeat.known.0 == self.set.era;
         if same_era && self.set.era > 0 {
-            self.on_settled_marks(now, from, &beat.settled);
+            self.on_settled_marks(now, from, &heartbeat.settled);
         }
     }
 
-    /// Whichever of two cores knows the older set is told the newer one.
-    fn compare_sets(&mut self, from: &str, beat: &Beat) {
-        if beat.known > self.set.mark() {
-            return self.send(from, CouncilMessage::WantSet);
+    /// Whichever of two controllers knows the older set is told the newer one.
+    fn compare_sets(&mut self, from: &str, heartbeat: &Heartbeat) {
+        if heartbeat.known > self.set.mark() {
+            return self.send(from, ConsensusMessage::WantSet);
         }
-        if beat.known < self.set.mark() && beat.known.0 > 0 {
-            self.send(from, CouncilMessage::Set(self.set_news()));
+        if heartbeat.known < self.set.mark() && heartbeat.known.0 > 0 {
+            self.send(from, ConsensusMessage::Set(self.set_news()));
         }
-        if beat.mark.0 > 0 || self.set.era == 0 {
+        if heartbeat.mark.0 > 0 || self.set.era == 0 {
             return;
         }
         // A member that is named by its disk and still empty missed the founding.
         let mut voters = self.set.voters.iter();
-        let is_named = voters.any(|voter| voter.disk == beat.disk);
+        let is_named = voters.any(|voter| voter.disk == heartbeat.disk);
         if is_named && self.set.no == 1 && self.own_set == self.set {
-            self.send(from, CouncilMessage::Form(self.set.clone()));
-        } else if beat.known.0 == 0 {
-            self.send(from, CouncilMessage::Set(self.set_news()));
+            self.send(from, ConsensusMessage::Form(self.set.clone()));
+        } else if heartbeat.known.0 == 0 {
+            self.send(from, ConsensusMessage::Set(self.set_news()));
         }
     }
 
-    fn on_claim(&mut self, now: u64, from: &str, beat: &Beat) {
-        if beat.claim == 0 {
-            return self.duty.on_no_claim(from, beat.life, beat.number);
+    fn on_claim(&mut self, now: u64, from: &str, heartbeat: &Heartbeat) {
+        if heartbeat.claim == 0 {
+            return self
+                .duty
+                .on_no_claim(from, heartbeat.life, heartbeat.number);
         }
         let known = term_of(self.set.era, self.settled_mark(DUTY_KEY).0);
-        if beat.claim < known {
+        if heartbeat.claim < known {
             return;
         }
         let grant = Grant {
             holder: from.to_string(),
-            life: beat.life,
-            number: beat.number,
-            term: beat.claim,
+            life: heartbeat.life,
+            number: heartbeat.number,
+            term: heartbeat.claim,
             received: now,
         };
         self.duty.on_claim(now, grant, self.options.lease_ms);
-        if !self.backs(from, beat.life, beat.claim) {
+        if !self.backs(from, heartbeat.life, heartbeat.claim) {
             return;
         }
         let ack = Ack {
             disk: self.options.disk,
             mark: self.own_set.mark(),
-            term: beat.claim,
-            number: beat.number,
+            term: heartbeat.claim,
+            number: heartbeat.number,
         };
-        self.send(from, CouncilMessage::Ack(ack));
+        self.send(from, ConsensusMessage::Ack(ack));
     }
 
     pub(crate) fn on_ack(&mut self, now: u64, ack: Ack) {
@@ -252,11 +259,14 @@
         let Some(claim) = self.duty.claim.as_mut() else {
             return;
         };
-        if now < claim.held_until && !claim.is_told {
-            claim.is_told = true;
-            log::info!("council: this core holds the duty, term {}", claim.term);
+        if now < claim.held_until && !claim.is_announced {
+            claim.is_announced = true;
+            log::info!(
+                "consensus: this controller holds the duty, term {}",
+                claim.term
+            );
             let term = claim.term;
-            self.actions.push(CouncilAction::DutyWon { term });
+            self.actions.push(ConsensusAction::DutyWon { term });
         }
     }
 }
--- a/crates/council/src/installing.rs
+++ b/crates/consensus/src/installing.rs
@@ -1,6 +1,6 @@
-use crate::council::{Council, DUTY_KEY};
+use crate::consensus::{Consensus, DUTY_KEY};
 use crate::disk::{DiskWork, Installation};
-use crate::message::{CopyPage, CouncilMessage};
+use crate::message::{ConsensusMessage, CopyPage};
 use register::{merged, Held, VoterRef, VoterSet};
 
 /// Time after which a part of a copy is asked for again the first time; it doubles with each time.
@@ -31,7 +31,7 @@
     }
 }
 
-impl Council {
+impl Consensus {
     /// Members whose copies count: the others of this set, and all of the set before, if it is known.
     fn sources(&self) -> Vec<VoterRef> {
         let mut sources = self.set.voters.clone();
@@ -74,7 +74,7 @@
         let mark = self.set.mark();
         let to = self.locate(from);
         if to != self.options.address {
-            self.send(&to, CouncilMessage::Pull { mark, after });
+            self.send(&to, ConsensusMessage::Pull { mark, after });
         }
     }
 
@@ -120,7 +120,7 @@
         count(&self.set) > others / 2 || previous.is_some_and(|set| count(set) >= set.majority())
     }
 
-    /// Votes from now on, where enough copies are whole; before that, this core's disk never voted.
+    /// Votes from now on, where enough copies are whole; before that, this controller's disk never voted.
     fn install(&mut self, now: u64) {
         if !self.is_enough() {
             return;
@@ -133,7 +133,7 @@
         let keys = merged(whole.iter().map(|copy| copy.keys.clone()).collect());
         self.pulled.clear();
         // No member of an old set backs a claim any more that a majority of it had backed, since one of
-        // them gave its copy here. What they had backed must be over before this core's voter promises.
+        // them gave its copy here. What they had backed must be over before this controller's voter promises.
         let mut held = keys.iter();
         if held.any(|(key, held)| key == DUTY_KEY && held.stored.version > 0) {
             self.duty.closed_until = now + self.options.lease_ms;
--- a/crates/council/src/leaving.rs
+++ b/crates/consensus/src/leaving.rs
@@ -1,8 +1,8 @@
-//! How a core whose place another took leaves the set and becomes a newcomer, within its life.
+//! How a controller whose place another took leaves the set and becomes a newcomer, within its life.
 
-use crate::council::{Council, KEYS};
+use crate::consensus::{Consensus, KEYS};
 use crate::disk::DiskWork;
-use crate::message::CouncilMessage;
+use crate::message::ConsensusMessage;
 use rand::Rng;
 use register::VoterSet;
 use std::collections::BTreeSet;
@@ -12,7 +12,7 @@
 /// Spans of patience for which a member that is heard may take to install the set.
 const INSTALL_SPANS: u64 = 4;
 
-/// Where a core stands with the set of voters.
+/// Where a controller stands with the set of voters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Membership {
     /// No set is known yet.
@@ -29,7 +29,7 @@
     BeginningAnew,
 }
 
-/// How far a core is with leaving.
+/// How far a controller is with leaving.
 #[derive(Clone, Debug)]
 pub(crate) struct Departure {
     since: u64,
@@ -39,8 +39,8 @@
     is_beginning_anew: bool,
 }
 
-impl Council {
-    /// Where this core stands with the set of voters.
+impl Consensus {
+    /// Where this controller stands with the set of voters.
     pub fn membership(&self) -> Membership {
         match (self.own_set.era > 0, self.is_named()) {
             _ if self.is_beginning_anew() => Membership::BeginningAnew,
@@ -57,7 +57,7 @@
         departure.is_some_and(|departure| departure.is_beginning_anew)
     }
 
-    /// Keeps this core's copy until the newest set can do without it, and gives it up then.
+    /// Keeps this controller's copy until the newest set can do without it, and gives it up then.
     pub(crate) fn tend_leaving(&mut self, now: u64) {
         let departure = self.departure.get_or_insert_with(|| Departure {
             since: now,
@@ -82,7 +82,7 @@
         for voter in self.set.voters.clone() {
             let to = self.locate(&voter);
             if to != self.options.address {
-                self.send(&to, CouncilMessage::WantInstalled { mark });
+                self.send(&to, ConsensusMessage::WantInstalled { mark });
             }
         }
     }
@@ -107,14 +107,16 @@
         let installed = self.set.voters.len() - missing.len();
         let is_heard = self
             .fresh(now)
-            .any(|(_, beat)| missing.contains(&beat.disk));
+            .any(|(_, heartbeat)| missing.contains(&heartbeat.disk));
         let spans = if is_heard { INSTALL_SPANS } else { 1 };
         let is_long_ago = now >= departure.since + spans * self.options.patience_ms;
         installed >= self.set.majority() && (missing.is_empty() || is_long_ago)
     }
 
     fn begin_anew(&mut self) {
-        log::warn!("council: another core took this one's place; it begins anew as a newcomer");
+        log::warn!(
+            "consensus: another controller took this one's place; it begins anew as a newcomer"
+        );
         if let Some(departure) = self.departure.as_mut() {
             departure.is_beginning_anew = true;
         }
@@ -122,7 +124,7 @@
         self.work_on_set(DiskWork::BeginAnew(identity));
     }
 
-    /// The disk was emptied: this core is another one from now on, which has voted for nothing. What it
+    /// The disk was emptied: this controller is another one from now on, which has voted for nothing. What it
     /// knows of others, and which values are settled, stays true.
     pub(crate) fn on_begun_anew(&mut self, now: u64, identity: Option<u64>) {
         self.set_works = self.set_works.saturating_sub(1);
@@ -143,7 +145,7 @@
         self.joining = voter::Joining::default();
         self.place_at = now;
         self.pulled.clear();
-        self.wants_beat = true;
-        log::info!("council: the disk is empty; this core asks for a place as a newcomer");
+        self.wants_heartbeat = true;
+        log::info!("consensus: the disk is empty; this controller asks for a place as a newcomer");
     }
 }
--- a/crates/council/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -1,22 +1,22 @@
-use crate::action::CouncilAction;
-use crate::council::Council;
+use crate::action::ConsensusAction;
+use crate::consensus::Consensus;
 use crate::disk::DiskWork;
 use crate::job::{Job, Purpose};
 use crate::leaving::Membership;
-use crate::message::{Beat, CouncilMessage, SetNews};
+use crate::message::{ConsensusMessage, Heartbeat, SetNews};
 use register::{grown, relocated, Change, VoterRef, VoterSet, VOTERS_KEY};
 use speedy::Writable;
 use std::collections::BTreeSet;
 use voter::{JoinStep, Joining};
 
-impl Council {
+impl Consensus {
     /// Learns a set that is settled; an older one is ignored.
     pub(crate) fn learn_set(&mut self, now: u64, set: &VoterSet) {
         if set.mark() <= self.set.mark() || set.voters.is_empty() {
             return;
         }
         log::info!(
-            "council: set {:?} has {} voters",
+            "consensus: set {:?} has {} voters",
             set.mark(),
             set.voters.len()
         );
@@ -29,7 +29,7 @@
         if !self.is_beginning_anew() {
             self.departure = None;
         }
-        self.wants_beat = true;
+        self.wants_heartbeat = true;
         for voter in &set.voters {
             self.admit(&voter.address);
         }
@@ -37,7 +37,7 @@
         self.move_jobs(now);
     }
 
-    /// Lets this core's own voter follow into the newest set.
+    /// Lets this controller's own voter follow into the newest set.
     fn tend_adopting(&mut self) {
         let (own, set) = (&self.own_set, &self.set);
         if !self.is_open || own.era == 0 || own.era != set.era || own.no >= set.no {
@@ -48,7 +48,7 @@
 
     pub(crate) fn work_on_set(&mut self, work: DiskWork) {
         self.set_works += 1;
-        self.actions.push(CouncilAction::Disk(work));
+        self.actions.push(ConsensusAction::Disk(work));
     }
 
     /// Takes the first set, where it names this disk and the voter is empty.
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Takes this core's next step into the set of voters.
+    /// Takes this controller's next step into the set of voters.
     pub(crate) fn tend_membership(&mut self, now: u64) {
         if !self.is_open || self.set_works > 0 {
             return;
@@ -96,7 +96,7 @@
         self.previous = news.previous.filter(follows);
     }
 
-    /// Forms the first set, where this core is the first seed and all seeds say that they are empty.
+    /// Forms the first set, where this controller is the first seed and all seeds say that they are empty.
     fn found(&mut self) {
         let mut seeds: Vec<String> = Vec::new();
         for seed in &self.options.seeds {
@@ -111,7 +111,7 @@
         let Some(voters) = voters else {
             return;
         };
-        log::info!("council: forms the first set of {} voters", voters.len());
+        log::info!("consensus: forms the first set of {} voters", voters.len());
         self.work_on_set(DiskWork::Form(VoterSet {
             era: 1,
             no: 1,
@@ -126,11 +126,11 @@
             return Some(VoterRef { disk, address });
         }
         let peer = self.peers.get(seed)?;
-        let Beat {
+        let Heartbeat {
             disk, mark, known, ..
-        } = peer.beat;
+        } = peer.heartbeat;
         let is_blank = mark.0 == 0 && known.0 == 0;
-        let is_founder = peer.heard_at.is_some() && is_blank && peer.beat.is_first_start;
+        let is_founder = peer.heard_at.is_some() && is_blank && peer.heartbeat.is_first_start;
         is_founder.then_some(VoterRef { disk, address })
     }
 
@@ -138,13 +138,16 @@
     fn tend_place(&mut self, now: u64) {
         let mark = self.set.mark();
         let is_member = |disk: u64| self.set.voters.iter().any(|voter| voter.disk == disk);
-        let fresh: Vec<Beat> = self.fresh(now).map(|(_, beat)| beat.clone()).collect();
+        let fresh: Vec<Heartbeat> = self
+            .fresh(now)
+            .map(|(_, heartbeat)| heartbeat.clone())
+            .collect();
         let voting = fresh
             .iter()
-            .filter(|beat| is_member(beat.disk) && beat.mark == mark);
-        let voting: Vec<&Beat> = voting.collect();
+            .filter(|heartbeat| is_member(heartbeat.disk) && heartbeat.mark == mark);
+        let voting: Vec<&Heartbeat> = voting.collect();
         if voting.len() < self.set.majority() {
-            // Silence is only told apart from a cut of its own by a core that hears a majority.
+            // Silence is only told apart from a cut of its own by a controller that hears a majority.
             self.joining = Joining::default();
             return;
         }
@@ -155,9 +158,11 @@
             disk: self.options.disk,
             address: self.options.address.clone(),
         };
-        let mut answering: BTreeSet<u64> = fresh.iter().map(|beat| beat.disk).collect();
+        let mut answering: BTreeSet<u64> = fresh.iter().map(|heartbeat| heartbeat.disk).collect();
         for (place, voter) in self.set.voters.iter().enumerate().take(64) {
-            let is_heard = voting.iter().any(|beat| beat.hears >> place & 1 == 1);
+            let is_heard = voting
+                .iter()
+                .any(|heartbeat| heartbeat.hears >> place & 1 == 1);
             if is_heard && voter.address != me.address {
                 answering.insert(voter.disk);
             }
@@ -177,7 +182,7 @@
         let Some(next) = next else {
             return;
         };
-        log::info!("council: asks for a place in set {:?}", next.mark());
+        log::info!("consensus: asks for a place in set {:?}", next.mark());
         self.propose_set(now, &next);
     }
 
@@ -190,7 +195,7 @@
         self.propose(now, Purpose::Place, VOTERS_KEY, change);
     }
 
-    /// Whether this core may ask for another set now.
+    /// Whether this controller may ask for another set now.
     fn may_propose_set(&mut self, now: u64) -> bool {
         let is_asking = |job: &Job| job.purpose == Purpose::Place;
         !self.is_change_pending(now) && now >= self.place_at && !self.jobs.values().any(is_asking)
@@ -204,7 +209,7 @@
         };
         if self.may_propose_set(now) {
             log::info!(
-                "council: is reached at {address} from set {:?} on",
+                "consensus: is reached at {address} from set {:?} on",
                 next.mark()
             );
             self.propose_set(now, &next);
@@ -216,8 +221,9 @@
     fn is_change_pending(&mut self, now: u64) -> bool {
         let mark = self.set.mark();
         let members: Vec<u64> = self.set.voters.iter().map(|voter| voter.disk).collect();
-        let is_pending = |beat: &Beat| members.contains(&beat.disk) && beat.mark != mark;
-        if !self.fresh(now).any(|(_, beat)| is_pending(beat)) {
+        let is_pending =
+            |heartbeat: &Heartbeat| members.contains(&heartbeat.disk) && heartbeat.mark != mark;
+        if !self.fresh(now).any(|(_, heartbeat)| is_pending(heartbeat)) {
             self.pending_since = None;
             return false;
         }
@@ -226,9 +232,13 @@
     }
 
     /// An odd set grows only where another newcomer follows: an even one tolerates no more losses.
-    fn may_grow(&self, voting: &[&Beat]) -> bool {
+    fn may_grow(&self, voting: &[&Heartbeat]) -> bool {
         let count = self.set.voters.len();
-        let spares = voting.iter().map(|beat| beat.spares).max().unwrap_or(0);
+        let spares = voting
+            .iter()
+            .map(|heartbeat| heartbeat.spares)
+            .max()
+            .unwrap_or(0);
         let is_worth_it = count.is_multiple_of(2) || count == 1 || spares >= 2;
         count < self.options.voters_wanted && voting.len() == count && is_worth_it
     }
@@ -239,7 +249,7 @@
         for voter in voters {
             let to = self.locate(&voter);
             if to != self.options.address {
-                let message = CouncilMessage::Set(self.set_news());
+                let message = ConsensusMessage::Set(self.set_news());
                 self.send(&to, message);
             }
         }
--- a/crates/council/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -1,17 +1,17 @@
 use register::{Ballot, Held, Stored, VoterMessage, VoterReply, VoterSet};
 use speedy::{Readable, Writable};
 
-/// What cores say to one another.
+/// What controllers say to one another.
 #[derive(Clone, Debug, PartialEq, Readable, Writable)]
-pub enum CouncilMessage {
-    /// Whose link this is. The daemon says it first on each link; a council ignores it.
+pub enum ConsensusMessage {
+    /// Whose link this is. The daemon says it first on each link; a consensus ignores it.
     Link {
-        /// Address of the core that opened the link.
+        /// Address of the controller that opened the link.
         address: String,
     },
-    /// A core lives, and knows this.
-    Beat(Beat),
-    /// A member's voter backs the claim of a beat.
+    /// A controller lives, and knows this.
+    Heartbeat(Heartbeat),
+    /// A member's voter backs the claim of a heartbeat.
     Ack(Ack),
     /// A question to a voter.
     Ask {
@@ -78,7 +78,7 @@
     },
 }
 
-/// The newest set that a core knows to be settled.
+/// The newest set that a controller knows to be settled.
 #[derive(Clone, Debug, PartialEq, Readable, Writable)]
 pub struct SetNews {
     /// The set.
@@ -88,34 +88,34 @@
     pub previous: Option<VoterSet>,
 }
 
-/// A core's sign of life.
+/// A controller's sign of life.
 #[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
-pub struct Beat {
-    /// Id of the core's disk.
+pub struct Heartbeat {
+    /// Id of the controller's disk.
     pub disk: u64,
-    /// Random id of the core's life.
+    /// Random id of the controller's life.
     pub life: u64,
-    /// Counted up with each beat of a life.
+    /// Counted up with each heartbeat of a life.
     pub number: u64,
-    /// Mark of the set that the core's voter is in; era 0 where it is empty.
+    /// Mark of the set that the controller's voter is in; era 0 where it is empty.
     pub mark: (u64, u64),
-    /// Mark of the newest set that the core knows.
+    /// Mark of the newest set that the controller knows.
     pub known: (u64, u64),
     /// Version and tag of the settled values of all keys that are kept up, in their order.
     pub settled: Vec<(u64, u64)>,
-    /// Term under which the core holds the duty or has just won it; 0 for none.
+    /// Term under which the controller holds the duty or has just won it; 0 for none.
     pub claim: u64,
-    /// Whether the core's voter would let the receiver have the duty.
+    /// Whether the controller's voter would let the receiver have the duty.
     pub is_free: bool,
-    /// Places of the set whose members the core hears, one bit for each.
+    /// Places of the set whose members the controller hears, one bit for each.
     pub hears: u64,
-    /// Cores outside the set that the core hears.
+    /// Controllers outside the set that the controller hears.
     pub spares: u8,
-    /// Whether the core takes this for the first start of the whole system.
+    /// Whether the controller takes this for the first start of the whole system.
     pub is_first_start: bool,
-    /// Whether the core is in contact with a majority.
+    /// Whether the controller is in contact with a majority.
     pub is_in_contact: bool,
-    /// The newest heartbeat that the core has heard from the receiver.
+    /// The newest heartbeat that the controller has heard from the receiver.
     pub heard: HeardHeartbeat,
 }
 
@@ -137,7 +137,7 @@
     pub mark: (u64, u64),
     /// Term that was claimed.
     pub term: u64,
-    /// Number of the beat that claimed it.
+    /// Number of the heartbeat that claimed it.
     pub number: u64,
 }
 
--- a/crates/council/src/peer.rs
+++ b/crates/consensus/src/peer.rs
@@ -1,13 +1,13 @@
-use crate::message::{Beat, HeardHeartbeat};
+use crate::message::{HeardHeartbeat, Heartbeat};
 
-/// Another core, as its newest beat told it.
+/// Another controller, as its newest heartbeat told it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peer {
     pub heard_at: Option<u64>,
-    pub beat: Beat,
+    pub heartbeat: Heartbeat,
     /// The life before the present one; its messages may still be on the way.
     pub former_life: Option<u64>,
-    /// When this core last sent it a beat.
+    /// When this controller last sent it a heartbeat.
     pub told_at: Option<u64>,
 }
 
@@ -15,8 +15,8 @@
     /// The newest heartbeat, as it is acknowledged.
     pub fn heard(&self) -> HeardHeartbeat {
         HeardHeartbeat {
-            life: self.beat.life,
-            number: self.beat.number,
+            life: self.heartbeat.life,
+            number: self.heartbeat.number,
         }
     }
 
--- a/crates/council/src/serving.rs
+++ b/crates/consensus/src/serving.rs
@@ -1,18 +1,18 @@
 //! Whether what a controller knows may pass for current: it needs contact with a majority of the newest set, and
 //! to have read everything at a majority since that contact began.
 
-use crate::council::{Council, KEYS};
-use crate::message::{Beat, HeardHeartbeat};
+use crate::consensus::{Consensus, KEYS};
+use crate::message::{HeardHeartbeat, Heartbeat};
 use crate::peer::Peer;
 
-impl Council {
-    /// Whether a majority of the newest known set has lately acknowledged a heartbeat of this core.
+impl Consensus {
+    /// Whether a majority of the newest known set has lately acknowledged a heartbeat of this controller.
     pub fn is_in_contact(&self, now: u64) -> bool {
         let disk = self.options.disk;
         self.contact.is_held(now, &self.set, disk)
     }
 
-    /// Whether what this core knows may be told as the newest: it is in contact, and has read all keys at a
+    /// Whether what this controller knows may be told as the newest: it is in contact, and has read all keys at a
     /// majority since it came into contact.
     pub fn is_current(&self, now: u64) -> bool {
         self.has_contact
@@ -21,13 +21,15 @@
             && self.unconfirmed.is_empty()
     }
 
-    /// Addresses of other cores that were heard lately and said that they are in contact.
+    /// Addresses of other controllers that were heard lately and said that they are in contact.
     pub fn members_in_contact(&self, now: u64) -> Vec<String> {
-        let fresh = self.fresh(now).filter(|(_, beat)| beat.is_in_contact);
+        let fresh = self
+            .fresh(now)
+            .filter(|(_, heartbeat)| heartbeat.is_in_contact);
         fresh.map(|(address, _)| address.clone()).collect()
     }
 
-    /// Takes further addresses at which other cores may be found.
+    /// Takes further addresses at which other controllers may be found.
     pub fn learn_seeds(&mut self, seeds: Vec<String>) {
         self.options.seeds = seeds;
         for seed in self.options.seeds.clone() {
@@ -35,23 +37,24 @@
         }
     }
 
-    /// The newest heartbeat that was heard from a core, which acknowledges it.
+    /// The newest heartbeat that was heard from a controller, which acknowledges it.
     pub(crate) fn heard_from(&self, address: &str) -> HeardHeartbeat {
         let peer = self.peers.get(address);
         let peer = peer.filter(|peer| peer.heard_at.is_some());
         peer.map(Peer::heard).unwrap_or_default()
     }
 
-    /// A heartbeat acknowledges what its sender heard from this core. A sender that knows a newer set counts no
+    /// A heartbeat acknowledges what its sender heard from this controller. A sender that knows a newer set counts no
     /// more under the one that is known here.
-    pub(crate) fn on_acknowledgement(&mut self, beat: &Beat) {
-        if beat.heard.life != self.life || beat.known > self.set.mark() {
+    pub(crate) fn on_acknowledgement(&mut self, heartbeat: &Heartbeat) {
+        if heartbeat.heard.life != self.life || heartbeat.known > self.set.mark() {
             return;
         }
-        self.contact.acknowledged(beat.disk, beat.heard.number);
+        self.contact
+            .acknowledged(heartbeat.disk, heartbeat.heard.number);
     }
 
-    /// Notes where contact has begun or ended. It comes first and last in all that a council does, so that a core
+    /// Notes where contact has begun or ended. It comes first and last in all that a consensus does, so that a controller
     /// that was frozen sees the end before anything can renew the lease.
     pub(crate) fn tend_contact(&mut self, now: u64) {
         let is_in_contact = self.is_in_contact(now);
@@ -59,12 +62,12 @@
             return;
         }
         self.has_contact = is_in_contact;
-        self.wants_beat = true;
+        self.wants_heartbeat = true;
         if is_in_contact {
-            log::info!("council: in contact with a majority");
+            log::info!("consensus: in contact with a majority");
             self.read_all_again(now);
         } else {
-            log::warn!("council: out of contact with a majority");
+            log::warn!("consensus: out of contact with a majority");
         }
     }
 
--- a/crates/council/tests/bad_messages.rs
+++ b/crates/consensus/tests/bad_messages.rs
@@ -1,9 +1,9 @@
-//! Messages that are told again, late, cut or garbled: no core panics, and nothing that is settled moves back.
+//! Messages that are told again, late, cut or garbled: no controller panics, and nothing that is settled moves back.
 
 #[allow(dead_code)]
 mod world;
 
-use council::{Council, CouncilMessage, CLOSURES_KEY, DESCRIPTION_KEY, DUTY_KEY};
+use consensus::{Consensus, ConsensusMessage, CLOSURES_KEY, DESCRIPTION_KEY, DUTY_KEY};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use register::VOTERS_KEY;
@@ -12,13 +12,13 @@
 
 const KEYS: [&str; 4] = [DESCRIPTION_KEY, CLOSURES_KEY, DUTY_KEY, VOTERS_KEY];
 
-fn settled(council: &Council) -> Vec<u64> {
-    let version = |key: &&str| council.settled(key).map_or(0, |(version, _)| version);
+fn settled(consensus: &Consensus) -> Vec<u64> {
+    let version = |key: &&str| consensus.settled(key).map_or(0, |(version, _)| version);
     KEYS.iter().map(version).collect()
 }
 
 /// Changes some bytes of a message, or cuts it.
-fn garbled(message: &CouncilMessage, random: &mut StdRng) -> Option<CouncilMessage> {
+fn garbled(message: &ConsensusMessage, random: &mut StdRng) -> Option<ConsensusMessage> {
     let mut bytes = message.write_to_vec().ok()?;
     for _ in 0..random.random_range(1..4) {
         let place = random.random_range(0..bytes.len());
@@ -32,7 +32,7 @@
     if random.random_bool(0.1) {
         bytes.truncate(random.random_range(0..bytes.len()));
     }
-    CouncilMessage::read_from_buffer(&bytes).ok()
+    ConsensusMessage::read_from_buffer(&bytes).ok()
 }
 
 /// The oracle of the world looks at every step: two values or two holders are never seen at once.
@@ -71,29 +71,30 @@
         let mut random = StdRng::seed_from_u64(seed);
         let node = &mut world.nodes[0];
         let mut local = node.clock(world.now);
-        let (mut council, mut voter) = (node.council.take().unwrap(), node.voter.take().unwrap());
+        let (mut consensus, mut voter) =
+            (node.consensus.take().unwrap(), node.voter.take().unwrap());
         for _ in 0..3_000 {
             let (_, from, message) = &past[random.random_range(0..past.len())];
             let Some(message) = garbled(message, &mut random) else {
                 continue;
             };
-            let before = (settled(&council), council.set().mark());
+            let before = (settled(&consensus), consensus.set().mark());
             fed += 1;
-            council.on_message(local, from, message);
+            consensus.on_message(local, from, message);
             local += random.random_range(0..40);
-            council.tick(local);
-            let works = council
+            consensus.tick(local);
+            let works = consensus
                 .actions()
                 .into_iter()
                 .filter_map(|action| match action {
-                    council::CouncilAction::Disk(work) => Some(work),
+                    consensus::ConsensusAction::Disk(work) => Some(work),
                     _ => None,
                 });
             let promised = voter.voter().held().clone();
-            for done in council::perform_on(&mut voter, works.collect()) {
-                council.on_disk(local, done);
+            for done in consensus::perform_on(&mut voter, works.collect()) {
+                consensus.on_disk(local, done);
             }
-            let after = (settled(&council), council.set().mark());
+            let after = (settled(&consensus), consensus.set().mark());
             let mut versions = before.0.iter().zip(&after.0);
             assert!(versions.all(|(old, new)| old <= new), "a value moved back");
             assert!(before.1 <= after.1, "the set moved back");
@@ -104,7 +105,7 @@
                 let now = voter.voter().held().held(key).unwrap();
                 assert!(now.promised >= held.promised && now.accepted >= held.accepted);
             }
-            assert!(council.cores().len() <= 80, "addresses are bounded");
+            assert!(consensus.controllers().len() <= 80, "addresses are bounded");
         }
     }
     println!("{fed} garbled messages");
--- a/crates/council/tests/catching_up.rs
+++ b/crates/consensus/tests/catching_up.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod world;
 
-use council::{CLOSURES_KEY, DESCRIPTION_KEY};
+use consensus::{CLOSURES_KEY, DESCRIPTION_KEY};
 use rand::Rng;
 use world::World;
 
@@ -24,8 +24,8 @@
 }
 
 fn known(world: &World, place: usize) -> u64 {
-    let council = world.nodes[place].council.as_ref();
-    let settled = council.and_then(|council| council.settled(DESCRIPTION_KEY));
+    let consensus = world.nodes[place].consensus.as_ref();
+    let settled = consensus.and_then(|consensus| consensus.settled(DESCRIPTION_KEY));
     settled.map_or(0, |(version, _)| version)
 }
 
@@ -40,8 +40,8 @@
     world.random.fill(&mut bytes[..]);
     let token = world.oracle.ask(key, Some((expected, bytes.clone())));
     let local = world.nodes[place].clock(world.now);
-    let council = world.nodes[place].council.as_mut().unwrap();
-    council.write(local, token, key, expected, bytes);
+    let consensus = world.nodes[place].consensus.as_mut().unwrap();
+    consensus.write(local, token, key, expected, bytes);
     world.drain(place);
 }
 
@@ -61,7 +61,7 @@
     }
 }
 
-/// Reads at a core whenever it can answer; the oracle cries where an answer is older than what was acknowledged.
+/// Reads at a controller whenever it can answer; the oracle cries where an answer is older than what was acknowledged.
 fn read_while_it_returns(world: &mut World, span: u64) -> Option<u64> {
     let began = world.now;
     let newest = world.oracle.newest(DESCRIPTION_KEY);
@@ -102,8 +102,8 @@
     let mut world = returned_after_thousands_of_changes(1);
     let newest = world.oracle.newest(DESCRIPTION_KEY);
     let is_whole = |world: &World| {
-        let council = world.nodes[2].council.as_ref().unwrap();
-        council.is_settled() && voter_version(world, 2) == newest
+        let consensus = world.nodes[2].consensus.as_ref().unwrap();
+        consensus.is_settled() && voter_version(world, 2) == newest
     };
     let took = world.until(5_000, is_whole);
     world.run(5_000);
--- a/crates/council/tests/contact.rs
+++ b/crates/consensus/tests/contact.rs
@@ -1,10 +1,10 @@
-//! A core takes itself to be in contact only while a majority acknowledges its heartbeats, counted from their
+//! A controller takes itself to be in contact only while a majority acknowledges its heartbeats, counted from their
 //! sending; out of contact it passes for current nowhere.
 
 #[allow(dead_code)]
 mod world;
 
-use council::{ContactLease, CLOSURES_KEY, DESCRIPTION_KEY};
+use consensus::{ContactLease, CLOSURES_KEY, DESCRIPTION_KEY};
 use rand::Rng;
 use register::{VoterRef, VoterSet};
 use std::collections::VecDeque;
@@ -14,7 +14,7 @@
 /// What is left of the span when clocks may run apart.
 const LASTS: u64 = SPAN * 4 / 5;
 const OWN: u64 = 1;
-/// In this time a settled value comes from the core that wrote it to all that it reaches.
+/// In this time a settled value comes from the controller that wrote it to all that it reaches.
 const SPREAD: u64 = 600;
 
 fn set_of(disks: &[u64]) -> VoterSet {
@@ -88,7 +88,10 @@
         "it is no voter itself"
     );
     lease.acknowledged(4, 1);
-    assert!(lease.is_held(1, &set_of(&[2, 3, 4]), OWN), "a spare core");
+    assert!(
+        lease.is_held(1, &set_of(&[2, 3, 4]), OWN),
+        "a spare controller"
+    );
     assert!(!lease.is_held(1, &set_of(&[]), OWN), "no set is known");
     assert!(lease.is_held(1, &set_of(&[OWN]), OWN), "alone in its set");
 }
@@ -128,7 +131,7 @@
         }
     }
 
-    /// No core that passes for current knows less than what was acknowledged a lease ago.
+    /// No controller that passes for current knows less than what was acknowledged a lease ago.
     fn look(&self, world: &World, seed: u64) {
         let (_, floor) = self.since[0];
         for (place, node) in world.nodes.iter().enumerate() {
@@ -139,7 +142,7 @@
                 let known = node.settled(key);
                 assert!(
                     known >= floor,
-                    "seed {seed}: at {} core {place} passes for current with {key} {known}, and {floor} is settled",
+                    "seed {seed}: at {} controller {place} passes for current with {key} {known}, and {floor} is settled",
                     world.now
                 );
             }
@@ -169,7 +172,7 @@
 }
 
 #[test]
-fn a_core_that_is_cut_off_for_twenty_seconds_passes_for_current_nowhere() {
+fn a_controller_that_is_cut_off_for_twenty_seconds_passes_for_current_nowhere() {
     for seed in 0..30 {
         let mut world = started(seed, 3 + seed as usize % 2);
         let mut settled = Settled::new();
@@ -209,7 +212,7 @@
 }
 
 #[test]
-fn a_core_that_thaws_finds_its_contact_over_before_anything_else() {
+fn a_controller_that_thaws_finds_its_contact_over_before_anything_else() {
     for seed in 0..30 {
         let mut world = started(seed, 3);
         world.nodes[0].is_frozen = true;
@@ -225,7 +228,7 @@
 }
 
 #[test]
-fn no_core_passes_for_current_with_old_values_whatever_befalls() {
+fn no_controller_passes_for_current_with_old_values_whatever_befalls() {
     for seed in 0..60 {
         let mut world = World::first_start(seed, 4, 3);
         world.run(2_000);
--- a/crates/council/tests/copies.rs
+++ b/crates/consensus/tests/copies.rs
@@ -1,9 +1,9 @@
-//! Values come to all cores with few bytes, and last through the loss of a disk.
+//! Values come to all controllers with few bytes, and last through the loss of a disk.
 
 #[allow(dead_code)]
 mod world;
 
-use council::{CouncilAction, DESCRIPTION_KEY};
+use consensus::{ConsensusAction, DESCRIPTION_KEY};
 use journal::Mishap;
 use rand::Rng;
 use register::Outcome;
@@ -17,8 +17,8 @@
 }
 
 fn known(world: &World, place: usize) -> u64 {
-    let council = world.nodes[place].council.as_ref().unwrap();
-    council
+    let consensus = world.nodes[place].consensus.as_ref().unwrap();
+    consensus
         .settled(DESCRIPTION_KEY)
         .map_or(0, |(version, _)| version)
 }
@@ -42,7 +42,7 @@
         world.part(0, 2);
         world.part(1, 2);
         write(&mut world, 0);
-        // The third core lacks the value, and can learn it from none but the one that lost its disk.
+        // The third controller lacks the value, and can learn it from none but the one that lost its disk.
         world.wipe(1);
         world.join(1, 2);
         world.boot(1);
@@ -63,15 +63,15 @@
 }
 
 #[test]
-fn a_value_comes_to_all_cores_in_one_beat_and_travels_once_to_each() {
+fn a_value_comes_to_all_controllers_in_one_heartbeat_and_travels_once_to_each() {
     for seed in 0..10 {
         let mut world = started(seed, 4);
         let before = world.bytes;
         let bytes = vec![7; 1 << 20];
         let token = world.oracle.ask(DESCRIPTION_KEY, Some((0, bytes.clone())));
         let local = world.nodes[0].clock(world.now);
-        let council = world.nodes[0].council.as_mut().unwrap();
-        council.write(local, token, DESCRIPTION_KEY, 0, bytes);
+        let consensus = world.nodes[0].consensus.as_mut().unwrap();
+        consensus.write(local, token, DESCRIPTION_KEY, 0, bytes);
         world.drain(0);
         world.run(150);
         assert_eq!(world.oracle.writes, 1, "seed {seed}");
@@ -89,14 +89,14 @@
 }
 
 #[test]
-fn values_do_not_travel_again_after_all_cores_were_killed() {
+fn values_do_not_travel_again_after_all_controllers_were_killed() {
     for seed in 0..10 {
         let mut world = started(seed, 3);
         let bytes = vec![7; 1 << 20];
         let token = world.oracle.ask(DESCRIPTION_KEY, Some((0, bytes.clone())));
         let local = world.nodes[1].clock(world.now);
-        let council = world.nodes[1].council.as_mut().unwrap();
-        council.write(local, token, DESCRIPTION_KEY, 0, bytes);
+        let consensus = world.nodes[1].consensus.as_mut().unwrap();
+        consensus.write(local, token, DESCRIPTION_KEY, 0, bytes);
         world.drain(1);
         world.run(500);
         for place in 0..3 {
@@ -123,7 +123,7 @@
 }
 
 #[test]
-fn a_core_whose_voter_lags_is_mended() {
+fn a_controller_whose_voter_lags_is_mended() {
     let mut world = started(3, 3);
     world.part(0, 2);
     world.part(1, 2);
@@ -137,28 +137,28 @@
 
 /// It read the value at the others before it heard their heartbeats, so it lacks nothing but its own copy.
 #[test]
-fn a_core_that_knows_a_value_which_its_voter_lacks_is_mended() {
+fn a_controller_that_knows_a_value_which_its_voter_lacks_is_mended() {
     for seed in 0..20 {
         let mut world = started(seed, 3);
         world.part(0, 2);
         world.part(1, 2);
         write(&mut world, 0);
-        let stored = world.nodes[0].council.as_ref().unwrap();
+        let stored = world.nodes[0].consensus.as_ref().unwrap();
         let (version, bytes) = stored.settled(DESCRIPTION_KEY).unwrap();
         let told = register::Stored {
             version,
             tag: 1,
             bytes: bytes.to_vec(),
         };
-        // It comes from a core that is no voter, and so without the ballot under which it was accepted.
-        let message = council::CouncilMessage::Value {
+        // It comes from a controller that is no voter, and so without the ballot under which it was accepted.
+        let message = consensus::ConsensusMessage::Value {
             key: DESCRIPTION_KEY.into(),
             ballot: register::Ballot::default(),
             stored: told,
         };
         let local = world.nodes[2].clock(world.now);
-        let council = world.nodes[2].council.as_mut().unwrap();
-        council.on_message(local, "at-0", message);
+        let consensus = world.nodes[2].consensus.as_mut().unwrap();
+        consensus.on_message(local, "at-0", message);
         world.drain(2);
         assert_eq!((known(&world, 2), voter_version(&world, 2)), (1, 0));
         world.cuts.clear();
@@ -168,24 +168,24 @@
 }
 
 #[test]
-fn a_core_takes_no_more_than_so_many_changes_at_once() {
+fn a_controller_takes_no_more_than_so_many_changes_at_once() {
     let mut world = started(5, 3);
     world.part(0, 1);
     world.part(0, 2);
     let local = world.nodes[0].clock(world.now);
-    let council = world.nodes[0].council.as_mut().unwrap();
+    let consensus = world.nodes[0].consensus.as_mut().unwrap();
     for token in 0..65 {
-        council.read(local, token, DESCRIPTION_KEY);
+        consensus.read(local, token, DESCRIPTION_KEY);
     }
-    let done = |action: CouncilAction| match action {
-        CouncilAction::Done { token, outcome } => Some((token, outcome)),
+    let done = |action: ConsensusAction| match action {
+        ConsensusAction::Done { token, outcome } => Some((token, outcome)),
         _ => None,
     };
-    let ended: Vec<(u64, Outcome)> = council.actions().into_iter().filter_map(done).collect();
+    let ended: Vec<(u64, Outcome)> = consensus.actions().into_iter().filter_map(done).collect();
     let refused = Outcome::Unreached("too many changes at once".into());
     assert_eq!(ended, vec![(64, refused)]);
-    council.tick(local + 1_600);
-    let ended: Vec<(u64, Outcome)> = council.actions().into_iter().filter_map(done).collect();
+    consensus.tick(local + 1_600);
+    let ended: Vec<(u64, Outcome)> = consensus.actions().into_iter().filter_map(done).collect();
     assert_eq!(ended.len(), 64);
 }
 
@@ -207,12 +207,12 @@
         "it kept its state"
     );
     assert_eq!(known(&world, 2), 1);
-    let cores = node.council.as_ref().unwrap().cores();
-    assert_eq!(cores, ["at-0", "at-1", "at-2", "at-3"]);
+    let controllers = node.consensus.as_ref().unwrap().controllers();
+    assert_eq!(controllers, ["at-0", "at-1", "at-2", "at-3"]);
 }
 
 #[test]
-fn a_core_whose_disk_failed_counts_again_once_it_was_opened_anew() {
+fn a_controller_whose_disk_failed_counts_again_once_it_was_opened_anew() {
     let mut world = started(7, 3);
     world.nodes[2].folder.suffer(Mishap::Full);
     write(&mut world, 0);
--- a/crates/council/tests/durable.rs
+++ b/crates/consensus/tests/durable.rs
@@ -1,10 +1,11 @@
-//! What a core says of its voter's set is durable: a set that its disk has not taken is not passed on.
+//! What a controller says of its voter's set is durable: a set that its disk has not taken is not passed on.
 
 #[allow(dead_code)]
 mod world;
 
-use council::{
-    perform_on, Beat, CouncilAction, CouncilMessage, DiskDone, DiskWork, Membership, SetNews,
+use consensus::{
+    perform_on, ConsensusAction, ConsensusMessage, DiskDone, DiskWork, Heartbeat, Membership,
+    SetNews,
 };
 use journal::{Folder, MemoryFolder, Mishap};
 use register::{replaced, VoterRef, VoterSet};
@@ -87,26 +88,33 @@
         previous: None,
     };
     let local = world.nodes[0].clock(world.now);
-    let council = world.nodes[0].council.as_mut().unwrap();
-    council.on_message(local, "at-1", CouncilMessage::Set(news));
+    let consensus = world.nodes[0].consensus.as_mut().unwrap();
+    consensus.on_message(local, "at-1", ConsensusMessage::Set(news));
     world.drain(0);
     world.run(500);
     let local = world.nodes[0].clock(world.now) + 500;
-    let council = world.nodes[0].council.as_mut().unwrap();
-    assert_eq!(council.set().mark(), SECOND);
-    council.tick(local);
-    let beats: Vec<Beat> = council.actions().into_iter().filter_map(beat).collect();
-    assert!(!beats.is_empty());
-    assert!(beats.iter().all(|beat| beat.mark == FIRST), "{beats:?}");
-    assert_eq!(council.membership(), Membership::Voting);
+    let consensus = world.nodes[0].consensus.as_mut().unwrap();
+    assert_eq!(consensus.set().mark(), SECOND);
+    consensus.tick(local);
+    let heartbeats: Vec<Heartbeat> = consensus
+        .actions()
+        .into_iter()
+        .filter_map(heartbeat)
+        .collect();
+    assert!(!heartbeats.is_empty());
+    assert!(
+        heartbeats.iter().all(|heartbeat| heartbeat.mark == FIRST),
+        "{heartbeats:?}"
+    );
+    assert_eq!(consensus.membership(), Membership::Voting);
 }
 
-fn beat(action: CouncilAction) -> Option<Beat> {
+fn heartbeat(action: ConsensusAction) -> Option<Heartbeat> {
     match action {
-        CouncilAction::Send {
-            message: CouncilMessage::Beat(beat),
+        ConsensusAction::Send {
+            message: ConsensusMessage::Heartbeat(heartbeat),
             ..
-        } => Some(beat),
+        } => Some(heartbeat),
         _ => None,
     }
 }
--- a/crates/council/tests/duty.rs
+++ b/crates/consensus/tests/duty.rs
@@ -1,12 +1,12 @@
-//! One core at most holds the duty, also where members restart, lose their disks or wake up; the oracle
+//! One controller at most holds the duty, also where members restart, lose their disks or wake up; the oracle
 //! looks at every step.
 
 #[allow(dead_code)]
 mod world;
 
-use council::CouncilMessage;
+use consensus::ConsensusMessage;
 use rand::Rng;
-use world::{World, BEAT, LEASE};
+use world::{World, HEARTBEAT, LEASE};
 
 fn started(seed: u64) -> (World, usize, usize, usize) {
     let mut world = World::first_start(seed, 3, 3);
@@ -34,7 +34,7 @@
         world.kill(holder);
         let took = world.until(3_000, |world| world.holder().is_some());
         let took = took.expect("nobody follows");
-        let soonest = LEASE - 2 * BEAT;
+        let soonest = LEASE - 2 * HEARTBEAT;
         assert!(
             (soonest..LEASE + 400).contains(&took),
             "seed {seed}: {took}"
@@ -46,11 +46,11 @@
 fn a_holder_that_comes_back_in_another_life_with_all_others_is_followed_before_the_lease_is_over() {
     for seed in 0..40 {
         let (mut world, holder, one, other) = started(seed);
-        for core in [holder, one, other] {
-            world.kill(core);
+        for controller in [holder, one, other] {
+            world.kill(controller);
         }
-        for core in [holder, one, other] {
-            world.boot(core);
+        for controller in [holder, one, other] {
+            world.boot(controller);
         }
         let took = world.until(3_000, |world| world.holder().is_some());
         assert!(
@@ -65,9 +65,9 @@
     for seed in 0..20 {
         let (mut world, holder, _, _) = started(seed);
         let local = world.nodes[holder].clock(world.now);
-        let council = world.nodes[holder].council.as_mut().unwrap();
-        council.resign(local);
-        assert_eq!(council.term(local), None);
+        let consensus = world.nodes[holder].consensus.as_mut().unwrap();
+        consensus.resign(local);
+        assert_eq!(consensus.term(local), None);
         world.drain(holder);
         let took = world.until(3_000, |world| world.holder().is_some());
         assert!(took.is_some_and(|took| took < 300), "seed {seed}: {took:?}");
@@ -93,7 +93,7 @@
 }
 
 #[test]
-fn a_holder_stays_where_one_core_does_not_hear_it() {
+fn a_holder_stays_where_one_controller_does_not_hear_it() {
     for seed in 0..20 {
         let (mut world, holder, one, _) = started(seed);
         let term = world.nodes[holder].term(world.now);
@@ -143,17 +143,17 @@
 }
 
 #[test]
-fn a_beat_is_small_and_a_calm_council_says_little() {
+fn a_heartbeat_is_small_and_a_calm_consensus_says_little() {
     let (mut world, _, _, _) = started(1);
     world.is_writing = false;
     world.run(1_000);
     let (sent, bytes) = (world.sent, world.bytes);
     world.run(10_000);
     let (sent, bytes) = (world.sent - sent, world.bytes - bytes);
-    let beats = 6 * 10_000 / BEAT;
-    assert!(sent <= beats * 3 / 2, "{sent} messages");
+    let heartbeats = 6 * 10_000 / HEARTBEAT;
+    assert!(sent <= heartbeats * 3 / 2, "{sent} messages");
     assert!(bytes <= sent * 180, "{bytes} bytes in {sent} messages");
-    let link = CouncilMessage::Link {
+    let link = ConsensusMessage::Link {
         address: "10.0.0.1:7300".into(),
     };
     assert!(world::size(&link) < 32);
--- a/crates/council/tests/granting.rs
+++ b/crates/consensus/tests/granting.rs
@@ -1,8 +1,8 @@
-//! What a member grants a holder of the scaling duty, shown at one council alone, without a network.
+//! What a member grants a holder of the scaling duty, shown at one consensus alone, without a network.
 
-use council::{
-    Beat, Council, CouncilAction, CouncilMessage, CouncilOptions, DiskWork, HeldSummary, HeldValue,
-    Tenure, DUTY_KEY,
+use consensus::{
+    Consensus, ConsensusAction, ConsensusMessage, ConsensusOptions, DiskWork, Heartbeat,
+    HeldSummary, HeldValue, TermHolder, DUTY_KEY,
 };
 use register::{Ballot, VoterAsk, VoterMessage, VoterRef, VoterReply, VoterSet};
 use speedy::Writable;
@@ -38,13 +38,13 @@
 }
 
 /// A member that is started with the holder's value accepted under the first ballot.
-fn started(promised: Ballot) -> Council {
-    let tenure = Tenure {
+fn started(promised: Ballot) -> Consensus {
+    let term_holder = TermHolder {
         address: HOLDER.into(),
         name: HOLDER.into(),
         life: HOLDER_LIFE,
     };
-    let bytes = tenure.write_to_vec().expect("it can be written");
+    let bytes = term_holder.write_to_vec().expect("it can be written");
     let held = HeldSummary {
         set: set(),
         is_open: true,
@@ -57,59 +57,59 @@
             bytes: Some(Arc::new(bytes)),
         }],
     };
-    let options = CouncilOptions {
+    let options = ConsensusOptions {
         name: MEMBER.into(),
         address: MEMBER.into(),
         seeds: vec![MEMBER.into(), HOLDER.into(), OTHER.into()],
         is_first_start: false,
         disk: 1,
         lease_ms: LEASE_MS,
-        beat_ms: 200,
+        heartbeat_ms: 200,
         patience_ms: 2_000,
         seed: 1,
         voters_wanted: 3,
     };
-    Council::new(options, STARTED_AT, held)
+    Consensus::new(options, STARTED_AT, held)
 }
 
 /// Whether the member backs the holder's claim when it hears of it.
-fn backs_claim(council: &mut Council) -> bool {
-    let beat = Beat {
+fn backs_claim(consensus: &mut Consensus) -> bool {
+    let heartbeat = Heartbeat {
         disk: 2,
         life: HOLDER_LIFE,
         number: 1,
         mark: (1, 1),
         known: (1, 1),
         claim: TERM,
-        ..Beat::default()
+        ..Heartbeat::default()
     };
-    council.on_message(STARTED_AT, HOLDER, CouncilMessage::Beat(beat));
-    let mut actions = council.actions().into_iter();
+    consensus.on_message(STARTED_AT, HOLDER, ConsensusMessage::Heartbeat(heartbeat));
+    let mut actions = consensus.actions().into_iter();
     actions.any(|action| {
-        matches!(action, CouncilAction::Send { to, message: CouncilMessage::Ack(ack) }
+        matches!(action, ConsensusAction::Send { to, message: ConsensusMessage::Ack(ack) }
             if to == HOLDER && ack.term == TERM)
     })
 }
 
-/// Whether the member's voter is asked for a promise that another core wants at a time; if not, it is refused.
-fn passes_promise_on(council: &mut Council, now: u64) -> bool {
+/// Whether the member's voter is asked for a promise that another controller wants at a time; if not, it is refused.
+fn passes_promise_on(consensus: &mut Consensus, now: u64) -> bool {
     let ask = VoterAsk::Promise {
         key: DUTY_KEY.into(),
         ballot: ballot(9),
     };
-    let message = CouncilMessage::Ask {
+    let message = ConsensusMessage::Ask {
         number: 1,
         known: (0, 0),
         message: VoterMessage { mark: (1, 1), ask },
     };
-    council.on_message(now, OTHER, message);
-    let actions = council.actions();
+    consensus.on_message(now, OTHER, message);
+    let actions = consensus.actions();
     let is_refused = actions.iter().any(|action| {
-        matches!(action, CouncilAction::Send { to, message: CouncilMessage::Answer { reply, .. } }
+        matches!(action, ConsensusAction::Send { to, message: ConsensusMessage::Answer { reply, .. } }
             if to == OTHER && matches!(reply, VoterReply::Closed { .. }))
     });
     let is_passed_on = actions.iter().any(
-        |action| matches!(action, CouncilAction::Disk(DiskWork::Ask { to, .. }) if to == OTHER),
+        |action| matches!(action, ConsensusAction::Disk(DiskWork::Ask { to, .. }) if to == OTHER),
     );
     assert_ne!(is_refused, is_passed_on);
     is_passed_on
@@ -131,19 +131,19 @@
 
 #[test]
 fn a_member_that_hears_a_claim_promises_the_duty_to_no_other_for_a_lease() {
-    let mut council = started(ballot(1));
+    let mut consensus = started(ballot(1));
     let late = STARTED_AT + 400;
-    let beat = Beat {
+    let heartbeat = Heartbeat {
         disk: 2,
         life: HOLDER_LIFE,
         number: 1,
         mark: (1, 1),
         known: (1, 1),
         claim: TERM,
-        ..Beat::default()
+        ..Heartbeat::default()
     };
-    council.on_message(late, HOLDER, CouncilMessage::Beat(beat));
-    council.actions();
-    assert!(!passes_promise_on(&mut council, late + LEASE_MS - 1));
-    assert!(passes_promise_on(&mut council, late + LEASE_MS));
+    consensus.on_message(late, HOLDER, ConsensusMessage::Heartbeat(heartbeat));
+    consensus.actions();
+    assert!(!passes_promise_on(&mut consensus, late + LEASE_MS - 1));
+    assert!(passes_promise_on(&mut consensus, late + LEASE_MS));
 }
--- /dev/null
+++ b/crates/consensus/tests/identities.rs
@@ -0,0 +1,94 @@
+//! Messages of a controller's former identity or life that are still on the way count for nothing.
+
+#[allow(dead_code)]
+mod world;
+
+use consensus::{Consensus, ConsensusAction, ConsensusMessage, Heartbeat, DESCRIPTION_KEY};
+use register::{Ballot, Stored, VoterAsk, VoterReply};
+use world::World;
+
+fn started() -> World {
+    let mut world = World::first_start(1, 3, 3);
+    world.is_writing = false;
+    world.run(1_500);
+    world
+}
+
+fn sent(consensus: &mut Consensus) -> Vec<ConsensusMessage> {
+    let actions = consensus.actions().into_iter();
+    let sent = actions.filter_map(|action| match action {
+        ConsensusAction::Send { message, .. } => Some(message),
+        _ => None,
+    });
+    sent.collect()
+}
+
+fn is_accept(message: &ConsensusMessage) -> bool {
+    let ConsensusMessage::Ask { message, .. } = message else {
+        return false;
+    };
+    matches!(message.ask, VoterAsk::Accept { .. })
+}
+
+#[test]
+fn an_answer_counts_for_the_disk_that_gave_it_and_for_no_other_at_its_address() {
+    let mut world = started();
+    let local = world.nodes[0].clock(world.now);
+    let disks: Vec<u64> = world.nodes.iter().map(|node| node.disk).collect();
+    let consensus = world.nodes[0].consensus.as_mut().unwrap();
+    consensus.actions();
+    consensus.write(local, 9_999, DESCRIPTION_KEY, 0, vec![1]);
+    let asks = sent(consensus);
+    let number = asks.iter().find_map(|message| match message {
+        ConsensusMessage::Ask { number, .. } => Some(*number),
+        _ => None,
+    });
+    let number = number.expect("nothing was asked");
+    let answer = |disk| ConsensusMessage::Answer {
+        disk,
+        number,
+        is_known: false,
+        reply: VoterReply::Holds {
+            ballot: Ballot::default(),
+            stored: Stored::default(),
+        },
+    };
+    // One member answers from both addresses, as where its disk was carried over; a stranger answers too.
+    consensus.on_message(local, "at-1", answer(disks[1] ^ 1));
+    consensus.on_message(local, "at-2", answer(disks[2] ^ 1));
+    consensus.on_message(local, "at-1", answer(disks[1]));
+    consensus.on_message(local, "at-2", answer(disks[1]));
+    assert!(
+        !sent(consensus).iter().any(is_accept),
+        "one disk made a majority"
+    );
+    consensus.on_message(local, "at-2", answer(disks[2]));
+    assert!(
+        sent(consensus).iter().any(is_accept),
+        "two disks made no majority"
+    );
+}
+
+#[test]
+fn a_late_heartbeat_of_a_former_life_is_not_taken_for_the_present_one() {
+    let mut world = started();
+    let local = world.nodes[0].clock(world.now);
+    let consensus = world.nodes[0].consensus.as_mut().unwrap();
+    let heartbeat = |life, number, known| {
+        ConsensusMessage::Heartbeat(Heartbeat {
+            disk: 77,
+            life,
+            number,
+            known,
+            ..Heartbeat::default()
+        })
+    };
+    consensus.on_message(local, "at-9", heartbeat(5, 100, (1, 1)));
+    consensus.on_message(local, "at-9", heartbeat(6, 1, (1, 1)));
+    consensus.actions();
+    consensus.on_message(local, "at-9", heartbeat(5, 101, (1, 2)));
+    let wants_set = |message: &ConsensusMessage| *message == ConsensusMessage::WantSet;
+    assert!(!sent(consensus).iter().any(wants_set));
+    consensus.on_message(local, "at-9", heartbeat(6, 2, (1, 2)));
+    assert!(sent(consensus).iter().any(wants_set));
+}
--- a/crates/council/tests/membership.rs
+++ b/crates/consensus/tests/membership.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod world;
 
-use council::Membership;
+use consensus::Membership;
 use journal::Mishap;
 use world::{World, PATIENCE};
 
@@ -18,7 +18,7 @@
 }
 
 fn membership(world: &World, place: usize) -> Membership {
-    world.nodes[place].council.as_ref().unwrap().membership()
+    world.nodes[place].consensus.as_ref().unwrap().membership()
 }
 
 /// Settles a value that members 0 and 2 alone hold, cuts 2 off, and lets a newcomer take its place by
@@ -210,7 +210,7 @@
 }
 
 #[test]
-fn a_core_rejoins_within_its_life_after_another_took_its_place() {
+fn a_controller_rejoins_within_its_life_after_another_took_its_place() {
     for seed in SEEDS {
         let mut world = started(seed);
         world.must_write(0);
--- a/crates/council/tests/membership_seeds.rs
+++ b/crates/consensus/tests/membership_seeds.rs
@@ -1,10 +1,10 @@
 //! Seeded runs in which machines and disks come, go, move and return while messages are lost. One copy is
-//! lost at a time, two of five; whatever was acknowledged is read by all cores in the end.
+//! lost at a time, two of five; whatever was acknowledged is read by all controllers in the end.
 
 #[allow(dead_code)]
 mod world;
 
-use council::{CLOSURES_KEY, DESCRIPTION_KEY};
+use consensus::{CLOSURES_KEY, DESCRIPTION_KEY};
 use rand::Rng;
 use world::{Event, World};
 
@@ -35,7 +35,7 @@
     }
 }
 
-/// A disk is lost, and the core comes back empty under its old name.
+/// A disk is lost, and the controller comes back empty under its old name.
 fn wipe(world: &mut World) {
     let place = any(world);
     world.wipe(place);
@@ -57,12 +57,12 @@
 /// A disk is carried over to a machine at another address.
 fn carry_over(world: &mut World) {
     let place = any(world);
-    if world.nodes.len() < MACHINES_MAX && world.nodes[place].council.is_some() {
+    if world.nodes.len() < MACHINES_MAX && world.nodes[place].consensus.is_some() {
         world.move_disk(place);
     }
 }
 
-/// A core is cut off for long enough that another takes its place.
+/// A controller is cut off for long enough that another takes its place.
 fn cut_off_for_long(world: &mut World) {
     let place = any(world);
     world.isolate(place);
@@ -99,7 +99,7 @@
     world.run(2_000);
     for place in 0..world.nodes.len() {
         // Who knows no set, and whose every seed is gone, has nobody to ask.
-        if world.nodes[place].council.is_none() || world.is_lost(place) {
+        if world.nodes[place].consensus.is_none() || world.is_lost(place) {
             continue;
         }
         for key in [DESCRIPTION_KEY, CLOSURES_KEY] {
@@ -108,7 +108,7 @@
             world.run(400);
             assert!(
                 world.oracle.reads > reads,
-                "seed {seed}: core {place} reads nothing of {key}; {}",
+                "seed {seed}: controller {place} reads nothing of {key}; {}",
                 world.describe()
             );
         }
--- a/crates/council/tests/seeds.rs
+++ b/crates/consensus/tests/seeds.rs
@@ -1,10 +1,10 @@
-//! Seeded runs of cores under troubles of all kinds. What was acknowledged lasts, one core at most holds
+//! Seeded runs of controllers under troubles of all kinds. What was acknowledged lasts, one controller at most holds
 //! the duty at any time, and all is well again soon after the last trouble.
 
 #[allow(dead_code)]
 mod world;
 
-use council::{CLOSURES_KEY, DESCRIPTION_KEY};
+use consensus::{CLOSURES_KEY, DESCRIPTION_KEY};
 use rand::Rng;
 use world::World;
 
@@ -51,21 +51,21 @@
     world.run(2_000);
     for place in 0..world.nodes.len() {
         for key in [DESCRIPTION_KEY, CLOSURES_KEY] {
-            let Some(council) = world.nodes[place].council.as_ref() else {
+            let Some(consensus) = world.nodes[place].consensus.as_ref() else {
                 continue;
             };
-            let known = council.settled(key).map_or(0, |(version, _)| version);
+            let known = consensus.settled(key).map_or(0, |(version, _)| version);
             let newest = world.oracle.newest(key);
             assert!(
                 known >= newest,
-                "seed {seed}: core {place} lags behind at {key}"
+                "seed {seed}: controller {place} lags behind at {key}"
             );
             let reads = world.oracle.reads;
             world.change(place, key, false);
             world.run(100);
             assert!(
                 world.oracle.reads > reads,
-                "seed {seed}: core {place} reads nothing"
+                "seed {seed}: controller {place} reads nothing"
             );
         }
     }
@@ -85,17 +85,17 @@
 }
 
 #[test]
-fn three_cores_keep_what_they_acknowledged() {
+fn three_controllers_keep_what_they_acknowledged() {
     run_all(0..160, 3, 3);
 }
 
 #[test]
-fn five_cores_keep_what_they_acknowledged() {
+fn five_controllers_keep_what_they_acknowledged() {
     run_all(1_000..1_040, 5, 5);
 }
 
 #[test]
-fn three_voters_and_a_spare_core_keep_what_they_acknowledged() {
+fn three_voters_and_a_spare_controller_keep_what_they_acknowledged() {
     run_all(2_000..2_040, 4, 3);
 }
 
--- a/crates/council/tests/world/client.rs
+++ b/crates/consensus/tests/world/client.rs
@@ -1,9 +1,9 @@
 use super::{Event, World};
-use council::{CLOSURES_KEY, DESCRIPTION_KEY};
+use consensus::{CLOSURES_KEY, DESCRIPTION_KEY};
 use rand::Rng;
 
 impl World {
-    /// Reads or writes at one core, and comes again.
+    /// Reads or writes at one controller, and comes again.
     pub fn client(&mut self, place: usize) {
         let delay = self.random.random_range(40..240);
         self.later(delay, Event::Client(place));
@@ -21,17 +21,17 @@
 
     pub fn change(&mut self, place: usize, key: &str, is_write: bool) {
         let local = self.nodes[place].clock(self.now);
-        let Some(council) = self.nodes[place].council.as_mut() else {
+        let Some(consensus) = self.nodes[place].consensus.as_mut() else {
             return;
         };
         if is_write {
-            let expected = council.settled(key).map_or(0, |(version, _)| version);
+            let expected = consensus.settled(key).map_or(0, |(version, _)| version);
             let bytes = self.random.random::<u64>().to_le_bytes().to_vec();
             let token = self.oracle.ask(key, Some((expected, bytes.clone())));
-            council.write(local, token, key, expected, bytes);
+            consensus.write(local, token, key, expected, bytes);
         } else {
             let token = self.oracle.ask(key, None);
-            council.read(local, token, key);
+            consensus.read(local, token, key);
         }
         self.drain(place);
     }
--- a/crates/council/tests/world/faults.rs
+++ b/crates/consensus/tests/world/faults.rs
@@ -17,9 +17,9 @@
 
     /// Whether all members of the newest set hold what they must, so that one more disk may go.
     pub fn is_whole(&self) -> bool {
-        let sets = self.nodes.iter().filter_map(|node| node.council.as_ref());
+        let sets = self.nodes.iter().filter_map(|node| node.consensus.as_ref());
         let newest = sets
-            .map(|council| council.set())
+            .map(|consensus| consensus.set())
             .max_by_key(|set| set.mark());
         let Some(newest) = newest.filter(|set| set.era > 0) else {
             return false;
@@ -30,7 +30,7 @@
         })
     }
 
-    /// Lets something befall the cores.
+    /// Lets something befall the controllers.
     pub fn befall(&mut self) {
         match self.random.random_range(0..12) {
             0 | 1 => self.cut_link(),
--- a/crates/council/tests/world/links.rs
+++ b/crates/consensus/tests/world/links.rs
@@ -1,19 +1,19 @@
 use super::World;
 
 impl World {
-    /// Cuts two cores from each other.
+    /// Cuts two controllers from each other.
     pub fn part(&mut self, one: usize, other: usize) {
         self.cuts.insert((one, other));
         self.cuts.insert((other, one));
     }
 
-    /// Joins two cores again.
+    /// Joins two controllers again.
     pub fn join(&mut self, one: usize, other: usize) {
         self.cuts.remove(&(one, other));
         self.cuts.remove(&(other, one));
     }
 
-    /// The core that holds the duty, and two others.
+    /// The controller that holds the duty, and two others.
     pub fn holder(&self) -> Option<(usize, usize, usize)> {
         let mut nodes = self.nodes.iter();
         let holder = nodes.position(|node| node.term(self.now).is_some())?;
--- a/crates/council/tests/world/machines.rs
+++ b/crates/consensus/tests/world/machines.rs
@@ -1,11 +1,11 @@
 //! Machines that come and go, and what is seen of the sets of voters on the way.
 
 use super::{Event, World};
-use council::{CouncilMessage, DESCRIPTION_KEY};
+use consensus::{ConsensusMessage, DESCRIPTION_KEY};
 use register::{VoterAsk, VoterSet, VOTERS_KEY};
 
 impl World {
-    /// Cuts a core from all others.
+    /// Cuts a controller from all others.
     pub fn isolate(&mut self, place: usize) {
         for other in 0..self.nodes.len() {
             if other != place {
@@ -14,7 +14,7 @@
         }
     }
 
-    /// Joins a core with all others again.
+    /// Joins a controller with all others again.
     pub fn rejoin(&mut self, place: usize) {
         for other in 0..self.nodes.len() {
             self.join(place, other);
@@ -48,7 +48,7 @@
         self.later(0, Event::Boot(place));
     }
 
-    /// Whether a core that holds nothing has nobody to ask, since all its seeds are gone.
+    /// Whether a controller that holds nothing has nobody to ask, since all its seeds are gone.
     pub fn is_lost(&self, place: usize) -> bool {
         let node = &self.nodes[place];
         let is_live = |seed: &String| {
@@ -60,18 +60,18 @@
         node.mark() == (0, 0) && !node.seeds.iter().any(is_live)
     }
 
-    /// The newest set that any core knows.
+    /// The newest set that any controller knows.
     pub fn newest_set(&self) -> VoterSet {
-        let councils = self.nodes.iter().filter_map(|node| node.council.as_ref());
-        let sets = councils.map(|council| council.set().clone());
+        let consensus = self.nodes.iter().filter_map(|node| node.consensus.as_ref());
+        let sets = consensus.map(|consensus| consensus.set().clone());
         sets.max_by_key(VoterSet::mark).unwrap_or_default()
     }
 
-    /// The newest set, and where each core stands with it.
+    /// The newest set, and where each controller stands with it.
     pub fn describe(&self) -> String {
         let mut text = format!("{:?}", self.newest_set());
         for node in &self.nodes {
-            let reason = node.council.as_ref().map(|council| council.reason());
+            let reason = node.consensus.as_ref().map(|consensus| consensus.reason());
             let reason = reason.unwrap_or_else(|| format!("down, gone {}", node.is_gone));
             let line = format!(
                 "\n{} disk {} {:?}: {reason}",
@@ -84,7 +84,7 @@
         text
     }
 
-    /// Writes the next version at one core, and fails where that is not acknowledged in time.
+    /// Writes the next version at one controller, and fails where that is not acknowledged in time.
     pub fn must_write(&mut self, place: usize) {
         let newest = self.oracle.newest(DESCRIPTION_KEY);
         for _ in 0..20 {
@@ -94,10 +94,10 @@
                 return;
             }
         }
-        panic!("at {} core {place} writes nothing", self.now);
+        panic!("at {} controller {place} writes nothing", self.now);
     }
 
-    /// Reads the newest version at one core, and fails where that does not succeed in time.
+    /// Reads the newest version at one controller, and fails where that does not succeed in time.
     pub fn must_read(&mut self, place: usize) {
         for _ in 0..20 {
             let reads = self.oracle.reads;
@@ -107,11 +107,11 @@
                 return;
             }
         }
-        panic!("at {} core {place} reads nothing", self.now);
+        panic!("at {} controller {place} reads nothing", self.now);
     }
 
-    pub fn note_proposal(&mut self, from: usize, message: &CouncilMessage) {
-        let CouncilMessage::Ask { message, .. } = message else {
+    pub fn note_proposal(&mut self, from: usize, message: &ConsensusMessage) {
+        let ConsensusMessage::Ask { message, .. } = message else {
             return;
         };
         if matches!(&message.ask, VoterAsk::Promise { key, .. } if key == VOTERS_KEY) {
--- a/crates/council/tests/world/mod.rs
+++ b/crates/consensus/tests/world/mod.rs
@@ -1,4 +1,4 @@
-//! A network of cores in virtual time, with an oracle that looks at every step.
+//! A network of controllers in virtual time, with an oracle that looks at every step.
 
 mod client;
 mod faults;
@@ -9,7 +9,7 @@
 
 pub use node::Node;
 
-use council::{CouncilAction, CouncilMessage};
+use consensus::{ConsensusAction, ConsensusMessage};
 use oracle::Oracle;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -18,7 +18,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 pub const LEASE: u64 = 1_000;
-pub const BEAT: u64 = 200;
+pub const HEARTBEAT: u64 = 200;
 pub const PATIENCE: u64 = 2_000;
 const TICK: u64 = 50;
 /// 2 Mbit/s.
@@ -27,7 +27,7 @@
 const PAST_MAX: usize = 4_000;
 
 pub enum Event {
-    Deliver(usize, String, CouncilMessage),
+    Deliver(usize, String, ConsensusMessage),
     Tick(usize, u64),
     Disk(usize, u64),
     Client(usize),
@@ -36,7 +36,7 @@
 }
 
 /// Bytes of a message on the wire.
-pub fn size(message: &CouncilMessage) -> usize {
+pub fn size(message: &ConsensusMessage) -> usize {
     4 + Writable::<LittleEndian>::bytes_needed(message).unwrap()
 }
 
@@ -52,13 +52,13 @@
     pub is_writing: bool,
     pub sent: u64,
     pub bytes: u64,
-    /// Bytes that came to each core.
+    /// Bytes that came to each controller.
     pub received: BTreeMap<usize, u64>,
-    /// Cores behind a slow line, with the time until which it is busy with what comes in.
+    /// Controllers behind a slow line, with the time until which it is busy with what comes in.
     pub slow_lines: BTreeMap<usize, u64>,
     /// Messages of the past, where they are kept to be told again.
-    pub past: Option<Vec<(usize, String, CouncilMessage)>>,
-    /// Cores that asked for another set of voters, and when.
+    pub past: Option<Vec<(usize, String, ConsensusMessage)>>,
+    /// Controllers that asked for another set of voters, and when.
     pub set_proposals: Vec<(u64, usize)>,
     /// Machines whose disks were carried over to others.
     pub moved: BTreeSet<usize>,
@@ -68,7 +68,7 @@
 }
 
 impl World {
-    /// Cores that start for the first time, of which the first three are seeds.
+    /// Controllers that start for the first time, of which the first three are seeds.
     pub fn first_start(seed: u64, count: usize, wanted: usize) -> Self {
         let mut world = Self {
             now: 0,
@@ -99,7 +99,7 @@
         world
     }
 
-    /// Adds a core at a new address.
+    /// Adds a controller at a new address.
     pub fn add(&mut self, seeds: Vec<String>, is_first_start: bool) -> usize {
         let place = self.nodes.len();
         let offset = self.random.random_range(0..1_000_000);
@@ -148,7 +148,7 @@
     fn tick(&mut self, place: usize, life: u64) {
         let now = self.now;
         let node = &mut self.nodes[place];
-        if node.life != life || node.council.is_none() {
+        if node.life != life || node.consensus.is_none() {
             return;
         }
         if node.is_frozen {
@@ -157,9 +157,9 @@
         }
         let local = node.clock(now);
         let mut pause = TICK;
-        if let Some(council) = node.council.as_mut() {
-            council.tick(local);
-            let due = council.due().map(|at| at.saturating_sub(local).max(1));
+        if let Some(consensus) = node.consensus.as_mut() {
+            consensus.tick(local);
+            let due = consensus.due().map(|at| at.saturating_sub(local).max(1));
             pause = pause.min(due.unwrap_or(pause));
         }
         self.drain(place);
@@ -169,7 +169,7 @@
     fn disk(&mut self, place: usize, life: u64) {
         let now = self.now;
         let node = &mut self.nodes[place];
-        if node.life != life || node.council.is_none() {
+        if node.life != life || node.consensus.is_none() {
             return;
         }
         if node.is_frozen {
@@ -180,7 +180,7 @@
         self.drain(place);
     }
 
-    fn deliver(&mut self, place: usize, from: String, message: CouncilMessage) {
+    fn deliver(&mut self, place: usize, from: String, message: ConsensusMessage) {
         let now = self.now;
         let node = &mut self.nodes[place];
         if node.is_frozen {
@@ -188,21 +188,21 @@
             return;
         }
         let local = node.clock(now);
-        if let Some(council) = node.council.as_mut() {
-            council.on_message(local, &from, message);
+        if let Some(consensus) = node.consensus.as_mut() {
+            consensus.on_message(local, &from, message);
             self.drain(place);
         }
     }
 
-    /// Does what a council asks for.
+    /// Does what a consensus asks for.
     pub fn drain(&mut self, place: usize) {
-        let Some(council) = self.nodes[place].council.as_mut() else {
+        let Some(consensus) = self.nodes[place].consensus.as_mut() else {
             return;
         };
-        for action in council.actions() {
+        for action in consensus.actions() {
             match action {
-                CouncilAction::Send { to, message } => self.send(place, &to, message),
-                CouncilAction::Disk(work) => {
+                ConsensusAction::Send { to, message } => self.send(place, &to, message),
+                ConsensusAction::Disk(work) => {
                     self.nodes[place].works.push(work);
                     if self.nodes[place].works.len() == 1 {
                         let (delay, life) =
@@ -210,27 +210,27 @@
                         self.later(delay, Event::Disk(place, life));
                     }
                 }
-                CouncilAction::Done { token, outcome } => {
+                ConsensusAction::Done { token, outcome } => {
                     self.oracle.done(self.now, token, &outcome);
                 }
-                CouncilAction::News { key, version } => {
-                    let settled = self.nodes[place].council.as_ref();
-                    let settled = settled.and_then(|council| council.settled(&key));
+                ConsensusAction::News { key, version } => {
+                    let settled = self.nodes[place].consensus.as_ref();
+                    let settled = settled.and_then(|consensus| consensus.settled(&key));
                     if let Some((newest, bytes)) = settled {
                         assert!(newest >= version);
                         self.oracle.settled(&key, newest, bytes);
                     }
                 }
-                CouncilAction::DutyWon { term } => {
+                ConsensusAction::DutyWon { term } => {
                     self.oracle
                         .won(self.now, term, place, self.nodes[place].life);
                 }
-                CouncilAction::DutyLost => {}
+                ConsensusAction::DutyLost => {}
             }
         }
     }
 
-    fn send(&mut self, from: usize, to: &str, message: CouncilMessage) {
+    fn send(&mut self, from: usize, to: &str, message: ConsensusMessage) {
         let Some(place) = self.nodes.iter().position(|node| node.address == to) else {
             return;
         };
@@ -255,7 +255,7 @@
         self.later(line + delay, Event::Deliver(place, address, message));
     }
 
-    /// Time until a message has come through a core's line.
+    /// Time until a message has come through a controller's line.
     fn transfer(&mut self, place: usize, bytes: u64) -> u64 {
         *self.received.entry(place).or_default() += bytes;
         let Some(busy_until) = self.slow_lines.get_mut(&place) else {
@@ -265,7 +265,7 @@
         *busy_until - self.now
     }
 
-    fn remember(&mut self, place: usize, from: &str, message: &CouncilMessage) {
+    fn remember(&mut self, place: usize, from: &str, message: &ConsensusMessage) {
         let Some(past) = self.past.as_mut() else {
             return;
         };
@@ -278,7 +278,7 @@
         }
     }
 
-    /// Tells a core something again that it was told at any time before, perhaps in an earlier life.
+    /// Tells a controller something again that it was told at any time before, perhaps in an earlier life.
     pub fn replay(&mut self) {
         let past = self.past.iter().flatten();
         let count = past.count();
--- a/crates/council/tests/world/node.rs
+++ b/crates/consensus/tests/world/node.rs
@@ -1,6 +1,6 @@
-use super::{World, BEAT, LEASE, PATIENCE};
+use super::{World, HEARTBEAT, LEASE, PATIENCE};
 use crate::world::Event;
-use council::{perform_on, Council, CouncilOptions, DiskDone, DiskWork, HeldSummary};
+use consensus::{perform_on, Consensus, ConsensusOptions, DiskDone, DiskWork, HeldSummary};
 use journal::{Folder, MemoryFolder};
 use rand::rngs::StdRng;
 use rand::Rng;
@@ -8,7 +8,7 @@
 use std::io;
 use voter::VoterDisk;
 
-/// A machine with a disk and a core on it.
+/// A machine with a disk and a controller on it.
 pub struct Node {
     pub address: String,
     pub seeds: Vec<String>,
@@ -16,7 +16,7 @@
     pub disk: u64,
     pub life: u64,
     pub folder: MemoryFolder,
-    pub council: Option<Council>,
+    pub consensus: Option<Consensus>,
     pub voter: Option<VoterDisk>,
     pub works: Vec<DiskWork>,
     pub is_frozen: bool,
@@ -40,7 +40,7 @@
             disk: random.random(),
             life: 0,
             folder: MemoryFolder::default(),
-            council: None,
+            consensus: None,
             voter: None,
             works: Vec::new(),
             is_frozen: false,
@@ -55,21 +55,21 @@
         now + self.offset
     }
 
-    /// The term under which the core holds the duty, as it would say at this moment.
+    /// The term under which the controller holds the duty, as it would say at this moment.
     pub fn term(&self, now: u64) -> Option<u64> {
-        self.council.as_ref()?.term(self.clock(now))
+        self.consensus.as_ref()?.term(self.clock(now))
     }
 
-    /// Whether the core would pass for current at this moment.
+    /// Whether the controller would pass for current at this moment.
     pub fn is_current(&self, now: u64) -> bool {
-        let council = self.council.as_ref();
-        council.is_some_and(|council| council.is_current(self.clock(now)))
+        let consensus = self.consensus.as_ref();
+        consensus.is_some_and(|consensus| consensus.is_current(self.clock(now)))
     }
 
-    /// The newest version of a key that the core knows to be settled.
+    /// The newest version of a key that the controller knows to be settled.
     pub fn settled(&self, key: &str) -> u64 {
-        let council = self.council.as_ref();
-        let settled = council.and_then(|council| council.settled(key));
+        let consensus = self.consensus.as_ref();
+        let settled = consensus.and_then(|consensus| consensus.settled(key));
         settled.map_or(0, |(version, _)| version)
     }
 
@@ -77,23 +77,23 @@
     pub fn perform(&mut self, now: u64) {
         let works = std::mem::take(&mut self.works);
         let local = self.clock(now);
-        let (Some(voter), Some(council)) = (self.voter.as_mut(), self.council.as_mut()) else {
+        let (Some(voter), Some(consensus)) = (self.voter.as_mut(), self.consensus.as_mut()) else {
             return;
         };
         for done in perform_on(voter, works) {
-            council.on_disk(local, done);
+            consensus.on_disk(local, done);
         }
         voter.voter_mut().compact();
         self.disk = voter.identity();
     }
 
-    /// Mark of the set in which the core's voter is.
+    /// Mark of the set in which the controller's voter is.
     pub fn mark(&self) -> (u64, u64) {
         let voter = self.voter.as_ref();
         voter.map_or((0, 0), |disk| disk.voter().held().set().mark())
     }
 
-    /// The set in which the core's voter is.
+    /// The set in which the controller's voter is.
     pub fn voter_set(&self) -> Option<&VoterSet> {
         let disk = self.voter.as_ref()?;
         let set = disk.voter().held().set();
@@ -111,7 +111,7 @@
 
 impl World {
     pub fn boot(&mut self, place: usize) {
-        if self.nodes[place].council.is_some() || self.nodes[place].is_gone {
+        if self.nodes[place].consensus.is_some() || self.nodes[place].is_gone {
             return;
         }
         let (now, seed) = (self.now, self.random.random());
@@ -119,20 +119,24 @@
         let node = &mut self.nodes[place];
         node.life += 1;
         let voter = node.open_disk(node.disk);
-        let options = CouncilOptions {
+        let options = ConsensusOptions {
             name: node.address.clone(),
             address: node.address.clone(),
             seeds: node.seeds.clone(),
             is_first_start: node.is_first_start,
             disk: node.disk,
             lease_ms: LEASE,
-            beat_ms: BEAT,
+            heartbeat_ms: HEARTBEAT,
             patience_ms: PATIENCE,
             seed,
             voters_wanted: wanted,
         };
         let local = node.clock(now);
-        node.council = Some(Council::new(options, local, HeldSummary::of(voter.voter())));
+        node.consensus = Some(Consensus::new(
+            options,
+            local,
+            HeldSummary::of(voter.voter()),
+        ));
         node.voter = Some(voter);
         let life = node.life;
         self.later(0, Event::Tick(place, life));
@@ -145,13 +149,13 @@
         disk.reopen().unwrap();
         let held = HeldSummary::of(disk.voter());
         let local = node.clock(self.now);
-        if let Some(council) = node.council.as_mut() {
-            council.on_disk(local, DiskDone::Held(held));
+        if let Some(consensus) = node.consensus.as_mut() {
+            consensus.on_disk(local, DiskDone::Held(held));
         }
         self.drain(place);
     }
 
-    /// Kills the core; work that the disk has not begun may or may not be done.
+    /// Kills the controller; work that the disk has not begun may or may not be done.
     pub fn kill(&mut self, place: usize) {
         let is_done = self.random.random_bool(0.5);
         let node = &mut self.nodes[place];
@@ -159,13 +163,13 @@
         if let Some(voter) = node.voter.as_mut().filter(|_| is_done) {
             perform_on(voter, works);
         }
-        node.council = None;
+        node.consensus = None;
         node.voter = None;
         node.is_frozen = false;
         node.frozen.clear();
     }
 
-    /// Kills the core and empties its disk.
+    /// Kills the controller and empties its disk.
     pub fn wipe(&mut self, place: usize) {
         self.kill(place);
         let disk = self.random.random();
--- a/crates/controller/src/changes.rs
+++ b/crates/controller/src/changes.rs
@@ -1,8 +1,8 @@
 //! Operators' orders that are being worked on: connections and time-outs round the pure executions of `orders`.
 
 use crate::controller::Controller;
-use council::{CLOSURES_KEY, DESCRIPTION_KEY};
-use courier::LineId;
+use consensus::{CLOSURES_KEY, DESCRIPTION_KEY};
+use event_loop::LineId;
 use orders::{BaseVersion, Execution, Order, OrderKind, RefusalKind, Reply, Step};
 use register::Outcome;
 use std::collections::HashMap;
@@ -92,26 +92,26 @@
             is_writing: false,
         };
         self.changes.pending.insert(token, change);
-        // What is in force is read at a majority first, so that a core which missed it refuses nothing wrongly.
-        self.council.read(self.now, token, key);
+        // What is in force is read at a majority first, so that a controller which missed it refuses nothing wrongly.
+        self.consensus.read(self.now, token, key);
     }
 
     /// Changes whose time is over, or that lost contact with a majority on the way, get no clear answer.
     pub fn tend_changes(&mut self) {
         let late = self.changes.pending.iter();
-        let has_contact = self.council.is_in_contact(self.now);
+        let has_contact = self.consensus.is_in_contact(self.now);
         let late = late.filter(|(_, change)| !has_contact || change.ends_at <= self.now);
         let late: Vec<u64> = late.map(|(token, _)| *token).collect();
         for token in late {
             if let Some(change) = self.changes.pending.remove(&token) {
                 let text =
-                    b"it is not known whether it was taken: no majority of cores answered in time";
+                    b"it is not known whether it was taken: no majority of controllers answered in time";
                 self.reply(change.line, 503, text, change.keeps_alive);
             }
         }
     }
 
-    /// The council is done with a read or a write.
+    /// The consensus is done with a read or a write.
     pub fn change_done(&mut self, token: u64, outcome: Outcome) {
         let Some(mut change) = self.changes.pending.remove(&token) else {
             return;
@@ -123,7 +123,7 @@
                 let key = key_of(change.execution.order());
                 change.is_writing = true;
                 self.changes.pending.insert(token, change);
-                self.council.write(self.now, token, key, expected, bytes);
+                self.consensus.write(self.now, token, key, expected, bytes);
             }
         }
     }
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -1,13 +1,13 @@
 use crate::changes::Changes;
-use crate::cores::CoreLinks;
+use crate::controllers::ControllerLinks;
 use crate::disk::{self, Disk};
-use crate::fronts::Fronts;
+use crate::gateways::Gateways;
 use crate::jobs::JobAsks;
 use crate::options::{ControllerError, ControllerOptions};
 use crate::recent_changes::RecentChanges;
 use crate::scaling::Scaling;
-use council::{Council, CouncilAction, CouncilOptions, CLOSURES_KEY, DESCRIPTION_KEY};
-use courier::{Courier, Event, Hatch, LineId};
+use consensus::{Consensus, ConsensusAction, ConsensusOptions, CLOSURES_KEY, DESCRIPTION_KEY};
+use event_loop::{Event, EventLoop, Hatch, LineId};
 use exchange::RequestReader;
 use orders::{Configuration, Evacuations};
 use std::collections::HashMap;
@@ -19,10 +19,10 @@
 pub(crate) enum Role {
     /// An operator's connection; whether its request is being worked on.
     Operator(Box<RequestReader>, bool),
-    /// A front, by name once it told it.
-    Front(Option<String>),
-    /// Another core, by council address once it is known.
-    Core(Option<String>),
+    /// A gateway, by name once it told it.
+    Gateway(Option<String>),
+    /// Another controller, by consensus address once it is known.
+    Controller(Option<String>),
     /// The platform.
     Platform,
 }
@@ -30,12 +30,12 @@
 /// All state of the daemon, on one thread beside the disk's.
 pub(crate) struct Controller {
     pub options: ControllerOptions,
-    pub courier: Courier,
+    pub event_loop: EventLoop,
     pub roles: HashMap<LineId, Role>,
-    pub council: Council,
+    pub consensus: Consensus,
     pub disk: Disk,
-    pub cores: CoreLinks,
-    pub fronts: Fronts,
+    pub controllers: ControllerLinks,
+    pub gateways: Gateways,
     pub changes: Changes,
     pub jobs: JobAsks,
     pub scaling: Scaling,
@@ -71,7 +71,7 @@
         controller.now = controller.clock();
         if term.load(Ordering::Relaxed) && stops_at.is_none() {
             log::info!("controller: told to stop");
-            controller.council.resign(controller.now);
+            controller.consensus.resign(controller.now);
             stops_at = Some(controller.now + controller.options.grace_ms / 4);
         }
         if stops_at.is_some_and(|at| controller.now >= at) {
@@ -85,47 +85,47 @@
             controller.tick();
         }
         controller.act();
-        controller.cores.flush(&mut controller.courier);
-        controller.fronts.flush(&mut controller.courier);
+        controller.controllers.flush(&mut controller.event_loop);
+        controller.gateways.flush(&mut controller.event_loop);
         let next = controller.ticked_at + TICK_MS;
         let patience = Duration::from_millis(next.saturating_sub(controller.now).max(1));
-        controller.courier.wait(patience, &mut events);
+        controller.event_loop.wait(patience, &mut events);
         controller.now = controller.clock();
         for event in events.drain(..) {
             controller.handle(event);
         }
         for done in controller.disk.done() {
-            controller.council.on_disk(controller.now, done);
+            controller.consensus.on_disk(controller.now, done);
         }
         controller.act();
-        controller.cores.flush(&mut controller.courier);
-        controller.fronts.flush(&mut controller.courier);
+        controller.controllers.flush(&mut controller.event_loop);
+        controller.gateways.flush(&mut controller.event_loop);
     }
 }
 
 impl Controller {
     fn open(options: ControllerOptions) -> Result<Self, ControllerError> {
         let silence = options.lease_ms() as u32;
-        let mut courier =
-            Courier::new(options.lines_max, silence).map_err(ControllerError::System)?;
+        let mut event_loop =
+            EventLoop::new(options.lines_max, silence).map_err(ControllerError::System)?;
         let mut listen = |address, inbox_max| {
-            let hatch = courier.listen(address, inbox_max);
+            let hatch = event_loop.listen(address, inbox_max);
             hatch.map_err(|error| ControllerError::Listen(address, error))
         };
         let operators = listen(options.operators, OPERATOR_INBOX)?;
-        let fronts = listen(options.fronts, LINK_INBOX)?;
-        let council_hatch = listen(options.council, LINK_INBOX)?;
+        let gateways = listen(options.gateways, LINK_INBOX)?;
+        let consensus_hatch = listen(options.consensus, LINK_INBOX)?;
         let voter_disk = disk::open(&options.data).map_err(ControllerError::Data)?;
-        let held = council::HeldSummary::of(voter_disk.voter());
-        let council = Council::new(
-            CouncilOptions {
+        let held = consensus::HeldSummary::of(voter_disk.voter());
+        let consensus = Consensus::new(
+            ConsensusOptions {
                 name: options.name.clone(),
-                address: options.council.to_string(),
+                address: options.consensus.to_string(),
                 seeds: options.seeds.iter().map(ToString::to_string).collect(),
                 is_first_start: options.is_first_start,
                 disk: voter_disk.identity(),
                 lease_ms: options.lease_ms(),
-                beat_ms: options.beat_ms(),
+                heartbeat_ms: options.heartbeat_ms(),
                 patience_ms: options.sync_ms * 3 / 5,
                 seed: rand::random(),
                 voters_wanted: options.voters_wanted,
@@ -133,11 +133,11 @@
             0,
             held,
         );
-        let waker = courier.waker().map_err(ControllerError::System)?;
+        let waker = event_loop.waker().map_err(ControllerError::System)?;
         let disk = Disk::start(voter_disk, waker);
         Ok(Self {
-            cores: CoreLinks::new(options.council.to_string()),
-            fronts: Fronts::default(),
+            controllers: ControllerLinks::new(options.consensus.to_string()),
+            gateways: Gateways::default(),
             changes: Changes::default(),
             jobs: JobAsks::default(),
             scaling: Scaling::default(),
@@ -146,14 +146,14 @@
             steps: RecentChanges::default(),
             closures: Evacuations::default(),
             closures_at: 0,
-            courier,
+            event_loop,
             roles: HashMap::new(),
-            council,
+            consensus,
             disk,
             now: 0,
             began: Instant::now(),
             ticked_at: 0,
-            hatches: [operators, fronts, council_hatch],
+            hatches: [operators, gateways, consensus_hatch],
             options,
         })
     }
@@ -164,9 +164,9 @@
     }
 
     fn tick(&mut self) {
-        self.council.tick(self.now);
+        self.consensus.tick(self.now);
         self.tell_contact();
-        self.beat_fronts(false);
+        self.heartbeat_gateways(false);
         self.tend_scaling();
         self.tend_changes();
         self.tend_jobs();
@@ -175,82 +175,82 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Opened(hatch, line) => {
-                let [operators, fronts, _] = self.hatches;
+                let [operators, gateways, _] = self.hatches;
                 let role = if hatch == operators {
                     Role::Operator(Box::default(), false)
-                } else if hatch == fronts {
-                    Role::Front(None)
+                } else if hatch == gateways {
+                    Role::Gateway(None)
                 } else {
-                    Role::Core(None)
+                    Role::Controller(None)
                 };
                 self.roles.insert(line, role);
             }
             Event::Connected(_) => {}
             Event::Arrived(line) => match self.roles.get(&line) {
                 Some(Role::Operator(..)) => self.operator_arrived(line),
-                Some(Role::Front(_)) => self.front_arrived(line),
-                Some(Role::Core(_)) => self.core_arrived(line),
+                Some(Role::Gateway(_)) => self.gateway_arrived(line),
+                Some(Role::Controller(_)) => self.controller_arrived(line),
                 Some(Role::Platform) => self.platform_arrived(line),
                 None => {}
             },
             Event::Ended(line, _) => {
                 match self.roles.remove(&line) {
-                    Some(Role::Front(Some(name))) => self.front_ended(&name, line),
-                    Some(Role::Core(Some(address))) => self.cores.ended(&address, line),
+                    Some(Role::Gateway(Some(name))) => self.gateway_ended(&name, line),
+                    Some(Role::Controller(Some(address))) => self.controllers.ended(&address, line),
                     Some(Role::Platform) => self.platform_ended(line),
                     Some(Role::Operator(..)) => self.changes.caller_left(line),
                     _ => {}
                 }
-                self.courier.close(line);
+                self.event_loop.close(line);
             }
         }
     }
 
-    /// Takes other cores' addresses from settings that have changed.
+    /// Takes other controllers' addresses from settings that have changed.
     fn reload(&mut self) {
         let Some(seeds) = (self.options.reload)() else {
             return;
         };
         log::info!(
-            "controller: settings read anew, {} cores named",
+            "controller: settings read anew, {} controllers named",
             seeds.len()
         );
         let seeds = seeds.iter().map(ToString::to_string).collect();
-        self.council.learn_seeds(seeds);
+        self.consensus.learn_seeds(seeds);
     }
 
-    /// Does what the council wants done.
+    /// Does what the consensus wants done.
     fn act(&mut self) {
         loop {
-            let actions = self.council.actions();
+            let actions = self.consensus.actions();
             if actions.is_empty() {
                 return;
             }
             for action in actions {
                 match action {
-                    CouncilAction::Send { to, message } => self.send_core(&to, message),
-                    CouncilAction::Disk(work) => self.disk.ask(work),
-                    CouncilAction::Done { token, outcome } => {
+                    ConsensusAction::Send { to, message } => self.send_controller(&to, message),
+                    ConsensusAction::Disk(work) => self.disk.ask(work),
+                    ConsensusAction::Done { token, outcome } => {
                         if !self.job_done(token, &outcome) {
                             self.change_done(token, outcome);
                         }
                     }
-                    CouncilAction::News { .. } => {}
-                    CouncilAction::DutyWon { term } => {
+                    ConsensusAction::News { .. } => {}
+                    ConsensusAction::DutyWon { term } => {
                         log::info!("controller: scales under term {term}");
                     }
-                    CouncilAction::DutyLost => log::info!("controller: scales no more"),
+                    ConsensusAction::DutyLost => log::info!("controller: scales no more"),
                 }
             }
             self.take_settled();
         }
     }
 
-    /// Takes newer settled values and tells the fronts of them.
+    /// Takes newer settled values and tells the gateways of them.
     fn take_settled(&mut self) {
         let mut has_news = false;
         let mut is_described = false;
-        if let Some((version, bytes)) = self.council.settled(DESCRIPTION_KEY) {
+        if let Some((version, bytes)) = self.consensus.settled(DESCRIPTION_KEY) {
             if version > self.kept_at {
                 if let Some(kept) = Configuration::read(bytes) {
                     self.steps.note(version, &kept);
@@ -263,7 +263,7 @@
                 }
             }
         }
-        if let Some((version, bytes)) = self.council.settled(CLOSURES_KEY) {
+        if let Some((version, bytes)) = self.consensus.settled(CLOSURES_KEY) {
             if version > self.closures_at {
                 if let Some(closures) = Evacuations::read(bytes) {
                     self.closures = closures;
@@ -282,7 +282,7 @@
                 self.describe_scaling();
             }
             self.close_scaling();
-            self.beat_fronts(true);
+            self.heartbeat_gateways(true);
         }
     }
 }
--- a/crates/controller/src/disk.rs
+++ b/crates/controller/src/disk.rs
@@ -1,6 +1,6 @@
 //! The thread that owns the voter's disk.
 
-use council::{perform_on, DiskDone, DiskWork, HeldSummary};
+use consensus::{perform_on, DiskDone, DiskWork, HeldSummary};
 use crossbeam::channel::{unbounded, Receiver, RecvTimeoutError, Sender};
 use journal::{DiskFolder, Folder};
 use mio::Waker;
--- a/crates/controller/src/fronts.rs
+++ b/crates/controller/src/gateways.rs
@@ -1,47 +1,47 @@
 use crate::controller::{Controller, Role};
-use courier::{Courier, LineId};
-use dispatch::{frame, take_frames, Member, Message};
+use event_loop::{EventLoop, LineId};
+use protocol::{frame, take_frames, Member, Message};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Most bytes of an empty buffer that are kept for the next use.
 pub(crate) const OUT_KEPT: usize = 4 << 10;
 
-pub(crate) struct Front {
+pub(crate) struct Gateway {
     pub member: Member,
     pub line: LineId,
     pub heard_at: u64,
     out: Vec<u8>,
 }
 
-/// Fronts that have a link to this core.
+/// Gateways that have a link to this controller.
 #[derive(Default)]
-pub(crate) struct Fronts {
-    pub known: BTreeMap<String, Front>,
-    beat_at: u64,
-    /// Whether they were told last that this core is in contact with a majority.
+pub(crate) struct Gateways {
+    pub known: BTreeMap<String, Gateway>,
+    next_heartbeat_at: u64,
+    /// Whether they were told last that this controller is in contact with a majority.
     was_current: bool,
 }
 
-impl Fronts {
+impl Gateways {
     pub fn tell(&mut self, name: &str, message: &Message) {
         self.tell_frame(name, &frame(message));
     }
 
-    /// Tells a message that was framed once for many fronts.
+    /// Tells a message that was framed once for many gateways.
     pub fn tell_frame(&mut self, name: &str, bytes: &[u8]) {
-        if let Some(front) = self.known.get_mut(name) {
-            front.out.extend_from_slice(bytes);
+        if let Some(gateway) = self.known.get_mut(name) {
+            gateway.out.extend_from_slice(bytes);
         }
     }
 
-    /// Sends what was told since the last turn, in one piece for each front.
-    pub fn flush(&mut self, courier: &mut Courier) {
-        for front in self.known.values_mut() {
-            if !front.out.is_empty() {
-                courier.send(front.line, &front.out);
-                front.out.clear();
-                front.out.shrink_to(OUT_KEPT);
+    /// Sends what was told since the last turn, in one piece for each gateway.
+    pub fn flush(&mut self, event_loop: &mut EventLoop) {
+        for gateway in self.known.values_mut() {
+            if !gateway.out.is_empty() {
+                event_loop.send(gateway.line, &gateway.out);
+                gateway.out.clear();
+                gateway.out.shrink_to(OUT_KEPT);
             }
         }
     }
@@ -52,44 +52,44 @@
 }
 
 impl Controller {
-    pub fn front_arrived(&mut self, line: LineId) {
-        let Some(inbox) = self.courier.inbox(line) else {
+    pub fn gateway_arrived(&mut self, line: LineId) {
+        let Some(inbox) = self.event_loop.inbox(line) else {
             return;
         };
         let (messages, fault) = take_frames::<Message>(inbox);
         for message in messages {
-            self.hear_front(line, message);
+            self.hear_gateway(line, message);
         }
         if let Some(fault) = fault {
-            log::warn!("controller: a link to a front is closed: {fault}");
-            if let Some(Role::Front(Some(name))) = self.roles.remove(&line) {
-                self.front_ended(&name, line);
+            log::warn!("controller: a link to a gateway is closed: {fault}");
+            if let Some(Role::Gateway(Some(name))) = self.roles.remove(&line) {
+                self.gateway_ended(&name, line);
             }
-            self.courier.close(line);
+            self.event_loop.close(line);
         }
     }
 
-    fn hear_front(&mut self, line: LineId, message: Message) {
-        if let Message::Front(member) = message {
-            self.front_came(line, member);
+    fn hear_gateway(&mut self, line: LineId, message: Message) {
+        if let Message::Gateway(member) = message {
+            self.gateway_came(line, member);
             return;
         }
         if let Message::Status = message {
             let text = Message::StatusText(self.status());
-            self.courier.send(line, &frame(&text));
+            self.event_loop.send(line, &frame(&text));
             return;
         }
         if let Message::AskHeartbeat = message {
-            let heartbeat = frame(&self.core_beat());
-            self.courier.send(line, &heartbeat);
+            let heartbeat = frame(&self.controller_heartbeat());
+            self.event_loop.send(line, &heartbeat);
             return;
         }
-        let Some(Role::Front(Some(name))) = self.roles.get(&line) else {
+        let Some(Role::Gateway(Some(name))) = self.roles.get(&line) else {
             return;
         };
         let name = name.clone();
-        if let Some(front) = self.fronts.known.get_mut(&name) {
-            front.heard_at = self.now;
+        if let Some(gateway) = self.gateways.known.get_mut(&name) {
+            gateway.heard_at = self.now;
         }
         match message {
             Message::Ask {
@@ -107,38 +107,38 @@
         }
     }
 
-    fn front_came(&mut self, line: LineId, member: Member) {
+    fn gateway_came(&mut self, line: LineId, member: Member) {
         let name = member.name.clone();
-        self.roles.insert(line, Role::Front(Some(name.clone())));
-        let front = Front {
+        self.roles.insert(line, Role::Gateway(Some(name.clone())));
+        let gateway = Gateway {
             member,
             line,
             heard_at: self.now,
             out: Vec::new(),
         };
-        if let Some(former) = self.fronts.known.insert(name.clone(), front) {
+        if let Some(former) = self.gateways.known.insert(name.clone(), gateway) {
             self.roles.remove(&former.line);
-            self.courier.close(former.line);
+            self.event_loop.close(former.line);
         }
-        let beat = self.core_beat();
-        self.fronts.tell(&name, &beat);
+        let heartbeat = self.controller_heartbeat();
+        self.gateways.tell(&name, &heartbeat);
         self.scaling.tell_roster_to(&name);
     }
 
-    pub fn front_ended(&mut self, name: &str, line: LineId) {
+    pub fn gateway_ended(&mut self, name: &str, line: LineId) {
         if self
-            .fronts
+            .gateways
             .known
             .get(name)
-            .is_some_and(|front| front.line == line)
+            .is_some_and(|gateway| gateway.line == line)
         {
-            self.fronts.known.remove(name);
-            self.scaling.forget_front(name);
+            self.gateways.known.remove(name);
+            self.scaling.forget_gateway(name);
         }
     }
 
     fn answer_ask(&mut self, name: &str, description: u64, closures: u64) {
-        // A front hears that contact is over before it hears anything that may be old.
+        // A gateway hears that contact is over before it hears anything that may be old.
         self.tell_contact();
         if self.kept_at > description {
             let steps = self.steps.since(description).filter(|changes| {
@@ -153,67 +153,67 @@
                 from: description,
                 changes,
             });
-            self.fronts.tell(name, &message);
+            self.gateways.tell(name, &message);
         }
         if self.closures_at > closures {
             let message = Message::Closures {
                 mark: self.closures_at,
                 districts: self.closures.zones.clone(),
             };
-            self.fronts.tell(name, &message);
+            self.gateways.tell(name, &message);
         }
     }
 
-    fn core_beat(&self) -> Message {
-        let port = self.options.fronts_port;
-        let cores = self.council.cores();
-        let cores = cores.iter().filter_map(|address| {
+    fn controller_heartbeat(&self) -> Message {
+        let port = self.options.gateways_port;
+        let controllers = self.consensus.controllers();
+        let controllers = controllers.iter().filter_map(|address| {
             let address: SocketAddr = address.parse().ok()?;
             Some(SocketAddr::new(address.ip(), port).to_string())
         });
-        Message::CoreBeat {
+        Message::ControllerHeartbeat {
             description: self.kept_at,
             closures: self.closures_at,
-            term: self.council.term(self.now).unwrap_or(0),
-            cores: cores.collect(),
+            term: self.consensus.term(self.now).unwrap_or(0),
+            controllers: controllers.collect(),
             district: self.options.district.clone(),
-            is_current: self.council.is_current(self.now),
+            is_current: self.consensus.is_current(self.now),
         }
     }
 
-    /// Tells all fronts at once where contact with a majority has begun or ended.
+    /// Tells all gateways at once where contact with a majority has begun or ended.
     pub fn tell_contact(&mut self) {
         self.now = self.clock();
-        if self.council.is_current(self.now) != self.fronts.was_current {
-            self.beat_fronts(true);
+        if self.consensus.is_current(self.now) != self.gateways.was_current {
+            self.heartbeat_gateways(true);
         }
     }
 
-    /// Beats to all fronts when it is time, or at once where there is news.
-    pub fn beat_fronts(&mut self, has_news: bool) {
-        let pause = self.options.beat_ms() * 2;
-        if !has_news && self.now < self.fronts.beat_at + pause {
+    /// Heartbeats to all gateways when it is time, or at once where there is news.
+    pub fn heartbeat_gateways(&mut self, has_news: bool) {
+        let pause = self.options.heartbeat_ms() * 2;
+        if !has_news && self.now < self.gateways.next_heartbeat_at + pause {
             return;
         }
-        self.fronts.beat_at = self.now;
-        self.fronts.was_current = self.council.is_current(self.now);
-        let beat = frame(&self.core_beat());
+        self.gateways.next_heartbeat_at = self.now;
+        self.gateways.was_current = self.consensus.is_current(self.now);
+        let heartbeat = frame(&self.controller_heartbeat());
         let silence = self.options.silence_ms();
-        for name in self.fronts.names() {
+        for name in self.gateways.names() {
             let is_silent = self
-                .fronts
+                .gateways
                 .known
                 .get(&name)
-                .is_some_and(|front| self.now > front.heard_at + silence);
+                .is_some_and(|gateway| self.now > gateway.heard_at + silence);
             if !is_silent {
-                self.fronts.tell_frame(&name, &beat);
+                self.gateways.tell_frame(&name, &heartbeat);
                 continue;
             }
-            if let Some(front) = self.fronts.known.remove(&name) {
-                log::info!("controller: front {name} is silent");
-                self.roles.remove(&front.line);
-                self.courier.close(front.line);
-                self.scaling.forget_front(&name);
+            if let Some(gateway) = self.gateways.known.remove(&name) {
+                log::info!("controller: gateway {name} is silent");
+                self.roles.remove(&gateway.line);
+                self.event_loop.close(gateway.line);
+                self.scaling.forget_gateway(&name);
             }
         }
     }
@@ -221,7 +221,9 @@
     /// This daemon's state as JSON text, for operators; with what the scaler thinks of each function that is called.
     pub fn status(&self) -> String {
         let launcher = self.scaling.launcher.as_ref();
-        let notes = launcher.map(launching::Launcher::notes).unwrap_or_default();
+        let notes = launcher
+            .map(autoscaler::Launcher::notes)
+            .unwrap_or_default();
         let notes = notes
             .iter()
             .filter(|note| note.runners > 0 || note.waiting > 0);
@@ -238,10 +240,10 @@
         serde_json::json!({
             "name": self.options.name, "version": self.kept.version,
             "marks": [self.kept_at, self.closures_at],
-            "term": self.council.term(self.now).unwrap_or(0),
-            "council": self.council.reason(),
-            "cores": self.council.cores(), "current": self.council.is_current(self.now),
-            "fronts": self.fronts.known.len(), "closed": self.closures.zones,
+            "term": self.consensus.term(self.now).unwrap_or(0),
+            "consensus": self.consensus.reason(),
+            "controllers": self.consensus.controllers(), "current": self.consensus.is_current(self.now),
+            "gateways": self.gateways.known.len(), "closed": self.closures.zones,
             "functions": functions,
         })
         .to_string()
--- a/crates/controller/src/guide.rs
+++ b/crates/controller/src/guide.rs
@@ -1,12 +1,12 @@
-//! A daemon of the control plane without a disk: it keeps nothing, and sends operators on to members of the core
+//! A daemon of the control plane without a disk: it keeps nothing, and sends operators on to members of the controller
 //! that are alive and in contact with a majority.
 
 use crate::directory::MemberDirectory;
 use crate::operators::{location_of, RETRY_AFTER};
 use crate::options::{ControllerError, Reload, Translator};
-use courier::{Courier, Event, LineId};
-use dispatch::{frame, take_frames, Message};
+use event_loop::{Event, EventLoop, LineId};
 use exchange::{write_response, Bounds, Request, RequestReader};
+use protocol::{frame, take_frames, Message};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -26,7 +26,7 @@
     /// Address for operators.
     pub operators: SocketAddr,
     /// Address at which this daemon would listen for gateways, if it had a disk.
-    pub fronts: SocketAddr,
+    pub gateways: SocketAddr,
     /// Such addresses of daemons that may have a disk, as far as they are known at the start.
     pub seeds: Vec<SocketAddr>,
     /// Milliseconds within which an acknowledged change holds everywhere.
@@ -59,7 +59,7 @@
 
 struct Guide {
     options: GuideOptions,
-    courier: Courier,
+    event_loop: EventLoop,
     roles: HashMap<LineId, Role>,
     links: HashMap<SocketAddr, LineId>,
     directory: MemberDirectory,
@@ -90,7 +90,7 @@
             guide.tick();
         }
         let patience = Duration::from_millis(TICK_MS);
-        guide.courier.wait(patience, &mut events);
+        guide.event_loop.wait(patience, &mut events);
         guide.now = guide.clock();
         for event in events.drain(..) {
             guide.handle(event);
@@ -102,9 +102,9 @@
 impl Guide {
     fn open(options: GuideOptions) -> Result<Self, ControllerError> {
         let silence = options.fresh_ms() as u32;
-        let mut courier =
-            Courier::new(options.lines_max, silence).map_err(ControllerError::System)?;
-        let listening = courier.listen(options.operators, OPERATOR_INBOX);
+        let mut event_loop =
+            EventLoop::new(options.lines_max, silence).map_err(ControllerError::System)?;
+        let listening = event_loop.listen(options.operators, OPERATOR_INBOX);
         listening.map_err(|error| ControllerError::Listen(options.operators, error))?;
         let seeds = options.seeds.clone();
         let (ask, fresh) = (options.ask_ms(), options.fresh_ms());
@@ -112,8 +112,8 @@
             "controller: no disk here; calls are sent on, members are learnt from {seeds:?}"
         );
         Ok(Self {
-            directory: MemberDirectory::new(options.fronts, seeds, ask, fresh),
-            courier,
+            directory: MemberDirectory::new(options.gateways, seeds, ask, fresh),
+            event_loop,
             roles: HashMap::new(),
             links: HashMap::new(),
             began: Instant::now(),
@@ -152,20 +152,20 @@
     fn close_link(&mut self, address: SocketAddr) {
         if let Some(line) = self.links.remove(&address) {
             self.roles.remove(&line);
-            self.courier.close(line);
+            self.event_loop.close(line);
         }
     }
 
     fn ask_member(&mut self, address: SocketAddr) {
         if !self.links.contains_key(&address) {
-            let Ok(line) = self.courier.connect(address, MEMBER_INBOX) else {
+            let Ok(line) = self.event_loop.connect(address, MEMBER_INBOX) else {
                 return;
             };
             self.roles.insert(line, Role::Member(address));
             self.links.insert(address, line);
         }
         if let Some(line) = self.links.get(&address) {
-            self.courier.send(*line, &frame(&Message::AskHeartbeat));
+            self.event_loop.send(*line, &frame(&Message::AskHeartbeat));
         }
     }
 
@@ -186,22 +186,26 @@
                     self.links.remove(&address);
                     self.directory.on_link_ended(address);
                 }
-                self.courier.close(line);
+                self.event_loop.close(line);
             }
         }
     }
 
     fn member_arrived(&mut self, line: LineId, address: SocketAddr) {
-        let Some(inbox) = self.courier.inbox(line) else {
+        let Some(inbox) = self.event_loop.inbox(line) else {
             return;
         };
         let (messages, fault) = take_frames::<Message>(inbox);
         for message in messages {
-            if let Message::CoreBeat {
-                cores, is_current, ..
+            if let Message::ControllerHeartbeat {
+                controllers,
+                is_current,
+                ..
             } = message
             {
-                let members = cores.iter().filter_map(|core| core.parse().ok());
+                let members = controllers
+                    .iter()
+                    .filter_map(|controller| controller.parse().ok());
                 self.directory
                     .on_heartbeat(self.now, address, is_current, members);
             }
@@ -217,7 +221,7 @@
         let Some(Role::Operator(reader)) = self.roles.get_mut(&line) else {
             return;
         };
-        let Some(inbox) = self.courier.inbox(line) else {
+        let Some(inbox) = self.event_loop.inbox(line) else {
             return;
         };
         let mut out = Vec::new();
@@ -237,8 +241,8 @@
                 );
             }
         }
-        self.courier.send(line, &out);
-        self.courier.finish(line);
+        self.event_loop.send(line, &out);
+        self.event_loop.finish(line);
         self.roles.remove(&line);
     }
 
--- a/crates/controller/src/jobs.rs
+++ b/crates/controller/src/jobs.rs
@@ -1,17 +1,17 @@
 use crate::controller::Controller;
-use council::DiskWork;
-use dispatch::{Message, RegisterSaid};
+use consensus::DiskWork;
+use protocol::{Message, RegisterSaid};
 use register::{is_job, Outcome};
 use std::collections::HashMap;
 
-/// Tokens of the council's work for jobs begin here; those of operators' changes are counted from one.
+/// Tokens of the consensus's work for jobs begin here; those of operators' changes are counted from one.
 const TOKENS: u64 = 1 << 63;
-/// Most questions at once; the council takes some more, which are left to operators.
+/// Most questions at once; the consensus takes some more, which are left to operators.
 const ASKS_MAX: usize = 48;
 /// Most bytes of a job's value.
 const VALUE_MAX: usize = 40 << 10;
 
-/// Fronts' questions about registers of jobs that wait for the council.
+/// Gateways' questions about registers of jobs that wait for the consensus.
 #[derive(Default)]
 pub(crate) struct JobAsks {
     pending: HashMap<u64, Asked>,
@@ -20,7 +20,7 @@
 }
 
 struct Asked {
-    front: String,
+    gateway: String,
     number: u64,
     is_write: bool,
 }
@@ -37,39 +37,40 @@
 }
 
 impl Controller {
-    /// A front reads or writes the register of a job.
+    /// A gateway reads or writes the register of a job.
     pub fn ask_job(
         &mut self,
-        front: &str,
+        gateway: &str,
         number: u64,
         key: &str,
         expected: Option<u64>,
         bytes: Vec<u8>,
     ) {
         if !is_job(key) || bytes.len() > VALUE_MAX {
-            log::warn!("controller: front {front} asked for what is no job");
+            log::warn!("controller: gateway {gateway} asked for what is no job");
             return;
         }
         if self.jobs.pending.len() >= ASKS_MAX {
             let said = RegisterSaid::Unreached;
-            self.fronts.tell(front, &Message::JobSaid { number, said });
+            self.gateways
+                .tell(gateway, &Message::JobSaid { number, said });
             return;
         }
         self.jobs.last += 1;
         let token = TOKENS + self.jobs.last;
         let asked = Asked {
-            front: front.into(),
+            gateway: gateway.into(),
             number,
             is_write: expected.is_some(),
         };
         self.jobs.pending.insert(token, asked);
         match expected {
-            Some(expected) => self.council.write(self.now, token, key, expected, bytes),
-            None => self.council.read(self.now, token, key),
+            Some(expected) => self.consensus.write(self.now, token, key, expected, bytes),
+            None => self.consensus.read(self.now, token, key),
         }
     }
 
-    /// The council is done with some work; whether it was for a job.
+    /// The consensus is done with some work; whether it was for a job.
     pub fn job_done(&mut self, token: u64, outcome: &Outcome) -> bool {
         let Some(asked) = self.jobs.pending.remove(&token) else {
             return token >= TOKENS;
@@ -78,7 +79,7 @@
             number: asked.number,
             said: said_of(outcome, asked.is_write),
         };
-        self.fronts.tell(&asked.front, &message);
+        self.gateways.tell(&asked.gateway, &message);
         true
     }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,12 +1,13 @@
-//! The control plane over non-blocking lines: keeps the description with the other cores, brings it to the fronts,
+//! The control plane over non-blocking lines: keeps the description with the other controllers, brings it to the gateways,
 //! and scales functions by calls to the platform. One thread, and one more for the disk.
+#![warn(missing_docs)]
 
 mod changes;
 mod controller;
-mod cores;
+mod controllers;
 mod directory;
 mod disk;
-mod fronts;
+mod gateways;
 mod guide;
 mod jobs;
 mod operators;
--- a/crates/controller/src/operators.rs
+++ b/crates/controller/src/operators.rs
@@ -1,12 +1,12 @@
 use crate::controller::{Controller, Role};
-use courier::LineId;
+use event_loop::LineId;
 use exchange::{write_response, Bounds, Request};
 use orders::OrderKind;
 use std::net::{IpAddr, SocketAddr};
 
 const HEAD_MAX: usize = 64 << 10;
 const BODY_MAX: usize = 32 << 20;
-/// Seconds after which operators come back to a core that cannot answer now.
+/// Seconds after which operators come back to a controller that cannot answer now.
 pub(crate) const RETRY_AFTER: &[u8] = b"0.3";
 
 /// What an operator is answered.
@@ -30,13 +30,13 @@
         let Some(Role::Operator(reader, is_busy)) = self.roles.get_mut(&line) else {
             return;
         };
-        let Some(inbox) = self.courier.inbox(line).filter(|_| !*is_busy) else {
+        let Some(inbox) = self.event_loop.inbox(line).filter(|_| !*is_busy) else {
             return;
         };
         match reader.read(inbox, &bounds) {
             Ok(None) => {
                 if reader.expects_continue() {
-                    self.courier.send(line, exchange::CONTINUE);
+                    self.event_loop.send(line, exchange::CONTINUE);
                 }
             }
             Ok(Some(request)) => {
@@ -61,7 +61,7 @@
             )) if !self.options.districts.contains(&district) => {
                 self.reply(line, 404, b"there is no such zone", keeps);
             }
-            Some(Ok(_)) if !self.council.is_in_contact(self.clock()) => {
+            Some(Ok(_)) if !self.consensus.is_in_contact(self.clock()) => {
                 self.send_on(line, &request.target, keeps);
             }
             Some(Ok(call)) => {
@@ -71,9 +71,9 @@
         }
     }
 
-    /// Sends an operator on to a core in contact with a majority, since this one may neither take nor refuse orders.
+    /// Sends an operator on to a controller in contact with a majority, since this one may neither take nor refuse orders.
     fn send_on(&mut self, line: LineId, target: &str, keeps_alive: bool) {
-        let members = self.council.members_in_contact(self.now);
+        let members = self.consensus.members_in_contact(self.now);
         let turn: usize = rand::random::<u32>() as usize;
         let member = members.get(turn % members.len().max(1));
         let port = self.options.operators.port();
@@ -87,7 +87,7 @@
             },
             None => Answer {
                 status: 503,
-                body: b"no majority of cores is in contact; nothing was done",
+                body: b"no majority of controllers is in contact; nothing was done",
                 location: None,
             },
         };
@@ -131,16 +131,16 @@
             keeps_alive,
             false,
         );
-        self.courier.send(line, &out);
+        self.event_loop.send(line, &out);
         if !keeps_alive {
-            self.courier.finish(line);
+            self.event_loop.finish(line);
             self.roles.remove(&line);
             return;
         }
         self.roles
             .insert(line, Role::Operator(Box::default(), false));
         let has_more = self
-            .courier
+            .event_loop
             .inbox(line)
             .is_some_and(|inbox| !inbox.is_empty());
         if has_more {
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -1,7 +1,7 @@
-use binding::Documents;
+use autoscaler::{RunnerSight, StartFault, WorkerSight};
 use exchange::Headers;
-use launching::{RunnerSight, StartFault, WorkerSight};
 use orders::{BaseVersion, OrderKind};
+use routing::Documents;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
@@ -51,7 +51,7 @@
     fn is_stopped(&self, status: u16) -> bool;
 }
 
-/// Reads addresses of cores anew, where the settings have changed.
+/// Reads addresses of controllers anew, where the settings have changed.
 pub type Reload = Box<dyn Fn() -> Option<Vec<SocketAddr>>>;
 
 /// What a daemon of the control plane needs to know.
@@ -64,14 +64,14 @@
     pub districts: Vec<String>,
     /// Address for operators.
     pub operators: SocketAddr,
-    /// Address for fronts.
-    pub fronts: SocketAddr,
-    /// Address for the other cores.
-    pub council: SocketAddr,
-    /// Council addresses of cores, as far as they are known at the start.
+    /// Address for gateways.
+    pub gateways: SocketAddr,
+    /// Address for the other controllers.
+    pub consensus: SocketAddr,
+    /// Consensus addresses of controllers, as far as they are known at the start.
     pub seeds: Vec<SocketAddr>,
-    /// Port at which every core listens for fronts.
-    pub fronts_port: u16,
+    /// Port at which every controller listens for gateways.
+    pub gateways_port: u16,
     /// The whole system starts for the first time, on empty disks.
     pub is_first_start: bool,
     /// Folder for everything that must last.
@@ -92,19 +92,19 @@
     pub grace_ms: u64,
     /// Milliseconds for which a job is remembered, at least.
     pub remembered_ms: u64,
-    /// Cores that vote where there are enough of them.
+    /// Controllers that vote where there are enough of them.
     pub voters_wanted: usize,
     /// Most open lines.
     pub lines_max: usize,
     /// How operators and the platform speak.
     pub translator: Box<dyn Translator>,
-    /// Reads the settings anew: the cores' council addresses, where the settings have changed.
+    /// Reads the settings anew: the controllers' consensus addresses, where the settings have changed.
     pub reload: Reload,
 }
 
 impl ControllerOptions {
-    /// Milliseconds between beats: a twentieth of the bound on changes.
-    pub fn beat_ms(&self) -> u64 {
+    /// Milliseconds between heartbeats: a twentieth of the bound on changes.
+    pub fn heartbeat_ms(&self) -> u64 {
         self.change_ms / 20
     }
 
@@ -113,7 +113,7 @@
         self.change_ms * 2 / 5
     }
 
-    /// Milliseconds of silence after which a front is taken for gone: a third of the bound on changes.
+    /// Milliseconds of silence after which a gateway is taken for gone: a third of the bound on changes.
     pub fn silence_ms(&self) -> u64 {
         self.change_ms / 3
     }
--- a/crates/controller/src/scaling.rs
+++ b/crates/controller/src/scaling.rs
@@ -1,7 +1,7 @@
 use crate::controller::Controller;
 use crate::scaling_calls::PlatformCalls;
-use dispatch::{frame, FunctionReport, Member, Message};
-use launching::{Launcher, Options, Order, RunnerSight};
+use autoscaler::{Launcher, Options, Order, RunnerSight};
+use protocol::{frame, FunctionReport, Member, Message};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What the holder of the duty to scale knows. All of it is learnt anew by the next holder.
@@ -23,12 +23,12 @@
 }
 
 impl Scaling {
-    /// A front that came anew is told the roster with the next turn.
+    /// A gateway that came anew is told the roster with the next turn.
     pub fn tell_roster_to(&mut self, name: &str) {
         self.untold.insert(name.into());
     }
 
-    pub fn forget_front(&mut self, name: &str) {
+    pub fn forget_gateway(&mut self, name: &str) {
         if let Some(launcher) = self.launcher.as_mut() {
             launcher.forget_keeper(name);
         }
@@ -38,7 +38,7 @@
 impl Controller {
     /// Takes up or lays down the duty, and does what it asks for.
     pub fn tend_scaling(&mut self) {
-        let term = self.council.term(self.now);
+        let term = self.consensus.term(self.now);
         let Some(term) = term else {
             if self.scaling.launcher.is_some() {
                 log::info!("scaler: laid down, term {} is over", self.scaling.term);
@@ -85,7 +85,7 @@
         self.scaling.began_at = self.now;
         self.describe_scaling();
         self.close_scaling();
-        self.beat_fronts(true);
+        self.heartbeat_gateways(true);
     }
 
     /// The description is another one than before.
@@ -111,17 +111,17 @@
         self.carry_out();
     }
 
-    /// Fronts that are there keep functions; who they are is told to all when it changes.
+    /// Gateways that are there keep functions; who they are is told to all when it changes.
     fn tend_roster(&mut self) {
-        // Fronts that have not found this core yet are waited for a little while.
-        let is_early = self.now < self.scaling.began_at + self.options.beat_ms();
-        let members = self.fronts.known.values();
-        let members = members.map(|front| &front.member);
+        // Gateways that have not found this controller yet are waited for a little while.
+        let is_early = self.now < self.scaling.began_at + self.options.heartbeat_ms();
+        let members = self.gateways.known.values();
+        let members = members.map(|gateway| &gateway.member);
         let is_other = !members.clone().eq(&self.scaling.roster);
         if is_other && !(is_early && self.scaling.roster_no == 0) {
             self.scaling.roster = members.cloned().collect();
             self.scaling.roster_no += 1;
-            self.scaling.untold = self.fronts.known.keys().cloned().collect();
+            self.scaling.untold = self.gateways.known.keys().cloned().collect();
         }
         if self.scaling.roster_no == 0 || self.scaling.untold.is_empty() {
             return;
@@ -131,14 +131,14 @@
             members: self.scaling.roster.clone(),
         });
         for name in std::mem::take(&mut self.scaling.untold) {
-            self.fronts.tell_frame(&name, &roster);
+            self.gateways.tell_frame(&name, &roster);
         }
     }
 
     /// Keepers tell about their functions.
     pub fn take_reports(&mut self, name: &str, reports: &[FunctionReport]) {
         let incarnation = self
-            .fronts
+            .gateways
             .known
             .get(name)
             .map(|one| one.member.incarnation);
@@ -159,7 +159,7 @@
             let (term, number) = launcher.news_mark(&report.function);
             if term > 0 && number != report.news {
                 let news = launcher.news_of(&report.function, self.now);
-                self.fronts.tell(name, &Message::Runners(vec![news]));
+                self.gateways.tell(name, &Message::Runners(vec![news]));
             }
         }
         self.carry_out();
@@ -175,15 +175,15 @@
         for order in orders {
             self.give(order);
         }
-        let mut by_keeper: BTreeMap<String, Vec<dispatch::FunctionNews>> = BTreeMap::new();
+        let mut by_keeper: BTreeMap<String, Vec<protocol::FunctionNews>> = BTreeMap::new();
         for one in news {
-            let keeper = seating::elect(&one.function, &self.scaling.roster, |_| true);
+            let keeper = seat_leases::elect(&one.function, &self.scaling.roster, |_| true);
             if let Some(keeper) = keeper {
                 by_keeper.entry(keeper.name.clone()).or_default().push(one);
             }
         }
         for (name, news) in by_keeper {
-            self.fronts.tell(&name, &Message::Runners(news));
+            self.gateways.tell(&name, &Message::Runners(news));
         }
     }
 
--- a/crates/controller/src/scaling_calls.rs
+++ b/crates/controller/src/scaling_calls.rs
@@ -1,8 +1,8 @@
 use crate::controller::{Controller, Role};
 use crate::options::Call;
-use courier::LineId;
+use autoscaler::StartFault;
+use event_loop::LineId;
 use exchange::{write_request, Bounds, Response, ResponseReader};
-use launching::StartFault;
 use std::collections::{HashMap, VecDeque};
 
 const ANSWER_MAX: usize = 16 << 20;
@@ -53,7 +53,7 @@
                 continue;
             };
             let line = match self.scaling.calls.idle.pop() {
-                Some(line) if self.courier.is_open(line) => Some(line),
+                Some(line) if self.event_loop.is_open(line) => Some(line),
                 Some(_) => {
                     self.scaling.calls.waiting.push_front((call, purpose));
                     continue;
@@ -62,7 +62,7 @@
                     self.scaling.calls.waiting.push_front((call, purpose));
                     return;
                 }
-                None => self.courier.connect(address, ANSWER_MAX).ok(),
+                None => self.event_loop.connect(address, ANSWER_MAX).ok(),
             };
             let Some(line) = line else {
                 self.fail(purpose);
@@ -84,7 +84,7 @@
                 headers.into_iter(),
                 &call.body,
             );
-            self.courier.send(line, &out);
+            self.event_loop.send(line, &out);
             let busy = Busy {
                 purpose,
                 reader: ResponseReader::new(false),
@@ -101,7 +101,7 @@
         let late: Vec<LineId> = late.map(|(line, _)| *line).collect();
         for line in late {
             self.roles.remove(&line);
-            self.courier.close(line);
+            self.event_loop.close(line);
             self.platform_ended(line);
         }
         self.send_calls();
@@ -111,7 +111,7 @@
         let calls = std::mem::take(&mut self.scaling.calls);
         for line in calls.busy.into_keys().chain(calls.idle) {
             self.roles.remove(&line);
-            self.courier.close(line);
+            self.event_loop.close(line);
         }
     }
 
@@ -131,10 +131,10 @@
         let Some(busy) = self.scaling.calls.busy.get_mut(&line) else {
             self.scaling.calls.idle.retain(|idle| *idle != line);
             self.roles.remove(&line);
-            self.courier.close(line);
+            self.event_loop.close(line);
             return;
         };
-        let Some(inbox) = self.courier.inbox(line) else {
+        let Some(inbox) = self.event_loop.inbox(line) else {
             return;
         };
         match busy.reader.read(inbox, &bounds) {
@@ -142,7 +142,7 @@
             Err(fault) => {
                 log::warn!("scaler: the platform sent no answer in the protocol: {fault}");
                 self.roles.remove(&line);
-                self.courier.close(line);
+                self.event_loop.close(line);
                 self.platform_ended(line);
             }
             Ok(Some(response)) => {
@@ -153,7 +153,7 @@
                     self.scaling.calls.idle.push(line);
                 } else {
                     self.roles.remove(&line);
-                    self.courier.close(line);
+                    self.event_loop.close(line);
                 }
                 self.take_answer(busy.purpose, &response);
                 self.carry_out();
--- a/crates/courier/src/courier.rs
+++ b/crates/event_loop/src/event_loop.rs
@@ -33,7 +33,7 @@
 pub struct Hatch(usize);
 
 /// All lines of a daemon.
-pub struct Courier {
+pub struct EventLoop {
     poll: Poll,
     ready: Events,
     lines: Slab<Line>,
@@ -46,8 +46,8 @@
     silence_ms: u32,
 }
 
-impl Courier {
-    /// A courier with at most so many lines. A line whose peer does not confirm what was sent for
+impl EventLoop {
+    /// A event_loop with at most so many lines. A line whose peer does not confirm what was sent for
     /// `silence_ms` breaks.
     pub fn new(lines_max: usize, silence_ms: u32) -> io::Result<Self> {
         Ok(Self {
--- a/crates/courier/src/lib.rs
+++ b/crates/event_loop/src/lib.rs
@@ -1,10 +1,11 @@
 //! Lines (TCP connections) of a daemon on one thread: what arrives, what is sent, and what ended, without ever
 //! waiting for a single line.
+#![warn(missing_docs)]
 
-mod courier;
+mod event_loop;
 mod line;
 mod timers;
 
-pub use courier::{Courier, Event, Hatch};
+pub use event_loop::{Event, EventLoop, Hatch};
 pub use line::{End, LineId};
 pub use timers::Timers;
