--- a/crates/courier/tests/lines.rs
+++ b/crates/event_loop/tests/lines.rs
@@ -1,6 +1,6 @@
 //! Lines between this daemon and peers on loopback. Every wait is for a condition, with a bounded number of looks.
 
-use courier::{Courier, End, Event, Hatch, LineId, Timers};
+use event_loop::{End, Event, EventLoop, Hatch, LineId, Timers};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -10,23 +10,23 @@
 const LOOK: Duration = Duration::from_millis(20);
 const INBOX: usize = 64 << 10;
 
-/// A courier and all that it told so far.
+/// A event_loop and all that it told so far.
 struct Daemon {
-    courier: Courier,
+    event_loop: EventLoop,
     told: Vec<Event>,
 }
 
 impl Daemon {
     fn new() -> Self {
         Self {
-            courier: Courier::new(64, 2_000).unwrap(),
+            event_loop: EventLoop::new(64, 2_000).unwrap(),
             told: Vec::new(),
         }
     }
 
     fn look(&mut self, patience: Duration) {
         let mut events = Vec::new();
-        self.courier.wait(patience, &mut events);
+        self.event_loop.wait(patience, &mut events);
         self.told.extend(events);
     }
 
@@ -68,7 +68,7 @@
 
     fn holds(&mut self, line: LineId, length: usize) -> Vec<u8> {
         self.until("bytes", |daemon| {
-            let inbox = daemon.courier.inbox(line)?;
+            let inbox = daemon.event_loop.inbox(line)?;
             (inbox.len() >= length).then(|| std::mem::take(inbox))
         })
     }
@@ -78,7 +78,7 @@
 fn accepted(inbox: usize) -> (Daemon, TcpStream, LineId) {
     let mut daemon = Daemon::new();
     let address = free_address();
-    let hatch = daemon.courier.listen(address, inbox).unwrap();
+    let hatch = daemon.event_loop.listen(address, inbox).unwrap();
     let peer = TcpStream::connect(address).unwrap();
     let (at, line) = daemon.opened();
     assert_eq!(at, hatch);
@@ -89,7 +89,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut daemon = Daemon::new();
     let address = listener.local_addr().unwrap();
-    let line = daemon.courier.connect(address, inbox).unwrap();
+    let line = daemon.event_loop.connect(address, inbox).unwrap();
     daemon.until("a connection", |daemon| {
         daemon.has(Event::Connected(line)).then_some(())
     });
@@ -111,21 +111,21 @@
     peer.write_all(b"ping").unwrap();
     assert_eq!(daemon.holds(line, 4), b"ping");
     assert!(daemon.has(Event::Arrived(line)));
-    daemon.courier.send(line, b"pong");
+    daemon.event_loop.send(line, b"pong");
     let mut answer = [0; 4];
     peer.read_exact(&mut answer).unwrap();
     assert_eq!(&answer, b"pong");
     drop(peer);
     assert_eq!(daemon.ended(line), End::Closed);
-    assert!(!daemon.courier.is_open(line));
-    daemon.courier.close(line);
-    assert!(daemon.courier.is_empty());
+    assert!(!daemon.event_loop.is_open(line));
+    daemon.event_loop.close(line);
+    assert!(daemon.event_loop.is_empty());
 }
 
 #[test]
 fn a_line_that_is_opened_here_comes_up_and_carries_bytes() {
     let (mut daemon, mut peer, line) = connected(INBOX);
-    daemon.courier.send(line, b"ping");
+    daemon.event_loop.send(line, b"ping");
     let mut question = [0; 4];
     peer.read_exact(&mut question).unwrap();
     peer.write_all(b"pong").unwrap();
@@ -137,10 +137,10 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut daemon = Daemon::new();
     let line = daemon
-        .courier
+        .event_loop
         .connect(listener.local_addr().unwrap(), INBOX)
         .unwrap();
-    daemon.courier.send(line, b"early");
+    daemon.event_loop.send(line, b"early");
     daemon.until("a connection", |daemon| {
         daemon.has(Event::Connected(line)).then_some(())
     });
@@ -154,18 +154,18 @@
 fn a_big_send_arrives_whole_before_the_line_is_closed() {
     let (mut daemon, mut peer, line) = accepted(INBOX);
     let bytes = pattern(8 << 20);
-    daemon.courier.send(line, &bytes);
-    assert!(daemon.courier.backlog(line) > 0);
-    assert!(!daemon.courier.is_flushing());
-    daemon.courier.finish(line);
-    assert!(daemon.courier.is_flushing());
+    daemon.event_loop.send(line, &bytes);
+    assert!(daemon.event_loop.backlog(line) > 0);
+    assert!(!daemon.event_loop.is_flushing());
+    daemon.event_loop.finish(line);
+    assert!(daemon.event_loop.is_flushing());
     let reader = std::thread::spawn(move || {
         let mut all = Vec::new();
         peer.read_to_end(&mut all).unwrap();
         all
     });
     daemon.until("the last byte", |daemon| {
-        daemon.courier.is_empty().then_some(())
+        daemon.event_loop.is_empty().then_some(())
     });
     assert!(reader.join().unwrap() == bytes);
 }
@@ -175,7 +175,7 @@
     let (mut daemon, _peer, line) = accepted(INBOX);
     let bytes = vec![0; 9 << 20];
     for _ in 0..4 {
-        daemon.courier.send(line, &bytes);
+        daemon.event_loop.send(line, &bytes);
     }
     assert_eq!(daemon.ended(line), End::Broken);
 }
@@ -224,7 +224,7 @@
         daemon.look(Duration::from_millis(1));
         assert!(sent < 64 << 20, "nothing holds the peer back");
     }
-    let held = daemon.courier.inbox(line).map_or(0, |inbox| inbox.len());
+    let held = daemon.event_loop.inbox(line).map_or(0, |inbox| inbox.len());
     assert!(
         held >= bound && held <= bound + (64 << 10),
         "{held} bytes are held"
@@ -234,7 +234,7 @@
 #[test]
 fn nobody_at_an_address_is_told() {
     let mut daemon = Daemon::new();
-    let line = daemon.courier.connect(free_address(), INBOX).unwrap();
+    let line = daemon.event_loop.connect(free_address(), INBOX).unwrap();
     assert_eq!(daemon.ended(line), End::Unreached);
     assert!(!daemon.has(Event::Connected(line)));
 }
@@ -254,7 +254,7 @@
         .iter()
         .position(|event| *event == Event::Ended(line, End::Closed));
     assert!(arrived.is_some() && arrived < ended, "{:?}", daemon.told);
-    assert_eq!(daemon.courier.inbox(line).unwrap(), b"last words");
+    assert_eq!(daemon.event_loop.inbox(line).unwrap(), b"last words");
 }
 
 #[test]
@@ -270,12 +270,12 @@
     });
     let mut all = Vec::new();
     daemon.until("the end", |daemon| {
-        if let Some(inbox) = daemon.courier.inbox(line) {
+        if let Some(inbox) = daemon.event_loop.inbox(line) {
             all.append(inbox);
         }
         daemon.has(Event::Ended(line, End::Closed)).then_some(())
     });
-    all.append(daemon.courier.inbox(line).unwrap());
+    all.append(daemon.event_loop.inbox(line).unwrap());
     assert!(all == bytes, "{} of {} bytes", all.len(), bytes.len());
     drop(writer.join().unwrap());
 }
@@ -283,7 +283,7 @@
 #[test]
 fn a_reset_is_told_as_a_broken_line() {
     let (mut daemon, peer, line) = accepted(INBOX);
-    daemon.courier.send(line, b"nobody reads this");
+    daemon.event_loop.send(line, b"nobody reads this");
     // A close with unread bytes resets the connection.
     let mut first = [0; 1];
     assert_eq!(peer.peek(&mut first).unwrap(), 1);
@@ -294,33 +294,33 @@
 #[test]
 fn a_place_that_is_used_again_has_another_id() {
     let (mut daemon, _peer, first) = connected(INBOX);
-    daemon.courier.close(first);
+    daemon.event_loop.close(first);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let second = daemon.courier.connect(address, INBOX).unwrap();
+    let second = daemon.event_loop.connect(address, INBOX).unwrap();
     assert_ne!(first, second);
     daemon.until("a connection", |daemon| {
         daemon.has(Event::Connected(second)).then_some(())
     });
     let mut peer = listener.accept().unwrap().0;
     // What is meant for the former line touches nothing.
-    daemon.courier.send(first, b"stale");
-    daemon.courier.finish(first);
-    daemon.courier.close(first);
-    assert!(daemon.courier.inbox(first).is_none() && !daemon.courier.is_open(first));
-    daemon.courier.send(second, b"fresh");
+    daemon.event_loop.send(first, b"stale");
+    daemon.event_loop.finish(first);
+    daemon.event_loop.close(first);
+    assert!(daemon.event_loop.inbox(first).is_none() && !daemon.event_loop.is_open(first));
+    daemon.event_loop.send(second, b"fresh");
     let mut bytes = [0; 5];
     peer.read_exact(&mut bytes).unwrap();
     assert_eq!(&bytes, b"fresh");
-    assert!(daemon.courier.is_open(second));
+    assert!(daemon.event_loop.is_open(second));
 }
 
 #[test]
 fn a_hatch_that_is_shut_takes_nobody() {
     let mut daemon = Daemon::new();
     let address = free_address();
-    let hatch = daemon.courier.listen(address, INBOX).unwrap();
-    daemon.courier.shut(hatch);
+    let hatch = daemon.event_loop.listen(address, INBOX).unwrap();
+    daemon.event_loop.shut(hatch);
     assert!(TcpStream::connect(address).is_err());
 }
 
@@ -328,19 +328,19 @@
 fn many_peers_at_once_are_all_taken() {
     let mut daemon = Daemon::new();
     let address = free_address();
-    daemon.courier.listen(address, INBOX).unwrap();
+    daemon.event_loop.listen(address, INBOX).unwrap();
     let peers: Vec<TcpStream> = (0..50)
         .map(|_| TcpStream::connect(address).unwrap())
         .collect();
     let lines: std::collections::BTreeSet<LineId> =
         peers.iter().map(|_| daemon.opened().1).collect();
-    assert_eq!((lines.len(), daemon.courier.len()), (50, 50));
+    assert_eq!((lines.len(), daemon.event_loop.len()), (50, 50));
 }
 
 #[test]
 fn another_thread_ends_a_wait() {
     let mut daemon = Daemon::new();
-    let waker = daemon.courier.waker().unwrap();
+    let waker = daemon.event_loop.waker().unwrap();
     let other = Arc::clone(&waker);
     let began = Instant::now();
     let thread = std::thread::spawn(move || other.wake().unwrap());
--- a/crates/courier/tests/sending.rs
+++ b/crates/event_loop/tests/sending.rs
@@ -1,7 +1,7 @@
 //! What is known of a line at the moment when bytes are sent on it. Every wait is for a condition, with a bounded number
 //! of looks.
 
-use courier::{Courier, End, Event, LineId};
+use event_loop::{End, Event, EventLoop, LineId};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
@@ -10,16 +10,16 @@
 const LOOK: Duration = Duration::from_millis(20);
 const INBOX: usize = 64 << 10;
 
-/// A courier and all that it told so far.
+/// A event_loop and all that it told so far.
 struct Daemon {
-    courier: Courier,
+    event_loop: EventLoop,
     told: Vec<Event>,
 }
 
 impl Daemon {
     fn new() -> Self {
         Self {
-            courier: Courier::new(64, 2_000).unwrap(),
+            event_loop: EventLoop::new(64, 2_000).unwrap(),
             told: Vec::new(),
         }
     }
@@ -30,7 +30,7 @@
                 return;
             }
             let mut events = Vec::new();
-            self.courier.wait(LOOK, &mut events);
+            self.event_loop.wait(LOOK, &mut events);
             self.told.extend(events);
         }
         panic!("{event:?} did not come: {:?}", self.told);
@@ -40,7 +40,7 @@
     fn stirs(&mut self, line: LineId) {
         let is_stirred = (0..LOOKS * LOOKS).any(|_| {
             std::thread::yield_now();
-            !self.courier.is_quiet(line)
+            !self.event_loop.is_quiet(line)
         });
         assert!(is_stirred, "nothing came");
     }
@@ -50,7 +50,7 @@
 fn joined(daemon: &mut Daemon) -> (LineId, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let line = daemon.courier.connect(address, INBOX).unwrap();
+    let line = daemon.event_loop.connect(address, INBOX).unwrap();
     let (peer, _) = listener.accept().unwrap();
     daemon.until(Event::Connected(line));
     (line, peer)
@@ -60,36 +60,39 @@
 fn a_line_with_unread_bytes_or_an_end_is_not_quiet_before_events_tell() {
     let mut daemon = Daemon::new();
     let (line, mut peer) = joined(&mut daemon);
-    assert!(daemon.courier.is_quiet(line));
+    assert!(daemon.event_loop.is_quiet(line));
     peer.write_all(b"surplus").unwrap();
     daemon.stirs(line);
-    assert!(daemon.courier.inbox(line).unwrap().is_empty());
+    assert!(daemon.event_loop.inbox(line).unwrap().is_empty());
 
     let (line, peer) = joined(&mut daemon);
     drop(peer);
     daemon.stirs(line);
-    assert!(daemon.courier.is_open(line), "no event has told yet");
+    assert!(daemon.event_loop.is_open(line), "no event has told yet");
 }
 
 #[test]
 fn bytes_are_told_as_not_sent_only_if_none_was_taken() {
     let mut daemon = Daemon::new();
     let (line, mut peer) = joined(&mut daemon);
-    assert!(daemon.courier.send(line, b"request"));
+    assert!(daemon.event_loop.send(line, b"request"));
     let mut got = [0; 7];
     peer.read_exact(&mut got).unwrap();
     // Closing with unread bytes resets the line; so does a write to a closed one.
-    assert!(daemon.courier.send(line, b"unread"));
+    assert!(daemon.event_loop.send(line, b"unread"));
     drop(peer);
     daemon.stirs(line);
-    assert!(!daemon.courier.send(line, b"never leaves"));
-    assert!(!daemon.courier.send(line, b"nor does this"));
-    assert!(!daemon.courier.is_open(line));
+    assert!(!daemon.event_loop.send(line, b"never leaves"));
+    assert!(!daemon.event_loop.send(line, b"nor does this"));
+    assert!(!daemon.event_loop.is_open(line));
     daemon.until(Event::Ended(line, End::Broken));
-    assert!(!daemon.courier.send(line, b"nor this"));
+    assert!(!daemon.event_loop.send(line, b"nor this"));
 
     let (line, _peer) = joined(&mut daemon);
     let much = vec![7; 8 << 20];
-    assert!(daemon.courier.send(line, &much), "a part of it was taken");
-    assert!(daemon.courier.backlog(line) > 0);
+    assert!(
+        daemon.event_loop.send(line, &much),
+        "a part of it was taken"
+    );
+    assert!(daemon.event_loop.backlog(line) > 0);
 }
--- a/crates/fuzzing/src/lib.rs
+++ b/crates/fuzzing/src/lib.rs
@@ -1,5 +1,6 @@
 //! Property tests with a fixed seed, so that a check gives the same verdict every time. A longer
 //! search is one variable away: `FUZZ_SEED=<number> FUZZ_TESTS=<number> cargo test`.
+#![warn(missing_docs)]
 
 pub use quickcheck::TestResult;
 use quickcheck::{Gen, QuickCheck, Testable};
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -25,11 +25,11 @@
         body: response.body.clone(),
     };
     let bytes = told.write_to_vec().ok()?;
-    Some(dispatch::pack(&bytes))
+    Some(protocol::pack(&bytes))
 }
 
 /// An answer that was packed.
 pub(crate) fn unpack(packed: &[u8]) -> Option<Told> {
-    let bytes = dispatch::unpack(packed, ANSWER_MAX)?;
+    let bytes = protocol::unpack(packed, ANSWER_MAX)?;
     Told::read_from_buffer(&bytes).ok()
 }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::{Due, Gateway, Role};
 use crate::tickets::{Stage, Ticket};
-use courier::LineId;
+use event_loop::LineId;
 use exchange::{write_response, Bounds, Fault, Request, RequestReader, CONTINUE};
 
 /// A client's connection.
@@ -30,7 +30,7 @@
         self.roles.insert(line, Role::Client(client));
         let wait = self.control.limits().idle_ms;
         // A client that reads nothing for a while is no daemon that fell silent.
-        self.courier.allow_silence(line, wait);
+        self.event_loop.allow_silence(line, wait);
         self.timers.set(self.now + wait, Due::Client(line));
     }
 
@@ -46,7 +46,7 @@
         if client.ticket.is_some() {
             return;
         }
-        let Some(inbox) = self.courier.inbox(line) else {
+        let Some(inbox) = self.event_loop.inbox(line) else {
             return;
         };
         match client.reader.read(inbox, &bounds) {
@@ -65,7 +65,7 @@
                 }
                 if client.reader.expects_continue() && !client.has_continued {
                     client.has_continued = true;
-                    self.courier.send(line, CONTINUE);
+                    self.event_loop.send(line, CONTINUE);
                 }
             }
             Err(fault) => self.refuse_bytes(line, &fault),
@@ -84,8 +84,8 @@
             false,
             false,
         );
-        self.courier.send(line, &out);
-        self.courier.finish(line);
+        self.event_loop.send(line, &out);
+        self.event_loop.finish(line);
         self.roles.remove(&line);
     }
 
@@ -176,7 +176,7 @@
             keeps_alive,
             is_head,
         );
-        self.courier.send(line, &out);
+        self.event_loop.send(line, &out);
         self.after_answer(line, keeps_alive);
     }
 
@@ -190,13 +190,13 @@
         let is_head = ticket.request.method == "HEAD";
         let headers = headers.iter().copied();
         write_response(&mut out, status, headers, body, keeps_alive, is_head);
-        self.courier.send(line, &out);
+        self.event_loop.send(line, &out);
         self.after_answer(line, keeps_alive);
     }
 
     fn after_answer(&mut self, line: LineId, keeps_alive: bool) {
         if !keeps_alive {
-            self.courier.finish(line);
+            self.event_loop.finish(line);
             self.roles.remove(&line);
             return;
         }
@@ -216,7 +216,7 @@
     /// A client's next request may have arrived already. It is read in its turn: not from within the answer to the one
     /// before, since a client may send any number of requests at once.
     fn note_unread(&mut self, line: LineId) {
-        let inbox = self.courier.inbox(line);
+        let inbox = self.event_loop.inbox(line);
         if inbox.is_some_and(|inbox| !inbox.is_empty()) {
             self.unread.push(line);
         }
@@ -260,9 +260,9 @@
                 false,
                 false,
             );
-            self.courier.send(line, &out);
+            self.event_loop.send(line, &out);
         }
-        self.courier.finish(line);
+        self.event_loop.finish(line);
         self.roles.remove(&line);
     }
 
@@ -298,7 +298,7 @@
         let Some(Role::Readiness(reader)) = self.roles.get_mut(&line) else {
             return;
         };
-        let Some(inbox) = self.courier.inbox(line) else {
+        let Some(inbox) = self.event_loop.inbox(line) else {
             return;
         };
         match reader.read(inbox, &bounds) {
@@ -322,9 +322,9 @@
             keeps_alive,
             false,
         );
-        self.courier.send(line, &out);
+        self.event_loop.send(line, &out);
         if !keeps_alive {
-            self.courier.finish(line);
+            self.event_loop.finish(line);
             self.roles.remove(&line);
         }
     }
@@ -336,11 +336,11 @@
         let idle: Vec<LineId> = idle.map(|(line, _)| *line).collect();
         for line in idle {
             let has_more = self
-                .courier
+                .event_loop
                 .inbox(line)
                 .is_some_and(|inbox| !inbox.is_empty());
             if !has_more {
-                self.courier.finish(line);
+                self.event_loop.finish(line);
                 self.roles.remove(&line);
             }
         }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,6 +1,6 @@
 use crate::gateway::Gateway;
-use binding::{Description, Limits, Table};
-use dispatch::{unpack, Member, Message};
+use protocol::{unpack, Member, Message};
+use routing::{Description, Limits, Table};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -134,7 +134,7 @@
         self.keeper.close_districts(self.control.closed.clone());
     }
 
-    /// The fronts that keep functions; requests that wait at a keeper which is none any more bid anew.
+    /// The gateways that keep functions; requests that wait at a keeper which is none any more bid anew.
     pub fn take_roster(&mut self, mark: (u64, u64), members: Vec<Member>) {
         if mark <= self.control.roster || members.is_empty() {
             return;
@@ -178,17 +178,17 @@
 
     /// Tells the scaler what changed at the functions kept here.
     pub fn report(&mut self) {
-        let Some((core, is_new)) = self.links.scaler(self.now) else {
+        let Some((controller, is_new)) = self.links.scaler(self.now) else {
             return;
         };
         let reports = self.keeper.reports(self.now, is_new);
         if !reports.is_empty() || is_new {
-            self.tell_core(&core, &Message::Report(reports));
+            self.tell_controller(&controller, &Message::Report(reports));
         }
         let (name, members) = (&self.options.name, self.control.members());
         if self.links.is_due_to_forget(self.now) && !members.is_empty() {
             self.keeper.forget_others(self.now, |function| {
-                let elected = seating::elect(function, members, |_| true);
+                let elected = seat_leases::elect(function, members, |_| true);
                 elected.is_some_and(|member| member.name == *name)
             });
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,10 +5,10 @@
 use crate::pool::Pool;
 use crate::runners::RunnerLine;
 use crate::tickets::Tickets;
-use courier::{Courier, Event, Hatch, LineId, Timers};
+use event_loop::{Event, EventLoop, Hatch, LineId, Timers};
 use exchange::RequestReader;
 use jobs::{Ends, Jobs};
-use seating::{Credit, Errand, Keeper};
+use seat_leases::{Action, Credit, Keeper};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -21,8 +21,8 @@
     Runner(RunnerLine),
     /// A link to another daemon; its name once it is known.
     Link(Option<String>),
-    /// A link to a core, by address.
-    Core(String),
+    /// A link to a controller, by address.
+    Controller(String),
     /// A look whether a runner takes connections.
     Probe {
         function: String,
@@ -45,7 +45,7 @@
 /// All state of the daemon, on one thread.
 pub(crate) struct Gateway {
     pub options: GatewayOptions,
-    pub courier: Courier,
+    pub event_loop: EventLoop,
     pub roles: HashMap<LineId, Role>,
     pub tickets: Tickets,
     pub keeper: Keeper,
@@ -98,14 +98,14 @@
         }
         gateway.see_to_due();
         gateway.read_on();
-        gateway.run_errands();
+        gateway.run_actions();
         let patience = gateway.patience();
-        gateway.courier.wait(patience, &mut events);
+        gateway.event_loop.wait(patience, &mut events);
         gateway.now = gateway.began.elapsed().as_millis() as u64;
         for event in events.drain(..) {
             gateway.handle(event);
         }
-        gateway.run_errands();
+        gateway.run_actions();
         gateway.flush_links();
     }
 }
@@ -121,9 +121,10 @@
 impl Gateway {
     fn open(options: GatewayOptions) -> Result<Self, GatewayError> {
         let silence = options.silence_ms() as u32;
-        let mut courier = Courier::new(options.lines_max, silence).map_err(GatewayError::System)?;
+        let mut event_loop =
+            EventLoop::new(options.lines_max, silence).map_err(GatewayError::System)?;
         let mut listen = |address, inbox_max| {
-            let hatch = courier.listen(address, inbox_max);
+            let hatch = event_loop.listen(address, inbox_max);
             hatch.map_err(|error| GatewayError::Listen(address, error))
         };
         let public = listen(options.public, CLIENT_INBOX)?;
@@ -135,7 +136,7 @@
             ends: Ends::default(),
             links,
             control: Control::default(),
-            courier,
+            event_loop,
             roles: HashMap::new(),
             tickets: Tickets::default(),
             keeper: Keeper::default(),
@@ -184,7 +185,7 @@
         if self.keeper.next_at().is_some_and(|at| at <= self.now) {
             self.keeper.tick(self.now);
         }
-        self.run_errands();
+        self.run_actions();
         self.flush_links();
     }
 
@@ -196,11 +197,11 @@
         }
         self.keeper.tick(self.now);
         self.tend_jobs();
-        self.tend_cores();
+        self.tend_controllers();
         self.tend_links();
         self.report();
         self.pool
-            .expire(&mut self.courier, &mut self.roles, self.now);
+            .expire(&mut self.event_loop, &mut self.roles, self.now);
     }
 
     fn handle(&mut self, event: Event) {
@@ -236,16 +237,16 @@
             Some(Role::Client(_)) => self.client_arrived(line),
             Some(Role::Readiness(_)) => self.readiness_arrived(line),
             Some(Role::Runner(_)) => self.runner_arrived(line),
-            Some(Role::Link(_) | Role::Core(_)) => self.link_arrived(line),
+            Some(Role::Link(_) | Role::Controller(_)) => self.link_arrived(line),
             Some(Role::Probe { .. }) | None => {}
         }
     }
 
-    fn ended(&mut self, line: LineId, end: courier::End) {
+    fn ended(&mut self, line: LineId, end: event_loop::End) {
         match self.roles.get(&line) {
             Some(Role::Client(_)) => self.client_ended(line),
             Some(Role::Runner(_)) => self.runner_ended(line, end),
-            Some(Role::Link(_) | Role::Core(_)) => self.link_ended(line),
+            Some(Role::Link(_) | Role::Controller(_)) => self.link_ended(line),
             Some(Role::Probe { function, runner }) => {
                 let (function, runner) = (function.clone(), runner.clone());
                 self.keeper.probed(self.now, &function, &runner, false);
@@ -253,37 +254,37 @@
             Some(Role::Readiness(_)) | None => {}
         }
         self.roles.remove(&line);
-        self.courier.close(line);
+        self.event_loop.close(line);
     }
 
     /// Does what the keeper wants done; grants to this daemon go straight to their tickets.
-    pub fn run_errands(&mut self) {
+    pub fn run_actions(&mut self) {
         loop {
-            let errands = self.keeper.errands();
-            if errands.is_empty() && !self.run_job_errands() {
+            let actions = self.keeper.actions();
+            if actions.is_empty() && !self.run_job_actions() {
                 return;
             }
-            for errand in errands {
-                match errand {
-                    Errand::Grant(front, grant) if front == self.options.name => {
-                        self.granted(&front, grant);
+            for action in actions {
+                match action {
+                    Action::Grant(gateway, grant) if gateway == self.options.name => {
+                        self.granted(&gateway, grant);
                     }
-                    Errand::Grant(front, grant) => {
-                        self.tell(&front, &dispatch::Message::Grant(grant));
+                    Action::Grant(gateway, grant) => {
+                        self.tell(&gateway, &protocol::Message::Grant(grant));
                     }
-                    Errand::Refuse(front, ticket, after)
-                        if self.jobs.refused(self.now, &front, ticket, after) => {}
-                    Errand::Refuse(front, ticket, after) if front == self.options.name => {
+                    Action::Refuse(gateway, ticket, after)
+                        if self.jobs.refused(self.now, &gateway, ticket, after) => {}
+                    Action::Refuse(gateway, ticket, after) if gateway == self.options.name => {
                         self.refused(ticket, after);
                     }
-                    Errand::Refuse(front, ticket, retry_after_ms) => {
-                        let refusal = dispatch::Message::Refuse {
+                    Action::Refuse(gateway, ticket, retry_after_ms) => {
+                        let refusal = protocol::Message::Refuse {
                             ticket,
                             retry_after_ms,
                         };
-                        self.tell(&front, &refusal);
+                        self.tell(&gateway, &refusal);
                     }
-                    Errand::Probe(function, runner, address) => {
+                    Action::Probe(function, runner, address) => {
                         self.probe(function, runner, &address);
                     }
                 }
@@ -306,10 +307,10 @@
         // Clients learn within two looks, a second apart, that this daemon takes no more; some come all the same.
         let spent = self.now - since;
         if spent >= self.options.grace_ms / 2 {
-            self.courier.shut(self.hatches.public);
+            self.event_loop.shut(self.hatches.public);
             self.close_idle_clients();
             let is_done = self.tickets.len() == 0 && self.ends.is_empty() && !self.has_clients();
-            if is_done && !self.courier.is_flushing() {
+            if is_done && !self.event_loop.is_flushing() {
                 return true;
             }
         }
@@ -317,11 +318,14 @@
     }
 
     fn reload(&mut self) {
-        let Some(cores) = (self.options.reload)() else {
+        let Some(controllers) = (self.options.reload)() else {
             return;
         };
-        log::info!("gateway: settings read anew, {} cores named", cores.len());
+        log::info!(
+            "gateway: settings read anew, {} controllers named",
+            controllers.len()
+        );
         self.links
-            .learn_cores(cores.iter().map(ToString::to_string));
+            .learn_controllers(controllers.iter().map(ToString::to_string));
     }
 }
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -1,9 +1,9 @@
 use crate::answers::{pack, unpack, TOLD_MAX};
 use crate::gateway::Gateway;
 use crate::tickets::{Stage, Ticket};
-use dispatch::{Bid, JobEnd, JobResult, JobVerdict, Message, Outcome};
 use exchange::{Request, Response};
-use jobs::{digest, is_key, JobErrand, Pass};
+use jobs::{digest, is_key, JobAction, Pass};
+use protocol::{Bid, JobEnd, JobResult, JobVerdict, Message, Outcome};
 
 /// Header by which a caller names the job that its request asks for.
 const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
@@ -24,32 +24,34 @@
         Ok(Some(Box::new(Pass::new(text.into(), what, is_once, life))))
     }
 
-    /// A bid comes in, from a front that may be this one. Bids without a job go straight for a seat.
-    pub fn take_bid(&mut self, front: &str, district: &str, bid: Bid) {
+    /// A bid comes in, from a gateway that may be this one. Bids without a job go straight for a seat.
+    pub fn take_bid(&mut self, gateway: &str, district: &str, bid: Bid) {
         if bid.job.is_some() {
-            self.jobs.arrive(self.now, front, district, bid);
+            self.jobs.arrive(self.now, gateway, district, bid);
         } else {
-            self.keeper.bid(self.now, front, district, bid);
+            self.keeper.bid(self.now, gateway, district, bid);
         }
     }
 
     /// Does what the keeper of jobs wants done; whether there was anything.
-    pub fn run_job_errands(&mut self) -> bool {
-        let errands = self.jobs.errands();
-        let has_any = !errands.is_empty();
-        for errand in errands {
-            self.run_job_errand(errand);
+    pub fn run_job_actions(&mut self) -> bool {
+        let actions = self.jobs.actions();
+        let has_any = !actions.is_empty();
+        for action in actions {
+            self.run_job_action(action);
         }
         has_any
     }
 
-    fn run_job_errand(&mut self, errand: JobErrand) {
+    fn run_job_action(&mut self, action: JobAction) {
         let now = self.now;
-        match errand {
-            JobErrand::Seat(front, district, bid) => self.keeper.bid(now, &front, &district, bid),
-            JobErrand::Withdraw(front, ticket) => self.keeper.withdraw(now, &front, ticket),
-            JobErrand::Claimed {
-                front,
+        match action {
+            JobAction::Seat(gateway, district, bid) => {
+                self.keeper.bid(now, &gateway, &district, bid)
+            }
+            JobAction::Withdraw(gateway, ticket) => self.keeper.withdraw(now, &gateway, ticket),
+            JobAction::Claimed {
+                gateway,
                 ticket,
                 attempt,
                 version,
@@ -59,28 +61,29 @@
                     attempt,
                     version,
                 };
-                self.deliver(&front, message);
+                self.deliver(&gateway, message);
             }
-            JobErrand::Joined(front, ticket, attempt) => {
-                self.deliver(&front, Message::Joined { ticket, attempt });
+            JobAction::Joined(gateway, ticket, attempt) => {
+                self.deliver(&gateway, Message::Joined { ticket, attempt });
             }
-            JobErrand::Tell(front, ticket, attempt, verdict) => {
+            JobAction::Tell(gateway, ticket, attempt, verdict) => {
                 let message = Message::JobTold {
                     ticket,
                     attempt,
                     verdict,
                 };
-                self.deliver(&front, message);
+                self.deliver(&gateway, message);
             }
-            JobErrand::Kept(front, ticket) => self.deliver(&front, Message::JobKept(ticket)),
-            JobErrand::Ask {
+            JobAction::Kept(gateway, ticket) => self.deliver(&gateway, Message::JobKept(ticket)),
+            JobAction::Ask {
                 number,
                 key,
                 expected,
                 bytes,
                 tries,
             } => {
-                let Some(core) = self.links.core_for(&self.options.district, tries) else {
+                let Some(controller) = self.links.controller_for(&self.options.district, tries)
+                else {
                     return;
                 };
                 let message = Message::JobAsk {
@@ -89,21 +92,21 @@
                     expected,
                     bytes,
                 };
-                self.tell_core(&core, &message);
+                self.tell_controller(&controller, &message);
             }
         }
     }
 
-    /// Gives word about a job to a front, which may be this one.
-    fn deliver(&mut self, front: &str, message: Message) {
-        if front == self.options.name {
-            self.hear_job(front, message);
+    /// Gives word about a job to a gateway, which may be this one.
+    fn deliver(&mut self, gateway: &str, message: Message) {
+        if gateway == self.options.name {
+            self.hear_job(gateway, message);
         } else {
-            self.tell(front, &message);
+            self.tell(gateway, &message);
         }
     }
 
-    /// Word about a job from another front, or from the keeper here.
+    /// Word about a job from another gateway, or from the keeper here.
     pub fn hear_job(&mut self, name: &str, message: Message) {
         match message {
             Message::JobEnd(end) => self.jobs.ended(self.now, name, end),
@@ -268,11 +271,11 @@
     pub fn tend_jobs(&mut self) {
         let members = self.control.members();
         let (name, life) = (self.options.name.as_str(), self.links.incarnation());
-        self.jobs.tick(self.now, |front, incarnation| {
-            if front == name {
+        self.jobs.tick(self.now, |gateway, incarnation| {
+            if gateway == name {
                 return incarnation != life;
             }
-            let member = members.iter().find(|member| member.name == front);
+            let member = members.iter().find(|member| member.name == gateway);
             !members.is_empty() && member.is_none_or(|member| member.incarnation != incarnation)
         });
         for end in self.ends.due(self.now) {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -1,7 +1,7 @@
 use crate::gateway::{Gateway, Role};
 use crate::options::GatewayOptions;
-use courier::LineId;
-use dispatch::{frame, take_frames, Member, Message};
+use event_loop::LineId;
+use protocol::{frame, take_frames, Member, Message};
 use std::collections::{BTreeMap, HashMap};
 
 pub(crate) const LINK_INBOX: usize = 16 << 20;
@@ -22,7 +22,7 @@
 }
 
 #[derive(Default)]
-pub(crate) struct Core {
+pub(crate) struct Controller {
     pub line: Option<LineId>,
     pub heard_at: u64,
     pub tried_at: u64,
@@ -35,8 +35,8 @@
     pub is_current: bool,
 }
 
-impl Core {
-    /// The link is gone, and with it what the core said of itself.
+impl Controller {
+    /// The link is gone, and with it what the controller said of itself.
     pub fn end_link(&mut self) {
         self.line = None;
         self.term = 0;
@@ -49,7 +49,7 @@
     pub me: Member,
     peers: HashMap<String, Link>,
     suspects: HashMap<String, u64>,
-    pub cores: BTreeMap<String, Core>,
+    pub controllers: BTreeMap<String, Controller>,
     kept: HashMap<String, String>,
     scaler_term: u64,
     forgot_at: u64,
@@ -65,13 +65,13 @@
             address: options.wire.to_string(),
             district: options.district.clone(),
         };
-        let cores = options.cores.iter();
+        let controllers = options.controllers.iter();
         Self {
             me,
             peers: HashMap::new(),
             suspects: HashMap::new(),
-            cores: cores
-                .map(|address| (address.to_string(), Core::default()))
+            controllers: controllers
+                .map(|address| (address.to_string(), Controller::default()))
                 .collect(),
             kept: HashMap::new(),
             scaler_term: 0,
@@ -80,10 +80,10 @@
         }
     }
 
-    pub fn learn_cores(&mut self, addresses: impl Iterator<Item = String>) {
+    pub fn learn_controllers(&mut self, addresses: impl Iterator<Item = String>) {
         for address in addresses.take(64) {
-            if address.parse::<std::net::SocketAddr>().is_ok() && self.cores.len() < 64 {
-                self.cores.entry(address).or_default();
+            if address.parse::<std::net::SocketAddr>().is_ok() && self.controllers.len() < 64 {
+                self.controllers.entry(address).or_default();
             }
         }
     }
@@ -93,15 +93,18 @@
         self.me.incarnation
     }
 
-    /// A core to ask something after so many tries, a near one first; where any is in contact with a majority, one
+    /// A controller to ask something after so many tries, a near one first; where any is in contact with a majority, one
     /// of these.
-    pub fn core_for(&self, district: &str, tries: u32) -> Option<String> {
-        let linked = self.cores.iter().filter(|(_, core)| core.line.is_some());
+    pub fn controller_for(&self, district: &str, tries: u32) -> Option<String> {
+        let linked = self
+            .controllers
+            .iter()
+            .filter(|(_, controller)| controller.line.is_some());
         let mut linked: Vec<_> = linked.collect();
-        if linked.iter().any(|(_, core)| core.is_current) {
-            linked.retain(|(_, core)| core.is_current);
+        if linked.iter().any(|(_, controller)| controller.is_current) {
+            linked.retain(|(_, controller)| controller.is_current);
         }
-        linked.sort_by_key(|(_, core)| core.district != district);
+        linked.sort_by_key(|(_, controller)| controller.district != district);
         let place = tries as usize % linked.len().max(1);
         linked.get(place).map(|(address, _)| (*address).clone())
     }
@@ -130,15 +133,17 @@
         former.is_some()
     }
 
-    /// The core that scales, and whether it is another one, or in another term, than last time.
+    /// The controller that scales, and whether it is another one, or in another term, than last time.
     pub fn scaler(&mut self, now: u64) -> Option<(String, bool)> {
-        let cores = self.cores.iter();
-        let alive = cores.filter(|(_, core)| {
-            core.line.is_some() && core.term > 0 && now < core.heard_at + 2 * SUSPECT_MS
+        let controllers = self.controllers.iter();
+        let alive = controllers.filter(|(_, controller)| {
+            controller.line.is_some()
+                && controller.term > 0
+                && now < controller.heard_at + 2 * SUSPECT_MS
         });
-        let (address, core) = alive.max_by_key(|(_, core)| core.term)?;
-        let is_new = core.term != self.scaler_term;
-        self.scaler_term = core.term;
+        let (address, controller) = alive.max_by_key(|(_, controller)| controller.term)?;
+        let is_new = controller.term != self.scaler_term;
+        self.scaler_term = controller.term;
         Some((address.clone(), is_new))
     }
 
@@ -152,7 +157,7 @@
 }
 
 impl Gateway {
-    /// Tells another front something; the link is opened where there is none.
+    /// Tells another gateway something; the link is opened where there is none.
     pub fn tell(&mut self, name: &str, message: &Message) {
         if !self.links.peers.contains_key(name) && !self.open_link(name) {
             return;
@@ -165,13 +170,13 @@
     fn open_link(&mut self, name: &str) -> bool {
         let member = self.control.members().iter().find(|one| one.name == name);
         let address = member.and_then(|member| member.address.parse().ok());
-        let line = address.and_then(|address| self.courier.connect(address, LINK_INBOX).ok());
+        let line = address.and_then(|address| self.event_loop.connect(address, LINK_INBOX).ok());
         let Some(line) = line else {
             return false;
         };
         self.roles.insert(line, Role::Link(Some(name.into())));
-        let hello = frame(&Message::Front(self.links.me.clone()));
-        self.courier.send(line, &hello);
+        let hello = frame(&Message::Gateway(self.links.me.clone()));
+        self.event_loop.send(line, &hello);
         self.add_link(name, line);
         true
     }
@@ -190,14 +195,14 @@
     pub fn flush_links(&mut self) {
         for link in self.links.peers.values_mut() {
             if !link.out.is_empty() {
-                self.courier.send(link.line, &link.out);
+                self.event_loop.send(link.line, &link.out);
                 link.out.clear();
             }
         }
     }
 
     pub fn link_arrived(&mut self, line: LineId) {
-        let Some(inbox) = self.courier.inbox(line) else {
+        let Some(inbox) = self.event_loop.inbox(line) else {
             return;
         };
         let (messages, fault) = take_frames::<Message>(inbox);
@@ -208,19 +213,19 @@
             log::warn!("gateway: a link is closed: {fault}");
             self.link_ended(line);
             self.roles.remove(&line);
-            self.courier.close(line);
+            self.event_loop.close(line);
         }
     }
 
     fn hear(&mut self, line: LineId, message: Message) {
         match self.roles.get(&line) {
-            Some(Role::Core(address)) => {
+            Some(Role::Controller(address)) => {
                 let address = address.clone();
-                self.hear_core(&address, message);
+                self.hear_controller(&address, message);
             }
             Some(Role::Link(Some(name))) => {
                 let name = name.clone();
-                self.hear_front(&name, message);
+                self.hear_gateway(&name, message);
             }
             Some(Role::Link(None)) => self.hear_stranger(line, message),
             _ => {}
@@ -229,7 +234,7 @@
 
     fn hear_stranger(&mut self, line: LineId, message: Message) {
         match message {
-            Message::Front(member) => {
+            Message::Gateway(member) => {
                 self.roles
                     .insert(line, Role::Link(Some(member.name.clone())));
                 if !self.links.peers.contains_key(&member.name) {
@@ -238,13 +243,13 @@
             }
             Message::Status => {
                 let text = Message::StatusText(self.status());
-                self.courier.send(line, &frame(&text));
+                self.event_loop.send(line, &frame(&text));
             }
             _ => {}
         }
     }
 
-    fn hear_front(&mut self, name: &str, message: Message) {
+    fn hear_gateway(&mut self, name: &str, message: Message) {
         self.links.suspects.remove(name);
         if let Some(link) = self.links.peers.get_mut(name) {
             link.heard_at = self.now;
@@ -309,7 +314,7 @@
         }
     }
 
-    /// Takes another front for gone: its seats are free, and what waits there bids elsewhere.
+    /// Takes another gateway for gone: its seats are free, and what waits there bids elsewhere.
     fn drop_peer(&mut self, name: &str) {
         self.links.peers.remove(name);
         let until = self.now + SUSPECT_MS;
@@ -322,18 +327,18 @@
             .collect();
         for line in lines {
             self.roles.remove(&line);
-            self.courier.close(line);
+            self.event_loop.close(line);
         }
-        self.keeper.forget_front(self.now, name);
-        self.jobs.forget_front(self.now, name);
+        self.keeper.forget_gateway(self.now, name);
+        self.jobs.forget_gateway(self.now, name);
         self.move_waiting();
     }
 
     pub fn link_ended(&mut self, line: LineId) {
         match self.roles.get(&line) {
-            Some(Role::Core(address)) => {
-                if let Some(core) = self.links.cores.get_mut(address) {
-                    core.end_link();
+            Some(Role::Controller(address)) => {
+                if let Some(controller) = self.links.controllers.get_mut(address) {
+                    controller.end_link();
                 }
             }
             Some(Role::Link(Some(name))) => {
@@ -352,7 +357,7 @@
             "version": self.control.version(), "marks": [description, closures],
             "members": self.control.members().len(), "functions_kept": self.keeper.len(),
             "jobs": self.jobs.len(), "owed": self.ends.len(), "requests": self.tickets.len(),
-            "lines": self.courier.len(), "refused": self.refusals,
+            "lines": self.event_loop.len(), "refused": self.refusals,
         })
         .to_string()
     }
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -1,4 +1,4 @@
-use binding::Documents;
+use routing::Documents;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
@@ -34,8 +34,8 @@
     pub readiness: SocketAddr,
     /// Address for other daemons.
     pub wire: SocketAddr,
-    /// Addresses of cores, as far as they are known at the start.
-    pub cores: Vec<SocketAddr>,
+    /// Addresses of controllers, as far as they are known at the start.
+    pub controllers: Vec<SocketAddr>,
     /// Names of headers and paths.
     pub manner: Manner,
     /// Reader of the operators' documents.
@@ -52,19 +52,19 @@
     pub remembered_ms: u64,
     /// Most open lines.
     pub lines_max: usize,
-    /// Reads the settings anew where they have changed: addresses of cores that they name now.
+    /// Reads the settings anew where they have changed: addresses of controllers that they name now.
     pub reload: Box<dyn Fn() -> Option<Vec<SocketAddr>>>,
 }
 
 impl GatewayOptions {
-    /// Milliseconds between beats to a core: a tenth of the bound on changes.
-    pub fn beat_ms(&self) -> u64 {
+    /// Milliseconds between heartbeats to a controller: a tenth of the bound on changes.
+    pub fn heartbeat_ms(&self) -> u64 {
         self.change_ms / 10
     }
 
-    /// Milliseconds of silence after which another daemon is taken for gone: four beats.
+    /// Milliseconds of silence after which another daemon is taken for gone: four heartbeats.
     pub fn silence_ms(&self) -> u64 {
-        self.beat_ms() * 4
+        self.heartbeat_ms() * 4
     }
 
     /// Milliseconds that a connection to a runner may take: a tenth of the bound on changes.
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -3,9 +3,9 @@
 use crate::gateway::Gateway;
 use crate::runner_connection::{judge, RunnerAnswer, Verdict};
 use crate::tickets::{Stage, Ticket};
-use dispatch::{JobResult, Outcome};
 use exchange::{end_to_end, Response};
-use seating::Credit;
+use protocol::{JobResult, Outcome};
+use seat_leases::Credit;
 
 /// Functions whose pace is remembered.
 const PACES_MAX: usize = 65_536;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,5 +1,5 @@
 use crate::gateway::Role;
-use courier::{Courier, LineId};
+use event_loop::{EventLoop, LineId};
 use std::collections::HashMap;
 
 /// Most idle lines that are kept.
@@ -46,7 +46,12 @@
     }
 
     /// Closes what was idle for too long.
-    pub fn expire(&mut self, courier: &mut Courier, roles: &mut HashMap<LineId, Role>, now: u64) {
+    pub fn expire(
+        &mut self,
+        event_loop: &mut EventLoop,
+        roles: &mut HashMap<LineId, Role>,
+        now: u64,
+    ) {
         let mut count = self.count;
         self.idle.retain(|_, lines| {
             lines.retain(|line| {
@@ -54,7 +59,7 @@
                     Some(Role::Runner(runner)) if runner.expires_at > now);
                 if !is_fresh {
                     roles.remove(line);
-                    courier.close(*line);
+                    event_loop.close(*line);
                     count -= 1;
                 }
                 is_fresh
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -1,13 +1,13 @@
 use crate::gateway::{Due, Gateway, Role};
 use crate::runners::{runner_role, IDLE_MS, INBOX_MAX};
-use courier::LineId;
+use event_loop::LineId;
 
 impl Gateway {
     /// Opens a line to a runner that is starting, to see whether it is up.
     pub fn probe(&mut self, function: String, runner: String, address: &str) {
         let line = address.parse().ok();
         let line = line.and_then(|address| {
-            let line = self.courier.connect(address, INBOX_MAX);
+            let line = self.event_loop.connect(address, INBOX_MAX);
             line.ok()
         });
         let Some(line) = line else {
@@ -28,7 +28,7 @@
         self.roles.insert(line, role);
         if !self.pool.put(runner, line, 2) {
             self.roles.remove(&line);
-            self.courier.close(line);
+            self.event_loop.close(line);
         }
     }
 }
--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -1,7 +1,7 @@
 use crate::gateway::{Due, Gateway};
 use crate::tickets::Stage;
-use dispatch::{Bid, Message, Outcome, Release};
-use seating::{elect, Credit};
+use protocol::{Bid, Message, Outcome, Release};
+use seat_leases::{elect, Credit};
 use std::collections::BTreeSet;
 
 /// Milliseconds before a request looks again for a keeper, or for credit.
@@ -13,9 +13,9 @@
         let Some(ticket) = self.tickets.get(number) else {
             return;
         };
-        let fronts = self.control.members().len().max(1) as f64;
+        let gateways = self.control.members().len().max(1) as f64;
         // Half of the allowance, so that daemons which start anew do not exceed the whole.
-        let cap = (self.options.retry_slack * 0.5 / fronts).max(1.0);
+        let cap = (self.options.retry_slack * 0.5 / gateways).max(1.0);
         let share = self.options.retry_share * 0.75;
         let credit = self.credits.entry(ticket.function.clone());
         let credit = credit.or_insert_with(|| Credit::new(share, cap));
@@ -27,7 +27,7 @@
     pub fn keeper_of(&self, function: &str) -> Option<String> {
         let suspects = &self.links;
         let now = self.now;
-        let passes = |member: &dispatch::Member| !suspects.is_suspect(&member.name, now);
+        let passes = |member: &protocol::Member| !suspects.is_suspect(&member.name, now);
         elect(function, self.control.members(), passes).map(|member| member.name.clone())
     }
 
--- a/crates/gateway/src/runners.rs
+++ b/crates/gateway/src/runners.rs
@@ -5,9 +5,9 @@
     Outstanding, Reading, RunnerAnswer, RunnerConnection, ANSWER_MAX, HEAD_MAX,
 };
 use crate::tickets::{Sent, Stage};
-use courier::{End, LineId};
-use dispatch::{Grant, Outcome};
+use event_loop::{End, LineId};
 use exchange::{end_to_end, idle_seconds, write_request};
+use protocol::{Grant, Outcome};
 
 /// Most bytes of a runner that wait to be read.
 pub(crate) const INBOX_MAX: usize = ANSWER_MAX + HEAD_MAX;
@@ -78,7 +78,7 @@
     }
 
     fn unused(&mut self, lender: &str, number: u64) {
-        let release = dispatch::Release {
+        let release = protocol::Release {
             ticket: number,
             outcome: Outcome::Unused,
             took_ms: 0,
@@ -97,22 +97,22 @@
     // run once the system is asked too, since a line whose runner has ended it would take the request and lose it.
     fn is_clean(&mut self, line: LineId, is_once: bool) -> bool {
         let has_nothing = |inbox: &mut Vec<u8>| inbox.is_empty();
-        let is_clean = self.courier.is_open(line)
-            && self.courier.inbox(line).is_some_and(has_nothing)
-            && (!is_once || self.courier.is_quiet(line));
+        let is_clean = self.event_loop.is_open(line)
+            && self.event_loop.inbox(line).is_some_and(has_nothing)
+            && (!is_once || self.event_loop.is_quiet(line));
         if !is_clean {
             self.roles.remove(&line);
-            self.courier.close(line);
+            self.event_loop.close(line);
         }
         is_clean
     }
 
     fn open_runner(&mut self, grant: &Grant) -> Option<LineId> {
         let address = grant.address.parse().ok()?;
-        let line = self.courier.connect(address, INBOX_MAX).ok()?;
+        let line = self.event_loop.connect(address, INBOX_MAX).ok()?;
         self.roles.insert(line, runner_role(&grant.runner));
         let wait = self.options.connect_ms();
-        self.courier.allow_silence(line, wait * 2);
+        self.event_loop.allow_silence(line, wait * 2);
         self.timers.set(self.now + wait, Due::Connect(line));
         Some(line)
     }
@@ -131,7 +131,7 @@
         };
         let Some(ticket) = self.tickets.get(number) else {
             self.roles.remove(&line);
-            self.courier.close(line);
+            self.event_loop.close(line);
             return;
         };
         if ticket.is_gated() {
@@ -152,7 +152,7 @@
         });
         let out = self.request_bytes(number);
         // Where nothing was taken the line's end is told next, and the request has not left.
-        if self.courier.send(line, &out) {
+        if self.event_loop.send(line, &out) {
             self.has_left(number);
         }
     }
@@ -211,7 +211,7 @@
         let Some(Role::Runner(runner)) = self.roles.get_mut(&line) else {
             return;
         };
-        let Some(inbox) = self.courier.inbox(line) else {
+        let Some(inbox) = self.event_loop.inbox(line) else {
             return;
         };
         let reading = runner.connection.received(inbox, &self.options.manner);
@@ -292,15 +292,15 @@
         let function = ticket.map(|ticket| ticket.function.clone());
         let most = function.map_or(0, |function| self.control.idle_lines(&function));
         // An answer that came before its whole request had left leaves a rest that would look like the next request.
-        let is_sent = self.courier.backlog(line) == 0;
+        let is_sent = self.event_loop.backlog(line) == 0;
         let is_kept = answer.is_reusable
             && is_sent
-            && self.courier.is_open(line)
+            && self.event_loop.is_open(line)
             && wait > 0
             && self.pool.put(&name, line, most);
         if !is_kept {
             self.roles.remove(&line);
-            self.courier.close(line);
+            self.event_loop.close(line);
         }
     }
 
@@ -340,7 +340,7 @@
             Some(Role::Probe { function, runner }) => {
                 let (function, runner) = (function.clone(), runner.clone());
                 self.roles.remove(&line);
-                self.courier.close(line);
+                self.event_loop.close(line);
                 self.keeper.probed(self.now, &function, &runner, false);
             }
             Some(Role::Runner(runner)) if runner.connection.requests() == 0 => {
@@ -352,7 +352,7 @@
                     return;
                 }
                 self.roles.remove(&line);
-                self.courier.close(line);
+                self.event_loop.close(line);
                 self.runner_failed(number, false);
             }
             _ => {}
@@ -362,7 +362,7 @@
     pub fn drop_runner_line(&mut self, line: LineId, runner: &str) {
         self.pool.forget(runner, line);
         self.roles.remove(&line);
-        self.courier.close(line);
+        self.event_loop.close(line);
     }
 }
 
--- a/crates/gateway/src/tickets.rs
+++ b/crates/gateway/src/tickets.rs
@@ -1,4 +1,4 @@
-use courier::LineId;
+use event_loop::LineId;
 use exchange::Request;
 use jobs::Pass;
 use slab::Slab;
--- a/crates/hallkeel/src/fleet.rs
+++ b/crates/hallkeel/src/fleet.rs
@@ -1,5 +1,5 @@
 use crate::cores::ToolFault;
-use dispatch::{frame, Frames, Message};
+use protocol::{frame, Frames, Message};
 use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/holding/src/lib.rs
+++ b/crates/holding/src/lib.rs
@@ -1,5 +1,6 @@
 //! The ticket's way through a front: holdings by rank, bids for seats, keepers that lend them,
 //! standing, and the retry allowance. Pure state machines: events and time in, actions out.
+#![warn(missing_docs)]
 
 mod action;
 mod allowance;
--- a/crates/jobs/src/errand.rs
+++ b/crates/jobs/src/action.rs
@@ -1,16 +1,16 @@
-use dispatch::{Bid, JobVerdict};
+use protocol::{Bid, JobVerdict};
 
 /// What the keeper of jobs wants done.
 #[derive(Clone, Debug, PartialEq)]
-pub enum JobErrand {
-    /// Put a copy's bid in for a seat: front, district, bid.
+pub enum JobAction {
+    /// Put a copy's bid in for a seat: gateway, district, bid.
     Seat(String, String, Bid),
-    /// Take a copy's bid back: front, ticket.
+    /// Take a copy's bid back: gateway, ticket.
     Withdraw(String, u64),
-    /// Tell a front that its request has the claim and may leave.
+    /// Tell a gateway that its request has the claim and may leave.
     Claimed {
-        /// The front.
-        front: String,
+        /// The gateway.
+        gateway: String,
         /// Its ticket.
         ticket: u64,
         /// Number of its bid.
@@ -18,13 +18,13 @@
         /// Version of the register that bears the claim.
         version: u64,
     },
-    /// Tell a front that its request waits for the answer to another: front, ticket, number of its bid.
+    /// Tell a gateway that its request waits for the answer to another: gateway, ticket, number of its bid.
     Joined(String, u64, u32),
-    /// Tell a front what came of the job: front, ticket, number of its bid.
+    /// Tell a gateway what came of the job: gateway, ticket, number of its bid.
     Tell(String, u64, u32, JobVerdict),
-    /// Tell a front that the answer to its ticket is on the cores' disks.
+    /// Tell a gateway that the answer to its ticket is on the controllers' disks.
     Kept(String, u64),
-    /// Ask a core about a register.
+    /// Ask a controller about a register.
     Ask {
         /// Number that the answer bears.
         number: u64,
@@ -34,7 +34,7 @@
         expected: Option<u64>,
         /// The new value.
         bytes: Vec<u8>,
-        /// How often this was asked before; another core is asked each time.
+        /// How often this was asked before; another controller is asked each time.
         tries: u32,
     },
 }
--- a/crates/jobs/src/claim.rs
+++ b/crates/jobs/src/claim.rs
@@ -9,9 +9,9 @@
 /// The request that has a job's claim.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct RunnerId {
-    /// Its front.
-    pub front: String,
-    /// Life of the front.
+    /// Its gateway.
+    pub gateway: String,
+    /// Life of the gateway.
     pub incarnation: u64,
     /// Its ticket in that life.
     pub ticket: u64,
--- a/crates/jobs/src/ending.rs
+++ b/crates/jobs/src/ending.rs
@@ -1,16 +1,16 @@
 use crate::claim::{register_key, Claim, ClaimState, RunnerId, KEPT_MAX};
 use crate::job::{Copy, Debt, Job, State};
 use crate::jobs::{answer, Jobs, Purpose};
-use crate::JobErrand;
-use dispatch::{JobEnd, JobResult, JobVerdict};
+use crate::JobAction;
+use protocol::{JobEnd, JobResult, JobVerdict};
 use std::collections::BTreeSet;
 
 impl Jobs {
-    /// A front tells how a request of a job ended.
-    pub fn ended(&mut self, now: u64, front: &str, end: JobEnd) {
+    /// A gateway tells how a request of a job ended.
+    pub fn ended(&mut self, now: u64, gateway: &str, end: JobEnd) {
         let name = register_key(&end.function, &end.mark.key);
         let id = RunnerId {
-            front: front.into(),
+            gateway: gateway.into(),
             incarnation: end.mark.incarnation,
             ticket: end.ticket,
         };
@@ -52,7 +52,8 @@
             } => *runner == id && (has_run || own.is_some_and(|own| own <= attempt)),
             // Told again, since its answer is not known to be kept.
             State::Answered { debt: None, .. } if has_run && job.is_once => {
-                self.errands.push(JobErrand::Kept(front.into(), end.ticket));
+                self.actions
+                    .push(JobAction::Kept(gateway.into(), end.ticket));
                 false
             }
             State::Lost => matches!(end.result, JobResult::Answer(_) | JobResult::TooLarge),
@@ -135,21 +136,21 @@
         self.tell_all(job, &JobVerdict::MayHaveRun);
     }
 
-    /// A front is gone: what it wanted is off, and what it was let run may be running.
-    pub fn forget_front(&mut self, now: u64, front: &str) {
-        let tickets = self.tickets.iter().filter(|((name, _), _)| name == front);
+    /// A gateway is gone: what it wanted is off, and what it was let run may be running.
+    pub fn forget_gateway(&mut self, now: u64, gateway: &str) {
+        let tickets = self.tickets.iter().filter(|((name, _), _)| name == gateway);
         let names: BTreeSet<String> = tickets.map(|(_, name)| name.clone()).collect();
-        self.tickets.retain(|(name, _), _| name != front);
+        self.tickets.retain(|(name, _), _| name != gateway);
         for name in names {
             let Some(mut job) = self.take_out(&name) else {
                 continue;
             };
-            job.copies.retain(|copy| copy.id.front != front);
+            job.copies.retain(|copy| copy.id.gateway != gateway);
             match &job.state {
-                State::Claiming { runner, .. } if runner.id.front == front => {
+                State::Claiming { runner, .. } if runner.id.gateway == gateway => {
                     self.not_run(now, &name, &mut job);
                 }
-                State::Running { runner, .. } if runner.id.front == front => {
+                State::Running { runner, .. } if runner.id.gateway == gateway => {
                     let (id, attempt) = (runner.id.clone(), runner.attempt);
                     if job.is_once {
                         job.issued.clear();
--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -1,4 +1,4 @@
-use dispatch::{JobEnd, JobResult};
+use protocol::{JobEnd, JobResult};
 use std::collections::BTreeMap;
 
 /// Milliseconds after which an end is told again.
@@ -8,7 +8,7 @@
 /// Most ends that are told again.
 const ENDS_MAX: usize = 4_096;
 
-/// Answers of once-work that are not known to be on the cores' disks yet; they are told until they are.
+/// Answers of once-work that are not known to be on the controllers' disks yet; they are told until they are.
 #[derive(Default)]
 pub struct Ends {
     owed: BTreeMap<u64, (JobEnd, u64, u64)>,
@@ -24,7 +24,7 @@
         }
     }
 
-    /// An answer is on the cores' disks.
+    /// An answer is on the controllers' disks.
     pub fn kept(&mut self, ticket: u64) {
         self.owed.remove(&ticket);
     }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -1,9 +1,9 @@
 use crate::claim::RunnerId;
-use dispatch::{Bid, JobMark};
+use protocol::{Bid, JobMark};
 
 /// Most of a copy's time that goes into claiming its job, in milliseconds; half of it where that is less.
 const CLAIM_MAX_MS: u64 = 2_000;
-/// Milliseconds of silence after which another core is asked.
+/// Milliseconds of silence after which another controller is asked.
 const ASK_MS: u64 = 100;
 /// Milliseconds for which a write is owed.
 const OWED_MS: u64 = 60_000;
@@ -21,11 +21,11 @@
 }
 
 impl Copy {
-    pub fn new(now: u64, front: &str, district: &str, bid: Bid, mark: &JobMark) -> Self {
+    pub fn new(now: u64, gateway: &str, district: &str, bid: Bid, mark: &JobMark) -> Self {
         let budget = u64::from(bid.budget_ms);
         Self {
             id: RunnerId {
-                front: front.into(),
+                gateway: gateway.into(),
                 incarnation: mark.incarnation,
                 ticket: bid.ticket,
             },
@@ -80,7 +80,7 @@
     Lost,
 }
 
-/// A write that is owed to the cores and asked for again and again.
+/// A write that is owed to the controllers and asked for again and again.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Debt {
     pub asked_at: u64,
@@ -108,7 +108,7 @@
     }
 }
 
-/// Milliseconds of silence after which a core is asked again, after so many tries.
+/// Milliseconds of silence after which a controller is asked again, after so many tries.
 pub(crate) fn pause(tries: u32) -> u64 {
     ASK_MS << tries.min(3)
 }
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -1,7 +1,7 @@
+use crate::action::JobAction;
 use crate::claim::{register_key, Claim, ClaimState};
-use crate::errand::JobErrand;
 use crate::job::{Copy, Debt, Job, State};
-use dispatch::{Bid, JobVerdict};
+use protocol::{Bid, JobVerdict};
 use speedy::Writable;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -10,7 +10,7 @@
 /// Milliseconds after which a request comes back that was not run.
 pub(crate) const RETRY_AFTER_MS: u32 = 250;
 
-/// What a question to a core was for.
+/// What a question to a controller was for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Purpose {
     /// The claim of this number.
@@ -19,11 +19,11 @@
     Free,
     /// To keep the answer.
     Keep,
-    /// To see what became of a job; whether its runner's front is known to be gone.
+    /// To see what became of a job; whether its runner's gateway is known to be gone.
     Look(bool),
 }
 
-/// The keeper of jobs of all functions that fell to one front. A pure machine: `now` is a steady clock in
+/// The keeper of jobs of all functions that fell to one gateway. A pure machine: `now` is a steady clock in
 /// milliseconds.
 pub struct Jobs {
     pub(crate) life: u64,
@@ -33,13 +33,13 @@
     pub(crate) asks: HashMap<u64, (String, Purpose, u64)>,
     pub(crate) busy: BTreeSet<String>,
     pub(crate) queue: VecDeque<(u64, String)>,
-    pub(crate) errands: Vec<JobErrand>,
+    pub(crate) actions: Vec<JobAction>,
     number: u64,
     pub(crate) bytes: usize,
 }
 
 impl Jobs {
-    /// The keeper of jobs in one life of a front. No job may run for as long as jobs are remembered.
+    /// The keeper of jobs in one life of a gateway. No job may run for as long as jobs are remembered.
     pub fn new(life: u64, remembered_ms: u64) -> Self {
         Self {
             life,
@@ -49,15 +49,15 @@
             asks: HashMap::new(),
             busy: BTreeSet::new(),
             queue: VecDeque::new(),
-            errands: Vec::new(),
+            actions: Vec::new(),
             number: 0,
             bytes: 0,
         }
     }
 
     /// What is to be done now.
-    pub fn errands(&mut self) -> Vec<JobErrand> {
-        std::mem::take(&mut self.errands)
+    pub fn actions(&mut self) -> Vec<JobAction> {
+        std::mem::take(&mut self.actions)
     }
 
     /// Jobs known here.
@@ -75,13 +75,13 @@
         self.bytes
     }
 
-    /// A front's request of a job wants to run. A bid without a mark is not for this machine.
-    pub fn arrive(&mut self, now: u64, front: &str, district: &str, bid: Bid) {
+    /// A gateway's request of a job wants to run. A bid without a mark is not for this machine.
+    pub fn arrive(&mut self, now: u64, gateway: &str, district: &str, bid: Bid) {
         let Some(mark) = bid.job.clone() else {
             return;
         };
         let name = register_key(&bid.function, &mark.key);
-        let copy = Copy::new(now, front, district, bid, &mark);
+        let copy = Copy::new(now, gateway, district, bid, &mark);
         let Some(mut job) = self.take_out(&name).or_else(|| self.begin(now, &name)) else {
             return self.tell(&copy, JobVerdict::NotRun(RETRY_AFTER_MS));
         };
@@ -100,7 +100,7 @@
     }
 
     fn admit(&mut self, now: u64, name: &str, job: &mut Job, copy: Copy) {
-        let holder = (copy.id.front.clone(), copy.id.ticket);
+        let holder = (copy.id.gateway.clone(), copy.id.ticket);
         match &job.state {
             State::Idle => self.start(now, name, job, copy),
             State::Answered { packed, .. } => {
@@ -122,7 +122,7 @@
                     *refused = None;
                 }
             }
-            // Its front bids again, so that it is not running.
+            // Its gateway bids again, so that it is not running.
             State::Elsewhere { runner, .. } if *runner == copy.id => {
                 self.start(now, name, job, copy);
             }
@@ -166,7 +166,7 @@
         self.ask_claim(now, name, job);
     }
 
-    /// Asks a core for the claim that is wanted.
+    /// Asks a controller for the claim that is wanted.
     pub(crate) fn ask_claim(&mut self, now: u64, name: &str, job: &Job) {
         let State::Claiming {
             runner,
@@ -201,7 +201,7 @@
         let bytes = write
             .as_ref()
             .and_then(|(_, value)| value.write_to_vec().ok());
-        self.errands.push(JobErrand::Ask {
+        self.actions.push(JobAction::Ask {
             number,
             key: name.to_string(),
             expected: write.map(|(expected, _)| expected),
@@ -232,21 +232,21 @@
         self.ask(now, name, Purpose::Free, Some((job.version, value)), tries);
     }
 
-    /// A front's request got no seat from its keeper. Whether this machine sees to it.
-    pub fn refused(&mut self, now: u64, front: &str, ticket: u64, after_ms: u32) -> bool {
-        let holder = (front.to_string(), ticket);
+    /// A gateway's request got no seat from its keeper. Whether this machine sees to it.
+    pub fn refused(&mut self, now: u64, gateway: &str, ticket: u64, after_ms: u32) -> bool {
+        let holder = (gateway.to_string(), ticket);
         let Some(name) = self.tickets.get(&holder).cloned() else {
             return false;
         };
         let Some(mut job) = self.take_out(&name) else {
             return false;
         };
-        let is_holder = |copy: &Copy| copy.id.front == front && copy.id.ticket == ticket;
+        let is_holder = |copy: &Copy| copy.id.gateway == gateway && copy.id.ticket == ticket;
         let is_runner = job.runner().is_some_and(is_holder);
         match &mut job.state {
             // Another copy may have run it before, which the claim tells.
             State::Claiming { refused, .. } if is_runner => *refused = Some(after_ms),
-            // Its front alone knows that it has not left, and says so.
+            // Its gateway alone knows that it has not left, and says so.
             State::Running { runner, .. } if is_runner => {
                 let runner = runner.clone();
                 self.tell(&runner, JobVerdict::NotRun(after_ms));
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -1,11 +1,12 @@
 //! One job behind several copies of a request: the function's keeper lets one copy run it and gives all others its
-//! answer. What may run once at most is claimed in a register on the cores' disks before it leaves for a runner.
+//! answer. What may run once at most is claimed in a register on the controllers' disks before it leaves for a runner.
 //! Pure machines; the daemons run them.
+#![warn(missing_docs)]
 
+mod action;
 mod claim;
 mod ending;
 mod ends;
-mod errand;
 mod job;
 mod jobs;
 mod pass;
@@ -13,8 +14,8 @@
 mod table;
 mod telling;
 
+pub use action::JobAction;
 pub use claim::{digest, is_key, register_key, Claim, ClaimState, RunnerId, KEPT_MAX, KEY_MAX};
 pub use ends::Ends;
-pub use errand::JobErrand;
 pub use jobs::Jobs;
 pub use pass::Pass;
--- a/crates/jobs/src/pass.rs
+++ b/crates/jobs/src/pass.rs
@@ -1,6 +1,6 @@
-use dispatch::{JobEnd, JobMark, JobResult};
+use protocol::{JobEnd, JobMark, JobResult};
 
-/// A front's part in the job of one of its requests: whether the request may leave for a runner. Each bid takes
+/// A gateway's part in the job of one of its requests: whether the request may leave for a runner. Each bid takes
 /// back all that was told about an earlier one.
 #[derive(Clone, Debug)]
 pub struct Pass {
@@ -74,7 +74,7 @@
         self.is_joined || !self.may_leave()
     }
 
-    /// Life of the front and number of the bid.
+    /// Life of the gateway and number of the bid.
     pub fn mark(&self) -> &JobMark {
         &self.mark
     }
--- a/crates/jobs/src/saying.rs
+++ b/crates/jobs/src/saying.rs
@@ -1,14 +1,14 @@
 use crate::claim::{Claim, ClaimState};
 use crate::job::{pause, Copy, Job, State};
 use crate::jobs::{answer, Jobs, Purpose, RETRY_AFTER_MS};
-use dispatch::{JobVerdict, RegisterSaid};
+use protocol::{JobVerdict, RegisterSaid};
 use speedy::Readable;
 
 /// Milliseconds between looks at the register of a job that others wait for.
 const LOOK_MS: u64 = 250;
-/// Milliseconds after which a front that is on no roster counts as gone.
+/// Milliseconds after which a gateway that is on no roster counts as gone.
 const GONE_MS: u64 = 2_000;
-/// Milliseconds for which an answer of a core is waited for.
+/// Milliseconds for which an answer of a controller is waited for.
 const ANSWER_MS: u64 = 10_000;
 
 fn read(bytes: &[u8]) -> Claim {
@@ -17,7 +17,7 @@
 }
 
 impl Jobs {
-    /// A core's answer to a question.
+    /// A controller's answer to a question.
     pub fn said(&mut self, now: u64, number: u64, said: RegisterSaid) {
         let Some((name, purpose, _)) = self.asks.remove(&number) else {
             return;
@@ -69,8 +69,8 @@
             self.turn_away(&runner, after);
             return self.not_run(now, name, job);
         }
-        self.errands.push(crate::JobErrand::Claimed {
-            front: runner.id.front.clone(),
+        self.actions.push(crate::JobAction::Claimed {
+            gateway: runner.id.gateway.clone(),
             ticket: runner.id.ticket,
             attempt: runner.attempt,
             version,
@@ -198,8 +198,8 @@
         if let State::Answered { debt, .. } = &mut job.state {
             *debt = None;
         }
-        self.errands
-            .push(crate::JobErrand::Kept(id.front, id.ticket));
+        self.actions
+            .push(crate::JobAction::Kept(id.gateway, id.ticket));
     }
 
     fn looked(
@@ -238,7 +238,7 @@
         }
     }
 
-    /// Sees to what is due; called often. `is_gone` says whether a front is surely not in a life any more.
+    /// Sees to what is due; called often. `is_gone` says whether a gateway is surely not in a life any more.
     pub fn tick(&mut self, now: u64, is_gone: impl Fn(&str, u64) -> bool) {
         self.asks.retain(|_, (_, _, at)| now < *at + ANSWER_MS);
         let names: Vec<String> = self.busy.iter().cloned().collect();
@@ -313,7 +313,7 @@
             } if !job.copies.is_empty() && now >= *looked_at + LOOK_MS => {
                 *looked_at = now;
                 let is_old = now >= *since + GONE_MS;
-                let is_gone = is_old && is_gone(&runner.front, runner.incarnation);
+                let is_gone = is_old && is_gone(&runner.gateway, runner.incarnation);
                 self.ask(now, name, Purpose::Look(is_gone), None, 0);
             }
             State::Idle => self.tend_free(now, name, job),
--- a/crates/jobs/src/telling.rs
+++ b/crates/jobs/src/telling.rs
@@ -1,32 +1,32 @@
 use crate::claim::RunnerId;
 use crate::job::{Copy, Job};
 use crate::jobs::Jobs;
-use crate::JobErrand;
-use dispatch::JobVerdict;
+use crate::JobAction;
+use protocol::JobVerdict;
 
 impl Jobs {
     pub(crate) fn seat(&mut self, now: u64, copy: &Copy) {
-        let front = copy.id.front.clone();
-        let errand = JobErrand::Seat(front, copy.district.clone(), copy.bid_now(now));
-        self.errands.push(errand);
+        let gateway = copy.id.gateway.clone();
+        let action = JobAction::Seat(gateway, copy.district.clone(), copy.bid_now(now));
+        self.actions.push(action);
     }
 
     pub(crate) fn unseat(&mut self, copy: &Copy) {
-        let errand = JobErrand::Withdraw(copy.id.front.clone(), copy.id.ticket);
-        self.errands.push(errand);
+        let action = JobAction::Withdraw(copy.id.gateway.clone(), copy.id.ticket);
+        self.actions.push(action);
     }
 
     pub(crate) fn join(&mut self, copy: &Copy) {
-        let front = copy.id.front.clone();
-        let errand = JobErrand::Joined(front, copy.id.ticket, copy.attempt);
-        self.errands.push(errand);
+        let gateway = copy.id.gateway.clone();
+        let action = JobAction::Joined(gateway, copy.id.ticket, copy.attempt);
+        self.actions.push(action);
     }
 
     /// Tells a copy what came of the job; it waits no more.
     pub(crate) fn tell(&mut self, copy: &Copy, verdict: JobVerdict) {
-        let front = copy.id.front.clone();
-        let errand = JobErrand::Tell(front, copy.id.ticket, copy.attempt, verdict);
-        self.errands.push(errand);
+        let gateway = copy.id.gateway.clone();
+        let action = JobAction::Tell(gateway, copy.id.ticket, copy.attempt, verdict);
+        self.actions.push(action);
     }
 
     /// Tells all copies that wait.
@@ -38,6 +38,6 @@
     }
 
     pub(crate) fn unlist(&mut self, id: &RunnerId) {
-        self.tickets.remove(&(id.front.clone(), id.ticket));
+        self.tickets.remove(&(id.gateway.clone(), id.ticket));
     }
 }
--- a/crates/jobs/tests/machine.rs
+++ b/crates/jobs/tests/machine.rs
@@ -1,8 +1,8 @@
 //! The keeper of jobs alone: whatever comes, in whatever order, it stays bounded and says what it must.
 
-use dispatch::{Bid, JobEnd, JobMark, JobResult, JobVerdict, RegisterSaid};
 use fuzzing::seeded;
-use jobs::{digest, is_key, register_key, Claim, ClaimState, JobErrand, Jobs, RunnerId};
+use jobs::{digest, is_key, register_key, Claim, ClaimState, JobAction, Jobs, RunnerId};
+use protocol::{Bid, JobEnd, JobMark, JobResult, JobVerdict, RegisterSaid};
 use speedy::{Readable, Writable};
 
 fn bid(ticket: u64, key: &str, is_once: bool) -> Bid {
@@ -35,9 +35,9 @@
     }
 }
 
-fn ask_of(errands: &[JobErrand]) -> Option<(u64, Option<u64>, Claim)> {
-    errands.iter().find_map(|errand| match errand {
-        JobErrand::Ask {
+fn ask_of(actions: &[JobAction]) -> Option<(u64, Option<u64>, Claim)> {
+    actions.iter().find_map(|action| match action {
+        JobAction::Ask {
             number,
             expected,
             bytes,
@@ -50,17 +50,17 @@
     })
 }
 
-fn verdicts(errands: &[JobErrand]) -> Vec<(u64, JobVerdict)> {
-    let told = errands.iter().filter_map(|errand| match errand {
-        JobErrand::Tell(_, ticket, _, verdict) => Some((*ticket, verdict.clone())),
+fn verdicts(actions: &[JobAction]) -> Vec<(u64, JobVerdict)> {
+    let told = actions.iter().filter_map(|action| match action {
+        JobAction::Tell(_, ticket, _, verdict) => Some((*ticket, verdict.clone())),
         _ => None,
     });
     told.collect()
 }
 
-fn may_leave(errands: &[JobErrand]) -> Vec<u64> {
-    let claimed = errands.iter().filter_map(|errand| match errand {
-        JobErrand::Claimed { ticket, .. } => Some(*ticket),
+fn may_leave(actions: &[JobAction]) -> Vec<u64> {
+    let claimed = actions.iter().filter_map(|action| match action {
+        JobAction::Claimed { ticket, .. } => Some(*ticket),
         _ => None,
     });
     claimed.collect()
@@ -70,36 +70,36 @@
 fn the_seat_is_bid_for_while_the_claim_is_written() {
     let mut jobs = Jobs::new(1, 600_000);
     jobs.arrive(0, "g1", "a", bid(4, "k", true));
-    let errands = jobs.errands();
-    assert!(matches!(&errands[0], JobErrand::Seat(front, _, _) if front == "g1"));
-    let (number, expected, claim) = ask_of(&errands).unwrap();
+    let actions = jobs.actions();
+    assert!(matches!(&actions[0], JobAction::Seat(gateway, _, _) if gateway == "g1"));
+    let (number, expected, claim) = ask_of(&actions).unwrap();
     assert_eq!((expected, claim.state), (Some(0), ClaimState::Taken));
-    assert!(may_leave(&errands).is_empty());
+    assert!(may_leave(&actions).is_empty());
     jobs.said(3, number, RegisterSaid::Written(1));
-    assert_eq!(may_leave(&jobs.errands()), [4]);
+    assert_eq!(may_leave(&jobs.actions()), [4]);
 }
 
 #[test]
-fn work_that_may_run_twice_asks_no_core() {
+fn work_that_may_run_twice_asks_no_controller() {
     let mut jobs = Jobs::new(1, 600_000);
     jobs.arrive(0, "g1", "a", bid(4, "k", false));
     jobs.arrive(1, "g2", "a", bid(9, "k", false));
-    let errands = jobs.errands();
-    assert!(ask_of(&errands).is_none());
-    let seats = errands
+    let actions = jobs.actions();
+    assert!(ask_of(&actions).is_none());
+    let seats = actions
         .iter()
-        .filter(|one| matches!(one, JobErrand::Seat(..)));
+        .filter(|one| matches!(one, JobAction::Seat(..)));
     assert_eq!(seats.count(), 1);
     // The first fails: the copy that waited runs, and is not dropped.
     jobs.ended(5, "g1", end(4, "k", false, JobResult::Lost));
-    let errands = jobs.errands();
+    let actions = jobs.actions();
     assert!(
-        matches!(&errands[0], JobErrand::Seat(front, _, bid) if front == "g2" && bid.ticket == 9)
+        matches!(&actions[0], JobAction::Seat(gateway, _, bid) if gateway == "g2" && bid.ticket == 9)
     );
     jobs.ended(9, "g2", end(9, "k", false, JobResult::Answer(vec![1])));
     jobs.arrive(10, "g3", "a", bid(2, "k", false));
     assert_eq!(
-        verdicts(&jobs.errands()),
+        verdicts(&jobs.actions()),
         [(2, JobVerdict::Answer(vec![1]))]
     );
 }
@@ -108,9 +108,9 @@
 fn a_seat_refused_before_the_claim_is_known_is_no_promise_yet() {
     let mut jobs = Jobs::new(1, 600_000);
     jobs.arrive(0, "g1", "a", bid(4, "k", true));
-    let (number, _, _) = ask_of(&jobs.errands()).unwrap();
+    let (number, _, _) = ask_of(&jobs.actions()).unwrap();
     assert!(jobs.refused(1, "g1", 4, 300));
-    assert!(jobs.errands().is_empty());
+    assert!(jobs.actions().is_empty());
     let done = Claim {
         digest: digest("POST", "/sign", b"build"),
         runner: RunnerId::default(),
@@ -119,24 +119,24 @@
     };
     let found = RegisterSaid::Found(2, done.write_to_vec().unwrap());
     jobs.said(2, number, found);
-    let told = verdicts(&jobs.errands());
+    let told = verdicts(&jobs.actions());
     assert_eq!(told, [(4, JobVerdict::Answer(vec![5]))]);
 }
 
 #[test]
-fn without_cores_once_work_is_told_in_half_its_time_that_it_was_not_run() {
+fn without_controllers_once_work_is_told_in_half_its_time_that_it_was_not_run() {
     let mut jobs = Jobs::new(1, 600_000);
     jobs.arrive(0, "g1", "a", bid(4, "k", true));
     for now in (0..1_999).step_by(50) {
         jobs.tick(now, |_, _| false);
     }
-    assert!(verdicts(&jobs.errands()).is_empty());
+    assert!(verdicts(&jobs.actions()).is_empty());
     jobs.tick(2_000, |_, _| false);
-    let errands = jobs.errands();
-    let told = verdicts(&errands);
+    let actions = jobs.actions();
+    let told = verdicts(&actions);
     assert!(matches!(told[..], [(4, JobVerdict::NotRun(_))]));
     // The claim may come to stand all the same: it is taken back.
-    let (_, _, claim) = ask_of(&errands).unwrap();
+    let (_, _, claim) = ask_of(&actions).unwrap();
     assert_eq!(claim.state, ClaimState::Free);
 }
 
@@ -156,7 +156,7 @@
 fn the_table_is_bounded_and_what_runs_is_never_pushed_out() {
     let mut jobs = Jobs::new(1, 600_000);
     jobs.arrive(0, "g1", "a", bid(1, "running", true));
-    let (number, _, _) = ask_of(&jobs.errands()).unwrap();
+    let (number, _, _) = ask_of(&jobs.actions()).unwrap();
     jobs.said(0, number, RegisterSaid::Written(1));
     for ticket in 2..60_000 {
         let key = format!("k{ticket}");
@@ -167,14 +167,14 @@
         if is_once {
             jobs.tick(ticket, |_, _| false);
         }
-        jobs.errands();
+        jobs.actions();
     }
     assert!(jobs.len() <= 50_000 && jobs.bytes() <= 32 << 20);
     jobs.arrive(60_000, "g2", "a", bid(1, "running", true));
-    let errands = jobs.errands();
+    let actions = jobs.actions();
     assert!(
-        matches!(errands[..], [JobErrand::Joined(..)]),
-        "{errands:?}"
+        matches!(actions[..], [JobAction::Joined(..)]),
+        "{actions:?}"
     );
     jobs.tick(2_000_000, |_, _| true);
     assert!(jobs.len() <= 1, "{} jobs are old", jobs.len());
@@ -186,13 +186,13 @@
         let (mut now, mut asks) = (0, Vec::new());
         for (deed, one, other) in deeds {
             let (ticket, key) = (u64::from(one % 4), format!("k{}", other % 2));
-            let front = if one % 8 < 4 { "g1" } else { "g2" };
+            let gateway = if one % 8 < 4 { "g1" } else { "g2" };
             match deed % 8 {
-                0 | 1 => jobs.arrive(now, front, "a", bid(ticket, &key, true)),
+                0 | 1 => jobs.arrive(now, gateway, "a", bid(ticket, &key, true)),
                 2 => {
                     let results = [JobResult::NotRun, JobResult::Lost, JobResult::Answer(vec![one])];
                     let result = results[usize::from(other) % 3].clone();
-                    jobs.ended(now, front, end(ticket, &key, true, result));
+                    jobs.ended(now, gateway, end(ticket, &key, true, result));
                 }
                 3 if !asks.is_empty() => {
                     let number = asks.remove(usize::from(one) % asks.len());
@@ -204,17 +204,17 @@
                     jobs.said(now, number, said);
                 }
                 4 => {
-                    jobs.refused(now, front, ticket, 100);
+                    jobs.refused(now, gateway, ticket, 100);
                 }
-                5 => jobs.forget_front(now, front),
+                5 => jobs.forget_gateway(now, gateway),
                 _ => {
                     now += u64::from(other);
                     jobs.tick(now, |_, life| life != 7);
                 }
             }
-            let errands = jobs.errands();
-            asks.extend(errands.iter().filter_map(|errand| match errand {
-                JobErrand::Ask { number, .. } => Some(*number),
+            let actions = jobs.actions();
+            asks.extend(actions.iter().filter_map(|action| match action {
+                JobAction::Ask { number, .. } => Some(*number),
                 _ => None,
             }));
         }
--- a/crates/jobs/tests/town/cores.rs
+++ b/crates/jobs/tests/town/controllers.rs
@@ -1,5 +1,5 @@
 use super::{Event, Town, MS};
-use dispatch::{Message, RegisterSaid};
+use protocol::{Message, RegisterSaid};
 use rand::Rng;
 use register::{
     Acceptor, Ballot, Change, Outcome, Proposal, ProposalStep, Record, VoterAsk, VoterMessage,
@@ -7,7 +7,7 @@
 };
 use std::collections::BTreeMap;
 
-/// Milliseconds in which a proposal ends, as in the council.
+/// Milliseconds in which a proposal ends, as in the consensus.
 const BUDGET_MS: u64 = 1_500;
 
 struct Asked {
@@ -18,8 +18,8 @@
     until: u64,
 }
 
-/// A core: its voter, and proposals for gateways.
-pub struct Core {
+/// A controller: its voter, and proposals for gateways.
+pub struct Controller {
     pub is_up: bool,
     pub life: u64,
     pub acceptor: Acceptor,
@@ -41,7 +41,7 @@
     }
 }
 
-impl Core {
+impl Controller {
     pub fn new(place: usize, count: usize) -> Self {
         let mut acceptor = Acceptor::default();
         let formed = acceptor.form(voters(count));
@@ -69,7 +69,7 @@
 }
 
 impl Town {
-    pub fn core_asked(&mut self, place: usize, from: (usize, u64), message: Message) {
+    pub fn controller_asked(&mut self, place: usize, from: (usize, u64), message: Message) {
         let Message::JobAsk {
             number,
             key,
@@ -80,19 +80,19 @@
             return;
         };
         let (now, tag) = (self.now, self.random.random::<u64>() | 1);
-        let core = &mut self.cores[place];
-        if !core.is_up {
+        let controller = &mut self.controllers[place];
+        if !controller.is_up {
             return;
         }
         let change = expected.map_or(Change::Read, |expected| Change::Write { expected, bytes });
-        core.counter += 1;
+        controller.counter += 1;
         let ballot = Ballot {
-            counter: core.counter,
-            proposer: core.life,
+            counter: controller.counter,
+            proposer: controller.life,
         };
         let (proposal, ask) = Proposal::start(&key, change, tag, ballot, 3);
-        core.last += 1;
-        let id = core.last;
+        controller.last += 1;
+        let id = controller.last;
         let is_write = expected.is_some();
         let asked = Asked {
             proposal,
@@ -101,20 +101,20 @@
             number: number << 1 | u64::from(is_write),
             until: now + BUDGET_MS * MS,
         };
-        core.asked.insert(id, asked);
-        let life = core.life;
+        controller.asked.insert(id, asked);
+        let life = controller.life;
         self.ask_all(place, id, &ask);
         self.later(BUDGET_MS * MS, Event::Over(place, life, id));
     }
 
     fn ask_all(&mut self, place: usize, id: u64, ask: &VoterAsk) {
-        let core = &mut self.cores[place];
-        core.last += 1;
-        let (life, ask_number) = (core.life, core.last);
-        if let Some(asked) = core.asked.get_mut(&id) {
+        let controller = &mut self.controllers[place];
+        controller.last += 1;
+        let (life, ask_number) = (controller.life, controller.last);
+        if let Some(asked) = controller.asked.get_mut(&id) {
             asked.ask_number = ask_number;
         }
-        for to in 0..self.cores.len() {
+        for to in 0..self.controllers.len() {
             let delay = if to == place { 1 } else { self.hop() };
             let message = VoterMessage {
                 mark: (1, 1),
@@ -135,13 +135,13 @@
         ask: (u64, u64),
         message: VoterMessage,
     ) {
-        let core = &mut self.cores[place];
-        if !core.is_up {
+        let controller = &mut self.controllers[place];
+        if !controller.is_up {
             return;
         }
-        let (record, reply) = core.acceptor.handle(message);
+        let (record, reply) = controller.acceptor.handle(message);
         let syncs = record.is_some();
-        core.records.extend(record);
+        controller.records.extend(record);
         let sync = if syncs {
             self.random.random_range(300..1_500)
         } else {
@@ -160,11 +160,11 @@
         reply: VoterReply,
     ) {
         let now = self.now;
-        let core = &mut self.cores[place];
-        if !core.is_up || core.life != life {
+        let controller = &mut self.controllers[place];
+        if !controller.is_up || controller.life != life {
             return;
         }
-        let Some(asked) = core.asked.get_mut(&id) else {
+        let Some(asked) = controller.asked.get_mut(&id) else {
             return;
         };
         if asked.ask_number != number {
@@ -184,79 +184,82 @@
                 asked.ask_number = 0;
                 self.later(100 * MS, Event::Again(place, life, id, 0));
             }
-            ProposalStep::Done(outcome) => self.core_done(place, id, outcome),
+            ProposalStep::Done(outcome) => self.controller_done(place, id, outcome),
         }
     }
 
     pub fn propose_again(&mut self, place: usize, life: u64, id: u64, above: u64) {
-        let core = &mut self.cores[place];
-        if !core.is_up || core.life != life {
+        let controller = &mut self.controllers[place];
+        if !controller.is_up || controller.life != life {
             return;
         }
-        core.counter = core.counter.max(above) + 1;
+        controller.counter = controller.counter.max(above) + 1;
         let ballot = Ballot {
-            counter: core.counter,
-            proposer: core.life,
+            counter: controller.counter,
+            proposer: controller.life,
         };
-        if let Some(asked) = core.asked.get_mut(&id) {
+        if let Some(asked) = controller.asked.get_mut(&id) {
             let ask = asked.proposal.again(ballot);
             self.ask_all(place, id, &ask);
         }
     }
 
     pub fn proposal_over(&mut self, place: usize, life: u64, id: u64) {
-        let core = &self.cores[place];
-        if !core.is_up || core.life != life {
+        let controller = &self.controllers[place];
+        if !controller.is_up || controller.life != life {
             return;
         }
-        if let Some(asked) = core.asked.get(&id) {
+        if let Some(asked) = controller.asked.get(&id) {
             let outcome = asked.proposal.give_up();
-            self.core_done(place, id, outcome);
+            self.controller_done(place, id, outcome);
         }
     }
 
-    fn core_done(&mut self, place: usize, id: u64, outcome: Outcome) {
-        let Some(asked) = self.cores[place].asked.remove(&id) else {
+    fn controller_done(&mut self, place: usize, id: u64, outcome: Outcome) {
+        let Some(asked) = self.controllers[place].asked.remove(&id) else {
             return;
         };
         let said = said_of(outcome, asked.number & 1 == 1);
         let (node, life) = asked.from;
         let way = self.hop();
-        self.later(way, Event::CoreSaid(node, life, asked.number >> 1, said));
+        self.later(
+            way,
+            Event::ControllerSaid(node, life, asked.number >> 1, said),
+        );
     }
 
-    pub fn kill_core(&mut self, place: usize) {
-        let core = &mut self.cores[place];
-        core.is_up = false;
-        core.asked.clear();
-        core.life += 10;
-        core.counter = 0;
+    pub fn kill_controller(&mut self, place: usize) {
+        let controller = &mut self.controllers[place];
+        controller.is_up = false;
+        controller.asked.clear();
+        controller.life += 10;
+        controller.counter = 0;
     }
 
-    /// A core comes back with what its disk holds.
-    pub fn boot_core(&mut self, place: usize) {
-        let core = &mut self.cores[place];
-        if core.is_up {
+    /// A controller comes back with what its disk holds.
+    pub fn boot_controller(&mut self, place: usize) {
+        let controller = &mut self.controllers[place];
+        if controller.is_up {
             return;
         }
-        core.is_up = true;
-        core.acceptor = Acceptor::default();
-        for record in core.records.clone() {
-            core.acceptor.replay(record);
+        controller.is_up = true;
+        controller.acceptor = Acceptor::default();
+        for record in controller.records.clone() {
+            controller.acceptor.replay(record);
         }
-        core.acceptor.restore_digests();
-        let (life, span) = (core.life, self.weather.remembered_ms * MS);
+        controller.acceptor.restore_digests();
+        let (life, span) = (controller.life, self.weather.remembered_ms * MS);
         self.later(span, Event::TurnJobs(place, life));
     }
 
-    /// One span of remembering is over at a core.
+    /// One span of remembering is over at a controller.
     pub fn turn_jobs(&mut self, place: usize, life: u64) {
-        let core = &mut self.cores[place];
-        if !core.is_up || core.life != life {
+        let controller = &mut self.controllers[place];
+        if !controller.is_up || controller.life != life {
             return;
         }
-        let record = core.acceptor.turn_jobs();
-        core.records.extend(record);
+        let record = controller.acceptor.turn_jobs();
+        controller.records.extend(record);
         let span = self.weather.remembered_ms * MS;
         self.later(span, Event::TurnJobs(place, life));
     }
--- a/crates/jobs/tests/town/faults.rs
+++ b/crates/jobs/tests/town/faults.rs
@@ -51,16 +51,16 @@
                 self.break_link(place, other);
             }
             7 => {
-                let core = self.random.random_range(0..self.cores.len());
-                self.kill_core(core);
+                let controller = self.random.random_range(0..self.controllers.len());
+                self.kill_controller(controller);
                 let delay = self.random.random_range(50..4_000) * MS;
-                self.later(delay, Event::CoreBoot(core));
+                self.later(delay, Event::ControllerBoot(controller));
             }
             8 => {
-                for core in 0..self.cores.len() {
-                    self.kill_core(core);
+                for controller in 0..self.controllers.len() {
+                    self.kill_controller(controller);
                     let delay = self.random.random_range(50..1_500) * MS;
-                    self.later(delay, Event::CoreBoot(core));
+                    self.later(delay, Event::ControllerBoot(controller));
                 }
             }
             _ => {
@@ -81,8 +81,8 @@
         for place in 0..self.nodes.len() {
             self.later(0, Event::Boot(place));
         }
-        for core in 0..self.cores.len() {
-            self.later(0, Event::CoreBoot(core));
+        for controller in 0..self.controllers.len() {
+            self.later(0, Event::ControllerBoot(controller));
         }
         self.run(2_500);
     }
--- a/crates/jobs/tests/town/front.rs
+++ b/crates/jobs/tests/town/gateway.rs
@@ -1,9 +1,9 @@
 use super::oracle::is_once;
 use super::{Event, Told, Town, FUNCTION, MS};
-use dispatch::{Bid, FunctionNews, JobResult, Message, Outcome, RunnerNews, RunnerStage};
 use jobs::{digest, Ends, Jobs, Pass};
+use protocol::{Bid, FunctionNews, JobResult, Message, Outcome, RunnerNews, RunnerStage};
 use rand::Rng;
-use seating::{elect, Keeper};
+use seat_leases::{elect, Keeper};
 use std::collections::BTreeMap;
 
 const SUSPECT_MS: u64 = 1_500;
@@ -26,7 +26,7 @@
     pub may_have_run: bool,
 }
 
-/// A gateway: fronts requests, keeps functions and jobs.
+/// A gateway: gateways requests, keeps functions and jobs.
 pub struct Node {
     pub name: String,
     pub life: u64,
@@ -98,8 +98,8 @@
         let roster = &self.roster;
         let node = &mut self.nodes[place];
         node.keeper.tick(now);
-        node.jobs.tick(now, |front, incarnation| {
-            let member = roster.iter().find(|member| member.name == front);
+        node.jobs.tick(now, |gateway, incarnation| {
+            let member = roster.iter().find(|member| member.name == gateway);
             member.is_none_or(|member| member.incarnation != incarnation)
         });
         for end in node.ends.due(now) {
@@ -107,7 +107,7 @@
                 self.tell_end(place, &keeper, end);
             }
         }
-        self.run_errands(place);
+        self.run_actions(place);
         self.later(50 * MS, Event::Tick(place, life));
     }
 
@@ -171,7 +171,7 @@
         };
         if keeper == node.name {
             node.jobs.arrive(now, &keeper, "", bid);
-            return self.run_errands(place);
+            return self.run_actions(place);
         }
         let peer = self.place_of(&keeper).unwrap();
         self.send(place, peer, Message::Bid(bid));
@@ -225,7 +225,7 @@
             self.withdraw(place, number);
             self.place_bid(place, number);
         }
-        self.run_errands(place);
+        self.run_actions(place);
     }
 
     pub fn drop_peer(&mut self, place: usize, peer: usize) {
@@ -233,8 +233,8 @@
         let name = self.nodes[peer].name.clone();
         let node = &mut self.nodes[place];
         node.suspects.insert(name.clone(), now + SUSPECT_MS);
-        node.keeper.forget_front(now, &name);
-        node.jobs.forget_front(now, &name);
+        node.keeper.forget_gateway(now, &name);
+        node.jobs.forget_gateway(now, &name);
         self.move_waiting(place);
     }
 
@@ -262,7 +262,7 @@
         };
         self.withdraw(place, number);
         self.finish(place, number, told, JobResult::NotRun);
-        self.run_errands(place);
+        self.run_actions(place);
     }
 
     pub fn client_left(&mut self, place: usize, life: u64, number: u64) {
@@ -279,7 +279,7 @@
         if matches!(ticket.stage, Stage::Waiting(_) | Stage::Resting) {
             self.withdraw(place, number);
             self.nodes[place].tickets.remove(&number);
-            self.run_errands(place);
+            self.run_actions(place);
         }
     }
 }
--- a/crates/jobs/tests/town/hearing.rs
+++ b/crates/jobs/tests/town/hearing.rs
@@ -1,8 +1,8 @@
-use super::front::Stage;
+use super::gateway::Stage;
 use super::{Event, Told, Town};
-use dispatch::{JobResult, JobVerdict, Message};
-use jobs::JobErrand;
-use seating::Errand;
+use jobs::JobAction;
+use protocol::{JobResult, JobVerdict, Message};
+use seat_leases::Action;
 
 impl Town {
     pub fn hear(&mut self, place: usize, from: usize, message: Message) {
@@ -33,53 +33,55 @@
             Message::JobKept(ticket) => node.ends.kept(ticket),
             _ => {}
         }
-        self.run_errands(place);
+        self.run_actions(place);
     }
 
-    pub fn run_errands(&mut self, place: usize) {
+    pub fn run_actions(&mut self, place: usize) {
         loop {
             let node = &mut self.nodes[place];
-            let (seats, jobs) = (node.keeper.errands(), node.jobs.errands());
+            let (seats, jobs) = (node.keeper.actions(), node.jobs.actions());
             if seats.is_empty() && jobs.is_empty() {
                 return;
             }
-            for errand in seats {
-                self.seat_errand(place, errand);
+            for action in seats {
+                self.seat_action(place, action);
             }
-            for errand in jobs {
-                self.job_errand(place, errand);
+            for action in jobs {
+                self.job_action(place, action);
             }
         }
     }
 
-    pub fn seat_errand(&mut self, place: usize, errand: Errand) {
+    pub fn seat_action(&mut self, place: usize, action: Action) {
         let now = self.now_ms();
-        match errand {
-            Errand::Grant(front, grant) => self.deliver(place, &front, Message::Grant(grant)),
-            Errand::Refuse(front, ticket, after) => {
-                self.nodes[place].jobs.refused(now, &front, ticket, after);
+        match action {
+            Action::Grant(gateway, grant) => self.deliver(place, &gateway, Message::Grant(grant)),
+            Action::Refuse(gateway, ticket, after) => {
+                self.nodes[place].jobs.refused(now, &gateway, ticket, after);
             }
-            Errand::Probe(..) => {}
+            Action::Probe(..) => {}
         }
     }
 
-    /// Gives word to a front, which may be this node itself.
-    pub fn deliver(&mut self, place: usize, front: &str, message: Message) {
-        if front == self.nodes[place].name {
+    /// Gives word to a gateway, which may be this node itself.
+    pub fn deliver(&mut self, place: usize, gateway: &str, message: Message) {
+        if gateway == self.nodes[place].name {
             self.hear(place, place, message);
-        } else if let Some(peer) = self.place_of(front) {
+        } else if let Some(peer) = self.place_of(gateway) {
             self.send(place, peer, message);
         }
     }
 
-    pub fn job_errand(&mut self, place: usize, errand: JobErrand) {
+    pub fn job_action(&mut self, place: usize, action: JobAction) {
         let now = self.now_ms();
         let node = &mut self.nodes[place];
-        match errand {
-            JobErrand::Seat(front, district, bid) => node.keeper.bid(now, &front, &district, bid),
-            JobErrand::Withdraw(front, ticket) => node.keeper.withdraw(now, &front, ticket),
-            JobErrand::Claimed {
-                front,
+        match action {
+            JobAction::Seat(gateway, district, bid) => {
+                node.keeper.bid(now, &gateway, &district, bid)
+            }
+            JobAction::Withdraw(gateway, ticket) => node.keeper.withdraw(now, &gateway, ticket),
+            JobAction::Claimed {
+                gateway,
                 ticket,
                 attempt,
                 version,
@@ -89,23 +91,23 @@
                     attempt,
                     version,
                 };
-                self.deliver(place, &front, message);
+                self.deliver(place, &gateway, message);
             }
-            JobErrand::Joined(front, ticket, attempt) => {
-                self.deliver(place, &front, Message::Joined { ticket, attempt });
+            JobAction::Joined(gateway, ticket, attempt) => {
+                self.deliver(place, &gateway, Message::Joined { ticket, attempt });
             }
-            JobErrand::Tell(front, ticket, attempt, verdict) => {
+            JobAction::Tell(gateway, ticket, attempt, verdict) => {
                 let message = Message::JobTold {
                     ticket,
                     attempt,
                     verdict,
                 };
-                self.deliver(place, &front, message);
+                self.deliver(place, &gateway, message);
             }
-            JobErrand::Kept(front, ticket) => {
-                self.deliver(place, &front, Message::JobKept(ticket));
+            JobAction::Kept(gateway, ticket) => {
+                self.deliver(place, &gateway, Message::JobKept(ticket));
             }
-            JobErrand::Ask {
+            JobAction::Ask {
                 number,
                 key,
                 expected,
@@ -113,7 +115,7 @@
                 tries,
             } => {
                 let from = (place, node.life);
-                let core = (place + tries as usize) % self.cores.len();
+                let controller = (place + tries as usize) % self.controllers.len();
                 let way = self.hop();
                 let message = Message::JobAsk {
                     number,
@@ -121,7 +123,7 @@
                     expected,
                     bytes,
                 };
-                self.later(way, Event::CoreAsk(core, from, message));
+                self.later(way, Event::ControllerAsk(controller, from, message));
             }
         }
     }
--- a/crates/jobs/tests/town/mod.rs
+++ b/crates/jobs/tests/town/mod.rs
@@ -1,17 +1,17 @@
-//! Gateways, keepers and cores as pure machines in virtual time, with an oracle that counts runs.
+//! Gateways, keepers and controllers as pure machines in virtual time, with an oracle that counts runs.
 
-mod cores;
+mod controllers;
 mod faults;
-mod front;
+mod gateway;
 mod hearing;
 mod oracle;
 mod sending;
 
-pub use front::Node;
+pub use gateway::Node;
 pub use oracle::{Oracle, Told};
 
-use cores::Core;
-use dispatch::{JobEnd, Member, Message, RegisterSaid};
+use controllers::Controller;
+use protocol::{JobEnd, Member, Message, RegisterSaid};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use register::{VoterMessage, VoterReply};
@@ -21,19 +21,19 @@
 /// Microseconds in a millisecond; the town's own time is in microseconds.
 pub const MS: u64 = 1_000;
 pub const FUNCTION: &str = "sign";
-const CORES: usize = 3;
+const CONTROLLERS: usize = 3;
 
 pub enum Event {
     Tick(usize, u64),
     Hear(usize, u64, usize, Message),
     LinkEnded(usize, u64, usize),
-    CoreAsk(usize, (usize, u64), Message),
-    CoreSaid(usize, u64, u64, RegisterSaid),
+    ControllerAsk(usize, (usize, u64), Message),
+    ControllerSaid(usize, u64, u64, RegisterSaid),
     VoterAsk(usize, usize, u64, (u64, u64), VoterMessage),
     VoterReply(usize, u64, (u64, u64), usize, VoterReply),
     Again(usize, u64, u64, u64),
     Over(usize, u64, u64),
-    CoreBoot(usize),
+    ControllerBoot(usize),
     TurnJobs(usize, u64),
     Boot(usize),
     Roster,
@@ -81,7 +81,7 @@
     pub random: StdRng,
     pub weather: Weather,
     pub nodes: Vec<Node>,
-    pub cores: Vec<Core>,
+    pub controllers: Vec<Controller>,
     pub roster: Vec<Member>,
     pub oracle: Oracle,
     pub lives: u64,
@@ -100,7 +100,7 @@
             random: StdRng::seed_from_u64(seed),
             weather,
             nodes: Vec::new(),
-            cores: Vec::new(),
+            controllers: Vec::new(),
             roster: Vec::new(),
             oracle: Oracle::default(),
             lives: 0,
@@ -110,8 +110,8 @@
             queue: BinaryHeap::new(),
             number: 0,
         };
-        for place in 0..CORES {
-            town.cores.push(Core::new(place, CORES));
+        for place in 0..CONTROLLERS {
+            town.controllers.push(Controller::new(place, CONTROLLERS));
         }
         for place in 0..count {
             town.nodes.push(Node::new(place));
@@ -190,24 +190,28 @@
                     self.drop_peer(place, peer);
                 }
             }
-            Event::CoreAsk(core, from, message) => self.core_asked(core, from, message),
-            Event::CoreSaid(place, life, number, said) => {
+            Event::ControllerAsk(controller, from, message) => {
+                self.controller_asked(controller, from, message)
+            }
+            Event::ControllerSaid(place, life, number, said) => {
                 if self.nodes[place].life == life && self.nodes[place].is_up {
                     let now = self.now_ms();
                     self.nodes[place].jobs.said(now, number, said);
-                    self.run_errands(place);
+                    self.run_actions(place);
                 }
             }
             Event::VoterAsk(to, from, life, ask, message) => {
                 self.voter_asked(to, from, life, ask, message);
             }
-            Event::VoterReply(core, life, ask, voter, reply) => {
-                self.voter_replied(core, life, ask, voter, reply);
+            Event::VoterReply(controller, life, ask, voter, reply) => {
+                self.voter_replied(controller, life, ask, voter, reply);
+            }
+            Event::Again(controller, life, id, above) => {
+                self.propose_again(controller, life, id, above)
             }
-            Event::Again(core, life, id, above) => self.propose_again(core, life, id, above),
-            Event::Over(core, life, id) => self.proposal_over(core, life, id),
-            Event::CoreBoot(core) => self.boot_core(core),
-            Event::TurnJobs(core, life) => self.turn_jobs(core, life),
+            Event::Over(controller, life, id) => self.proposal_over(controller, life, id),
+            Event::ControllerBoot(controller) => self.boot_controller(controller),
+            Event::TurnJobs(controller, life) => self.turn_jobs(controller, life),
             Event::Boot(place) => self.boot(place),
             Event::Roster => self.take_roster(),
             Event::Request(place, job) => self.request(place, job),
@@ -243,7 +247,7 @@
         if to == self.nodes[place].name {
             let now = self.now_ms();
             self.nodes[place].jobs.ended(now, to, end);
-            self.run_errands(place);
+            self.run_actions(place);
         } else if let Some(peer) = self.place_of(to) {
             self.send(place, peer, Message::JobEnd(end));
         }
--- a/crates/jobs/tests/town/oracle.rs
+++ b/crates/jobs/tests/town/oracle.rs
@@ -10,7 +10,7 @@
     MayHaveRun,
     /// 422: the key belongs to another request.
     Other,
-    /// Its front died, or the client left.
+    /// Its gateway died, or the client left.
     Silence,
 }
 
--- a/crates/jobs/tests/town/sending.rs
+++ b/crates/jobs/tests/town/sending.rs
@@ -1,6 +1,6 @@
-use super::front::Stage;
+use super::gateway::Stage;
 use super::{Event, Reply, Told, Town, FUNCTION, MS};
-use dispatch::{Grant, JobResult, Message, Outcome, Release};
+use protocol::{Grant, JobResult, Message, Outcome, Release};
 use rand::Rng;
 
 const SENDS_MAX: u32 = 3;
@@ -134,7 +134,7 @@
                 }
             }
         }
-        self.run_errands(place);
+        self.run_actions(place);
     }
 
     pub fn try_again(&mut self, place: usize, number: u64) -> bool {
--- a/crates/jobs/tests/town_runs.rs
+++ b/crates/jobs/tests/town_runs.rs
@@ -79,10 +79,10 @@
         let mut town = Town::new(seed, 4, weather);
         // Counted from the claim, which a run follows within its request's time.
         town.oracle.apart = (remembered_ms - 4_000) * MS;
-        for core in 0..3 {
+        for controller in 0..3 {
             let delay = town.random.random_range(0..remembered_ms * MS);
-            let life = town.cores[core].life;
-            town.later(delay, Event::TurnJobs(core, life));
+            let life = town.controllers[controller].life;
+            town.later(delay, Event::TurnJobs(controller, life));
         }
         for job in (0..20).step_by(2) {
             ask_for(&mut town, job, 40, 120_000);
@@ -96,11 +96,11 @@
         town.run(5_000);
         let runs = town.oracle.runs.values().map(|runs| runs.len() - 1);
         again += runs.sum::<usize>();
-        for core in &town.cores {
+        for controller in &town.controllers {
             assert!(
-                core.acceptor.len() <= 12,
+                controller.acceptor.len() <= 12,
                 "{} are held",
-                core.acceptor.len()
+                controller.acceptor.len()
             );
         }
     }
--- a/crates/jobs/tests/words.rs
+++ b/crates/jobs/tests/words.rs
@@ -1,7 +1,7 @@
 //! Word that comes late, or about an earlier bid, changes nothing; word that must come comes.
 
-use dispatch::{Bid, JobEnd, JobMark, JobResult, JobVerdict, RegisterSaid};
-use jobs::{digest, Claim, Ends, JobErrand, Jobs, Pass};
+use jobs::{digest, Claim, Ends, JobAction, Jobs, Pass};
+use protocol::{Bid, JobEnd, JobMark, JobResult, JobVerdict, RegisterSaid};
 use speedy::Readable;
 
 const KEY: &str = "k";
@@ -20,23 +20,23 @@
     }
 }
 
-/// Number and value of the newest question to a core.
-fn asked(errands: &[JobErrand]) -> (u64, Vec<u8>) {
-    let mut asks = errands.iter().filter_map(|errand| match errand {
-        JobErrand::Ask { number, bytes, .. } => Some((*number, bytes.clone())),
+/// Number and value of the newest question to a controller.
+fn asked(actions: &[JobAction]) -> (u64, Vec<u8>) {
+    let mut asks = actions.iter().filter_map(|action| match action {
+        JobAction::Ask { number, bytes, .. } => Some((*number, bytes.clone())),
         _ => None,
     });
     asks.next_back().expect("nothing was asked")
 }
 
-/// A keeper with a job that runs for front g1, ticket 4.
+/// A keeper with a job that runs for gateway g1, ticket 4.
 fn running(pass: &mut Pass) -> (Jobs, Vec<u8>) {
     let mut jobs = Jobs::new(1, 10_000);
     jobs.arrive(0, "g1", "a", bid(4, pass.bid("k1")));
-    let (number, claim) = asked(&jobs.errands());
+    let (number, claim) = asked(&jobs.actions());
     jobs.said(1, number, RegisterSaid::Written(1));
     pass.claimed(1);
-    jobs.errands();
+    jobs.actions();
     (jobs, claim)
 }
 
@@ -50,18 +50,18 @@
     let (mut jobs, _) = running(&mut pass);
     let old = end(&pass, JobResult::NotRun);
     jobs.arrive(5, "g1", "a", bid(4, pass.bid("k1")));
-    let (number, _) = asked(&jobs.errands());
+    let (number, _) = asked(&jobs.actions());
     jobs.said(6, number, RegisterSaid::Written(2));
     jobs.arrive(7, "g2", "a", bid(9, self::pass().bid("k1")));
-    jobs.errands();
+    jobs.actions();
     jobs.ended(8, "g1", old);
     assert!(
-        jobs.errands().is_empty(),
+        jobs.actions().is_empty(),
         "the copy is let run beside the first"
     );
     jobs.ended(9, "g1", end(&pass, JobResult::NotRun));
-    let errands = jobs.errands();
-    assert!(matches!(&errands[0], JobErrand::Seat(front, ..) if front == "g2"));
+    let actions = jobs.actions();
+    assert!(matches!(&actions[0], JobAction::Seat(gateway, ..) if gateway == "g2"));
 }
 
 #[test]
@@ -69,13 +69,13 @@
     let mut pass = pass();
     let (mut jobs, _) = running(&mut pass);
     jobs.arrive(2, "g2", "a", bid(9, self::pass().bid("k1")));
-    jobs.errands();
+    jobs.actions();
     assert!(jobs.refused(3, "g1", 4, 300));
-    let errands = jobs.errands();
+    let actions = jobs.actions();
     let told = JobVerdict::NotRun(300);
-    assert_eq!(errands, [JobErrand::Tell("g1".into(), 4, 1, told)]);
+    assert_eq!(actions, [JobAction::Tell("g1".into(), 4, 1, told)]);
     jobs.ended(4, "g1", end(&pass, JobResult::NotRun));
-    assert!(matches!(&jobs.errands()[0], JobErrand::Seat(front, ..) if front == "g2"));
+    assert!(matches!(&jobs.actions()[0], JobAction::Seat(gateway, ..) if gateway == "g2"));
 }
 
 #[test]
@@ -85,35 +85,35 @@
     jobs.tick(30_000, |_, _| false);
     assert!(jobs.is_empty());
     jobs.arrive(30_001, "g2", "a", bid(9, self::pass().bid("k1")));
-    let (number, _) = asked(&jobs.errands());
+    let (number, _) = asked(&jobs.actions());
     jobs.said(30_002, number, RegisterSaid::Found(1, claim));
-    let errands = jobs.errands();
+    let actions = jobs.actions();
     let joins =
-        |errand: &JobErrand| matches!(errand, JobErrand::Joined(front, 9, _) if front == "g2");
-    assert!(errands.iter().any(joins), "{errands:?}");
-    assert!(!errands
+        |action: &JobAction| matches!(action, JobAction::Joined(gateway, 9, _) if gateway == "g2");
+    assert!(actions.iter().any(joins), "{actions:?}");
+    assert!(!actions
         .iter()
-        .any(|errand| matches!(errand, JobErrand::Ask { .. })));
+        .any(|action| matches!(action, JobAction::Ask { .. })));
 }
 
 #[test]
-fn copies_of_a_job_whose_front_is_gone_are_told_that_it_may_have_run() {
+fn copies_of_a_job_whose_gateway_is_gone_are_told_that_it_may_have_run() {
     let mut pass = pass();
     let (mut jobs, claim) = running(&mut pass);
-    jobs.forget_front(10, "g1");
+    jobs.forget_gateway(10, "g1");
     jobs.arrive(20, "g2", "a", bid(9, self::pass().bid("k1")));
     let mut told = Vec::new();
     for now in (50..4_000).step_by(50) {
-        jobs.tick(now, |front, life| front == "g1" && life == 7);
-        for errand in jobs.errands() {
-            match errand {
-                JobErrand::Ask {
+        jobs.tick(now, |gateway, life| gateway == "g1" && life == 7);
+        for action in jobs.actions() {
+            match action {
+                JobAction::Ask {
                     number, expected, ..
                 } => {
                     assert_eq!(expected, None, "it is only looked at");
                     jobs.said(now, number, RegisterSaid::Found(1, claim.clone()));
                 }
-                JobErrand::Tell(_, ticket, _, verdict) => told.push((now, ticket, verdict)),
+                JobAction::Tell(_, ticket, _, verdict) => told.push((now, ticket, verdict)),
                 _ => {}
             }
         }
@@ -125,7 +125,7 @@
 }
 
 #[test]
-fn a_front_takes_word_about_the_bid_that_stands_alone() {
+fn a_gateway_takes_word_about_the_bid_that_stands_alone() {
     let mut pass = pass();
     assert!(!pass.may_leave() && pass.is_unsure());
     let first = pass.bid("k1").attempt;
@@ -166,14 +166,14 @@
     let mut other = Jobs::new(2, 10_000);
     let answer = end(&pass, JobResult::Answer(vec![5]));
     other.ended(10, "g1", answer.clone());
-    let (number, bytes) = asked(&other.errands());
+    let (number, bytes) = asked(&other.actions());
     let kept = Claim::read_from_buffer(&bytes).unwrap();
     assert_eq!(kept.runner, Claim::read_from_buffer(&claim).unwrap().runner);
     other.said(11, number, RegisterSaid::Written(2));
-    assert_eq!(other.errands(), [JobErrand::Kept("g1".into(), 4)]);
+    assert_eq!(other.actions(), [JobAction::Kept("g1".into(), 4)]);
     other.ended(12, "g1", answer);
-    assert_eq!(other.errands(), [JobErrand::Kept("g1".into(), 4)]);
+    assert_eq!(other.actions(), [JobAction::Kept("g1".into(), 4)]);
     other.arrive(13, "g2", "a", bid(9, self::pass().bid("k2")));
     let told = JobVerdict::Answer(vec![5]);
-    assert_eq!(other.errands(), [JobErrand::Tell("g2".into(), 9, 1, told)]);
+    assert_eq!(other.actions(), [JobAction::Tell("g2".into(), 9, 1, told)]);
 }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -1,4 +1,5 @@
 //! A log in segments with snapshots beside it. What `append` and `sync` promised is found again.
+#![warn(missing_docs)]
 
 mod folder;
 mod frame;
--- a/crates/orders/src/configuration.rs
+++ b/crates/orders/src/configuration.rs
@@ -2,7 +2,7 @@
 
 use crate::order::OrderKind;
 use crate::taken::{OrderDigest, TakenOrder, TakenOrders};
-use dispatch::{pack, unpack};
+use protocol::{pack, unpack};
 use speedy::{Readable, Writable};
 
 /// Largest document, in bytes.
--- a/crates/orders/src/decision.rs
+++ b/crates/orders/src/decision.rs
@@ -4,7 +4,7 @@
 use crate::evacuation::Evacuations;
 use crate::order::{BaseVersion, Order, OrderKind};
 use crate::taken::{Lookup, OrderDigest};
-use binding::{Documents, Fault};
+use routing::{Documents, Fault};
 use speedy::Writable;
 
 /// Why an order is refused. A refusal is final: no copy of a refused order is ever taken.
--- a/crates/orders/src/execution.rs
+++ b/crates/orders/src/execution.rs
@@ -3,8 +3,8 @@
 use crate::decision::{decide, Decision, Reply};
 use crate::evacuation::Evacuations;
 use crate::order::{Order, OrderKind};
-use binding::Documents;
 use register::{Outcome, Stored};
+use routing::Documents;
 
 /// Times that an order is decided anew because another one was faster.
 pub const ROUNDS_MAX: u32 = 8;
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -1,5 +1,6 @@
 //! Decisions on operators' orders. A pure machine reads the replicated register, decides, and writes with the
 //! register's expected version; it has no I/O and no clock, so the daemon and the tests run the same code.
+#![warn(missing_docs)]
 
 mod configuration;
 mod decision;
--- a/crates/orders/tests/town/documents.rs
+++ b/crates/orders/tests/town/documents.rs
@@ -1,6 +1,6 @@
 //! A small document format: named numbers, of which none may be zero.
 
-use binding::{Description, Documents, Fault};
+use routing::{Description, Documents, Fault};
 use serde_json::{json, Map, Value};
 
 /// Item that holds the number of the order that a document came from.
--- a/crates/orders/tests/town/oracle.rs
+++ b/crates/orders/tests/town/oracle.rs
@@ -2,9 +2,9 @@
 
 use super::documents::{order_of, TownDocuments};
 use super::{CONFIGURATION, EVACUATIONS};
-use binding::Documents;
 use orders::{BaseVersion, Configuration, Evacuations, Order, OrderKind, Reply};
 use register::{Acceptor, Ballot, Stored};
+use routing::Documents;
 use std::collections::{BTreeMap, BTreeSet};
 
 struct Begun {
--- a/crates/dispatch/src/functions.rs
+++ b/crates/protocol/src/functions.rs
@@ -7,7 +7,7 @@
     pub function: String,
     /// Number of the news that the keeper holds for it; 0 where it holds none.
     pub news: u64,
-    /// Requests that came in, by the district of the front that took them.
+    /// Requests that came in, by the district of the gateway that took them.
     pub arrived: Vec<(String, u64)>,
     /// Requests that wait for a seat now.
     pub waiting: u32,
--- a/crates/dispatch/src/jobs.rs
+++ b/crates/protocol/src/jobs.rs
@@ -1,6 +1,6 @@
 use speedy::{Readable, Writable};
 
-/// The job of which a request is a copy, as its front marks it.
+/// The job of which a request is a copy, as its gateway marks it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct JobMark {
     /// The caller's key.
@@ -9,13 +9,13 @@
     pub digest: [u8; 16],
     /// It may run once at most.
     pub is_once: bool,
-    /// Random number of the front's life.
+    /// Random number of the gateway's life.
     pub incarnation: u64,
     /// Number of the bid among those of its ticket. A later bid takes all word of an earlier one back.
     pub attempt: u32,
 }
 
-/// How a request of a job ended at its front.
+/// How a request of a job ended at its gateway.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub enum JobResult {
     /// It ran, and this is the answer, packed.
@@ -58,7 +58,7 @@
     NotRun(u32),
 }
 
-/// A core's answer about a register.
+/// A controller's answer about a register.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub enum RegisterSaid {
     /// The value was written and is settled, at this version.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,4 +1,5 @@
 //! What the daemons of the data plane and the control plane say to one another. Every message is one frame.
+#![warn(missing_docs)]
 
 mod frame;
 mod functions;
--- a/crates/dispatch/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -18,7 +18,7 @@
 /// A request that waits for a seat at one of its function's runners.
 #[derive(Clone, Debug, Default, PartialEq, Readable, Writable)]
 pub struct Bid {
-    /// Number that the bidding front gave it, of its own in that front's life.
+    /// Number that the bidding gateway gave it, of its own in that gateway's life.
     pub ticket: u64,
     /// The function.
     pub function: String,
@@ -74,13 +74,13 @@
     pub took_ms: u32,
 }
 
-/// Everything that daemons say to one another outside the council of cores.
+/// Everything that daemons say to one another outside the consensus of controllers.
 #[derive(Clone, Debug, PartialEq, Readable, Writable)]
 pub enum Message {
-    /// A front tells who it is, first on every link.
-    Front(Member),
-    /// A front's beat to a core: versions of description and closures that it holds, and of the roster.
-    FrontBeat {
+    /// A gateway tells who it is, first on every link.
+    Gateway(Member),
+    /// A gateway's heartbeat to a controller: versions of description and closures that it holds, and of the roster.
+    GatewayHeartbeat {
         /// Mark of the description in force.
         description: u64,
         /// Mark of the closed districts in force.
@@ -88,24 +88,24 @@
         /// Term and number of the roster.
         roster: (u64, u64),
     },
-    /// A core's beat to a front.
-    CoreBeat {
+    /// A controller's heartbeat to a gateway.
+    ControllerHeartbeat {
         /// Newest settled mark of the description.
         description: u64,
         /// Newest settled mark of the closed districts.
         closures: u64,
         /// Term under which it scales; 0 where it does not.
         term: u64,
-        /// Addresses of all cores that it knows.
-        cores: Vec<String>,
+        /// Addresses of all controllers that it knows.
+        controllers: Vec<String>,
         /// District that it stands in.
         district: String,
         /// Whether it is in contact with a majority of voters, so that what it tells may be taken for the newest.
         is_current: bool,
     },
-    /// A daemon that is no front asks a core for its heartbeat.
+    /// A daemon that is no gateway asks a controller for its heartbeat.
     AskHeartbeat,
-    /// A front asks for what is newer than what it holds.
+    /// A gateway asks for what is newer than what it holds.
     Ask {
         /// Mark of the description in force.
         description: u64,
@@ -133,20 +133,20 @@
         /// Names of the districts that take no requests.
         districts: Vec<String>,
     },
-    /// The fronts that keep functions, from the core that scales.
+    /// The gateways that keep functions, from the controller that scales.
     Roster {
         /// Term of the scaler and number of the roster within it; a higher pair wins.
         mark: (u64, u64),
-        /// The fronts.
+        /// The gateways.
         members: Vec<Member>,
     },
     /// A keeper tells the scaler about functions.
     Report(Vec<FunctionReport>),
     /// The scaler tells a keeper the runners of functions.
     Runners(Vec<FunctionNews>),
-    /// A front bids for a seat at the function's keeper.
+    /// A gateway bids for a seat at the function's keeper.
     Bid(Bid),
-    /// A front takes a bid back; a seat that was lent for it is free.
+    /// A gateway takes a bid back; a seat that was lent for it is free.
     Withdraw(u64),
     /// The keeper lends a seat.
     Grant(Grant),
@@ -157,9 +157,9 @@
         /// Milliseconds after which it pays to come back.
         retry_after_ms: u32,
     },
-    /// A front gives seats back.
+    /// A gateway gives seats back.
     Release(Release),
-    /// A front tells a function's new keeper which runners it has requests at.
+    /// A gateway tells a function's new keeper which runners it has requests at.
     Known {
         /// The function.
         function: String,
@@ -174,7 +174,7 @@
     Status,
     /// A daemon's state as JSON text.
     StatusText(String),
-    /// The keeper tells a front that its request has the claim on its job, and may leave for a runner.
+    /// The keeper tells a gateway that its request has the claim on its job, and may leave for a runner.
     Claimed {
         /// The bid's ticket.
         ticket: u64,
@@ -183,14 +183,14 @@
         /// Version of the register that bears the claim.
         version: u64,
     },
-    /// The keeper tells a front that its request is a copy of one that may be running, and waits for its answer.
+    /// The keeper tells a gateway that its request is a copy of one that may be running, and waits for its answer.
     Joined {
         /// The bid's ticket.
         ticket: u64,
         /// Number of the bid.
         attempt: u32,
     },
-    /// The keeper tells a front what came of the job.
+    /// The keeper tells a gateway what came of the job.
     JobTold {
         /// The bid's ticket.
         ticket: u64,
@@ -199,11 +199,11 @@
         /// What came of it.
         verdict: JobVerdict,
     },
-    /// A front tells the keeper how a request of a job ended.
+    /// A gateway tells the keeper how a request of a job ended.
     JobEnd(JobEnd),
-    /// The keeper tells a front that the answer to its ticket's job is on the disks of a majority of cores.
+    /// The keeper tells a gateway that the answer to its ticket's job is on the disks of a majority of controllers.
     JobKept(u64),
-    /// A front asks a core to read or write a job's register.
+    /// A gateway asks a controller to read or write a job's register.
     JobAsk {
         /// Number that the answer bears.
         number: u64,
@@ -214,7 +214,7 @@
         /// The new value.
         bytes: Vec<u8>,
     },
-    /// A core's answer.
+    /// A controller's answer.
     JobSaid {
         /// Number of the question.
         number: u64,
--- a/crates/dispatch/tests/drawn/mod.rs
+++ b/crates/protocol/tests/drawn/mod.rs
@@ -1,6 +1,6 @@
 //! Messages of every kind, drawn at random.
 
-use dispatch::{
+use protocol::{
     Bid, FunctionNews, FunctionReport, Grant, JobEnd, JobMark, JobResult, JobVerdict, Member,
     Message, Outcome, RegisterSaid, Release, RunnerNews, RunnerReport, RunnerStage, StartBlock,
 };
@@ -137,17 +137,17 @@
 
 pub fn message(kind: u8, gen: &mut Gen) -> Message {
     match kind {
-        0 => Message::Front(member(gen)),
-        1 => Message::FrontBeat {
+        0 => Message::Gateway(member(gen)),
+        1 => Message::GatewayHeartbeat {
             description: any(gen),
             closures: any(gen),
             roster: any(gen),
         },
-        2 => Message::CoreBeat {
+        2 => Message::ControllerHeartbeat {
             description: any(gen),
             closures: any(gen),
             term: any(gen),
-            cores: any(gen),
+            controllers: any(gen),
             district: any(gen),
             is_current: any(gen),
         },
@@ -243,9 +243,9 @@
 /// The place of a message's kind below [`KINDS`]; a new kind of message breaks the build of the tests here.
 pub fn kind_of(message: &Message) -> u8 {
     match message {
-        Message::Front(_) => 0,
-        Message::FrontBeat { .. } => 1,
-        Message::CoreBeat { .. } => 2,
+        Message::Gateway(_) => 0,
+        Message::GatewayHeartbeat { .. } => 1,
+        Message::ControllerHeartbeat { .. } => 2,
         Message::Ask { .. } => 3,
         Message::Description { .. } => 4,
         Message::Closures { .. } => 5,
--- a/crates/dispatch/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -2,9 +2,9 @@
 
 mod drawn;
 
-use dispatch::{frame, FrameError, Frames, Message, FRAME_MAX};
 use drawn::{kind_of, message, Drawn, KINDS};
 use fuzzing::{seeded, TestResult};
+use protocol::{frame, FrameError, Frames, Message, FRAME_MAX};
 use quickcheck::Gen;
 
 /// Reads frames as a daemon does: what is no whole frame yet stays until more arrives.
@@ -48,10 +48,10 @@
 
 #[test]
 fn a_bid_without_a_job_says_so_in_one_byte() {
-    let bid = dispatch::Bid {
+    let bid = protocol::Bid {
         ticket: 7,
         function: "sign".into(),
-        ..dispatch::Bid::default()
+        ..protocol::Bid::default()
     };
     let bytes = frame(&Message::Bid(bid));
     // Length, kind, ticket, function, rank, budget, no runners to avoid, no job.
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -1,5 +1,6 @@
 //! A register for each key, on copies kept by voters, changed in two rounds at a majority with
 //! the expected version. There is no log of changes and no leader.
+#![warn(missing_docs)]
 
 mod acceptor;
 mod changing;
--- a/crates/repair/src/lib.rs
+++ b/crates/repair/src/lib.rs
@@ -1,5 +1,6 @@
 //! Digests over ranges of keys, kept up with each change, by which two copies find where they
 //! differ without telling each other everything.
+#![warn(missing_docs)]
 
 mod digests;
 
--- a/crates/binding/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,5 +1,6 @@
 //! Which function answers a request: bindings of hosts and path prefixes to functions, with the functions and
 //! the limits that belong to them. One whole description is in force at a time.
+#![warn(missing_docs)]
 
 mod description;
 mod table;
--- a/crates/binding/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use binding::{Binding, Description, Function, Table};
 use fuzzing::seeded;
+use routing::{Binding, Description, Function, Table};
 
 fn table_of(bindings: &[(&str, &str)]) -> Table {
     let bindings = bindings.iter().map(|(host, prefix)| Binding {
--- a/crates/scaler/src/lib.rs
+++ b/crates/scaler/src/lib.rs
@@ -1,5 +1,6 @@
 //! The scaler's decisions after HAS-GPU: forecast, quotas first, least-occupied used worker, fresh
 //! worker, calm shrinking. A pure state machine that turns what is seen into the next plan.
+#![warn(missing_docs)]
 
 mod demand;
 mod forecast;
--- a/crates/seating/src/credit.rs
+++ b/crates/seat_leases/src/credit.rs
@@ -17,7 +17,7 @@
         }
     }
 
-    /// Changes the cap, as the number of fronts changes.
+    /// Changes the cap, as the number of gateways changes.
     pub fn set_cap(&mut self, cap: f64) {
         self.cap = cap;
         self.held = self.held.min(cap);
--- a/crates/seating/src/elect.rs
+++ b/crates/seat_leases/src/elect.rs
@@ -1,4 +1,4 @@
-use dispatch::Member;
+use protocol::Member;
 
 fn digest(from: u64, bytes: impl Iterator<Item = u8>) -> u64 {
     // FNV-1a.
--- a/crates/seating/src/keeper.rs
+++ b/crates/seat_leases/src/keeper.rs
@@ -1,5 +1,5 @@
 use crate::seats::Seats;
-use dispatch::{Bid, FunctionNews, FunctionReport, Grant, Outcome, Release, RunnerStage};
+use protocol::{Bid, FunctionNews, FunctionReport, Grant, Outcome, Release, RunnerStage};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Most requests that wait for one function.
@@ -21,16 +21,16 @@
 
 /// What the keeper wants done.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Errand {
-    /// Lend a seat to a front.
+pub enum Action {
+    /// Lend a seat to a gateway.
     Grant(String, Grant),
-    /// Tell a front that there is no seat for its ticket, and when to come back, in milliseconds.
+    /// Tell a gateway that there is no seat for its ticket, and when to come back, in milliseconds.
     Refuse(String, u64, u32),
     /// See whether a runner takes connections: function, id, address.
     Probe(String, String, String),
 }
 
-/// The keeper of all functions that fell to one front. A pure machine: `now` is a steady clock in milliseconds.
+/// The keeper of all functions that fell to one gateway. A pure machine: `now` is a steady clock in milliseconds.
 #[derive(Default)]
 pub struct Keeper {
     functions: HashMap<String, Seats>,
@@ -38,7 +38,7 @@
     dirty: BTreeSet<String>,
     awaited: BTreeMap<(String, String), u64>,
     closed: BTreeSet<String>,
-    errands: Vec<Errand>,
+    actions: Vec<Action>,
 }
 
 impl Keeper {
@@ -48,16 +48,16 @@
     }
 
     /// What is to be done now.
-    pub fn errands(&mut self) -> Vec<Errand> {
-        std::mem::take(&mut self.errands)
+    pub fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
 
-    /// A front's request wants a seat.
-    pub fn bid(&mut self, now: u64, front: &str, district: &str, bid: Bid) {
+    /// A gateway's request wants a seat.
+    pub fn bid(&mut self, now: u64, gateway: &str, district: &str, bid: Bid) {
         let is_new = !self.functions.contains_key(&bid.function);
         if is_new && self.functions.len() >= FUNCTIONS_MAX {
-            let refusal = Errand::Refuse(front.into(), bid.ticket, RETRY_AFTER_MS);
-            self.errands.push(refusal);
+            let refusal = Action::Refuse(gateway.into(), bid.ticket, RETRY_AFTER_MS);
+            self.actions.push(refusal);
             return;
         }
         let function = bid.function.clone();
@@ -77,12 +77,12 @@
             seats.is_dirty = true;
             let back = wait.unwrap_or(0.0).max(f64::from(RETRY_AFTER_MS)) as u32;
             let back = blocked.unwrap_or(back);
-            self.errands
-                .push(Errand::Refuse(front.into(), bid.ticket, back));
+            self.actions
+                .push(Action::Refuse(gateway.into(), bid.ticket, back));
             self.dirty.insert(function);
             return;
         }
-        let holder = (front.to_string(), bid.ticket);
+        let holder = (gateway.to_string(), bid.ticket);
         self.tickets.insert(holder.clone(), function.clone());
         seats.add(now, holder, district, bid);
         seats.is_dirty = true;
@@ -94,9 +94,9 @@
         self.dirty.insert(function);
     }
 
-    /// A front's request wants no seat any more.
-    pub fn withdraw(&mut self, now: u64, front: &str, ticket: u64) {
-        let holder = (front.to_string(), ticket);
+    /// A gateway's request wants no seat any more.
+    pub fn withdraw(&mut self, now: u64, gateway: &str, ticket: u64) {
+        let holder = (gateway.to_string(), ticket);
         let Some(function) = self.tickets.remove(&holder) else {
             return;
         };
@@ -108,9 +108,9 @@
         self.serve(now, &function);
     }
 
-    /// A front gives a seat back.
-    pub fn release(&mut self, now: u64, front: &str, release: &Release) {
-        let holder = (front.to_string(), release.ticket);
+    /// A gateway gives a seat back.
+    pub fn release(&mut self, now: u64, gateway: &str, release: &Release) {
+        let holder = (gateway.to_string(), release.ticket);
         let Some(function) = self.tickets.remove(&holder) else {
             return;
         };
@@ -142,11 +142,11 @@
         self.serve(now, &function);
     }
 
-    /// A front tells which runners of a function it has requests at, to the function's new keeper.
+    /// A gateway tells which runners of a function it has requests at, to the function's new keeper.
     pub fn known(
         &mut self,
         now: u64,
-        front: &str,
+        gateway: &str,
         function: &str,
         runners: &[(String, String, String, Vec<u64>)],
     ) {
@@ -155,7 +155,7 @@
         for (id, address, district, tickets) in runners {
             let runner = seats.know(now, id, address, district);
             for ticket in tickets {
-                let holder = (front.to_string(), *ticket);
+                let holder = (gateway.to_string(), *ticket);
                 runner.holders.insert(holder.clone(), now);
                 self.tickets.insert(holder, function.to_string());
             }
@@ -181,14 +181,14 @@
         self.refuse_hopeless(now, &function);
     }
 
-    /// A front is gone; what it held or wanted is free.
-    pub fn forget_front(&mut self, now: u64, front: &str) {
-        let held = self.tickets.iter().filter(|((name, _), _)| name == front);
+    /// A gateway is gone; what it held or wanted is free.
+    pub fn forget_gateway(&mut self, now: u64, gateway: &str) {
+        let held = self.tickets.iter().filter(|((name, _), _)| name == gateway);
         let functions: BTreeSet<String> = held.map(|(_, function)| function.clone()).collect();
-        self.tickets.retain(|(name, _), _| name != front);
+        self.tickets.retain(|(name, _), _| name != gateway);
         for function in functions {
             if let Some(seats) = self.functions.get_mut(&function) {
-                seats.forget_front(front);
+                seats.forget_gateway(gateway);
                 seats.is_dirty = true;
             }
             self.dirty.insert(function.clone());
@@ -277,8 +277,8 @@
         }
         runner.is_probed = true;
         let address = runner.news.address.clone();
-        let errand = Errand::Probe(function.into(), id.into(), address);
-        self.errands.push(errand);
+        let action = Action::Probe(function.into(), id.into(), address);
+        self.actions.push(action);
     }
 
     /// Refuses requests whose time is over, and those that nothing can serve in time.
@@ -296,9 +296,9 @@
             self.tickets.remove(&waiting.holder);
             seats.given_up += 1;
             seats.is_dirty = true;
-            let (front, ticket) = waiting.holder;
-            self.errands
-                .push(Errand::Refuse(front, ticket, retry_after_ms));
+            let (gateway, ticket) = waiting.holder;
+            self.actions
+                .push(Action::Refuse(gateway, ticket, retry_after_ms));
         }
     }
 
@@ -312,14 +312,14 @@
             };
             let runner = &mut seats.runners[place];
             runner.holders.insert(waiting.holder.clone(), now);
-            let (front, ticket) = waiting.holder;
+            let (gateway, ticket) = waiting.holder;
             let grant = Grant {
                 ticket,
                 runner: runner.news.id.clone(),
                 address: runner.news.address.clone(),
                 district: runner.news.district.clone(),
             };
-            self.errands.push(Errand::Grant(front, grant));
+            self.actions.push(Action::Grant(gateway, grant));
         }
     }
 
@@ -356,7 +356,7 @@
         reports
     }
 
-    /// Forgets functions that fell to another front and are not used here any more.
+    /// Forgets functions that fell to another gateway and are not used here any more.
     pub fn forget_others(&mut self, now: u64, is_mine: impl Fn(&str) -> bool) {
         self.functions.retain(|name, seats| {
             is_mine(name) || !seats.is_idle() || now < seats.used_at + FORGET_MS
--- a/crates/seating/src/lib.rs
+++ b/crates/seat_leases/src/lib.rs
@@ -1,5 +1,6 @@
 //! Seats of a function's runners, lent by one keeper: waiting requests bid, by rank and then by age, and a runner
-//! never gets more at once than its quota. A pure machine; the front that keeps the function runs it.
+//! never gets more at once than its quota. A pure machine; the gateway that keeps the function runs it.
+#![warn(missing_docs)]
 
 mod credit;
 mod elect;
@@ -11,4 +12,4 @@
 
 pub use credit::Credit;
 pub use elect::elect;
-pub use keeper::{Errand, Keeper};
+pub use keeper::{Action, Keeper};
--- a/crates/seating/src/runner.rs
+++ b/crates/seat_leases/src/runner.rs
@@ -1,5 +1,5 @@
 use crate::refusal_backoff::RefusalBackoff;
-use dispatch::{RunnerNews, RunnerReport, RunnerStage};
+use protocol::{RunnerNews, RunnerReport, RunnerStage};
 use std::collections::BTreeMap;
 
 /// Answers over which a runner's pace is taken; the newest weigh most.
@@ -7,7 +7,7 @@
 /// Times in a row that a runner may be out of reach before it counts as gone.
 const MISSES_MAX: u32 = 3;
 
-/// A request's seat: the front that holds it, and its ticket there.
+/// A request's seat: the gateway that holds it, and its ticket there.
 pub(crate) type Holder = (String, u64);
 
 /// One runner as its keeper knows it.
--- a/crates/seating/src/seats.rs
+++ b/crates/seat_leases/src/seats.rs
@@ -1,6 +1,6 @@
 use crate::runner::{Holder, Runner};
 use crate::start_block::HeldBlock;
-use dispatch::{Bid, FunctionNews, FunctionReport, RunnerNews, RunnerStage};
+use protocol::{Bid, FunctionNews, FunctionReport, RunnerNews, RunnerStage};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Runners of one function that refuse within a second where another keeper must be lending their seats too.
@@ -66,7 +66,7 @@
         self.is_dirty = true;
     }
 
-    /// A front told of a runner that this keeper may not know yet.
+    /// A gateway told of a runner that this keeper may not know yet.
     pub fn know(&mut self, now: u64, id: &str, address: &str, district: &str) -> &mut Runner {
         if let Some(place) = self.runners.iter().position(|one| one.news.id == id) {
             return &mut self.runners[place];
@@ -122,10 +122,10 @@
         }
     }
 
-    pub fn forget_front(&mut self, front: &str) {
-        self.waiting.retain(|_, one| one.holder.0 != front);
+    pub fn forget_gateway(&mut self, gateway: &str) {
+        self.waiting.retain(|_, one| one.holder.0 != gateway);
         for runner in &mut self.runners {
-            runner.holders.retain(|(name, _), _| name != front);
+            runner.holders.retain(|(name, _), _| name != gateway);
         }
     }
 
--- a/crates/seating/src/start_block.rs
+++ b/crates/seat_leases/src/start_block.rs
@@ -2,7 +2,7 @@
 
 use crate::runner::Runner;
 use crate::seats::Seats;
-use dispatch::StartBlock;
+use protocol::StartBlock;
 
 /// Most milliseconds for which one statement is acted on, whatever it says.
 const VALID_MAX_MS: u64 = 5_000;
--- a/crates/seating/tests/common/mod.rs
+++ b/crates/seat_leases/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Bids, news and what the keeper did, in few words.
 #![allow(dead_code)]
 
-use dispatch::{Bid, FunctionNews, Outcome, Release, RunnerNews, RunnerStage};
-use seating::{Errand, Keeper};
+use protocol::{Bid, FunctionNews, Outcome, Release, RunnerNews, RunnerStage};
+use seat_leases::{Action, Keeper};
 
 pub const FUNCTION: &str = "stamp";
 
@@ -61,10 +61,10 @@
 
 /// Tickets and runners of the seats that were lent since the last look.
 pub fn grants(keeper: &mut Keeper) -> Vec<(u64, String)> {
-    let errands = keeper.errands().into_iter();
-    let lent = errands.filter_map(|errand| match errand {
-        Errand::Grant(_, grant) => Some((grant.ticket, grant.runner)),
-        Errand::Refuse(..) | Errand::Probe(..) => None,
+    let actions = keeper.actions().into_iter();
+    let lent = actions.filter_map(|action| match action {
+        Action::Grant(_, grant) => Some((grant.ticket, grant.runner)),
+        Action::Refuse(..) | Action::Probe(..) => None,
     });
     lent.collect()
 }
@@ -78,10 +78,10 @@
 
 /// Tickets that were refused since the last look, and when each is to come back.
 pub fn refusals(keeper: &mut Keeper) -> Vec<(u64, u32)> {
-    let errands = keeper.errands().into_iter();
-    let refused = errands.filter_map(|errand| match errand {
-        Errand::Refuse(_, ticket, after) => Some((ticket, after)),
-        Errand::Grant(..) | Errand::Probe(..) => None,
+    let actions = keeper.actions().into_iter();
+    let refused = actions.filter_map(|action| match action {
+        Action::Refuse(_, ticket, after) => Some((ticket, after)),
+        Action::Grant(..) | Action::Probe(..) => None,
     });
     refused.collect()
 }
--- a/crates/seating/tests/credit.rs
+++ b/crates/seat_leases/tests/credit.rs
@@ -1,8 +1,8 @@
 //! Further tries stay within their share, and functions move only with a member that goes.
 
-use dispatch::Member;
 use fuzzing::seeded;
-use seating::{elect, Credit};
+use protocol::Member;
+use seat_leases::{elect, Credit};
 
 fn members(names: &[u8]) -> Vec<Member> {
     let mut names = names.to_vec();
--- a/crates/seating/tests/keeper.rs
+++ b/crates/seat_leases/tests/keeper.rs
@@ -1,12 +1,12 @@
-//! What the keeper of a function promises to the fronts that bid.
+//! What the keeper of a function promises to the gateways that bid.
 
 mod common;
 
 use common::{
     avoiding, bid, grants, in_use, keeper, news, refusals, release, runner, tickets, FUNCTION,
 };
-use dispatch::{Bid, Outcome, RunnerNews, RunnerStage};
-use seating::{Errand, Keeper};
+use protocol::{Bid, Outcome, RunnerNews, RunnerStage};
+use seat_leases::{Action, Keeper};
 use std::collections::BTreeSet;
 
 #[test]
@@ -92,7 +92,7 @@
         keeper.bid(0, "f", "north", bid(1, 1));
         keeper.release(1, "f", &release(1, outcome, 10));
         assert_eq!(in_use(&keeper, "a"), Some(0), "{outcome:?}");
-        // A second release, or one of a front that holds nothing, changes nothing.
+        // A second release, or one of a gateway that holds nothing, changes nothing.
         keeper.release(1, "f", &release(1, outcome, 10));
         keeper.release(1, "g", &release(1, outcome, 10));
         assert_eq!(in_use(&keeper, "a"), Some(0), "{outcome:?}");
@@ -100,18 +100,18 @@
 }
 
 #[test]
-fn what_a_front_held_or_wanted_is_free_once_it_is_gone() {
+fn what_a_gateway_held_or_wanted_is_free_once_it_is_gone() {
     let mut keeper = keeper(&[runner("a", "north", 1)]);
     keeper.bid(0, "f", "north", bid(1, 1));
     keeper.bid(0, "f", "north", bid(2, 1));
     keeper.bid(0, "g", "north", bid(1, 1));
     assert_eq!(grants(&mut keeper), [(1, "a".to_string())]);
-    keeper.forget_front(1, "f");
-    let errands = keeper.errands();
-    let [Errand::Grant(front, grant)] = &errands[..] else {
-        panic!("not one seat was lent: {errands:?}");
+    keeper.forget_gateway(1, "f");
+    let actions = keeper.actions();
+    let [Action::Grant(gateway, grant)] = &actions[..] else {
+        panic!("not one seat was lent: {actions:?}");
     };
-    assert_eq!((front.as_str(), grant.ticket), ("g", 1));
+    assert_eq!((gateway.as_str(), grant.ticket), ("g", 1));
     assert_eq!(in_use(&keeper, "a"), Some(1));
 }
 
@@ -327,16 +327,16 @@
     let mut keeper = keeper(&[starting]);
     keeper.bid(0, "f", "north", bid(1, 1));
     keeper.bid(0, "f", "north", bid(2, 1));
-    assert_eq!(keeper.errands(), []);
+    assert_eq!(keeper.actions(), []);
     let mut looks = 0;
     for now in 0..1_200 {
         keeper.tick(now);
-        let errands = keeper.errands();
-        if errands.is_empty() {
+        let actions = keeper.actions();
+        if actions.is_empty() {
             continue;
         }
-        let look = Errand::Probe(FUNCTION.into(), "a".into(), "a:1".into());
-        assert_eq!(errands, [look], "at {now}");
+        let look = Action::Probe(FUNCTION.into(), "a".into(), "a:1".into());
+        assert_eq!(actions, [look], "at {now}");
         looks += 1;
         keeper.probed(now, FUNCTION, "a", now >= 1_000);
         if now >= 1_000 {
@@ -351,7 +351,7 @@
 }
 
 #[test]
-fn a_new_keeper_counts_what_fronts_have_at_runners() {
+fn a_new_keeper_counts_what_gateways_have_at_runners() {
     let mut keeper = Keeper::default();
     let held = vec![("a".into(), "a:1".into(), "north".into(), vec![7, 8])];
     keeper.known(0, "f", FUNCTION, &held);
--- a/crates/seating/tests/oracle.rs
+++ b/crates/seat_leases/tests/oracle.rs
@@ -3,14 +3,14 @@
 mod common;
 
 use common::{bid, news, release, runner, FUNCTION};
-use dispatch::{Bid, Outcome, RunnerNews, RunnerStage};
 use fuzzing::seeded;
-use seating::{Errand, Keeper};
+use protocol::{Bid, Outcome, RunnerNews, RunnerStage};
+use seat_leases::{Action, Keeper};
 use std::collections::{BTreeMap, BTreeSet};
 
 type Holder = (String, u64);
 
-const FRONTS: [&str; 3] = ["f", "g", "h"];
+const GATEWAYS: [&str; 3] = ["f", "g", "h"];
 const DISTRICTS: [&str; 2] = ["north", "south"];
 const RUNNERS: u8 = 4;
 
@@ -28,18 +28,18 @@
 }
 
 impl Oracle {
-    fn bid(&mut self, front: &str, rank: u8, budget_ms: u32, avoid: &[String]) {
+    fn bid(&mut self, gateway: &str, rank: u8, budget_ms: u32, avoid: &[String]) {
         self.number += 1;
         let bid = Bid {
             budget_ms,
             avoid: avoid.to_vec(),
             ..bid(self.number, rank)
         };
-        let holder = (front.to_string(), self.number);
+        let holder = (gateway.to_string(), self.number);
         self.waiting
             .insert((rank, self.number), (holder, avoid.to_vec()));
         self.keeper
-            .bid(self.now, front, DISTRICTS[usize::from(rank) % 2], bid);
+            .bid(self.now, gateway, DISTRICTS[usize::from(rank) % 2], bid);
     }
 
     fn tell(&mut self, stages: [u8; RUNNERS as usize]) {
@@ -98,19 +98,19 @@
         self.keeper.withdraw(self.now, &holder.0, holder.1);
     }
 
-    fn forget(&mut self, front: &str) {
-        self.waiting.retain(|_, one| one.0 .0 != front);
-        self.held.retain(|holder, _| holder.0 != front);
-        self.keeper.forget_front(self.now, front);
+    fn forget(&mut self, gateway: &str) {
+        self.waiting.retain(|_, one| one.0 .0 != gateway);
+        self.held.retain(|holder, _| holder.0 != gateway);
+        self.keeper.forget_gateway(self.now, gateway);
     }
 
     fn act(&mut self, (kind, one, other): (u8, u8, u8)) {
-        let front = FRONTS[usize::from(one) % FRONTS.len()];
+        let gateway = GATEWAYS[usize::from(one) % GATEWAYS.len()];
         match kind % 12 {
             0..=4 => {
                 let avoid = [format!("r{}", other % RUNNERS)];
                 let avoid = &avoid[..usize::from(other % 5 == 0)];
-                self.bid(front, one % 3, 50 + u32::from(other) * 20, avoid);
+                self.bid(gateway, one % 3, 50 + u32::from(other) * 20, avoid);
             }
             5..=6 => self.end(usize::from(one), Outcome::Answered),
             7 => {
@@ -124,7 +124,7 @@
             }
             8 => self.tell([one, other, one.rotate_left(3), other.rotate_left(3)]),
             9 => self.withdraw(usize::from(one)),
-            10 if other % 4 == 0 => self.forget(front),
+            10 if other % 4 == 0 => self.forget(gateway),
             10 => {
                 let closed = DISTRICTS.iter().zip([one, other]);
                 let closed = closed.filter(|(_, draw)| draw % 3 == 0);
@@ -140,19 +140,19 @@
 
     fn check(&mut self) {
         let known = self.keeper.runners(FUNCTION).len();
-        for errand in self.keeper.errands() {
-            match errand {
-                Errand::Grant(front, grant) => {
-                    self.granted((front, grant.ticket), &grant.runner, known)
+        for action in self.keeper.actions() {
+            match action {
+                Action::Grant(gateway, grant) => {
+                    self.granted((gateway, grant.ticket), &grant.runner, known)
                 }
-                Errand::Refuse(front, ticket, after) => {
+                Action::Refuse(gateway, ticket, after) => {
                     assert!(after > 0, "no time to come back");
-                    let holder = (front, ticket);
+                    let holder = (gateway, ticket);
                     let key = self.waiting.iter().find(|(_, one)| one.0 == holder);
                     let key = *key.expect("refused though it did not wait").0;
                     self.waiting.remove(&key);
                 }
-                Errand::Probe(..) => panic!("all runners were told of as up"),
+                Action::Probe(..) => panic!("all runners were told of as up"),
             }
         }
         for (id, _, in_use, _) in self.keeper.runners(FUNCTION) {
--- a/crates/seating/tests/refusing_runners.rs
+++ b/crates/seat_leases/tests/refusing_runners.rs
@@ -4,10 +4,10 @@
 mod common;
 
 use common::{bid, grants, keeper, release, runner};
-use dispatch::{Outcome, RunnerNews};
+use protocol::{Outcome, RunnerNews};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use seating::Keeper;
+use seat_leases::Keeper;
 use std::collections::BTreeMap;
 
 const CONCURRENCY: u32 = 4;
--- a/crates/seating/tests/start_block.rs
+++ b/crates/seat_leases/tests/start_block.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{bid, grants, keeper, news, refusals, release, runner, FUNCTION};
-use dispatch::{Bid, FunctionNews, Outcome, RunnerNews, RunnerStage, StartBlock};
-use seating::Keeper;
+use protocol::{Bid, FunctionNews, Outcome, RunnerNews, RunnerStage, StartBlock};
+use seat_leases::Keeper;
 
 const RETRY_AFTER_MS: u32 = 2_400;
 const VALID_MS: u32 = 2_000;
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemons' own state machines on virtual time, with seeded failures and an oracle that shares
 //! no decision code with them. One seed gives one course of events, always.
+#![warn(missing_docs)]
 
 mod config;
 mod core_duties;
--- a/crates/simulator/src/oracle.rs
+++ b/crates/simulator/src/oracle.rs
@@ -75,6 +75,7 @@
         self.look("wiped");
     }
 
+    /// Notes that a check had something to look at.
     pub fn look(&mut self, check: &'static str) {
         *self.looked.entry(check).or_default() += 1;
     }
--- a/crates/views/src/lib.rs
+++ b/crates/views/src/lib.rs
@@ -1,5 +1,6 @@
 //! Who is about: each daemon keeps a small view of others and shuffles parts of it with its oldest
 //! neighbour, so that all hear of all without anyone keeping a whole list.
+#![warn(missing_docs)]
 
 mod view;
 
--- a/crates/voter/src/lib.rs
+++ b/crates/voter/src/lib.rs
@@ -1,5 +1,6 @@
 //! A voter with its disk, and an empty voter's way into the set. No threads and no clock: the core
 //! daemon and the simulator run the same code.
+#![warn(missing_docs)]
 
 mod founding;
 mod joining;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! What daemons say to each other (speedy over TCP, versioned and bounded), the clock that counts
 //! suspend, and small helpers for HTTP with JSON.
+#![warn(missing_docs)]
 
 mod clock;
 mod frame;
--- a/tests/hollow/src/carrier.rs
+++ b/tests/hollow/src/carrier.rs
@@ -2,8 +2,8 @@
 
 use crate::meter::{median_ns, tell_fit, Markdown};
 use crate::town;
-use dispatch::{frame, Bid, Frames, Grant, Message, Outcome, Release};
 use exchange::{write_request, write_response, Bounds, RequestReader, ResponseReader};
+use protocol::{frame, Bid, Frames, Grant, Message, Outcome, Release};
 use std::hint::black_box;
 
 const TIMES: u32 = 20_000;
@@ -111,8 +111,11 @@
 }
 
 fn elections() {
-    let columns = ["gateways", "ns an election"];
-    let table = Markdown::head("Electing a function's keeper (`seating::elect`)", &columns);
+    let columns = ["real_gateways", "ns an election"];
+    let table = Markdown::head(
+        "Electing a function's keeper (`seat_leases::elect`)",
+        &columns,
+    );
     let mut points = Vec::new();
     for count in [10, 50, 150, 590] {
         let members = town::members(count);
@@ -120,16 +123,21 @@
         let mut at = 0;
         let ns = median_ns(2_000, || {
             at = (at + 1) % names.len();
-            black_box(seating::elect(&names[at], &members, |_| true));
+            black_box(seat_leases::elect(&names[at], &members, |_| true));
         });
         points.push((count as f64, ns));
         table.row(&[count as f64, ns]);
     }
-    tell_fit("ns an election", "gateways", &points);
+    tell_fit("ns an election", "real_gateways", &points);
 }
 
 fn rosters() {
-    let columns = ["gateways", "bytes of a roster", "us to write", "us to read"];
+    let columns = [
+        "real_gateways",
+        "bytes of a roster",
+        "us to write",
+        "us to read",
+    ];
     let table = Markdown::head("The roster", &columns);
     let mut points = Vec::new();
     for count in [10, 50, 150, 590] {
@@ -148,5 +156,5 @@
         points.push((count as f64, bytes.len() as f64));
         table.row(&[count as f64, bytes.len() as f64, write / 1e3, read / 1e3]);
     }
-    tell_fit("bytes of a roster", "gateways", &points);
+    tell_fit("bytes of a roster", "real_gateways", &points);
 }
--- a/tests/hollow/src/configuration.rs
+++ b/tests/hollow/src/configuration.rs
@@ -2,11 +2,11 @@
 
 use crate::meter::{live, tell_fit, timed, Markdown};
 use crate::town;
-use binding::{Documents, Table};
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use flate2::Compression;
 use platform::PlatformDocuments;
+use routing::{Documents, Table};
 use std::io::{Read, Write};
 use std::sync::Arc;
 
--- a/tests/hollow/src/cores.rs
+++ b/tests/hollow/src/controllers.rs
@@ -1,23 +1,23 @@
-//! The council in virtual time, without faults.
+//! The consensus in virtual time, without faults.
 
 use crate::meter::{timed, Markdown};
-use council::{
-    perform, Council, CouncilAction, CouncilMessage, CouncilOptions, DiskWork, HeldSummary,
+use consensus::{
+    perform, Consensus, ConsensusAction, ConsensusMessage, ConsensusOptions, DiskWork, HeldSummary,
     DESCRIPTION_KEY,
 };
-use dispatch::frame;
 use journal::MemoryFolder;
+use protocol::frame;
 use register::Outcome;
 use std::collections::VecDeque;
 use voter::Voter;
 
-const BEAT_MS: u64 = 550;
+const HEARTBEAT_MS: u64 = 550;
 const LEASE_MS: u64 = 4_400;
 const TICK_MS: u64 = 50;
 const WAY_MS: u64 = 5;
 
-struct Core {
-    council: Council,
+struct Controller {
+    consensus: Consensus,
     voter: Voter,
     works: Vec<DiskWork>,
     cpu: u64,
@@ -28,8 +28,8 @@
 
 struct World {
     now: u64,
-    cores: Vec<Core>,
-    ways: VecDeque<(u64, usize, usize, CouncilMessage)>,
+    controllers: Vec<Controller>,
+    ways: VecDeque<(u64, usize, usize, ConsensusMessage)>,
 }
 
 fn address(place: usize) -> String {
@@ -38,22 +38,22 @@
 
 impl World {
     fn new(count: usize) -> Self {
-        let core = |place: usize| {
+        let controller = |place: usize| {
             let voter = Voter::open(Box::new(MemoryFolder::default())).expect("an empty voter");
-            let options = CouncilOptions {
-                name: format!("core-{place}"),
+            let options = ConsensusOptions {
+                name: format!("controller-{place}"),
                 address: address(place),
                 seeds: (0..count).map(address).collect(),
                 is_first_start: true,
                 disk: 1_000 + place as u64,
                 lease_ms: LEASE_MS,
-                beat_ms: BEAT_MS,
+                heartbeat_ms: HEARTBEAT_MS,
                 patience_ms: 2_000,
                 seed: place as u64,
                 voters_wanted: 5,
             };
-            Core {
-                council: Council::new(options, 0, HeldSummary::of(&voter)),
+            Controller {
+                consensus: Consensus::new(options, 0, HeldSummary::of(&voter)),
                 voter,
                 works: Vec::new(),
                 cpu: 0,
@@ -64,7 +64,7 @@
         };
         Self {
             now: 0,
-            cores: (0..count).map(core).collect(),
+            controllers: (0..count).map(controller).collect(),
             ways: VecDeque::new(),
         }
     }
@@ -75,23 +75,27 @@
             let Some((_, from, to, message)) = self.ways.pop_front() else {
                 break;
             };
-            let core = &mut self.cores[to];
-            timed(&mut core.cpu, || {
-                core.council.on_message(self.now, &address(from), message)
+            let controller = &mut self.controllers[to];
+            timed(&mut controller.cpu, || {
+                controller
+                    .consensus
+                    .on_message(self.now, &address(from), message)
             });
             self.drain(to);
         }
-        for place in 0..self.cores.len() {
+        for place in 0..self.controllers.len() {
             if (self.now + 7 * place as u64).is_multiple_of(TICK_MS) {
-                let core = &mut self.cores[place];
-                timed(&mut core.cpu, || core.council.tick(self.now));
+                let controller = &mut self.controllers[place];
+                timed(&mut controller.cpu, || controller.consensus.tick(self.now));
                 self.drain(place);
             }
-            let core = &mut self.cores[place];
-            let works = std::mem::take(&mut core.works);
+            let controller = &mut self.controllers[place];
+            let works = std::mem::take(&mut controller.works);
             if !works.is_empty() {
-                for done in perform(&mut core.voter, works) {
-                    timed(&mut core.cpu, || core.council.on_disk(self.now, done));
+                for done in perform(&mut controller.voter, works) {
+                    timed(&mut controller.cpu, || {
+                        controller.consensus.on_disk(self.now, done)
+                    });
                 }
                 self.drain(place);
             }
@@ -100,21 +104,23 @@
 
     fn drain(&mut self, from: usize) {
         let now = self.now;
-        let core = &mut self.cores[from];
-        for action in core.council.actions() {
+        let controller = &mut self.controllers[from];
+        for action in controller.consensus.actions() {
             match action {
-                CouncilAction::Send { to, message } => {
-                    let bytes = timed(&mut core.cpu, || frame(&message).len() as u64);
-                    core.bytes += bytes;
-                    core.messages += 1;
+                ConsensusAction::Send { to, message } => {
+                    let bytes = timed(&mut controller.cpu, || frame(&message).len() as u64);
+                    controller.bytes += bytes;
+                    controller.messages += 1;
                     let to = to
                         .strip_prefix("10.16.")
                         .and_then(|rest| rest.split('.').next());
                     let to = to.and_then(|text| text.parse().ok()).unwrap_or(from);
                     self.ways.push_back((now + WAY_MS, from, to, message));
                 }
-                CouncilAction::Disk(work) => core.works.push(work),
-                CouncilAction::Done { token, outcome } => core.done = Some((token, outcome)),
+                ConsensusAction::Disk(work) => controller.works.push(work),
+                ConsensusAction::Done { token, outcome } => {
+                    controller.done = Some((token, outcome))
+                }
                 _ => {}
             }
         }
@@ -125,38 +131,39 @@
     }
 
     fn forget(&mut self) {
-        for core in &mut self.cores {
-            (core.cpu, core.bytes, core.messages) = (0, 0, 0);
+        for controller in &mut self.controllers {
+            (controller.cpu, controller.bytes, controller.messages) = (0, 0, 0);
         }
     }
 
     fn holder(&self) -> usize {
-        let holds = |core: &Core| core.council.term(self.now).is_some();
-        self.cores
+        let holds = |controller: &Controller| controller.consensus.term(self.now).is_some();
+        self.controllers
             .iter()
             .position(holds)
             .expect("one holds the duty")
     }
 
-    /// Writes a value at a core and gives the milliseconds that it took.
+    /// Writes a value at a controller and gives the milliseconds that it took.
     fn write(&mut self, place: usize, size: usize) -> u64 {
         let began = self.now;
-        let version = self.cores[place]
-            .council
+        let version = self.controllers[place]
+            .consensus
             .settled(DESCRIPTION_KEY)
             .map_or(0, |one| one.0);
         // Of bytes that no deflating makes smaller.
         let bytes = (0..size).map(|at| (at * 31 % 251) as u8).collect();
-        let core = &mut self.cores[place];
-        core.done = None;
-        core.council
+        let controller = &mut self.controllers[place];
+        controller.done = None;
+        controller
+            .consensus
             .write(self.now, 1, DESCRIPTION_KEY, version, bytes);
         self.drain(place);
-        while self.cores[place].done.is_none() {
+        while self.controllers[place].done.is_none() {
             self.step();
             assert!(self.now < began + 20_000, "the write ends");
         }
-        let done = self.cores[place].done.take();
+        let done = self.controllers[place].done.take();
         assert!(matches!(done, Some((1, Outcome::Settled(_)))), "{done:?}");
         self.now - began
     }
@@ -164,20 +171,28 @@
 
 pub fn run() {
     let columns = [
-        "cores",
+        "controllers",
         "messages/s of the holder",
         "KB/s",
         "us of processor a s",
         "of another: KB/s",
     ];
-    let table = Markdown::head("A quiet council (beat 550 ms, 5 voters wanted)", &columns);
+    let table = Markdown::head(
+        "A quiet consensus (heartbeat 550 ms, 5 voters wanted)",
+        &columns,
+    );
     for count in [3, 5, 8] {
         let mut world = World::new(count);
         world.run(20_000);
         world.forget();
         world.run(60_000);
-        let holder = &world.cores[world.holder()];
-        let others: u64 = world.cores.iter().map(|core| core.bytes).sum::<u64>() - holder.bytes;
+        let holder = &world.controllers[world.holder()];
+        let others: u64 = world
+            .controllers
+            .iter()
+            .map(|controller| controller.bytes)
+            .sum::<u64>()
+            - holder.bytes;
         table.row(&[
             count as f64,
             holder.messages as f64 / 60.0,
@@ -188,7 +203,7 @@
     }
     let columns = [
         "KB of the value",
-        "cores",
+        "controllers",
         "KB sent by the writer",
         "KB sent by all",
         "ms of processor, all",
@@ -204,13 +219,13 @@
         world.forget();
         let ms = world.write(place, size << 10);
         world.run(3_000);
-        let sum = |of: fn(&Core) -> u64| world.cores.iter().map(of).sum::<u64>() as f64;
+        let sum = |of: fn(&Controller) -> u64| world.controllers.iter().map(of).sum::<u64>() as f64;
         table.row(&[
             size as f64,
             count as f64,
-            world.cores[place].bytes as f64 / 1e3,
-            sum(|core| core.bytes) / 1e3,
-            sum(|core| core.cpu) / 1e6,
+            world.controllers[place].bytes as f64 / 1e3,
+            sum(|controller| controller.bytes) / 1e3,
+            sum(|controller| controller.cpu) / 1e6,
             ms as f64,
         ]);
     }
--- a/tests/hollow/src/fleet.rs
+++ b/tests/hollow/src/fleet.rs
@@ -4,11 +4,11 @@
 use crate::meter::{cpu_ns, timed};
 use crate::scaler;
 use crate::town::{self, Mix};
-use dispatch::{frame, Bid, Frames, Member, Message, Outcome, Release};
-use launching::{Launcher, Order, RunnerSight};
+use autoscaler::{Launcher, Order, RunnerSight};
+use protocol::{frame, Bid, Frames, Member, Message, Outcome, Release};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use seating::{Errand, Keeper};
+use seat_leases::{Action, Keeper};
 use std::collections::{BTreeMap, HashMap};
 
 const STEP_MS: u64 = 50;
@@ -21,7 +21,7 @@
 }
 
 #[derive(Default)]
-pub(crate) struct Front {
+pub(crate) struct Gateway {
     pub keeper: Keeper,
     pub cpu: u64,
     pub in_bytes: u64,
@@ -62,7 +62,7 @@
     pub pace_ms: u64,
     members: Vec<Member>,
     places: HashMap<String, usize>,
-    pub fronts: Vec<Front>,
+    pub gateways: Vec<Gateway>,
     pub launcher: Launcher,
     pub listed: BTreeMap<String, RunnerSight>,
     born: usize,
@@ -72,8 +72,8 @@
 }
 
 impl Town {
-    fn new(fronts: usize, functions: usize, instances: usize, calls: f64) -> Self {
-        let members = town::members(fronts);
+    fn new(gateways: usize, functions: usize, instances: usize, calls: f64) -> Self {
+        let members = town::members(gateways);
         let names = members.iter().enumerate();
         let mix = Mix::new(functions, calls);
         let workers = town::workers(instances);
@@ -98,7 +98,7 @@
             places: names
                 .map(|(place, one)| (one.name.clone(), place))
                 .collect(),
-            fronts: (0..fronts).map(|_| Front::default()).collect(),
+            gateways: (0..gateways).map(|_| Gateway::default()).collect(),
             members,
             mix,
             launcher,
@@ -113,7 +113,7 @@
     fn elect(&mut self, function: usize) -> usize {
         let name = town::function_name(function);
         let member = timed(&mut self.sums.electing, || {
-            seating::elect(&name, &self.members, |_| true)
+            seat_leases::elect(&name, &self.members, |_| true)
         });
         member.map_or(0, |member| self.places[&member.name])
     }
@@ -131,14 +131,14 @@
                 outcome: Outcome::Answered,
                 took_ms,
             });
-            self.fronts[keeper].in_bytes += self.sums.count("Release", &message);
-            self.fronts[keeper].inbox.push((carrier, message));
+            self.gateways[keeper].in_bytes += self.sums.count("Release", &message);
+            self.gateways[keeper].inbox.push((carrier, message));
         }
         let calls = self.mix.calls_per_s * STEP_MS as f64 / 1e3;
         let calls = calls as u64 + u64::from(self.random.random::<f64>() < calls.fract());
         for _ in 0..calls {
             let function = self.mix.draw(self.random.random());
-            let carrier = self.random.random_range(0..self.fronts.len());
+            let carrier = self.random.random_range(0..self.gateways.len());
             let keeper = self.elect(function);
             self.tickets += 1;
             let message = Message::Bid(Bid {
@@ -149,9 +149,9 @@
                 avoid: Vec::new(),
                 job: None,
             });
-            self.fronts[keeper].in_bytes += self.sums.count("Bid", &message);
-            self.fronts[keeper].bids += 1;
-            self.fronts[keeper].inbox.push((carrier, message));
+            self.gateways[keeper].in_bytes += self.sums.count("Bid", &message);
+            self.gateways[keeper].bids += 1;
+            self.gateways[keeper].inbox.push((carrier, message));
             self.sums.calls += 1;
         }
     }
@@ -159,15 +159,15 @@
     /// Keepers take what came, tick and say what is to be done.
     fn keep(&mut self) {
         let now = self.now;
-        for place in 0..self.fronts.len() {
-            let front = &mut self.fronts[place];
-            let inbox: Vec<(usize, Vec<u8>)> = std::mem::take(&mut front.inbox)
+        for place in 0..self.gateways.len() {
+            let gateway = &mut self.gateways[place];
+            let inbox: Vec<(usize, Vec<u8>)> = std::mem::take(&mut gateway.inbox)
                 .into_iter()
                 .map(|(from, message)| (from, frame(&message)))
                 .collect();
             let members = &self.members;
-            let keeper = &mut front.keeper;
-            let errands = timed(&mut front.cpu, || {
+            let keeper = &mut gateway.keeper;
+            let actions = timed(&mut gateway.cpu, || {
                 for (from, bytes) in inbox {
                     let member = &members[from];
                     match Frames::new(&bytes).read() {
@@ -181,24 +181,24 @@
                     }
                 }
                 keeper.tick(now);
-                keeper.errands()
+                keeper.actions()
             });
-            self.run_errands(place, errands);
+            self.run_actions(place, actions);
         }
     }
 
-    fn run_errands(&mut self, keeper: usize, errands: Vec<Errand>) {
-        for errand in errands {
-            match errand {
-                Errand::Grant(front, grant) => {
+    fn run_actions(&mut self, keeper: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Grant(gateway, grant) => {
                     let ends_at = self.now + self.pace_ms.max(1);
-                    let held = (self.places[&front], keeper, grant.ticket);
+                    let held = (self.places[&gateway], keeper, grant.ticket);
                     self.held.entry(ends_at).or_default().push(held);
                     let message = Message::Grant(grant);
-                    timed(&mut self.fronts[keeper].cpu, || frame(&message).len());
+                    timed(&mut self.gateways[keeper].cpu, || frame(&message).len());
                     self.sums.count("Grant", &message);
                 }
-                Errand::Refuse(_, ticket, retry_after_ms) => {
+                Action::Refuse(_, ticket, retry_after_ms) => {
                     self.sums.refused += 1;
                     let message = Message::Refuse {
                         ticket,
@@ -206,11 +206,11 @@
                     };
                     self.sums.count("Refuse", &message);
                 }
-                Errand::Probe(function, runner, _) => {
+                Action::Probe(function, runner, _) => {
                     let now = self.now;
-                    let front = &mut self.fronts[keeper];
-                    timed(&mut front.cpu, || {
-                        front.keeper.probed(now, &function, &runner, true)
+                    let gateway = &mut self.gateways[keeper];
+                    timed(&mut gateway.cpu, || {
+                        gateway.keeper.probed(now, &function, &runner, true)
                     });
                 }
             }
@@ -219,10 +219,10 @@
 
     fn report(&mut self, is_all: bool) {
         let now = self.now;
-        for place in 0..self.fronts.len() {
-            let front = &mut self.fronts[place];
-            let keeper = &mut front.keeper;
-            let (reports, bytes) = timed(&mut front.cpu, || {
+        for place in 0..self.gateways.len() {
+            let gateway = &mut self.gateways[place];
+            let keeper = &mut gateway.keeper;
+            let (reports, bytes) = timed(&mut gateway.cpu, || {
                 let reports = keeper.reports(now, is_all);
                 let message = Message::Report(reports);
                 let bytes = frame(&message);
@@ -234,7 +234,7 @@
             if reports.is_empty() {
                 continue;
             }
-            front.report_bytes += bytes.len() as u64;
+            gateway.report_bytes += bytes.len() as u64;
             let flow = self.sums.flows.entry("Report").or_default();
             flow.messages += 1;
             flow.bytes += bytes.len() as u64;
@@ -267,16 +267,17 @@
         self.carry_out();
     }
 
-    fn tell(&mut self, place: usize, news: dispatch::FunctionNews) {
+    fn tell(&mut self, place: usize, news: protocol::FunctionNews) {
         let message = Message::Runners(vec![news]);
         self.sums.count("Runners", &message);
         let Message::Runners(news) = message else {
             return;
         };
         let now = self.now;
-        let front = &mut self.fronts[place];
-        timed(&mut front.cpu, || {
-            news.into_iter().for_each(|one| front.keeper.news(now, one));
+        let gateway = &mut self.gateways[place];
+        timed(&mut gateway.cpu, || {
+            news.into_iter()
+                .for_each(|one| gateway.keeper.news(now, one));
         });
     }
 
@@ -288,7 +289,7 @@
             let orders = launcher.orders();
             let news = launcher.news().into_iter();
             let news = news.map(|one| {
-                let keeper = seating::elect(&one.function, members, |_| true);
+                let keeper = seat_leases::elect(&one.function, members, |_| true);
                 (
                     keeper.map_or(String::new(), |keeper| keeper.name.clone()),
                     one,
@@ -356,14 +357,19 @@
     }
 }
 
-pub fn run(fronts: usize, functions: usize, instances: usize, calls: f64, seconds: u64) {
-    let mut town = Town::new(fronts, functions, instances, calls);
+pub fn run(gateways: usize, functions: usize, instances: usize, calls: f64, seconds: u64) {
+    let mut town = Town::new(gateways, functions, instances, calls);
     town.carry_out();
     town.report(true);
     (0..seconds * 1_000 / STEP_MS).for_each(|_| town.step());
     town.sums = Sums::default();
-    for front in &mut town.fronts {
-        (front.cpu, front.bids, front.in_bytes, front.report_bytes) = (0, 0, 0, 0);
+    for gateway in &mut town.gateways {
+        (
+            gateway.cpu,
+            gateway.bids,
+            gateway.in_bytes,
+            gateway.report_bytes,
+        ) = (0, 0, 0, 0);
     }
     (0..seconds * 1_000 / STEP_MS).for_each(|_| town.step());
     tell(town, seconds as f64);
--- a/tests/hollow/src/fleet_tables.rs
+++ b/tests/hollow/src/fleet_tables.rs
@@ -1,13 +1,13 @@
 //! What a run of keepers and scaler came to.
 
-use crate::fleet::{Front, Town};
+use crate::fleet::{Gateway, Town};
 use crate::meter::{live, Markdown};
 
 /// Prints the tables of a run that was measured for so many virtual seconds.
 pub fn tell(town: Town, seconds: f64) {
     let size = format!(
-        "{} gateways, {} functions, {} instances at the end, {:.0} calls/s, answers take {} ms",
-        town.fronts.len(),
+        "{} real_gateways, {} functions, {} instances at the end, {:.0} calls/s, answers take {} ms",
+        town.gateways.len(),
         town.mix.functions,
         town.listed.len(),
         town.sums.calls as f64 / seconds,
@@ -31,24 +31,24 @@
             ],
         );
     }
-    let count = town.fronts.len() as f64;
+    let count = town.gateways.len() as f64;
     let share = |ns: u64| ns as f64 / 1e7 / seconds;
     let columns = ["of a keeper", "mean", "the most"];
     let table = Markdown::head("Keepers", &columns);
-    type Of = fn(&Front) -> u64;
+    type Of = fn(&Gateway) -> u64;
     let rows: [(&str, Of, f64); 4] = [
-        ("% of a core", |front| front.cpu, 1e7),
-        ("bids/s", |front| front.bids, 1.0),
-        ("KB/s in (bids, releases)", |front| front.in_bytes, 1e3),
-        ("KB/s of reports", |front| front.report_bytes, 1e3),
+        ("% of a controller", |gateway| gateway.cpu, 1e7),
+        ("bids/s", |gateway| gateway.bids, 1.0),
+        ("KB/s in (bids, releases)", |gateway| gateway.in_bytes, 1e3),
+        ("KB/s of reports", |gateway| gateway.report_bytes, 1e3),
     ];
     for (name, of, unit) in rows {
-        let sum: u64 = town.fronts.iter().map(of).sum();
-        let most = town.fronts.iter().map(of).max().unwrap_or(0);
+        let sum: u64 = town.gateways.iter().map(of).sum();
+        let most = town.gateways.iter().map(of).max().unwrap_or(0);
         let of = |value: f64| value / unit / seconds;
         table.named(name, &[of(sum as f64) / count, of(most as f64)]);
     }
-    let table = Markdown::head("The scaler", &["part", "% of a core"]);
+    let table = Markdown::head("The scaler", &["part", "% of a controller"]);
     table.named("reports", &[share(sums.reporting)]);
     table.named("orders and news", &[share(sums.carrying_out)]);
     table.named("ticks", &[share(sums.ticking)]);
@@ -58,7 +58,7 @@
         sums.longest_tick as f64 / 1e6
     );
     println!(
-        "elections by all gateways: {:.1} % of a core; {:.0} starts/s, {:.0} stops/s, {:.0} refused/s",
+        "elections by all real_gateways: {:.1} % of a controller; {:.0} starts/s, {:.0} stops/s, {:.0} refused/s",
         share(sums.electing),
         sums.starts as f64 / seconds,
         sums.stops as f64 / seconds,
@@ -68,7 +68,7 @@
     drop(town.launcher);
     let scaler = (before - live()) as f64 / 1e6;
     let before = live();
-    drop(town.fronts);
+    drop(town.gateways);
     let keepers = (before - live()) as f64 / 1e6;
     println!(
         "memory: scaler {scaler:.1} MB, keepers {:.2} MB each",
--- a/tests/hollow/src/keeper.rs
+++ b/tests/hollow/src/keeper.rs
@@ -2,8 +2,8 @@
 
 use crate::meter::{live, median_ns, tell_fit, timed, Markdown};
 use crate::town;
-use dispatch::{frame, Bid, Message, Outcome, Release};
-use seating::{Errand, Keeper};
+use protocol::{frame, Bid, Message, Outcome, Release};
+use seat_leases::{Action, Keeper};
 use std::hint::black_box;
 
 pub fn run() {
@@ -43,10 +43,10 @@
         for call in 0..calls {
             keeper.release(call, "edge-0001", &release(call));
             keeper.bid(call, "edge-0001", "north-a", bid(call + lent, 0));
-            let errands = keeper.errands();
-            granted += errands
+            let actions = keeper.actions();
+            granted += actions
                 .iter()
-                .filter(|one| matches!(one, Errand::Grant(..)))
+                .filter(|one| matches!(one, Action::Grant(..)))
                 .count();
         }
     });
@@ -164,11 +164,11 @@
                     keeper.news(0, town::news(function, 10, 1));
                 }
                 for ticket in 0..tickets {
-                    let front = town::front_name(ticket % 100);
-                    keeper.bid(1, &front, "north-a", bid(ticket as u64, ticket / 10));
+                    let gateway = town::gateway_name(ticket % 100);
+                    keeper.bid(1, &gateway, "north-a", bid(ticket as u64, ticket / 10));
                 }
                 let mut sum = 0;
-                timed(&mut sum, || keeper.forget_front(2, "edge-0001"));
+                timed(&mut sum, || keeper.forget_gateway(2, "edge-0001"));
                 sum
             })
             .collect();
--- a/tests/hollow/src/main.rs
+++ b/tests/hollow/src/main.rs
@@ -2,7 +2,7 @@
 
 mod carrier;
 mod configuration;
-mod cores;
+mod controllers;
 mod fleet;
 mod fleet_tables;
 mod keeper;
@@ -11,7 +11,7 @@
 mod town;
 mod wire;
 mod wire_daemons;
-mod wire_fronts;
+mod wire_gateways;
 
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
@@ -37,13 +37,13 @@
     Scaler,
     /// A change of the description by functions.
     Configuration,
-    /// The council by cores and size of value.
-    Cores,
+    /// The consensus by controllers and size of value.
+    Controllers,
     /// Keepers and scaler together in virtual time.
     Fleet {
         /// Gateways.
         #[arg(long, default_value_t = 50)]
-        fronts: usize,
+        gateways: usize,
         /// Functions.
         #[arg(long, default_value_t = 2_000)]
         functions: usize,
@@ -57,11 +57,11 @@
         #[arg(long, default_value_t = 5)]
         seconds: u64,
     },
-    /// Real controllers and gateways on loopback with hollow fronts.
+    /// Real controllers and real_gateways on loopback with hollow gateways.
     Wire {
-        /// Hollow fronts.
+        /// Hollow gateways.
         #[arg(long, default_value_t = 50)]
-        fronts: usize,
+        gateways: usize,
         /// Functions of the description.
         #[arg(long, default_value_t = 2_000)]
         functions: usize,
@@ -73,7 +73,7 @@
         controllers: usize,
         /// Gateways.
         #[arg(long, default_value_t = 2)]
-        gateways: usize,
+        real_gateways: usize,
         /// Seconds of each measured part.
         #[arg(long, default_value_t = 10)]
         seconds: u64,
@@ -89,29 +89,29 @@
         Command::Keeper => keeper::run(),
         Command::Scaler => scaler::run(),
         Command::Configuration => configuration::run(),
-        Command::Cores => cores::run(),
+        Command::Controllers => controllers::run(),
         Command::Fleet {
-            fronts,
+            gateways,
             functions,
             instances,
             calls,
             seconds,
-        } => fleet::run(fronts, functions, instances, calls, seconds),
+        } => fleet::run(gateways, functions, instances, calls, seconds),
         Command::Wire {
-            fronts,
+            gateways,
             functions,
             instances,
             controllers,
-            gateways,
+            real_gateways,
             seconds,
             programs,
         } => {
             let size = wire::Size {
-                fronts,
+                gateways,
                 functions,
                 instances,
                 controllers,
-                gateways,
+                real_gateways,
                 seconds,
             };
             wire::run(&size, &programs);
--- a/tests/hollow/src/scaler.rs
+++ b/tests/hollow/src/scaler.rs
@@ -2,8 +2,8 @@
 
 use crate::meter::{live, tell_fit, timed, Markdown};
 use crate::town;
-use dispatch::{FunctionReport, RunnerReport};
-use launching::{Launcher, Options, Order, RunnerSight};
+use autoscaler::{Launcher, Options, Order, RunnerSight};
+use protocol::{FunctionReport, RunnerReport};
 
 const ROUNDS: u64 = 5;
 const STARTS: usize = 21;
--- a/tests/hollow/src/town.rs
+++ b/tests/hollow/src/town.rs
@@ -1,8 +1,8 @@
 //! The made-up town of daemons, functions and instances that all measurements use.
 
-use binding::{Binding, Description, Function};
-use dispatch::{FunctionNews, Member, RunnerNews, RunnerStage};
-use launching::{RunnerSight, WorkerSight};
+use autoscaler::{RunnerSight, WorkerSight};
+use protocol::{FunctionNews, Member, RunnerNews, RunnerStage};
+use routing::{Binding, Description, Function};
 
 /// Zones of the site.
 pub const ZONES: [&str; 5] = ["north-a", "north-b", "north-c", "south-a", "south-b"];
@@ -19,7 +19,7 @@
     format!("shop-function-{place:05}")
 }
 
-pub fn front_name(place: usize) -> String {
+pub fn gateway_name(place: usize) -> String {
     format!("edge-{place:04}")
 }
 
@@ -38,7 +38,7 @@
 
 pub fn members(count: usize) -> Vec<Member> {
     let member = |place| Member {
-        name: front_name(place),
+        name: gateway_name(place),
         incarnation: 0x1234_5678_9abc_0000 + place as u64,
         address: address(place),
         district: zone(place).to_string(),
--- a/tests/hollow/src/wire.rs
+++ b/tests/hollow/src/wire.rs
@@ -1,21 +1,21 @@
-//! Real controllers and gateways on loopback, with many hollow fronts in this process.
+//! Real controllers and real_gateways on loopback, with many hollow gateways in this process.
 
 use crate::configuration;
 use crate::meter::{figure, Markdown};
 use crate::town;
 use crate::wire_daemons::{operate, Daemon, Fleet};
-use crate::wire_fronts::Fronts;
+use crate::wire_gateways::Gateways;
 use std::path::Path;
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
 /// What is run.
 pub struct Size {
-    pub fronts: usize,
+    pub gateways: usize,
     pub functions: usize,
     pub instances: usize,
     pub controllers: usize,
-    pub gateways: usize,
+    pub real_gateways: usize,
     pub seconds: u64,
 }
 
@@ -26,7 +26,7 @@
 
 struct Run {
     fleet: Fleet,
-    fronts: Fronts,
+    gateways: Gateways,
     ends_at: Instant,
 }
 
@@ -43,26 +43,26 @@
         let until = Instant::now() + span;
         while Instant::now() < until {
             assert!(Instant::now() < self.ends_at, "the run takes too long");
-            self.fronts.turn();
+            self.gateways.turn();
         }
     }
 
-    fn until(&mut self, most: Duration, is_so: impl Fn(&Fronts) -> bool) -> f64 {
+    fn until(&mut self, most: Duration, is_so: impl Fn(&Gateways) -> bool) -> f64 {
         let began = Instant::now();
-        while !is_so(&self.fronts) {
+        while !is_so(&self.gateways) {
             assert!(
                 began.elapsed() < most,
                 "it takes too long: {}",
-                self.fronts.tell()
+                self.gateways.tell()
             );
-            self.fronts.turn();
+            self.gateways.turn();
         }
         began.elapsed().as_secs_f64()
     }
 
     fn part(&mut self, work: impl FnOnce(&mut Self)) -> Part {
         let before: Vec<f64> = self.fleet.daemons.iter().map(Daemon::cpu_s).collect();
-        let (taken, sent) = (self.fronts.taken, self.fronts.sent);
+        let (taken, sent) = (self.gateways.taken, self.gateways.sent);
         let began = Instant::now();
         work(self);
         let after = self.fleet.daemons.iter().map(Daemon::cpu_s);
@@ -72,12 +72,12 @@
                 .map(|(after, before)| after - before)
                 .collect(),
             seconds: began.elapsed().as_secs_f64(),
-            kb_out: (self.fronts.taken - taken) as f64 / 1e3,
-            kb_in: (self.fronts.sent - sent) as f64 / 1e3,
+            kb_out: (self.gateways.taken - taken) as f64 / 1e3,
+            kb_in: (self.gateways.sent - sent) as f64 / 1e3,
         }
     }
 
-    /// Gives an order and drives the fronts until all hold what came of it: seconds of the answer, and from there.
+    /// Gives an order and drives the gateways until all hold what came of it: seconds of the answer, and from there.
     fn order(&mut self, target: &'static str, base: u64, body: Vec<u8>) -> (f64, f64) {
         let (tell, told) = mpsc::channel();
         let address = self.fleet.operators();
@@ -91,14 +91,14 @@
                 began.elapsed() < Duration::from_secs(40),
                 "the operator waits too long"
             );
-            self.fronts.turn();
+            self.gateways.turn();
         };
         assert_eq!(answer, Ok(200), "the order is taken");
         let answered = began.elapsed().as_secs_f64();
-        let mark = self.fronts.newest;
+        let mark = self.gateways.newest;
         let wanted = base + 1;
-        let held = self.until(Duration::from_secs(60), |fronts| {
-            fronts.orders_held() >= wanted && fronts.newest >= mark
+        let held = self.until(Duration::from_secs(60), |gateways| {
+            gateways.orders_held() >= wanted && gateways.newest >= mark
         });
         (answered, held)
     }
@@ -107,17 +107,17 @@
 /// Runs it all and prints its tables.
 pub fn run(size: &Size, programs: &Path) {
     let fleet = Fleet::start(size, programs);
-    let fronts = Fronts::new(size.fronts, size.instances, fleet.cores());
+    let gateways = Gateways::new(size.gateways, size.instances, fleet.controllers());
     let mut run = Run {
         fleet,
-        fronts,
+        gateways,
         ends_at: Instant::now() + MOST,
     };
     println!(
-        "\n## {} hollow fronts, {} gateways, {} controllers, {} functions, {} instances listed",
-        size.fronts, size.gateways, size.controllers, size.functions, size.instances
+        "\n## {} hollow gateways, {} real_gateways, {} controllers, {} functions, {} instances listed",
+        size.gateways, size.real_gateways, size.controllers, size.functions, size.instances
     );
-    run.until(Duration::from_secs(60), Fronts::are_linked);
+    run.until(Duration::from_secs(60), Gateways::are_linked);
     run.drive(Duration::from_secs(8));
     let quiet = Duration::from_secs(size.seconds);
     let bare = run.part(|run| run.drive(quiet));
@@ -137,8 +137,8 @@
     });
     let restarts = run.part(|run| {
         for place in 0..RESTARTS {
-            run.fronts.restart(place);
-            run.until(Duration::from_secs(20), Fronts::are_linked);
+            run.gateways.restart(place);
+            run.until(Duration::from_secs(20), Gateways::are_linked);
             run.drive(Duration::from_secs(2));
         }
     });
@@ -179,22 +179,22 @@
         .map(|(answered, held)| format!("{}+{}", figure(*answered), figure(*held)))
         .collect();
     println!(
-        "\nfirst document: answered in {} s, held by all fronts {} s later; changes (s): {}",
+        "\nfirst document: answered in {} s, held by all gateways {} s later; changes (s): {}",
         figure(first.0),
         figure(first.1),
         spread.join(", ")
     );
-    println!("\nframes that fronts took: {}", run.fronts.tell());
+    println!("\nframes that gateways took: {}", run.gateways.tell());
 }
 
 fn tell(run: &Run, parts: &[(&str, &Part)]) {
     for (title, part) in parts {
-        let table = Markdown::head(&format!("Quiet: {title}"), &["daemon", "% of a core"]);
+        let table = Markdown::head(&format!("Quiet: {title}"), &["daemon", "% of a controller"]);
         for (place, daemon) in run.fleet.daemons.iter().enumerate() {
             table.named(&daemon.name, &[part.spans[place] * 100.0 / part.seconds]);
         }
         println!(
-            "\nKB/s to all fronts: {}, from all fronts: {}",
+            "\nKB/s to all gateways: {}, from all gateways: {}",
             figure(part.kb_out / part.seconds),
             figure(part.kb_in / part.seconds)
         );
@@ -209,7 +209,7 @@
     }
     let idle = quiet.kb_out / quiet.seconds * part.seconds;
     println!(
-        "\nKB to all fronts: {}",
+        "\nKB to all gateways: {}",
         figure((part.kb_out - idle) / count)
     );
 }
--- a/tests/hollow/src/wire_daemons.rs
+++ b/tests/hollow/src/wire_daemons.rs
@@ -70,7 +70,7 @@
     }
 }
 
-fn core_ip(place: usize) -> String {
+fn controller_ip(place: usize) -> String {
     format!("127.0.41.{}", place + 1)
 }
 
@@ -111,18 +111,18 @@
             controllers: size.controllers,
             folder,
         };
-        let seeds: Vec<String> = (0..size.controllers).map(core_ip).collect();
+        let seeds: Vec<String> = (0..size.controllers).map(controller_ip).collect();
         for (place, ip) in seeds.iter().enumerate() {
             fleet.spawn(
                 programs,
                 "hallkeel-controller",
-                &format!("core-{place}"),
+                &format!("controller-{place}"),
                 ip,
                 place,
                 &seeds,
             );
         }
-        for place in 0..size.gateways {
+        for place in 0..size.real_gateways {
             let ip = format!("127.0.42.{}", place + 1);
             fleet.spawn(
                 programs,
@@ -171,17 +171,18 @@
         self.daemons.push(Daemon { name, child });
     }
 
-    /// Where cores listen for fronts.
-    pub fn cores(&self) -> Vec<SocketAddr> {
-        let addresses = (0..self.controllers).map(|place| format!("{}:{INTERNAL}", core_ip(place)));
+    /// Where controllers listen for gateways.
+    pub fn controllers(&self) -> Vec<SocketAddr> {
+        let addresses =
+            (0..self.controllers).map(|place| format!("{}:{INTERNAL}", controller_ip(place)));
         addresses
             .filter_map(|address| address.parse().ok())
             .collect()
     }
 
-    /// Where the first core listens for operators.
+    /// Where the first controller listens for operators.
     pub fn operators(&self) -> SocketAddr {
-        let address = format!("{}:{OPERATORS}", core_ip(0));
+        let address = format!("{}:{OPERATORS}", controller_ip(0));
         address.parse().expect("it is an address")
     }
 
