--- a/tests/hollow/src/wire_fronts.rs
+++ b/tests/hollow/src/wire_gateways.rs
@@ -1,9 +1,9 @@
-//! Hollow fronts: many in this process, each with a link to every core.
+//! Hollow gateways: many in this process, each with a link to every controller.
 
 use crate::town;
 use crate::wire_daemons::CHANGE_MS;
-use courier::{Courier, Event, LineId};
-use dispatch::{frame, Frames, FunctionReport, Member, Message, RunnerReport};
+use event_loop::{Event, EventLoop, LineId};
+use protocol::{frame, Frames, FunctionReport, Member, Message, RunnerReport};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -15,7 +15,7 @@
 const EACH: usize = 10;
 
 #[derive(Default)]
-struct Front {
+struct Gateway {
     member: Member,
     lines: Vec<Option<LineId>>,
     told_at: u64,
@@ -29,11 +29,11 @@
     kept: HashMap<String, (u64, Vec<String>)>,
 }
 
-/// All hollow fronts.
-pub struct Fronts {
-    courier: Courier,
-    cores: Vec<SocketAddr>,
-    fronts: Vec<Front>,
+/// All hollow gateways.
+pub struct Gateways {
+    event_loop: EventLoop,
+    controllers: Vec<SocketAddr>,
+    gateways: Vec<Gateway>,
     lines: HashMap<LineId, (usize, usize)>,
     began: Instant,
     /// Bytes that came, and that were sent.
@@ -43,22 +43,22 @@
     pub newest: u64,
     kinds: BTreeMap<&'static str, (u64, u64)>,
     instances: usize,
-    /// Functions that have instances, by the front that keeps them under the roster of this mark.
+    /// Functions that have instances, by the gateway that keeps them under the roster of this mark.
     keepers: ((u64, u64), HashMap<String, Vec<usize>>),
 }
 
-impl Fronts {
-    pub fn new(count: usize, instances: usize, cores: Vec<SocketAddr>) -> Self {
+impl Gateways {
+    pub fn new(count: usize, instances: usize, controllers: Vec<SocketAddr>) -> Self {
         let members = town::members(count).into_iter();
-        let front = |member| Front {
+        let gateway = |member| Gateway {
             member,
-            lines: vec![None; cores.len()],
-            ..Front::default()
+            lines: vec![None; controllers.len()],
+            ..Gateway::default()
         };
         Self {
-            courier: Courier::new(19_000, 4_400).expect("lines can be had"),
-            fronts: members.map(front).collect(),
-            cores,
+            event_loop: EventLoop::new(19_000, 4_400).expect("lines can be had"),
+            gateways: members.map(gateway).collect(),
+            controllers,
             lines: HashMap::new(),
             began: Instant::now(),
             taken: 0,
@@ -70,13 +70,13 @@
         }
     }
 
-    /// A front keeps what falls to it under a roster, with the instances that there are.
+    /// A gateway keeps what falls to it under a roster, with the instances that there are.
     fn keep(&mut self, place: usize, mark: (u64, u64), members: &[Member]) {
         if mark > self.keepers.0 {
             let mut keepers: HashMap<String, Vec<usize>> = HashMap::new();
             for function in 0..self.instances / EACH {
                 let name = town::function_name(function);
-                if let Some(keeper) = seating::elect(&name, members, |_| true) {
+                if let Some(keeper) = seat_leases::elect(&name, members, |_| true) {
                     keepers
                         .entry(keeper.name.clone())
                         .or_default()
@@ -88,15 +88,15 @@
         if mark != self.keepers.0 {
             return;
         }
-        let front = &mut self.fronts[place];
-        let functions = self.keepers.1.get(&front.member.name);
-        let mut before = std::mem::take(&mut front.kept);
+        let gateway = &mut self.gateways[place];
+        let functions = self.keepers.1.get(&gateway.member.name);
+        let mut before = std::mem::take(&mut gateway.kept);
         for function in functions.into_iter().flatten() {
             let name = town::function_name(*function);
             let places = function * EACH..(function + 1) * EACH;
             let fresh = || (0, places.map(town::instance_id).collect());
             let kept = before.remove(&name).unwrap_or_else(fresh);
-            front.kept.insert(name, kept);
+            gateway.kept.insert(name, kept);
         }
     }
 
@@ -104,18 +104,18 @@
         self.began.elapsed().as_millis() as u64
     }
 
-    /// Whether each front has a link to every core and the whole roster.
+    /// Whether each gateway has a link to every controller and the whole roster.
     pub fn are_linked(&self) -> bool {
         let is_linked =
-            |front: &Front| front.lines.iter().all(Option::is_some) && front.roster.0 > 0;
-        self.fronts.iter().all(is_linked)
+            |gateway: &Gateway| gateway.lines.iter().all(Option::is_some) && gateway.roster.0 > 0;
+        self.gateways.iter().all(is_linked)
     }
 
-    /// Descriptions that every front has taken.
+    /// Descriptions that every gateway has taken.
     pub fn orders_held(&self) -> u64 {
-        self.fronts
+        self.gateways
             .iter()
-            .map(|front| front.orders)
+            .map(|gateway| gateway.orders)
             .min()
             .unwrap_or(0)
     }
@@ -127,36 +127,36 @@
         kinds.collect::<Vec<_>>().join(", ")
     }
 
-    /// A front goes and comes back with another life.
+    /// A gateway goes and comes back with another life.
     pub fn restart(&mut self, place: usize) {
-        let front = &mut self.fronts[place];
-        front.member.incarnation += 1;
-        front.roster = (0, 0);
-        front.kept.clear();
-        for line in std::mem::take(&mut front.lines).into_iter().flatten() {
+        let gateway = &mut self.gateways[place];
+        gateway.member.incarnation += 1;
+        gateway.roster = (0, 0);
+        gateway.kept.clear();
+        for line in std::mem::take(&mut gateway.lines).into_iter().flatten() {
             self.lines.remove(&line);
-            self.courier.close(line);
+            self.event_loop.close(line);
         }
-        self.fronts[place].lines = vec![None; self.cores.len()];
+        self.gateways[place].lines = vec![None; self.controllers.len()];
     }
 
     /// Does what is due and waits a little.
     pub fn turn(&mut self) {
         let now = self.now();
-        for place in 0..self.fronts.len() {
+        for place in 0..self.gateways.len() {
             self.tend(now, place);
         }
         let mut events = Vec::new();
-        self.courier.wait(Duration::from_millis(10), &mut events);
+        self.event_loop.wait(Duration::from_millis(10), &mut events);
         for event in events {
             match event {
                 Event::Connected(line) => self.connected(line),
                 Event::Arrived(line) => self.arrived(line),
                 Event::Ended(line, _) => {
-                    if let Some((place, core)) = self.lines.remove(&line) {
-                        self.fronts[place].lines[core] = None;
+                    if let Some((place, controller)) = self.lines.remove(&line) {
+                        self.gateways[place].lines[controller] = None;
                     }
-                    self.courier.close(line);
+                    self.event_loop.close(line);
                 }
                 Event::Opened(..) => {}
             }
@@ -164,30 +164,30 @@
     }
 
     fn tend(&mut self, now: u64, place: usize) {
-        if now < self.fronts[place].told_at + CHANGE_MS / 10 {
+        if now < self.gateways[place].told_at + CHANGE_MS / 10 {
             return self.report(now, place);
         }
-        // The first beats are spread over the pause.
-        let is_first = self.fronts[place].told_at == 0;
+        // The first heartbeats are spread over the pause.
+        let is_first = self.gateways[place].told_at == 0;
         let early = if is_first {
             place as u64 * 7 % (CHANGE_MS / 10)
         } else {
             0
         };
-        self.fronts[place].told_at = now.max(1).saturating_sub(early).max(1);
-        for core in 0..self.cores.len() {
-            let front = &self.fronts[place];
-            let beat = Message::FrontBeat {
-                description: front.description,
+        self.gateways[place].told_at = now.max(1).saturating_sub(early).max(1);
+        for controller in 0..self.controllers.len() {
+            let gateway = &self.gateways[place];
+            let heartbeat = Message::GatewayHeartbeat {
+                description: gateway.description,
                 closures: 0,
-                roster: front.roster,
+                roster: gateway.roster,
             };
-            match front.lines[core] {
-                Some(line) => self.send(line, &beat),
+            match gateway.lines[controller] {
+                Some(line) => self.send(line, &heartbeat),
                 None => {
-                    if let Ok(line) = self.courier.connect(self.cores[core], INBOX) {
-                        self.fronts[place].lines[core] = Some(line);
-                        self.lines.insert(line, (place, core));
+                    if let Ok(line) = self.event_loop.connect(self.controllers[controller], INBOX) {
+                        self.gateways[place].lines[controller] = Some(line);
+                        self.lines.insert(line, (place, controller));
                     }
                 }
             }
@@ -197,19 +197,19 @@
     fn send(&mut self, line: LineId, message: &Message) {
         let bytes = frame(message);
         self.sent += bytes.len() as u64;
-        self.courier.send(line, &bytes);
+        self.event_loop.send(line, &bytes);
     }
 
-    /// Tells the scaler of all instances that it gave this front, as held.
+    /// Tells the scaler of all instances that it gave this gateway, as held.
     fn report(&mut self, now: u64, place: usize) {
-        let front = &mut self.fronts[place];
-        let Some((_, core)) = front.scaler else {
+        let gateway = &mut self.gateways[place];
+        let Some((_, controller)) = gateway.scaler else {
             return;
         };
-        if now < front.reported_at + REPORT_MS || front.kept.is_empty() {
+        if now < gateway.reported_at + REPORT_MS || gateway.kept.is_empty() {
             return;
         }
-        front.reported_at = now;
+        gateway.reported_at = now;
         let runner = |id: &String| RunnerReport {
             id: id.clone(),
             in_use: 1,
@@ -218,37 +218,37 @@
             is_up: true,
             ..RunnerReport::default()
         };
-        let reports = front
+        let reports = gateway
             .kept
             .iter()
             .map(|(function, (news, runners))| FunctionReport {
                 function: function.clone(),
                 news: *news,
                 arrived: vec![(
-                    front.member.district.clone(),
+                    gateway.member.district.clone(),
                     now / 100 * runners.len() as u64,
                 )],
                 runners: runners.iter().map(runner).collect(),
                 ..FunctionReport::default()
             });
         let message = Message::Report(reports.collect());
-        if let Some(line) = self.fronts[place].lines[core] {
+        if let Some(line) = self.gateways[place].lines[controller] {
             self.send(line, &message);
         }
     }
 
     fn connected(&mut self, line: LineId) {
         if let Some((place, _)) = self.lines.get(&line).copied() {
-            let hello = Message::Front(self.fronts[place].member.clone());
+            let hello = Message::Gateway(self.gateways[place].member.clone());
             self.send(line, &hello);
         }
     }
 
     fn arrived(&mut self, line: LineId) {
-        let Some((place, core)) = self.lines.get(&line).copied() else {
+        let Some((place, controller)) = self.lines.get(&line).copied() else {
             return;
         };
-        let Some(inbox) = self.courier.inbox(line) else {
+        let Some(inbox) = self.event_loop.inbox(line) else {
             return;
         };
         let bytes = std::mem::take(inbox);
@@ -258,56 +258,58 @@
             let size = (frames.taken() - before) as u64;
             before = frames.taken();
             self.taken += size;
-            self.hear(place, core, message, size);
+            self.hear(place, controller, message, size);
         }
-        if let Some(inbox) = self.courier.inbox(line) {
+        if let Some(inbox) = self.event_loop.inbox(line) {
             *inbox = bytes[before..].to_vec();
         }
     }
 
-    fn hear(&mut self, place: usize, core: usize, message: Message, size: u64) {
+    fn hear(&mut self, place: usize, controller: usize, message: Message, size: u64) {
         let now = self.now();
-        let front = &mut self.fronts[place];
+        let gateway = &mut self.gateways[place];
         let mut ask = None;
         let kind = match message {
-            Message::CoreBeat {
+            Message::ControllerHeartbeat {
                 description, term, ..
             } => {
                 self.newest = self.newest.max(description);
-                if term > front.scaler.map_or(0, |(known, _)| known) {
-                    front.scaler = Some((term, core));
+                if term > gateway.scaler.map_or(0, |(known, _)| known) {
+                    gateway.scaler = Some((term, controller));
                 }
-                if description > front.description && now >= front.asked_until {
-                    front.asked_until = now + ASK_MS;
-                    ask = front.lines[core];
+                if description > gateway.description && now >= gateway.asked_until {
+                    gateway.asked_until = now + ASK_MS;
+                    ask = gateway.lines[controller];
                 }
-                "CoreBeat"
+                "ControllerHeartbeat"
             }
             Message::Description { mark, .. } => {
-                if mark > front.description {
-                    front.description = mark;
-                    front.orders += 1;
+                if mark > gateway.description {
+                    gateway.description = mark;
+                    gateway.orders += 1;
                 }
-                front.asked_until = 0;
+                gateway.asked_until = 0;
                 "Description"
             }
             Message::Changes { from, changes } => {
-                if from == front.description {
-                    front.description += changes.len() as u64;
-                    front.orders += changes.len() as u64;
+                if from == gateway.description {
+                    gateway.description += changes.len() as u64;
+                    gateway.orders += changes.len() as u64;
                 }
-                front.asked_until = 0;
+                gateway.asked_until = 0;
                 "Changes"
             }
             Message::Roster { mark, members } => {
-                front.roster = mark.max(front.roster);
+                gateway.roster = mark.max(gateway.roster);
                 self.keep(place, mark, &members);
                 "Roster"
             }
             Message::Runners(news) => {
                 for one in news {
                     let ids = one.runners.into_iter().map(|runner| runner.id);
-                    front.kept.insert(one.function, (one.mark.1, ids.collect()));
+                    gateway
+                        .kept
+                        .insert(one.function, (one.mark.1, ids.collect()));
                 }
                 "Runners"
             }
@@ -317,7 +319,7 @@
         *seen = (seen.0 + 1, seen.1 + size);
         if let Some(line) = ask {
             let message = Message::Ask {
-                description: self.fronts[place].description,
+                description: self.gateways[place].description,
                 closures: 0,
             };
             self.send(line, &message);
--- a/tests/model/src/councils/invariants.rs
+++ b/tests/model/src/consensus/invariants.rs
@@ -1,7 +1,7 @@
 //! What must hold in every state, and what must be reached at all for that to mean something.
 
 use super::system::System;
-use council::DESCRIPTION_KEY;
+use consensus::DESCRIPTION_KEY;
 use register::VoterSet;
 use std::collections::BTreeMap;
 
--- a/tests/model/src/councils/mod.rs
+++ b/tests/model/src/consensus/mod.rs
@@ -1,8 +1,8 @@
-//! Model of the consensus core: whole controllers' councils with their voters and disks, under every schedule of a few
+//! Model of the consensus controller: whole controllers' consensus with their voters and disks, under every schedule of a few
 //! faults.
 //!
-//! What runs is the product's own code: `council::Council` (registers, membership, installing, catching up, the lease on the
-//! scaling duty), `council::perform` over `voter::Voter` and `journal`. The model adds the network, the clock, crashes
+//! What runs is the product's own code: `consensus::Consensus` (registers, membership, installing, catching up, the lease on the
+//! scaling duty), `consensus::perform` over `voter::Voter` and `journal`. The model adds the network, the clock, crashes
 //! that lose what was not synced, and callers.
 //!
 //! A step of the exploration is one round of [`STEP_MS`], at whose beginning a fault may come. Reductions:
@@ -32,14 +32,14 @@
 /// Time after the last heartbeat of a holder at which its duty is vacant.
 pub const LEASE_MS: u64 = 500;
 /// Time between heartbeats.
-pub const BEAT_MS: u64 = 100;
+pub const HEARTBEAT_MS: u64 = 100;
 /// Silence after which a newcomer may take a member's place.
 pub const PATIENCE_MS: u64 = 200;
 /// Rounds without faults within which the controllers must have formed a set and a holder.
 const FOUNDING_ROUNDS: usize = 40;
 
 /// Controllers of which some are members and others wait for a place.
-pub struct Councils {
+pub struct Consensus {
     /// Members of the first set.
     pub members: usize,
     /// Controllers outside it.
@@ -57,7 +57,7 @@
     pub fault: Option<Fault>,
 }
 
-impl Model for Councils {
+impl Model for Consensus {
     type State = System;
     type Action = Round;
 
--- a/tests/model/src/councils/node.rs
+++ b/tests/model/src/consensus/node.rs
@@ -1,6 +1,6 @@
-use super::{BEAT_MS, LEASE_MS, PATIENCE_MS};
+use super::{HEARTBEAT_MS, LEASE_MS, PATIENCE_MS};
 use crate::fingerprint::Fingerprinter;
-use council::{perform_on, Council, CouncilAction, CouncilOptions, DiskWork, HeldSummary};
+use consensus::{perform_on, Consensus, ConsensusAction, ConsensusOptions, DiskWork, HeldSummary};
 use journal::{Folder, MemoryFolder, Mishap};
 use register::Acceptor;
 use speedy::Writable;
@@ -36,13 +36,13 @@
     VoterDisk::open(Box::new(open_folder), fresh_identity).expect("the disk can be read")
 }
 
-/// A controller's machine: its disk and, where it runs, its council.
+/// A controller's machine: its disk and, where it runs, its consensus.
 #[derive(Clone)]
 pub struct Node {
     /// Number of the machine.
     pub place: usize,
-    /// The controller's council; none while it is down.
-    pub council: Option<Council>,
+    /// The controller's consensus; none while it is down.
+    pub consensus: Option<Consensus>,
     folder: MemoryFolder,
     disks: u64,
     identity: u64,
@@ -58,7 +58,7 @@
     pub fn new(place: usize, is_first_start: bool) -> Self {
         Self {
             place,
-            council: None,
+            consensus: None,
             folder: MemoryFolder::default(),
             disks: 1,
             identity: fresh_identity(place, 1),
@@ -104,24 +104,24 @@
         let disk = open(&self.folder, self.identity);
         self.identity = disk.identity();
         let held = HeldSummary::of(disk.voter());
-        let options = CouncilOptions {
+        let options = ConsensusOptions {
             name: address(self.place),
             address: address(self.place),
             seeds: seeds.to_vec(),
             is_first_start: self.is_first_start,
             disk: self.disk(),
             lease_ms: LEASE_MS,
-            beat_ms: BEAT_MS,
+            heartbeat_ms: HEARTBEAT_MS,
             patience_ms: PATIENCE_MS,
             seed: self.place as u64 * SEED_STRIDE + self.lives,
             voters_wanted,
         };
-        self.council = Some(Council::new(options, now, held));
+        self.consensus = Some(Consensus::new(options, now, held));
     }
 
     /// Stops the controller and loses what was not synced.
     pub fn crash(&mut self) {
-        self.council = None;
+        self.consensus = None;
         self.voter = OpenVoter::default();
         self.folder = self.folder.copy();
         self.folder.suffer(Mishap::PowerLoss(0));
@@ -136,9 +136,9 @@
         self.is_first_start = false;
     }
 
-    /// Does the disk's work and gives the council what came of it.
+    /// Does the disk's work and gives the consensus what came of it.
     pub fn perform(&mut self, now: u64, work: Vec<DiskWork>) {
-        let Some(council) = self.council.as_mut() else {
+        let Some(consensus) = self.consensus.as_mut() else {
             return;
         };
         let (folder, identity) = (&mut self.folder, self.identity);
@@ -148,20 +148,20 @@
             open(folder, identity)
         });
         for done in perform_on(disk, work) {
-            council.on_disk(now, done);
+            consensus.on_disk(now, done);
         }
         self.identity = disk.identity();
     }
 
-    /// What the council wants done.
-    pub fn take_actions(&mut self) -> Vec<CouncilAction> {
-        let council = self.council.as_mut();
-        council.map(Council::actions).unwrap_or_default()
+    /// What the consensus wants done.
+    pub fn take_actions(&mut self) -> Vec<ConsensusAction> {
+        let consensus = self.consensus.as_mut();
+        consensus.map(Consensus::actions).unwrap_or_default()
     }
 
     /// The term under which the controller holds the scaling duty.
     pub fn term(&self, now: u64) -> Option<u64> {
-        self.council.as_ref()?.term(now)
+        self.consensus.as_ref()?.term(now)
     }
 
     /// Hash of all that decides the machine's future but for the position of its random generator.
@@ -173,7 +173,7 @@
     pub fn update_digest(&mut self) {
         let mut fingerprinter = Fingerprinter::default();
         fingerprinter.number(u128::from(self.identity) << 64 | u128::from(self.lives));
-        fingerprinter.debug(&self.council);
+        fingerprinter.debug(&self.consensus);
         let voter = self.voter.slot().take();
         let disk = voter.unwrap_or_else(|| self.open_copy());
         self.held = Arc::new(disk.voter().held().clone());
--- a/tests/model/src/councils/system.rs
+++ b/tests/model/src/consensus/system.rs
@@ -3,7 +3,7 @@
 use super::node::{address, place_of, Node};
 use super::STEP_MS;
 use crate::fingerprint::Fingerprinter;
-use council::{CouncilAction, CouncilMessage, DESCRIPTION_KEY};
+use consensus::{ConsensusAction, ConsensusMessage, DESCRIPTION_KEY};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -17,7 +17,7 @@
 struct Envelope {
     from: usize,
     to: usize,
-    message: CouncilMessage,
+    message: ConsensusMessage,
 }
 
 /// A fault that lasts until a round begins.
@@ -78,7 +78,7 @@
 
     /// Whether a fault may begin now: its machines are there, and nothing of its kind lasts at them.
     pub fn may_befall(&self, fault: Fault) -> bool {
-        let runs = |place: usize| self.nodes[place].council.is_some();
+        let runs = |place: usize| self.nodes[place].consensus.is_some();
         let mut lasting = self.disturbances.iter();
         match fault {
             Fault::Crash { place, .. } | Fault::Wipe { place } | Fault::Lose { place } => {
@@ -162,7 +162,7 @@
             match disturbance.fault {
                 Fault::Crash { place, .. } | Fault::Wipe { place } => {
                     let now = self.now();
-                    if self.nodes[place].council.is_none() && !self.is_lost(place) {
+                    if self.nodes[place].consensus.is_none() && !self.is_lost(place) {
                         self.node(place).boot(now, &seeds, members);
                     }
                 }
@@ -195,26 +195,26 @@
         }
         let (now, round) = (self.now(), self.round);
         for place in 0..self.nodes.len() {
-            let Some(council) = self.nodes[place].council.as_ref() else {
+            let Some(consensus) = self.nodes[place].consensus.as_ref() else {
                 continue;
             };
-            if self.is_frozen(place) || council.set().era == 0 {
+            if self.is_frozen(place) || consensus.set().era == 0 {
                 continue;
             }
             if place >= 2 {
                 let token = self.history.begin(DESCRIPTION_KEY, None);
-                if let Some(council) = self.node(place).council.as_mut() {
-                    council.read(now, token, DESCRIPTION_KEY);
+                if let Some(consensus) = self.node(place).consensus.as_mut() {
+                    consensus.read(now, token, DESCRIPTION_KEY);
                 }
                 continue;
             }
-            let settled = council.settled(DESCRIPTION_KEY);
+            let settled = consensus.settled(DESCRIPTION_KEY);
             let expected = settled.map_or(0, |(version, _)| version);
             let bytes = vec![round as u8, place as u8];
             let write = Some((expected, bytes.clone()));
             let token = self.history.begin(DESCRIPTION_KEY, write);
-            if let Some(council) = self.node(place).council.as_mut() {
-                council.write(now, token, DESCRIPTION_KEY, expected, bytes);
+            if let Some(consensus) = self.node(place).consensus.as_mut() {
+                consensus.write(now, token, DESCRIPTION_KEY, expected, bytes);
             }
         }
         for place in 0..self.nodes.len() {
@@ -225,11 +225,11 @@
 
     fn tick(&mut self, place: usize) -> Result<(), String> {
         let now = self.now();
-        if self.is_frozen(place) || self.nodes[place].council.is_none() {
+        if self.is_frozen(place) || self.nodes[place].consensus.is_none() {
             return Ok(());
         }
-        if let Some(council) = self.node(place).council.as_mut() {
-            council.tick(now);
+        if let Some(consensus) = self.node(place).consensus.as_mut() {
+            consensus.tick(now);
         }
         self.drain(place)
     }
@@ -248,7 +248,7 @@
 
     fn deliver(&mut self, envelope: Envelope) -> Result<(), String> {
         let (from, to) = (envelope.from, envelope.to);
-        if self.is_cut(from, to) || self.nodes[to].council.is_none() {
+        if self.is_cut(from, to) || self.nodes[to].consensus.is_none() {
             return Ok(());
         }
         if self.is_delayed(from, to) || self.is_frozen(to) {
@@ -256,8 +256,8 @@
             return Ok(());
         }
         let now = self.now();
-        if let Some(council) = self.node(to).council.as_mut() {
-            council.on_message(now, &address(from), envelope.message);
+        if let Some(consensus) = self.node(to).consensus.as_mut() {
+            consensus.on_message(now, &address(from), envelope.message);
         }
         self.handled[to] += 1;
         self.drain(to)?;
@@ -295,7 +295,7 @@
     /// Does what a controller wants done, until it wants nothing more.
     fn drain(&mut self, place: usize) -> Result<(), String> {
         loop {
-            if self.nodes[place].council.is_none() {
+            if self.nodes[place].consensus.is_none() {
                 return Ok(());
             }
             let actions = self.node(place).take_actions();
@@ -305,12 +305,14 @@
             let mut work = Vec::new();
             for action in actions {
                 match action {
-                    CouncilAction::Send { to, message } => self.send(place, &to, message),
-                    CouncilAction::Disk(one) => work.push(one),
-                    CouncilAction::Done { token, outcome } => self.history.end(token, &outcome)?,
-                    CouncilAction::News { key, version } => self.learn(place, &key, version)?,
-                    CouncilAction::DutyWon { term } => self.note_term(place, term)?,
-                    CouncilAction::DutyLost => {}
+                    ConsensusAction::Send { to, message } => self.send(place, &to, message),
+                    ConsensusAction::Disk(one) => work.push(one),
+                    ConsensusAction::Done { token, outcome } => {
+                        self.history.end(token, &outcome)?
+                    }
+                    ConsensusAction::News { key, version } => self.learn(place, &key, version)?,
+                    ConsensusAction::DutyWon { term } => self.note_term(place, term)?,
+                    ConsensusAction::DutyLost => {}
                 }
             }
             if !work.is_empty() {
@@ -320,15 +322,15 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: &str, message: CouncilMessage) {
+    fn send(&mut self, from: usize, to: &str, message: ConsensusMessage) {
         if let Some(to) = place_of(to).filter(|to| *to < self.nodes.len()) {
             self.queue.push_back(Envelope { from, to, message });
         }
     }
 
     fn learn(&mut self, place: usize, key: &str, version: u64) -> Result<(), String> {
-        let council = self.nodes[place].council.as_ref();
-        let settled = council.and_then(|council| council.settled(key));
+        let consensus = self.nodes[place].consensus.as_ref();
+        let settled = consensus.and_then(|consensus| consensus.settled(key));
         let Some((newest, bytes)) = settled else {
             return Ok(());
         };
--- a/tests/model/src/lib.rs
+++ b/tests/model/src/lib.rs
@@ -1,6 +1,6 @@
 //! Explicit-state model checks of the product's own state machines: a breadth-first explorer and the models it runs.
 
-pub mod councils;
+pub mod consensus;
 mod explorer;
 mod fingerprint;
 pub mod registers;
--- a/tests/model/src/main.rs
+++ b/tests/model/src/main.rs
@@ -1,7 +1,7 @@
 //! Command line of the model checks, for scopes that are too large for each run of the tests.
 
 use clap::{Parser, ValueEnum};
-use model::councils::{Councils, FaultScope};
+use model::consensus::{Consensus, FaultScope};
 use model::registers::Registers;
 use model::{explore, Limits};
 use std::process::ExitCode;
@@ -9,8 +9,8 @@
 /// Which model is explored.
 #[derive(Clone, Copy, Debug, ValueEnum)]
 enum Which {
-    /// Whole councils under every schedule of a few faults.
-    Councils,
+    /// Whole consensus under every schedule of a few faults.
+    Consensus,
     /// Single messages between proposers, voters and a newcomer.
     Registers,
 }
@@ -64,8 +64,8 @@
         threads: options.threads,
     };
     let report = match options.model {
-        Which::Councils => explore(
-            &Councils {
+        Which::Consensus => explore(
+            &Consensus {
                 members: 3,
                 newcomers: options.newcomers,
                 faults: options.faults,
--- a/tests/model/src/registers/disk.rs
+++ b/tests/model/src/registers/disk.rs
@@ -1,5 +1,5 @@
 use crate::fingerprint::Fingerprinter;
-use council::{perform, CopyPage, DiskDone, DiskWork};
+use consensus::{perform, CopyPage, DiskDone, DiskWork};
 use journal::{MemoryFolder, Mishap};
 use register::{Acceptor, VoterMessage, VoterReply};
 use speedy::Writable;
--- a/tests/model/src/registers/exploration.rs
+++ b/tests/model/src/registers/exploration.rs
@@ -3,7 +3,7 @@
 use super::state::{first_set, voter, System, MAJORITIES, MEMBERS, NEWCOMER, REPLACED, VALUE_KEY};
 use crate::explorer::Model;
 use crate::fingerprint::Fingerprinter;
-use council::DiskWork;
+use consensus::DiskWork;
 use register::{replaced, Change, Outcome, VOTERS_KEY};
 use speedy::Writable;
 use std::collections::BTreeMap;
--- a/tests/model/src/registers/state.rs
+++ b/tests/model/src/registers/state.rs
@@ -1,7 +1,7 @@
 use super::disk::VoterDisk;
 use super::exploration::Step;
 use super::proposer::{Proposer, Question};
-use council::{CopyPage, DiskWork, Installation};
+use consensus::{CopyPage, DiskWork, Installation};
 use register::{merged, Change, Outcome, VoterMessage, VoterRef, VoterReply, VoterSet, VOTERS_KEY};
 use speedy::Readable;
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/model/tests/councils.rs
+++ b/tests/model/tests/consensus.rs
@@ -1,11 +1,11 @@
-//! The consensus core under every schedule of a few faults, at a scope for each run of the tests; `docs/model-check.md`
+//! The consensus controller under every schedule of a few faults, at a scope for each run of the tests; `docs/model-check.md`
 //! tells of larger ones.
 
-use model::councils::{Councils, FaultScope};
+use model::consensus::{Consensus, FaultScope};
 use model::{explore, Limits, Report};
 
 fn explored(faults: usize, depth: usize, scope: FaultScope) -> Report {
-    let model = Councils {
+    let model = Consensus {
         members: 3,
         newcomers: 1,
         faults,
