--- a/crates/autoscaler/src/ending.rs
+++ b/crates/autoscaler/src/ending.rs
@@ -140,15 +140,15 @@
         if self.is_held(runner) {
             return false;
         }
-        let mut is_announced = false;
+        let mut is_told = false;
         for keeper in function.keepers.values() {
             let is_current = keeper.heard_at + QUIET_MS > self.now;
             let knows = keeper.news >= runner.drain_news;
             if is_current && !knows && self.now < since + longest_ms {
                 return false;
             }
-            is_announced |= is_current && knows;
+            is_told |= is_current && knows;
         }
-        is_announced || self.now >= since + longest_ms
+        is_told || self.now >= since + longest_ms
     }
 }
--- a/crates/consensus/src/action.rs
+++ b/crates/consensus/src/action.rs
@@ -2,7 +2,7 @@
 use crate::message::ConsensusMessage;
 use register::Outcome;
 
-/// What a controller knows of itself when its consensus begins.
+/// What a controller knows of itself when its consensus machine begins.
 #[derive(Clone, Debug)]
 pub struct ConsensusOptions {
     /// Name of the controller.
@@ -27,7 +27,7 @@
     pub voters_wanted: usize,
 }
 
-/// What the daemon does for its consensus.
+/// What the daemon does for its consensus machine.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ConsensusAction {
     /// Send a message to the controller at an address. It may get lost.
--- a/crates/consensus/src/catching_up.rs
+++ b/crates/consensus/src/catching_up.rs
@@ -45,8 +45,8 @@
         let own = &self.options.address;
         let voters = self.set.voters.iter();
         let heard = voters.filter(|voter| voter.address == *own || self.hears(now, &voter.address));
-        let is_announced = heard.count() >= self.set.majority();
-        now < self.value_patience_until && (self.wants.contains_key(key) || !is_announced)
+        let has_heard_majority = heard.count() >= self.set.majority();
+        now < self.value_patience_until && (self.wants.contains_key(key) || !has_heard_majority)
     }
 
     pub(crate) fn settled_mark(&self, key: &str) -> (u64, u64) {
--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -156,7 +156,7 @@
     },
 }
 
-/// What a voter holds, as its consensus knows it.
+/// What a voter holds, as its consensus machine knows it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct HeldSummary {
     /// The voter's set; era 0 where it is empty.
@@ -186,7 +186,7 @@
 
 impl HeldSummary {
     /// All that a voter holds, when it was just opened. After its disk had failed and was opened again,
-    /// the consensus is told by [`DiskDone::Held`].
+    /// the consensus machine is told by [`DiskDone::Held`].
     pub fn of(voter: &Voter) -> Self {
         let keys = KEPT.iter().map(|key| (*key, true));
         Self::told(voter, keys)
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -4,7 +4,7 @@
 /// What controllers say to one another.
 #[derive(Clone, Debug, PartialEq, Readable, Writable)]
 pub enum ConsensusMessage {
-    /// Whose link this is. The daemon says it first on each link; a consensus ignores it.
+    /// Whose link this is. The daemon says it first on each link; the consensus machine ignores it.
     Link {
         /// Address of the controller that opened the link.
         address: String,
--- a/crates/consensus/src/serving.rs
+++ b/crates/consensus/src/serving.rs
@@ -54,7 +54,7 @@
             .acknowledged(heartbeat.disk, heartbeat.heard.number);
     }
 
-    /// Notes where contact has begun or ended. It comes first and last in all that a consensus does, so that a controller
+    /// Notes where contact has begun or ended. It comes first and last in every call of this machine, so that a controller
     /// that was frozen sees the end before anything can renew the lease.
     pub(crate) fn tend_contact(&mut self, now: u64) {
         let is_in_contact = self.is_in_contact(now);
--- a/crates/consensus/tests/granting.rs
+++ b/crates/consensus/tests/granting.rs
@@ -72,9 +72,9 @@
     Consensus::new(options, STARTED_AT, held)
 }
 
-/// Whether the member backs the holder's claim when it hears of it.
-fn backs_claim(consensus: &mut Consensus) -> bool {
-    let heartbeat = Heartbeat {
+/// The holder's heartbeat, which claims the duty.
+fn holders_claim() -> ConsensusMessage {
+    ConsensusMessage::Heartbeat(Heartbeat {
         disk: 2,
         life: HOLDER_LIFE,
         number: 1,
@@ -82,8 +82,12 @@
         known: (1, 1),
         claim: TERM,
         ..Heartbeat::default()
-    };
-    consensus.on_message(STARTED_AT, HOLDER, ConsensusMessage::Heartbeat(heartbeat));
+    })
+}
+
+/// Whether the member backs the holder's claim when it hears of it.
+fn backs_claim(consensus: &mut Consensus) -> bool {
+    consensus.on_message(STARTED_AT, HOLDER, holders_claim());
     let mut actions = consensus.actions().into_iter();
     actions.any(|action| {
         matches!(action, ConsensusAction::Send { to, message: ConsensusMessage::Ack(ack) }
@@ -133,16 +137,7 @@
 fn a_member_that_hears_a_claim_promises_the_duty_to_no_other_for_a_lease() {
     let mut consensus = started(ballot(1));
     let late = STARTED_AT + 400;
-    let heartbeat = Heartbeat {
-        disk: 2,
-        life: HOLDER_LIFE,
-        number: 1,
-        mark: (1, 1),
-        known: (1, 1),
-        claim: TERM,
-        ..Heartbeat::default()
-    };
-    consensus.on_message(late, HOLDER, ConsensusMessage::Heartbeat(heartbeat));
+    consensus.on_message(late, HOLDER, holders_claim());
     consensus.actions();
     assert!(!passes_promise_on(&mut consensus, late + LEASE_MS - 1));
     assert!(passes_promise_on(&mut consensus, late + LEASE_MS));
--- a/crates/consensus/tests/world/mod.rs
+++ b/crates/consensus/tests/world/mod.rs
@@ -194,7 +194,7 @@
         }
     }
 
-    /// Does what a consensus asks for.
+    /// Does what a consensus machine asks for.
     pub fn drain(&mut self, place: usize) {
         let Some(consensus) = self.nodes[place].consensus.as_mut() else {
             return;
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -219,7 +219,7 @@
         self.consensus.learn_seeds(seeds);
     }
 
-    /// Does what the consensus wants done.
+    /// Does what the consensus machine wants done.
     fn act(&mut self) {
         loop {
             let actions = self.consensus.actions();
--- a/crates/controller/src/controllers.rs
+++ b/crates/controller/src/controllers.rs
@@ -15,7 +15,7 @@
 pub(crate) enum ControllerFrame {
     /// Who opened the link: its consensus address.
     Hello(String),
-    /// The consensus's own.
+    /// A message of the consensus machine.
     Consensus(ConsensusMessage),
 }
 
--- a/crates/controller/src/directory.rs
+++ b/crates/controller/src/directory.rs
@@ -26,7 +26,7 @@
     is_current: bool,
 }
 
-/// The members of the controller that are known, by the address at which they listen for other daemons.
+/// The members of the consensus group that are known, by the address at which they listen for other daemons.
 #[derive(Clone, Debug)]
 pub struct MemberDirectory {
     own: SocketAddr,
--- a/crates/controller/src/guide.rs
+++ b/crates/controller/src/guide.rs
@@ -1,5 +1,5 @@
-//! A daemon of the control plane without a disk: it keeps nothing, and sends operators on to members of the controller
-//! that are alive and in contact with a majority.
+//! A daemon of the control plane without a disk: it keeps nothing, and sends operators on to members of the consensus
+//! group that are alive and in contact with a majority.
 
 use crate::directory::MemberDirectory;
 use crate::operators::{location_of, RETRY_AFTER};
--- a/crates/event_loop/src/event_loop.rs
+++ b/crates/event_loop/src/event_loop.rs
@@ -47,7 +47,7 @@
 }
 
 impl EventLoop {
-    /// A event_loop with at most so many lines. A line whose peer does not confirm what was sent for
+    /// An event loop with at most so many lines. A line whose peer does not confirm what was sent for
     /// `silence_ms` breaks.
     pub fn new(lines_max: usize, silence_ms: u32) -> io::Result<Self> {
         Ok(Self {
--- a/crates/event_loop/tests/lines.rs
+++ b/crates/event_loop/tests/lines.rs
@@ -10,7 +10,7 @@
 const LOOK: Duration = Duration::from_millis(20);
 const INBOX: usize = 64 << 10;
 
-/// A event_loop and all that it told so far.
+/// An event loop and all that it told so far.
 struct Daemon {
     event_loop: EventLoop,
     told: Vec<Event>,
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -1,5 +1,5 @@
 //! HTTP/1.1 messages over bytes that arrive piece by piece. Nothing here does I/O: readers take
-//! whole messages off the gateway of a buffer, and writers append to one.
+//! whole messages off the start of a buffer, and writers append to one.
 //!
 //! Readers are strict, so that no two parties can disagree about where a message ends.
 #![warn(missing_docs)]
--- a/crates/exchange/src/request.rs
+++ b/crates/exchange/src/request.rs
@@ -22,7 +22,7 @@
     pub is_http_1_0: bool,
 }
 
-/// Reads requests off the gateway of a buffer, one after the other. It keeps what it has read of a
+/// Reads requests off the start of a buffer, one after the other. It keeps what it has read of a
 /// partial request, so each connection has one reader and one buffer. After a fault it gives the
 /// same fault forever.
 #[derive(Debug, Default)]
--- a/crates/exchange/src/response.rs
+++ b/crates/exchange/src/response.rs
@@ -20,7 +20,7 @@
     pub keeps_alive: bool,
 }
 
-/// Reads answers off the gateway of a buffer. Like the reader of requests it keeps what it has read
+/// Reads answers off the start of a buffer. Like the reader of requests it keeps what it has read
 /// of a partial answer, and gives the same fault forever after one.
 #[derive(Debug, Default)]
 pub struct ResponseReader {
--- a/crates/gateway/src/runner_connection.rs
+++ b/crates/gateway/src/runner_connection.rs
@@ -77,7 +77,7 @@
         self.requests += 1;
     }
 
-    /// Bytes have arrived. What belongs to an answer is taken off the gateway of the buffer.
+    /// Bytes have arrived. What belongs to an answer is taken off the start of the buffer.
     pub fn received(&mut self, buffer: &mut Vec<u8>, manner: &Manner) -> Reading {
         while self.outstanding.is_some() {
             match self.reader.read(buffer, &BOUNDS) {
