--- a/crates/consensus/src/replicated_values.rs
+++ b/crates/consensus/src/replicated_values.rs
@@ -3,6 +3,7 @@
 use crate::keys::REPLICATED_KEYS;
 use crate::snapshot::RegisterSnapshot;
 use crate::value::{Value, ValueId};
+use invariants::{check, Invariant};
 use register::{Ballot, VersionedValue};
 use std::collections::BTreeMap;
 
@@ -129,7 +130,13 @@
         if version <= self.committed_version(key) {
             return false;
         }
-        self.committed.insert(key.to_string(), value);
+        let former = self.committed.insert(key.to_string(), value);
+        let former = former.map_or(0, |former| former.version);
+        check(
+            Invariant::CommittedVersionsMoveForward,
+            version > former,
+            || format!("key={key} version={version} former={former}"),
+        );
         true
     }
 
--- a/crates/controller/src/connections.rs
+++ b/crates/controller/src/connections.rs
@@ -43,6 +43,17 @@
         Ok(())
     }
 
+    /// Listens for requests for figures. They are no reason to refuse service, so an address that cannot be bound is only
+    /// logged.
+    pub fn listen_for_metrics(&mut self, address: Option<SocketAddr>, kind: Kind) {
+        let Some(address) = address else {
+            return;
+        };
+        if let Err(error) = self.listen(address, kind) {
+            log::warn!("controller: metrics not listened for error={error}");
+        }
+    }
+
     /// Wakes the event loop from another thread.
     pub fn waker(&self) -> Result<Arc<Waker>, ControllerError> {
         self.event_loop.waker().map_err(ControllerError::System)
@@ -67,6 +78,11 @@
         Some(connection)
     }
 
+    /// Number of open connections.
+    pub fn len(&self) -> usize {
+        self.event_loop.len()
+    }
+
     /// What a connection is for; none where its events are no longer handled.
     pub fn kind(&self, connection: ConnectionId) -> Option<Kind> {
         self.kinds.get(&connection).copied()
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -1,13 +1,17 @@
 //! The wiring of a controller: hands events, completions and time to the parts that decide, and does what they ask for.
 
+mod figures;
+mod gateway_messages;
+
 use crate::clock::Clock;
-use crate::committed_configuration::{CommittedChange, CommittedConfiguration, KnownVersions};
+use crate::committed_configuration::{CommittedChange, CommittedConfiguration};
 use crate::controller_connections::{ControllerConnection, ControllerConnections};
 use crate::daemon_loop::{run_loop, Daemon};
 use crate::disk_thread::{self, DiskThread};
 use crate::error::ControllerError;
 use crate::gateway_table::{GatewayContext, GatewayTable};
-use crate::job_registers::{JobCaller, JobOperation, JobRegisters};
+use crate::job_registers::JobRegisters;
+use crate::metrics_service::MetricsService;
 use crate::operator_service::{OperatorContext, OperatorService};
 use crate::options::ControllerOptions;
 use crate::peer_links::PeerLinks;
@@ -16,7 +20,6 @@
 use crate::status::ControllerStatus;
 use consensus::{Consensus, ConsensusAction, DiskWork, VoterSnapshot};
 use event_loop::{ConnectionId, Event};
-use protocol::{take_frames, Message};
 use std::time::Duration;
 
 /// Part of the grace period for which a stopping controller still answers, while its role is taken over.
@@ -36,6 +39,7 @@
     peers: PeerLinks,
     gateways: GatewayTable,
     operators: OperatorService,
+    metrics: MetricsService,
     jobs: JobRegisters,
     configuration: CommittedConfiguration,
     scaler: Scaler,
@@ -94,9 +98,10 @@
     fn handle_event(&mut self, event: Event) {
         match event {
             Event::Accepted(listener, connection) => {
-                let kind = self.connections.accept(listener, connection);
-                if kind == Some(ControllerConnection::Operator) {
-                    self.operators.accept(connection);
+                match self.connections.accept(listener, connection) {
+                    Some(ControllerConnection::Operator) => self.operators.accept(connection),
+                    Some(ControllerConnection::Metrics) => self.metrics.accept(connection),
+                    _ => {}
                 }
             }
             Event::Connected(_) => {}
@@ -132,6 +137,7 @@
             peers: PeerLinks::new(options.consensus_address.to_string()),
             gateways: GatewayTable::default(),
             operators: OperatorService::default(),
+            metrics: MetricsService::default(),
             jobs: JobRegisters::default(),
             configuration: CommittedConfiguration::default(),
             scaler: Scaler::default(),
@@ -176,6 +182,11 @@
                 let (scaler, _, mut context) = self.scaler_parts();
                 scaler.handle_readable(connection, &mut context);
             }
+            Some(ControllerConnection::Metrics) => {
+                let snapshot = self.figures();
+                self.metrics
+                    .handle_readable(connection, &mut self.connections, || snapshot);
+            }
             None => {}
         }
     }
@@ -185,6 +196,7 @@
             Some(ControllerConnection::Operator) => self.operators.remove(connection),
             Some(ControllerConnection::Gateway) => self.remove_gateway(connection),
             Some(ControllerConnection::Peer) => self.peers.remove(connection),
+            Some(ControllerConnection::Metrics) => self.metrics.remove(connection),
             Some(ControllerConnection::Platform) => {
                 let (scaler, _, mut context) = self.scaler_parts();
                 scaler.handle_closed(connection, &mut context);
@@ -243,93 +255,6 @@
         self.heartbeat_gateways();
     }
 
-    fn handle_gateway_readable(&mut self, connection: ConnectionId) {
-        let Some(buffer) = self.connections.read_buffer(connection) else {
-            return;
-        };
-        let (messages, error) = take_frames::<Message>(buffer);
-        for message in messages {
-            self.handle_gateway_message(connection, message);
-        }
-        if let Some(error) = error {
-            log::warn!("controller: gateway link closed error={error}");
-            self.remove_gateway(connection);
-            self.connections.close(connection);
-        }
-    }
-
-    fn handle_gateway_message(&mut self, connection: ConnectionId, message: Message) {
-        match message {
-            Message::GatewayHello(member) => {
-                self.scaler.gateway_linked(&member.name);
-                let (gateways, mut context) = self.gateway_parts();
-                gateways.register(connection, member, &mut context);
-            }
-            Message::RequestStatus => {
-                let functions = self.scaler.function_statuses();
-                let (gateways, mut context) = self.gateway_parts();
-                let status = context.status.to_json(gateways.len(), &functions);
-                context.reply(connection, &Message::Status(status));
-            }
-            Message::RequestHeartbeat => {
-                let (_, mut context) = self.gateway_parts();
-                let heartbeat = context.status.heartbeat();
-                context.reply(connection, &heartbeat);
-            }
-            message => {
-                if let Some(gateway) = self.gateways.note_heard(self.now, connection) {
-                    self.handle_registered_gateway(&gateway, message);
-                }
-            }
-        }
-    }
-
-    fn handle_registered_gateway(&mut self, gateway: &str, message: Message) {
-        match message {
-            Message::RequestConfiguration {
-                configuration_version,
-                evacuations_version,
-            } => {
-                // A gateway hears that contact is over before it hears anything that may be old.
-                self.publish_contact();
-                let known = KnownVersions {
-                    configuration: configuration_version,
-                    evacuations: evacuations_version,
-                };
-                for update in self.configuration.updates_since(known) {
-                    self.gateways.queue(gateway, &update);
-                }
-            }
-            Message::JobRegisterRequest {
-                number,
-                key,
-                expected_version,
-                value,
-            } => {
-                let operation = JobOperation {
-                    caller: JobCaller::new(gateway, number),
-                    key,
-                    expected_version,
-                    value,
-                };
-                let (now, consensus) = (self.now, &mut self.consensus);
-                self.jobs
-                    .begin(now, operation, consensus, &mut self.gateways);
-            }
-            Message::FunctionReports(reports) => {
-                let (scaler, _, mut context) = self.scaler_parts();
-                scaler.handle_reports(gateway, &reports, &mut context);
-            }
-            _ => {}
-        }
-    }
-
-    fn remove_gateway(&mut self, connection: ConnectionId) {
-        if let Some(name) = self.gateways.remove(connection) {
-            self.scaler.gateway_gone(&name);
-        }
-    }
-
     /// Sends a heartbeat at once where contact with a majority has begun or ended.
     fn publish_contact(&mut self) {
         self.update_clock();
--- /dev/null
+++ b/crates/controller/src/controller/figures.rs
@@ -0,0 +1,69 @@
+//! A controller's figures for operators.
+
+use super::Controller;
+use metrics::Snapshot;
+
+impl Controller {
+    /// All figures at this moment.
+    pub(super) fn figures(&self) -> Snapshot {
+        let mut snapshot = Snapshot::new();
+        self.add_version_figures(&mut snapshot);
+        let term = self.consensus.role_term(self.now).unwrap_or(0);
+        snapshot.gauge(
+            "scaler_term",
+            "Term under which it scales; 0 where it does not",
+            term,
+        );
+        let is_current = self.consensus.is_current(self.now);
+        snapshot.gauge(
+            "contact",
+            "Whether it is in contact with a majority",
+            u64::from(is_current),
+        );
+        self.add_membership_figures(&mut snapshot);
+        let commands = self.operators.commands_in_progress() as u64;
+        snapshot.gauge(
+            "operator_commands",
+            "Operators' commands in progress",
+            commands,
+        );
+        let connections = self.connections.len() as u64;
+        snapshot.gauge("connections", "Open connections", connections);
+        snapshot
+    }
+
+    fn add_version_figures(&self, snapshot: &mut Snapshot) {
+        let versions = [
+            ("configuration", self.configuration.version()),
+            ("evacuations", self.configuration.evacuations_version()),
+        ];
+        let versions = versions.map(|(register, version)| (register.to_string(), version));
+        snapshot.labelled_gauge(
+            "committed_version",
+            "Newest committed version that is known, by register",
+            "register",
+            versions.into_iter(),
+        );
+    }
+
+    fn add_membership_figures(&self, snapshot: &mut Snapshot) {
+        let set = self.consensus.voter_set();
+        snapshot.gauge(
+            "voter_set_epoch",
+            "Epoch of the newest voter set",
+            set.epoch,
+        );
+        snapshot.gauge(
+            "voters",
+            "Voters of the newest set",
+            set.voters.len() as u64,
+        );
+        let controllers = self.consensus.known_controllers().len() as u64;
+        snapshot.gauge("controllers", "Controllers that are known", controllers);
+        snapshot.gauge(
+            "gateways",
+            "Gateways with a link",
+            self.gateways.len() as u64,
+        );
+    }
+}
--- a/crates/controller/src/controller_connections.rs
+++ b/crates/controller/src/controller_connections.rs
@@ -2,6 +2,7 @@
 
 use crate::connections::{ConnectionKind, Connections};
 use crate::error::ControllerError;
+use crate::metrics_service::METRICS_INBOX_MAX;
 use crate::options::ControllerOptions;
 
 /// Most unread bytes of a connection to a gateway or another controller; a frame must fit in.
@@ -22,6 +23,8 @@
     Peer,
     /// The platform's API.
     Platform,
+    /// Somebody asks for this controller's figures.
+    Metrics,
 }
 
 impl ConnectionKind for ControllerConnection {
@@ -29,6 +32,7 @@
         match self {
             Self::Operator => OPERATOR_INBOX_MAX,
             Self::Gateway | Self::Peer => LINK_INBOX_MAX,
+            Self::Metrics => METRICS_INBOX_MAX,
             Self::Platform => PLATFORM_INBOX_MAX,
         }
     }
@@ -44,6 +48,7 @@
         connections.listen(options.operator_address, ControllerConnection::Operator)?;
         connections.listen(options.gateway_address, ControllerConnection::Gateway)?;
         connections.listen(options.consensus_address, ControllerConnection::Peer)?;
+        connections.listen_for_metrics(options.metrics_address, ControllerConnection::Metrics);
         Ok(connections)
     }
 }
--- a/crates/controller/src/gateway_table.rs
+++ b/crates/controller/src/gateway_table.rs
@@ -48,6 +48,10 @@
         context: &mut GatewayContext<'_>,
     ) {
         let name = member.name.clone();
+        log::info!(
+            "controller: gateway linked gateway={name} incarnation={:x}",
+            member.incarnation
+        );
         self.names.insert(connection, name.clone());
         let gateway = GatewayPeer {
             member,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `membership_publisher` | the published membership of gateways, and who does not know it | when it changes |
 //! | `platform_client` | requests to the platform in flight and waiting, idle connections | which connection carries which request |
 //! | `platform_lists` | pages of the list of runners, when lists were last asked for | when to ask again |
+//! | `metrics_service` | connections for figures | what is answered there |
 //! | `disk_thread` | the voter's disk, on a thread of its own | what is synced together |
 //! | `connections` | the event loop, and the kind of each connection | whose events are handled |
 //! | `clock`, `signals`, `daemon_loop` | time and ticks, requests to stop or reload | the order of a turn |
@@ -54,6 +55,7 @@
 mod job_registers;
 mod member_directory;
 mod membership_publisher;
+mod metrics_service;
 mod operator_inbox;
 mod operator_requests;
 mod operator_response;
@@ -69,6 +71,7 @@
 mod scaler;
 mod signals;
 mod status;
+mod term_check;
 
 pub use codec::{
     CommandParseError, FencingToken, OperatorCodec, PlatformCodec, PlatformRequest, RunnerPage,
@@ -81,6 +84,9 @@
 pub use peer_links::PeerFrame;
 pub use redirector::{run_redirector, RedirectorOptions};
 
+#[cfg(test)]
+#[path = "../tests/unit/broken_invariants.rs"]
+mod broken_invariants_tests;
 #[cfg(test)]
 #[path = "../tests/unit/operator_reads/mod.rs"]
 mod operator_reads_tests;
--- a/crates/controller/src/operator_requests.rs
+++ b/crates/controller/src/operator_requests.rs
@@ -66,6 +66,11 @@
 }
 
 impl OperatorRequests {
+    /// Number of commands in progress.
+    pub fn len(&self) -> usize {
+        self.in_progress.len()
+    }
+
     /// Whether no further command can begin now.
     pub fn is_full(&self) -> bool {
         self.in_progress.len() >= REQUESTS_MAX
--- a/crates/controller/src/operator_service.rs
+++ b/crates/controller/src/operator_service.rs
@@ -36,6 +36,11 @@
 }
 
 impl OperatorService {
+    /// Number of commands in progress.
+    pub fn commands_in_progress(&self) -> usize {
+        self.requests.len()
+    }
+
     /// An operator opened a connection.
     pub fn accept(&mut self, connection: ConnectionId) {
         self.inbox.accept(connection);
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -22,6 +22,8 @@
     pub gateway_address: SocketAddr,
     /// Address at which it listens for the other controllers.
     pub consensus_address: SocketAddr,
+    /// Address at which it tells its figures; none where it tells none.
+    pub metrics_address: Option<SocketAddr>,
     /// Consensus addresses of controllers, as far as they are known at the start.
     pub seeds: Vec<SocketAddr>,
     /// Port at which every controller listens for gateways.
--- a/crates/controller/src/redirector.rs
+++ b/crates/controller/src/redirector.rs
@@ -8,12 +8,14 @@
 use crate::daemon_loop::{run_loop, Daemon};
 use crate::error::ControllerError;
 use crate::member_directory::MemberDirectory;
+use crate::metrics_service::{MetricsService, METRICS_INBOX_MAX};
 use crate::operator_inbox::{OperatorInbox, OperatorInput};
 use crate::operator_response::{OperatorResponse, SERVICE_UNAVAILABLE, TEMPORARY_REDIRECT};
 use crate::options::SeedReloader;
 use crate::signals::Signals;
 use event_loop::{ConnectionId, Event};
 use http1::Request;
+use metrics::Snapshot;
 use protocol::{frame, take_frames, Message};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -29,6 +31,8 @@
     pub operator_address: SocketAddr,
     /// Address at which this daemon would listen for gateways, if it had a disk.
     pub gateway_address: SocketAddr,
+    /// Address at which it tells its figures; none where it tells none.
+    pub metrics_address: Option<SocketAddr>,
     /// Such addresses of daemons that may have a disk, as far as they are known at the start.
     pub seeds: Vec<SocketAddr>,
     /// Milliseconds within which an acknowledged change holds everywhere.
@@ -60,6 +64,8 @@
     Operator,
     /// The controller at this address tells whether it is in contact with a majority.
     Member(SocketAddr),
+    /// Somebody asks for this daemon's figures.
+    Metrics,
 }
 
 impl ConnectionKind for RedirectorConnection {
@@ -67,6 +73,7 @@
         match self {
             Self::Operator => OPERATOR_INBOX_MAX,
             Self::Member(_) => MEMBER_INBOX_MAX,
+            Self::Metrics => METRICS_INBOX_MAX,
         }
     }
 }
@@ -78,6 +85,7 @@
     is_stopping: bool,
     connections: Connections<RedirectorConnection>,
     operators: OperatorInbox,
+    metrics: MetricsService,
     links: HashMap<SocketAddr, ConnectionId>,
     directory: MemberDirectory,
     /// Counts redirects, so that members take turns.
@@ -131,8 +139,11 @@
     fn handle_event(&mut self, event: Event) {
         match event {
             Event::Accepted(listener, connection) => {
-                self.connections.accept(listener, connection);
-                self.operators.accept(connection);
+                match self.connections.accept(listener, connection) {
+                    Some(RedirectorConnection::Operator) => self.operators.accept(connection),
+                    Some(RedirectorConnection::Metrics) => self.metrics.accept(connection),
+                    _ => {}
+                }
             }
             Event::Connected(_) => {}
             Event::Readable(connection) => self.handle_readable(connection),
@@ -147,6 +158,7 @@
     fn open(options: RedirectorOptions) -> Result<Self, ControllerError> {
         let mut connections = Connections::new(options.connections_max, options.freshness_ms())?;
         connections.listen(options.operator_address, RedirectorConnection::Operator)?;
+        connections.listen_for_metrics(options.metrics_address, RedirectorConnection::Metrics);
         let seeds = options.seeds.clone();
         log::info!("controller: redirecting without a disk seeds={seeds:?}");
         let directory = MemberDirectory::new(
@@ -162,6 +174,7 @@
             is_stopping: false,
             connections,
             operators: OperatorInbox::default(),
+            metrics: MetricsService::default(),
             links: HashMap::new(),
             directory,
             redirects: 0,
@@ -184,6 +197,11 @@
             Some(RedirectorConnection::Member(address)) => {
                 self.handle_member_readable(connection, address);
             }
+            Some(RedirectorConnection::Metrics) => {
+                let snapshot = self.figures();
+                self.metrics
+                    .handle_readable(connection, &mut self.connections, || snapshot);
+            }
             None => {}
         }
     }
@@ -191,6 +209,7 @@
     fn handle_closed(&mut self, connection: ConnectionId) {
         match self.connections.forget(connection) {
             Some(RedirectorConnection::Operator) => self.operators.remove(connection),
+            Some(RedirectorConnection::Metrics) => self.metrics.remove(connection),
             Some(RedirectorConnection::Member(address)) => {
                 self.links.remove(&address);
                 self.directory.on_link_ended(address);
@@ -200,6 +219,21 @@
         self.connections.close(connection);
     }
 
+    fn figures(&self) -> Snapshot {
+        let mut snapshot = Snapshot::new();
+        let redirects = self.redirects as u64;
+        snapshot.counter(
+            "redirects",
+            "Requests that were redirected or turned down",
+            redirects,
+        );
+        let members = self.links.len() as u64;
+        snapshot.gauge("member_links", "Links to controllers", members);
+        let connections = self.connections.len() as u64;
+        snapshot.gauge("connections", "Open connections", connections);
+        snapshot
+    }
+
     fn close_link(&mut self, address: SocketAddr) {
         if let Some(connection) = self.links.remove(&address) {
             self.connections.close(connection);
--- a/crates/controller/src/scaler.rs
+++ b/crates/controller/src/scaler.rs
@@ -9,6 +9,7 @@
 use crate::options::ControllerOptions;
 use crate::platform_client::{PlatformClient, PlatformEndpoint, PlatformOutcome, RequestPurpose};
 use crate::platform_lists::{PageProgress, PlatformLists};
+use crate::term_check::check_term;
 use autoscaler::{Autoscaler, AutoscalerOptions, FunctionStatus, RunnerCommand, StartError};
 use event_loop::ConnectionId;
 use http1::Response;
@@ -78,6 +79,7 @@
         if term == self.term && self.autoscaler.is_some() {
             return false;
         }
+        check_term(self.term, term);
         self.reset(context);
         let options = AutoscalerOptions {
             list_lag_ms: context.options.list_lag_ms,
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -58,6 +58,7 @@
             "consensus": consensus.status(),
             "controllers": consensus.known_controllers(),
             "current": self.is_current(),
+            "invariant_violations": invariants::total_violations(),
             "gateways": gateway_count,
             "closed": configuration.evacuated_zones(),
             "functions": functions,
--- a/crates/gateway/src/applied_configuration.rs
+++ b/crates/gateway/src/applied_configuration.rs
@@ -1,6 +1,7 @@
 //! What the control plane has put in force here. Each kind of update bears a version, and an older one than that in
 //! force is dropped.
 
+use invariants::{check, Invariant};
 use protocol::{unpack, Member, UpdateVersion};
 use routing::{ConfigurationFormat, Limits, RoutingConfiguration, RoutingTable};
 use std::collections::BTreeSet;
@@ -157,11 +158,18 @@
         self.put_in_force(base + changes.len() as u64, configuration);
     }
 
-    fn put_in_force(&mut self, version: u64, configuration: RoutingConfiguration) {
+    /// Puts a configuration in force, which is newer than the one before.
+    pub fn put_in_force(&mut self, version: u64, configuration: RoutingConfiguration) {
         log::info!(
             "gateway: configuration applied version={}",
             configuration.version
         );
+        let former = self.versions.configuration;
+        check(
+            Invariant::ConfigurationMovesForward,
+            version > former,
+            || format!("version={version} former={former}"),
+        );
         let table = RoutingTable::new(Arc::new(configuration));
         self.table = Some(Arc::new(table));
         self.versions.configuration = version;
@@ -174,7 +182,10 @@
             return false;
         }
         log::info!("gateway: zones evacuated zones={zones:?}");
-        self.versions.evacuations = version;
+        let former = std::mem::replace(&mut self.versions.evacuations, version);
+        check(Invariant::EvacuationsMoveForward, version > former, || {
+            format!("version={version} former={former}")
+        });
         self.evacuated_zones = zones.into_iter().collect();
         true
     }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -5,6 +5,8 @@
 use crate::upstream_connection::UpstreamConnection;
 use event_loop::{ConnectionId, Event, EventLoop, ListenerId};
 use http1::RequestReader;
+use metrics::MetricsReader;
+use protocol::RequestId;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -21,6 +23,8 @@
     Downstream(DownstreamConnection),
     /// Readiness checks at their own address.
     Readiness(RequestReader),
+    /// Requests for figures.
+    Metrics(MetricsReader),
     /// Requests to a runner.
     Upstream(UpstreamConnection),
     /// Messages of another gateway, by name; none until it has said its name.
@@ -109,6 +113,17 @@
         Some((reader, self.event_loop.read_buffer(id)?))
     }
 
+    /// The reader of a connection for figures with its unread bytes.
+    pub fn metrics_input(
+        &mut self,
+        id: ConnectionId,
+    ) -> Option<(&mut MetricsReader, &mut Vec<u8>)> {
+        let Some(ConnectionRole::Metrics(reader)) = self.roles.get_mut(&id) else {
+            return None;
+        };
+        Some((reader, self.event_loop.read_buffer(id)?))
+    }
+
     /// A connection to a runner.
     pub fn upstream(&mut self, id: ConnectionId) -> Option<&mut UpstreamConnection> {
         match self.roles.get_mut(&id) {
@@ -201,6 +216,16 @@
         idle.map(|(id, _)| *id).collect()
     }
 
+    /// Clients' connections whose request has no response yet.
+    pub fn waiting_downstream(&self) -> Vec<(ConnectionId, RequestId)> {
+        let roles = self.roles.iter();
+        let waiting = roles.filter_map(|(id, role)| match role {
+            ConnectionRole::Downstream(connection) => Some((*id, connection.request?)),
+            _ => None,
+        });
+        waiting.collect()
+    }
+
     /// Whether a client is connected.
     pub fn has_downstream(&self) -> bool {
         let mut roles = self.roles.values();
--- a/crates/gateway/src/controller_links.rs
+++ b/crates/gateway/src/controller_links.rs
@@ -110,6 +110,12 @@
         self.links.keys().cloned().collect()
     }
 
+    /// Number of controllers to which there is a link.
+    pub fn linked(&self) -> usize {
+        let links = self.links.values();
+        links.filter(|link| link.connection.is_some()).count()
+    }
+
     /// The connection to a controller.
     pub fn connection(&self, address: &str) -> Option<ConnectionId> {
         self.links.get(address).and_then(|link| link.connection)
@@ -209,6 +215,12 @@
         });
         let (address, link) = scaling.max_by_key(|(_, link)| link.term)?;
         let is_new = link.term != self.scaler_term;
+        if is_new {
+            log::info!(
+                "gateway: scaler changed controller={address} term={}",
+                link.term
+            );
+        }
         self.scaler_term = link.term;
         Some(Scaler {
             address: address.clone(),
--- a/crates/gateway/src/downstream_requests.rs
+++ b/crates/gateway/src/downstream_requests.rs
@@ -4,6 +4,7 @@
 use crate::downstream_connection::DownstreamConnection;
 use crate::gateway::{Gateway, TimerEvent};
 use crate::pending_request::RequestPhase;
+use crate::request_accounting::RequestEnd;
 use event_loop::ConnectionId;
 use http1::{MessageLimits, CONTINUE};
 
@@ -104,6 +105,7 @@
         }
         if is_arriving {
             let text = "the request came too slowly";
+            self.record_unread_request(REQUEST_TIMEOUT, text);
             self.send_text(id, REQUEST_TIMEOUT, text, false);
         }
         self.connections.close_after_flush(id);
@@ -131,7 +133,10 @@
                 self.cancel_lease_request(request_id);
             }
         }
-        self.requests.remove(request_id);
+        let removed = self.requests.remove(request_id, RequestEnd::ClientLeft);
+        if let Some(request) = removed {
+            self.record_client_left(&request);
+        }
     }
 
     /// Closes the clients' connections on which nothing is under way and nothing has arrived.
--- a/crates/gateway/src/downstream_responses.rs
+++ b/crates/gateway/src/downstream_responses.rs
@@ -4,6 +4,7 @@
 use crate::pending_request::PendingRequest;
 use event_loop::ConnectionId;
 use http1::{write_response, HttpError, Request};
+use invariants::{check, Invariant};
 
 /// Bytes of a response's head that are reserved beside its body.
 const HEAD_ESTIMATE: usize = 256;
@@ -21,10 +22,24 @@
         body: &[u8],
     ) {
         if let Some(id) = request.downstream {
+            self.check_recipient(id, request);
             self.respond_to(id, &request.request, status, headers, body);
         }
     }
 
+    /// A connection that is still there waits for this very request.
+    fn check_recipient(&mut self, id: ConnectionId, request: &PendingRequest) {
+        let connection = self.connections.downstream(id);
+        let awaited = connection.map(|connection| connection.request);
+        let is_awaited = awaited.is_none_or(|awaited| awaited == Some(request.id));
+        check(Invariant::ResponseReachesItsRequest, is_awaited, || {
+            format!(
+                "request={} awaited={awaited:?} function={}",
+                request.id.0, request.function
+            )
+        });
+    }
+
     /// Responds to a request on a client's connection.
     pub fn respond_to(
         &mut self,
@@ -65,6 +80,7 @@
     /// Responds to bytes that are no request, and closes the connection.
     pub fn reject_bytes(&mut self, id: ConnectionId, error: &HttpError) {
         log::debug!("gateway: bytes rejected: {error}");
+        self.record_unread_request(error.status(), "the bytes are no request");
         self.send_text(id, error.status(), &error.to_string(), false);
         self.connections.close_after_flush(id);
     }
--- /dev/null
+++ b/crates/gateway/src/failure_log.rs
@@ -0,0 +1,140 @@
+//! One structured log line for each request that fails, is rejected or is left by its client, so that it can be explained afterwards.
+//! The lines are bounded in rate; how many were left out is told with the next one.
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+
+/// Lines that may be written at once.
+const BURST: u64 = 50;
+/// Lines that are written for long, in a second.
+const PER_SECOND: u64 = 10;
+const MS_PER_LINE: u64 = 1_000 / PER_SECOND;
+/// Most characters of a client's request id that are shown.
+const REQUEST_ID_MAX: usize = 64;
+
+/// What is known of a request that did not get a runner's response.
+pub(crate) struct RequestFailure<'a> {
+    /// The id that the client gave.
+    pub request_id: &'a [u8],
+    /// Name of the binding; empty where none was found.
+    pub route: &'a str,
+    pub function: &'a str,
+    /// The status that the client was given; 0 where it left before.
+    pub status: u16,
+    pub reason: &'static str,
+    /// The runner of the last attempt; empty where there was none.
+    pub runner: &'a str,
+    /// Times that it was sent to a runner.
+    pub attempts: u32,
+    /// Times that no connection to a runner came to be.
+    pub connect_failures: u32,
+    pub may_have_run: bool,
+    /// Milliseconds since it was read.
+    pub held_ms: u64,
+    /// Milliseconds that were left until its deadline.
+    pub left_ms: u64,
+}
+
+impl<'a> RequestFailure<'a> {
+    /// A request that was rejected before it was bound to a function.
+    pub fn before_admission(request_id: &'a [u8], status: u16, reason: &'static str) -> Self {
+        Self {
+            request_id,
+            route: "",
+            function: "",
+            status,
+            reason,
+            runner: "",
+            attempts: 0,
+            connect_failures: 0,
+            may_have_run: false,
+            held_ms: 0,
+            left_ms: 0,
+        }
+    }
+}
+
+/// Requests that got an error of the gateway's own, or whose client left.
+#[derive(Default)]
+pub(crate) struct FailureLog {
+    /// Failures in this incarnation, by status and reason; a status of 0 stands for a client that left.
+    counts: BTreeMap<(u16, &'static str), u64>,
+    /// Milliseconds of the clock up to which lines are spent: each takes [`MS_PER_LINE`].
+    spent_until: u64,
+    /// Lines that were left out since the last one.
+    suppressed: u64,
+    /// Lines that were left out in this incarnation.
+    suppressed_ever: u64,
+}
+
+impl FailureLog {
+    /// Requests that got an error of the gateway's own.
+    pub fn rejected(&self) -> u64 {
+        let counts = self.counts.iter();
+        let rejected = counts.filter(|((status, _), _)| *status != 0);
+        rejected.map(|(_, count)| count).sum()
+    }
+
+    /// Failures by reason.
+    pub fn by_reason(&self) -> impl Iterator<Item = (String, u64)> + '_ {
+        let mut by_reason: BTreeMap<&str, u64> = BTreeMap::new();
+        for ((_, reason), count) in &self.counts {
+            *by_reason.entry(reason).or_default() += count;
+        }
+        by_reason
+            .into_iter()
+            .map(|(reason, count)| (reason.to_string(), count))
+    }
+
+    /// Lines that were left out.
+    pub fn suppressed_lines(&self) -> u64 {
+        self.suppressed_ever
+    }
+
+    /// Counts a failure, and logs it unless there were many lately.
+    pub fn record(&mut self, now: u64, failure: &RequestFailure<'_>) {
+        let key = (failure.status, failure.reason);
+        *self.counts.entry(key).or_default() += 1;
+        if !self.take_line(now) {
+            self.suppressed += 1;
+            self.suppressed_ever += 1;
+            return;
+        }
+        let suppressed = std::mem::take(&mut self.suppressed);
+        log::info!(
+            "gateway: request failed request_id={} route={} function={} status={} reason={:?} runner={} attempts={} connect_failures={} may_have_run={} held_ms={} left_ms={} suppressed={suppressed}",
+            shown(failure.request_id),
+            failure.route,
+            failure.function,
+            failure.status,
+            failure.reason,
+            failure.runner,
+            failure.attempts,
+            failure.connect_failures,
+            failure.may_have_run,
+            failure.held_ms,
+            failure.left_ms,
+        );
+    }
+
+    fn take_line(&mut self, now: u64) -> bool {
+        let burst_ms = BURST * MS_PER_LINE;
+        self.spent_until = self.spent_until.max(now);
+        let has_room = self.spent_until + MS_PER_LINE <= now + burst_ms;
+        if has_room {
+            self.spent_until += MS_PER_LINE;
+        }
+        has_room
+    }
+}
+
+/// A client's bytes as one word of a log line.
+fn shown(bytes: &[u8]) -> String {
+    let text: Cow<'_, str> = String::from_utf8_lossy(bytes);
+    let escaped = text.escape_default().to_string();
+    escaped
+        .replace(' ', "\\x20")
+        .chars()
+        .take(REQUEST_ID_MAX)
+        .collect()
+}
--- /dev/null
+++ b/crates/gateway/src/figures.rs
@@ -0,0 +1,129 @@
+//! The gateway's figures for operators, at an address of their own.
+
+use crate::connections::ConnectionRole;
+use crate::gateway::Gateway;
+use event_loop::ConnectionId;
+use metrics::{EndpointInput, MetricsReader, Snapshot};
+
+impl Gateway {
+    /// A connection was accepted at the address for figures.
+    pub fn metrics_accepted(&mut self, id: ConnectionId) {
+        let role = ConnectionRole::Metrics(MetricsReader::default());
+        self.connections.set_role(id, role);
+    }
+
+    /// Bytes have arrived at the address for figures.
+    pub fn metrics_readable(&mut self, id: ConnectionId) {
+        let Some((reader, buffer)) = self.connections.metrics_input(id) else {
+            return;
+        };
+        match reader.read(buffer) {
+            EndpointInput::Incomplete => {}
+            EndpointInput::Request(request) => {
+                let response = metrics::respond(&request, || self.snapshot());
+                self.connections.send(id, &response);
+                if !request.keeps_alive {
+                    self.connections.close_after_flush(id);
+                }
+            }
+            EndpointInput::Malformed(error) => self.reject_bytes(id, &error),
+        }
+    }
+
+    /// All figures at this moment.
+    fn snapshot(&self) -> Snapshot {
+        let mut snapshot = Snapshot::new();
+        self.add_request_figures(&mut snapshot);
+        self.add_seat_figures(&mut snapshot);
+        self.add_connection_figures(&mut snapshot);
+        self.add_version_figures(&mut snapshot);
+        snapshot
+    }
+
+    fn add_request_figures(&self, snapshot: &mut Snapshot) {
+        let counts = self.requests.counts();
+        let ended = [
+            ("answered", counts.answered),
+            ("rejected", counts.rejected),
+            ("client_left", counts.client_left),
+        ];
+        let ended = ended.map(|(end, count)| (end.to_string(), count));
+        snapshot.counter("requests_admitted", "Requests admitted", counts.admitted);
+        snapshot.labelled_counter(
+            "requests_ended",
+            "Requests that ended, by how",
+            "end",
+            ended.into_iter(),
+        );
+        snapshot.labelled_counter(
+            "request_failures",
+            "Requests that failed, were rejected or left by their client",
+            "reason",
+            self.failures.by_reason(),
+        );
+        snapshot.counter(
+            "failure_lines_suppressed",
+            "Failed requests without a log line, which is bounded in rate",
+            self.failures.suppressed_lines(),
+        );
+        let in_flight = self.requests.len() as u64;
+        snapshot.gauge("requests_in_flight", "Requests in flight", in_flight);
+        snapshot.gauge("jobs", "Jobs coordinated here", self.jobs.len() as u64);
+    }
+
+    fn add_seat_figures(&self, snapshot: &mut Snapshot) {
+        let usage = self.lease_owner.usage();
+        let functions = self.lease_owner.len() as u64;
+        snapshot.gauge(
+            "functions_owned",
+            "Functions whose seats are leased here",
+            functions,
+        );
+        snapshot.gauge("seats_leased", "Seats that are leased here", usage.leased);
+        snapshot.gauge(
+            "requests_waiting",
+            "Requests that wait for a seat here",
+            usage.waiting,
+        );
+    }
+
+    fn add_connection_figures(&self, snapshot: &mut Snapshot) {
+        let connections = self.connections.len() as u64;
+        snapshot.gauge("connections", "Open connections", connections);
+        let pooled = self.upstream_pool.len() as u64;
+        snapshot.gauge(
+            "upstream_connections_idle",
+            "Idle connections to runners",
+            pooled,
+        );
+        let peers = self.peers.len() as u64;
+        snapshot.gauge("peer_links", "Links with other gateways", peers);
+        let controllers = self.controllers.linked() as u64;
+        snapshot.gauge("controller_links", "Links with controllers", controllers);
+    }
+
+    fn add_version_figures(&self, snapshot: &mut Snapshot) {
+        let versions = self.configuration.versions();
+        snapshot.gauge(
+            "configuration_version",
+            "Committed version of the configuration in force",
+            versions.configuration,
+        );
+        snapshot.gauge(
+            "evacuations_version",
+            "Committed version of the evacuated zones in force",
+            versions.evacuations,
+        );
+        let membership = self.configuration.membership_version();
+        snapshot.gauge("membership_term", "Term of the membership", membership.term);
+        snapshot.gauge(
+            "membership_number",
+            "Number of the membership within its term",
+            membership.number,
+        );
+        let members = self.configuration.members().len() as u64;
+        snapshot.gauge("members", "Gateways that own functions", members);
+        let is_ready = self.configuration.is_ready() && !self.is_draining();
+        snapshot.gauge("ready", "Whether clients are served", u64::from(is_ready));
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,10 +3,10 @@
 use crate::applied_configuration::AppliedConfiguration;
 use crate::connections::Connections;
 use crate::controller_links::ControllerLinks;
+use crate::failure_log::FailureLog;
 use crate::in_flight_requests::InFlightRequests;
 use crate::options::{GatewayError, GatewayOptions};
 use crate::peer_links::PeerLinks;
-use crate::rejection_log::RejectionLog;
 use crate::response_times::ResponseTimes;
 use crate::retry_budgets::RetryBudgets;
 use crate::upstream_pool::UpstreamPool;
@@ -17,7 +17,7 @@
 
 /// Most unread bytes of a client's connection.
 const DOWNSTREAM_BUFFER_MAX: usize = 1 << 20;
-/// Most unread bytes of a connection for readiness checks.
+/// Most unread bytes of a connection for readiness checks or figures.
 const READINESS_BUFFER_MAX: usize = 1 << 14;
 /// Most unread bytes of a connection with another daemon.
 pub(crate) const LINK_BUFFER_MAX: usize = 16 << 20;
@@ -43,6 +43,8 @@
 pub(crate) struct Listeners {
     pub downstream: ListenerId,
     pub readiness: ListenerId,
+    /// None where no address is given, or it could not be bound.
+    pub metrics: Option<ListenerId>,
 }
 
 /// All state of the gateway, on one thread.
@@ -62,7 +64,7 @@
     pub configuration: AppliedConfiguration,
     pub retry_budgets: RetryBudgets,
     pub response_times: ResponseTimes,
-    pub rejections: RejectionLog,
+    pub failures: FailureLog,
     pub timers: Timers<TimerEvent>,
     /// Milliseconds since the start, as of this turn of the loop.
     pub now: u64,
@@ -72,6 +74,8 @@
     pub unread: Vec<ConnectionId>,
     /// When the settings were checked for changes.
     pub settings_checked_at: u64,
+    /// When the invariants over whole tables were checked.
+    pub invariants_checked_at: u64,
 }
 
 impl Gateway {
@@ -96,12 +100,13 @@
             configuration: AppliedConfiguration::default(),
             retry_budgets: RetryBudgets::new(options.retry_ratio, options.retry_slack),
             response_times: ResponseTimes::default(),
-            rejections: RejectionLog::default(),
+            failures: FailureLog::default(),
             timers: Timers::default(),
             now: 0,
             draining_since: None,
             unread: Vec::new(),
             settings_checked_at: 0,
+            invariants_checked_at: 0,
             options,
         })
     }
@@ -113,6 +118,7 @@
 }
 
 fn listen(event_loop: &mut EventLoop, options: &GatewayOptions) -> Result<Listeners, GatewayError> {
+    let metrics = listen_for_metrics(event_loop, options);
     let mut listen = |address, buffer_max| {
         let listener = event_loop.listen(address, buffer_max);
         listener.map_err(|error| GatewayError::Listen(address, error))
@@ -123,9 +129,21 @@
     Ok(Listeners {
         downstream,
         readiness,
+        metrics,
     })
 }
 
+/// Figures are no reason to refuse service, so an address that cannot be bound is only logged.
+fn listen_for_metrics(event_loop: &mut EventLoop, options: &GatewayOptions) -> Option<ListenerId> {
+    let address = options.metrics_address?;
+    let listener = event_loop.listen(address, READINESS_BUFFER_MAX);
+    listener
+        .inspect_err(|error| {
+            log::warn!("gateway: metrics not listened for address={address} error={error}");
+        })
+        .ok()
+}
+
 fn identity(options: &GatewayOptions) -> Member {
     Member {
         name: options.name.clone(),
--- a/crates/gateway/src/in_flight_requests.rs
+++ b/crates/gateway/src/in_flight_requests.rs
@@ -1,6 +1,7 @@
 //! Requests in flight, by an id that is never used twice within the gateway's incarnation.
 
 use crate::pending_request::PendingRequest;
+use crate::request_accounting::{RequestCounts, RequestEnd};
 use protocol::RequestId;
 use slab::Slab;
 
@@ -12,7 +13,7 @@
 #[derive(Default)]
 pub(crate) struct InFlightRequests {
     slots: Slab<PendingRequest>,
-    admitted: u64,
+    counts: RequestCounts,
 }
 
 fn slot(id: RequestId) -> usize {
@@ -22,9 +23,9 @@
 impl InFlightRequests {
     /// Adds a request and gives it its id.
     pub fn add(&mut self, mut request: PendingRequest) -> RequestId {
-        self.admitted += 1;
+        self.counts.admitted += 1;
         let entry = self.slots.vacant_entry();
-        let id = RequestId((self.admitted << SLOT_BITS) | entry.key() as u64);
+        let id = RequestId((self.counts.admitted << SLOT_BITS) | entry.key() as u64);
         request.id = id;
         entry.insert(request);
         id
@@ -36,10 +37,19 @@
         (request.id == id).then_some(request)
     }
 
-    /// Takes a request out, as it gets its response or its client has left.
-    pub fn remove(&mut self, id: RequestId) -> Option<PendingRequest> {
+    /// Takes a request out, as it ends. One whose client has left counts as left, whatever came of it.
+    pub fn remove(&mut self, id: RequestId, end: RequestEnd) -> Option<PendingRequest> {
         self.get(id)?;
-        Some(self.slots.remove(slot(id)))
+        let request = self.slots.remove(slot(id));
+        let is_left = request.downstream.is_none();
+        let end = if is_left { RequestEnd::ClientLeft } else { end };
+        self.counts.record_end(end);
+        Some(request)
+    }
+
+    /// Counts of this incarnation.
+    pub fn counts(&self) -> RequestCounts {
+        self.counts
     }
 
     /// Number of requests in flight.
--- a/crates/gateway/src/job_messages.rs
+++ b/crates/gateway/src/job_messages.rs
@@ -3,6 +3,7 @@
 
 use crate::gateway::Gateway;
 use crate::pending_request::{PendingRequest, RequestPhase};
+use crate::request_accounting::RequestEnd;
 use crate::stored_response::{pack, unpack, StoredResponse};
 use http1::{Request, Response};
 use jobs::{digest, is_key, JobAdmission};
@@ -153,14 +154,14 @@
             .then_some(job.as_mut())
     }
 
-    fn end_with_error(&mut self, id: RequestId, status: u16, reason: &str) {
-        if let Some(request) = self.requests.remove(id) {
+    fn end_with_error(&mut self, id: RequestId, status: u16, reason: &'static str) {
+        if let Some(request) = self.requests.remove(id, RequestEnd::Rejected) {
             self.respond_with_error(&request, status, reason);
         }
     }
 
     fn respond_with_stored(&mut self, id: RequestId, stored: &StoredResponse) {
-        let Some(request) = self.requests.remove(id) else {
+        let Some(request) = self.requests.remove(id, RequestEnd::Answered) else {
             return;
         };
         let request_id = self.options.conventions.request_id;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,8 +12,8 @@
 //! 7. `downstream_responses`: the response is written, and the client's next request is read.
 //!
 //! Beside this path stand `job_messages` and `job_actions` (requests with an idempotency key), `peer_messages` and
-//! `controller_messages` (what other daemons send), `configuration_updates`, `upstream_probes`, `readiness` and
-//! `status`.
+//! `controller_messages` (what other daemons send), `configuration_updates`, `upstream_probes`, `readiness`, `figures`
+//! and `status`.
 //!
 //! The state is split into parts that each own one invariant and do no I/O beyond their own connections:
 //! `Connections`, `InFlightRequests`, `UpstreamPool`, `RetryBudgets`, `ResponseTimes`, `PeerLinks`, `ControllerLinks`
@@ -28,8 +28,11 @@
 mod downstream_connection;
 mod downstream_requests;
 mod downstream_responses;
+mod failure_log;
+mod figures;
 mod gateway;
 mod in_flight_requests;
+mod invariant_checks;
 mod job_actions;
 mod job_messages;
 mod lease_requests;
@@ -38,7 +41,7 @@
 mod peer_messages;
 mod pending_request;
 mod readiness;
-mod rejection_log;
+mod request_accounting;
 mod request_admission;
 mod request_outcomes;
 pub mod response_classification;
@@ -58,6 +61,9 @@
 pub use options::{GatewayError, GatewayOptions, HttpConventions};
 pub use run::run;
 
+#[cfg(test)]
+#[path = "../tests/unit/broken_invariants.rs"]
+mod broken_invariants_tests;
 #[cfg(test)]
 #[path = "../tests/unit/connection_reuse.rs"]
 mod connection_reuse_tests;
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -32,6 +32,8 @@
     pub client_address: SocketAddr,
     /// Address at which it listens for readiness checks.
     pub readiness_address: SocketAddr,
+    /// Address at which it tells its figures; none where it tells none.
+    pub metrics_address: Option<SocketAddr>,
     /// Address at which it listens for other gateways and for operators' status requests.
     pub peer_address: SocketAddr,
     /// Controllers that are known at the start; a controller's heartbeat names the others.
--- a/crates/gateway/src/peer_links.rs
+++ b/crates/gateway/src/peer_links.rs
@@ -47,6 +47,11 @@
         self.links.contains_key(name)
     }
 
+    /// Number of links.
+    pub fn len(&self) -> usize {
+        self.links.len()
+    }
+
     /// Adds a link over a connection.
     pub fn add(&mut self, name: &str, connection: ConnectionId, now: u64) {
         let link = PeerLink {
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -1,7 +1,9 @@
 //! One client request from its admission to its response.
 
+use crate::failure_log::RequestFailure;
 use event_loop::ConnectionId;
 use http1::Request;
+use invariants::{check, Invariant};
 use jobs::JobAdmission;
 use protocol::RequestId;
 
@@ -51,6 +53,8 @@
     pub request: Request,
     /// The id that the client gave, which its response bears.
     pub client_request_id: Vec<u8>,
+    /// Name of the binding that its host and path have.
+    pub route: String,
     pub function: String,
     /// Whether it may run once at most, so that it is never retried after it may have run.
     pub at_most_once: bool,
@@ -86,6 +90,30 @@
         }
     }
 
+    /// The runner of the last attempt; empty where there was none.
+    pub fn last_runner(&self) -> &str {
+        let attempt = self.attempt().map(|attempt| attempt.runner.as_str());
+        let excluded = self.excluded_runners.last().map(String::as_str);
+        attempt.or(excluded).unwrap_or_default()
+    }
+
+    /// What explains that it ends with a status of the gateway's own.
+    pub fn failure(&self, now: u64, status: u16, reason: &'static str) -> RequestFailure<'_> {
+        RequestFailure {
+            request_id: &self.client_request_id,
+            route: &self.route,
+            function: &self.function,
+            status,
+            reason,
+            runner: self.last_runner(),
+            attempts: self.attempts,
+            connect_failures: self.connect_failures,
+            may_have_run: self.may_have_run,
+            held_ms: now.saturating_sub(self.received_at),
+            left_ms: self.deadline.saturating_sub(now),
+        }
+    }
+
     /// The lease that it holds.
     pub fn held_lease(&self) -> Option<HeldLease> {
         let attempt = self.attempt()?;
@@ -137,6 +165,43 @@
         }
     }
 
+    /// Checks, as it is about to be sent, that it may be: it has not run where it must not run twice, it has an attempt
+    /// left, and its job is claimed.
+    pub fn check_may_be_sent(&self) {
+        let may_run_again = !(self.at_most_once && self.may_have_run);
+        check(Invariant::AtMostOnceIsSentOnce, may_run_again, || {
+            self.explain()
+        });
+        let has_attempt_left = self.attempts < self.max_attempts;
+        check(Invariant::AttemptsAreBounded, has_attempt_left, || {
+            self.explain()
+        });
+        let is_claimed = self.job.as_ref().is_none_or(|job| job.may_be_sent());
+        check(Invariant::JobIsClaimedBeforeItIsSent, is_claimed, || {
+            self.explain()
+        });
+    }
+
+    /// Checks, as its client is about to be told that it has not run, that no runner may have run it.
+    pub fn check_has_not_run(&self) {
+        let has_not_run = !self.may_have_run && !self.is_sent();
+        check(Invariant::RejectedHasNotRun, has_not_run, || self.explain());
+    }
+
+    /// Its state in a few words, for a violation.
+    fn explain(&self) -> String {
+        format!(
+            "request={} route={} at_most_once={} may_have_run={} attempts={} max_attempts={} phase={:?}",
+            self.id.0,
+            self.route,
+            self.at_most_once,
+            self.may_have_run,
+            self.attempts,
+            self.max_attempts,
+            self.phase
+        )
+    }
+
     /// Whether it may be attempted again at all: there is a client and time for it, and it cannot run twice where it
     /// must not.
     pub fn may_be_retried(&self, now: u64) -> bool {
--- a/crates/gateway/src/request_admission.rs
+++ b/crates/gateway/src/request_admission.rs
@@ -1,5 +1,6 @@
 //! Phase 2: a request is bound to a function and checked. It is in flight from here until its response.
 
+use crate::failure_log::RequestFailure;
 use crate::gateway::{Gateway, TimerEvent};
 use crate::pending_request::{PendingRequest, RequestPhase};
 use event_loop::ConnectionId;
@@ -7,7 +8,6 @@
 use jobs::JobAdmission;
 use protocol::RequestId;
 use routing::{Binding, RoutingTable};
-use std::fmt;
 
 /// Most milliseconds that any request is held.
 const TIMEOUT_MAX_MS: u64 = 120_000;
@@ -39,23 +39,22 @@
             Self::NoRequestId | Self::InvalidTimeout | Self::InvalidIdempotencyKey => BAD_REQUEST,
         }
     }
-}
 
-impl fmt::Display for AdmissionError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
+    fn reason(self) -> &'static str {
+        match self {
             Self::NotConfigured | Self::NoBinding => "no binding for this host and path",
             Self::NoRequestId => "the request has no id",
             Self::InvalidTimeout => "the time left is not a number",
             Self::InvalidIdempotencyKey => {
                 "the idempotency key is not up to 200 visible ASCII characters, told once"
             }
-        })
+        }
     }
 }
 
 /// What the binding and the client's headers say of a request.
 struct Admission {
+    route: String,
     function: String,
     at_most_once: bool,
     priority: u8,
@@ -103,6 +102,7 @@
         let job = self.job_of(request, binding.at_most_once);
         let job = job.map_err(|_| AdmissionError::InvalidIdempotencyKey)?;
         Ok(Admission {
+            route: binding.name.clone(),
             function,
             at_most_once: binding.at_most_once,
             priority: binding.priority,
@@ -127,6 +127,7 @@
             downstream: Some(id),
             request,
             client_request_id,
+            route: admission.route,
             function: admission.function,
             at_most_once: admission.at_most_once,
             priority: admission.priority,
@@ -160,8 +161,10 @@
         if !client_request_id.is_empty() {
             headers.push((self.options.conventions.request_id, client_request_id));
         }
-        let text = error.to_string();
-        self.respond_to(id, request, error.status(), &headers, text.as_bytes());
+        let (status, reason) = (error.status(), error.reason());
+        let failure = RequestFailure::before_admission(client_request_id, status, reason);
+        self.failures.record(self.now, &failure);
+        self.respond_to(id, request, status, &headers, reason.as_bytes());
     }
 }
 
--- a/crates/gateway/src/request_outcomes.rs
+++ b/crates/gateway/src/request_outcomes.rs
@@ -1,7 +1,9 @@
 //! Phase 6: a request is answered, retried or rejected.
 
+use crate::failure_log::RequestFailure;
 use crate::gateway::Gateway;
 use crate::pending_request::{PendingRequest, RequestPhase};
+use crate::request_accounting::RequestEnd;
 use crate::response_classification::{classify, ResponseClass};
 use crate::upstream_session::UpstreamResponse;
 use event_loop::ConnectionId;
@@ -11,6 +13,8 @@
 /// Least milliseconds after which a rejected client may come back.
 const RETRY_AFTER_MIN_MS: u64 = 150;
 
+/// The status under which a request counts whose client left before its response.
+const CLIENT_LEFT: u16 = 0;
 const SERVER_ERRORS_FROM: u16 = 500;
 const BAD_GATEWAY: u16 = 502;
 const UNAVAILABLE: u16 = 503;
@@ -60,7 +64,7 @@
         if response.status >= SERVER_ERRORS_FROM && self.retry_after_error(id, runner) {
             return;
         }
-        let Some(request) = self.requests.remove(id) else {
+        let Some(request) = self.requests.remove(id, RequestEnd::Answered) else {
             return;
         };
         let headers: Vec<(&str, &[u8])> = end_to_end(&response.headers).collect();
@@ -107,7 +111,7 @@
     }
 
     /// A request's runner may have run it, and no valid response came.
-    pub fn attempt_lost(&mut self, id: RequestId, reason: &str) {
+    pub fn attempt_lost(&mut self, id: RequestId, reason: &'static str) {
         let Some(request) = self.requests.get(id) else {
             return;
         };
@@ -127,8 +131,8 @@
     }
 
     /// Ends a request that no runner answered: 503 where none can have run it, 502 where one may have.
-    pub fn reject(&mut self, id: RequestId, retry_after_ms: u64, reason: &str) {
-        let Some(request) = self.requests.remove(id) else {
+    pub fn reject(&mut self, id: RequestId, retry_after_ms: u64, reason: &'static str) {
+        let Some(request) = self.requests.remove(id, RequestEnd::Rejected) else {
             return;
         };
         let conventions = self.options.conventions;
@@ -139,26 +143,42 @@
         let (status, result) = if request.may_have_run {
             (BAD_GATEWAY, JobResult::Lost)
         } else {
+            request.check_has_not_run();
             headers.push((conventions.retry_after, retry_after.as_bytes()));
             (UNAVAILABLE, JobResult::NotRun)
         };
         self.complete_job(&request, result);
-        self.record_rejection(&request, status, reason);
+        self.record_failure(&request, status, reason);
         self.respond(&request, status, &headers, reason.as_bytes());
     }
 
     /// Ends a request that is no longer in flight with a status of the gateway's own.
-    pub fn respond_with_error(&mut self, request: &PendingRequest, status: u16, reason: &str) {
-        self.record_rejection(request, status, reason);
+    pub fn respond_with_error(
+        &mut self,
+        request: &PendingRequest,
+        status: u16,
+        reason: &'static str,
+    ) {
+        self.record_failure(request, status, reason);
         let request_id = self.options.conventions.request_id;
         let headers: [(&str, &[u8]); 1] = [(request_id, &request.client_request_id)];
         self.respond(request, status, &headers, reason.as_bytes());
     }
 
-    fn record_rejection(&mut self, request: &PendingRequest, status: u16, reason: &str) {
-        let held_ms = self.now - request.received_at;
-        self.rejections
-            .record(&request.function, status, held_ms, reason);
+    fn record_failure(&mut self, request: &PendingRequest, status: u16, reason: &'static str) {
+        let failure = request.failure(self.now, status, reason);
+        self.failures.record(self.now, &failure);
+    }
+
+    /// A request fails of which the head was never read.
+    pub fn record_unread_request(&mut self, status: u16, reason: &'static str) {
+        let failure = RequestFailure::before_admission(b"", status, reason);
+        self.failures.record(self.now, &failure);
+    }
+
+    /// A request ends because its client has left.
+    pub fn record_client_left(&mut self, request: &PendingRequest) {
+        self.record_failure(request, CLIENT_LEFT, "the client has left");
     }
 
     /// A request's deadline has come.
@@ -181,7 +201,7 @@
             self.reject(id, RETRY_AFTER_MIN_MS, reason);
             return;
         }
-        let Some(request) = self.requests.remove(id) else {
+        let Some(request) = self.requests.remove(id, RequestEnd::Rejected) else {
             return;
         };
         let (result, reason) = if request.may_have_run {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -116,6 +116,7 @@
         self.check_awaited_owners();
         self.report_to_scaler();
         self.upstream_pool.expire(&mut self.connections, self.now);
+        self.check_invariants();
     }
 
     fn handle_event(&mut self, event: Event) {
@@ -126,6 +127,9 @@
             Event::Accepted(listener, id) if listener == self.listeners.readiness => {
                 self.readiness_accepted(id);
             }
+            Event::Accepted(listener, id) if Some(listener) == self.listeners.metrics => {
+                self.metrics_accepted(id);
+            }
             Event::Accepted(_, id) => self.connections.set_role(id, ConnectionRole::Peer(None)),
             Event::Connected(id) => self.connected(id),
             Event::Readable(id) => self.readable(id),
@@ -148,6 +152,7 @@
         match self.connections.role(id) {
             Some(ConnectionRole::Downstream(_)) => self.downstream_readable(id),
             Some(ConnectionRole::Readiness(_)) => self.readiness_readable(id),
+            Some(ConnectionRole::Metrics(_)) => self.metrics_readable(id),
             Some(ConnectionRole::Upstream(_)) => self.upstream_readable(id),
             Some(ConnectionRole::Peer(_) | ConnectionRole::Controller(_)) => {
                 self.link_readable(id);
@@ -165,7 +170,7 @@
                 let probed = probed.clone();
                 self.probe_finished(&probed, false);
             }
-            Some(ConnectionRole::Readiness(_)) | None => {}
+            Some(ConnectionRole::Readiness(_) | ConnectionRole::Metrics(_)) | None => {}
         }
         self.connections.close(id);
     }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -17,7 +17,8 @@
             "owed": self.unacknowledged_results.len(),
             "requests": self.requests.len(),
             "lines": self.connections.len(),
-            "refused": self.rejections.count(),
+            "invariant_violations": invariants::total_violations(),
+            "refused": self.failures.rejected(),
         })
         .to_string()
     }
--- a/crates/gateway/src/upstream_pool.rs
+++ b/crates/gateway/src/upstream_pool.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Number of idle connections.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
     /// Closes connections that were idle for too long.
     pub fn expire(&mut self, connections: &mut Connections, now: u64) {
         let mut count = self.count;
--- a/crates/gateway/src/upstream_requests.rs
+++ b/crates/gateway/src/upstream_requests.rs
@@ -127,6 +127,7 @@
             }
             return;
         }
+        request.check_may_be_sent();
         let RequestPhase::Upstream(attempt) = &mut request.phase else {
             return;
         };
--- /dev/null
+++ b/crates/gateway/tests/unit/broken_invariants.rs
@@ -0,0 +1,126 @@
+//! Each invariant of the gateway is broken on purpose, and its check ends the test.
+
+use crate::applied_configuration::AppliedConfiguration;
+use crate::connection_reuse_tests::{options, pending_request};
+use crate::connections::ConnectionRole;
+use crate::downstream_connection::DownstreamConnection;
+use crate::gateway::Gateway;
+use crate::request_accounting::RequestEnd;
+use event_loop::ConnectionId;
+use jobs::JobAdmission;
+use protocol::RequestId;
+use routing::RoutingConfiguration;
+use std::net::{Ipv4Addr, TcpListener};
+
+/// Milliseconds at which the checks over whole tables are due.
+const CHECKS_DUE_AT: u64 = 1_000;
+
+fn gateway() -> Gateway {
+    let mut gateway = Gateway::open(options()).unwrap();
+    gateway.now = CHECKS_DUE_AT;
+    gateway
+}
+
+/// A client's connection, whose other end is a listener that is dropped with the test.
+fn downstream(gateway: &mut Gateway, listener: &TcpListener) -> ConnectionId {
+    let role = ConnectionRole::Downstream(DownstreamConnection::accepted(0));
+    let address = listener.local_addr().unwrap().to_string();
+    gateway
+        .connections
+        .connect(&address, 1 << 10, role)
+        .unwrap()
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap()
+}
+
+#[test]
+fn tables_that_agree_break_nothing() {
+    let (mut gateway, listener) = (gateway(), listener());
+    let connection = downstream(&mut gateway, &listener);
+    let id = gateway
+        .requests
+        .add(pending_request(Some(connection), false));
+    gateway.connections.downstream(connection).unwrap().request = Some(id);
+    gateway.check_invariants();
+    assert!(gateway.requests.remove(id, RequestEnd::Answered).is_some());
+    assert_eq!(gateway.requests.counts().in_flight(), Some(0));
+}
+
+#[test]
+#[should_panic(expected = "requests_are_conserved")]
+fn a_client_that_waits_for_no_request_in_flight() {
+    let (mut gateway, listener) = (gateway(), listener());
+    let connection = downstream(&mut gateway, &listener);
+    gateway.connections.downstream(connection).unwrap().request = Some(RequestId(77));
+    gateway.check_invariants();
+}
+
+#[test]
+#[should_panic(expected = "response_reaches_its_request")]
+fn a_response_on_a_connection_that_waits_for_another_request() {
+    let (mut gateway, listener) = (gateway(), listener());
+    let connection = downstream(&mut gateway, &listener);
+    gateway.connections.downstream(connection).unwrap().request = Some(RequestId(77));
+    let request = pending_request(Some(connection), false);
+    gateway.respond(&request, 200, &[], b"");
+}
+
+#[test]
+#[should_panic(expected = "at_most_once_is_sent_once")]
+fn a_request_that_may_have_run_is_sent_again() {
+    let mut request = pending_request(None, true);
+    request.may_have_run = true;
+    request.check_may_be_sent();
+}
+
+#[test]
+#[should_panic(expected = "attempts_are_bounded")]
+fn a_request_is_sent_more_often_than_its_route_allows() {
+    let mut request = pending_request(None, false);
+    request.attempts = request.max_attempts;
+    request.check_may_be_sent();
+}
+
+#[test]
+#[should_panic(expected = "job_is_claimed_before_it_is_sent")]
+fn a_job_is_sent_without_its_claim() {
+    let mut request = pending_request(None, true);
+    let admission = JobAdmission::new("key".into(), [0; 16], true, 1);
+    request.job = Some(Box::new(admission));
+    request.check_may_be_sent();
+}
+
+#[test]
+#[should_panic(expected = "rejected_has_not_run")]
+fn a_client_is_told_that_a_request_has_not_run_that_may_have() {
+    let mut request = pending_request(None, true);
+    request.may_have_run = true;
+    request.check_has_not_run();
+}
+
+#[test]
+#[should_panic(expected = "configuration_moves_forward")]
+fn an_older_configuration_is_put_in_force() {
+    let mut configuration = AppliedConfiguration::default();
+    configuration.put_in_force(7, RoutingConfiguration::default());
+    configuration.put_in_force(6, RoutingConfiguration::default());
+}
+
+#[test]
+fn an_older_update_is_dropped() {
+    let mut configuration = AppliedConfiguration::default();
+    assert!(configuration.apply_evacuations(5, vec!["zone-1".into()]));
+    assert!(!configuration.apply_evacuations(4, Vec::new()));
+    assert!(configuration.evacuated_zones().contains("zone-1"));
+}
+
+#[test]
+#[should_panic(expected = "queue_is_bounded")]
+fn more_connections_are_open_than_may_be() {
+    let (mut gateway, listener) = (gateway(), listener());
+    downstream(&mut gateway, &listener);
+    gateway.options.max_connections = 0;
+    gateway.check_invariants();
+}
--- a/crates/gateway/tests/unit/connection_reuse.rs
+++ b/crates/gateway/tests/unit/connection_reuse.rs
@@ -54,13 +54,14 @@
     }
 }
 
-fn options() -> GatewayOptions {
+pub(crate) fn options() -> GatewayOptions {
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     GatewayOptions {
         name: GATEWAY.into(),
         zone: "zone-1".into(),
         client_address: any_port,
         readiness_address: any_port,
+        metrics_address: None,
         peer_address: any_port,
         controller_addresses: Vec::new(),
         conventions: CONVENTIONS,
@@ -160,7 +161,10 @@
     }
 }
 
-fn pending_request(downstream: Option<ConnectionId>, at_most_once: bool) -> PendingRequest {
+pub(crate) fn pending_request(
+    downstream: Option<ConnectionId>,
+    at_most_once: bool,
+) -> PendingRequest {
     PendingRequest {
         id: RequestId(0),
         downstream,
@@ -173,6 +177,7 @@
             is_http_1_0: false,
         },
         client_request_id: b"request-1".to_vec(),
+        route: "route-1".into(),
         function: "function-1".into(),
         at_most_once,
         priority: 0,
--- /dev/null
+++ b/crates/metrics/src/endpoint.rs
@@ -0,0 +1,64 @@
+//! The HTTP endpoint of the figures: requests are read from bytes and answered with bytes, without I/O.
+
+use crate::snapshot::Snapshot;
+use http1::{write_response, HttpError, MessageLimits, Request, RequestReader};
+
+/// Limits of a request for figures.
+const LIMITS: MessageLimits = MessageLimits {
+    header_bytes: 8 << 10,
+    body_bytes: 1 << 10,
+};
+const PATH: &str = "/metrics";
+const CONTENT_TYPE: &[u8] = b"application/openmetrics-text; version=1.0.0; charset=utf-8";
+const OK: u16 = 200;
+const NOT_FOUND: u16 = 404;
+
+/// What a connection to the endpoint brought.
+pub enum EndpointInput {
+    /// A request has not arrived completely.
+    Incomplete,
+    /// A complete request.
+    Request(Box<Request>),
+    /// The bytes are no request; nothing more can be read from the connection.
+    Malformed(HttpError),
+}
+
+/// Reads requests off one connection.
+#[derive(Default)]
+pub struct MetricsReader {
+    reader: RequestReader,
+}
+
+impl MetricsReader {
+    /// Takes the next request off the start of the bytes that have arrived.
+    pub fn read(&mut self, buffer: &mut Vec<u8>) -> EndpointInput {
+        match self.reader.read(buffer, &LIMITS) {
+            Ok(None) => EndpointInput::Incomplete,
+            Ok(Some(request)) => EndpointInput::Request(Box::new(request)),
+            Err(error) => EndpointInput::Malformed(error),
+        }
+    }
+}
+
+/// The response to a request: the figures, or 404 for another target.
+#[must_use]
+pub fn respond(request: &Request, snapshot: impl FnOnce() -> Snapshot) -> Vec<u8> {
+    let path = request.target.split('?').next().unwrap_or_default();
+    let (status, body) = if path == PATH {
+        (OK, snapshot().to_text())
+    } else {
+        (NOT_FOUND, String::new())
+    };
+    let headers: [(&str, &[u8]); 1] = [("Content-Type", CONTENT_TYPE)];
+    let mut out = Vec::with_capacity(body.len() + 256);
+    let is_head = request.method == "HEAD";
+    write_response(
+        &mut out,
+        status,
+        headers.into_iter(),
+        body.as_bytes(),
+        request.keeps_alive,
+        is_head,
+    );
+    out
+}
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -3,6 +3,7 @@
 use crate::claims::{claim_time, ClaimFloors};
 use crate::job_window::FORGOTTEN_KEY;
 use crate::message::{VoterOperation, VoterRequest, VoterResponse};
+use crate::promise_check::check_promise;
 use crate::record::Record;
 use crate::table::RegisterTable;
 use crate::value::{Ballot, RegisterState};
@@ -252,6 +253,7 @@
                 (key, last_accepted(&state))
             }
         };
+        check_promise(&key, self.table.get(&key), &state);
         let record = Record::Register(key, state);
         self.replay(record.clone());
         (Some(record), response)
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -24,6 +24,7 @@
 mod client;
 mod job_window;
 mod message;
+mod promise_check;
 mod proposal;
 mod record;
 mod round;
@@ -31,6 +32,10 @@
 mod value;
 mod voter_set;
 
+#[cfg(test)]
+#[path = "../tests/unit/broken_invariants.rs"]
+mod broken_invariants_tests;
+
 pub use acceptor::Acceptor;
 pub use claims::ClaimFloors;
 pub use client::{NumberedResponse, RegisterClient, VoterPort};
--- a/crates/seat_leases/src/action.rs
+++ b/crates/seat_leases/src/action.rs
@@ -32,6 +32,15 @@
     },
 }
 
+/// What an owner has leased and who waits, over all functions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OwnerUsage {
+    /// Seats that are leased.
+    pub leased: u64,
+    /// Requests that wait for a seat.
+    pub waiting: u64,
+}
+
 /// How much of one runner's quota is leased.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunnerUsage {
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -6,6 +6,7 @@
 use crate::seat_runner::SeatRunner;
 use crate::start_block::ReceivedStartBlock;
 use crate::wait_queue::{QueuePosition, WaitQueue, WaitingRequest};
+use invariants::{check, Invariant};
 use protocol::{
     FunctionReport, FunctionUpdate, LeaseOutcome, LeaseRelease, LeaseRequest, RunnerLeases,
     SeatLease, UpdateVersion, ZoneArrivals,
@@ -68,6 +69,11 @@
         !self.queue.is_empty()
     }
 
+    /// Requests that wait.
+    pub fn waiting_count(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Whether nobody waits and no seat is leased.
     pub fn is_idle(&self) -> bool {
         self.queue.is_empty() && !self.runners.has_leases()
@@ -128,6 +134,14 @@
         Some(blocked.unwrap_or(retry_after_ms as u32))
     }
 
+    /// Checks that no more requests wait than may.
+    pub fn check_queue(&self) {
+        let waiting = self.queue.len();
+        check(Invariant::QueueIsBounded, waiting <= WAITING_MAX, || {
+            format!("waiting={waiting} max={WAITING_MAX}")
+        });
+    }
+
     /// A request was given up for want of a seat.
     pub fn record_abandoned(&mut self) {
         self.abandoned += 1;
@@ -198,7 +212,7 @@
             zone: runner.zone().into(),
         };
         let gateway = waiting.holder.gateway.clone();
-        runner.add_lease(waiting.holder);
+        runner.lease(waiting.holder);
         Some(IssuedLease { gateway, lease })
     }
 
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -1,6 +1,6 @@
 //! The owner of the seats of all functions that fell to one gateway.
 
-use crate::action::{LeaseAction, RunnerUsage};
+use crate::action::{LeaseAction, OwnerUsage, RunnerUsage};
 use crate::function_seats::{FunctionSeats, RETRY_AFTER_MS};
 use crate::lease_holder::LeaseHolder;
 use crate::probe_schedule::{ProbeSchedule, ProbeTarget};
@@ -60,6 +60,7 @@
         self.function_by_holder
             .insert(holder.clone(), function.clone());
         seats.enqueue(now, holder, zone, request);
+        seats.check_queue();
         self.issue_leases(now, &function);
         if let Some(seats) = self.functions.get_mut(&function) {
             if seats.has_waiting() {
@@ -318,6 +319,18 @@
             .collect()
     }
 
+    /// What is leased and who waits, over all functions.
+    #[must_use]
+    pub fn usage(&self) -> OwnerUsage {
+        let mut usage = OwnerUsage::default();
+        for seats in self.functions.values() {
+            let leased = seats.runners().map(|runner| u64::from(runner.in_use()));
+            usage.leased += leased.sum::<u64>();
+            usage.waiting += seats.waiting_count() as u64;
+        }
+        usage
+    }
+
     /// Number of functions that are known here.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/seat_leases/src/lib.rs
+++ b/crates/seat_leases/src/lib.rs
@@ -30,7 +30,11 @@
 mod start_block;
 mod wait_queue;
 
-pub use action::{LeaseAction, RunnerUsage};
+#[cfg(test)]
+#[path = "../tests/unit/broken_invariants.rs"]
+mod broken_invariants_tests;
+
+pub use action::{LeaseAction, OwnerUsage, RunnerUsage};
 pub use lease_owner::LeaseOwner;
 pub use owner_selection::select_owner;
 pub use retry_budget::RetryBudget;
--- a/crates/seat_leases/src/seat_runner.rs
+++ b/crates/seat_leases/src/seat_runner.rs
@@ -3,6 +3,7 @@
 
 use crate::lease_holder::LeaseHolder;
 use crate::rejection_backoff::RejectionBackoff;
+use invariants::{check, Invariant};
 use protocol::{RunnerReport, RunnerStage, RunnerUpdate};
 use std::collections::BTreeSet;
 
@@ -118,6 +119,16 @@
         self.is_serving() && in_use + probes < quota
     }
 
+    /// Leases one more seat, which must be free.
+    pub fn lease(&mut self, holder: LeaseHolder) {
+        let (in_use, quota) = (self.in_use(), self.quota());
+        check(Invariant::SeatsWithinQuota, in_use < quota, || {
+            format!("runner={} in_use={in_use} quota={quota}", self.id())
+        });
+        self.add_lease(holder);
+    }
+
+    /// Counts a seat that is in use already, as another owner leased it.
     pub fn add_lease(&mut self, holder: LeaseHolder) {
         self.holders.insert(holder);
     }
--- a/platform/tests/support/daemon.rs
+++ b/tests/cluster/src/daemon.rs
@@ -1,5 +1,6 @@
 //! One daemon as a process, with its settings file, its log and the signals that it is sent.
 
+use super::paths::program;
 use std::fs::File;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -9,6 +10,7 @@
 pub const PUBLIC: u16 = 8_020;
 pub const READINESS: u16 = 8_022;
 pub const CONTROL: u16 = 8_026;
+pub const METRICS: u16 = 8_027;
 pub const GRACE: Duration = Duration::from_millis(2_000);
 
 /// A machine with one daemon, which this process started.
@@ -57,9 +59,9 @@
         let settings = self.folder.join("local.toml");
         std::fs::write(&settings, self.settings(shared_settings, is_first)).unwrap();
         let program = if self.is_controller {
-            env!("CARGO_BIN_EXE_hallkeel-controller")
+            program("hallkeel-controller")
         } else {
-            env!("CARGO_BIN_EXE_hallkeel-gateway")
+            program("hallkeel-gateway")
         };
         let log = File::options()
             .create(true)
@@ -67,6 +69,7 @@
             .open(self.log())
             .unwrap();
         let child = Command::new(program)
+            .args(["--metrics-port", &METRICS.to_string(), "--fatal-invariants"])
             .env("HALLKEEL_SETTINGS", &settings)
             .env("RUST_LOG", "info")
             .stdin(Stdio::null())
--- a/platform/tests/support/mod.rs
+++ b/tests/cluster/src/lib.rs
@@ -1,9 +1,13 @@
-//! A simulated platform, clients and an operator around the real daemons.
-#![allow(dead_code)]
+//! A simulated platform with runners, clients and an operator around the real daemons `hallkeel-gateway` and
+//! `hallkeel-controller`, which run as processes on loopback. The tests of the package `platform` and the soak are made of it.
+//!
+//! What a run is judged by stands outside of the daemons: the runners' log of what they received ([`request_log`]) and what the
+//! clients and the operator were answered.
 
 pub mod client;
 pub mod daemon;
 pub mod operator;
+pub mod paths;
 pub mod platform;
 pub mod request_log;
 pub mod runner;
--- a/platform/tests/support/platform.rs
+++ b/tests/cluster/src/platform.rs
@@ -29,7 +29,6 @@
 
 #[derive(Default)]
 struct RunnerTimeline {
-    started_at: Option<Instant>,
     listed: Option<Instant>,
     drains: Option<Instant>,
     ended: Option<Instant>,
@@ -258,10 +257,7 @@
             service.concurrency,
             Arc::clone(&self.request_log),
         ));
-        let timeline = RunnerTimeline {
-            started_at: Some(Instant::now()),
-            ..RunnerTimeline::default()
-        };
+        let timeline = RunnerTimeline::default();
         state.runners.push((Arc::clone(&runner), timeline));
         state.nonces.insert(key, index);
         state.scalers.extend(fencing_token(request));
--- a/platform/tests/support/request_log.rs
+++ b/tests/cluster/src/request_log.rs
@@ -53,6 +53,10 @@
         self.received.lock().unwrap().clone()
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     pub fn len(&self) -> usize {
         self.received.lock().unwrap().len()
     }
--- a/platform/tests/support/simulated_cluster.rs
+++ b/tests/cluster/src/simulated_cluster.rs
@@ -3,6 +3,7 @@
 use super::client::{send_request, ClientRequest};
 use super::daemon::{ClusterSettings, Daemon, CONTROL, PUBLIC, READINESS};
 use super::operator::{call, configuration, send_command};
+use super::paths::scratch;
 use super::platform::{Platform, Service, Worker};
 use super::server::Server;
 use super::{seconds, wait_until};
@@ -107,7 +108,7 @@
     fn start(retry_slack: u32) -> Self {
         let (net, held) = free_net();
         let name = format!("cluster-{}-{}-{}", std::process::id(), net[1], net[2]);
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let folder = scratch().join(name);
         let workers = ZONES.iter().flat_map(|zone| {
             (1..=2).map(move |number| Worker {
                 name: format!("w-{zone}-{number}"),
