A soak of the real gateways and controllers under overlapping faults

Change: hallkeel-soak in tests/cluster: seeded schedules of kills, freezes, stops, cuts, delays, lost disks, failing runners and platform that overlap; well-behaved and misbehaving clients, operators and readers meanwhile; a judgement by the ledgers of clients, operators and runners, and by the daemons' figures once it is calm.

--- a/crates/controller/src/controller_connections.rs
+++ b/crates/controller/src/controller_connections.rs
@@ -46,8 +46,10 @@
     pub fn open(options: &ControllerOptions) -> Result<Self, ControllerError> {
         let mut connections = Self::new(options.connections_max, options.lease_ms())?;
         connections.listen(options.operator_address, ControllerConnection::Operator)?;
-        connections.listen(options.gateway_address, ControllerConnection::Gateway)?;
-        connections.listen(options.consensus_address, ControllerConnection::Peer)?;
+        let gateways = options.listen_address(options.gateway_address);
+        connections.listen(gateways, ControllerConnection::Gateway)?;
+        let peers = options.listen_address(options.consensus_address);
+        connections.listen(peers, ControllerConnection::Peer)?;
         connections.listen_for_metrics(options.metrics_address, ControllerConnection::Metrics);
         Ok(connections)
     }
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -2,7 +2,7 @@
 
 use crate::codec::{OperatorCodec, PlatformCodec};
 use consensus::ConsensusOptions;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
 /// Reads the addresses of controllers anew; none where the settings have not changed or cannot be read.
@@ -22,6 +22,8 @@
     pub gateway_address: SocketAddr,
     /// Address at which it listens for the other controllers.
     pub consensus_address: SocketAddr,
+    /// The ip at which it listens for gateways and other controllers, where that is not the one by which they know it.
+    pub internal_listen_ip: Option<IpAddr>,
     /// Address at which it tells its figures; none where it tells none.
     pub metrics_address: Option<SocketAddr>,
     /// Consensus addresses of controllers, as far as they are known at the start.
@@ -61,6 +63,12 @@
 }
 
 impl ControllerOptions {
+    /// Where it listens for those that know it by an internal address.
+    pub(crate) fn listen_address(&self, internal: SocketAddr) -> SocketAddr {
+        let ip = self.internal_listen_ip.unwrap_or(internal.ip());
+        SocketAddr::new(ip, internal.port())
+    }
+
     /// Milliseconds between heartbeats of the consensus: a twentieth of the bound on changes.
     pub(crate) fn heartbeat_ms(&self) -> u64 {
         self.propagation_timeout_ms / 20
--- a/crates/controller/tests/unit/operator_reads/operator_call.rs
+++ b/crates/controller/tests/unit/operator_reads/operator_call.rs
@@ -24,6 +24,7 @@
         operator_address: any_port,
         gateway_address: any_port,
         consensus_address: any_port,
+        internal_listen_ip: None,
         metrics_address: None,
         seeds: Vec::new(),
         gateway_port: 0,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -125,7 +125,7 @@
     };
     let downstream = listen(options.client_address, DOWNSTREAM_BUFFER_MAX)?;
     let readiness = listen(options.readiness_address, READINESS_BUFFER_MAX)?;
-    listen(options.peer_address, LINK_BUFFER_MAX)?;
+    listen(options.peer_listen_address(), LINK_BUFFER_MAX)?;
     Ok(Listeners {
         downstream,
         readiness,
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -1,7 +1,7 @@
 use routing::ConfigurationFormat;
 use std::fmt;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// Names by which clients and runners pass a request's metadata over HTTP. The platform sets them.
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +36,8 @@
     pub metrics_address: Option<SocketAddr>,
     /// Address at which it listens for other gateways and for operators' status requests.
     pub peer_address: SocketAddr,
+    /// The ip at which it listens for other gateways, where that is not the one of `peer_address` by which they know it.
+    pub peer_listen_ip: Option<IpAddr>,
     /// Controllers that are known at the start; a controller's heartbeat names the others.
     pub controller_addresses: Vec<SocketAddr>,
     /// Names of the HTTP headers that it reads and writes.
@@ -59,6 +61,12 @@
 }
 
 impl GatewayOptions {
+    /// Where it listens for other gateways.
+    pub fn peer_listen_address(&self) -> SocketAddr {
+        let ip = self.peer_listen_ip.unwrap_or(self.peer_address.ip());
+        SocketAddr::new(ip, self.peer_address.port())
+    }
+
     /// Milliseconds between heartbeats to a controller: a tenth of [`apply_within_ms`](Self::apply_within_ms).
     pub fn heartbeat_ms(&self) -> u64 {
         self.apply_within_ms / 10
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -158,6 +158,15 @@
         }
     }
 
+    /// The runner states that it did not run the attempt under way. What may be another request's rejection promises nothing
+    /// for this one.
+    pub fn attempt_rejected(&mut self, is_certain: bool) {
+        self.may_have_run |= !is_certain;
+        if let RequestPhase::Upstream(attempt) = &mut self.phase {
+            attempt.is_sent &= !is_certain;
+        }
+    }
+
     /// Notes that a runner failed it.
     pub fn exclude_runner(&mut self, runner: String) {
         if !self.excluded_runners.contains(&runner) {
--- a/crates/gateway/src/request_outcomes.rs
+++ b/crates/gateway/src/request_outcomes.rs
@@ -99,8 +99,7 @@
         let duration_ms = now - attempt.started_at;
         let runner = attempt.runner.clone();
         let lease = request.held_lease();
-        // What may be another request's rejection promises nothing for this one.
-        request.may_have_run |= !received.is_certain;
+        request.attempt_rejected(received.is_certain);
         request.excluded_runners.push(runner);
         if let Some(lease) = lease {
             self.release_lease(&lease, outcome, duration_ms);
--- a/crates/gateway/tests/unit/connection_reuse.rs
+++ b/crates/gateway/tests/unit/connection_reuse.rs
@@ -63,6 +63,7 @@
         readiness_address: any_port,
         metrics_address: None,
         peer_address: any_port,
+        peer_listen_ip: None,
         controller_addresses: Vec::new(),
         conventions: CONVENTIONS,
         configuration_format: Box::new(NoDocuments),
--- a/tests/cluster/src/daemon.rs
+++ b/tests/cluster/src/daemon.rs
@@ -21,10 +21,13 @@
     folder: PathBuf,
     is_controller: bool,
     has_disk: bool,
+    /// Where it listens for other daemons, if a relay stands at its own address.
+    behind_relay: Option<IpAddr>,
     child: Option<Child>,
 }
 
 /// What all settings files of a cluster share.
+#[derive(Clone)]
 pub struct ClusterSettings {
     pub platform: SocketAddr,
     pub seeds: Vec<IpAddr>,
@@ -40,10 +43,16 @@
             folder: folder.join(name),
             is_controller,
             has_disk: is_controller,
+            behind_relay: None,
             child: None,
         }
     }
 
+    /// Listens for other daemons at another ip than the one by which they know it, since a relay stands there.
+    pub fn listen_behind_relay(&mut self, ip: IpAddr) {
+        self.behind_relay = Some(ip);
+    }
+
     /// Has no disk from the next start on.
     pub fn lose_disk(&mut self) {
         self.has_disk = false;
@@ -68,7 +77,11 @@
             .append(true)
             .open(self.log())
             .unwrap();
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        if let Some(ip) = self.behind_relay {
+            command.args(["--internal-listen-ip", &ip.to_string()]);
+        }
+        let child = command
             .args(["--metrics-port", &METRICS.to_string(), "--fatal-invariants"])
             .env("HALLKEEL_SETTINGS", &settings)
             .env("RUST_LOG", "info")
@@ -132,6 +145,16 @@
         assert!(kill.unwrap().success());
     }
 
+    /// Its process id, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Where its settings file is.
+    pub fn settings_path(&self) -> PathBuf {
+        self.folder.join("local.toml")
+    }
+
     /// Writes its settings anew while it runs.
     pub fn rewrite_settings(&self, shared_settings: &ClusterSettings) {
         let settings = self.folder.join("local.toml");
@@ -150,7 +173,7 @@
         std::fs::remove_dir_all(self.folder.join("data")).unwrap();
     }
 
-    fn settings(&self, shared_settings: &ClusterSettings, is_first: bool) -> String {
+    pub fn settings(&self, shared_settings: &ClusterSettings, is_first: bool) -> String {
         let seeds: Vec<String> = shared_settings
             .seeds
             .iter()
--- a/tests/cluster/src/lib.rs
+++ b/tests/cluster/src/lib.rs
@@ -9,11 +9,13 @@
 pub mod operator;
 pub mod paths;
 pub mod platform;
+pub mod relay;
 pub mod request_log;
 pub mod runner;
 pub mod runner_script;
 pub mod server;
 pub mod simulated_cluster;
+pub mod soak;
 
 use std::time::{Duration, Instant};
 
--- a/tests/cluster/src/operator.rs
+++ b/tests/cluster/src/operator.rs
@@ -39,7 +39,7 @@
 }
 
 /// Where a response redirects its caller to, if it does.
-fn redirect_target(response: &Response) -> Option<SocketAddr> {
+pub fn redirect_target(response: &Response) -> Option<SocketAddr> {
     let location = response.headers.get("Location")?;
     let location = std::str::from_utf8(location).ok()?;
     let (address, _) = location.strip_prefix("http://")?.split_once('/')?;
--- a/tests/cluster/src/platform.rs
+++ b/tests/cluster/src/platform.rs
@@ -44,11 +44,28 @@
     stops: usize,
 }
 
+/// How the platform's API fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ApiFault {
+    #[default]
+    None,
+    /// No call is answered.
+    Down,
+    /// Every call is answered 429.
+    Rejects,
+    /// Calls are carried out and their answers lost.
+    LosesAnswers,
+}
+
+/// Time for which a call hangs that is not answered.
+const DOWN_HANGS: Duration = Duration::from_millis(1_500);
+
 /// The platform's API and its workers.
 pub struct Platform {
     pub request_log: Arc<RequestLog>,
     pub list_lag: Duration,
     pub loses_begin_answers: AtomicBool,
+    fault: Mutex<ApiFault>,
     runners_ip: IpAddr,
     state: Mutex<State>,
 }
@@ -59,6 +76,7 @@
             request_log: Arc::default(),
             list_lag,
             loses_begin_answers: AtomicBool::new(false),
+            fault: Mutex::new(ApiFault::None),
             runners_ip,
             state: Mutex::new(State {
                 workers,
@@ -133,6 +151,31 @@
         now
     }
 
+    /// How the API fails from now on.
+    pub fn set_fault(&self, fault: ApiFault) {
+        *self.fault.lock().unwrap() = fault;
+    }
+
+    /// The runner that was started first of those that run, which the list still shows for a while.
+    fn first_running(&self) -> Option<Arc<Runner>> {
+        self.runners().into_iter().find(|runner| runner.is_up())
+    }
+
+    /// A runner crashes.
+    pub fn crash_one(&self) {
+        if let Some(runner) = self.first_running() {
+            runner.crash();
+            self.ended(&runner.id);
+        }
+    }
+
+    /// A runner leaves, and ends after so long.
+    pub fn drain_one(self: &Arc<Self>, after: Duration) {
+        if let Some(runner) = self.first_running() {
+            self.drain(&runner.id, after);
+        }
+    }
+
     /// All runners have nothing to do.
     pub fn is_idle(&self) -> bool {
         self.runners().iter().all(|runner| runner.in_flight() == 0)
@@ -156,6 +199,15 @@
             .target
             .split_once('?')
             .unwrap_or((&request.target, ""));
+        let fault = *self.fault.lock().unwrap();
+        match fault {
+            ApiFault::None | ApiFault::LosesAnswers => {}
+            ApiFault::Down => {
+                std::thread::sleep(DOWN_HANGS);
+                return false;
+            }
+            ApiFault::Rejects => return respond(stream, 429, &[], b"{}", true),
+        }
         let reply = match (request.method.as_str(), path) {
             ("GET", "/v1/workers") => self.workers(),
             ("GET", "/instances") => self.instances(query),
@@ -169,6 +221,9 @@
             ("POST", "/v1/stop") => self.stop(request),
             _ => (404, json!({})),
         };
+        if fault == ApiFault::LosesAnswers {
+            return false;
+        }
         let body = reply.1.to_string();
         let headers = [("Content-Type", "application/json")];
         respond(stream, reply.0, &headers, body.as_bytes(), true)
--- a/tests/cluster/src/simulated_cluster.rs
+++ b/tests/cluster/src/simulated_cluster.rs
@@ -5,18 +5,23 @@
 use super::operator::{call, configuration, send_command};
 use super::paths::scratch;
 use super::platform::{Platform, Service, Worker};
+use super::relay::{self, Network};
 use super::server::Server;
 use super::{seconds, wait_until};
 use http1::Response;
 use serde_json::Value;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::sync::Arc;
 
 pub const ZONES: [&str; 3] = ["north-a", "north-b", "north-c"];
 const WORKER_MB: u64 = 4_096;
 const PLATFORM_PORT: u16 = 8_029;
+/// Ports at which daemons listen for one another.
+const INTERNAL_PORTS: std::ops::RangeInclusive<u16> = 7_300..=7_302;
+/// What the last number of an address grows by where a daemon listens behind a relay.
+const BEHIND_RELAY: u8 = 100;
 
 /// Retries that are free in each span, where a test sets nothing else.
 const RETRY_SLACK: u32 = 60;
@@ -27,6 +32,7 @@
 pub struct ClusterBuilder {
     retry_slack: u32,
     is_configured: bool,
+    is_relayed: bool,
     warm_up_target: Option<&'static str>,
 }
 
@@ -37,6 +43,12 @@
         self
     }
 
+    /// Daemons reach one another through relays, which can partition them.
+    pub fn relayed(mut self) -> Self {
+        self.is_relayed = true;
+        self
+    }
+
     /// The first configuration is in force at every gateway.
     pub fn configured(mut self) -> Self {
         self.is_configured = true;
@@ -50,7 +62,7 @@
     }
 
     pub fn start(self) -> SimulatedCluster {
-        let cluster = SimulatedCluster::start(self.retry_slack);
+        let cluster = SimulatedCluster::start(self.retry_slack, self.is_relayed);
         if self.is_configured {
             assert_eq!(cluster.replace(0, &configuration(1)).0, 200);
             cluster.wait_ready();
@@ -70,8 +82,12 @@
     pub controllers: Vec<Daemon>,
     pub gateways: Vec<Daemon>,
     pub shared_settings: ClusterSettings,
+    /// What relays between the daemons do, where there are relays.
+    pub network: Arc<Network>,
     net: [u8; 3],
     folder: PathBuf,
+    /// Whether the data and logs stay after the run.
+    keeps_folder: bool,
     call_within_limit: AtomicUsize,
     _api: Server,
     _net: TcpListener,
@@ -101,11 +117,12 @@
         ClusterBuilder {
             retry_slack: RETRY_SLACK,
             is_configured: false,
+            is_relayed: false,
             warm_up_target: None,
         }
     }
 
-    fn start(retry_slack: u32) -> Self {
+    fn start(retry_slack: u32, is_relayed: bool) -> Self {
         let (net, held) = free_net();
         let name = format!("cluster-{}-{}-{}", std::process::id(), net[1], net[2]);
         let folder = scratch().join(name);
@@ -138,17 +155,51 @@
             controllers,
             gateways,
             shared_settings,
+            network: Arc::default(),
             net,
             folder,
+            keeps_folder: false,
             call_within_limit: AtomicUsize::new(0),
             _api: api,
             _net: held,
         };
+        if is_relayed {
+            cluster.open_relays();
+        }
         let daemons = cluster.controllers.iter_mut().chain(&mut cluster.gateways);
         daemons.for_each(|daemon| daemon.start(&cluster.shared_settings, true));
         cluster
     }
 
+    /// Puts a relay at each internal port of each daemon, and lets the daemons listen behind it.
+    fn open_relays(&mut self) {
+        for daemon in self.controllers.iter_mut().chain(&mut self.gateways) {
+            let IpAddr::V4(own) = daemon.ip else {
+                continue;
+            };
+            let [.., machine] = own.octets();
+            let behind = ip(self.net, machine + BEHIND_RELAY);
+            daemon.listen_behind_relay(behind);
+            for port in INTERNAL_PORTS {
+                let address = daemon.at(port);
+                let target = SocketAddr::new(behind, port);
+                relay::open(&self.network, &daemon.name, address, target);
+                self.network.identify(&address.to_string(), &daemon.name);
+            }
+            self.network.identify(&daemon.name, &daemon.name);
+        }
+    }
+
+    /// The data and logs stay after the run.
+    pub fn keep_folder(&mut self) {
+        self.keeps_folder = true;
+    }
+
+    /// Where the data and logs of the daemons are.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     pub fn wait_ready(&self) {
         for gateway in &self.gateways {
             wait_until(&format!("{} ready", gateway.name), seconds(10), || {
@@ -266,10 +317,11 @@
 
 impl Drop for SimulatedCluster {
     fn drop(&mut self) {
+        self.network.close();
         self.controllers.clear();
         self.gateways.clear();
         self.platform.close();
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && !self.keeps_folder {
             let _ = std::fs::remove_dir_all(&self.folder);
         }
     }
--- /dev/null
+++ b/tests/cluster/src/soak/calm.rs
@@ -0,0 +1,236 @@
+//! What must hold once all faults have ended: everything serves again, nothing that was acknowledged is gone, and nothing is held for nobody.
+
+use super::injector::Injector;
+use super::ledger::{Ledger, ReadRecord};
+use super::operators::{read, version_of};
+use super::oracle;
+use crate::client::{send_request, ClientRequest};
+use crate::daemon::{Daemon, CONTROL, METRICS};
+use std::time::{Duration, Instant};
+
+/// Time within which service is back.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Time within which everything that the traffic left behind has ended: longer than any request may take.
+const IDLE_WITHIN: Duration = Duration::from_secs(9);
+const POLL: Duration = Duration::from_millis(50);
+const TARGETS: [&str; 3] = ["/read/x", "/write/x", "/rare/x"];
+/// Successes in a row on each route at each gateway that show that it serves.
+const SUCCESSES: usize = 4;
+/// Memory that each process may take, as the settings say.
+const MEMORY_MAX_KB: u64 = 260 << 10;
+/// Descriptors of an idle process, far above what links and kept connections to runners need.
+const IDLE_DESCRIPTORS_MAX: usize = 250;
+
+/// Waits for recovery and judges what is left. The findings are put with those of the injector.
+pub fn judge(injector: &mut Injector, ledger: &Ledger) {
+    wait_for_processes(injector);
+    judge_service(injector);
+    let last = read_everywhere(injector);
+    let broken = oracle::judge_end(ledger, &last);
+    injector.findings.extend(broken);
+    judge_idle(injector);
+    judge_figures(injector);
+}
+
+fn wait_for_processes(injector: &mut Injector) {
+    let until = Instant::now() + RECOVERY;
+    while !injector.is_whole() && Instant::now() < until {
+        injector.supervise();
+        std::thread::sleep(POLL);
+    }
+}
+
+/// Every gateway answers on every route, several times in a row, within the time for recovery.
+fn judge_service(injector: &mut Injector) {
+    let until = Instant::now() + RECOVERY;
+    for index in 0..injector.cluster.gateways.len() {
+        for target in TARGETS {
+            if let Some(last) = wait_for_successes(injector, index, target, until) {
+                let name = &injector.cluster.gateways[index].name;
+                let finding = format!("RECOVER: {name} does not serve {target}: {last}");
+                injector.findings.push(finding);
+            }
+            injector.supervise();
+        }
+    }
+}
+
+/// What came last instead of a success, where there are not enough in time.
+fn wait_for_successes(
+    injector: &Injector,
+    index: usize,
+    target: &'static str,
+    until: Instant,
+) -> Option<String> {
+    let mut successes = 0;
+    let mut last = "nothing was asked".to_string();
+    while successes < SUCCESSES {
+        if Instant::now() >= until {
+            return Some(last);
+        }
+        let (_, response) = injector.cluster.get(index, target);
+        let status = response.map(|response| response.status);
+        last = format!("{status:?}");
+        successes = if status == Some(200) {
+            successes + 1
+        } else {
+            0
+        };
+        if successes == 0 {
+            std::thread::sleep(POLL);
+        }
+    }
+    None
+}
+
+/// The configuration as each controller answers it itself.
+fn read_everywhere(injector: &mut Injector) -> Vec<ReadRecord> {
+    let mut last = Vec::new();
+    for controller in 0..injector.cluster.controllers.len() {
+        let address = injector.cluster.controllers[controller].at(CONTROL);
+        let until = Instant::now() + RECOVERY;
+        let found = loop {
+            let sent_at = Instant::now();
+            let document = read(address);
+            if document.is_some() || Instant::now() >= until {
+                break document.map(|document| (sent_at, document));
+            }
+            std::thread::sleep(POLL);
+        };
+        match found {
+            Some((sent_at, document)) => last.push(ReadRecord {
+                controller,
+                sent_at,
+                version: version_of(&document),
+                document,
+            }),
+            None => {
+                let finding = format!("RECOVER: control-{} answers no read", controller + 1);
+                injector.findings.push(finding);
+            }
+        }
+    }
+    last
+}
+
+/// Nothing is in flight, waits or is leased once nobody asks for anything.
+fn judge_idle(injector: &mut Injector) {
+    let until = Instant::now() + IDLE_WITHIN;
+    for index in 0..injector.cluster.gateways.len() {
+        loop {
+            let gateway = &injector.cluster.gateways[index];
+            let held = held_figures(gateway);
+            if held.is_empty() {
+                break;
+            }
+            if Instant::now() >= until {
+                let finding = format!("LEAK: {} is idle and holds {held:?}", gateway.name);
+                injector.findings.push(finding);
+                break;
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+}
+
+fn held_figures(gateway: &Daemon) -> Vec<String> {
+    let Some(text) = figures(gateway) else {
+        return vec!["no figures".into()];
+    };
+    let names = ["requests_in_flight", "requests_waiting", "seats_leased"];
+    let held = names
+        .iter()
+        .filter(|name| figure(&text, name) != Some(0))
+        .map(|name| format!("{name}={:?}", figure(&text, name)));
+    held.collect()
+}
+
+fn judge_figures(injector: &mut Injector) {
+    let mut findings = Vec::new();
+    let daemons = injector.cluster.controllers.iter();
+    for daemon in daemons.chain(&injector.cluster.gateways) {
+        findings.extend(violations(daemon));
+        findings.extend(resources(daemon));
+    }
+    findings.extend(disagreement(
+        &injector.cluster.gateways,
+        &["configuration_version", "evacuations_version", "members"],
+    ));
+    let versions = "committed_version{register=\"configuration\"}";
+    findings.extend(disagreement(
+        &injector.cluster.controllers,
+        &[versions, "voters", "contact"],
+    ));
+    injector.findings.extend(findings);
+}
+
+fn violations(daemon: &Daemon) -> Vec<String> {
+    let Some(text) = figures(daemon) else {
+        return vec![format!("{} tells no figures", daemon.name)];
+    };
+    let lines = text.lines();
+    let violated = lines
+        .filter(|line| line.starts_with("hallkeel_invariant_violations_total{"))
+        .filter(|line| !line.ends_with(" 0"));
+    violated
+        .map(|line| format!("INVARIANT: {}: {line}", daemon.name))
+        .collect()
+}
+
+/// Daemons of one kind that tell different figures.
+fn disagreement(daemons: &[Daemon], names: &[&str]) -> Vec<String> {
+    let until = Instant::now() + RECOVERY;
+    let mut findings = Vec::new();
+    for name in names {
+        loop {
+            let told: Vec<Option<u64>> = daemons
+                .iter()
+                .map(|daemon| figure(&figures(daemon)?, name))
+                .collect();
+            if told.windows(2).all(|pair| pair[0] == pair[1]) {
+                break;
+            }
+            if Instant::now() >= until {
+                findings.push(format!("{name} differs: {told:?}"));
+                break;
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+    findings
+}
+
+fn resources(daemon: &Daemon) -> Vec<String> {
+    let Some(pid) = daemon.pid() else {
+        return vec![format!("{} does not run", daemon.name)];
+    };
+    let mut findings = Vec::new();
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let peak_kb = peak.and_then(|text| text.split_whitespace().next()?.parse::<u64>().ok());
+    if peak_kb.is_none_or(|peak| peak > MEMORY_MAX_KB) {
+        findings.push(format!("MEMORY: {} took {peak_kb:?} KB", daemon.name));
+    }
+    let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
+    if descriptors > IDLE_DESCRIPTORS_MAX {
+        let name = &daemon.name;
+        findings.push(format!(
+            "LEAK: {name} is idle and holds {descriptors} descriptors"
+        ));
+    }
+    findings
+}
+
+/// The figures of a daemon, as text.
+pub fn figures(daemon: &Daemon) -> Option<String> {
+    let request = ClientRequest::get("/metrics", "");
+    let response = send_request(daemon.at(METRICS), &request)?;
+    String::from_utf8(response.body).ok()
+}
+
+/// One figure of a text; `name` may bear a label.
+fn figure(text: &str, name: &str) -> Option<u64> {
+    let start = format!("hallkeel_{name} ");
+    let line = text.lines().find_map(|line| line.strip_prefix(&start))?;
+    line.trim().parse().ok()
+}
--- /dev/null
+++ b/tests/cluster/src/soak/ledger.rs
@@ -0,0 +1,106 @@
+//! What clients and operators were answered.
+
+use serde_json::Value;
+use std::fmt;
+use std::sync::Mutex;
+use std::time::Instant;
+
+/// How a client's request ended, as the client saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClientOutcome {
+    /// A whole response with this status.
+    Answered(u16),
+    /// A success that is not the runner's whole, sealed response to this request.
+    WrongSuccess(String),
+    /// A response that bears the id of another request.
+    AnotherRequests(String),
+    /// The connection ended or stayed silent without a whole response.
+    Unanswered,
+    /// No connection came up.
+    NotConnected,
+}
+
+/// One request of a client.
+#[derive(Clone, Debug)]
+pub struct ClientRecord {
+    pub id: String,
+    pub gateway: usize,
+    pub target: String,
+    /// Whether it must run at most once.
+    pub at_most_once: bool,
+    pub sent_at: Instant,
+    pub ended_at: Instant,
+    pub outcome: ClientOutcome,
+}
+
+impl fmt::Display for ClientRecord {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (gateway, held) = (self.gateway + 1, self.ended_at - self.sent_at);
+        write!(
+            formatter,
+            "{} {} at edge-{gateway} after {held:?}: {:?}",
+            self.id, self.target, self.outcome
+        )
+    }
+}
+
+/// How an operator's change ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeOutcome {
+    Acknowledged(Instant),
+    Rejected(u16),
+    /// No clear answer came, however often it was sent.
+    Unclear,
+}
+
+/// One configuration that an operator sent.
+#[derive(Clone, Debug)]
+pub struct ChangeRecord {
+    pub base: u64,
+    pub version: u64,
+    pub document: Value,
+    pub outcome: ChangeOutcome,
+}
+
+/// A configuration that was read back with status 200.
+#[derive(Clone, Debug)]
+pub struct ReadRecord {
+    pub controller: usize,
+    pub sent_at: Instant,
+    pub version: u64,
+    pub document: Value,
+}
+
+/// All that clients and operators saw in a run.
+#[derive(Default)]
+pub struct Ledger {
+    requests: Mutex<Vec<ClientRecord>>,
+    changes: Mutex<Vec<ChangeRecord>>,
+    reads: Mutex<Vec<ReadRecord>>,
+}
+
+impl Ledger {
+    pub fn record_request(&self, record: ClientRecord) {
+        self.requests.lock().unwrap().push(record);
+    }
+
+    pub fn record_change(&self, record: ChangeRecord) {
+        self.changes.lock().unwrap().push(record);
+    }
+
+    pub fn record_read(&self, record: ReadRecord) {
+        self.reads.lock().unwrap().push(record);
+    }
+
+    pub fn requests(&self) -> Vec<ClientRecord> {
+        self.requests.lock().unwrap().clone()
+    }
+
+    pub fn changes(&self) -> Vec<ChangeRecord> {
+        self.changes.lock().unwrap().clone()
+    }
+
+    pub fn reads(&self) -> Vec<ReadRecord> {
+        self.reads.lock().unwrap().clone()
+    }
+}
--- /dev/null
+++ b/tests/cluster/src/soak/mod.rs
@@ -0,0 +1,19 @@
+//! A soak of the daemons: seeded faults that overlap in time, traffic and operators' commands meanwhile, and a judgement by what the runners
+//! received and what clients and operators were answered.
+//!
+//! A seed gives one schedule of faults and one sequence of requests. The schedule is printed and can be repeated; the real times of a run
+//! differ a little, as the processes and sockets are real.
+
+mod calm;
+mod fault;
+mod injector;
+mod ledger;
+mod misbehaving;
+mod operators;
+mod oracle;
+mod run;
+mod schedule;
+mod traffic;
+
+pub use run::{run, SoakOptions, SoakReport};
+pub use schedule::{Schedule, ScheduledFault};
--- /dev/null
+++ b/tests/cluster/src/soak/operators.rs
@@ -0,0 +1,213 @@
+//! An operator who changes the configuration and evacuates zones, sometimes twice at once, and a reader at any controller.
+
+use super::ledger::{ChangeOutcome, ChangeRecord, Ledger, ReadRecord};
+use crate::operator::{call, call_controller, configuration, redirect_target, route};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+const REPLACE: (&str, &str) = ("POST", "/v1/Config.Replace");
+const READ: (&str, &str) = ("GET", "/v1/Config.Read");
+/// Longest time for which a change is sent again while it gets no clear answer.
+const RESEND_FOR: Duration = Duration::from_secs(4);
+const RESEND_PAUSE: Duration = Duration::from_millis(60);
+const READ_SEED: u64 = 0x7265_6164;
+const CHANGE_SEED: u64 = 0x6368_616e;
+
+/// One operator, who knows the newest configuration as far as it was answered.
+pub struct Operator<'a> {
+    random: StdRng,
+    controllers: &'a [SocketAddr],
+    ledger: &'a Ledger,
+    version: u64,
+    changes: u64,
+}
+
+impl<'a> Operator<'a> {
+    /// An operator whose first configuration was taken.
+    pub fn new(seed: u64, controllers: &'a [SocketAddr], ledger: &'a Ledger, version: u64) -> Self {
+        Self {
+            random: StdRng::seed_from_u64(seed ^ CHANGE_SEED),
+            controllers,
+            ledger,
+            version,
+            changes: 0,
+        }
+    }
+
+    /// Changes the configuration until it is told to stop.
+    pub fn run(&mut self, is_over: &AtomicBool) {
+        while !is_over.load(Ordering::SeqCst) {
+            let step = self.random.random_range(1..5);
+            if self.random.random_ratio(1, 4) {
+                self.race(step, is_over);
+            } else {
+                let document = self.next_document(step);
+                self.change(&document, is_over);
+            }
+            if self.random.random_ratio(1, 5) {
+                self.evacuate_and_restore(is_over);
+            }
+            std::thread::sleep(Duration::from_millis(self.random.random_range(100..700)));
+        }
+    }
+
+    fn next_document(&mut self, step: u64) -> Value {
+        self.changes += 1;
+        let mut document = configuration(self.version + step);
+        let service = ["plain", "rare"][self.changes as usize % 2];
+        let name = format!("moving-{}", self.changes);
+        let routes = document["routes"].as_array_mut().expect("there are routes");
+        routes.push(route("moving", "/moving/", "safe", service));
+        routes.push(route(&name, &format!("/{name}/"), "safe", "plain"));
+        document
+    }
+
+    /// Sends one change until its answer is clear; where it never is, learns what is in place.
+    fn change(&mut self, document: &Value, is_over: &AtomicBool) {
+        let (base, version) = (self.version, version_of(document));
+        let outcome = send_change(self.controllers, base, document, &mut self.random, is_over);
+        self.ledger.record_change(ChangeRecord {
+            base,
+            version,
+            document: document.clone(),
+            outcome,
+        });
+        match outcome {
+            ChangeOutcome::Acknowledged(_) => self.version = version,
+            ChangeOutcome::Rejected(_) | ChangeOutcome::Unclear => self.learn_version(is_over),
+        }
+    }
+
+    /// Two different changes on one base at the same time, perhaps under one number.
+    fn race(&mut self, step: u64, is_over: &AtomicBool) {
+        let one = self.next_document(step);
+        let other_step = step + u64::from(self.random.random_bool(0.5));
+        let other = self.next_document(other_step);
+        let (controllers, base) = (self.controllers, self.version);
+        let seed = self.random.random();
+        let first_document = &one;
+        let outcomes = std::thread::scope(|scope| {
+            let send = move |document: &Value, seed| {
+                let mut random = StdRng::seed_from_u64(seed);
+                send_change(controllers, base, document, &mut random, is_over)
+            };
+            let first = scope.spawn(move || send(first_document, seed));
+            let second = send(&other, seed.wrapping_add(1));
+            [first.join().expect("a sender ends"), second]
+        });
+        for (document, outcome) in [one, other].into_iter().zip(outcomes) {
+            let version = version_of(&document);
+            self.ledger.record_change(ChangeRecord {
+                base,
+                version,
+                document,
+                outcome,
+            });
+        }
+        self.learn_version(is_over);
+    }
+
+    fn learn_version(&mut self, is_over: &AtomicBool) {
+        while !is_over.load(Ordering::SeqCst) {
+            let controller = self.random.random_range(0..self.controllers.len());
+            if let Some(document) = read(self.controllers[controller]) {
+                self.version = version_of(&document);
+                return;
+            }
+            std::thread::sleep(RESEND_PAUSE);
+        }
+    }
+
+    fn evacuate_and_restore(&mut self, is_over: &AtomicBool) {
+        let zone = crate::simulated_cluster::ZONES[self.random.random_range(0..3)];
+        self.send_evacuation("Begin", zone, is_over);
+        std::thread::sleep(Duration::from_millis(self.random.random_range(50..600)));
+        self.send_evacuation("Finish", zone, is_over);
+    }
+
+    fn send_evacuation(&mut self, verb: &str, zone: &str, is_over: &AtomicBool) {
+        let target = format!("/v1/Evacuation.{verb}/{zone}");
+        let until = Instant::now() + RESEND_FOR;
+        while Instant::now() < until && !is_over.load(Ordering::SeqCst) {
+            let controller = self.random.random_range(0..self.controllers.len());
+            let status =
+                call_redirected(self.controllers[controller], ("POST", &target), None, b"");
+            if status == Some(200) {
+                return;
+            }
+            std::thread::sleep(RESEND_PAUSE);
+        }
+    }
+}
+
+/// Reads the configuration at one controller after the other, and records what is answered.
+pub fn run_reader(seed: u64, controllers: &[SocketAddr], ledger: &Ledger, is_over: &AtomicBool) {
+    let mut random = StdRng::seed_from_u64(seed ^ READ_SEED);
+    while !is_over.load(Ordering::SeqCst) {
+        let controller = random.random_range(0..controllers.len());
+        let sent_at = Instant::now();
+        if let Some(document) = read(controllers[controller]) {
+            ledger.record_read(ReadRecord {
+                controller,
+                sent_at,
+                version: version_of(&document),
+                document,
+            });
+        }
+        std::thread::sleep(Duration::from_millis(random.random_range(20..150)));
+    }
+}
+
+/// The configuration as one controller answers it itself.
+pub fn read(controller: SocketAddr) -> Option<Value> {
+    let (status, body) = call(controller, READ.0, READ.1, None, b"")?;
+    let document = serde_json::from_slice(&body).ok();
+    document.filter(|_| status == 200)
+}
+
+pub fn version_of(document: &Value) -> u64 {
+    document["version"].as_u64().unwrap_or(0)
+}
+
+/// Sends a change as it is, to any controller, until an answer is clear.
+fn send_change(
+    controllers: &[SocketAddr],
+    base: u64,
+    document: &Value,
+    random: &mut StdRng,
+    is_over: &AtomicBool,
+) -> ChangeOutcome {
+    let body = document.to_string();
+    let until = Instant::now() + RESEND_FOR;
+    while Instant::now() < until && !is_over.load(Ordering::SeqCst) {
+        let controller = controllers[random.random_range(0..controllers.len())];
+        match call_redirected(controller, REPLACE, Some(base), body.as_bytes()) {
+            Some(200) => return ChangeOutcome::Acknowledged(Instant::now()),
+            Some(status @ (400 | 409 | 412 | 413 | 422)) => return ChangeOutcome::Rejected(status),
+            _ => std::thread::sleep(RESEND_PAUSE),
+        }
+    }
+    ChangeOutcome::Unclear
+}
+
+/// The status of a call, with redirects followed twice.
+fn call_redirected(
+    controller: SocketAddr,
+    (method, target): (&str, &str),
+    base: Option<u64>,
+    body: &[u8],
+) -> Option<u16> {
+    let mut address = controller;
+    for _ in 0..3 {
+        let response = call_controller(address, method, target, base, body)?;
+        match redirect_target(&response) {
+            Some(next) => address = next,
+            None => return Some(response.status),
+        }
+    }
+    None
+}
--- /dev/null
+++ b/tests/cluster/src/soak/oracle.rs
@@ -0,0 +1,159 @@
+//! Judges a run by what the runners received and what clients and operators were answered, and by nothing that the daemons say.
+
+use super::ledger::{ChangeOutcome, ChangeRecord, ClientOutcome, ClientRecord, Ledger, ReadRecord};
+use super::operators::version_of;
+use crate::request_log::{ReceivedRequest, RequestOutcome};
+use std::collections::BTreeMap;
+
+/// Most times that a request may run which may be repeated: the tries of its route.
+const TRIES: usize = 3;
+/// Statuses that promise that a request has not run and never will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// Everything in a run that breaks a promise.
+pub fn judge(ledger: &Ledger, received: &[ReceivedRequest]) -> Vec<String> {
+    let runs = count_runs(received);
+    let mut broken = Vec::new();
+    for request in &ledger.requests() {
+        judge_request(
+            request,
+            runs.get(&request.id).copied().unwrap_or(0),
+            &mut broken,
+        );
+    }
+    judge_misbehaving(&runs, received, &mut broken);
+    let (changes, reads) = (ledger.changes(), ledger.reads());
+    judge_changes(&changes, &mut broken);
+    judge_reads(&changes, &reads, &mut broken);
+    broken
+}
+
+fn count_runs(received: &[ReceivedRequest]) -> BTreeMap<String, usize> {
+    let mut runs = BTreeMap::new();
+    for request in received {
+        if request.outcome == RequestOutcome::Ran {
+            *runs.entry(request.id.clone()).or_insert(0) += 1;
+        }
+    }
+    runs
+}
+
+fn judge_request(request: &ClientRecord, runs: usize, broken: &mut Vec<String>) {
+    let id = &request.id;
+    if request.at_most_once && runs > 1 {
+        broken.push(format!("TWICE: {id} ran {runs} times: {request}"));
+    }
+    if !request.at_most_once && runs > TRIES {
+        broken.push(format!("BUDGET: {id} ran {runs} times: {request}"));
+    }
+    match &request.outcome {
+        ClientOutcome::WrongSuccess(_) | ClientOutcome::AnotherRequests(_) => {
+            broken.push(format!("MIXED: {request}"));
+        }
+        ClientOutcome::Answered(status) if PROMISES.contains(status) => {
+            if request.at_most_once && runs > 0 {
+                broken.push(format!(
+                    "REFUSED: {id} ran and was told {status}: {request}"
+                ));
+            }
+        }
+        ClientOutcome::Answered(200) if runs == 0 => {
+            broken.push(format!(
+                "MIXED: {id} was answered and ran nowhere: {request}"
+            ));
+        }
+        ClientOutcome::Answered(status @ (400 | 404)) => {
+            broken.push(format!("DENIED: {id} was told {status}: {request}"));
+        }
+        ClientOutcome::Answered(_) | ClientOutcome::Unanswered | ClientOutcome::NotConnected => {}
+    }
+}
+
+/// Requests of misbehaving clients run at most once too, where they must.
+fn judge_misbehaving(
+    runs: &BTreeMap<String, usize>,
+    received: &[ReceivedRequest],
+    broken: &mut Vec<String>,
+) {
+    for request in received {
+        let is_theirs = request.id.starts_with("m-");
+        let count = runs.get(&request.id).copied().unwrap_or(0);
+        if is_theirs && request.target.starts_with("/write/") && count > 1 {
+            broken.push(format!("TWICE: {} ran {count} times", request.id));
+        }
+        if is_theirs && request.target.starts_with("/write/") && request.body.len() == 1_500 {
+            broken.push(format!("UNASKED: half a body ran: {}", request.id));
+        }
+    }
+}
+
+fn judge_changes(changes: &[ChangeRecord], broken: &mut Vec<String>) {
+    let acknowledged = changes
+        .iter()
+        .filter(|change| matches!(change.outcome, ChangeOutcome::Acknowledged(_)));
+    let mut by_base: BTreeMap<u64, &ChangeRecord> = BTreeMap::new();
+    for change in acknowledged {
+        let former = by_base.insert(change.base, change);
+        if let Some(former) = former.filter(|former| former.document != change.document) {
+            let (one, other) = (former.version, change.version);
+            broken.push(format!(
+                "CONFIG: two changes on base {} were acknowledged: {one} and {other}",
+                change.base
+            ));
+        }
+    }
+}
+
+fn judge_reads(changes: &[ChangeRecord], reads: &[ReadRecord], broken: &mut Vec<String>) {
+    for read in reads {
+        for change in changes {
+            judge_read(change, read, broken);
+        }
+    }
+}
+
+fn judge_read(change: &ChangeRecord, read: &ReadRecord, broken: &mut Vec<String>) {
+    let controller = read.controller + 1;
+    let version = read.version;
+    match change.outcome {
+        ChangeOutcome::Acknowledged(at) if read.sent_at > at && version < change.version => {
+            broken.push(format!(
+                "CONFIG: control-{controller} read {version} after {} was acknowledged",
+                change.version
+            ));
+        }
+        ChangeOutcome::Acknowledged(_)
+            if version == change.version && read.document != change.document =>
+        {
+            broken.push(format!(
+                "CONFIG: control-{controller} read {version} with another content than was acknowledged"
+            ));
+        }
+        ChangeOutcome::Rejected(status) if read.document == change.document => {
+            broken.push(format!(
+                "CONFIG: version {version} on base {} was rejected with {status} and is in force",
+                change.base
+            ));
+        }
+        _ => {}
+    }
+}
+
+/// What is read back at the end, at each controller, is the newest acknowledged configuration or one that got no clear answer.
+pub fn judge_end(ledger: &Ledger, last: &[ReadRecord]) -> Vec<String> {
+    let mut broken = Vec::new();
+    let changes = ledger.changes();
+    judge_reads(&changes, last, &mut broken);
+    for read in last {
+        let is_known = changes
+            .iter()
+            .any(|change| change.document == read.document);
+        if !is_known && version_of(&read.document) != 1 {
+            let (controller, version) = (read.controller + 1, read.version);
+            broken.push(format!(
+                "CONFIG: control-{controller} reads {version}, which nobody sent"
+            ));
+        }
+    }
+    broken
+}
--- /dev/null
+++ b/tests/cluster/src/soak/run.rs
@@ -0,0 +1,162 @@
+//! One run: the cluster is started, faults and traffic overlap, all is healed, and the promises are judged.
+
+use super::injector::Injector;
+use super::ledger::Ledger;
+use super::misbehaving;
+use super::operators::{run_reader, Operator};
+use super::oracle;
+use super::schedule::{Schedule, ScheduledFault};
+use super::traffic::Client;
+use super::{calm, ledger::ClientOutcome};
+use crate::operator::{configuration, route};
+use crate::simulated_cluster::SimulatedCluster;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+const CLIENTS: usize = 12;
+const SUPERVISION_INTERVAL: Duration = Duration::from_millis(20);
+/// Retries that are free in each span.
+const RETRY_SLACK: u32 = 200;
+
+/// What a run is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakOptions {
+    pub seed: u64,
+    /// Time for which faults and traffic last.
+    pub length: Duration,
+}
+
+/// What came of a run.
+pub struct SoakReport {
+    pub schedule: Schedule,
+    /// Everything that broke a promise; empty where all held.
+    pub findings: Vec<String>,
+    pub requests: usize,
+    pub answered: usize,
+    pub changes: usize,
+    pub reads: usize,
+    /// Where the data and logs are, if there are findings.
+    pub folder: Option<PathBuf>,
+}
+
+/// Runs one seed.
+pub fn run(options: SoakOptions) -> SoakReport {
+    let cluster = start_cluster();
+    let (gateways, controllers) = (cluster.gateways.len(), cluster.controllers.len());
+    let schedule = Schedule::draw(options.seed, options.length, gateways, controllers);
+    let ledger = Ledger::default();
+    let mut injector = Injector::new(cluster);
+    run_traffic(&mut injector, &schedule, &ledger);
+    calm::judge(&mut injector, &ledger);
+    let received = injector.cluster.platform.request_log.all();
+    let mut findings = oracle::judge(&ledger, &received);
+    findings.append(&mut injector.findings);
+    let folder = injector.cluster.folder().to_path_buf();
+    if !findings.is_empty() {
+        injector.cluster.keep_folder();
+    }
+    report(schedule, findings, &ledger, folder)
+}
+
+fn start_cluster() -> SimulatedCluster {
+    let cluster = SimulatedCluster::builder()
+        .retry_slack(RETRY_SLACK)
+        .relayed()
+        .start();
+    let mut document = configuration(1);
+    let routes = document["routes"].as_array_mut().expect("there are routes");
+    routes.push(route("moving", "/moving/", "safe", "plain"));
+    assert_eq!(cluster.replace(0, &document).0, 200);
+    cluster.wait_ready();
+    for index in 0..cluster.gateways.len() {
+        cluster.get_until_good(index, "/read/x");
+    }
+    cluster
+}
+
+fn run_traffic(injector: &mut Injector, schedule: &Schedule, ledger: &Ledger) {
+    let gateways: Vec<SocketAddr> = (0..injector.cluster.gateways.len())
+        .map(|index| injector.cluster.public(index))
+        .collect();
+    let controllers = injector.cluster.control();
+    let is_over = AtomicBool::new(false);
+    let seed = schedule.seed;
+    std::thread::scope(|scope| {
+        let (gateways, controllers, is_over) = (&gateways, &controllers, &is_over);
+        for number in 0..CLIENTS {
+            scope.spawn(move || Client::new(seed, number, gateways, ledger).run(is_over));
+        }
+        scope.spawn(move || misbehaving::run(seed, gateways, is_over));
+        scope.spawn(move || Operator::new(seed, controllers, ledger, 1).run(is_over));
+        scope.spawn(move || run_reader(seed, controllers, ledger, is_over));
+        inject(injector, schedule);
+        is_over.store(true, Ordering::SeqCst);
+        // Clients end once their last request has, which may need the daemons.
+        injector.heal();
+        injector.supervise();
+    });
+    finish_evacuations(injector);
+}
+
+/// An operator may have stopped between the two halves of an evacuation.
+fn finish_evacuations(injector: &mut Injector) {
+    let until = Instant::now() + Duration::from_secs(3);
+    while !injector.is_whole() && Instant::now() < until {
+        injector.supervise();
+        std::thread::sleep(SUPERVISION_INTERVAL);
+    }
+    for zone in crate::simulated_cluster::ZONES {
+        injector.cluster.evacuate("Finish", zone);
+    }
+}
+
+fn inject(injector: &mut Injector, schedule: &Schedule) {
+    let started = Instant::now();
+    let mut waiting: Vec<ScheduledFault> = schedule.faults.clone();
+    let mut active: Vec<ScheduledFault> = Vec::new();
+    while started.elapsed() < schedule.length || !active.is_empty() {
+        let now = started.elapsed();
+        for fault in take(&mut active, |fault| fault.ends <= now) {
+            injector.end(&fault);
+        }
+        for fault in take(&mut waiting, |fault| fault.begins <= now) {
+            injector.begin(&fault);
+            active.push(fault);
+        }
+        injector.supervise();
+        std::thread::sleep(SUPERVISION_INTERVAL);
+    }
+}
+
+/// Takes those out that match, in their order.
+fn take(
+    faults: &mut Vec<ScheduledFault>,
+    matches: impl Fn(&ScheduledFault) -> bool,
+) -> Vec<ScheduledFault> {
+    let (taken, left) = faults.iter().partition(|fault| matches(fault));
+    *faults = left;
+    taken
+}
+
+fn report(
+    schedule: Schedule,
+    findings: Vec<String>,
+    ledger: &Ledger,
+    folder: PathBuf,
+) -> SoakReport {
+    let requests = ledger.requests();
+    let answered = requests
+        .iter()
+        .filter(|request| request.outcome == ClientOutcome::Answered(200));
+    SoakReport {
+        schedule,
+        answered: answered.count(),
+        requests: requests.len(),
+        changes: ledger.changes().len(),
+        reads: ledger.reads().len(),
+        folder: (!findings.is_empty()).then_some(folder),
+        findings,
+    }
+}
--- /dev/null
+++ b/tests/cluster/src/soak/traffic.rs
@@ -0,0 +1,152 @@
+//! Well-behaved clients: they send one request at a time, read its response whole and record what they were answered.
+
+use super::ledger::{ClientOutcome, ClientRecord, Ledger};
+use crate::client::{ClientRequest, Connection};
+use crate::runner::{FAULT, SIZE, WORK};
+use http1::Response;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Longest time that a client waits for a response; the routes' timeout is 4 s.
+const WAIT_MAX: Duration = Duration::from_secs(9);
+/// Requests after which a client opens another connection.
+const REQUESTS_PER_CONNECTION: usize = 12;
+const LARGEST_BODY: usize = 20_000;
+/// Faults of runners that a request may ask for.
+const RUNNER_FAULTS: [&str; 8] = [
+    "lose",
+    "cut",
+    "garbage",
+    "late",
+    "twice",
+    "turn-away",
+    "fail",
+    "no-seal",
+];
+/// One request in so many asks for a fault.
+const FAULT_ONE_IN: u32 = 10;
+const SUCCESS: u16 = 200;
+
+/// One client with its own random numbers.
+pub struct Client<'a> {
+    number: usize,
+    random: StdRng,
+    gateways: &'a [SocketAddr],
+    ledger: &'a Ledger,
+    connection: Option<(usize, Connection, usize)>,
+    sent: usize,
+}
+
+impl<'a> Client<'a> {
+    pub fn new(seed: u64, number: usize, gateways: &'a [SocketAddr], ledger: &'a Ledger) -> Self {
+        let seed = seed.wrapping_mul(1_000).wrapping_add(number as u64);
+        Self {
+            number,
+            random: StdRng::seed_from_u64(seed),
+            gateways,
+            ledger,
+            connection: None,
+            sent: 0,
+        }
+    }
+
+    /// Sends requests until it is told to stop.
+    pub fn run(&mut self, is_over: &AtomicBool) {
+        while !is_over.load(Ordering::SeqCst) {
+            self.send_one();
+            let pause_ms = self.random.random_range(2..25);
+            std::thread::sleep(Duration::from_millis(pause_ms));
+        }
+    }
+
+    fn send_one(&mut self) {
+        let (request, size, at_most_once) = self.draw_request();
+        let sent_at = Instant::now();
+        let (gateway, outcome) = self.outcome(&request, size);
+        self.ledger.record_request(ClientRecord {
+            id: request.id.clone(),
+            gateway,
+            target: request.target.clone(),
+            at_most_once,
+            sent_at,
+            ended_at: Instant::now(),
+            outcome,
+        });
+    }
+
+    fn draw_request(&mut self) -> (ClientRequest, usize, bool) {
+        self.sent += 1;
+        let id = format!("c{}-{:05}", self.number, self.sent);
+        let kind = self.random.random_range(0..10);
+        let (target, at_most_once) = match kind {
+            0..=4 => ("/read/x", false),
+            5..=7 => ("/write/x", true),
+            8 => ("/moving/x", false),
+            _ => ("/rare/x", false),
+        };
+        let size = self.random.random_range(0..LARGEST_BODY);
+        let mut request = ClientRequest::get(target, &id)
+            .with(SIZE, size)
+            .with(WORK, self.random.random_range(0..60));
+        if at_most_once {
+            let body = vec![b'b'; self.random.random_range(0..2_000)];
+            request = request.post(&body);
+        }
+        if self.random.random_ratio(1, FAULT_ONE_IN) {
+            let fault = RUNNER_FAULTS[self.random.random_range(0..RUNNER_FAULTS.len())];
+            request = request.with(FAULT, fault);
+        }
+        (request, size, at_most_once)
+    }
+
+    fn outcome(&mut self, request: &ClientRequest, size: usize) -> (usize, ClientOutcome) {
+        let Some((gateway, mut connection, used)) = self.take_connection() else {
+            // Nobody listens where it went; the pause keeps it from spinning.
+            std::thread::sleep(Duration::from_millis(30));
+            return (0, ClientOutcome::NotConnected);
+        };
+        if !connection.send(&request.bytes()) {
+            return (gateway, ClientOutcome::Unanswered);
+        }
+        let Some(response) = connection.receive(WAIT_MAX) else {
+            return (gateway, ClientOutcome::Unanswered);
+        };
+        let is_kept = response.keeps_alive && used + 1 < REQUESTS_PER_CONNECTION;
+        if is_kept {
+            self.connection = Some((gateway, connection, used + 1));
+        }
+        (gateway, judge(request, size, &response))
+    }
+
+    fn take_connection(&mut self) -> Option<(usize, Connection, usize)> {
+        if let Some(kept) = self.connection.take() {
+            return Some(kept);
+        }
+        let gateway = self.random.random_range(0..self.gateways.len());
+        let connection = Connection::open(self.gateways[gateway])?;
+        Some((gateway, connection, 0))
+    }
+}
+
+/// What a response means for the request that it came for.
+fn judge(request: &ClientRequest, size: usize, response: &Response) -> ClientOutcome {
+    let bears = response.headers.get_text("Request-Id").unwrap_or("");
+    if !bears.is_empty() && bears != request.id {
+        return ClientOutcome::AnotherRequests(bears.to_string());
+    }
+    if response.status != SUCCESS {
+        return ClientOutcome::Answered(response.status);
+    }
+    let seal = response.headers.get_text("Server-Seal").unwrap_or("");
+    if !seal.ends_with(&format!(".{}", request.id)) {
+        return ClientOutcome::WrongSuccess(format!("seal {seal}"));
+    }
+    if response.body != request.expected(size) {
+        let length = response.body.len();
+        return ClientOutcome::WrongSuccess(format!("a body of {length} bytes"));
+    }
+    ClientOutcome::Answered(SUCCESS)
+}
