--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -67,3 +67,6 @@
 #[cfg(test)]
 #[path = "../tests/unit/connection_reuse.rs"]
 mod connection_reuse_tests;
+#[cfg(test)]
+#[path = "../tests/unit/owner_links.rs"]
+mod owner_links_tests;
--- /dev/null
+++ b/crates/gateway/tests/unit/owner_links.rs
@@ -0,0 +1,184 @@
+//! What a gateway sends to the owners of a function's seats, as they change. Each owner is a socket of the test.
+
+use crate::connection_reuse_tests::{options, pending_request};
+use crate::connections::ConnectionRole;
+use crate::downstream_connection::DownstreamConnection;
+use crate::gateway::Gateway;
+use crate::pending_request::RequestPhase;
+use event_loop::{ConnectionId, Event};
+use protocol::{take_frames, Member, Message, RequestId, SeatLease, UpdateVersion};
+use std::io::Read;
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+const FUNCTION: &str = "function-1";
+const RUNNER: &str = "runner-1";
+const POLL_TIMEOUT: Duration = Duration::from_millis(5);
+const MESSAGE_WITHIN: Duration = Duration::from_secs(5);
+
+/// Another gateway, as a listening socket and what arrived at it.
+struct Owner {
+    name: &'static str,
+    listener: TcpListener,
+    stream: Option<TcpStream>,
+    unread: Vec<u8>,
+    received: Vec<Message>,
+}
+
+impl Owner {
+    fn new(name: &'static str) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        Self {
+            name,
+            listener,
+            stream: None,
+            unread: Vec::new(),
+            received: Vec::new(),
+        }
+    }
+
+    fn member(&self) -> Member {
+        Member {
+            name: self.name.into(),
+            incarnation: 1,
+            address: self.listener.local_addr().unwrap().to_string(),
+            zone: "zone-1".into(),
+        }
+    }
+
+    fn read(&mut self) {
+        if self.stream.is_none() {
+            self.stream = self.listener.accept().ok().map(|(stream, _)| stream);
+        }
+        let Some(stream) = &mut self.stream else {
+            return;
+        };
+        stream.set_nonblocking(true).unwrap();
+        let mut chunk = [0; 4_096];
+        while let Ok(count @ 1..) = stream.read(&mut chunk) {
+            self.unread.extend_from_slice(&chunk[..count]);
+        }
+        let (messages, _) = take_frames::<Message>(&mut self.unread);
+        self.received.extend(messages);
+    }
+}
+
+/// A gateway with one request, and the owners that its function has one after the other.
+struct OwnerChanges {
+    gateway: Gateway,
+    owners: Vec<Owner>,
+    membership_number: u64,
+    runner: TcpListener,
+}
+
+impl OwnerChanges {
+    fn new() -> Self {
+        Self {
+            gateway: Gateway::open(options()).unwrap(),
+            owners: ["owner-1", "owner-2", "owner-3"].map(Owner::new).into(),
+            membership_number: 0,
+            runner: TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap(),
+        }
+    }
+
+    /// From now on this owner is the only member.
+    fn make_owner(&mut self, index: usize) {
+        self.membership_number += 1;
+        let version = UpdateVersion {
+            term: 1,
+            number: self.membership_number,
+        };
+        let members = vec![self.owners[index].member()];
+        self.gateway.membership_received(version, members);
+        self.gateway.flush_peers();
+    }
+
+    fn admit_request(&mut self) -> RequestId {
+        let role = ConnectionRole::Downstream(DownstreamConnection::accepted(0));
+        let address = self.runner.local_addr().unwrap().to_string();
+        let downstream = self.gateway.connections.connect(&address, 1 << 10, role);
+        let mut pending = pending_request(downstream, true);
+        pending.phase = RequestPhase::Backoff;
+        let id = self.gateway.requests.add(pending);
+        let connection = downstream.and_then(|one| self.gateway.connections.downstream(one));
+        connection.expect("a client").request = Some(id);
+        self.gateway.request_lease(id);
+        self.gateway.flush_peers();
+        id
+    }
+
+    /// The first owner leases a seat, and the request is sent to its runner.
+    fn lease_and_send(&mut self, id: RequestId) {
+        let lease = SeatLease {
+            request_id: id,
+            runner: RUNNER.into(),
+            address: self.runner.local_addr().unwrap().to_string(),
+            zone: "zone-1".into(),
+        };
+        self.gateway.lease_granted(self.owners[0].name, lease);
+        let connection = self.connection_of(id);
+        self.poll_until("the connection to the runner", |events, _| {
+            events.contains(&Event::Connected(connection))
+        });
+        self.gateway.send_upstream_request(connection);
+        assert!(self.gateway.requests.get(id).unwrap().is_sent());
+    }
+
+    fn connection_of(&mut self, id: RequestId) -> ConnectionId {
+        let request = self.gateway.requests.get(id).unwrap();
+        request.attempt().expect("it has a lease").connection
+    }
+
+    fn poll_until(&mut self, what: &str, is_met: impl Fn(&[Event], &[Owner]) -> bool) {
+        let until = Instant::now() + MESSAGE_WITHIN;
+        let mut events = Vec::new();
+        loop {
+            self.gateway.flush_peers();
+            self.gateway.connections.poll(POLL_TIMEOUT, &mut events);
+            self.owners.iter_mut().for_each(Owner::read);
+            if is_met(&events, &self.owners) {
+                return;
+            }
+            assert!(
+                Instant::now() < until,
+                "{what}: not within {MESSAGE_WITHIN:?}"
+            );
+        }
+    }
+
+    fn wait_for(&mut self, index: usize, what: &str, is_it: impl Fn(&Message) -> bool) {
+        let what = format!("{what} at {}", self.owners[index].name);
+        self.poll_until(&what, |_, owners| owners[index].received.iter().any(&is_it));
+    }
+
+    fn wait_for_release(&mut self, index: usize, id: RequestId) {
+        self.wait_for(
+            index,
+            "a release",
+            |message| matches!(message, Message::LeaseRelease(release) if release.request_id == id),
+        );
+    }
+
+    fn wait_for_report(&mut self, index: usize) {
+        self.wait_for(index, "a report of seats in use", |message| {
+            matches!(message, Message::LeasesInUse { function, .. } if function == FUNCTION)
+        });
+    }
+}
+
+#[test]
+fn a_seat_is_given_back_at_every_owner_that_was_told_of_it() {
+    let mut changes = OwnerChanges::new();
+    changes.make_owner(0);
+    let id = changes.admit_request();
+    changes.lease_and_send(id);
+    changes.make_owner(1);
+    changes.wait_for_report(1);
+    changes.make_owner(2);
+    changes.wait_for_report(2);
+    changes.gateway.attempt_lost(id, "the test ends it");
+    for index in [0, 2, 1] {
+        changes.wait_for_release(index, id);
+    }
+}
