gateway: seats are given back at every owner that was told of them

Cause: a release went to the owner that lent the seat and to the present one. An owner between the two had been told of the seat (LeasesInUse) and never of its end, so the seat stayed leased there for good: capacity lost once the function came back, and a runner that never counts as drained. Class: state that is told to several parties and taken back from some. Twins, found by looking for the class, each red on the code before: a gateway that becomes owner itself did not count the seats of its own requests (more than the quota at a runner); an owner whose link ended forgets a gateway's seats and was not told of them again.

Change: an attempt remembers whom its lease was reported to, and its release goes to all of them. A report stands in place of the gateway's former one, so a seat that was lost sight of is healed by the next. The own gateway is told like any other. The end of a link makes its gateway a new owner.

Excluded: time-outs of leases at the owner; a lease has no upper time but its request's, and safety is not to stand on a delay.

--- a/crates/gateway/src/configuration_updates.rs
+++ b/crates/gateway/src/configuration_updates.rs
@@ -38,8 +38,7 @@
         self.peers.clear_suspects();
         self.move_to_new_owners();
         for function in self.functions_in_use() {
-            let owner = self.owner_of(&function);
-            if let Some(owner) = owner.filter(|owner| *owner != self.options.name) {
+            if let Some(owner) = self.owner_of(&function) {
                 self.report_leases_to_new_owner(&owner, &function);
             }
         }
--- a/crates/gateway/src/lease_requests.rs
+++ b/crates/gateway/src/lease_requests.rs
@@ -38,12 +38,12 @@
             };
             lease_request.job = request.job.as_mut().map(|job| job.begin_attempt(&owner));
         }
+        self.report_leases_to_new_owner(&owner, &function);
         if owner == self.options.name {
             let zone = self.options.zone.clone();
             self.lease_requested(&owner, &zone, lease_request);
             return;
         }
-        self.report_leases_to_new_owner(&owner, &function);
         self.send_to_peer(&owner, &Message::LeaseRequest(lease_request));
     }
 
@@ -92,7 +92,8 @@
         self.void_job_attempt(&owner, id);
     }
 
-    /// Releases a lease at the owner that granted it, and at the function's owner where that is another by now.
+    /// Releases a lease at the owner that granted it, at all that were told of it since, and at the function's owner where that
+    /// is yet another.
     pub fn release_lease(&mut self, lease: &HeldLease, outcome: LeaseOutcome, duration_ms: u64) {
         let release = LeaseRelease {
             request_id: lease.request,
@@ -100,9 +101,9 @@
             duration_ms: duration_ms as u32,
         };
         let owner = self.owner_of(&lease.function);
-        let other = owner.filter(|owner| *owner != lease.owner);
-        for name in std::iter::once(lease.owner.clone()).chain(other) {
-            self.release_at(&name, &release);
+        let other = owner.filter(|owner| !lease.owners.contains(owner));
+        for name in lease.owners.iter().chain(&other) {
+            self.release_at(name, &release);
         }
     }
 
@@ -115,19 +116,30 @@
         }
     }
 
-    /// Reports the seats that this gateway uses to a function's owner, if it is a new one.
+    /// Reports the seats that this gateway uses to a function's owner, if it is a new one; it may be this gateway itself.
     pub fn report_leases_to_new_owner(&mut self, owner: &str, function: &str) {
         if !self.peers.is_new_owner(function, owner) {
             return;
         }
         let runners = self.leases_in_use(function);
-        if !runners.is_empty() {
-            let message = Message::LeasesInUse {
-                function: function.into(),
-                runners,
-            };
-            self.send_to_peer(owner, &message);
+        if runners.is_empty() {
+            return;
+        }
+        for id in runners.iter().flat_map(|runner| &runner.requests) {
+            if let Some(request) = self.requests.get(*id) {
+                request.lease_reported(owner);
+            }
         }
+        if owner == self.options.name {
+            self.lease_owner
+                .adopt_leases(self.now, owner, function, &runners);
+            return;
+        }
+        let message = Message::LeasesInUse {
+            function: function.into(),
+            runners,
+        };
+        self.send_to_peer(owner, &message);
     }
 
     /// Functions at whose runners this gateway has requests now.
--- a/crates/gateway/src/peer_links.rs
+++ b/crates/gateway/src/peer_links.rs
@@ -106,9 +106,12 @@
         Liveness::Alive
     }
 
-    /// Removes the link with a gateway that was taken for dead, which owns nothing for a while.
+    /// Removes the link with a gateway that was taken for dead, which owns nothing for a while. As an owner it has forgotten this
+    /// gateway with the link, so that it is a new one when it is back.
     pub fn suspect(&mut self, name: &str, now: u64) {
         self.links.remove(name);
+        let known = self.known_owners.values_mut();
+        known.filter(|owner| *owner == name).for_each(String::clear);
         self.suspects.insert(name.into(), now + SUSPECT_MS);
     }
 
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -26,6 +26,8 @@
 pub(crate) struct UpstreamAttempt {
     /// Owner that granted the lease.
     pub owner: OwnerName,
+    /// Later owners of the function's seats that were told of the lease.
+    pub reported_to: Vec<OwnerName>,
     pub runner: String,
     pub address: String,
     pub zone: String,
@@ -39,7 +41,8 @@
 /// A lease that a request holds, as far as its release needs it.
 pub(crate) struct HeldLease {
     pub request: RequestId,
-    pub owner: OwnerName,
+    /// The owner that granted it, and all later ones that were told of it.
+    pub owners: Vec<OwnerName>,
     pub function: String,
 }
 
@@ -117,13 +120,24 @@
     /// The lease that it holds.
     pub fn held_lease(&self) -> Option<HeldLease> {
         let attempt = self.attempt()?;
+        let granted_by = std::iter::once(&attempt.owner);
         Some(HeldLease {
             request: self.id,
-            owner: attempt.owner.clone(),
+            owners: granted_by.chain(&attempt.reported_to).cloned().collect(),
             function: self.function.clone(),
         })
     }
 
+    /// A later owner of the function's seats was told of the lease.
+    pub fn lease_reported(&mut self, owner: &str) {
+        let RequestPhase::Upstream(attempt) = &mut self.phase else {
+            return;
+        };
+        if attempt.owner != owner && !attempt.reported_to.iter().any(|known| known == owner) {
+            attempt.reported_to.push(owner.into());
+        }
+    }
+
     /// Whether the first byte of the attempt under way may be at the runner.
     pub fn is_sent(&self) -> bool {
         self.attempt().is_some_and(|attempt| attempt.is_sent)
--- a/crates/gateway/src/upstream_requests.rs
+++ b/crates/gateway/src/upstream_requests.rs
@@ -51,6 +51,7 @@
         if let Some(request) = self.requests.get(id) {
             request.phase = RequestPhase::Upstream(UpstreamAttempt {
                 owner: owner.into(),
+                reported_to: Vec::new(),
                 runner: lease.runner,
                 address: lease.address,
                 zone: lease.zone,
--- a/crates/gateway/tests/unit/owner_links.rs
+++ b/crates/gateway/tests/unit/owner_links.rs
@@ -94,6 +94,31 @@
         self.gateway.flush_peers();
     }
 
+    /// From now on the gateway under test is the only member.
+    fn make_own_gateway_owner(&mut self) {
+        self.membership_number += 1;
+        let version = UpdateVersion {
+            term: 1,
+            number: self.membership_number,
+        };
+        let members = vec![self.gateway.identity.clone()];
+        self.gateway.membership_received(version, members);
+    }
+
+    /// The link with an owner ends; the owner listens for another, and what it received before is dropped.
+    fn forget_owner(&mut self, index: usize) {
+        let name = self.owners[index].name;
+        let connections = self.gateway.connections.with_peer(name);
+        for connection in connections {
+            self.gateway.link_closed(connection);
+        }
+        self.gateway.peers.clear_suspects();
+        let owner = &mut self.owners[index];
+        owner.stream = None;
+        owner.received.clear();
+        owner.unread.clear();
+    }
+
     fn admit_request(&mut self) -> RequestId {
         let role = ConnectionRole::Downstream(DownstreamConnection::accepted(0));
         let address = self.runner.local_addr().unwrap().to_string();
@@ -182,3 +207,32 @@
         changes.wait_for_release(index, id);
     }
 }
+
+#[test]
+fn a_gateway_that_becomes_owner_counts_the_seats_of_its_own_requests() {
+    let mut changes = OwnerChanges::new();
+    changes.make_owner(0);
+    let id = changes.admit_request();
+    changes.lease_and_send(id);
+    changes.make_own_gateway_owner();
+    assert_eq!(changes.gateway.lease_owner.usage().leased, 1);
+    changes.make_owner(1);
+    changes.wait_for_report(1);
+    changes.gateway.attempt_lost(id, "the test ends it");
+    assert_eq!(changes.gateway.lease_owner.usage().leased, 0);
+    changes.wait_for_release(0, id);
+    changes.wait_for_release(1, id);
+}
+
+#[test]
+fn an_owner_whose_link_ended_is_told_of_the_seats_in_use_once_more() {
+    let mut changes = OwnerChanges::new();
+    changes.make_owner(0);
+    let id = changes.admit_request();
+    changes.lease_and_send(id);
+    changes.make_owner(1);
+    changes.wait_for_report(1);
+    changes.forget_owner(1);
+    changes.admit_request();
+    changes.wait_for_report(1);
+}
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -8,8 +8,8 @@
 use crate::wait_queue::{QueuePosition, WaitQueue, WaitingRequest};
 use invariants::{check, Invariant};
 use protocol::{
-    FunctionReport, FunctionUpdate, LeaseOutcome, LeaseRelease, LeaseRequest, RunnerLeases,
-    SeatLease, UpdateVersion, ZoneArrivals,
+    FunctionReport, FunctionUpdate, LeaseOutcome, LeaseRelease, LeaseRequest, RequestId,
+    RunnerLeases, SeatLease, UpdateVersion, ZoneArrivals,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -106,6 +106,26 @@
         self.runners.get_or_add(now, leases)
     }
 
+    /// Ends the leases of a gateway that its report does not name; those that ended.
+    pub fn remove_unreported(
+        &mut self,
+        gateway: &str,
+        report: &[RunnerLeases],
+    ) -> Vec<LeaseHolder> {
+        let reported: BTreeSet<RequestId> = report
+            .iter()
+            .flat_map(|runner| runner.requests.iter().copied())
+            .collect();
+        let held = self.runners.holders_of(gateway).into_iter();
+        let ended: Vec<LeaseHolder> = held
+            .filter(|holder| !reported.contains(&holder.request_id))
+            .collect();
+        for holder in &ended {
+            self.runners.remove_lease(holder);
+        }
+        ended
+    }
+
     /// Counts a request among the arrivals, unless it was at a runner before.
     pub fn record_arrival(&mut self, zone: &str, request: &LeaseRequest) {
         if request.excluded_runners.is_empty() {
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -98,7 +98,7 @@
         self.issue_leases(now, &function);
     }
 
-    /// A gateway reports to the function's new owner the seats that it uses.
+    /// A gateway reports to the function's new owner all seats that it uses. Of those that were known before, the others are free.
     pub fn adopt_leases(
         &mut self,
         now: u64,
@@ -108,6 +108,9 @@
     ) {
         let seats = self.functions.entry(function.to_string()).or_default();
         seats.touch(now);
+        for holder in seats.remove_unreported(gateway, runners) {
+            self.function_by_holder.remove(&holder);
+        }
         for leases in runners {
             let runner = seats.runner_or_add(now, leases);
             for request_id in &leases.requests {
@@ -118,6 +121,7 @@
         }
         seats.report_state().mark_changed();
         self.unreported.insert(function.to_string());
+        self.issue_leases(now, function);
     }
 
     /// An update of a function's runners from the scaler.
--- a/crates/seat_leases/src/runner_set.rs
+++ b/crates/seat_leases/src/runner_set.rs
@@ -90,6 +90,13 @@
         }
     }
 
+    /// Leases of a gateway.
+    pub fn holders_of(&self, gateway: &str) -> Vec<LeaseHolder> {
+        let holders = self.runners.iter().flat_map(SeatRunner::holders);
+        let of_gateway = holders.filter(|holder| holder.gateway == gateway);
+        of_gateway.cloned().collect()
+    }
+
     /// Whether a seat is leased.
     pub fn has_leases(&self) -> bool {
         self.runners.iter().any(SeatRunner::has_leases)
--- a/crates/seat_leases/src/seat_runner.rs
+++ b/crates/seat_leases/src/seat_runner.rs
@@ -142,6 +142,11 @@
         self.holders.retain(|holder| holder.gateway != gateway);
     }
 
+    /// Who holds its seats.
+    pub fn holders(&self) -> impl Iterator<Item = &LeaseHolder> {
+        self.holders.iter()
+    }
+
     pub fn has_leases(&self) -> bool {
         !self.holders.is_empty()
     }
--- a/crates/seat_leases/tests/lease_owner.rs
+++ b/crates/seat_leases/tests/lease_owner.rs
@@ -376,6 +376,28 @@
     assert_eq!(request_ids(&mut owner), [2]);
 }
 
+#[test]
+fn a_later_report_of_a_gateway_stands_in_place_of_the_former() {
+    let mut owner = LeaseOwner::default();
+    let report = |requests: &[u64]| {
+        vec![RunnerLeases {
+            runner: "a".into(),
+            address: "a:1".into(),
+            zone: "north".into(),
+            requests: requests.iter().copied().map(RequestId).collect(),
+        }]
+    };
+    owner.adopt_leases(0, "f", FUNCTION, &report(&[7, 8]));
+    owner.adopt_leases(0, "g", FUNCTION, &report(&[7]));
+    owner.update_runners(1, update(1, &[runner("a", "north", 3)]));
+    owner.request_lease(1, "g", "north", lease_request(1, 1));
+    assert!(request_ids(&mut owner).is_empty());
+    owner.adopt_leases(2, "f", FUNCTION, &report(&[8]));
+    assert_eq!(request_ids(&mut owner), [1]);
+    owner.adopt_leases(3, "f", FUNCTION, &[]);
+    assert_eq!(in_use(&owner, "a"), Some(2));
+}
+
 #[test]
 fn a_release_frees_the_seat_of_its_own_gateway_alone() {
     let mut owner = owner_with(&[runner("a", "north", 2)]);
--- a/tests/cluster/src/soak/injector.rs
+++ b/tests/cluster/src/soak/injector.rs
@@ -148,6 +148,10 @@
     fn unfreeze(&mut self, machine: usize) {
         if std::mem::take(&mut self.intents[machine].is_frozen) && self.daemon(machine).runs() {
             self.daemon(machine).unfreeze();
+            // A frozen process does not hear that it is to stop; its grace counts from here.
+            if let Some(at) = self.intents[machine].terminated_at.as_mut() {
+                *at = Instant::now();
+            }
         }
     }
 
