Bounds on what clients and operators make a daemon hold, and buffers given back

Cause, by three faults of one class (a bound for each connection, none over all): - A pooled connection kept the buffer of its last response until the next one came: 160 idle connections took 564 MB at 66 MB in use. This was the largest part, and needs no client that misbehaves. - Up to 24 MB of responses could wait on one connection, since a client's next request was read before it had read its response, and there may be as many connections as descriptors. What had been written of a buffer stayed until all of it was. - The read buffer of clients was fixed at 1 MB, whatever max_body_bytes allows: a body of 3 MB was told 408. Twin: a controller, and a machine without a disk, held up to 40 MB for each operator's connection.

Change: the event loop gives emptied buffers back before the next poll, drops written bytes, tells that all queued bytes have left and lets the owner set where reading stops. The gateway reads a client's next request once its response has left, bounds what all clients hold to a quarter of the memory (the connections that hold most are closed, new requests get 503 with Retry-After meanwhile), and reads a few large responses at a time. Operators' connections are bounded likewise. 503 before a configuration bears Retry-After too.

Excluded: the allocator.

--- a/crates/controller/src/connections.rs
+++ b/crates/controller/src/connections.rs
@@ -115,6 +115,29 @@
         self.event_loop.read_buffer(connection)
     }
 
+    /// Closes the connections of a kind that hold most bytes, until those of the kind hold no more than `max_bytes`. Returns those
+    /// that were closed.
+    pub fn bound_memory(&mut self, kind: Kind, max_bytes: u64) -> Vec<ConnectionId>
+    where
+        Kind: PartialEq,
+    {
+        let listeners = self.listeners.iter();
+        let of_kind = listeners.filter(|(_, one)| **one == kind);
+        let mut held: Vec<(usize, ConnectionId)> = of_kind
+            .flat_map(|(listener, _)| self.event_loop.held_bytes(*listener))
+            .map(|(connection, bytes)| (bytes, connection))
+            .collect();
+        held.sort_unstable();
+        let mut total: u64 = held.iter().map(|(bytes, _)| *bytes as u64).sum();
+        let mut closed = Vec::new();
+        while let Some((bytes, connection)) = held.pop().filter(|_| total > max_bytes) {
+            total -= bytes as u64;
+            self.close(connection);
+            closed.push(connection);
+        }
+        closed
+    }
+
     /// Sends bytes, now or as soon as the connection takes them.
     pub fn send(&mut self, connection: ConnectionId, bytes: &[u8]) {
         self.event_loop.send(connection, bytes);
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -5,7 +5,9 @@
 
 use crate::clock::Clock;
 use crate::committed_configuration::{CommittedChange, CommittedConfiguration};
-use crate::controller_connections::{ControllerConnection, ControllerConnections};
+use crate::controller_connections::{
+    ControllerConnection, ControllerConnections, OPERATOR_MEMORY_DIVISOR,
+};
 use crate::daemon_loop::{run_loop, Daemon};
 use crate::disk_thread::{self, DiskThread};
 use crate::error::ControllerError;
@@ -104,7 +106,7 @@
                     _ => {}
                 }
             }
-            Event::Connected(_) => {}
+            Event::Connected(_) | Event::Drained(_) => {}
             Event::Readable(connection) => self.handle_readable(connection),
             Event::Closed(connection, _) => self.handle_closed(connection),
         }
@@ -153,6 +155,7 @@
             self.heartbeat_gateways();
         }
         self.poll_scaler();
+        self.bound_operator_memory();
         let (operators, mut context) = self.operator_parts();
         operators.expire_requests(&mut context);
         let retention_ms = self.options.job_retention_ms;
@@ -161,6 +164,19 @@
         }
     }
 
+    /// Operators together may make this controller hold a part of its memory. Requests that have arrived completely are held by the
+    /// commands in progress, of which there are few.
+    fn bound_operator_memory(&mut self) {
+        let max_bytes = self.options.memory_bytes / OPERATOR_MEMORY_DIVISOR;
+        let closed = self
+            .connections
+            .bound_memory(ControllerConnection::Operator, max_bytes);
+        for connection in closed {
+            log::warn!("controller: operator closed, memory exceeded max={max_bytes}");
+            self.operators.remove(connection);
+        }
+    }
+
     fn flush(&mut self) {
         self.peers.flush(&mut self.connections);
         self.gateways.flush(&mut self.connections);
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -52,6 +52,8 @@
     pub job_retention_ms: u64,
     /// Controllers that vote where there are enough of them.
     pub voters_wanted: usize,
+    /// Memory that the process may take, in bytes.
+    pub memory_bytes: u64,
     /// Most open connections.
     pub connections_max: usize,
     /// Forms of the operators' API.
--- a/crates/controller/src/redirector.rs
+++ b/crates/controller/src/redirector.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::codec::{CommandParseError, OperatorCodec};
 use crate::connections::{ConnectionKind, Connections};
-use crate::controller_connections::OPERATOR_INBOX_MAX;
+use crate::controller_connections::{OPERATOR_INBOX_MAX, OPERATOR_MEMORY_DIVISOR};
 use crate::daemon_loop::{run_loop, Daemon};
 use crate::error::ControllerError;
 use crate::member_directory::MemberDirectory;
@@ -37,6 +37,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Milliseconds within which an acknowledged change holds everywhere.
     pub propagation_timeout_ms: u64,
+    /// Memory that the process may take, in bytes.
+    pub memory_bytes: u64,
     /// Most open connections.
     pub connections_max: usize,
     /// Forms of the operators' API.
@@ -145,7 +147,7 @@
                     _ => {}
                 }
             }
-            Event::Connected(_) => {}
+            Event::Connected(_) | Event::Drained(_) => {}
             Event::Readable(connection) => self.handle_readable(connection),
             Event::Closed(connection, _) => self.handle_closed(connection),
         }
@@ -182,6 +184,7 @@
     }
 
     fn tick(&mut self) {
+        self.bound_operator_memory();
         for address in self.directory.remove_gone(self.now) {
             log::info!("controller: member forgotten member={address}");
             self.close_link(address);
@@ -191,6 +194,17 @@
         }
     }
 
+    fn bound_operator_memory(&mut self) {
+        let max_bytes = self.options.memory_bytes / OPERATOR_MEMORY_DIVISOR;
+        let closed = self
+            .connections
+            .bound_memory(RedirectorConnection::Operator, max_bytes);
+        for connection in closed {
+            log::warn!("controller: operator closed, memory exceeded max={max_bytes}");
+            self.operators.remove(connection);
+        }
+    }
+
     fn handle_readable(&mut self, connection: ConnectionId) {
         match self.connections.kind(connection) {
             Some(RedirectorConnection::Operator) => self.handle_operator_readable(connection),
--- a/crates/controller/tests/unit/operator_reads/operator_call.rs
+++ b/crates/controller/tests/unit/operator_reads/operator_call.rs
@@ -39,6 +39,7 @@
         grace_period_ms: 1_000,
         job_retention_ms: 1_000,
         voters_wanted: 2,
+        memory_bytes: 64 << 20,
         connections_max: 16,
         operator_codec: Box::new(TestCodec),
         platform_codec: Box::new(NoPlatform),
--- a/crates/event_loop/src/connection.rs
+++ b/crates/event_loop/src/connection.rs
@@ -1,5 +1,6 @@
 //! One TCP connection: its socket, the bytes read and not yet taken, and the bytes queued and not yet written.
 
+use crate::listeners::ListenerId;
 use mio::net::TcpStream;
 use socket2::SockRef;
 use std::io::{self, Read, Write};
@@ -11,6 +12,9 @@
 /// Most bytes that may be queued on one connection. More than this means that the peer does not read.
 const MAX_UNSENT_BYTES: usize = 24 << 20;
 
+/// Written bytes at the front of a write buffer from which on they are worth moving the rest.
+const MIN_COMPACTED_BYTES: usize = 64 << 10;
+
 /// A connection of this daemon. A slot is used again after a close, so the id also counts the uses: an id that was kept
 /// too long names no connection rather than another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -40,7 +44,10 @@
     pub is_read_paused: bool,
     closes_after_flush: bool,
     pub read_buffer: Vec<u8>,
-    read_limit: usize,
+    /// Where reading stops.
+    pub read_limit: usize,
+    /// The listener that accepted it, if one did.
+    pub listener: Option<ListenerId>,
     write_buffer: Vec<u8>,
     /// Bytes at the front of the write buffer that were written already.
     written: usize,
@@ -83,7 +90,13 @@
 }
 
 impl Connection {
-    pub fn new(stream: TcpStream, generation: u32, is_accepted: bool, read_limit: usize) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        generation: u32,
+        listener: Option<ListenerId>,
+        read_limit: usize,
+    ) -> Self {
+        let is_accepted = listener.is_some();
         Self {
             stream,
             generation,
@@ -97,6 +110,7 @@
             closes_after_flush: false,
             read_buffer: Vec::new(),
             read_limit,
+            listener,
             write_buffer: Vec::new(),
             written: 0,
         }
@@ -149,6 +163,21 @@
         self.write_buffer.len() - self.written
     }
 
+    /// Memory that its buffers take, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.read_buffer.capacity() + self.write_buffer.capacity()
+    }
+
+    /// Drops the written part of the write buffer, where that frees at least half of it: a peer that reads slowly may never let it
+    /// become empty.
+    fn compact(&mut self) {
+        if self.written >= MIN_COMPACTED_BYTES && self.written >= self.write_buffer.len() / 2 {
+            self.write_buffer.drain(..self.written);
+            self.write_buffer.shrink_to(self.write_buffer.len() * 2);
+            self.written = 0;
+        }
+    }
+
     /// Looks, after an event for a connection that is being opened, what came of it.
     pub fn check_connect(&mut self, ready: &mio::event::Event) -> ConnectProgress {
         let has_error = self.stream.take_error().ok().flatten().is_some();
@@ -202,6 +231,7 @@
             self.state = State::Failed;
             return WriteOutcome::NothingWritten;
         }
+        self.compact();
         let queued_before = self.write_buffer.len();
         self.write_buffer.extend_from_slice(bytes);
         if self.is_connecting() || self.flush() {
@@ -217,7 +247,9 @@
     /// Writes on after the socket became writable; false where the connection broke.
     pub fn flush_writable(&mut self) -> bool {
         self.is_writable = true;
-        self.flush()
+        let is_open = self.flush();
+        self.compact();
+        is_open
     }
 
     fn flush(&mut self) -> bool {
--- a/crates/event_loop/src/event.rs
+++ b/crates/event_loop/src/event.rs
@@ -12,6 +12,8 @@
     Connected(ConnectionId),
     /// Bytes were added to the connection's read buffer.
     Readable(ConnectionId),
+    /// All bytes that were queued on the connection have been written.
+    Drained(ConnectionId),
     /// The connection ended. Its read buffer stays until the owner closes it.
     Closed(ConnectionId, CloseReason),
 }
--- a/crates/event_loop/src/event_loop.rs
+++ b/crates/event_loop/src/event_loop.rs
@@ -1,5 +1,7 @@
 //! The loop that owns the sockets, waits for readiness and turns it into events.
 
+mod buffers;
+
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Token, Waker};
 use slab::Slab;
@@ -34,6 +36,8 @@
     listeners: Listeners,
     /// Connections that stopped reading because their read buffer was full.
     read_paused: Vec<ConnectionId>,
+    /// Connections that had bytes in the last poll, whose owner may have taken them since.
+    read_lately: Vec<ConnectionId>,
     /// Connections that broke while bytes were sent, whose end is still to be reported.
     broken: Vec<ConnectionId>,
     scratch: Vec<u8>,
@@ -55,6 +59,7 @@
             last_generation: 0,
             listeners: Listeners::default(),
             read_paused: Vec::new(),
+            read_lately: Vec::new(),
             broken: Vec::new(),
             scratch: vec![0; READ_CHUNK_BYTES],
             max_connections,
@@ -94,13 +99,13 @@
             return Err(io::Error::other("too many connections"));
         }
         let stream = TcpStream::connect(address)?;
-        self.add(stream, false, read_limit)
+        self.add(stream, None, read_limit)
     }
 
     fn add(
         &mut self,
         stream: TcpStream,
-        is_accepted: bool,
+        listener: Option<ListenerId>,
         read_limit: usize,
     ) -> io::Result<ConnectionId> {
         // Without the option small messages are merely delayed, so a failure is no reason to give the connection up.
@@ -109,7 +114,7 @@
         let generation = self.last_generation;
         let entry = self.connections.vacant_entry();
         let slot = entry.key();
-        let connection = entry.insert(Connection::new(stream, generation, is_accepted, read_limit));
+        let connection = entry.insert(Connection::new(stream, generation, listener, read_limit));
         connection.set_user_timeout(self.user_timeout);
         let interest = Interest::READABLE | Interest::WRITABLE;
         let registry = self.poll.registry();
@@ -127,22 +132,11 @@
         }
     }
 
-    /// Bytes that arrived and were not taken yet; `None` where the connection is gone. The owner drains what it takes.
-    pub fn read_buffer(&mut self, id: ConnectionId) -> Option<&mut Vec<u8>> {
-        self.connection_mut(id)
-            .map(|connection| &mut connection.read_buffer)
-    }
-
     /// Whether the connection is there, established or not, and no end of it is known.
     pub fn is_open(&self, id: ConnectionId) -> bool {
         self.connection(id).is_some_and(Connection::is_open)
     }
 
-    /// Bytes that are queued and not yet written to the socket.
-    pub fn unsent_bytes(&self, id: ConnectionId) -> usize {
-        self.connection(id).map_or(0, Connection::unsent_bytes)
-    }
-
     /// How many connections there are, ended ones that the owner has not closed included.
     pub fn len(&self) -> usize {
         self.connections.len()
@@ -204,6 +198,7 @@
     /// Waits at most `timeout` for something to happen and puts what did in `events`, in place of what they held.
     pub fn poll(&mut self, timeout: Duration, events: &mut Vec<Event>) {
         events.clear();
+        self.release_read_memory();
         self.report_broken(events);
         self.resume_reading(events);
         let timeout = if events.is_empty() {
@@ -272,7 +267,7 @@
             if self.connections.len() >= self.max_connections {
                 continue;
             }
-            if let Ok(id) = self.add(stream, true, read_limit) {
+            if let Ok(id) = self.add(stream, Some(listener), read_limit) {
                 events.push(Event::Accepted(listener, id));
             }
         }
@@ -316,6 +311,7 @@
         let Some(connection) = self.connection_mut(id) else {
             return false;
         };
+        let had_unsent = connection.unsent_bytes() > 0;
         if !connection.flush_writable() {
             connection.mark_closed();
             events.push(Event::Closed(id, CloseReason::Broken));
@@ -325,6 +321,9 @@
             self.close(id);
             return false;
         }
+        if had_unsent && connection.unsent_bytes() == 0 {
+            events.push(Event::Drained(id));
+        }
         true
     }
 
@@ -332,6 +331,7 @@
         let mut scratch = std::mem::take(&mut self.scratch);
         let is_read_paused = self.read_into(id, &mut scratch, reads_to_end, events);
         self.scratch = scratch;
+        self.read_lately.push(id);
         if is_read_paused && !self.read_paused.contains(&id) {
             self.read_paused.push(id);
         }
--- a/crates/event_loop/tests/common/mod.rs
+++ b/crates/event_loop/tests/common/mod.rs
@@ -99,13 +99,21 @@
 
 /// An event loop that listens, a peer's socket, and the connection that the peer opened.
 pub fn accepted(read_limit: usize) -> (TestLoop, TcpStream, ConnectionId) {
+    let (test, peer, _, connection) = accepted_with_listener(read_limit);
+    (test, peer, connection)
+}
+
+/// The same, with the listener.
+pub fn accepted_with_listener(
+    read_limit: usize,
+) -> (TestLoop, TcpStream, ListenerId, ConnectionId) {
     let mut test = TestLoop::new();
     let address = free_address();
     let listener = test.event_loop.listen(address, read_limit).unwrap();
     let peer = TcpStream::connect(address).unwrap();
     let (at, connection) = test.wait_accepted();
     assert_eq!(at, listener);
-    (test, peer, connection)
+    (test, peer, listener, connection)
 }
 
 /// An event loop, a peer's socket, and the connection that was opened to the peer.
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -148,6 +148,12 @@
         self.event_loop.read_buffer(id)
     }
 
+    /// Number of bytes that were received and nobody has read.
+    pub fn unread_bytes(&mut self, id: ConnectionId) -> usize {
+        let buffer = self.event_loop.read_buffer(id);
+        buffer.map_or(0, |buffer| buffer.len())
+    }
+
     /// Whether bytes were received that nobody has read.
     pub fn has_unread_bytes(&mut self, id: ConnectionId) -> bool {
         let buffer = self.event_loop.read_buffer(id);
@@ -171,6 +177,16 @@
         self.event_loop.is_open(id)
     }
 
+    /// Memory that the buffers of each connection take that a listener has accepted, in bytes.
+    pub fn held_bytes(&self, listener: ListenerId) -> Vec<(ConnectionId, usize)> {
+        self.event_loop.held_bytes(listener).collect()
+    }
+
+    /// Reading a connection stops at so many unread bytes.
+    pub fn set_read_limit(&mut self, id: ConnectionId, read_limit: usize) {
+        self.event_loop.set_read_limit(id, read_limit);
+    }
+
     /// Bytes that wait to be sent.
     pub fn unsent_bytes(&self, id: ConnectionId) -> usize {
         self.event_loop.unsent_bytes(id)
--- a/crates/gateway/src/downstream_requests.rs
+++ b/crates/gateway/src/downstream_requests.rs
@@ -9,6 +9,8 @@
 use http1::{MessageLimits, CONTINUE};
 
 const REQUEST_TIMEOUT: u16 = 408;
+/// Bytes that a request's framing takes beside its head and body, at most.
+const FRAMING_BYTES: usize = 1 << 10;
 
 impl Gateway {
     /// A client has connected.
@@ -30,6 +32,12 @@
             header_bytes: limits.header_bytes,
             body_bytes: limits.body_bytes,
         };
+        // The next request is read once the client has read the response to the one before.
+        if self.connections.unsent_bytes(id) > 0 {
+            return;
+        }
+        let read_limit = limits.header_bytes + limits.body_bytes + FRAMING_BYTES;
+        self.connections.set_read_limit(id, read_limit);
         let Some((connection, buffer)) = self.connections.downstream_input(id) else {
             return;
         };
--- a/crates/gateway/src/downstream_responses.rs
+++ b/crates/gateway/src/downstream_responses.rs
@@ -56,6 +56,7 @@
         write_response(&mut out, status, headers, body, keeps_alive, is_head);
         self.connections.send(id, &out);
         self.response_sent(id, keeps_alive);
+        self.response_queued(id);
     }
 
     fn response_sent(&mut self, id: ConnectionId, keeps_alive: bool) {
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -90,6 +90,24 @@
     fn add_connection_figures(&self, snapshot: &mut Snapshot) {
         let connections = self.connections.len() as u64;
         snapshot.gauge("connections", "Open connections", connections);
+        let held = self.client_memory.held();
+        snapshot.gauge(
+            "client_bytes",
+            "Memory that clients make the gateway hold",
+            held,
+        );
+        let evicted = self.client_memory.evicted();
+        snapshot.counter(
+            "clients_evicted",
+            "Clients closed for want of memory",
+            evicted,
+        );
+        let waiting = self.large_responses.waiting() as u64;
+        snapshot.gauge(
+            "large_responses_waiting",
+            "Large responses that wait to be read on",
+            waiting,
+        );
         let pooled = self.upstream_pool.len() as u64;
         snapshot.gauge(
             "upstream_connections_idle",
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,10 +1,12 @@
 //! The gateway's state: one of each part, the clock and the timers.
 
 use crate::applied_configuration::AppliedConfiguration;
+use crate::client_memory::ClientMemory;
 use crate::connections::Connections;
 use crate::controller_links::ControllerLinks;
 use crate::failure_log::FailureLog;
 use crate::in_flight_requests::InFlightRequests;
+use crate::large_responses::LargeResponses;
 use crate::options::{GatewayError, GatewayOptions};
 use crate::peer_links::PeerLinks;
 use crate::response_times::ResponseTimes;
@@ -15,8 +17,8 @@
 use protocol::{Member, RequestId};
 use seat_leases::LeaseOwner;
 
-/// Most unread bytes of a client's connection.
-const DOWNSTREAM_BUFFER_MAX: usize = 1 << 20;
+/// Unread bytes of a client's connection before the limits of the configuration are known for it.
+const DOWNSTREAM_BUFFER_MIN: usize = 16 << 10;
 /// Most unread bytes of a connection for readiness checks or figures.
 const READINESS_BUFFER_MAX: usize = 1 << 14;
 /// Most unread bytes of a connection with another daemon.
@@ -65,6 +67,8 @@
     pub retry_budgets: RetryBudgets,
     pub response_times: ResponseTimes,
     pub failures: FailureLog,
+    pub client_memory: ClientMemory,
+    pub large_responses: LargeResponses,
     pub timers: Timers<TimerEvent>,
     /// Milliseconds since the start, as of this turn of the loop.
     pub now: u64,
@@ -101,6 +105,8 @@
             retry_budgets: RetryBudgets::new(options.retry_ratio, options.retry_slack),
             response_times: ResponseTimes::default(),
             failures: FailureLog::default(),
+            client_memory: ClientMemory::new(options.memory_bytes),
+            large_responses: LargeResponses::new(options.memory_bytes),
             timers: Timers::default(),
             now: 0,
             draining_since: None,
@@ -123,7 +129,7 @@
         let listener = event_loop.listen(address, buffer_max);
         listener.map_err(|error| GatewayError::Listen(address, error))
     };
-    let downstream = listen(options.client_address, DOWNSTREAM_BUFFER_MAX)?;
+    let downstream = listen(options.client_address, DOWNSTREAM_BUFFER_MIN)?;
     let readiness = listen(options.readiness_address, READINESS_BUFFER_MAX)?;
     listen(options.peer_listen_address(), LINK_BUFFER_MAX)?;
     Ok(Listeners {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,15 +12,16 @@
 //! 7. `downstream_responses`: the response is written, and the client's next request is read.
 //!
 //! Beside this path stand `job_messages` and `job_actions` (requests with an idempotency key), `peer_messages` and
-//! `controller_messages` (what other daemons send), `configuration_updates`, `upstream_probes`, `readiness`, `figures`
+//! `controller_messages` (what other daemons send), `configuration_updates`, `upstream_probes`, `readiness`, `figures`, `memory_bounds`
 //! and `status`.
 //!
 //! The state is split into parts that each own one invariant and do no I/O beyond their own connections:
-//! `Connections`, `InFlightRequests`, `UpstreamPool`, `RetryBudgets`, `ResponseTimes`, `PeerLinks`, `ControllerLinks`
-//! and `AppliedConfiguration`. `Gateway` holds one of each; the phases reach them through their methods.
+//! `Connections`, `InFlightRequests`, `UpstreamPool`, `RetryBudgets`, `ResponseTimes`, `PeerLinks`, `ControllerLinks`,
+//! `ClientMemory`, `LargeResponses` and `AppliedConfiguration`. `Gateway` holds one of each; the phases reach them through their methods.
 #![warn(missing_docs)]
 
 mod applied_configuration;
+mod client_memory;
 mod configuration_updates;
 mod connections;
 mod controller_links;
@@ -35,7 +36,9 @@
 mod invariant_checks;
 mod job_actions;
 mod job_messages;
+mod large_responses;
 mod lease_requests;
+mod memory_bounds;
 mod options;
 mod peer_links;
 mod peer_messages;
--- /dev/null
+++ b/crates/gateway/src/memory_bounds.rs
@@ -0,0 +1,91 @@
+//! Keeps the gateway within its memory: what clients make it hold, and how many large responses are read at a time.
+
+use crate::connections::ConnectionRole;
+use crate::gateway::Gateway;
+use crate::large_responses::{LARGEST_RESPONSE_BYTES, SMALL_RESPONSE_BYTES};
+use event_loop::ConnectionId;
+use invariants::{check, Invariant};
+
+/// Bytes that one client's connection makes the gateway hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ClientUsage {
+    connection: ConnectionId,
+    bytes: u64,
+}
+
+impl Gateway {
+    /// Looks at what clients hold, and closes those connections that hold most while that is too much.
+    pub fn bound_client_memory(&mut self) {
+        let mut usage = self.client_usage();
+        let held = usage.iter().map(|usage| usage.bytes).sum();
+        self.client_memory.set_held(held);
+        if !self.client_memory.is_exceeded() {
+            return;
+        }
+        usage.sort_unstable_by_key(|usage| usage.bytes);
+        while let Some(heaviest) = usage.pop().filter(|_| self.client_memory.is_exceeded()) {
+            self.evict_client(heaviest);
+        }
+        let (held, max) = (self.client_memory.held(), self.client_memory.max());
+        check(Invariant::QueueIsBounded, held <= max, || {
+            format!("client_bytes={held} max={max}")
+        });
+    }
+
+    /// A response was sent, of which a part may wait for its client. Many large ones can come within one turn of periodic work.
+    pub fn response_queued(&mut self, id: ConnectionId) {
+        let unsent = self.connections.unsent_bytes(id);
+        if unsent == 0 {
+            return;
+        }
+        self.client_memory.add_held(unsent as u64);
+        if self.client_memory.is_exceeded() {
+            self.bound_client_memory();
+        }
+    }
+
+    fn client_usage(&mut self) -> Vec<ClientUsage> {
+        let buffers = self.connections.held_bytes(self.listeners.downstream);
+        let usage = buffers.into_iter().map(|(connection, buffered)| {
+            let role = self.connections.role(connection);
+            let request = match role {
+                Some(ConnectionRole::Downstream(downstream)) => downstream.request,
+                _ => None,
+            };
+            let request = request.and_then(|id| self.requests.get(id));
+            let body = request.map_or(0, |request| request.request.body.len());
+            ClientUsage {
+                connection,
+                bytes: (buffered + body) as u64,
+            }
+        });
+        usage.collect()
+    }
+
+    fn evict_client(&mut self, usage: ClientUsage) {
+        let ClientUsage { connection, bytes } = usage;
+        let (held, max) = (self.client_memory.held(), self.client_memory.max());
+        log::warn!("gateway: client closed, memory exceeded bytes={bytes} held={held} max={max}");
+        self.downstream_closed(connection);
+        self.connections.close(connection);
+        self.client_memory.record_eviction(bytes);
+    }
+
+    /// A part of a response has come. Where it is large, no more is read until it has a permit.
+    pub fn bound_response(&mut self, id: ConnectionId) {
+        let buffered = self.connections.unread_bytes(id);
+        let taken = self.connections.upstream(id);
+        let taken = taken.map_or(0, |upstream| upstream.session.taken_bytes());
+        if buffered + taken >= SMALL_RESPONSE_BYTES && self.large_responses.request(id) {
+            self.connections.set_read_limit(id, 0);
+            self.resume_large_responses();
+        }
+    }
+
+    /// Lets those read on that have a permit now.
+    pub fn resume_large_responses(&mut self) {
+        for id in self.large_responses.resume(&mut self.connections) {
+            self.connections.set_read_limit(id, LARGEST_RESPONSE_BYTES);
+        }
+    }
+}
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -54,6 +54,8 @@
     pub apply_within_ms: u64,
     /// Milliseconds for which a job's result is retained, longer than any request lasts.
     pub job_retention_ms: u64,
+    /// Memory that the process may take, in bytes.
+    pub memory_bytes: u64,
     /// Most open connections.
     pub max_connections: usize,
     /// Reads the settings again: the controllers that they name now, or none where the file has not changed.
--- a/crates/gateway/src/request_admission.rs
+++ b/crates/gateway/src/request_admission.rs
@@ -12,6 +12,9 @@
 /// Most milliseconds that any request is held.
 const TIMEOUT_MAX_MS: u64 = 120_000;
 
+/// Seconds after which a client may come back that was rejected before its request was looked at.
+const RETRY_AFTER_S: &[u8] = b"0.250";
+
 const BAD_REQUEST: u16 = 400;
 const NOT_FOUND: u16 = 404;
 const UNAVAILABLE: u16 = 503;
@@ -21,6 +24,8 @@
 enum AdmissionError {
     /// There is no configuration yet.
     NotConfigured,
+    /// Clients make the gateway hold more than they may.
+    MemoryExceeded,
     /// No binding has the request's host and path.
     NoBinding,
     /// The client gave no id.
@@ -34,7 +39,7 @@
 impl AdmissionError {
     fn status(self) -> u16 {
         match self {
-            Self::NotConfigured => UNAVAILABLE,
+            Self::NotConfigured | Self::MemoryExceeded => UNAVAILABLE,
             Self::NoBinding => NOT_FOUND,
             Self::NoRequestId | Self::InvalidTimeout | Self::InvalidIdempotencyKey => BAD_REQUEST,
         }
@@ -43,6 +48,7 @@
     fn reason(self) -> &'static str {
         match self {
             Self::NotConfigured | Self::NoBinding => "no binding for this host and path",
+            Self::MemoryExceeded => "too much is held for clients",
             Self::NoRequestId => "the request has no id",
             Self::InvalidTimeout => "the time left is not a number",
             Self::InvalidIdempotencyKey => {
@@ -85,6 +91,9 @@
         request: &Request,
         client_request_id: &[u8],
     ) -> Result<Admission, AdmissionError> {
+        if self.client_memory.is_exceeded() {
+            return Err(AdmissionError::MemoryExceeded);
+        }
         let table = self.configuration.table();
         let table = table.ok_or(AdmissionError::NotConfigured)?;
         let (binding, function) = bind(&table, request).ok_or(AdmissionError::NoBinding)?;
@@ -162,6 +171,9 @@
             headers.push((self.options.conventions.request_id, client_request_id));
         }
         let (status, reason) = (error.status(), error.reason());
+        if status == UNAVAILABLE {
+            headers.push((self.options.conventions.retry_after, RETRY_AFTER_S));
+        }
         let failure = RequestFailure::before_admission(client_request_id, status, reason);
         self.failures.record(self.now, &failure);
         self.respond_to(id, request, status, &headers, reason.as_bytes());
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -110,6 +110,8 @@
             self.settings_checked_at = self.now;
             self.reload_settings();
         }
+        self.bound_client_memory();
+        self.resume_large_responses();
         self.lease_owner.tick(self.now);
         self.advance_jobs();
         self.maintain_controller_links();
@@ -132,6 +134,7 @@
             }
             Event::Accepted(_, id) => self.connections.set_role(id, ConnectionRole::Peer(None)),
             Event::Connected(id) => self.connected(id),
+            Event::Drained(id) => self.drained(id),
             Event::Readable(id) => self.readable(id),
             Event::Closed(id, reason) => self.closed(id, reason),
         }
@@ -161,6 +164,16 @@
         }
     }
 
+    /// All that was sent on a connection has left. A client that has read its response may have sent its next request.
+    fn drained(&mut self, id: ConnectionId) {
+        if matches!(
+            self.connections.role(id),
+            Some(ConnectionRole::Downstream(_))
+        ) {
+            self.read_next_turn(id);
+        }
+    }
+
     fn closed(&mut self, id: ConnectionId, reason: CloseReason) {
         match self.connections.role(id) {
             Some(ConnectionRole::Downstream(_)) => self.downstream_closed(id),
--- a/crates/gateway/src/upstream_probes.rs
+++ b/crates/gateway/src/upstream_probes.rs
@@ -2,8 +2,8 @@
 
 use crate::connections::{ConnectionRole, ProbedRunner};
 use crate::gateway::{Gateway, TimerEvent};
+use crate::large_responses::LARGEST_RESPONSE_BYTES;
 use crate::upstream_connection::UpstreamConnection;
-use crate::upstream_requests::UPSTREAM_BUFFER_MAX;
 use crate::upstream_responses::IDLE_MS;
 use event_loop::ConnectionId;
 
@@ -14,7 +14,9 @@
     /// Connects to a runner that is starting.
     pub fn probe_runner(&mut self, probed: ProbedRunner, address: &str) {
         let role = ConnectionRole::Probe(probed.clone());
-        let connection = self.connections.connect(address, UPSTREAM_BUFFER_MAX, role);
+        let connection = self
+            .connections
+            .connect(address, LARGEST_RESPONSE_BYTES, role);
         let Some(connection) = connection else {
             self.probe_finished(&probed, false);
             return;
--- a/crates/gateway/src/upstream_requests.rs
+++ b/crates/gateway/src/upstream_requests.rs
@@ -2,15 +2,14 @@
 
 use crate::connections::ConnectionRole;
 use crate::gateway::{Gateway, TimerEvent};
+use crate::large_responses::{LARGEST_RESPONSE_BYTES, SMALL_RESPONSE_BYTES};
 use crate::pending_request::{PendingRequest, RequestPhase, UpstreamAttempt};
 use crate::upstream_connection::UpstreamConnection;
-use crate::upstream_session::{OutstandingRequest, BODY_MAX, HEAD_MAX};
+use crate::upstream_session::OutstandingRequest;
 use event_loop::ConnectionId;
 use http1::{end_to_end, write_request};
 use protocol::{LeaseOutcome, LeaseRelease, RequestId, SeatLease};
 
-/// Most unread bytes of a connection to a runner.
-pub(crate) const UPSTREAM_BUFFER_MAX: usize = BODY_MAX + HEAD_MAX;
 /// Milliseconds before a request whose lease was in an evacuated zone requests another.
 const EVACUATED_BACKOFF_MS: u64 = 20;
 /// Bytes of a request's head that are reserved beside its body.
@@ -98,7 +97,7 @@
         let role = ConnectionRole::Upstream(UpstreamConnection::new(&lease.runner));
         let connection = self
             .connections
-            .connect(&lease.address, UPSTREAM_BUFFER_MAX, role)?;
+            .connect(&lease.address, LARGEST_RESPONSE_BYTES, role)?;
         let timeout_ms = self.options.connect_ms();
         self.connections
             .set_user_timeout(connection, timeout_ms * 2);
@@ -111,6 +110,9 @@
 
     /// Sends the request that holds a connection, unless its job must be claimed first.
     pub fn send_upstream_request(&mut self, connection: ConnectionId) {
+        self.large_responses.release(connection);
+        self.connections
+            .set_read_limit(connection, SMALL_RESPONSE_BYTES);
         let Some(upstream) = self.connections.upstream(connection) else {
             return;
         };
--- a/crates/gateway/src/upstream_responses.rs
+++ b/crates/gateway/src/upstream_responses.rs
@@ -23,6 +23,9 @@
         let conventions = &self.options.conventions;
         let event = upstream.session.bytes_received(buffer, conventions);
         self.session_event(id, event);
+        if self.large_responses.waiting() > 0 {
+            self.resume_large_responses();
+        }
     }
 
     /// Does what a connection's bytes mean for its request.
@@ -33,7 +36,7 @@
         let (request_id, runner) = (upstream.request, upstream.runner.clone());
         let sent = request_id.filter(|request_id| self.is_sent_on(*request_id, id));
         match (event, sent) {
-            (SessionEvent::Incomplete, _) => {}
+            (SessionEvent::Incomplete, _) => self.bound_response(id),
             (SessionEvent::Response(response), Some(request_id)) => {
                 self.pool_or_close(id, &response);
                 self.response_received(request_id, &response);
--- a/crates/gateway/src/upstream_session.rs
+++ b/crates/gateway/src/upstream_session.rs
@@ -88,6 +88,12 @@
         self.requests
     }
 
+    /// Bytes of the incomplete response that were taken off the connection's buffer.
+    #[must_use]
+    pub fn taken_bytes(&self) -> usize {
+        self.reader.taken_bytes()
+    }
+
     /// A request is sent on the connection.
     pub fn request_sent(&mut self, request: OutstandingRequest) {
         self.reader = ResponseReader::new(request.is_head);
--- a/crates/gateway/tests/unit/connection_reuse.rs
+++ b/crates/gateway/tests/unit/connection_reuse.rs
@@ -4,9 +4,9 @@
 use crate::connections::ConnectionRole;
 use crate::downstream_connection::DownstreamConnection;
 use crate::gateway::Gateway;
+use crate::large_responses::LARGEST_RESPONSE_BYTES;
 use crate::pending_request::{PendingRequest, RequestPhase};
 use crate::upstream_connection::UpstreamConnection;
-use crate::upstream_requests::UPSTREAM_BUFFER_MAX;
 use crate::{GatewayOptions, HttpConventions};
 use event_loop::{ConnectionId, Event};
 use http1::{Headers, Request};
@@ -72,6 +72,7 @@
         shutdown_grace_ms: 10_000,
         apply_within_ms: 10_000,
         job_retention_ms: 10_000,
+        memory_bytes: 64 << 20,
         max_connections: 64,
         reload_controllers: Box::new(|| None),
     }
@@ -93,7 +94,7 @@
         let address = listener.local_addr().unwrap().to_string();
         let pooled = gateway
             .connections
-            .connect(&address, UPSTREAM_BUFFER_MAX, role)
+            .connect(&address, LARGEST_RESPONSE_BYTES, role)
             .unwrap();
         let (runner, _) = listener.accept().unwrap();
         wait_for_event(&mut gateway, Event::Connected(pooled));
@@ -126,7 +127,7 @@
         let downstream = self
             .gateway
             .connections
-            .connect(&address, UPSTREAM_BUFFER_MAX, role);
+            .connect(&address, LARGEST_RESPONSE_BYTES, role);
         let pending = pending_request(downstream, at_most_once);
         self.gateway.requests.add(pending)
     }
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -32,6 +32,14 @@
         BodyReader::Chunked(ChunkReader::default())
     }
 
+    /// Bytes of the body that were taken off the caller's buffer.
+    pub(crate) fn taken_bytes(&self) -> usize {
+        match self {
+            BodyReader::Length(_) => 0,
+            BodyReader::Chunked(chunks) => chunks.body.len(),
+        }
+    }
+
     /// Reads on from `position` and moves it behind what is done with; the whole body once its end was found.
     pub(crate) fn read(
         &mut self,
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -111,6 +111,14 @@
         self.pending.as_ref().map(|(response, _)| response)
     }
 
+    /// Bytes of an incomplete response's body that were taken off the buffer.
+    pub fn taken_bytes(&self) -> usize {
+        match &self.pending {
+            Some((_, Delimiter::Framing(reader))) => reader.taken_bytes(),
+            Some((_, Delimiter::Close { .. })) | None => 0,
+        }
+    }
+
     /// Whether all further bytes belong to the body of a response that lasts until the peer closes.
     pub fn is_close_delimited(&self) -> bool {
         matches!(self.pending, Some((_, Delimiter::Close { .. })))
--- a/tests/cluster/src/client.rs
+++ b/tests/cluster/src/client.rs
@@ -2,6 +2,7 @@
 
 use super::runner::response_body;
 use http1::{write_request, MessageLimits, Response, ResponseReader};
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -12,6 +13,9 @@
     body_bytes: 64 << 20,
 };
 
+/// Bytes that the system takes for a client that wants few.
+const SMALL_WINDOW_BYTES: usize = 4 << 10;
+
 /// A request as a client sends it.
 #[derive(Clone, Debug, Default)]
 pub struct ClientRequest {
@@ -81,6 +85,17 @@
         })
     }
 
+    /// Opens a connection on which the system takes few bytes that the client has not read.
+    pub fn open_with_small_window(address: SocketAddr) -> Option<Self> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).ok()?;
+        socket.set_recv_buffer_size(SMALL_WINDOW_BYTES).ok()?;
+        socket.connect(&address.into()).ok()?;
+        Some(Self {
+            stream: socket.into(),
+            buffer: Vec::new(),
+        })
+    }
+
     pub fn send(&mut self, bytes: &[u8]) -> bool {
         self.stream.write_all(bytes).is_ok()
     }
--- a/tests/cluster/src/lib.rs
+++ b/tests/cluster/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod daemon;
+pub mod figures;
 pub mod operator;
 pub mod paths;
 pub mod platform;
--- a/tests/cluster/src/soak/calm.rs
+++ b/tests/cluster/src/soak/calm.rs
@@ -4,8 +4,8 @@
 use super::ledger::{Ledger, ReadRecord};
 use super::operators::{read, version_of};
 use super::oracle;
-use crate::client::{send_request, ClientRequest};
-use crate::daemon::{Daemon, CONTROL, METRICS};
+use crate::daemon::{Daemon, CONTROL};
+use crate::figures::{figure, figures};
 use std::time::{Duration, Instant};
 
 /// Time within which service is back.
@@ -220,17 +220,3 @@
     }
     findings
 }
-
-/// The figures of a daemon, as text.
-pub fn figures(daemon: &Daemon) -> Option<String> {
-    let request = ClientRequest::get("/metrics", "");
-    let response = send_request(daemon.at(METRICS), &request)?;
-    String::from_utf8(response.body).ok()
-}
-
-/// One figure of a text; `name` may bear a label.
-fn figure(text: &str, name: &str) -> Option<u64> {
-    let start = format!("hallkeel_{name} ");
-    let line = text.lines().find_map(|line| line.strip_prefix(&start))?;
-    line.trim().parse().ok()
-}
--- a/tests/hollow/src/wire_gateways.rs
+++ b/tests/hollow/src/wire_gateways.rs
@@ -161,7 +161,7 @@
                     }
                     self.event_loop.close(connection);
                 }
-                Event::Accepted(..) => {}
+                Event::Accepted(..) | Event::Drained(_) => {}
             }
         }
     }
