--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -82,6 +82,10 @@
 mod value;
 mod voter_sets;
 
+#[cfg(test)]
+#[path = "../tests/unit/committed_values.rs"]
+mod committed_values_tests;
+
 pub use action::ConsensusAction;
 pub use consensus::Consensus;
 pub use contact_lease::ContactLease;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -73,3 +73,6 @@
 #[cfg(test)]
 #[path = "../tests/unit/owner_links.rs"]
 mod owner_links_tests;
+#[cfg(test)]
+#[path = "../tests/unit/restarted_peers.rs"]
+mod restarted_peers_tests;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -121,7 +121,8 @@
         self.check_invariants();
     }
 
-    fn handle_event(&mut self, event: Event) {
+    /// Gives an event of a connection to the phase that it concerns.
+    pub fn handle_event(&mut self, event: Event) {
         match event {
             Event::Accepted(listener, id) if listener == self.listeners.downstream => {
                 self.downstream_accepted(id);
@@ -189,7 +190,7 @@
     }
 
     /// Does what the owner of seats and the coordination of jobs ask for, until they ask for nothing more.
-    fn run_actions(&mut self) {
+    pub fn run_actions(&mut self) {
         loop {
             let actions = self.lease_owner.take_actions();
             if actions.is_empty() && !self.run_job_actions() {
--- /dev/null
+++ b/crates/gateway/tests/unit/restarted_peers.rs
@@ -0,0 +1,135 @@
+//! A gateway that was started again is another one, though the link of its former incarnation has no end yet: after a loss of power
+//! nothing tells of it. Each incarnation is a socket of the test.
+
+use crate::connection_reuse_tests::options;
+use crate::gateway::Gateway;
+use protocol::{
+    frame, take_frames, FunctionUpdate, LeaseRequest, Member, Message, RequestId, RunnerStage,
+    RunnerUpdate, UpdateVersion,
+};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+const FUNCTION: &str = "function-1";
+const PEER: &str = "peer-1";
+const POLL_TIMEOUT: Duration = Duration::from_millis(5);
+const MESSAGE_WITHIN: Duration = Duration::from_secs(5);
+
+/// One incarnation of another gateway.
+struct PeerLink {
+    stream: TcpStream,
+    unread: Vec<u8>,
+}
+
+impl PeerLink {
+    fn open(address: SocketAddr, incarnation: u64) -> Self {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        let hello = Message::GatewayHello(Member {
+            name: PEER.into(),
+            incarnation,
+            address: "127.0.0.1:1".into(),
+            zone: "zone-1".into(),
+        });
+        stream.write_all(&frame(&hello)).unwrap();
+        Self {
+            stream,
+            unread: Vec::new(),
+        }
+    }
+
+    fn request_lease(&mut self, number: u64) {
+        let request = Message::LeaseRequest(LeaseRequest {
+            request_id: RequestId(number),
+            function: FUNCTION.into(),
+            priority: 0,
+            timeout_ms: 4_000,
+            excluded_runners: Vec::new(),
+            job: None,
+        });
+        self.stream.write_all(&frame(&request)).unwrap();
+    }
+
+    fn leases(&mut self) -> Vec<RequestId> {
+        let mut chunk = [0; 4_096];
+        while let Ok(count @ 1..) = self.stream.read(&mut chunk) {
+            self.unread.extend_from_slice(&chunk[..count]);
+        }
+        let (messages, _) = take_frames::<Message>(&mut self.unread);
+        let leases = messages.into_iter().filter_map(|message| match message {
+            Message::SeatLease(lease) => Some(lease.request_id),
+            _ => None,
+        });
+        leases.collect()
+    }
+}
+
+/// A gateway that owns one function with one runner of one seat.
+struct Owner {
+    gateway: Gateway,
+    address: SocketAddr,
+}
+
+impl Owner {
+    fn new() -> Self {
+        let free = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let address = free.local_addr().unwrap();
+        drop(free);
+        let mut options = options();
+        options.peer_address = address;
+        let mut gateway = Gateway::open(options).unwrap();
+        let version = UpdateVersion { term: 1, number: 1 };
+        let members = vec![gateway.identity.clone()];
+        gateway.membership_received(version, members);
+        gateway.lease_owner.update_runners(0, one_seat(version));
+        Self { gateway, address }
+    }
+
+    fn turn(&mut self) {
+        let mut events = Vec::new();
+        self.gateway.connections.poll(POLL_TIMEOUT, &mut events);
+        for event in events {
+            self.gateway.handle_event(event);
+        }
+        self.gateway.run_actions();
+        self.gateway.flush_peers();
+    }
+
+    fn wait_for_lease(&mut self, link: &mut PeerLink, number: u64) {
+        let until = Instant::now() + MESSAGE_WITHIN;
+        while !link.leases().contains(&RequestId(number)) {
+            assert!(Instant::now() < until, "no lease for request {number}");
+            self.turn();
+        }
+    }
+}
+
+fn one_seat(version: UpdateVersion) -> FunctionUpdate {
+    FunctionUpdate {
+        function: FUNCTION.into(),
+        version,
+        runners: vec![RunnerUpdate {
+            id: "runner-1".into(),
+            address: "127.0.0.1:1".into(),
+            zone: "zone-1".into(),
+            quota: 1,
+            stage: RunnerStage::Serving,
+            starts_in_ms: 0,
+        }],
+        start_block: None,
+    }
+}
+
+#[test]
+fn a_peer_that_was_started_again_is_answered_on_its_new_link() {
+    let mut owner = Owner::new();
+    let mut former = PeerLink::open(owner.address, 1);
+    former.request_lease(1);
+    owner.wait_for_lease(&mut former, 1);
+    // The former incarnation holds the only seat, and its link stays open.
+    let mut present = PeerLink::open(owner.address, 2);
+    present.request_lease(1);
+    owner.wait_for_lease(&mut present, 1);
+    assert_eq!(owner.gateway.lease_owner.usage().leased, 1);
+}
--- a/tests/cluster/src/request_log.rs
+++ b/tests/cluster/src/request_log.rs
@@ -13,6 +13,8 @@
     Misdirected,
     /// The runner had as many in flight as it may.
     OverCapacity,
+    /// Its connection was closed while the runner worked on it.
+    Abandoned,
     /// The test asked for its rejection.
     Rejected,
 }
--- a/tests/cluster/src/runner.rs
+++ b/tests/cluster/src/runner.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Header by which a test chooses the fault of the first runner of a request; others respond well.
 pub const FAULT: &str = "X-Deed";
@@ -16,6 +16,9 @@
 pub const WORK: &str = "X-Work";
 /// Header with the bytes of the response's body.
 pub const SIZE: &str = "X-Size";
+/// Work from which on a runner looks whether it is still wanted, and how often it does.
+const LOOKS_FROM: Duration = Duration::from_millis(200);
+const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 /// What a late response's body says.
 pub const LATE: &str = "this respond is late and belongs to nobody";
 
@@ -148,9 +151,12 @@
         }
         let was_here = self.record(request, id, RequestOutcome::Ran);
         let work = text(WORK).parse().unwrap_or(0);
-        // The work itself: it takes its time.
-        std::thread::sleep(Duration::from_millis(work));
+        let is_wanted = work_while_wanted(stream, Duration::from_millis(work));
         self.free_seat();
+        if !is_wanted {
+            self.record(request, id, RequestOutcome::Abandoned);
+            return false;
+        }
         let size = text(SIZE).parse().unwrap_or(0);
         let body = response_body(id, &request.method, &request.target, &request.body, size);
         let seal = format!("seal.{}.{id}", self.id);
@@ -219,6 +225,23 @@
     }
 }
 
+/// The work itself: it takes its time. False where the connection was closed meanwhile; short work is done in any case.
+fn work_while_wanted(stream: &TcpStream, work: Duration) -> bool {
+    if work < LOOKS_FROM {
+        std::thread::sleep(work);
+        return true;
+    }
+    let ends_at = Instant::now() + work;
+    let mut is_wanted = true;
+    while is_wanted && Instant::now() < ends_at {
+        std::thread::sleep(LOOK_INTERVAL);
+        let _ = stream.set_nonblocking(true);
+        is_wanted = !matches!(stream.peek(&mut [0]), Ok(0));
+        let _ = stream.set_nonblocking(false);
+    }
+    is_wanted
+}
+
 /// The body that a runner responses a request with.
 pub fn response_body(id: &str, method: &str, target: &str, body: &[u8], size: usize) -> Vec<u8> {
     let mut respond = format!("{id} {method} {target} ").into_bytes();
