gateway: a request that may be repeated ends at its runner when its client has left

Cause: downstream_closed let every request go on that had been sent, for the reason that holds for those alone that must run once. Class: a rule for one kind of request applied to all. Looked for elsewhere: retries and overdue responses ask the kind (may_be_retried, request_may_run, retry_after_error); jobs go on, since copies may wait for their result.

Change: the attempt of a request that may be repeated and has no key is abandoned: the connection to its runner is closed and its seat given back as unused, so that the runner is not taken for one that fails.

--- a/crates/gateway/src/downstream_requests.rs
+++ b/crates/gateway/src/downstream_requests.rs
@@ -119,8 +119,8 @@
         self.connections.close_after_flush(id);
     }
 
-    /// A client has left. A request that was sent to a runner goes on, since it may run once only; any other is
-    /// cancelled.
+    /// A client has left. A request that was sent to a runner goes on where it must run once, since its outcome may be kept for a
+    /// copy of it, or be looked for in vain. Any other is cancelled, and its runner let go.
     pub fn downstream_closed(&mut self, id: ConnectionId) {
         let connection = self.connections.downstream(id);
         let Some(request_id) = connection.and_then(|connection| connection.request) else {
@@ -131,7 +131,9 @@
         };
         request.downstream = None;
         match &request.phase {
-            RequestPhase::Upstream(attempt) if attempt.is_sent => return,
+            RequestPhase::Upstream(attempt) if attempt.is_sent && request.runs_to_its_end() => {
+                return
+            }
             RequestPhase::Upstream(attempt) => {
                 let owner = attempt.owner.clone();
                 self.abandon_attempt(request_id);
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -143,6 +143,11 @@
         self.attempt().is_some_and(|attempt| attempt.is_sent)
     }
 
+    /// Whether it goes on at its runner though its client has left.
+    pub fn runs_to_its_end(&self) -> bool {
+        self.at_most_once || self.job.is_some()
+    }
+
     /// Whether it holds a lease and may not be sent yet, since its job is not claimed.
     pub fn awaits_claim(&self) -> bool {
         let is_unsent = self.attempt().is_some_and(|attempt| !attempt.is_sent);
--- a/crates/gateway/src/upstream_requests.rs
+++ b/crates/gateway/src/upstream_requests.rs
@@ -196,7 +196,7 @@
         self.timers.schedule(self.now + overdue_after_ms, overdue);
     }
 
-    /// A request that was not sent gives up its connection and its lease.
+    /// A request that was not sent, or whose client has left, gives up its connection and its lease.
     pub fn abandon_attempt(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(id) else {
             return;
