gateway: a peer that was started again is another one

Cause: links with other gateways were known by name. After a loss of power the former link has no end yet; a gateway that came back was answered on it, so that its requests found no owner until the system gave the link up, and its former incarnation's seats stayed leased while numbers of requests begin anew. Class: identity by name in place of incarnation. Looked for elsewhere: controllers' table of gateways and the scaler compare incarnations already; jobs do; consensus does (identities). The end of a link that was not in use any more also took its gateway for dead.

Change: a link bears the incarnation of the gateway at its other end. An introduction of another one ends all that the former held; one on a silent link replaces it; the end of a link that is not used says nothing.

--- a/crates/gateway/src/peer_links.rs
+++ b/crates/gateway/src/peer_links.rs
@@ -16,6 +16,8 @@
 
 struct PeerLink {
     connection: ConnectionId,
+    /// Incarnation of the gateway at the other end, as far as is known.
+    incarnation: u64,
     heard_at: u64,
     pinged_at: u64,
     /// Messages of this turn of the loop, which leave in one write.
@@ -33,6 +35,17 @@
     Silent,
 }
 
+/// What a gateway that has introduced itself is to the link with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Introduction {
+    /// There is no link, or one that it does not use any more.
+    New,
+    /// The link is with an incarnation that has ended, and with it all that was agreed.
+    Restarted,
+    /// The link is in use; both may have opened one at the same time.
+    SecondLink,
+}
+
 /// Links with other gateways, by name.
 #[derive(Default)]
 pub(crate) struct PeerLinks {
@@ -52,10 +65,11 @@
         self.links.len()
     }
 
-    /// Adds a link over a connection.
-    pub fn add(&mut self, name: &str, connection: ConnectionId, now: u64) {
+    /// Adds a link with a gateway's incarnation over a connection, in place of any former one.
+    pub fn add(&mut self, name: &str, incarnation: u64, connection: ConnectionId, now: u64) {
         let link = PeerLink {
             connection,
+            incarnation,
             heard_at: now,
             pinged_at: 0,
             outbox: Vec::new(),
@@ -63,6 +77,23 @@
         self.links.insert(name.into(), link);
     }
 
+    /// What a gateway that has introduced itself on a connection is to the link with it.
+    pub fn introduction(&self, name: &str, incarnation: u64, now: u64) -> Introduction {
+        match self.links.get(name) {
+            None => Introduction::New,
+            Some(link) if link.incarnation != incarnation => Introduction::Restarted,
+            // Nothing was heard on the link lately, and the peer has opened another: it knows the link no more.
+            Some(link) if now > link.heard_at + PING_AFTER_MS => Introduction::New,
+            Some(_) => Introduction::SecondLink,
+        }
+    }
+
+    /// Whether messages to a gateway are sent on this connection.
+    pub fn is_current(&self, name: &str, connection: ConnectionId) -> bool {
+        let link = self.links.get(name);
+        link.is_some_and(|link| link.connection == connection)
+    }
+
     /// Queues a message until the next flush; without a link it is dropped.
     pub fn queue(&mut self, name: &str, message: &Message) {
         if let Some(link) = self.links.get_mut(name) {
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -2,7 +2,7 @@
 
 use crate::connections::ConnectionRole;
 use crate::gateway::{Gateway, LINK_BUFFER_MAX};
-use crate::peer_links::{Liveness, PING_AFTER_MS};
+use crate::peer_links::{Introduction, Liveness, PING_AFTER_MS};
 use event_loop::ConnectionId;
 use protocol::{frame, take_frames, Member, Message};
 
@@ -19,6 +19,7 @@
         let Some(member) = self.configuration.member(name) else {
             return false;
         };
+        let incarnation = member.incarnation;
         let role = ConnectionRole::Peer(Some(name.into()));
         let connection = self
             .connections
@@ -28,7 +29,7 @@
         };
         let hello = frame(&Message::GatewayHello(self.identity.clone()));
         self.connections.send(connection, &hello);
-        self.peers.add(name, connection, self.now);
+        self.peers.add(name, incarnation, connection, self.now);
         true
     }
 
@@ -81,10 +82,16 @@
     }
 
     fn peer_introduced(&mut self, id: ConnectionId, member: &Member) {
-        let role = ConnectionRole::Peer(Some(member.name.clone()));
+        let (name, incarnation) = (&member.name, member.incarnation);
+        let introduction = self.peers.introduction(name, incarnation, self.now);
+        if introduction == Introduction::Restarted {
+            log::info!("gateway: peer restarted gateway={name} incarnation={incarnation:x}");
+            self.peer_died(name);
+        }
+        let role = ConnectionRole::Peer(Some(name.clone()));
         self.connections.set_role(id, role);
-        if !self.peers.contains(&member.name) {
-            self.peers.add(&member.name, id, self.now);
+        if introduction != Introduction::SecondLink {
+            self.peers.add(name, incarnation, id, self.now);
         }
     }
 
@@ -156,7 +163,8 @@
     pub fn link_closed(&mut self, id: ConnectionId) {
         match self.connections.role(id) {
             Some(ConnectionRole::Controller(address)) => self.controllers.end(address),
-            Some(ConnectionRole::Peer(Some(name))) => {
+            // The end of a link that is not used says nothing of the peer.
+            Some(ConnectionRole::Peer(Some(name))) if self.peers.is_current(name, id) => {
                 let name = name.clone();
                 self.peer_died(&name);
             }
