controller: a second introduction on one link keeps the link

Cause: the former connection of a gateway was closed without a look whether it is the present one; the gateway stayed in the table until it was silent. Change: a connection that is still the gateway's is kept. Runs: cluster_hello failed before, passes after.

--- a/crates/controller/src/gateway_table.rs
+++ b/crates/controller/src/gateway_table.rs
@@ -58,8 +58,10 @@
             outbox: Outbox::new(connection),
             heard_at: context.status.now,
         };
-        if let Some(former) = self.gateways.insert(name.clone(), gateway) {
-            let former = former.outbox.connection();
+        let former = self.gateways.insert(name.clone(), gateway);
+        let former = former.map(|former| former.outbox.connection());
+        // A gateway may introduce itself again on the link that it has.
+        if let Some(former) = former.filter(|former| *former != connection) {
             self.names.remove(&former);
             context.connections.close(former);
         }
