Failing tests: leases do not live and die with the link of their gateway

A lease that was sent on a link which its peer had given up stays, once the peer has opened another link; and a peer tells what it uses only with the next request of the function.

--- a/crates/gateway/tests/unit/owner_links.rs
+++ b/crates/gateway/tests/unit/owner_links.rs
@@ -236,3 +236,17 @@
     changes.admit_request();
     changes.wait_for_report(1);
 }
+
+#[test]
+fn an_owner_learns_of_the_seats_in_use_as_soon_as_there_is_a_link_again() {
+    let mut changes = OwnerChanges::new();
+    changes.make_owner(0);
+    let id = changes.admit_request();
+    changes.lease_and_send(id);
+    changes.forget_owner(0);
+    // Whatever the message is, the report goes before it.
+    changes
+        .gateway
+        .send_to_peer(changes.owners[0].name, &Message::Ping(1));
+    changes.wait_for_report(0);
+}
--- a/crates/gateway/tests/unit/restarted_peers.rs
+++ b/crates/gateway/tests/unit/restarted_peers.rs
@@ -13,6 +13,8 @@
 
 const FUNCTION: &str = "function-1";
 const PEER: &str = "peer-1";
+/// Milliseconds of silence after which a link is taken for one that its peer does not use any more.
+const SILENT_FOR_MS: u64 = 1_000;
 const POLL_TIMEOUT: Duration = Duration::from_millis(5);
 const MESSAGE_WITHIN: Duration = Duration::from_secs(5);
 
@@ -133,3 +135,17 @@
     owner.wait_for_lease(&mut present, 1);
     assert_eq!(owner.gateway.lease_owner.usage().leased, 1);
 }
+
+#[test]
+fn seats_that_a_peer_held_over_a_link_that_it_replaced_are_free() {
+    let mut owner = Owner::new();
+    let mut former = PeerLink::open(owner.address, 1);
+    former.request_lease(1);
+    owner.wait_for_lease(&mut former, 1);
+    // The lease never reached the peer, which took this gateway for dead and opened another link.
+    owner.gateway.now += SILENT_FOR_MS;
+    let mut present = PeerLink::open(owner.address, 1);
+    present.request_lease(2);
+    owner.wait_for_lease(&mut present, 2);
+    assert_eq!(owner.gateway.lease_owner.usage().leased, 1);
+}
