gateway: leases live and die with the link of their gateway

Cause: an owner kept what it had leased over a link after its peer had given that link up and opened another: a lease that was lost with the former link stayed. The peer in turn told which seats it uses only with its next request of a function, so that an owner which had forgotten it lent them twice until then. Class: state agreed over a session that outlives the session on one side.

Change: an introduction on a silent link, or of another incarnation, ends all that was agreed over the former. With each new link a gateway tells at once which of the owner's seats it uses; the report stands in place of what was known. Twin: the link that the other side opened is a session like the own one, and is reported on likewise.

--- a/crates/gateway/src/lease_requests.rs
+++ b/crates/gateway/src/lease_requests.rs
@@ -118,9 +118,23 @@
 
     /// Reports the seats that this gateway uses to a function's owner, if it is a new one; it may be this gateway itself.
     pub fn report_leases_to_new_owner(&mut self, owner: &str, function: &str) {
-        if !self.peers.is_new_owner(function, owner) {
-            return;
+        if self.peers.remember_owner(function, owner) {
+            self.report_leases(owner, function);
         }
+    }
+
+    /// Reports the seats that this gateway uses to an owner with which there is a new link. An owner's knowledge of a gateway lives
+    /// and dies with the link between them.
+    pub fn report_leases_over_new_link(&mut self, owner: &str) {
+        for function in self.functions_in_use() {
+            if self.owner_of(&function).as_deref() == Some(owner) {
+                self.peers.remember_owner(&function, owner);
+                self.report_leases(owner, &function);
+            }
+        }
+    }
+
+    fn report_leases(&mut self, owner: &str, function: &str) {
         let runners = self.leases_in_use(function);
         if runners.is_empty() {
             return;
--- a/crates/gateway/src/peer_links.rs
+++ b/crates/gateway/src/peer_links.rs
@@ -38,10 +38,11 @@
 /// What a gateway that has introduced itself is to the link with it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Introduction {
-    /// There is no link, or one that it does not use any more.
+    /// There is no link.
     New,
-    /// The link is with an incarnation that has ended, and with it all that was agreed.
-    Restarted,
+    /// The link is with an incarnation that has ended, or was silent and is not used by its peer any more. All that was agreed
+    /// over it has ended.
+    Replaced,
     /// The link is in use; both may have opened one at the same time.
     SecondLink,
 }
@@ -81,9 +82,8 @@
     pub fn introduction(&self, name: &str, incarnation: u64, now: u64) -> Introduction {
         match self.links.get(name) {
             None => Introduction::New,
-            Some(link) if link.incarnation != incarnation => Introduction::Restarted,
-            // Nothing was heard on the link lately, and the peer has opened another: it knows the link no more.
-            Some(link) if now > link.heard_at + PING_AFTER_MS => Introduction::New,
+            Some(link) if link.incarnation != incarnation => Introduction::Replaced,
+            Some(link) if now > link.heard_at + PING_AFTER_MS => Introduction::Replaced,
             Some(_) => Introduction::SecondLink,
         }
     }
@@ -156,8 +156,8 @@
         self.suspects.clear();
     }
 
-    /// Remembers the owner of a function; whether it is another one than last time.
-    pub fn is_new_owner(&mut self, function: &str, owner: &str) -> bool {
+    /// Remembers the owner of a function. Returns whether it is another one than last time.
+    pub fn remember_owner(&mut self, function: &str, owner: &str) -> bool {
         let known = self.known_owners.get(function);
         if known.is_some_and(|known| known == owner) {
             return false;
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -30,6 +30,7 @@
         let hello = frame(&Message::GatewayHello(self.identity.clone()));
         self.connections.send(connection, &hello);
         self.peers.add(name, incarnation, connection, self.now);
+        self.report_leases_over_new_link(name);
         true
     }
 
@@ -84,14 +85,16 @@
     fn peer_introduced(&mut self, id: ConnectionId, member: &Member) {
         let (name, incarnation) = (&member.name, member.incarnation);
         let introduction = self.peers.introduction(name, incarnation, self.now);
-        if introduction == Introduction::Restarted {
-            log::info!("gateway: peer restarted gateway={name} incarnation={incarnation:x}");
+        if introduction == Introduction::Replaced {
+            log::info!("gateway: peer link replaced gateway={name} incarnation={incarnation:x}");
             self.peer_died(name);
         }
         let role = ConnectionRole::Peer(Some(name.clone()));
         self.connections.set_role(id, role);
         if introduction != Introduction::SecondLink {
             self.peers.add(name, incarnation, id, self.now);
+            self.peers.record_heard(name, self.now);
+            self.report_leases_over_new_link(name);
         }
     }
 
