--- a/tests/cluster/src/bin/hallkeel-soak.rs
+++ b/tests/cluster/src/bin/hallkeel-soak.rs
@@ -70,11 +70,12 @@
 
 fn print(report: &SoakReport) {
     println!(
-        "seed {}: {} faults, {} requests, {} good, {} changes, {} reads, {} findings",
+        "seed {}: {} faults, {} requests, {} good, {} jobs, {} changes, {} reads, {} findings",
         report.schedule.seed,
         report.schedule.faults.len(),
         report.requests,
         report.answered,
+        report.jobs,
         report.changes,
         report.reads,
         report.findings.len()
--- /dev/null
+++ b/tests/cluster/src/soak/jobs.rs
@@ -0,0 +1,91 @@
+//! Clients that send one job, under one idempotency key, through several gateways at once and again after a failure.
+
+use super::ledger::{JobCopy, JobRecord, Ledger};
+use crate::client::{send_request, ClientRequest};
+use crate::runner::{FAULT, SIZE, WORK};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+const KEY: &str = "Idempotency-Key";
+/// Keeps this client's random numbers apart from those of the others.
+const SEED_OFFSET: u64 = 0x6a6f_6273;
+/// Times that a job is sent anew where no copy of it was answered.
+const ROUNDS_MAX: usize = 4;
+const SUCCESS: u16 = 200;
+
+/// Sends jobs until it is told to stop.
+pub fn run(seed: u64, number: u64, gateways: &[SocketAddr], ledger: &Ledger, is_over: &AtomicBool) {
+    let mut random = StdRng::seed_from_u64((seed ^ SEED_OFFSET).wrapping_add(number));
+    let mut sent = 0;
+    while !is_over.load(Ordering::SeqCst) {
+        sent += 1;
+        let key = format!("job-{number}-{sent}");
+        let record = run_job(&key, &mut random, gateways, is_over);
+        ledger.record_job(record);
+        std::thread::sleep(Duration::from_millis(random.random_range(5..60)));
+    }
+}
+
+fn run_job(
+    key: &str,
+    random: &mut StdRng,
+    gateways: &[SocketAddr],
+    is_over: &AtomicBool,
+) -> JobRecord {
+    let mut record = JobRecord {
+        key: key.into(),
+        copies: Vec::new(),
+    };
+    let work = random.random_range(0..120);
+    let size = random.random_range(0..4_000);
+    let fault = random.random_ratio(1, 8).then_some("lose");
+    for round in 0..ROUNDS_MAX {
+        let copies: Vec<(ClientRequest, SocketAddr)> = (0..random.random_range(1..4))
+            .map(|number| {
+                let id = format!("{key}-{round}-{number}");
+                let mut request = ClientRequest::get("/write/job", &id)
+                    .post(key.as_bytes())
+                    .with(KEY, key)
+                    .with(WORK, work)
+                    .with(SIZE, size);
+                if let Some(fault) = fault {
+                    request = request.with(FAULT, fault);
+                }
+                (request, gateways[random.random_range(0..gateways.len())])
+            })
+            .collect();
+        record.copies.extend(send_copies(copies));
+        let is_answered = record
+            .copies
+            .iter()
+            .any(|copy| copy.status == Some(SUCCESS));
+        if is_answered || is_over.load(Ordering::SeqCst) {
+            break;
+        }
+    }
+    record
+}
+
+/// Sends copies of a job at the same time.
+fn send_copies(copies: Vec<(ClientRequest, SocketAddr)>) -> Vec<JobCopy> {
+    std::thread::scope(|scope| {
+        let sent: Vec<_> = copies
+            .into_iter()
+            .map(|(request, gateway)| scope.spawn(move || send_copy(&request, gateway)))
+            .collect();
+        let ended = sent.into_iter();
+        ended.map(|one| one.join().expect("a copy ends")).collect()
+    })
+}
+
+fn send_copy(request: &ClientRequest, gateway: SocketAddr) -> JobCopy {
+    let response = send_request(gateway, request);
+    JobCopy {
+        id: request.id.clone(),
+        status: response.as_ref().map(|response| response.status),
+        body: response.map(|response| response.body).unwrap_or_default(),
+    }
+}
--- a/tests/cluster/src/soak/ledger.rs
+++ b/tests/cluster/src/soak/ledger.rs
@@ -71,10 +71,27 @@
     pub document: Value,
 }
 
+/// One copy of a job, as its client sent it.
+#[derive(Clone, Debug)]
+pub struct JobCopy {
+    pub id: String,
+    /// None where no whole response came.
+    pub status: Option<u16>,
+    pub body: Vec<u8>,
+}
+
+/// All copies of one job, which have the same idempotency key.
+#[derive(Clone, Debug)]
+pub struct JobRecord {
+    pub key: String,
+    pub copies: Vec<JobCopy>,
+}
+
 /// All that clients and operators saw in a run.
 #[derive(Default)]
 pub struct Ledger {
     requests: Mutex<Vec<ClientRecord>>,
+    jobs: Mutex<Vec<JobRecord>>,
     changes: Mutex<Vec<ChangeRecord>>,
     reads: Mutex<Vec<ReadRecord>>,
 }
@@ -84,6 +101,10 @@
         self.requests.lock().unwrap().push(record);
     }
 
+    pub fn record_job(&self, record: JobRecord) {
+        self.jobs.lock().unwrap().push(record);
+    }
+
     pub fn record_change(&self, record: ChangeRecord) {
         self.changes.lock().unwrap().push(record);
     }
@@ -96,6 +117,10 @@
         self.requests.lock().unwrap().clone()
     }
 
+    pub fn jobs(&self) -> Vec<JobRecord> {
+        self.jobs.lock().unwrap().clone()
+    }
+
     pub fn changes(&self) -> Vec<ChangeRecord> {
         self.changes.lock().unwrap().clone()
     }
--- a/tests/cluster/src/soak/mod.rs
+++ b/tests/cluster/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod calm;
 mod fault;
 mod injector;
+mod jobs;
 mod ledger;
 mod misbehaving;
 mod operators;
--- a/tests/cluster/src/soak/oracle.rs
+++ b/tests/cluster/src/soak/oracle.rs
@@ -1,6 +1,9 @@
 //! Judges a run by what the runners received and what clients and operators were answered, and by nothing that the daemons say.
 
-use super::ledger::{ChangeOutcome, ChangeRecord, ClientOutcome, ClientRecord, Ledger, ReadRecord};
+use super::ledger::{
+    ChangeOutcome, ChangeRecord, ClientOutcome, ClientRecord, JobCopy, JobRecord, Ledger,
+    ReadRecord,
+};
 use super::operators::version_of;
 use crate::request_log::{ReceivedRequest, RequestOutcome};
 use std::collections::BTreeMap;
@@ -22,6 +25,9 @@
         );
     }
     judge_misbehaving(&runs, received, &mut broken);
+    for job in &ledger.jobs() {
+        judge_job(job, &runs, &mut broken);
+    }
     let (changes, reads) = (ledger.changes(), ledger.reads());
     judge_changes(&changes, &mut broken);
     judge_reads(&changes, &reads, &mut broken);
@@ -69,6 +75,41 @@
     }
 }
 
+/// A job runs once at most, and all copies that are answered get the same response.
+fn judge_job(job: &JobRecord, runs: &BTreeMap<String, usize>, broken: &mut Vec<String>) {
+    let runs_of = |copy: &JobCopy| runs.get(&copy.id).copied().unwrap_or(0);
+    let total: usize = job.copies.iter().map(runs_of).sum();
+    if total > 1 {
+        let told: Vec<_> = job
+            .copies
+            .iter()
+            .map(|copy| (copy.status, runs_of(copy)))
+            .collect();
+        broken.push(format!("TWICE: {} ran {total} times: {told:?}", job.key));
+    }
+    for copy in &job.copies {
+        let is_promise = copy.status.is_some_and(|status| PROMISES.contains(&status));
+        if is_promise && runs_of(copy) > 0 {
+            broken.push(format!(
+                "REFUSED: {} ran and was told {:?}",
+                copy.id, copy.status
+            ));
+        }
+    }
+    let answered = job.copies.iter().filter(|copy| copy.status == Some(200));
+    let mut bodies: Vec<&Vec<u8>> = answered.map(|copy| &copy.body).collect();
+    bodies.dedup();
+    if bodies.len() > 1 {
+        broken.push(format!(
+            "MIXED: copies of {} got different responses",
+            job.key
+        ));
+    }
+    if bodies.len() == 1 && total == 0 {
+        broken.push(format!("MIXED: {} was answered and ran nowhere", job.key));
+    }
+}
+
 /// Requests of misbehaving clients run at most once too, where they must.
 fn judge_misbehaving(
     runs: &BTreeMap<String, usize>,
--- a/tests/cluster/src/soak/run.rs
+++ b/tests/cluster/src/soak/run.rs
@@ -1,6 +1,7 @@
 //! One run: the cluster is started, faults and traffic overlap, all is healed, and the promises are judged.
 
 use super::injector::Injector;
+use super::jobs;
 use super::ledger::Ledger;
 use super::misbehaving;
 use super::operators::{run_reader, Operator};
@@ -15,7 +16,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-const CLIENTS: usize = 12;
+const CLIENTS: usize = 20;
+const JOB_CLIENTS: u64 = 3;
 const SUPERVISION_INTERVAL: Duration = Duration::from_millis(20);
 /// Retries that are free in each span.
 const RETRY_SLACK: u32 = 200;
@@ -35,6 +37,7 @@
     pub findings: Vec<String>,
     pub requests: usize,
     pub answered: usize,
+    pub jobs: usize,
     pub changes: usize,
     pub reads: usize,
     /// Where the data and logs are, if there are findings.
@@ -89,6 +92,9 @@
             scope.spawn(move || Client::new(seed, number, gateways, ledger).run(is_over));
         }
         scope.spawn(move || misbehaving::run(seed, gateways, is_over));
+        for number in 0..JOB_CLIENTS {
+            scope.spawn(move || jobs::run(seed, number, gateways, ledger, is_over));
+        }
         scope.spawn(move || Operator::new(seed, controllers, ledger, 1).run(is_over));
         scope.spawn(move || run_reader(seed, controllers, ledger, is_over));
         inject(injector, schedule);
@@ -154,6 +160,7 @@
         schedule,
         answered: answered.count(),
         requests: requests.len(),
+        jobs: ledger.jobs().len(),
         changes: ledger.changes().len(),
         reads: ledger.reads().len(),
         folder: (!findings.is_empty()).then_some(folder),
--- a/tests/cluster/src/soak/traffic.rs
+++ b/tests/cluster/src/soak/traffic.rs
@@ -15,6 +15,12 @@
 /// Requests after which a client opens another connection.
 const REQUESTS_PER_CONNECTION: usize = 12;
 const LARGEST_BODY: usize = 20_000;
+/// One response in so many may be as large as this.
+const HUGE_ONE_IN: u32 = 40;
+const HUGE_BODY: usize = 2_000_000;
+/// One request in so many may take longer than any route allows.
+const ENDLESS_ONE_IN: u32 = 60;
+const ENDLESS_WORK_MS: u64 = 9_000;
 /// Faults of runners that a request may ask for.
 const RUNNER_FAULTS: [&str; 8] = [
     "lose",
@@ -87,10 +93,14 @@
             8 => ("/moving/x", false),
             _ => ("/rare/x", false),
         };
-        let size = self.random.random_range(0..LARGEST_BODY);
+        let is_huge = self.random.random_ratio(1, HUGE_ONE_IN);
+        let largest = if is_huge { HUGE_BODY } else { LARGEST_BODY };
+        let size = self.random.random_range(0..largest);
+        let is_endless = self.random.random_ratio(1, ENDLESS_ONE_IN);
+        let longest_ms = if is_endless { ENDLESS_WORK_MS } else { 60 };
         let mut request = ClientRequest::get(target, &id)
             .with(SIZE, size)
-            .with(WORK, self.random.random_range(0..60));
+            .with(WORK, self.random.random_range(longest_ms / 60..longest_ms));
         if at_most_once {
             let body = vec![b'b'; self.random.random_range(0..2_000)];
             request = request.post(&body);
