Failing test: what came over a given-up link outlives it

A partition holds links back with what was sent on them; once it heals, reports of seats come that were given back over a later link.

--- a/crates/gateway/tests/unit/restarted_peers.rs
+++ b/crates/gateway/tests/unit/restarted_peers.rs
@@ -4,8 +4,8 @@
 use crate::connection_reuse_tests::options;
 use crate::gateway::Gateway;
 use protocol::{
-    frame, take_frames, FunctionUpdate, LeaseRequest, Member, Message, RequestId, RunnerStage,
-    RunnerUpdate, UpdateVersion,
+    frame, take_frames, FunctionUpdate, LeaseRequest, Member, Message, RequestId, RunnerLeases,
+    RunnerStage, RunnerUpdate, UpdateVersion,
 };
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -53,6 +53,19 @@
         self.stream.write_all(&frame(&request)).unwrap();
     }
 
+    fn report_seat_in_use(&mut self, number: u64) {
+        let report = Message::LeasesInUse {
+            function: FUNCTION.into(),
+            runners: vec![RunnerLeases {
+                runner: "runner-1".into(),
+                address: "127.0.0.1:1".into(),
+                zone: "zone-1".into(),
+                requests: vec![RequestId(number)],
+            }],
+        };
+        self.stream.write_all(&frame(&report)).unwrap();
+    }
+
     fn leases(&mut self) -> Vec<RequestId> {
         let mut chunk = [0; 4_096];
         while let Ok(count @ 1..) = self.stream.read(&mut chunk) {
@@ -105,6 +118,23 @@
             self.turn();
         }
     }
+
+    /// Waits until a report of the seat of this request alone was taken.
+    fn wait_for_holder(&mut self, number: u64) {
+        let until = Instant::now() + MESSAGE_WITHIN;
+        while !self.gateway.lease_owner.is_holder(PEER, RequestId(number)) {
+            assert!(Instant::now() < until, "the report was not taken");
+            self.turn();
+        }
+    }
+
+    fn wait_for_leased_seats(&mut self, seats: u64) {
+        let until = Instant::now() + MESSAGE_WITHIN;
+        while self.gateway.lease_owner.usage().leased != seats {
+            assert!(Instant::now() < until, "not {seats} seats are leased");
+            self.turn();
+        }
+    }
 }
 
 fn one_seat(version: UpdateVersion) -> FunctionUpdate {
@@ -149,3 +179,21 @@
     owner.wait_for_lease(&mut present, 2);
     assert_eq!(owner.gateway.lease_owner.usage().leased, 1);
 }
+
+#[test]
+fn what_came_over_a_link_that_its_peer_gave_up_ends_with_that_link() {
+    let mut owner = Owner::new();
+    let mut present = PeerLink::open(owner.address, 1);
+    present.request_lease(1);
+    owner.wait_for_lease(&mut present, 1);
+    // A link of the same incarnation, which a partition held back together with what was sent on it.
+    let mut held_back = PeerLink::open(owner.address, 1);
+    held_back.report_seat_in_use(5);
+    owner.wait_for_holder(5);
+    drop(held_back);
+    owner.wait_for_leased_seats(0);
+    // The peer begins anew.
+    let mut next = PeerLink::open(owner.address, 1);
+    next.request_lease(6);
+    owner.wait_for_lease(&mut next, 6);
+}
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -335,6 +335,13 @@
         usage
     }
 
+    /// Whether a request of a gateway holds a seat or waits for one.
+    #[must_use]
+    pub fn is_holder(&self, gateway: &str, request_id: RequestId) -> bool {
+        let holder = LeaseHolder::new(gateway, request_id);
+        self.function_by_holder.contains_key(&holder)
+    }
+
     /// Number of functions that are known here.
     #[must_use]
     pub fn len(&self) -> usize {
