gateway: the end of any link with a peer ends what was agreed with it

Cause: links that a partition held back are delivered together once it heals, in any order; a report on one of them concerns requests whose release went over another and came first.

--- a/crates/gateway/src/peer_links.rs
+++ b/crates/gateway/src/peer_links.rs
@@ -88,12 +88,6 @@
         }
     }
 
-    /// Whether messages to a gateway are sent on this connection.
-    pub fn is_current(&self, name: &str, connection: ConnectionId) -> bool {
-        let link = self.links.get(name);
-        link.is_some_and(|link| link.connection == connection)
-    }
-
     /// Queues a message until the next flush; without a link it is dropped.
     pub fn queue(&mut self, name: &str, message: &Message) {
         if let Some(link) = self.links.get_mut(name) {
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -166,8 +166,9 @@
     pub fn link_closed(&mut self, id: ConnectionId) {
         match self.connections.role(id) {
             Some(ConnectionRole::Controller(address)) => self.controllers.end(address),
-            // The end of a link that is not used says nothing of the peer.
-            Some(ConnectionRole::Peer(Some(name))) if self.peers.is_current(name, id) => {
+            // Also where another link is used: links may come in another order than they were opened, and messages over both may
+            // concern the same requests. What is agreed begins anew once all links have ended.
+            Some(ConnectionRole::Peer(Some(name))) => {
                 let name = name.clone();
                 self.peer_died(&name);
             }
