--- a/tests/cluster/src/daemon.rs
+++ b/tests/cluster/src/daemon.rs
@@ -23,6 +23,7 @@
     has_disk: bool,
     /// Where it listens for other daemons, if a relay stands at its own address.
     behind_relay: Option<IpAddr>,
+    descriptors: Option<usize>,
     child: Option<Child>,
 }
 
@@ -44,10 +45,27 @@
             is_controller,
             has_disk: is_controller,
             behind_relay: None,
+            descriptors: None,
             child: None,
         }
     }
 
+    /// Has so few file descriptors from the next start on, whatever its settings say.
+    pub fn limit_descriptors(&mut self, descriptors: usize) {
+        self.descriptors = Some(descriptors);
+    }
+
+    /// The program, begun by a shell where the system is to allow it less.
+    fn command(&self, program: &Path) -> Command {
+        let Some(descriptors) = self.descriptors else {
+            return Command::new(program);
+        };
+        let mut command = Command::new("sh");
+        let script = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
+        command.arg("-c").arg(script).arg(program);
+        command
+    }
+
     /// Listens for other daemons at another ip than the one by which they know it, since a relay stands there.
     pub fn listen_behind_relay(&mut self, ip: IpAddr) {
         self.behind_relay = Some(ip);
@@ -77,7 +95,7 @@
             .append(true)
             .open(self.log())
             .unwrap();
-        let mut command = Command::new(program);
+        let mut command = self.command(&program);
         if let Some(ip) = self.behind_relay {
             command.args(["--internal-listen-ip", &ip.to_string()]);
         }
