event_loop: a listener pauses when the system has no descriptors

Cause: an accept that fails for want of descriptors leaves the connection waiting, and the listener was armed again at once: a loop without a pause. Class: an error of the process taken for one of a connection. Twin: controllers and machines without a disk accept over the same loop.

--- a/crates/event_loop/src/event_loop.rs
+++ b/crates/event_loop/src/event_loop.rs
@@ -1,5 +1,6 @@
 //! The loop that owns the sockets, waits for readiness and turns it into events.
 
+mod accepting;
 mod buffers;
 
 use mio::net::TcpStream;
@@ -9,7 +10,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::connection::{CloseReason, ConnectProgress, Connection, ConnectionId, WriteOutcome};
 use crate::event::Event;
@@ -24,9 +25,6 @@
 /// Bytes that one read takes from a socket. A read buffer exceeds its limit by less than this.
 const READ_CHUNK_BYTES: usize = 64 << 10;
 
-/// Most connections that are accepted in a row, so that a storm of them doesn't hold up the established ones.
-const MAX_ACCEPTS_PER_EVENT: usize = 64;
-
 /// All connections of a daemon, and the one place at which it waits.
 pub struct EventLoop {
     poll: Poll,
@@ -34,6 +32,8 @@
     connections: Slab<Connection>,
     last_generation: u32,
     listeners: Listeners,
+    /// Listeners that accept nobody for a while, and since when.
+    paused_listeners: Vec<(ListenerId, Instant)>,
     /// Connections that stopped reading because their read buffer was full.
     read_paused: Vec<ConnectionId>,
     /// Connections that had bytes in the last poll, whose owner may have taken them since.
@@ -58,6 +58,7 @@
             connections: Slab::new(),
             last_generation: 0,
             listeners: Listeners::default(),
+            paused_listeners: Vec::new(),
             read_paused: Vec::new(),
             read_lately: Vec::new(),
             broken: Vec::new(),
@@ -199,6 +200,7 @@
     pub fn poll(&mut self, timeout: Duration, events: &mut Vec<Event>) {
         events.clear();
         self.release_read_memory();
+        self.resume_accepting();
         self.report_broken(events);
         self.resume_reading(events);
         let timeout = if events.is_empty() {
@@ -255,25 +257,6 @@
         }
     }
 
-    fn accept(&mut self, listener: ListenerId, events: &mut Vec<Event>) {
-        for _ in 0..MAX_ACCEPTS_PER_EVENT {
-            let Some(accepted) = self.listeners.accept(listener) else {
-                return;
-            };
-            // An error concerns the one connection, which its peer has given up.
-            let Ok((stream, read_limit)) = accepted else {
-                continue;
-            };
-            if self.connections.len() >= self.max_connections {
-                continue;
-            }
-            if let Ok(id) = self.add(stream, Some(listener), read_limit) {
-                events.push(Event::Accepted(listener, id));
-            }
-        }
-        self.listeners.rearm(self.poll.registry(), listener);
-    }
-
     fn handle_ready_connection(
         &mut self,
         slot: usize,
