--- a/crates/gateway/tests/unit/owner_links.rs
+++ b/crates/gateway/tests/unit/owner_links.rs
@@ -82,6 +82,15 @@
         }
     }
 
+    /// The first owner has leased a seat to a request, which was sent to its runner.
+    fn with_request_at_its_runner() -> (Self, RequestId) {
+        let mut changes = Self::new();
+        changes.make_owner(0);
+        let id = changes.admit_request();
+        changes.lease_and_send(id);
+        (changes, id)
+    }
+
     /// From now on this owner is the only member.
     fn make_owner(&mut self, index: usize) {
         self.membership_number += 1;
@@ -194,10 +203,7 @@
 
 #[test]
 fn a_seat_is_given_back_at_every_owner_that_was_told_of_it() {
-    let mut changes = OwnerChanges::new();
-    changes.make_owner(0);
-    let id = changes.admit_request();
-    changes.lease_and_send(id);
+    let (mut changes, id) = OwnerChanges::with_request_at_its_runner();
     changes.make_owner(1);
     changes.wait_for_report(1);
     changes.make_owner(2);
@@ -210,10 +216,7 @@
 
 #[test]
 fn a_gateway_that_becomes_owner_counts_the_seats_of_its_own_requests() {
-    let mut changes = OwnerChanges::new();
-    changes.make_owner(0);
-    let id = changes.admit_request();
-    changes.lease_and_send(id);
+    let (mut changes, id) = OwnerChanges::with_request_at_its_runner();
     changes.make_own_gateway_owner();
     assert_eq!(changes.gateway.lease_owner.usage().leased, 1);
     changes.make_owner(1);
@@ -226,10 +229,7 @@
 
 #[test]
 fn an_owner_whose_link_ended_is_told_of_the_seats_in_use_once_more() {
-    let mut changes = OwnerChanges::new();
-    changes.make_owner(0);
-    let id = changes.admit_request();
-    changes.lease_and_send(id);
+    let (mut changes, _) = OwnerChanges::with_request_at_its_runner();
     changes.make_owner(1);
     changes.wait_for_report(1);
     changes.forget_owner(1);
@@ -239,10 +239,7 @@
 
 #[test]
 fn an_owner_learns_of_the_seats_in_use_as_soon_as_there_is_a_link_again() {
-    let mut changes = OwnerChanges::new();
-    changes.make_owner(0);
-    let id = changes.admit_request();
-    changes.lease_and_send(id);
+    let (mut changes, _) = OwnerChanges::with_request_at_its_runner();
     changes.forget_owner(0);
     // Whatever the message is, the report goes before it.
     changes
--- a/tests/cluster/src/client.rs
+++ b/tests/cluster/src/client.rs
@@ -63,7 +63,7 @@
         out
     }
 
-    /// The body that a runner responses this with.
+    /// The body that a runner answers this with.
     pub fn expected(&self, size: usize) -> Vec<u8> {
         response_body(&self.id, self.method, &self.target, &self.body, size)
     }
--- a/tests/cluster/src/operator.rs
+++ b/tests/cluster/src/operator.rs
@@ -39,7 +39,7 @@
 }
 
 /// Where a response redirects its caller to, if it does.
-pub fn redirect_target(response: &Response) -> Option<SocketAddr> {
+fn redirect_target(response: &Response) -> Option<SocketAddr> {
     let location = response.headers.get("Location")?;
     let location = std::str::from_utf8(location).ok()?;
     let (address, _) = location.strip_prefix("http://")?.split_once('/')?;
@@ -47,7 +47,7 @@
 }
 
 /// One command at one controller, or at where that redirects it to, at most twice.
-fn call_following_redirects(
+pub fn call_following_redirects(
     address: SocketAddr,
     (method, target): (&str, &str),
     base: Option<u64>,
--- a/tests/cluster/src/platform.rs
+++ b/tests/cluster/src/platform.rs
@@ -85,7 +85,7 @@
         })
     }
 
-    /// Responses calls at an address.
+    /// Answers calls at an address.
     pub fn open(self: &Arc<Self>, address: SocketAddr) -> Server {
         let platform = Arc::clone(self);
         Server::open(address, move |request, stream| {
--- a/tests/cluster/src/runner.rs
+++ b/tests/cluster/src/runner.rs
@@ -20,9 +20,9 @@
 const LOOKS_FROM: Duration = Duration::from_millis(200);
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 /// What a late response's body says.
-pub const LATE: &str = "this respond is late and belongs to nobody";
+pub const LATE: &str = "this response is late and belongs to nobody";
 
-/// A runner: one instance of a function's instance.
+/// A runner: one instance of a function.
 pub struct Runner {
     pub id: String,
     pub service: String,
@@ -176,7 +176,7 @@
                 false
             }
             "garbage" => {
-                let _ = stream.write_all(b"\x00\x7fnot an respond at all\r\n\r\n");
+                let _ = stream.write_all(b"\x00\x7fnot a response at all\r\n\r\n");
                 false
             }
             "cut" => {
@@ -242,13 +242,13 @@
     is_wanted
 }
 
-/// The body that a runner responses a request with.
+/// The body that a runner answers a request with.
 pub fn response_body(id: &str, method: &str, target: &str, body: &[u8], size: usize) -> Vec<u8> {
-    let mut respond = format!("{id} {method} {target} ").into_bytes();
-    respond.extend_from_slice(body);
-    let missing = size.saturating_sub(respond.len());
-    respond.extend((0..missing).map(|index| (index % 251) as u8));
-    respond
+    let mut response = format!("{id} {method} {target} ").into_bytes();
+    response.extend_from_slice(body);
+    let missing = size.saturating_sub(response.len());
+    response.extend((0..missing).map(|index| (index % 251) as u8));
+    response
 }
 
 fn write(out: &mut Vec<u8>, status: u16, headers: &[(&str, &str)], body: &[u8]) {
--- a/tests/cluster/src/soak/operators.rs
+++ b/tests/cluster/src/soak/operators.rs
@@ -1,7 +1,7 @@
 //! An operator who changes the configuration and evacuates zones, sometimes twice at once, and a reader at any controller.
 
 use super::ledger::{ChangeOutcome, ChangeRecord, Ledger, ReadRecord};
-use crate::operator::{call, call_controller, configuration, redirect_target, route};
+use crate::operator::{call, call_following_redirects, configuration, route};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::Value;
@@ -134,9 +134,13 @@
         let until = Instant::now() + RESEND_FOR;
         while Instant::now() < until && !is_over.load(Ordering::SeqCst) {
             let controller = self.random.random_range(0..self.controllers.len());
-            let status =
-                call_redirected(self.controllers[controller], ("POST", &target), None, b"");
-            if status == Some(200) {
+            let response = call_following_redirects(
+                self.controllers[controller],
+                ("POST", &target),
+                None,
+                b"",
+            );
+            if response.is_some_and(|response| response.status == 200) {
                 return;
             }
             std::thread::sleep(RESEND_PAUSE);
@@ -185,7 +189,8 @@
     let until = Instant::now() + RESEND_FOR;
     while Instant::now() < until && !is_over.load(Ordering::SeqCst) {
         let controller = controllers[random.random_range(0..controllers.len())];
-        match call_redirected(controller, REPLACE, Some(base), body.as_bytes()) {
+        let response = call_following_redirects(controller, REPLACE, Some(base), body.as_bytes());
+        match response.map(|response| response.status) {
             Some(200) => return ChangeOutcome::Acknowledged(Instant::now()),
             Some(status @ (400 | 409 | 412 | 413 | 422)) => return ChangeOutcome::Rejected(status),
             _ => std::thread::sleep(RESEND_PAUSE),
@@ -193,21 +198,3 @@
     }
     ChangeOutcome::Unclear
 }
-
-/// The status of a call, with redirects followed twice.
-fn call_redirected(
-    controller: SocketAddr,
-    (method, target): (&str, &str),
-    base: Option<u64>,
-    body: &[u8],
-) -> Option<u16> {
-    let mut address = controller;
-    for _ in 0..3 {
-        let response = call_controller(address, method, target, base, body)?;
-        match redirect_target(&response) {
-            Some(next) => address = next,
-            None => return Some(response.status),
-        }
-    }
-    None
-}
