Failing tests: a late request of an earlier attempt takes a job's claim over

The log lines of its copies tell the way: the lease request of a first attempt was held back on its way to an owner that heard nobody; the second attempt was claimed elsewhere and ran, its answer was lost; then the first arrived, found a claim of the same request, wrote its own over it and released that when the gateway said that the first attempt had not run. The next copy found the register free.

--- a/crates/jobs/tests/stale_messages.rs
+++ b/crates/jobs/tests/stale_messages.rs
@@ -262,3 +262,110 @@
         }]
     );
 }
+
+/// A partition holds the lease request of a first attempt back, while the second one is claimed at another coordinator.
+struct HeldBackAttempt {
+    admission: JobAdmission,
+    held_back: LeaseRequest,
+    /// What the other coordinator wrote to the register for the second attempt.
+    claim: Vec<u8>,
+}
+
+impl HeldBackAttempt {
+    fn new() -> Self {
+        let mut admission = admission();
+        let held_back = lease_request(4, admission.begin_attempt("k1"));
+        let mut other = JobCoordinator::new(2, 10_000);
+        let second = lease_request(4, admission.begin_attempt("k2"));
+        other.request_arrived(0, "g1", "a", second);
+        let (_, claim) = last_register_request(&other.take_actions());
+        admission.claimed(1);
+        Self {
+            admission,
+            held_back,
+            claim,
+        }
+    }
+}
+
+fn writes(actions: &[JobAction]) -> bool {
+    actions
+        .iter()
+        .any(|action| matches!(action, JobAction::AccessRegister { .. }))
+}
+
+#[test]
+fn a_late_request_of_an_earlier_attempt_takes_no_claim_over() {
+    let HeldBackAttempt {
+        held_back, claim, ..
+    } = HeldBackAttempt::new();
+    let mut jobs = JobCoordinator::new(1, 10_000);
+    let voided = held_back.job.clone().expect("a job");
+    jobs.request_arrived(10, "g1", "a", held_back);
+    let (number, _) = last_register_request(&jobs.take_actions());
+    jobs.register_responded(11, number, RegisterResponse::Found(1, claim));
+    let actions = jobs.take_actions();
+    assert!(
+        !writes(&actions),
+        "it writes over a later attempt: {actions:?}"
+    );
+    // Its gateway had voided the first attempt, which says nothing of the second.
+    jobs.attempt_completed(12, "g1", not_run(voided));
+    jobs.request_arrived(
+        13,
+        "g2",
+        "a",
+        lease_request(9, self::admission().begin_attempt("k1")),
+    );
+    let actions = jobs.take_actions();
+    let is_admitted = actions
+        .iter()
+        .any(|action| matches!(action, JobAction::RequestLease { gateway, .. } if gateway == "g2"));
+    assert!(
+        !is_admitted && !writes(&actions),
+        "a copy is let run: {actions:?}"
+    );
+}
+
+#[test]
+fn a_late_request_of_an_earlier_attempt_is_dropped_where_a_later_one_is_known() {
+    let mut admission = admission();
+    let held_back = lease_request(4, admission.begin_attempt("k1"));
+    let (mut jobs, _) = running(&mut admission);
+    jobs.request_arrived(5, "g1", "a", held_back.clone());
+    let actions = jobs.take_actions();
+    assert!(actions.is_empty(), "while it runs: {actions:?}");
+    jobs.gateway_lost(6, "g1");
+    jobs.request_arrived(7, "g1", "a", held_back);
+    let actions = jobs.take_actions();
+    assert!(
+        actions.is_empty(),
+        "while it may run elsewhere: {actions:?}"
+    );
+}
+
+#[test]
+fn a_later_attempt_takes_the_claim_of_its_request_over() {
+    let HeldBackAttempt {
+        mut admission,
+        claim,
+        ..
+    } = HeldBackAttempt::new();
+    let mut jobs = JobCoordinator::new(1, 10_000);
+    let third = lease_request(4, admission.begin_attempt("k1"));
+    jobs.request_arrived(10, "g1", "a", third);
+    let (number, _) = last_register_request(&jobs.take_actions());
+    jobs.register_responded(11, number, RegisterResponse::Found(1, claim));
+    assert!(writes(&jobs.take_actions()));
+}
+
+/// What a gateway says of an attempt that it voided before it was sent.
+fn not_run(attempt: JobAttempt) -> JobCompletion {
+    JobCompletion {
+        request_id: RequestId(4),
+        function: "sign".into(),
+        attempt,
+        register_version: 0,
+        result: JobResult::NotRun,
+    }
+}
