jobs: a late attempt takes no claim over

Cause: a claim named its request and not the attempt.

Excluded: the registers (each value was written on the version before it) and the gateway (sent once). Change: StoredClaim names the attempt; a claim of the own request is taken over by a later attempt only, and a request whose attempt or a later one is known is dropped on arrival. Values that were written before read as attempt 0; an earlier version reads the new ones.

--- a/crates/jobs/src/arrivals.rs
+++ b/crates/jobs/src/arrivals.rs
@@ -22,6 +22,9 @@
             self.outbox.notify_verdict(&request, verdict);
             return;
         };
+        if job.is_late(&request) {
+            return self.table.put(&key, job);
+        }
         job.used_at = now;
         job.waiting.retain(|known| known.holder != request.holder);
         if matches!(job.state, JobState::Idle) && job.waiting.is_empty() {
--- a/crates/jobs/src/claim.rs
+++ b/crates/jobs/src/claim.rs
@@ -55,6 +55,16 @@
     pub state: ClaimState,
 }
 
+/// A claim as its register holds it. Registers that were written before claims named attempts read as attempt 0.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct StoredClaim {
+    /// The claim.
+    pub claim: Claim,
+    /// Number of the holder's attempt that the claim was written for; 0 where it was not told.
+    #[speedy(default_on_eof)]
+    pub attempt: u32,
+}
+
 /// Half a SHA-256 of several parts, each preceded by its length so that no two lists of parts look alike.
 fn digest_of<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> [u8; 16] {
     let mut hasher = Sha256::new();
--- a/crates/jobs/src/completions.rs
+++ b/crates/jobs/src/completions.rs
@@ -100,6 +100,7 @@
             register_version: attempt.register_version,
             state: JobState::RunningElsewhere {
                 holder: attempt.holder.clone(),
+                claimed_attempt: attempt.number,
                 since: now,
                 checked_at: now,
                 attempt: None,
@@ -181,6 +182,7 @@
         job.issued_claims.clear();
         job.state = JobState::RunningElsewhere {
             holder,
+            claimed_attempt: attempt,
             since: now,
             checked_at: now,
             attempt: Some(attempt),
--- a/crates/jobs/src/coordinator.rs
+++ b/crates/jobs/src/coordinator.rs
@@ -1,7 +1,7 @@
 //! The coordinator of jobs, and the transitions that several events cause.
 
 use crate::action::JobAction;
-use crate::claim::{Claim, ClaimState, ClaimWriter};
+use crate::claim::{Claim, ClaimState, ClaimWriter, StoredClaim};
 use crate::job::{Job, JobRequest, JobState, WriteRetry};
 use crate::job_table::JobTable;
 use crate::outbox::Outbox;
@@ -131,7 +131,11 @@
             state: ClaimState::Taken,
         };
         let purpose = RegisterPurpose::Claim(*claim_number);
-        self.write(now, key, purpose, job.register_version, claim, *retries);
+        let stored = StoredClaim {
+            claim,
+            attempt: request.attempt,
+        };
+        self.write(now, key, purpose, job.register_version, &stored, *retries);
     }
 
     /// Asks a controller to release a claim under which nobody runs.
@@ -143,7 +147,8 @@
             ..Claim::default()
         };
         let purpose = RegisterPurpose::Release;
-        self.write(now, key, purpose, job.register_version, claim, retries);
+        let stored = StoredClaim { claim, attempt: 0 };
+        self.write(now, key, purpose, job.register_version, &stored, retries);
     }
 
     /// Asks a controller to store the result of a job.
@@ -163,7 +168,8 @@
         };
         let purpose = RegisterPurpose::StoreResult;
         let retries = unpersisted.retry.retries();
-        self.write(now, key, purpose, job.register_version, claim, retries);
+        let stored = StoredClaim { claim, attempt: 0 };
+        self.write(now, key, purpose, job.register_version, &stored, retries);
     }
 
     /// Asks a controller what became of a job.
@@ -180,12 +186,12 @@
         key: &str,
         purpose: RegisterPurpose,
         expected_version: u64,
-        claim: Claim,
+        stored: &StoredClaim,
         retries: u32,
     ) {
         let number = self.registers.add(now, key, purpose);
         // Writing to memory does not fail.
-        let value = claim.write_to_vec().unwrap_or_default();
+        let value = stored.write_to_vec().unwrap_or_default();
         self.outbox
             .access_register(number, key, Some(expected_version), value, retries);
     }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -86,6 +86,8 @@
     /// A request that this coordinator did not admit, or whose gateway is lost, may be running it.
     RunningElsewhere {
         holder: ClaimHolder,
+        /// Number of the holder's attempt; 0 where it is not known.
+        claimed_attempt: u32,
         since: u64,
         checked_at: u64,
         /// The attempt that this coordinator itself admitted, where it did.
@@ -208,6 +210,17 @@
         is_final && self.release.is_none() && self.waiting.is_empty()
     }
 
+    /// Whether a request is late: this attempt of it, or a later one, is known.
+    pub fn is_late(&self, request: &JobRequest) -> bool {
+        let is_later =
+            |known: &JobRequest| known.holder == request.holder && known.attempt >= request.attempt;
+        if self.waiting.iter().any(is_later) || self.admitted().is_some_and(is_later) {
+            return true;
+        }
+        matches!(&self.state, JobState::RunningElsewhere { holder, claimed_attempt, .. }
+            if *holder == request.holder && *claimed_attempt >= request.attempt)
+    }
+
     /// The request that this coordinator lets run, or will.
     pub fn admitted(&self) -> Option<&JobRequest> {
         match &self.state {
--- a/crates/jobs/src/register_responses.rs
+++ b/crates/jobs/src/register_responses.rs
@@ -1,6 +1,6 @@
 //! Responses of controllers about the registers of jobs.
 
-use crate::claim::{Claim, ClaimHolder, ClaimState};
+use crate::claim::{Claim, ClaimHolder, ClaimState, StoredClaim};
 use crate::coordinator::{JobCoordinator, RETRY_AFTER_MS};
 use crate::job::{completed_verdict, Job, JobRequest, JobState};
 use crate::register_requests::RegisterPurpose;
@@ -11,13 +11,19 @@
 struct FoundClaim {
     version: u64,
     claim: Claim,
+    /// Number of the holder's attempt; 0 where it is not told.
+    attempt: u32,
 }
 
 impl FoundClaim {
     fn read(version: u64, value: &[u8]) -> Self {
         // A register that was never written, or was forgotten, is free; so is one that nobody can read.
-        let claim = Claim::read_from_buffer(value).unwrap_or_default();
-        Self { version, claim }
+        let stored = StoredClaim::read_from_buffer(value).unwrap_or_default();
+        Self {
+            version,
+            claim: stored.claim,
+            attempt: stored.attempt,
+        }
     }
 
     /// Whether the register was never written, or was forgotten.
@@ -124,9 +130,10 @@
             return self.claim_written(now, key, job, found.version);
         }
         // Nobody runs under a claim of this coordinator that is not in force, nor under one of a request that makes
-        // another attempt.
+        // another attempt since. A request may also come late, when a later attempt of it has the claim.
         let is_void = is_own && job.issued_claims.contains(&writer.claim_number);
-        let is_same = is_taken && found.claim.holder == request.holder;
+        let is_same =
+            is_taken && found.claim.holder == request.holder && found.attempt < request.attempt;
         if found.claim.state == ClaimState::Free || is_void || is_same {
             job.register_version = found.version;
             if let JobState::Claiming { asked_at, .. } = &mut job.state {
@@ -164,6 +171,7 @@
             RegisterResponse::Written(version) => FoundClaim {
                 version,
                 claim: Claim::default(),
+                attempt: 0,
             },
             RegisterResponse::Found(version, value) => FoundClaim::read(version, &value),
             RegisterResponse::Unavailable | RegisterResponse::Indeterminate => return,
@@ -204,6 +212,7 @@
         }
         job.state = JobState::RunningElsewhere {
             holder: found.claim.holder,
+            claimed_attempt: found.attempt,
             since: now,
             checked_at: now,
             attempt: None,
--- a/tests/compatibility/src/families.rs
+++ b/tests/compatibility/src/families.rs
@@ -43,6 +43,7 @@
         stored_family("configurations", &operator_commands::configurations()),
         stored_family("evacuations", &operator_commands::evacuations()),
         stored_family("jobs", &stored::jobs()),
+        stored_family("stored_claims", &stored::stored_claims()),
         stored_family("role_leases", &stored::role_leases()),
         stored_family("tenures", &stored::tenures()),
         stored_family("once_claims", &stored::once_claims()),
--- a/tests/compatibility/src/samples/stored.rs
+++ b/tests/compatibility/src/samples/stored.rs
@@ -4,7 +4,7 @@
 use configuration::{PeerRef, Plan, RunnerEntry, RunnerState, Version};
 use consensus::RoleHolder;
 use idempotency_keys::Claim as OnceClaim;
-use jobs::{Claim, ClaimHolder, ClaimState, ClaimWriter};
+use jobs::{Claim, ClaimHolder, ClaimState, ClaimWriter, StoredClaim};
 use leader_election::Leadership;
 
 /// A job's register while a request may be running.
@@ -51,6 +51,15 @@
     ]
 }
 
+/// Values of jobs' registers that name the attempt.
+pub fn stored_claims() -> Vec<Sample<StoredClaim>> {
+    let stored = |claim, attempt| StoredClaim { claim, attempt };
+    vec![
+        sample("taken", stored(taken_job(), 3)),
+        sample("done", stored(done_job(), 0)),
+    ]
+}
+
 /// The lease of the controller that scales.
 pub fn role_lease() -> RoleHolder {
     RoleHolder {
--- a/tests/compatibility/tests/stored_values.rs
+++ b/tests/compatibility/tests/stored_values.rs
@@ -2,6 +2,7 @@
 
 use compatibility::samples::{operator_commands, register, stored};
 use compatibility::{families, HexFixture, Sample};
+use jobs::{Claim, StoredClaim};
 use speedy::{LittleEndian, Readable, Writable};
 use std::fmt::Debug;
 
@@ -68,3 +69,26 @@
         assert_eq!(captured.names(), family.values.names(), "{}", family.name);
     }
 }
+
+#[test]
+fn claims_of_jobs_that_name_an_attempt_stay() {
+    assert_stays("stored_claims", stored::stored_claims());
+}
+
+#[test]
+fn claims_that_name_no_attempt_are_read() {
+    let captured = HexFixture::load("jobs");
+    for sample in stored::jobs() {
+        let read = StoredClaim::read_from_buffer(captured.bytes(sample.name));
+        let read = read.expect("the captured value can be read");
+        assert_eq!((read.claim, read.attempt), (sample.value, 0));
+    }
+}
+
+#[test]
+fn an_earlier_version_reads_claims_that_name_an_attempt() {
+    for sample in stored::stored_claims() {
+        let read = Claim::read_from_buffer(&sample.encoded());
+        assert_eq!(read.expect("a claim"), sample.value.claim);
+    }
+}
