Failing test: a claim for a request that ended is never given back

The lease request of a copy that comes after its client has left, or after it was rejected, is claimed for nobody: the gateway has no such request and says nothing, and the job's other copies wait for a run that nobody makes, for as long as the claim is remembered.

--- a/crates/gateway/tests/unit/owner_links.rs
+++ b/crates/gateway/tests/unit/owner_links.rs
@@ -6,8 +6,11 @@
 use crate::gateway::Gateway;
 use crate::pending_request::RequestPhase;
 use event_loop::{ConnectionId, Event};
-use protocol::{take_frames, Member, Message, RequestId, SeatLease, UpdateVersion};
-use std::io::Read;
+use jobs::JobAdmission;
+use protocol::{
+    frame, take_frames, JobResult, Member, Message, RequestId, SeatLease, UpdateVersion,
+};
+use std::io::{Read, Write};
 use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -47,6 +50,11 @@
         }
     }
 
+    fn send(&mut self, message: &Message) {
+        let stream = self.stream.as_mut().expect("a link");
+        stream.write_all(&frame(message)).unwrap();
+    }
+
     fn read(&mut self) {
         if self.stream.is_none() {
             self.stream = self.listener.accept().ok().map(|(stream, _)| stream);
@@ -194,6 +202,35 @@
         );
     }
 
+    /// A request of a job that must run at most once.
+    fn admit_job(&mut self) -> RequestId {
+        let id = self.admit_request();
+        let admission = JobAdmission::new("key".into(), [0; 16], true, 1);
+        self.gateway.requests.get(id).unwrap().job = Some(Box::new(admission));
+        self.gateway.request_lease(id);
+        self.gateway.flush_peers();
+        id
+    }
+
+    /// Handles what comes until an owner hears that a job's request has not run.
+    fn wait_for_not_run(&mut self, index: usize, id: RequestId) {
+        let until = Instant::now() + MESSAGE_WITHIN;
+        let is_it = |message: &Message| {
+            matches!(message, Message::JobCompletion(completion)
+                if completion.request_id == id && completion.result == JobResult::NotRun)
+        };
+        let mut events = Vec::new();
+        while !self.owners[index].received.iter().any(is_it) {
+            assert!(Instant::now() < until, "nobody says that it has not run");
+            self.gateway.connections.poll(POLL_TIMEOUT, &mut events);
+            for event in events.drain(..) {
+                self.gateway.handle_event(event);
+            }
+            self.gateway.flush_peers();
+            self.owners[index].read();
+        }
+    }
+
     fn wait_for_report(&mut self, index: usize) {
         self.wait_for(index, "a report of seats in use", |message| {
             matches!(message, Message::LeasesInUse { function, .. } if function == FUNCTION)
@@ -247,3 +284,25 @@
         .send_to_peer(changes.owners[0].name, &Message::Ping(1));
     changes.wait_for_report(0);
 }
+
+#[test]
+fn a_claim_for_a_request_that_ended_without_running_is_given_back() {
+    let mut changes = OwnerChanges::new();
+    changes.make_owner(0);
+    let id = changes.admit_job();
+    changes.wait_for(
+        0,
+        "a lease request",
+        |message| matches!(message, Message::LeaseRequest(request) if request.request_id == id),
+    );
+    changes.gateway.reject(id, 0, "the test ends it");
+    changes.wait_for_not_run(0, id);
+    // The owner took the request for a new one: a partition had held it back.
+    changes.owners[0].received.clear();
+    changes.owners[0].send(&Message::JobClaimed {
+        request_id: id,
+        attempt: 1,
+        register_version: 1,
+    });
+    changes.wait_for_not_run(0, id);
+}
