gateway: a claim for a request that ended without running is given back

Cause: a gateway said nothing of a claim for an attempt that it had given up, since the word of its end had gone before; a late lease request was then claimed for nobody, and the job's copies waited.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use crate::retry_budgets::RetryBudgets;
 use crate::upstream_pool::UpstreamPool;
 use event_loop::{ConnectionId, EventLoop, ListenerId, Timers};
-use jobs::{JobCoordinator, UnacknowledgedResults};
+use jobs::{JobCoordinator, UnacknowledgedResults, VoidedAttempts};
 use protocol::{Member, RequestId};
 use seat_leases::LeaseOwner;
 
@@ -60,6 +60,7 @@
     pub lease_owner: LeaseOwner,
     pub jobs: JobCoordinator,
     pub unacknowledged_results: UnacknowledgedResults,
+    pub voided_attempts: VoidedAttempts,
     pub upstream_pool: UpstreamPool,
     pub peers: PeerLinks,
     pub controllers: ControllerLinks,
@@ -94,6 +95,7 @@
             peers: PeerLinks::default(),
             jobs: JobCoordinator::new(identity.incarnation, options.job_retention_ms),
             unacknowledged_results: UnacknowledgedResults::default(),
+            voided_attempts: VoidedAttempts::default(),
             identity,
             connections: Connections::new(event_loop),
             listeners,
--- a/crates/gateway/src/job_messages.rs
+++ b/crates/gateway/src/job_messages.rs
@@ -77,7 +77,7 @@
     /// A request has the claim on its job, and may be sent to its runner.
     fn job_claimed(&mut self, owner: &str, id: RequestId, attempt: u32, register_version: u64) {
         let Some(job) = self.job_waiting_for(owner, id, attempt) else {
-            return;
+            return self.give_claim_back(owner, id, attempt);
         };
         job.claimed(register_version);
         if !job.is_connected() {
@@ -90,6 +90,15 @@
         }
     }
 
+    /// A job was claimed for an attempt that is not waited for. Where it was given up before it was sent, its owner hears so once
+    /// more: the lease request may have come after the word of its end.
+    fn give_claim_back(&mut self, owner: &str, id: RequestId, attempt: u32) {
+        let completion = self.voided_attempts.find(id, attempt).cloned();
+        if let Some(completion) = completion {
+            self.send_completion(owner, completion);
+        }
+    }
+
     /// Another copy of the request may be running; it waits for that copy's response.
     fn job_joined(&mut self, owner: &str, id: RequestId, attempt: u32) {
         let Some(job) = self.job_waiting_for(owner, id, attempt) else {
@@ -181,6 +190,7 @@
         };
         let completion = job.completion(request.id, &request.function, result);
         self.unacknowledged_results.record(self.now, &completion);
+        self.voided_attempts.record(&completion);
         let leased_from = match &request.phase {
             RequestPhase::AwaitingLease { owner, .. } => Some(owner.clone()),
             RequestPhase::Upstream(attempt) => Some(attempt.owner.clone()),
@@ -222,6 +232,7 @@
         };
         let completion = job.completion(id, &function, JobResult::NotRun);
         job.void_attempt();
+        self.voided_attempts.record(&completion);
         self.send_completion(owner, completion);
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -23,6 +23,7 @@
 mod register_responses;
 mod timeouts;
 mod unacknowledged_results;
+mod voided_attempts;
 
 pub use action::JobAction;
 pub use claim::{
@@ -32,3 +33,4 @@
 pub use coordinator::JobCoordinator;
 pub use job_admission::JobAdmission;
 pub use unacknowledged_results::UnacknowledgedResults;
+pub use voided_attempts::VoidedAttempts;
--- a/crates/jobs/tests/stale_messages.rs
+++ b/crates/jobs/tests/stale_messages.rs
@@ -1,6 +1,8 @@
 //! Messages that are late, or about an earlier attempt, change nothing; results are resent until they are persisted.
 
-use jobs::{digest, Claim, JobAction, JobAdmission, JobCoordinator, UnacknowledgedResults};
+use jobs::{
+    digest, Claim, JobAction, JobAdmission, JobCoordinator, UnacknowledgedResults, VoidedAttempts,
+};
 use protocol::{
     JobAttempt, JobCompletion, JobResult, JobVerdict, LeaseRequest, RegisterResponse, RequestId,
 };
@@ -369,3 +371,19 @@
         result: JobResult::NotRun,
     }
 }
+
+#[test]
+fn only_attempts_up_to_the_last_voided_one_are_known_not_to_have_run() {
+    let mut voided = VoidedAttempts::default();
+    let mut admission = admission();
+    admission.begin_attempt("k1");
+    admission.begin_attempt("k2");
+    voided.record(&completion(&admission, JobResult::NotRun));
+    assert!(voided.find(RequestId(4), 1).is_some());
+    assert!(voided.find(RequestId(4), 2).is_some());
+    assert!(voided.find(RequestId(4), 3).is_none());
+    assert!(voided.find(RequestId(5), 1).is_none());
+    admission.begin_attempt("k1");
+    voided.record(&completion(&admission, JobResult::Lost));
+    assert!(voided.find(RequestId(4), 3).is_none());
+}
