--- a/crates/seat_leases/tests/lease_owner.rs
+++ b/crates/seat_leases/tests/lease_owner.rs
@@ -6,9 +6,7 @@
     excluding, in_use, lease_request, leases, owner_with, rejections, release, request_ids, runner,
     update, FUNCTION,
 };
-use protocol::{
-    LeaseOutcome, LeaseRequest, RequestId, RunnerLeases, RunnerStage, RunnerUpdate, UpdateVersion,
-};
+use protocol::{LeaseOutcome, LeaseRequest, RequestId, RunnerStage, RunnerUpdate, UpdateVersion};
 use seat_leases::{LeaseAction, LeaseOwner};
 use std::collections::BTreeSet;
 
@@ -357,47 +355,6 @@
     assert_eq!(request_ids(&mut owner), [2]);
 }
 
-#[test]
-fn a_new_owner_counts_the_leases_that_gateways_report() {
-    let mut owner = LeaseOwner::default();
-    let held = vec![RunnerLeases {
-        runner: "a".into(),
-        address: "a:1".into(),
-        zone: "north".into(),
-        requests: vec![RequestId(7), RequestId(8)],
-    }];
-    owner.adopt_leases(0, "f", FUNCTION, &held);
-    assert_eq!(in_use(&owner, "a"), Some(2));
-    owner.update_runners(1, update(1, &[runner("a", "north", 3)]));
-    owner.request_lease(1, "g", "north", lease_request(1, 1));
-    owner.request_lease(1, "g", "north", lease_request(2, 1));
-    assert_eq!(request_ids(&mut owner), [1]);
-    owner.release(2, "f", &release(7, LeaseOutcome::Succeeded, 5));
-    assert_eq!(request_ids(&mut owner), [2]);
-}
-
-#[test]
-fn a_later_report_of_a_gateway_stands_in_place_of_the_former() {
-    let mut owner = LeaseOwner::default();
-    let report = |requests: &[u64]| {
-        vec![RunnerLeases {
-            runner: "a".into(),
-            address: "a:1".into(),
-            zone: "north".into(),
-            requests: requests.iter().copied().map(RequestId).collect(),
-        }]
-    };
-    owner.adopt_leases(0, "f", FUNCTION, &report(&[7, 8]));
-    owner.adopt_leases(0, "g", FUNCTION, &report(&[7]));
-    owner.update_runners(1, update(1, &[runner("a", "north", 3)]));
-    owner.request_lease(1, "g", "north", lease_request(1, 1));
-    assert!(request_ids(&mut owner).is_empty());
-    owner.adopt_leases(2, "f", FUNCTION, &report(&[8]));
-    assert_eq!(request_ids(&mut owner), [1]);
-    owner.adopt_leases(3, "f", FUNCTION, &[]);
-    assert_eq!(in_use(&owner, "a"), Some(2));
-}
-
 #[test]
 fn a_release_frees_the_seat_of_its_own_gateway_alone() {
     let mut owner = owner_with(&[runner("a", "north", 2)]);
