Failing tests: a repeated lease request takes two seats and gives one back

The lease request that a partition held back comes while the request holds a seat already: it gets another one, one release gives one back, and the removal of its gateway does not find the other, since the index of holders names it no more.

--- a/crates/seat_leases/tests/adopted_leases.rs
+++ b/crates/seat_leases/tests/adopted_leases.rs
@@ -46,3 +46,25 @@
     owner.adopt_leases(3, "f", FUNCTION, &[]);
     assert_eq!(in_use(&owner, "a"), Some(2));
 }
+
+#[test]
+fn a_request_that_is_repeated_holds_one_seat_alone() {
+    let mut owner = common::owner_with(&[runner("a", "north", 2), runner("b", "north", 2)]);
+    // A partition held the first back, and the second overtook it; or the other way round.
+    owner.request_lease(0, "f", "north", lease_request(1, 1));
+    owner.request_lease(0, "f", "north", lease_request(1, 1));
+    owner.take_actions();
+    assert_eq!(owner.usage().leased, 1);
+    owner.release(1, "f", &release(1, LeaseOutcome::Unused, 0));
+    assert_eq!(owner.usage().leased, 0);
+}
+
+#[test]
+fn a_removed_gateway_holds_nothing_whatever_it_asked_for() {
+    let mut owner = common::owner_with(&[runner("a", "north", 2), runner("b", "north", 2)]);
+    owner.request_lease(0, "f", "north", lease_request(1, 1));
+    owner.request_lease(0, "f", "north", lease_request(1, 1));
+    owner.release(1, "f", &release(1, LeaseOutcome::Unused, 0));
+    owner.remove_gateway(2, "f");
+    assert_eq!(owner.usage().leased, 0);
+}
