seat_leases: a request holds one seat at most, and a removed gateway none

Cause: a lease request of a request that holds a seat already (a partition held it back) took a second seat. One release gave one back and took the request out of the index by which a gateway's leases were found at its end: the other stayed for good. Class: an index and what it indexes, changed apart. Looked for elsewhere: reports could name a request at a second runner, or one that waits; both are forgotten first.

Change: what a request held or waited for is free before it gets another seat; reports replace all that was known of the gateway; a removed gateway is taken out of every function.

--- a/crates/invariants/src/invariant.rs
+++ b/crates/invariants/src/invariant.rs
@@ -39,6 +39,8 @@
     JobIsClaimedBeforeItIsSent => "job_is_claimed_before_it_is_sent",
     /// No seat is leased beyond the quota of its runner.
     SeatsWithinQuota => "seats_within_quota",
+    /// Each leased seat and each waiting request has one holder, and no holder more than one.
+    SeatsAreAccounted => "seats_are_accounted",
     /// Queues, pools and buffers stay within their stated bounds.
     QueueIsBounded => "queue_is_bounded",
     /// The configuration that a gateway applies is newer than the one before.
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -8,8 +8,8 @@
 use crate::wait_queue::{QueuePosition, WaitQueue, WaitingRequest};
 use invariants::{check, Invariant};
 use protocol::{
-    FunctionReport, FunctionUpdate, LeaseOutcome, LeaseRelease, LeaseRequest, RequestId,
-    RunnerLeases, SeatLease, UpdateVersion, ZoneArrivals,
+    FunctionReport, FunctionUpdate, LeaseOutcome, LeaseRelease, LeaseRequest, RunnerLeases,
+    SeatLease, UpdateVersion, ZoneArrivals,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -106,24 +106,9 @@
         self.runners.get_or_add(now, leases)
     }
 
-    /// Ends the leases of a gateway that its report does not name; those that ended.
-    pub fn remove_unreported(
-        &mut self,
-        gateway: &str,
-        report: &[RunnerLeases],
-    ) -> Vec<LeaseHolder> {
-        let reported: BTreeSet<RequestId> = report
-            .iter()
-            .flat_map(|runner| runner.requests.iter().copied())
-            .collect();
-        let held = self.runners.holders_of(gateway).into_iter();
-        let ended: Vec<LeaseHolder> = held
-            .filter(|holder| !reported.contains(&holder.request_id))
-            .collect();
-        for holder in &ended {
-            self.runners.remove_lease(holder);
-        }
-        ended
+    /// Leases of a gateway.
+    pub fn holders_of(&self, gateway: &str) -> Vec<LeaseHolder> {
+        self.runners.holders_of(gateway)
     }
 
     /// Counts a request among the arrivals, unless it was at a runner before.
@@ -187,11 +172,15 @@
         self.report.mark_changed();
     }
 
-    /// A gateway is gone, and with it its requests.
-    pub fn remove_gateway(&mut self, gateway: &str) {
-        self.queue.remove_gateway(gateway);
-        self.runners.remove_gateway(gateway);
-        self.report.mark_changed();
+    /// A gateway is gone, and with it its requests. Returns whether it had any.
+    pub fn remove_gateway(&mut self, gateway: &str) -> bool {
+        let has_any = self.queue.has_gateway(gateway) || !self.holders_of(gateway).is_empty();
+        if has_any {
+            self.queue.remove_gateway(gateway);
+            self.runners.remove_gateway(gateway);
+            self.report.mark_changed();
+        }
+        has_any
     }
 
     /// A lease ends, and with it something is known of its runner.
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -4,6 +4,7 @@
 use crate::function_seats::{FunctionSeats, RETRY_AFTER_MS};
 use crate::lease_holder::LeaseHolder;
 use crate::probe_schedule::{ProbeSchedule, ProbeTarget};
+use invariants::{check, Invariant};
 use protocol::{
     FunctionReport, FunctionUpdate, LeaseRelease, LeaseRequest, RequestId, RunnerLeases,
 };
@@ -40,7 +41,9 @@
     }
 
     /// A request of a gateway wants a seat. A lease or a rejection follows, at once or later, unless it is cancelled.
+    /// What the request held or waited for before is free: it has one seat at most, in whatever order its messages come.
     pub fn request_lease(&mut self, now: u64, gateway: &str, zone: &str, request: LeaseRequest) {
+        self.forget_holder(&LeaseHolder::new(gateway, request.request_id));
         let is_new = !self.functions.contains_key(&request.function);
         if is_new && self.functions.len() >= FUNCTIONS_MAX {
             self.reject(gateway, request.request_id, RETRY_AFTER_MS);
@@ -73,16 +76,32 @@
     /// A request of a gateway wants no seat any more; one that was leased for it is free.
     pub fn cancel(&mut self, now: u64, gateway: &str, request_id: RequestId) {
         let holder = LeaseHolder::new(gateway, request_id);
-        let Some(function) = self.function_by_holder.remove(&holder) else {
+        let Some(function) = self.forget_holder(&holder) else {
             return;
         };
-        if let Some(seats) = self.functions.get_mut(&function) {
-            seats.cancel(&holder);
-        }
         self.unreported.insert(function.clone());
         self.issue_leases(now, &function);
     }
 
+    /// Ends the lease of a request, or its wait. Returns the function that it was for.
+    fn forget_holder(&mut self, holder: &LeaseHolder) -> Option<String> {
+        let function = self.function_by_holder.remove(holder)?;
+        if let Some(seats) = self.functions.get_mut(&function) {
+            seats.cancel(holder);
+        }
+        Some(function)
+    }
+
+    /// Checks that each seat that is leased, and each request that waits, has its holder, and no holder more than one.
+    pub fn check_accounts(&self) {
+        let usage = self.usage();
+        let holders = self.function_by_holder.len() as u64;
+        let is_accounted = usage.leased + usage.waiting == holders;
+        check(Invariant::SeatsAreAccounted, is_accounted, || {
+            format!("usage={usage:?} holders={holders}")
+        });
+    }
+
     /// A gateway gives a lease back. One that it does not hold changes nothing.
     pub fn release(&mut self, now: u64, gateway: &str, release: &LeaseRelease) {
         let holder = LeaseHolder::new(gateway, release.request_id);
@@ -107,10 +126,14 @@
         runners: &[RunnerLeases],
     ) {
         let seats = self.functions.entry(function.to_string()).or_default();
-        seats.touch(now);
-        for holder in seats.remove_unreported(gateway, runners) {
-            self.function_by_holder.remove(&holder);
+        let known = seats.holders_of(gateway);
+        let reported = runners.iter().flat_map(|runner| &runner.requests);
+        let reported = reported.map(|request_id| LeaseHolder::new(gateway, *request_id));
+        for holder in known.into_iter().chain(reported) {
+            self.forget_holder(&holder);
         }
+        let seats = self.functions.entry(function.to_string()).or_default();
+        seats.touch(now);
         for leases in runners {
             let runner = seats.runner_or_add(now, leases);
             for request_id in &leases.requests {
@@ -145,15 +168,15 @@
 
     /// A gateway is gone; what it held or wanted is free.
     pub fn remove_gateway(&mut self, now: u64, gateway: &str) {
-        let holders = self.function_by_holder.iter();
-        let of_gateway = holders.filter(|(holder, _)| holder.gateway == gateway);
-        let functions: BTreeSet<String> = of_gateway.map(|(_, name)| name.clone()).collect();
+        let functions = self.functions.iter_mut();
+        let with_gateway = functions.filter_map(|(name, seats)| {
+            let is_known = seats.remove_gateway(gateway);
+            is_known.then(|| name.clone())
+        });
+        let functions: Vec<String> = with_gateway.collect();
         self.function_by_holder
             .retain(|holder, _| holder.gateway != gateway);
         for function in functions {
-            if let Some(seats) = self.functions.get_mut(&function) {
-                seats.remove_gateway(gateway);
-            }
             self.unreported.insert(function.clone());
             self.issue_leases(now, &function);
         }
--- a/crates/seat_leases/src/wait_queue.rs
+++ b/crates/seat_leases/src/wait_queue.rs
@@ -72,6 +72,11 @@
         self.waiting.retain(|_, request| request.holder != *holder);
     }
 
+    pub fn has_gateway(&self, gateway: &str) -> bool {
+        let mut waiting = self.waiting.values();
+        waiting.any(|request| request.holder.gateway == gateway)
+    }
+
     pub fn remove_gateway(&mut self, gateway: &str) {
         self.waiting
             .retain(|_, request| request.holder.gateway != gateway);
--- a/crates/seat_leases/tests/adopted_leases.rs
+++ b/crates/seat_leases/tests/adopted_leases.rs
@@ -54,6 +54,7 @@
     owner.request_lease(0, "f", "north", lease_request(1, 1));
     owner.request_lease(0, "f", "north", lease_request(1, 1));
     owner.take_actions();
+    owner.check_accounts();
     assert_eq!(owner.usage().leased, 1);
     owner.release(1, "f", &release(1, LeaseOutcome::Unused, 0));
     assert_eq!(owner.usage().leased, 0);
