--- a/crates/seat_leases/tests/adopted_leases.rs
+++ b/crates/seat_leases/tests/adopted_leases.rs
@@ -69,3 +69,13 @@
     owner.remove_gateway(2, "f");
     assert_eq!(owner.usage().leased, 0);
 }
+
+#[test]
+fn a_late_release_leaves_a_request_that_waits_where_it_is() {
+    let mut owner = LeaseOwner::default();
+    owner.request_lease(0, "f", "north", lease_request(1, 1));
+    owner.release(1, "f", &release(1, LeaseOutcome::Unreachable, 0));
+    owner.check_accounts();
+    owner.cancel(2, "f", RequestId(1));
+    assert_eq!(owner.usage().waiting, 0);
+}
