seat_leases: a late release leaves a request that waits where it is

Cause: a release took its request out of the index of holders before it was looked whether the request holds a lease. One that waits again was then in the queue and in no index: neither its cancellation nor the end of its gateway found it. Change: only the release of a lease that is held ends the holder.

--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -183,11 +183,11 @@
         has_any
     }
 
-    /// A lease ends, and with it something is known of its runner.
-    pub fn release(&mut self, now: u64, holder: &LeaseHolder, release: &LeaseRelease) {
-        self.report.mark_changed();
+    /// A lease ends, and with it something is known of its runner. Returns whether there was one: a release may come late, when its
+    /// request waits again.
+    pub fn release(&mut self, now: u64, holder: &LeaseHolder, release: &LeaseRelease) -> bool {
         let Some(runner) = self.runners.remove_lease(holder) else {
-            return;
+            return false;
         };
         match release.outcome {
             LeaseOutcome::Succeeded => runner.record_success(release.duration_ms),
@@ -207,6 +207,8 @@
             }
             LeaseOutcome::Unused => {}
         }
+        self.report.mark_changed();
+        true
     }
 
     /// Issues a lease of a free seat to the first request that may use one.
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -105,14 +105,17 @@
     /// A gateway gives a lease back. One that it does not hold changes nothing.
     pub fn release(&mut self, now: u64, gateway: &str, release: &LeaseRelease) {
         let holder = LeaseHolder::new(gateway, release.request_id);
-        let Some(function) = self.function_by_holder.remove(&holder) else {
+        let Some(function) = self.function_by_holder.get(&holder).cloned() else {
             return;
         };
         let Some(seats) = self.functions.get_mut(&function) else {
             return;
         };
         seats.touch(now);
-        seats.release(now, &holder, release);
+        if !seats.release(now, &holder, release) {
+            return;
+        }
+        self.function_by_holder.remove(&holder);
         self.unreported.insert(function.clone());
         self.issue_leases(now, &function);
     }
