Failing test: a late heartbeat shuts the living incarnation out for good

A partition held back heartbeats of its former incarnation; they arrived after the first of the present one, took its place, and from then on the present one was refused as former.

--- a/crates/consensus/tests/identities.rs
+++ b/crates/consensus/tests/identities.rs
@@ -85,3 +85,37 @@
     consensus.on_message(local, "at-9", heartbeat(6, 2, SetVersion::new(1, 2)));
     assert!(sent(consensus).iter().any(wants_set));
 }
+
+/// Milliseconds after which a controller that is not heard counts as silent.
+const SILENT_AFTER_MS: u64 = 1_000;
+
+#[test]
+fn an_incarnation_that_lives_is_heard_again_after_a_late_heartbeat_of_another() {
+    let mut cluster = SimulatedCluster::idle(1, 3);
+    let local = cluster.nodes[0].clock(cluster.now);
+    let consensus = cluster.nodes[0].consensus.as_mut().unwrap();
+    let heartbeat = |incarnation, number, known| {
+        ConsensusMessage::Heartbeat(Heartbeat {
+            disk: 77,
+            incarnation,
+            number,
+            known_set: known,
+            ..Heartbeat::default()
+        })
+    };
+    let (older, newer) = (SetVersion::new(1, 1), SetVersion::new(1, 2));
+    consensus.on_message(local, "at-9", heartbeat(6, 1, older));
+    // A partition held back what the one before had sent, which this controller never heard.
+    consensus.on_message(local, "at-9", heartbeat(5, 100, older));
+    let _ = consensus.take_actions();
+    let later = local + SILENT_AFTER_MS;
+    consensus.on_message(later, "at-9", heartbeat(6, 2, newer));
+    let wants_set = |message: &ConsensusMessage| *message == ConsensusMessage::RequestVoterSet;
+    assert!(sent(consensus).iter().any(wants_set), "it is not heard");
+    // What comes of the other one beside it is late.
+    consensus.on_message(later, "at-9", heartbeat(5, 101, SetVersion::new(1, 3)));
+    assert!(
+        !sent(consensus).iter().any(wants_set),
+        "the late one is heard"
+    );
+}
