consensus: an incarnation that lives is heard again

Cause: of two incarnations at one address the one that was heard later counted as the present one, and the other was refused for good. A heartbeat that a partition had held back could come after the first one of the next incarnation: the living controller was shut out at each peer that this happened to, until a restart. With two peers it was out of contact with a majority; one more loss would have left none. Looked for elsewhere: gateways' links with controllers are opened by the gateway alone; the controllers' table of gateways goes by link; leases and contact count by the numbers of the own heartbeats.

Change: where the present incarnation is silent for the span of liveness and the former one sends what was not heard yet, the former one is taken back. Until then its heartbeats are refused as before. No safety hangs on it: claims and acknowledgements bear terms, incarnations and numbers.

--- a/crates/consensus/src/peers.rs
+++ b/crates/consensus/src/peers.rs
@@ -15,13 +15,29 @@
 /// Time between heartbeats to an address where nobody answers, in milliseconds.
 const SILENT_HEARTBEAT_INTERVAL_MS: u64 = 1_000;
 
+/// An incarnation of a peer that was heard before another one. Which of two came later cannot be told, since ids are random: it is the
+/// one that goes on being heard.
+#[derive(Clone, Copy, Debug)]
+struct FormerIncarnation {
+    incarnation: u64,
+    /// Number of its newest heartbeat that was heard.
+    number: u64,
+}
+
+impl FormerIncarnation {
+    /// Whether a heartbeat is one of it that was not heard yet.
+    fn has_sent(&self, heartbeat: &Heartbeat) -> bool {
+        heartbeat.incarnation == self.incarnation && heartbeat.number > self.number
+    }
+}
+
 /// Another controller, as its newest heartbeat described it.
 #[derive(Clone, Debug, Default)]
 struct Peer {
     heard_at: Option<u64>,
     heartbeat: Heartbeat,
     /// The incarnation before the present one; its messages may still be on the way.
-    former_incarnation: Option<u64>,
+    former: Option<FormerIncarnation>,
     /// When this controller last sent it a heartbeat.
     notified_at: Option<u64>,
 }
@@ -84,21 +100,34 @@
     }
 
     /// Takes a heartbeat. None where its sender is unknown, or where the heartbeat was overtaken by a newer one or
-    /// by one of a later incarnation.
+    /// by one of another incarnation that is heard at present. Where the present incarnation is silent and the former one is
+    /// heard, the former is the one that lives: a late heartbeat had taken its place.
     pub fn record_heartbeat(
         &mut self,
         now: u64,
         from: &str,
         heartbeat: &Heartbeat,
     ) -> Option<HeartbeatOrigin> {
+        let liveness_ms = self.liveness_ms;
         let peer = self.peers.get_mut(from)?;
         let is_new = peer.heartbeat.incarnation != heartbeat.incarnation;
-        let is_of_former_incarnation = peer.former_incarnation == Some(heartbeat.incarnation);
-        if is_of_former_incarnation || (!is_new && heartbeat.number <= peer.heartbeat.number) {
+        let is_of_former_incarnation = peer
+            .former
+            .is_some_and(|former| former.incarnation == heartbeat.incarnation);
+        if is_of_former_incarnation {
+            let is_unheard = peer.former.is_some_and(|former| former.has_sent(heartbeat));
+            if peer.is_heard_within(now, liveness_ms) || !is_unheard {
+                return None;
+            }
+        }
+        if !is_new && heartbeat.number <= peer.heartbeat.number {
             return None;
         }
         if is_new && peer.heard_at.is_some() {
-            peer.former_incarnation = Some(peer.heartbeat.incarnation);
+            peer.former = Some(FormerIncarnation {
+                incarnation: peer.heartbeat.incarnation,
+                number: peer.heartbeat.number,
+            });
         }
         peer.heard_at = Some(now);
         peer.heartbeat = heartbeat.clone();
