Failing test: a seat is leased for a job whose link has ended

What the coordination of jobs asked for waits until the events of the turn are handled; the end of its gateway's link, in the same turn, comes before.

--- a/crates/gateway/tests/unit/restarted_peers.rs
+++ b/crates/gateway/tests/unit/restarted_peers.rs
@@ -3,6 +3,8 @@
 
 use crate::connection_reuse_tests::options;
 use crate::gateway::Gateway;
+use event_loop::Event;
+use jobs::JobAdmission;
 use protocol::{
     frame, take_frames, FunctionUpdate, LeaseRequest, Member, Message, RequestId, RunnerLeases,
     RunnerStage, RunnerUpdate, UpdateVersion,
@@ -53,6 +55,18 @@
         self.stream.write_all(&frame(&request)).unwrap();
     }
 
+    fn request_lease_of_job(&mut self, number: u64) {
+        let attempt = JobAdmission::new("key".into(), [0; 16], true, 1).begin_attempt("owner");
+        let request = Message::LeaseRequest(LeaseRequest {
+            request_id: RequestId(number),
+            function: FUNCTION.into(),
+            timeout_ms: 4_000,
+            job: Some(attempt),
+            ..LeaseRequest::default()
+        });
+        self.stream.write_all(&frame(&request)).unwrap();
+    }
+
     fn report_seat_in_use(&mut self, number: u64) {
         let report = Message::LeasesInUse {
             function: FUNCTION.into(),
@@ -111,6 +125,22 @@
         self.gateway.flush_peers();
     }
 
+    /// Handles what comes until a link has ended, and what follows from it only then.
+    fn handle_until_closed(&mut self) {
+        let until = Instant::now() + MESSAGE_WITHIN;
+        let mut events = Vec::new();
+        let mut is_closed = false;
+        while !is_closed {
+            assert!(Instant::now() < until, "no link has ended");
+            self.gateway.connections.poll(POLL_TIMEOUT, &mut events);
+            for event in events.drain(..) {
+                is_closed |= matches!(event, Event::Closed(..));
+                self.gateway.handle_event(event);
+            }
+        }
+        self.gateway.run_actions();
+    }
+
     fn wait_for_lease(&mut self, link: &mut PeerLink, number: u64) {
         let until = Instant::now() + MESSAGE_WITHIN;
         while !link.leases().contains(&RequestId(number)) {
@@ -197,3 +227,14 @@
     next.request_lease(6);
     owner.wait_for_lease(&mut next, 6);
 }
+
+#[test]
+fn no_seat_is_leased_for_a_job_whose_link_has_ended() {
+    let mut owner = Owner::new();
+    let mut held_back = PeerLink::open(owner.address, 1);
+    held_back.request_lease_of_job(3);
+    drop(held_back);
+    owner.handle_until_closed();
+    let usage = owner.gateway.lease_owner.usage();
+    assert_eq!((usage.leased, usage.waiting), (0, 0));
+}
