gateway: no seat is leased for a job whose gateway's link has ended

Cause: actions of the coordination of jobs are carried out at the end of a turn; a lease was requested for a gateway whose link, and with it all that it held, had ended within the turn. Nobody ever gave the seat back. Change: such an action is dropped. Class: a decision carried out after its ground has gone. Looked for elsewhere: leases that were issued already are sent over a link that is opened anew, and come back as unused; messages to a gateway without a link are dropped. Runs: the test failed before and passes after; gateway passes.

--- a/crates/gateway/src/job_actions.rs
+++ b/crates/gateway/src/job_actions.rs
@@ -23,8 +23,11 @@
                 zone,
                 request,
             } => {
-                self.lease_owner
-                    .request_lease(now, &gateway, &zone, request);
+                // The link of its gateway may have ended since, and with it all that it asked for.
+                if gateway == self.options.name || self.peers.contains(&gateway) {
+                    self.lease_owner
+                        .request_lease(now, &gateway, &zone, request);
+                }
             }
             JobAction::CancelLeaseRequest {
                 gateway,
