--- a/crates/consensus/tests/identities.rs
+++ b/crates/consensus/tests/identities.rs
@@ -119,3 +119,26 @@
         "the late one is heard"
     );
 }
+
+#[test]
+fn a_heartbeat_that_was_overtaken_is_dropped() {
+    let mut cluster = SimulatedCluster::idle(1, 3);
+    let local = cluster.nodes[0].clock(cluster.now);
+    let consensus = cluster.nodes[0].consensus.as_mut().unwrap();
+    let heartbeat = |number, known| {
+        ConsensusMessage::Heartbeat(Heartbeat {
+            disk: 77,
+            incarnation: 6,
+            number,
+            known_set: known,
+            ..Heartbeat::default()
+        })
+    };
+    consensus.on_message(local, "at-9", heartbeat(3, SetVersion::new(1, 1)));
+    let _ = consensus.take_actions();
+    consensus.on_message(local, "at-9", heartbeat(2, SetVersion::new(1, 2)));
+    let wants_set = |message: &ConsensusMessage| *message == ConsensusMessage::RequestVoterSet;
+    assert!(!sent(consensus).iter().any(wants_set));
+    consensus.on_message(local, "at-9", heartbeat(4, SetVersion::new(1, 2)));
+    assert!(sent(consensus).iter().any(wants_set));
+}
