--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -177,8 +177,11 @@
     }
 
     /// Memory that the buffers of each connection take that a listener has accepted, in bytes.
-    pub fn held_bytes(&self, listener: ListenerId) -> Vec<(ConnectionId, usize)> {
-        self.event_loop.held_bytes(listener).collect()
+    pub fn held_bytes(
+        &self,
+        listener: ListenerId,
+    ) -> impl Iterator<Item = (ConnectionId, usize)> + '_ {
+        self.event_loop.held_bytes(listener)
     }
 
     /// Reading a connection stops at so many unread bytes.
--- a/crates/gateway/src/memory_bounds.rs
+++ b/crates/gateway/src/memory_bounds.rs
@@ -46,7 +46,7 @@
 
     fn client_usage(&mut self) -> Vec<ClientUsage> {
         let buffers = self.connections.held_bytes(self.listeners.downstream);
-        let usage = buffers.into_iter().map(|(connection, buffered)| {
+        let usage = buffers.map(|(connection, buffered)| {
             let role = self.connections.role(connection);
             let request = match role {
                 Some(ConnectionRole::Downstream(downstream)) => downstream.request,
