policy, locality: options of policies are typed and named in one place; zones have regions

Crate locality knows the region of each zone and how far two zones lie apart. Nothing decides otherwise than before: other zones cost as much as before, whatever their region.

--- a/crates/autoscaler/src/eviction.rs
+++ b/crates/autoscaler/src/eviction.rs
@@ -87,7 +87,7 @@
             continue;
         };
         let load = Load::of(state, function);
-        let is_needed = load.waiting > 0 || load.demand > state.options.beta * load.capacity;
+        let is_needed = load.waiting > 0 || load.demand > state.options.policy.beta * load.capacity;
         if is_needed && function.configuration().priority <= priority {
             continue;
         }
--- a/crates/autoscaler/src/function_configuration.rs
+++ b/crates/autoscaler/src/function_configuration.rs
@@ -48,12 +48,12 @@
 
     /// Milliseconds without requests after which the last runner ends.
     pub fn retention_ms(&self, options: &AutoscalerOptions) -> u64 {
-        (self.start_ms as f64 * options.retention_starts) as u64
+        (self.start_ms as f64 * options.policy.retention_starts) as u64
     }
 
     /// Milliseconds below beta after which quotas fall.
     pub fn cooldown_ms(&self, options: &AutoscalerOptions) -> u64 {
-        (self.start_ms as f64 * options.cooldown_starts) as u64
+        (self.start_ms as f64 * options.policy.cooldown_starts) as u64
     }
 }
 
--- a/crates/autoscaler/src/options.rs
+++ b/crates/autoscaler/src/options.rs
@@ -1,4 +1,7 @@
-//! Settings of the autoscaler. Ratios that docs/source.md marks as ours are not in the design's paper.
+//! Settings of the autoscaler.
+
+use locality::Topology;
+use policy::ScalingPolicy;
 
 /// Milliseconds beyond twice the lists' lag after which a runner that no list shows is taken as gone.
 const UNLISTED_SLACK_MS: u64 = 1_000;
@@ -10,10 +13,10 @@
 /// How the autoscaler decides.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AutoscalerOptions {
-    /// Share of the capacity above which a demand asks for more (the design's alpha).
-    pub alpha: f64,
-    /// Share of the capacity below which quotas fall after the cooldown (the design's beta).
-    pub beta: f64,
+    /// How many runners functions have, and where each starts.
+    pub policy: ScalingPolicy,
+    /// The zones with their regions.
+    pub topology: Topology,
     /// Milliseconds by which the platform's lists lag.
     pub list_lag_ms: u64,
     /// Milliseconds for which a runner that the platform ends goes on serving.
@@ -24,28 +27,18 @@
     pub nonce_prefix: String,
     /// Term of the role lease under which this autoscaler decides; a later term supersedes it.
     pub term: u64,
-    /// Multiples of a function's start time without requests after which its last runner ends (ours).
-    pub retention_starts: f64,
-    /// Multiples of a function's start time below beta after which quotas fall (ours).
-    pub cooldown_starts: f64,
-    /// Places a runner in the callers' zone first where the function has none there (ours). It
-    /// goes before the design's least-occupied worker and keeps calls inside a zone.
-    pub prefers_callers_zone: bool,
 }
 
 impl Default for AutoscalerOptions {
     fn default() -> Self {
         Self {
-            alpha: 0.8,
-            beta: 0.5,
+            policy: ScalingPolicy::default(),
+            topology: Topology::default(),
             list_lag_ms: 2_000,
             drain_ms: 5_000,
             commands_per_s: 10.0,
             nonce_prefix: "n".to_owned(),
             term: 1,
-            retention_starts: 3.0,
-            cooldown_starts: 4.0,
-            prefers_callers_zone: true,
         }
     }
 }
--- a/crates/autoscaler/src/placement.rs
+++ b/crates/autoscaler/src/placement.rs
@@ -110,7 +110,7 @@
     function: &'a Function,
     runners_by_zone: &BTreeMap<&str, usize>,
 ) -> Option<&'a str> {
-    if !state.options.prefers_callers_zone {
+    if !state.options.policy.prefers_callers_zone {
         return None;
     }
     let calls = function.arrivals().by_zone().iter();
--- a/crates/autoscaler/src/scaling_decision.rs
+++ b/crates/autoscaler/src/scaling_decision.rs
@@ -50,10 +50,10 @@
         drain_all(state, name, DrainReason::Surplus);
         return;
     }
-    if load.demand > state.options.alpha * load.capacity {
+    if load.demand > state.options.policy.alpha * load.capacity {
         set_below_beta_since(state, name, None);
         scale_up(state, name, load);
-    } else if load.demand < state.options.beta * load.capacity {
+    } else if load.demand < state.options.policy.beta * load.capacity {
         scale_down(state, name, load);
     } else {
         set_below_beta_since(state, name, None);
@@ -86,7 +86,7 @@
         return;
     };
     let mut pods = quotas::growable(state, function);
-    let gap = load.demand - state.options.alpha * load.capacity;
+    let gap = load.demand - state.options.policy.alpha * load.capacity;
     let left = grow(&mut pods, gap);
     if quotas::apply(state, &pods) {
         state.note_decision(name, "quotas up");
@@ -127,7 +127,7 @@
     }
     // However slow the answers are, each recent or present request needs one seat at most.
     let seats_needed = seats_needed(state, function, load);
-    let for_rate = runners_for(load.rate() - state.options.alpha * load.capacity)
+    let for_rate = runners_for(load.rate() - state.options.policy.alpha * load.capacity)
         .min(runners_of_seats(seats_needed.saturating_sub(load.seats)));
     let most = runners_for(MAX_OVERPROVISIONING * load.demand).max(1);
     let count = for_gap.min(for_waiting + for_rate);
@@ -168,7 +168,7 @@
     let Some(fastest) = pods.iter().map(|pod| pod.seat_rate).max_by(f64::total_cmp) else {
         return;
     };
-    let middle = (state.options.alpha + state.options.beta) / 2.0;
+    let middle = (state.options.policy.alpha + state.options.policy.beta) / 2.0;
     let needed = (load.demand / middle).max(f64::from(load.in_flight) * fastest);
     let surplus = load.capacity - needed.max(minimal) + ROUNDING;
     if shrink(&mut pods, surplus) && quotas::apply(state, &pods) {
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -2,6 +2,8 @@
 
 use crate::codec::{OperatorCodec, PlatformCodec};
 use consensus::ConsensusOptions;
+use locality::Topology;
+use policy::Policy;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
@@ -16,6 +18,10 @@
     pub zone: String,
     /// All zones of the system.
     pub zones: Vec<String>,
+    /// These zones with their regions.
+    pub topology: Topology,
+    /// Options of the policies by which it decides.
+    pub policy: Policy,
     /// Address at which it listens for operators.
     pub operator_address: SocketAddr,
     /// Address at which it listens for gateways.
--- a/crates/controller/src/scaler.rs
+++ b/crates/controller/src/scaler.rs
@@ -82,6 +82,8 @@
         check_term(self.term, term);
         self.reset(context);
         let options = AutoscalerOptions {
+            policy: context.options.policy.scaling.clone(),
+            topology: context.options.topology.clone(),
             list_lag_ms: context.options.list_lag_ms,
             drain_ms: context.options.drain_ms,
             commands_per_s: context.options.starts_per_second,
--- a/crates/controller/tests/unit/operator_reads/operator_call.rs
+++ b/crates/controller/tests/unit/operator_reads/operator_call.rs
@@ -21,6 +21,8 @@
         name: address_of(BEHIND),
         zone: ZONE.into(),
         zones: vec![ZONE.into()],
+        topology: locality::Topology::default(),
+        policy: policy::Policy::default(),
         operator_address: any_port,
         gateway_address: any_port,
         consensus_address: any_port,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -100,7 +100,7 @@
             connections: Connections::new(event_loop),
             listeners,
             requests: InFlightRequests::default(),
-            lease_owner: LeaseOwner::default(),
+            lease_owner: LeaseOwner::new(options.policy.leasing.clone(), options.topology.clone()),
             upstream_pool: UpstreamPool::default(),
             controllers: ControllerLinks::new(&options.controller_addresses),
             configuration: AppliedConfiguration::default(),
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -1,3 +1,5 @@
+use locality::Topology;
+use policy::Policy;
 use routing::ConfigurationFormat;
 use std::fmt;
 use std::io;
@@ -28,6 +30,10 @@
     pub name: String,
     /// Zone in which it stands.
     pub zone: String,
+    /// The zones of the system with their regions.
+    pub topology: Topology,
+    /// Options of the policies by which it decides.
+    pub policy: Policy,
     /// Address at which it listens for clients.
     pub client_address: SocketAddr,
     /// Address at which it listens for readiness checks.
--- a/crates/gateway/tests/unit/connection_reuse.rs
+++ b/crates/gateway/tests/unit/connection_reuse.rs
@@ -59,6 +59,8 @@
     GatewayOptions {
         name: GATEWAY.into(),
         zone: "zone-1".into(),
+        topology: locality::Topology::default(),
+        policy: policy::Policy::default(),
         client_address: any_port,
         readiness_address: any_port,
         metrics_address: None,
@@ -184,6 +186,7 @@
         at_most_once,
         priority: 0,
         max_attempts: 3,
+        allowed_regions: Vec::new(),
         attempts: 0,
         connect_failures: 0,
         may_have_run: false,
--- /dev/null
+++ b/crates/policy/src/leasing.rs
@@ -0,0 +1,18 @@
+//! Which request gets which seat.
+
+use crate::options::policy_options;
+
+policy_options! {
+    /// Which request gets which seat. Costs are in mean response times of the function.
+    LeasingPolicy, "leasing";
+    /// Cost of a runner in another zone of the same region.
+    other_zone_cost: f64 = 0.5, 0.0 => 100.0;
+    /// Cost of a runner in another region.
+    other_region_cost: f64 = 0.5, 0.0 => 100.0;
+    /// Cost of a runner whose quota is all leased, in its own mean response times.
+    full_cost: f64 = 0.5, 0.0 => 100.0;
+    /// Whether a runner that rejects requests gets fewer for a while.
+    backs_off_after_rejections: bool = true, false => true;
+    /// Part of the expected start, in percent, after which a runner is first probed.
+    first_probe_percent: u64 = 60, 0 => 100;
+}
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -1,6 +1,7 @@
 //! The seats of one function: its runners, the requests that wait, and its reports to the scaler.
 
 use crate::lease_holder::LeaseHolder;
+use crate::lease_rules::LeaseRules;
 use crate::report_state::ReportState;
 use crate::runner_set::RunnerSet;
 use crate::seat_runner::SeatRunner;
@@ -11,7 +12,7 @@
     FunctionReport, FunctionUpdate, LeaseOutcome, LeaseRelease, LeaseRequest, RunnerLeases,
     SeatLease, UpdateVersion, ZoneArrivals,
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Most requests that wait for one function.
 const WAITING_MAX: usize = 512;
@@ -119,18 +120,13 @@
     }
 
     /// Milliseconds after which a request is to come back that would get no seat in time; none where it may wait.
-    pub fn rejects(
-        &self,
-        now: u64,
-        request: &LeaseRequest,
-        evacuated: &BTreeSet<String>,
-    ) -> Option<u32> {
+    pub fn rejects(&self, now: u64, request: &LeaseRequest, rules: &LeaseRules) -> Option<u32> {
         let timeout_ms = request.timeout_ms;
         let ahead = self.queue.ahead_of(request.priority);
         let wait_ms = self.runners.expected_wait_ms(now, ahead);
         // Where a seat is free there is nothing to wait for, and only who is sent there shows how fast it is.
         let is_late = wait_ms.is_some_and(|wait| wait > f64::from(timeout_ms) * WAIT_PART_MAX)
-            && !self.has_free_seat(now, evacuated, &request.excluded_runners);
+            && !self.has_free_seat(now, rules, &request.excluded_runners);
         let blocked = self.retry_after_block(now, now + u64::from(timeout_ms));
         if !is_late && blocked.is_none() && self.queue.len() < WAITING_MAX {
             return None;
@@ -212,8 +208,8 @@
     }
 
     /// Issues a lease of a free seat to the first request that may use one.
-    pub fn lease_next(&mut self, now: u64, evacuated: &BTreeSet<String>) -> Option<IssuedLease> {
-        let (position, place) = self.match_next(now, evacuated)?;
+    pub fn lease_next(&mut self, now: u64, rules: &LeaseRules) -> Option<IssuedLease> {
+        let (position, place) = self.match_next(now, rules)?;
         let waiting = self.queue.remove(position)?;
         let runner = self.runners.at_mut(place);
         let lease = SeatLease {
@@ -227,25 +223,24 @@
         Some(IssuedLease { gateway, lease })
     }
 
-    fn match_next(&self, now: u64, evacuated: &BTreeSet<String>) -> Option<(QueuePosition, usize)> {
+    fn match_next(&self, now: u64, rules: &LeaseRules) -> Option<(QueuePosition, usize)> {
         if self.queue.is_empty() {
             return None;
         }
-        let free = self.runners.free_places(now, evacuated);
+        let free = self.runners.free_places(now, rules);
         if free.is_empty() {
             return None;
         }
-        let mean_ms = self.runners.mean_response_ms();
         self.queue.iter().find_map(|(position, waiting)| {
             let excluded = &waiting.excluded_runners;
             let runners = &self.runners;
-            let place = runners.cheapest(&free, &waiting.zone, excluded, mean_ms)?;
+            let place = runners.cheapest(&free, &waiting.zone, excluded, rules)?;
             Some((position, place))
         })
     }
 
-    fn has_free_seat(&self, now: u64, evacuated: &BTreeSet<String>, excluded: &[String]) -> bool {
-        let mut free = self.runners.free_places(now, evacuated).into_iter();
+    fn has_free_seat(&self, now: u64, rules: &LeaseRules, excluded: &[String]) -> bool {
+        let mut free = self.runners.free_places(now, rules).into_iter();
         free.any(|place| self.runners.may_use(place, excluded))
     }
 
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -3,8 +3,11 @@
 use crate::action::{LeaseAction, OwnerUsage, RunnerUsage};
 use crate::function_seats::{FunctionSeats, RETRY_AFTER_MS};
 use crate::lease_holder::LeaseHolder;
+use crate::lease_rules::LeaseRules;
 use crate::probe_schedule::{ProbeSchedule, ProbeTarget};
 use invariants::{check, Invariant};
+use locality::Topology;
+use policy::LeasingPolicy;
 use protocol::{
     FunctionReport, FunctionUpdate, LeaseRelease, LeaseRequest, RequestId, RunnerLeases,
 };
@@ -25,14 +28,28 @@
     /// Functions that may have something to report to the scaler.
     unreported: BTreeSet<String>,
     probes: ProbeSchedule,
-    evacuated_zones: BTreeSet<String>,
+    rules: LeaseRules,
     actions: Vec<LeaseAction>,
 }
 
 impl LeaseOwner {
+    /// An owner that knows no function yet.
+    #[must_use]
+    pub fn new(policy: LeasingPolicy, topology: Topology) -> Self {
+        let rules = LeaseRules {
+            policy,
+            topology,
+            evacuated_zones: BTreeSet::new(),
+        };
+        Self {
+            rules,
+            ..Self::default()
+        }
+    }
+
     /// Sets the zones whose runners get no new requests.
     pub fn set_evacuated_zones(&mut self, zones: BTreeSet<String>) {
-        self.evacuated_zones = zones;
+        self.rules.evacuated_zones = zones;
     }
 
     /// Takes what is to be done now, in order.
@@ -53,7 +70,7 @@
         let seats = self.functions.entry(function.clone()).or_default();
         seats.touch(now);
         seats.record_arrival(zone, &request);
-        if let Some(retry_after_ms) = seats.rejects(now, &request, &self.evacuated_zones) {
+        if let Some(retry_after_ms) = seats.rejects(now, &request, &self.rules) {
             seats.record_abandoned();
             self.reject(gateway, request.request_id, retry_after_ms);
             self.unreported.insert(function);
@@ -282,7 +299,7 @@
         let Some(seats) = self.functions.get_mut(function) else {
             return;
         };
-        while let Some(issued) = seats.lease_next(now, &self.evacuated_zones) {
+        while let Some(issued) = seats.lease_next(now, &self.rules) {
             self.actions.push(LeaseAction::Lease {
                 gateway: issued.gateway,
                 lease: issued.lease,
--- a/crates/seat_leases/src/lib.rs
+++ b/crates/seat_leases/src/lib.rs
@@ -20,6 +20,7 @@
 mod function_seats;
 mod lease_holder;
 mod lease_owner;
+mod lease_rules;
 mod owner_selection;
 mod probe_schedule;
 mod rejection_backoff;
--- a/crates/seat_leases/src/runner_set.rs
+++ b/crates/seat_leases/src/runner_set.rs
@@ -1,18 +1,15 @@
 //! The runners of one function, and which of their seats a request gets.
 
 use crate::lease_holder::LeaseHolder;
+use crate::lease_rules::LeaseRules;
 use crate::seat_runner::SeatRunner;
 use protocol::{RunnerLeases, RunnerStage, RunnerUpdate};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Runners of one function that reject requests within a second where another owner must be leasing their seats too.
 const CONTENDED_RUNNERS: usize = 2;
 /// Milliseconds of a response that are assumed until one was seen.
 const RESPONSE_PRIOR_MS: f64 = 60.0;
-/// Cost of a runner in another zone, in mean response times of the function.
-const OTHER_ZONE_COST: f64 = 0.5;
-/// Cost of a runner whose quota is all leased, in its own mean response times.
-const FULL_COST: f64 = 0.5;
 /// Quota of a runner that a gateway reported before the scaler did.
 const UNKNOWN_QUOTA: u32 = 1;
 
@@ -116,10 +113,10 @@
     }
 
     /// Runners with a free seat, by place, that are in no evacuated zone.
-    pub fn free_places(&self, now: u64, evacuated: &BTreeSet<String>) -> Vec<usize> {
+    pub fn free_places(&self, now: u64, rules: &LeaseRules) -> Vec<usize> {
         let is_free = |place: &usize| {
             let runner = &self.runners[*place];
-            runner.has_free_seat(now) && !evacuated.contains(runner.zone())
+            runner.has_free_seat(now) && !rules.evacuated_zones.contains(runner.zone())
         };
         (0..self.runners.len()).filter(is_free).collect()
     }
@@ -136,24 +133,21 @@
         places: &[usize],
         zone: &str,
         excluded: &[String],
-        mean_ms: f64,
+        rules: &LeaseRules,
     ) -> Option<usize> {
         let usable = places.iter().copied();
         let usable = usable.filter(|place| self.may_use(*place, excluded));
-        let cost = |place: usize| self.cost(place, zone, mean_ms);
+        let mean_ms = self.mean_response_ms();
+        let cost = |place: usize| self.cost(place, zone, rules, mean_ms);
         usable.min_by(|one, other| cost(*one).total_cmp(&cost(*other)))
     }
 
-    /// Expected time of a response, and what the way to another zone adds.
-    fn cost(&self, place: usize, zone: &str, mean_ms: f64) -> f64 {
+    /// Expected time of a response, and what the way to another zone or region adds.
+    fn cost(&self, place: usize, zone: &str, rules: &LeaseRules, mean_ms: f64) -> f64 {
         let runner = &self.runners[place];
         let response_ms = runner.mean_response_ms().unwrap_or(mean_ms);
-        let way_ms = if runner.zone() == zone {
-            0.0
-        } else {
-            mean_ms * OTHER_ZONE_COST
-        };
-        response_ms * (1.0 + runner.utilization() * FULL_COST) + way_ms
+        let way_ms = mean_ms * rules.distance_cost(zone, runner.zone());
+        response_ms * (1.0 + runner.utilization() * rules.policy.full_cost) + way_ms
     }
 
     /// The runner at a place.
--- a/crates/seat_leases/tests/common/mod.rs
+++ b/crates/seat_leases/tests/common/mod.rs
@@ -17,6 +17,7 @@
         timeout_ms: 5_000,
         excluded_runners: Vec::new(),
         job: None,
+        allowed_regions: Vec::new(),
     }
 }
 
