protocol, gateway: a lease request bears the regions that its request must not leave

A list of regions travels in a message of its own, which an older owner cannot read, so that none overlooks it.

--- a/crates/gateway/src/lease_requests.rs
+++ b/crates/gateway/src/lease_requests.rs
@@ -44,7 +44,7 @@
             self.lease_requested(&owner, &zone, lease_request);
             return;
         }
-        self.send_to_peer(&owner, &Message::LeaseRequest(lease_request));
+        self.send_to_peer(&owner, &Message::lease_request(lease_request));
     }
 
     /// A lease is requested by a gateway that may be this one. A request of a job goes to the job's coordination first.
@@ -228,5 +228,6 @@
         timeout_ms: request.deadline.saturating_sub(now) as u32,
         excluded_runners: request.excluded_runners.clone(),
         job: None,
+        allowed_regions: request.allowed_regions.clone(),
     }
 }
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -4,7 +4,7 @@
 use crate::gateway::{Gateway, LINK_BUFFER_MAX};
 use crate::peer_links::{Introduction, Liveness, PING_AFTER_MS};
 use event_loop::ConnectionId;
-use protocol::{frame, take_frames, Member, Message};
+use protocol::{frame, take_frames, LeaseRequest, Member, Message};
 
 impl Gateway {
     /// Queues a message to another gateway; the link is opened where there is none.
@@ -101,10 +101,16 @@
     fn peer_message(&mut self, name: &str, message: Message) {
         self.peers.record_heard(name, self.now);
         match message {
-            Message::LeaseRequest(request) => {
-                let member = self.configuration.member(name);
-                let zone = member.map_or_else(String::new, |member| member.zone.clone());
-                self.lease_requested(name, &zone, request);
+            Message::LeaseRequest(request) => self.peer_requested_lease(name, request),
+            Message::RestrictedLeaseRequest {
+                request,
+                allowed_regions,
+            } => {
+                let request = LeaseRequest {
+                    allowed_regions,
+                    ..request
+                };
+                self.peer_requested_lease(name, request);
             }
             Message::CancelRequest(id) => self.lease_owner.cancel(self.now, name, id),
             Message::LeaseRelease(release) => self.lease_owner.release(self.now, name, &release),
@@ -122,6 +128,12 @@
         }
     }
 
+    fn peer_requested_lease(&mut self, name: &str, request: LeaseRequest) {
+        let member = self.configuration.member(name);
+        let zone = member.map_or_else(String::new, |member| member.zone.clone());
+        self.lease_requested(name, &zone, request);
+    }
+
     /// Checks whether the owners from which responses are awaited are alive.
     pub fn check_awaited_owners(&mut self) {
         for name in self.awaited_owners() {
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -65,6 +65,8 @@
     pub priority: u8,
     /// Most times that it may be sent to a runner.
     pub max_attempts: u32,
+    /// Regions that it must not leave; empty where all are allowed.
+    pub allowed_regions: Vec<String>,
     /// Times that it was sent to a runner.
     pub attempts: u32,
     /// Times that no connection to the runner of a lease came to be.
--- a/crates/gateway/src/request_admission.rs
+++ b/crates/gateway/src/request_admission.rs
@@ -66,6 +66,7 @@
     priority: u8,
     max_attempts: u32,
     timeout_ms: u64,
+    allowed_regions: Vec<String>,
     job: Option<Box<JobAdmission>>,
 }
 
@@ -119,6 +120,7 @@
             timeout_ms: client_timeout_ms
                 .min(binding_timeout_ms)
                 .min(TIMEOUT_MAX_MS),
+            allowed_regions: binding.allowed_regions.clone(),
             job,
         })
     }
@@ -141,6 +143,7 @@
             at_most_once: admission.at_most_once,
             priority: admission.priority,
             max_attempts: admission.max_attempts,
+            allowed_regions: admission.allowed_regions,
             attempts: 0,
             connect_failures: 0,
             may_have_run: false,
--- a/crates/gateway/tests/unit/restarted_peers.rs
+++ b/crates/gateway/tests/unit/restarted_peers.rs
@@ -51,6 +51,7 @@
             timeout_ms: 4_000,
             excluded_runners: Vec::new(),
             job: None,
+            allowed_regions: Vec::new(),
         });
         self.stream.write_all(&frame(&request)).unwrap();
     }
--- a/crates/jobs/tests/cluster/gateway.rs
+++ b/crates/jobs/tests/cluster/gateway.rs
@@ -178,6 +178,7 @@
             timeout_ms: request.deadline.saturating_sub(now) as u32,
             excluded_runners: Vec::new(),
             job: Some(request.admission.begin_attempt(&owner)),
+            allowed_regions: Vec::new(),
         };
         if owner == node.name {
             node.jobs.request_arrived(now, &owner, "", lease_request);
--- a/crates/protocol/src/leases.rs
+++ b/crates/protocol/src/leases.rs
@@ -20,6 +20,11 @@
     pub excluded_runners: Vec<String>,
     /// The job that the request asks for, where its client named one.
     pub job: Option<JobAttempt>,
+    /// Regions that the request must not leave; empty where all are allowed. It travels in
+    /// [`Message::RestrictedLeaseRequest`](crate::Message::RestrictedLeaseRequest), which a daemon that does not know it cannot read,
+    /// so that no owner overlooks it.
+    #[speedy(skip)]
+    pub allowed_regions: Vec<String>,
 }
 
 /// A seat at a runner, leased for one request.
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -168,4 +168,26 @@
         /// What became of it.
         response: RegisterResponse,
     },
+    /// A gateway requests a lease for a request that must not leave some regions.
+    RestrictedLeaseRequest {
+        /// The request; its own list of regions does not travel.
+        request: LeaseRequest,
+        /// The regions.
+        allowed_regions: Vec<String>,
+    },
+}
+
+impl Message {
+    /// The message that requests a lease.
+    #[must_use]
+    pub fn lease_request(mut request: LeaseRequest) -> Self {
+        if request.allowed_regions.is_empty() {
+            return Self::LeaseRequest(request);
+        }
+        let allowed_regions = std::mem::take(&mut request.allowed_regions);
+        Self::RestrictedLeaseRequest {
+            request,
+            allowed_regions,
+        }
+    }
 }
--- a/crates/protocol/tests/drawn/mod.rs
+++ b/crates/protocol/tests/drawn/mod.rs
@@ -7,7 +7,7 @@
 };
 use quickcheck::{Arbitrary, Gen};
 
-pub const KINDS: u8 = 27;
+pub const KINDS: u8 = 28;
 
 #[derive(Clone, Debug)]
 pub struct Drawn(pub Message);
@@ -161,7 +161,7 @@
     match kind {
         0..=6 | 17 | 26 => configuration_message(kind, gen),
         7 | 8 | 15 | 16 | 18 => status_message(kind, gen),
-        9..=14 => lease_message(kind, gen),
+        9..=14 | 27 => lease_message(kind, gen),
         _ => job_message(kind, gen),
     }
 }
@@ -217,16 +217,25 @@
     }
 }
 
+fn lease_request(gen: &mut Gen) -> LeaseRequest {
+    LeaseRequest {
+        request_id: RequestId(any(gen)),
+        function: any(gen),
+        priority: any(gen),
+        timeout_ms: any(gen),
+        excluded_runners: any(gen),
+        job: bool::arbitrary(gen).then(|| attempt(gen)),
+        allowed_regions: Vec::new(),
+    }
+}
+
 fn lease_message(kind: u8, gen: &mut Gen) -> Message {
     match kind {
-        9 => Message::LeaseRequest(LeaseRequest {
-            request_id: RequestId(any(gen)),
-            function: any(gen),
-            priority: any(gen),
-            timeout_ms: any(gen),
-            excluded_runners: any(gen),
-            job: bool::arbitrary(gen).then(|| attempt(gen)),
-        }),
+        9 => Message::LeaseRequest(lease_request(gen)),
+        27 => Message::RestrictedLeaseRequest {
+            request: lease_request(gen),
+            allowed_regions: any(gen),
+        },
         10 => Message::CancelRequest(RequestId(any(gen))),
         11 => Message::SeatLease(SeatLease {
             request_id: RequestId(any(gen)),
@@ -319,5 +328,6 @@
         Message::JobRegisterRequest { .. } => 24,
         Message::JobRegisterResponse { .. } => 25,
         Message::RequestHeartbeat => 26,
+        Message::RestrictedLeaseRequest { .. } => 27,
     }
 }
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -59,6 +59,24 @@
     assert_eq!(bytes.last(), Some(&0));
 }
 
+#[test]
+fn regions_travel_in_a_message_that_no_older_daemon_can_read() {
+    let request = protocol::LeaseRequest {
+        allowed_regions: vec!["north".into()],
+        ..protocol::LeaseRequest::default()
+    };
+    let expected = Message::RestrictedLeaseRequest {
+        request: protocol::LeaseRequest::default(),
+        allowed_regions: vec!["north".into()],
+    };
+    assert_eq!(Message::lease_request(request), expected);
+    let unrestricted = protocol::LeaseRequest::default();
+    assert_eq!(
+        Message::lease_request(unrestricted.clone()),
+        Message::LeaseRequest(unrestricted)
+    );
+}
+
 #[test]
 fn too_long_a_frame_is_refused_from_its_head_on() {
     let head = (MAX_FRAME_BYTES as u32 + 1).to_le_bytes();
--- a/tests/compatibility/src/samples/protocol.rs
+++ b/tests/compatibility/src/samples/protocol.rs
@@ -195,6 +195,7 @@
         timeout_ms: 750,
         excluded_runners: vec!["r-17".into(), "r-18".into()],
         job: Some(job_attempt()),
+        allowed_regions: Vec::new(),
     };
     let plain_request = LeaseRequest {
         job: None,
