--- /dev/null
+++ b/tests/experiment/src/bin/hallkeel-experiment.rs
@@ -0,0 +1,134 @@
+//! `hallkeel-experiment`: plays the same days with and without one change, and tells whether the difference lies beyond the noise.
+
+use clap::Parser;
+use experiment::arm::Arm;
+use experiment::checkout::Checkout;
+use experiment::comparison::compare;
+use experiment::error::ExperimentError;
+use experiment::plan::{parse_seeds, Plan};
+use experiment::{play, plot, table};
+use policy::{Policy, PolicySetting};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Compares the code as it stands with an option's value, or with another checkout.
+///
+/// Exit codes: 0 compared, 1 a build or a day failed, 2 bad arguments.
+#[derive(Parser)]
+#[command(name = "hallkeel-experiment", version)]
+struct Flags {
+    /// The program that plays days
+    #[arg(long)]
+    bench: PathBuf,
+    /// File of a deployment; may be given several times
+    #[arg(long, required = true)]
+    site: Vec<PathBuf>,
+    /// Name of a day; may be given several times
+    #[arg(long, default_value = "mix")]
+    day: Vec<String>,
+    /// Seeds, as numbers and ranges: 1-5,9
+    #[arg(long, default_value = "1-5", value_parser = parse_seeds)]
+    seeds: std::vec::Vec<u64>,
+    /// Checkout without the change
+    #[arg(long, default_value = ".")]
+    base: PathBuf,
+    /// Checkout with the change; the base's where only options change
+    #[arg(long)]
+    change: Option<PathBuf>,
+    /// Option of the change, NAME=VALUE; may be given several times
+    #[arg(long)]
+    set: Vec<PolicySetting>,
+    /// Option of both sides, NAME=VALUE; may be given several times
+    #[arg(long)]
+    both: Vec<PolicySetting>,
+    /// Days that are played at the same time
+    #[arg(long, default_value_t = 4)]
+    jobs: usize,
+    /// Leave the processor time of daemons out
+    #[arg(long)]
+    no_cpu: bool,
+    /// What the change is, for the table and the journal
+    #[arg(long)]
+    why: String,
+    /// Folder of the scratch checkouts
+    #[arg(long, default_value = "target/experiment")]
+    scratch: PathBuf,
+    /// Where the table (.md) and the plot (.svg) go, without the ending
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let flags = Flags::parse();
+    for settings in [&flags.set, &flags.both] {
+        if let Err(error) = Policy::with(settings) {
+            eprintln!("hallkeel-experiment: {error}");
+            return ExitCode::from(2);
+        }
+    }
+    match run(&flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hallkeel-experiment: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(flags: &Flags) -> Result<(), ExperimentError> {
+    let plan = plan(flags)?;
+    let change = flags.change.as_ref().unwrap_or(&flags.base);
+    let with_both = |settings: &[PolicySetting]| [&flags.both, settings].concat();
+    let base = Arm {
+        label: "base".to_owned(),
+        sources: flags.base.clone(),
+        settings: with_both(&[]),
+    };
+    let change = Arm {
+        label: "change".to_owned(),
+        sources: change.clone(),
+        settings: with_both(&flags.set),
+    };
+    let before = play_arm(&plan, &base, flags)?;
+    let after = play_arm(&plan, &change, flags)?;
+    let changes = compare(&before, &after);
+    let text = format!(
+        "# {}\n\n{} days a side.\n\n{}{}{}",
+        flags.why,
+        plan.days.len(),
+        table::metrics(&changes),
+        table::violations("base", &before),
+        table::violations("change", &after),
+    );
+    print!("{text}");
+    if let Some(out) = &flags.out {
+        let path = out.with_extension("md");
+        std::fs::write(&path, text).map_err(ExperimentError::io(&path))?;
+        plot::draw(&out.with_extension("svg"), &flags.why, &changes)?;
+    }
+    Ok(())
+}
+
+fn plan(flags: &Flags) -> Result<Plan, ExperimentError> {
+    let absolute = |path: &PathBuf| path.canonicalize().map_err(ExperimentError::io(path));
+    let sites: Result<Vec<PathBuf>, ExperimentError> = flags.site.iter().map(absolute).collect();
+    Ok(Plan {
+        bench: absolute(&flags.bench)?,
+        days: Plan::all_days(&sites?, &flags.day, &flags.seeds),
+        jobs: flags.jobs,
+        ignores_cpu: flags.no_cpu,
+        why: flags.why.clone(),
+    })
+}
+
+fn play_arm(plan: &Plan, arm: &Arm, flags: &Flags) -> Result<play::Reports, ExperimentError> {
+    std::fs::create_dir_all(&flags.scratch).map_err(ExperimentError::io(&flags.scratch))?;
+    let scratch = flags
+        .scratch
+        .canonicalize()
+        .map_err(ExperimentError::io(&flags.scratch))?;
+    let checkout = Checkout::prepare(&arm.sources, &scratch)?;
+    let reports = play::play(plan, arm, &checkout)?;
+    checkout.copy_journal(Path::new("."))?;
+    Ok(reports)
+}
