Failing tests: requests leave the home regions of their routes

At every layer: a seat in another region is leased, a runner starts outside, a gateway uses such a lease, retries and copies of jobs leave, a home that does not exist is accepted. Seen with real daemons over three regions as well.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -64,6 +64,9 @@
 pub use options::{GatewayError, GatewayOptions, HttpConventions};
 pub use run::run;
 
+#[cfg(test)]
+#[path = "../tests/unit/allowed_regions.rs"]
+mod allowed_regions_tests;
 #[cfg(test)]
 #[path = "../tests/unit/broken_invariants.rs"]
 mod broken_invariants_tests;
--- a/tests/cluster/src/daemon.rs
+++ b/tests/cluster/src/daemon.rs
@@ -1,6 +1,7 @@
 //! One daemon as a process, with its settings file, its log and the signals that it is sent.
 
 use super::paths::program;
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -33,6 +34,8 @@
     pub platform: SocketAddr,
     pub seeds: Vec<IpAddr>,
     pub retry_slack: u32,
+    /// Each zone with its region.
+    pub regions: BTreeMap<&'static str, &'static str>,
 }
 
 impl Daemon {
@@ -213,6 +216,10 @@
             let listen = listen.map(|(name, port)| format!("{name} = \"{}\"", self.at(port)));
             ("edge", String::new(), listen.join("\n"))
         };
+        let regions = shared_settings.regions.iter();
+        let zones: Vec<String> = regions
+            .map(|(zone, region)| format!("{zone} = \"{region}\""))
+            .collect();
         format!(
             r#"node_name = "{name}"
 role = "{role}"
@@ -220,7 +227,7 @@
 serves = ["{role}"]
 ip_address = "{ip}"
 zone = "{zone}"
-region = "here"
+region = "{region}"
 internal_ports = [7300, 7315]
 seed_addrs = [{seeds}]
 first_start = {is_first}
@@ -231,9 +238,7 @@
 beat_every_ms = 500
 active_contracts = ["base", "drain", "config", "functions"]
 [zones]
-north-a = "here"
-north-b = "here"
-north-c = "here"
+{zones}
 [listen_addrs]
 {listen}
 [limits]
@@ -269,6 +274,8 @@
             name = self.name,
             ip = self.ip,
             zone = self.zone,
+            region = shared_settings.regions[self.zone.as_str()],
+            zones = zones.join("\n"),
             seeds = seeds.join(", "),
             slack = shared_settings.retry_slack,
             platform = shared_settings.platform,
--- a/tests/cluster/src/simulated_cluster.rs
+++ b/tests/cluster/src/simulated_cluster.rs
@@ -10,12 +10,15 @@
 use super::{seconds, wait_until};
 use http1::Response;
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
 use std::sync::Arc;
 
 pub const ZONES: [&str; 3] = ["north-a", "north-b", "north-c"];
+/// The region of all zones, where a test sets nothing else.
+const REGION: &str = "here";
 const WORKER_MB: u64 = 4_096;
 const PLATFORM_PORT: u16 = 8_029;
 /// Ports at which daemons listen for one another.
@@ -34,6 +37,7 @@
     is_configured: bool,
     is_relayed: bool,
     warm_up_target: Option<&'static str>,
+    has_region_per_zone: bool,
 }
 
 impl ClusterBuilder {
@@ -43,6 +47,12 @@
         self
     }
 
+    /// Each zone is a region of its own, with the name of the zone.
+    pub fn region_per_zone(mut self) -> Self {
+        self.has_region_per_zone = true;
+        self
+    }
+
     /// Daemons reach one another through relays, which can partition them.
     pub fn relayed(mut self) -> Self {
         self.is_relayed = true;
@@ -61,8 +71,17 @@
         self.configured()
     }
 
+    fn regions(&self) -> BTreeMap<&'static str, &'static str> {
+        let zones = ZONES.into_iter();
+        let with_regions = zones.map(|zone| match self.has_region_per_zone {
+            true => (zone, zone),
+            false => (zone, REGION),
+        });
+        with_regions.collect()
+    }
+
     pub fn start(self) -> SimulatedCluster {
-        let cluster = SimulatedCluster::start(self.retry_slack, self.is_relayed);
+        let cluster = SimulatedCluster::start(&self);
         if self.is_configured {
             assert_eq!(cluster.replace(0, &configuration(1)).0, 200);
             cluster.wait_ready();
@@ -119,10 +138,11 @@
             is_configured: false,
             is_relayed: false,
             warm_up_target: None,
+            has_region_per_zone: false,
         }
     }
 
-    fn start(retry_slack: u32, is_relayed: bool) -> Self {
+    fn start(builder: &ClusterBuilder) -> Self {
         let (net, held) = free_net();
         let name = format!("cluster-{}-{}-{}", std::process::id(), net[1], net[2]);
         let folder = scratch().join(name);
@@ -148,7 +168,8 @@
         let shared_settings = ClusterSettings {
             platform: address,
             seeds: controllers.iter().map(|one| one.ip).collect(),
-            retry_slack,
+            retry_slack: builder.retry_slack,
+            regions: builder.regions(),
         };
         let mut cluster = Self {
             platform,
@@ -163,7 +184,7 @@
             _api: api,
             _net: held,
         };
-        if is_relayed {
+        if builder.is_relayed {
             cluster.open_relays();
         }
         let daemons = cluster.controllers.iter_mut().chain(&mut cluster.gateways);
@@ -310,7 +331,7 @@
     pub fn settings_with_seed(&self, seed: usize) -> ClusterSettings {
         ClusterSettings {
             seeds: vec![self.controllers[seed].ip],
-            ..self.shared_settings
+            ..self.shared_settings.clone()
         }
     }
 }
