Home regions: requests run, retry and are kept in the regions of their route alone

The owner leases no seat outside a request's regions, and counts only runners inside for waits and rejections; the gateway checks each lease and each sending (invariant request_stays_in_its_regions); the autoscaler starts runners inside, covers every route of a function, drains runners that no route may use, and tells an owner that the home is full; the response of a job on such a route is kept nowhere, so that its copies get 409; a controller refuses a configuration that names a region that does not exist.

--- a/crates/autoscaler/src/configuration.rs
+++ b/crates/autoscaler/src/configuration.rs
@@ -1,6 +1,6 @@
 //! Handles a new operator's configuration and changes of the evacuated zones.
 
-use crate::draining::apply_evacuation;
+use crate::draining::{apply_allowed_regions, apply_evacuation};
 use crate::function_configuration::{by_function, FunctionConfiguration};
 use crate::runner::{DrainReason, RunnerState};
 use crate::scaling_decision::decide_due;
@@ -63,6 +63,17 @@
     }
     if has_runners {
         resize_runners(state, name, memory_mb, concurrency);
+        apply_regions(state, name);
+    }
+}
+
+/// Drains the runners that no route of the function may use, and takes those back that one may use again.
+fn apply_regions(state: &mut ClusterState, name: &str) {
+    let Some(function) = state.functions.get(name) else {
+        return;
+    };
+    for serial in function.runners().clone() {
+        apply_allowed_regions(state, serial);
     }
 }
 
--- a/crates/autoscaler/src/draining.rs
+++ b/crates/autoscaler/src/draining.rs
@@ -68,6 +68,38 @@
     }
 }
 
+/// Whether any route of a runner's function may use it.
+pub(crate) fn is_in_allowed_region(state: &ClusterState, runner: &Runner) -> bool {
+    let function = state.functions.get(&runner.function);
+    function.is_none_or(|function| {
+        let regions = &function.configuration().allowed_regions;
+        regions.may_use(&state.options.topology, &runner.zone)
+    })
+}
+
+/// Drains a runner that no route of its function may use, and makes it revivable once one may.
+pub(crate) fn apply_allowed_regions(state: &mut ClusterState, serial: u64) {
+    let Some(runner) = state.runners.get(serial) else {
+        return;
+    };
+    let is_allowed = is_in_allowed_region(state, runner);
+    match runner.state {
+        RunnerState::StartPending { .. } if !is_allowed => withdraw_start(state, serial),
+        RunnerState::Starting | RunnerState::Serving if !is_allowed => {
+            drain(state, serial, DrainReason::RegionNotAllowed);
+        }
+        RunnerState::Draining {
+            reason: DrainReason::Surplus,
+            ..
+        } if !is_allowed => drain(state, serial, DrainReason::RegionNotAllowed),
+        RunnerState::Draining {
+            reason: DrainReason::RegionNotAllowed,
+            ..
+        } if is_allowed => drain(state, serial, DrainReason::Surplus),
+        _ => {}
+    }
+}
+
 /// The platform ends the runners of a worker that it drains.
 pub(crate) fn apply_worker_drain(state: &mut ClusterState, serial: u64) {
     let Some(runner) = state.runners.get(serial) else {
--- a/crates/autoscaler/src/eviction.rs
+++ b/crates/autoscaler/src/eviction.rs
@@ -28,7 +28,11 @@
         return;
     };
     let configuration = function.configuration();
-    let is_idle = |runner: &Runner| runner.evictable_at() <= state.now;
+    let regions = &configuration.allowed_regions;
+    let is_idle = |runner: &Runner| {
+        let makes_room = regions.may_use(&state.options.topology, &runner.zone);
+        makes_room && runner.evictable_at() <= state.now
+    };
     let mut surplus = surplus_runners(state, name, configuration.priority, is_idle);
     surplus.sort_unstable();
     for serial in choose_victims(state, configuration.memory_mb, &surplus) {
--- a/crates/autoscaler/src/function_configuration.rs
+++ b/crates/autoscaler/src/function_configuration.rs
@@ -1,5 +1,6 @@
 //! The part of the operator's configuration that decides how a function is scaled.
 
+use crate::allowed_regions::AllowedRegions;
 use crate::options::AutoscalerOptions;
 use routing::RoutingConfiguration;
 use std::collections::BTreeMap;
@@ -22,6 +23,8 @@
     pub priority: u8,
     /// Milliseconds for which a request may take at most: the longest of its routes.
     pub timeout_ms: u64,
+    /// Regions in which its routes let requests run.
+    pub allowed_regions: AllowedRegions,
     /// The current configuration names the function. Otherwise its runners drain.
     pub is_configured: bool,
 }
@@ -36,6 +39,7 @@
             latency_target_ms: u32::MAX,
             priority: u8::MAX,
             timeout_ms: 0,
+            allowed_regions: AllowedRegions::default(),
             is_configured: false,
         }
     }
@@ -77,6 +81,7 @@
         function.latency_target_ms = function.latency_target_ms.min(binding.latency_target_ms);
         function.priority = function.priority.min(binding.priority);
         function.timeout_ms = function.timeout_ms.max(u64::from(binding.timeout_ms));
+        function.allowed_regions.add_route(&binding.allowed_regions);
     }
     let names = configuration.functions.iter();
     let names = names.map(|function| function.name.clone());
--- a/crates/autoscaler/src/lib.rs
+++ b/crates/autoscaler/src/lib.rs
@@ -26,6 +26,7 @@
 //! `start_queue`, `token_bucket`, `update_log`, `stopped_runners`), put together in `state`. Imports run one way: values,
 //! parts, `state`, steps, decision, handlers, and `autoscaler` on top.
 
+mod allowed_regions;
 mod arrivals;
 mod autoscaler;
 mod configuration;
--- a/crates/autoscaler/src/placement.rs
+++ b/crates/autoscaler/src/placement.rs
@@ -38,16 +38,52 @@
     }
 }
 
+/// What a runner is started for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StartPurpose {
+    /// More load than the present runners carry.
+    Load,
+    /// A route that may use none of the present runners.
+    UncoveredRoute,
+}
+
 /// Chooses a worker for one more runner of a function; none where no worker has room.
-pub(crate) fn choose_worker(state: &mut ClusterState, name: &str) -> Option<String> {
+pub(crate) fn choose_worker(
+    state: &mut ClusterState,
+    name: &str,
+    purpose: StartPurpose,
+) -> Option<String> {
     refresh_accounts(state);
     let state = &*state;
     let function = state.functions.get(name)?;
     let runners_by_zone = runners_by_zone(state, function);
-    let preferred_zone = preferred_zone(state, function, &runners_by_zone);
+    let regions = allowed_regions(state, function, &runners_by_zone);
+    let chosen = best_worker(state, function, &runners_by_zone, &regions);
+    // Where the home of one route is full, load of the others may still go anywhere.
+    let configured = &function.configuration().allowed_regions;
+    let may_go_anywhere =
+        purpose == StartPurpose::Load && configured.has_unrestricted_route() && !regions.is_empty();
+    match chosen {
+        None if may_go_anywhere => best_worker(state, function, &runners_by_zone, &[]),
+        _ => chosen,
+    }
+}
+
+/// The worker in these regions that suits a runner of the function best.
+fn best_worker(
+    state: &ClusterState,
+    function: &Function,
+    runners_by_zone: &BTreeMap<&str, usize>,
+    allowed_regions: &[String],
+) -> Option<String> {
+    let is_allowed = |zone: &str| state.options.topology.allows(allowed_regions, zone);
+    let preferred_zone = preferred_zone(state, function, runners_by_zone, &is_allowed);
     let mut best: Option<(Fitness, &str)> = None;
     for worker in state.workers.iter() {
         let listing = worker.listing();
+        if !is_allowed(&listing.zone) {
+            continue;
+        }
         let Some(account) = state.runners.account(&listing.name) else {
             continue;
         };
@@ -103,35 +139,52 @@
     by_zone
 }
 
+/// The regions in which the next runner of a function may stand; empty where all may.
+fn allowed_regions(
+    state: &ClusterState,
+    function: &Function,
+    runners_by_zone: &BTreeMap<&str, usize>,
+) -> Vec<String> {
+    let zones: Vec<&str> = runners_by_zone.keys().copied().collect();
+    let regions = &function.configuration().allowed_regions;
+    regions.for_next_runner(&state.options.topology, &zones)
+}
+
 /// The zone of most calls among those without a runner of the function; the emptiest zone where there are neither calls
 /// nor runners.
 fn preferred_zone<'a>(
     state: &'a ClusterState,
     function: &'a Function,
     runners_by_zone: &BTreeMap<&str, usize>,
+    is_allowed: &impl Fn(&str) -> bool,
 ) -> Option<&'a str> {
     if !state.options.policy.prefers_callers_zone {
         return None;
     }
     let calls = function.arrivals().by_zone().iter();
-    let unserved = calls.filter(|(zone, _)| !runners_by_zone.contains_key(zone.as_str()));
+    let unserved =
+        calls.filter(|(zone, _)| is_allowed(zone) && !runners_by_zone.contains_key(zone.as_str()));
     let most = unserved.max_by(|(one, count), (other, other_count)| {
         let by_count = count.total_cmp(other_count);
         by_count.then_with(|| other.cmp(one))
     });
     match most {
         Some((zone, _)) => Some(zone),
-        None if runners_by_zone.is_empty() => emptiest_zone(state),
+        None if runners_by_zone.is_empty() => emptiest_zone(state, is_allowed),
         None => None,
     }
 }
 
 /// The zone whose runners take the least memory. Minimal runners that nobody called yet are spread by it, so that the
 /// loss of one worker or zone does not take them all.
-fn emptiest_zone(state: &ClusterState) -> Option<&str> {
+fn emptiest_zone<'a>(
+    state: &'a ClusterState,
+    is_allowed: &impl Fn(&str) -> bool,
+) -> Option<&'a str> {
     let mut taken: BTreeMap<&str, u64> = BTreeMap::new();
     let workers = state.workers.iter();
-    for worker in workers.filter(|worker| state.workers.is_open(worker, state.now)) {
+    let open = workers.filter(|worker| state.workers.is_open(worker, state.now));
+    for worker in open.filter(|worker| is_allowed(&worker.listing().zone)) {
         let placed = state.runners.on_worker(&worker.listing().name);
         let memory_mb: u64 = placed.map(|(_, runner)| runner.memory_mb).sum();
         *taken.entry(&worker.listing().zone).or_default() += memory_mb;
--- a/crates/autoscaler/src/runner.rs
+++ b/crates/autoscaler/src/runner.rs
@@ -16,6 +16,8 @@
     ZoneEvacuated,
     /// The configuration no longer names its function.
     FunctionRemoved,
+    /// No route of its function may use a runner in its region any more.
+    RegionNotAllowed,
 }
 
 /// State in the lifecycle of a runner. Times are in milliseconds of the caller's clock.
--- a/crates/autoscaler/src/scaling_decision.rs
+++ b/crates/autoscaler/src/scaling_decision.rs
@@ -7,6 +7,7 @@
 use crate::draining::drain;
 use crate::function::Function;
 use crate::load::Load;
+use crate::placement::StartPurpose;
 use crate::quotas;
 use crate::runner::DrainReason;
 use crate::start_queue::StartUrgency;
@@ -50,6 +51,9 @@
         drain_all(state, name, DrainReason::Surplus);
         return;
     }
+    if cover_routes(state, name, load) {
+        return;
+    }
     if load.demand > state.options.policy.alpha * load.capacity {
         set_below_beta_since(state, name, None);
         scale_up(state, name, load);
@@ -63,6 +67,27 @@
     }
 }
 
+/// Starts a runner for a route that may use none of those that there are; whether one was started.
+///
+/// The owners do not tell the demand of each route, so every route of a function that is awake counts as called.
+fn cover_routes(state: &mut ClusterState, name: &str, load: Load) -> bool {
+    let Some(function) = state.functions.get(name) else {
+        return false;
+    };
+    if load.runners == 0 || function.is_start_paused(state.now) {
+        return false;
+    }
+    let runners = state.runners_of(function);
+    let capacity = runners.filter(|(_, runner)| runner.is_capacity());
+    let zones: Vec<&str> = capacity.map(|(_, runner)| runner.zone.as_str()).collect();
+    let regions = &function.configuration().allowed_regions;
+    if regions.are_covered(&state.options.topology, &zones) {
+        return false;
+    }
+    let urgency = StartUrgency::of_waiting(load.waiting > 0);
+    add_start(state, name, StartPurpose::UncoveredRoute, urgency).is_ok()
+}
+
 /// Puts the starts of a function before those for which nothing waits.
 fn expedite_starts(state: &mut ClusterState, name: &str) {
     let Some(function) = state.functions.get(name) else {
@@ -96,7 +121,7 @@
     }
     let urgency = StartUrgency::of_waiting(load.waiting > 0);
     for _ in 0..new_runners(state, name, load, left) {
-        if add_start(state, name, urgency).is_err() {
+        if add_start(state, name, StartPurpose::Load, urgency).is_err() {
             return;
         }
     }
@@ -215,7 +240,7 @@
         return;
     }
     // Without room on any worker, starts are paused and retried later.
-    let _ = add_start(state, name, StartUrgency::Ahead);
+    let _ = add_start(state, name, StartPurpose::Load, StartUrgency::Ahead);
 }
 
 /// The oldest runner that can be taken back, with its highest quota.
--- a/crates/autoscaler/src/start_block.rs
+++ b/crates/autoscaler/src/start_block.rs
@@ -3,6 +3,7 @@
 //! The owner may then reject at once what could not be served in time anyway. The statement is made only where the lists
 //! show that no runner exists, holds for a bounded time, and is repeated while it is true.
 
+use crate::draining::is_in_allowed_region;
 use crate::eviction::surplus_runners;
 use crate::function::{CapacityShortage, Function};
 use crate::memory_account::TimedMemory;
@@ -90,7 +91,8 @@
 fn may_have_runner(state: &ClusterState, function: &Function) -> bool {
     state.runners_of(function).any(|(_, runner)| {
         let is_unconfirmed = matches!(runner.state, RunnerState::StartUnconfirmed { .. });
-        runner.is_capacity() || runner.can_be_revived() || is_unconfirmed
+        let may_serve = runner.is_capacity() || runner.can_be_revived() || is_unconfirmed;
+        may_serve && is_in_allowed_region(state, runner)
     })
 }
 
@@ -99,7 +101,11 @@
     let configuration = function.configuration();
     let mut surplus = surplus_by_worker(state, name, configuration.priority);
     let workers = state.workers.iter();
-    let usable = workers.filter(|worker| !state.workers.is_closed(worker));
+    let regions = &configuration.allowed_regions;
+    let usable = workers.filter(|worker| {
+        let is_allowed = regions.may_use(&state.options.topology, &worker.listing().zone);
+        is_allowed && !state.workers.is_closed(worker)
+    });
     let times = usable.filter_map(|worker| {
         let freeing = surplus.remove(worker.listing().name.as_str());
         room_on(
--- a/crates/autoscaler/src/starts.rs
+++ b/crates/autoscaler/src/starts.rs
@@ -2,7 +2,7 @@
 
 use crate::eviction::evict_for;
 use crate::function::Function;
-use crate::placement::choose_worker;
+use crate::placement::{choose_worker, StartPurpose};
 use crate::runner::{Runner, RunnerState, ServiceTime};
 use crate::start_block::{clear_shortage, record_shortage, NO_ROOM_RETRY_MS};
 use crate::start_queue::StartUrgency;
@@ -18,9 +18,10 @@
 pub(crate) fn add_start(
     state: &mut ClusterState,
     name: &str,
+    purpose: StartPurpose,
     urgency: StartUrgency,
 ) -> Result<(), NoWorkerHasRoom> {
-    let Some(worker) = choose_worker(state, name) else {
+    let Some(worker) = choose_worker(state, name, purpose) else {
         pause_starts(state, name);
         evict_for(state, name);
         record_shortage(state, name);
--- a/crates/autoscaler/tests/allowed_regions.rs
+++ b/crates/autoscaler/tests/allowed_regions.rs
@@ -172,3 +172,11 @@
     let update = autoscaler.update_for("f", 1_000);
     assert_eq!(stage(&update, "r-a"), Some(protocol::RunnerStage::Serving));
 }
+
+#[test]
+fn the_full_home_of_one_route_starves_no_other_route() {
+    let mut full = workers();
+    full[1].free_mb = 0;
+    let mut autoscaler = autoscaler(&[&[], &["south"]], &full, &[]);
+    assert_eq!(started_on(&mut autoscaler, 1, 500), ["w-a"]);
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -68,6 +68,7 @@
 mod platform_lists;
 mod recent_changes;
 mod redirector;
+mod regional_configuration;
 mod scaler;
 mod signals;
 mod status;
--- a/crates/controller/src/operator_service.rs
+++ b/crates/controller/src/operator_service.rs
@@ -7,6 +7,7 @@
 use crate::operator_response::{OperatorResponse, SERVICE_UNAVAILABLE, TEMPORARY_REDIRECT};
 use crate::operator_routing::{route, RequestRoute};
 use crate::options::ControllerOptions;
+use crate::regional_configuration::RegionalConfigurationFormat;
 use consensus::Consensus;
 use event_loop::ConnectionId;
 use http1::Request;
@@ -125,7 +126,8 @@
         outcome: ChangeOutcome,
         context: &mut OperatorContext<'_>,
     ) {
-        let documents = context.options.operator_codec.documents();
+        let format = context.options.operator_codec.documents();
+        let documents = &RegionalConfigurationFormat::new(format, &context.options.topology);
         match self.requests.handle_outcome(token, outcome, documents) {
             None => {}
             Some(RequestProgress::Reply { caller, reply }) => {
--- /dev/null
+++ b/crates/controller/src/regional_configuration.rs
@@ -0,0 +1,50 @@
+//! Checks of a configuration that need to know the deployment: the regions that its routes name must exist.
+
+use locality::Topology;
+use routing::{ConfigurationError, ConfigurationFormat, RoutingConfiguration};
+
+/// The operators' format, with the regions that routes name checked as well.
+pub(crate) struct RegionalConfigurationFormat<'a> {
+    format: &'a dyn ConfigurationFormat,
+    topology: &'a Topology,
+}
+
+impl<'a> RegionalConfigurationFormat<'a> {
+    /// Adds the check to a format.
+    pub fn new(format: &'a dyn ConfigurationFormat, topology: &'a Topology) -> Self {
+        Self { format, topology }
+    }
+
+    fn checked(
+        &self,
+        configuration: RoutingConfiguration,
+    ) -> Result<RoutingConfiguration, ConfigurationError> {
+        let known = self.topology.regions();
+        for binding in &configuration.bindings {
+            let mut regions = binding.allowed_regions.iter();
+            if let Some(unknown) = regions.find(|region| !known.contains(region.as_str())) {
+                let reason = format!("route '{}': there is no region '{unknown}'", binding.name);
+                return Err(ConfigurationError::Invalid(reason));
+            }
+        }
+        Ok(configuration)
+    }
+}
+
+impl ConfigurationFormat for RegionalConfigurationFormat<'_> {
+    fn parse(&self, document: &[u8]) -> Result<RoutingConfiguration, ConfigurationError> {
+        self.checked(self.format.parse(document)?)
+    }
+
+    fn apply_change(
+        &self,
+        base: &RoutingConfiguration,
+        change: &[u8],
+    ) -> Result<RoutingConfiguration, ConfigurationError> {
+        self.checked(self.format.apply_change(base, change)?)
+    }
+
+    fn merge_change(&self, document: &[u8], change: &[u8]) -> Result<Vec<u8>, ConfigurationError> {
+        self.format.merge_change(document, change)
+    }
+}
--- a/crates/gateway/src/job_messages.rs
+++ b/crates/gateway/src/job_messages.rs
@@ -134,7 +134,7 @@
                 }
             },
             JobVerdict::TooLarge => {
-                let reason = "it has run, and its answer was too large to be kept";
+                let reason = "it has run, and its answer was not kept";
                 self.end_with_error(id, CONFLICT, reason);
             }
             JobVerdict::MayHaveRun => {
@@ -212,9 +212,13 @@
         let Some(job) = &request.job else {
             return;
         };
-        // Work that may run twice is run anew after a failure.
+        // Work that may run twice is run anew after a failure. What must not leave some regions is kept nowhere else: the owner of
+        // the function and the controllers may stand in others.
+        let is_restricted = !request.allowed_regions.is_empty();
         let result = if !job.attempt().at_most_once && response.status >= SERVER_ERRORS_FROM {
             JobResult::Lost
+        } else if is_restricted {
+            JobResult::TooLarge
         } else {
             pack(response).map_or(JobResult::TooLarge, JobResult::Answer)
         };
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -5,6 +5,7 @@
 use http1::Request;
 use invariants::{check, Invariant};
 use jobs::JobAdmission;
+use locality::Topology;
 use protocol::RequestId;
 
 /// Name of the gateway that owns the seats of a function.
@@ -196,8 +197,13 @@
     }
 
     /// Checks, as it is about to be sent, that it may be: it has not run where it must not run twice, it has an attempt
-    /// left, and its job is claimed.
-    pub fn check_may_be_sent(&self) {
+    /// left, its job is claimed, and its runner stands in a region that it may enter.
+    pub fn check_may_be_sent(&self, topology: &Topology) {
+        let zone = self.attempt().map(|attempt| attempt.zone.as_str());
+        let is_allowed = zone.is_none_or(|zone| topology.allows(&self.allowed_regions, zone));
+        check(Invariant::RequestStaysInItsRegions, is_allowed, || {
+            self.explain()
+        });
         let may_run_again = !(self.at_most_once && self.may_have_run);
         check(Invariant::AtMostOnceIsSentOnce, may_run_again, || {
             self.explain()
--- a/crates/gateway/src/upstream_requests.rs
+++ b/crates/gateway/src/upstream_requests.rs
@@ -25,6 +25,15 @@
                 RequestPhase::AwaitingLease { owner: asked, .. } if asked == owner);
             is_from_owner && request.downstream.is_some()
         });
+        if is_awaited && !self.may_run_in(id, &lease.zone) {
+            log::error!(
+                "gateway: lease outside the allowed regions owner={owner} zone={}",
+                lease.zone
+            );
+            self.release_unused(owner, id);
+            self.reject(id, 0, "no runner in an allowed region");
+            return;
+        }
         if !is_awaited || is_evacuated {
             self.release_unused(owner, id);
             if is_awaited {
@@ -44,6 +53,13 @@
         }
     }
 
+    /// Whether the regions that a request must not leave hold a zone.
+    fn may_run_in(&mut self, id: RequestId, zone: &str) -> bool {
+        let topology = &self.options.topology;
+        let request = self.requests.get(id);
+        request.is_some_and(|request| topology.allows(&request.allowed_regions, zone))
+    }
+
     fn begin_attempt(&mut self, owner: &str, lease: SeatLease, connection: ConnectionId) {
         let id = lease.request_id;
         let now = self.now;
@@ -130,7 +146,7 @@
             }
             return;
         }
-        request.check_may_be_sent();
+        request.check_may_be_sent(&self.options.topology);
         let RequestPhase::Upstream(attempt) = &mut request.phase else {
             return;
         };
--- a/crates/gateway/tests/unit/allowed_regions.rs
+++ b/crates/gateway/tests/unit/allowed_regions.rs
@@ -36,6 +36,8 @@
             since: 0,
         };
         let id = gateway.requests.add(pending);
+        let connection = downstream.and_then(|one| gateway.connections.downstream(one));
+        connection.expect("a client").request = Some(id);
         Self {
             gateway,
             runner,
--- a/crates/gateway/tests/unit/broken_invariants.rs
+++ b/crates/gateway/tests/unit/broken_invariants.rs
@@ -5,9 +5,11 @@
 use crate::connections::ConnectionRole;
 use crate::downstream_connection::DownstreamConnection;
 use crate::gateway::Gateway;
+use crate::pending_request::{RequestPhase, UpstreamAttempt};
 use crate::request_accounting::RequestEnd;
 use event_loop::ConnectionId;
 use jobs::JobAdmission;
+use locality::Topology;
 use protocol::RequestId;
 use routing::RoutingConfiguration;
 use std::net::{Ipv4Addr, TcpListener};
@@ -72,7 +74,7 @@
 fn a_request_that_may_have_run_is_sent_again() {
     let mut request = pending_request(None, true);
     request.may_have_run = true;
-    request.check_may_be_sent();
+    request.check_may_be_sent(&Topology::default());
 }
 
 #[test]
@@ -80,7 +82,7 @@
 fn a_request_is_sent_more_often_than_its_route_allows() {
     let mut request = pending_request(None, false);
     request.attempts = request.max_attempts;
-    request.check_may_be_sent();
+    request.check_may_be_sent(&Topology::default());
 }
 
 #[test]
@@ -89,7 +91,7 @@
     let mut request = pending_request(None, true);
     let admission = JobAdmission::new("key".into(), [0; 16], true, 1);
     request.job = Some(Box::new(admission));
-    request.check_may_be_sent();
+    request.check_may_be_sent(&Topology::default());
 }
 
 #[test]
@@ -124,3 +126,26 @@
     gateway.options.max_connections = 0;
     gateway.check_invariants();
 }
+
+#[test]
+#[should_panic(expected = "request_stays_in_its_regions")]
+fn a_request_about_to_be_sent_out_of_its_regions() {
+    let (mut gateway, listener) = (gateway(), listener());
+    let connection = downstream(&mut gateway, &listener);
+    let mut pending = pending_request(None, false);
+    pending.allowed_regions = vec!["home".into()];
+    let attempt = UpstreamAttempt {
+        owner: "owner-1".into(),
+        reported_to: Vec::new(),
+        runner: "runner-1".into(),
+        address: "127.0.0.1:1".into(),
+        zone: "away-1".into(),
+        connection,
+        started_at: 0,
+        is_sent: false,
+    };
+    pending.phase = RequestPhase::Upstream(attempt);
+    let zones = [("home-1", "home"), ("away-1", "away")];
+    let regions = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    pending.check_may_be_sent(&Topology::new(regions.into()));
+}
--- a/crates/invariants/src/invariant.rs
+++ b/crates/invariants/src/invariant.rs
@@ -35,6 +35,8 @@
     AttemptsAreBounded => "attempts_are_bounded",
     /// What a client is told has not run was not sent to a runner that may have run it.
     RejectedHasNotRun => "rejected_has_not_run",
+    /// A request is sent to no runner outside the regions that its route allows.
+    RequestStaysInItsRegions => "request_stays_in_its_regions",
     /// A request with an idempotency key is sent only once its job is claimed for it.
     JobIsClaimedBeforeItIsSent => "job_is_claimed_before_it_is_sent",
     /// No seat is leased beyond the quota of its runner.
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -3,7 +3,7 @@
 use crate::lease_holder::LeaseHolder;
 use crate::lease_rules::LeaseRules;
 use crate::report_state::ReportState;
-use crate::runner_set::RunnerSet;
+use crate::runner_set::{RunnerDemand, RunnerSet};
 use crate::seat_runner::SeatRunner;
 use crate::start_block::ReceivedStartBlock;
 use crate::wait_queue::{QueuePosition, WaitQueue, WaitingRequest};
@@ -123,11 +123,19 @@
     pub fn rejects(&self, now: u64, request: &LeaseRequest, rules: &LeaseRules) -> Option<u32> {
         let timeout_ms = request.timeout_ms;
         let ahead = self.queue.ahead_of(request.priority);
-        let wait_ms = self.runners.expected_wait_ms(now, ahead);
+        let allowed_regions = &request.allowed_regions;
+        let wait_ms = self
+            .runners
+            .expected_wait_ms(now, ahead, allowed_regions, rules);
+        let demand = RunnerDemand {
+            excluded: &request.excluded_runners,
+            allowed_regions,
+        };
         // Where a seat is free there is nothing to wait for, and only who is sent there shows how fast it is.
         let is_late = wait_ms.is_some_and(|wait| wait > f64::from(timeout_ms) * WAIT_PART_MAX)
-            && !self.has_free_seat(now, rules, &request.excluded_runners);
-        let blocked = self.retry_after_block(now, now + u64::from(timeout_ms));
+            && !self.has_free_seat(now, rules, &demand);
+        let deadline = now + u64::from(timeout_ms);
+        let blocked = self.retry_after_block(now, deadline, allowed_regions, rules);
         if !is_late && blocked.is_none() && self.queue.len() < WAITING_MAX {
             return None;
         }
@@ -155,6 +163,7 @@
             holder,
             zone: zone.into(),
             excluded_runners: request.excluded_runners,
+            allowed_regions: request.allowed_regions,
             deadline: now + u64::from(request.timeout_ms),
         };
         self.queue.push(request.priority, waiting);
@@ -232,35 +241,45 @@
             return None;
         }
         self.queue.iter().find_map(|(position, waiting)| {
-            let excluded = &waiting.excluded_runners;
+            let demand = RunnerDemand {
+                excluded: &waiting.excluded_runners,
+                allowed_regions: &waiting.allowed_regions,
+            };
             let runners = &self.runners;
-            let place = runners.cheapest(&free, &waiting.zone, excluded, rules)?;
+            let place = runners.cheapest(&free, &waiting.zone, &demand, rules)?;
             Some((position, place))
         })
     }
 
-    fn has_free_seat(&self, now: u64, rules: &LeaseRules, excluded: &[String]) -> bool {
+    fn has_free_seat(&self, now: u64, rules: &LeaseRules, demand: &RunnerDemand<'_>) -> bool {
         let mut free = self.runners.free_places(now, rules).into_iter();
-        free.any(|place| self.runners.may_use(place, excluded))
+        free.any(|place| self.runners.may_use(place, demand, rules))
     }
 
     /// Milliseconds after which a request is to come back that nothing can serve before its deadline; none where a
     /// runner that is here, pauses or starts, or a new one, may still do so.
-    fn retry_after_block(&self, now: u64, deadline: u64) -> Option<u32> {
+    fn retry_after_block(
+        &self,
+        now: u64,
+        deadline: u64,
+        allowed_regions: &[String],
+        rules: &LeaseRules,
+    ) -> Option<u32> {
         let block = self.start_block?;
-        if self.runners.may_serve() || !block.rules_out(now, deadline) {
+        if self.runners.may_serve(allowed_regions, rules) || !block.rules_out(now, deadline) {
             return None;
         }
         Some(block.retry_after_ms(now))
     }
 
     /// Takes requests out of the queue whose time is over, then those that nothing can serve in time.
-    pub fn take_hopeless(&mut self, now: u64) -> Vec<RejectedRequest> {
+    pub fn take_hopeless(&mut self, now: u64, rules: &LeaseRules) -> Vec<RejectedRequest> {
         let waiting = self.queue.iter();
         let late = waiting.filter(|(_, request)| request.deadline <= now);
         let late = late.map(|(position, _)| (position, RETRY_AFTER_MS));
         let blocked = self.queue.iter().filter_map(|(position, request)| {
-            let retry_after_ms = self.retry_after_block(now, request.deadline)?;
+            let regions = &request.allowed_regions;
+            let retry_after_ms = self.retry_after_block(now, request.deadline, regions, rules)?;
             Some((position, retry_after_ms))
         });
         let hopeless: Vec<(QueuePosition, u32)> = late.chain(blocked).collect();
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -287,7 +287,7 @@
         let Some(seats) = self.functions.get_mut(function) else {
             return;
         };
-        for rejected in seats.take_hopeless(now) {
+        for rejected in seats.take_hopeless(now, &self.rules) {
             let holder = rejected.holder;
             self.function_by_holder.remove(&holder);
             self.reject(&holder.gateway, holder.request_id, rejected.retry_after_ms);
--- a/crates/seat_leases/src/lease_rules.rs
+++ b/crates/seat_leases/src/lease_rules.rs
@@ -16,6 +16,11 @@
 }
 
 impl LeaseRules {
+    /// Whether a request with this list of regions may run in a zone.
+    pub fn allows(&self, allowed_regions: &[String], zone: &str) -> bool {
+        self.topology.allows(allowed_regions, zone)
+    }
+
     /// What the way from one zone to another costs, in mean response times of the function.
     pub fn distance_cost(&self, from: &str, to: &str) -> f64 {
         match self.topology.distance(from, to) {
--- a/crates/seat_leases/src/runner_set.rs
+++ b/crates/seat_leases/src/runner_set.rs
@@ -13,6 +13,14 @@
 /// Quota of a runner that a gateway reported before the scaler did.
 const UNKNOWN_QUOTA: u32 = 1;
 
+/// What a request asks of a runner.
+pub(crate) struct RunnerDemand<'a> {
+    /// Runners that failed it.
+    pub excluded: &'a [String],
+    /// Regions that it must not leave; empty where all are allowed.
+    pub allowed_regions: &'a [String],
+}
+
 /// The runners of one function.
 #[derive(Debug, Default)]
 pub(crate) struct RunnerSet {
@@ -121,10 +129,13 @@
         (0..self.runners.len()).filter(is_free).collect()
     }
 
-    /// Whether a request may use a runner: it did not fail the request before, or there is no other.
-    pub fn may_use(&self, place: usize, excluded: &[String]) -> bool {
-        let id = self.runners[place].id();
-        !excluded.iter().any(|one| one == id) || self.runners.len() == 1
+    /// Whether a request may use a runner: it stands in a region that the request may enter, and did not fail the request before,
+    /// or there is no other.
+    pub fn may_use(&self, place: usize, demand: &RunnerDemand<'_>, rules: &LeaseRules) -> bool {
+        let runner = &self.runners[place];
+        let has_failed_it = demand.excluded.iter().any(|one| one == runner.id());
+        let is_left = !has_failed_it || self.runners.len() == 1;
+        is_left && rules.allows(demand.allowed_regions, runner.zone())
     }
 
     /// Of these places the one that costs a request of this zone least.
@@ -132,11 +143,11 @@
         &self,
         places: &[usize],
         zone: &str,
-        excluded: &[String],
+        demand: &RunnerDemand<'_>,
         rules: &LeaseRules,
     ) -> Option<usize> {
         let usable = places.iter().copied();
-        let usable = usable.filter(|place| self.may_use(*place, excluded));
+        let usable = usable.filter(|place| self.may_use(*place, demand, rules));
         let mean_ms = self.mean_response_ms();
         let cost = |place: usize| self.cost(place, zone, rules, mean_ms);
         usable.min_by(|one, other| cost(*one).total_cmp(&cost(*other)))
@@ -165,22 +176,39 @@
         sum / f64::from(count)
     }
 
-    /// Milliseconds until a request with so many ahead gets a seat; none where nothing serves nor starts.
-    pub fn expected_wait_ms(&self, now: u64, ahead: usize) -> Option<f64> {
-        let serving = self.runners.iter().filter(|runner| runner.is_serving());
+    /// Runners in the regions that a request may enter.
+    fn within<'a>(
+        &'a self,
+        allowed_regions: &'a [String],
+        rules: &'a LeaseRules,
+    ) -> impl Iterator<Item = &'a SeatRunner> {
+        let runners = self.runners.iter();
+        runners.filter(|runner| rules.allows(allowed_regions, runner.zone()))
+    }
+
+    /// Milliseconds until a request with so many ahead gets a seat in these regions; none where nothing serves nor starts there.
+    pub fn expected_wait_ms(
+        &self,
+        now: u64,
+        ahead: usize,
+        allowed_regions: &[String],
+        rules: &LeaseRules,
+    ) -> Option<f64> {
+        let usable = || self.within(allowed_regions, rules);
+        let serving = usable().filter(|runner| runner.is_serving());
         let seats: u32 = serving.map(SeatRunner::quota).sum();
         let response_ms = self.mean_response_ms();
         if seats > 0 {
             return Some((ahead as f64 + 1.0) / f64::from(seats) * response_ms);
         }
-        let starting = self.runners.iter().filter(|runner| runner.is_starting());
+        let starting = usable().filter(|runner| runner.is_starting());
         let first = starting.map(|runner| runner.probe_at().saturating_sub(now));
         first.min().map(|wait| wait as f64)
     }
 
-    /// Whether a runner that is here serves, pauses or may come up.
-    pub fn may_serve(&self) -> bool {
-        let mut runners = self.runners.iter();
+    /// Whether a runner in these regions serves, pauses or may come up.
+    pub fn may_serve(&self, allowed_regions: &[String], rules: &LeaseRules) -> bool {
+        let mut runners = self.within(allowed_regions, rules);
         runners.any(|runner| runner.is_serving() || runner.is_starting())
     }
 }
--- a/crates/seat_leases/src/wait_queue.rs
+++ b/crates/seat_leases/src/wait_queue.rs
@@ -20,6 +20,8 @@
     pub zone: String,
     /// Runners that failed it.
     pub excluded_runners: Vec<String>,
+    /// Regions that it must not leave; empty where all are allowed.
+    pub allowed_regions: Vec<String>,
     /// Milliseconds of the clock from which a seat is of no use.
     pub deadline: u64,
 }
