--- a/crates/autoscaler/src/allowed_regions.rs
+++ b/crates/autoscaler/src/allowed_regions.rs
@@ -34,6 +34,12 @@
         self.lists.iter().any(|list| topology.allows(list, zone))
     }
 
+    /// Whether any route may use a runner in a region.
+    pub fn may_use_region(&self, region: &str) -> bool {
+        let is_named = |list: &Vec<String>| list.iter().any(|named| named == region);
+        self.lists.is_empty() || self.has_unrestricted_route || self.lists.iter().any(is_named)
+    }
+
     /// Whether a route allows all regions.
     pub fn has_unrestricted_route(&self) -> bool {
         self.has_unrestricted_route
--- a/crates/autoscaler/src/eviction.rs
+++ b/crates/autoscaler/src/eviction.rs
@@ -24,7 +24,8 @@
 
 /// Drains surplus runners, the longest idle first, on the first worker where that frees enough memory.
 pub(crate) fn evict_for(state: &mut ClusterState, name: &str) {
-    let Some(function) = state.functions.get(name) else {
+    let function = state.functions.get(name);
+    let Some(function) = function.filter(|_| state.options.policy.evicts) else {
         return;
     };
     let configuration = function.configuration();
--- a/crates/autoscaler/src/function.rs
+++ b/crates/autoscaler/src/function.rs
@@ -1,6 +1,7 @@
 //! One function: its configuration, its demand as reported by its owners, and the state of its last decisions.
 
 use crate::arrivals::Arrivals;
+use crate::call_rate::CallRate;
 use crate::function_configuration::FunctionConfiguration;
 use crate::options::AutoscalerOptions;
 use crate::owner_reports::OwnerReports;
@@ -24,6 +25,7 @@
 pub(crate) struct Function {
     configuration: FunctionConfiguration,
     arrivals: Arrivals,
+    calls: CallRate,
     reports: OwnerReports,
     runners: BTreeSet<u64>,
     service_time_ms: f64,
@@ -41,6 +43,7 @@
         Self {
             configuration,
             arrivals: Arrivals::default(),
+            calls: CallRate::default(),
             reports: OwnerReports::default(),
             runners: BTreeSet::new(),
             service_time_ms: DEFAULT_SERVICE_TIME_MS,
@@ -93,8 +96,14 @@
         self.reports.entry(owner).replace(report, now);
     }
 
-    /// Counts what arrived since the owner's last report.
-    pub fn record_arrivals(&mut self, owner: &str, report: &FunctionReport, now: u64) {
+    /// Counts what arrived since the owner's last report. Calls of any function could be seen since a time.
+    pub fn record_arrivals(
+        &mut self,
+        owner: &str,
+        report: &FunctionReport,
+        now: u64,
+        observed_since: u64,
+    ) {
         let is_new = !self.reports.contains(owner);
         let known = self.reports.entry(owner);
         let mut waiting = u64::from(report.waiting);
@@ -114,6 +123,7 @@
             } else {
                 self.arrivals.record(now, zone, arrived);
             }
+            self.calls.record(now, arrived, observed_since);
             self.busy_at = Some(now);
         }
     }
@@ -158,10 +168,14 @@
         self.reports.waiting(now)
     }
 
-    /// Whether requests wait, or the last activity is within the retention time.
+    /// Whether requests wait or are in flight, or the last activity is within the retention time.
     pub fn is_awake(&self, now: u64, options: &AutoscalerOptions) -> bool {
-        let retention_ms = self.configuration.retention_ms(options);
-        self.waiting(now) > 0 || self.busy_at.is_some_and(|at| now < at + retention_ms)
+        if self.waiting(now) > 0 || self.reports.has_requests_in_flight(now) {
+            return true;
+        }
+        let policy = &options.policy;
+        let retention_ms = self.configuration.retention_ms(&self.calls, now, policy);
+        self.busy_at.is_some_and(|at| now < at + retention_ms)
     }
 
     /// Since when the demand has been below beta; none where it is not.
--- a/crates/autoscaler/src/function_configuration.rs
+++ b/crates/autoscaler/src/function_configuration.rs
@@ -1,7 +1,9 @@
 //! The part of the operator's configuration that decides how a function is scaled.
 
 use crate::allowed_regions::AllowedRegions;
+use crate::call_rate::CallRate;
 use crate::options::AutoscalerOptions;
+use policy::ScalingPolicy;
 use routing::RoutingConfiguration;
 use std::collections::BTreeMap;
 
@@ -50,9 +52,21 @@
         self.is_configured && start_ms > f64::from(self.latency_target_ms)
     }
 
-    /// Milliseconds without requests after which the last runner ends.
-    pub fn retention_ms(&self, options: &AutoscalerOptions) -> u64 {
-        (self.start_ms as f64 * options.policy.retention_starts) as u64
+    /// Milliseconds without requests after which the last runner ends. A function is retained that is expected to be called again
+    /// before an idle runner costs as much as another start; no gap costs more than a bounded multiple of the best choice.
+    pub fn retention_ms(&self, calls: &CallRate, now: u64, policy: &ScalingPolicy) -> u64 {
+        let start_ms = self.start_ms as f64;
+        if !policy.adapts_retention {
+            return (start_ms * policy.retention_starts) as u64;
+        }
+        let break_even_ms = start_ms * policy.break_even_starts;
+        let is_rare = calls.expected_within(now, break_even_ms) < 1.0;
+        let starts = if is_rare {
+            policy.rare_retention_starts
+        } else {
+            policy.frequent_retention_starts
+        };
+        (start_ms * starts) as u64
     }
 
     /// Milliseconds below beta after which quotas fall.
--- a/crates/autoscaler/src/lib.rs
+++ b/crates/autoscaler/src/lib.rs
@@ -29,6 +29,7 @@
 mod allowed_regions;
 mod arrivals;
 mod autoscaler;
+mod call_rate;
 mod configuration;
 mod draining;
 mod ending;
@@ -46,6 +47,7 @@
 mod placement;
 mod platform;
 mod quotas;
+mod regional_runners;
 mod reports;
 mod runner;
 mod runner_commands;
--- a/crates/autoscaler/src/load.rs
+++ b/crates/autoscaler/src/load.rs
@@ -60,8 +60,13 @@
         if function.is_awake(state.now, &state.options) {
             let arrivals = function.arrivals();
             self.measured = arrivals.measured(state.now);
-            self.forecast = arrivals.forecast();
-            self.burst = arrivals.burst(state.now);
+            let policy = &state.options.policy;
+            if policy.forecasts {
+                self.forecast = arrivals.forecast();
+            }
+            if policy.follows_bursts {
+                self.burst = arrivals.burst(state.now);
+            }
         }
         self.waiting = function.waiting(state.now);
     }
--- a/crates/autoscaler/src/owner_reports.rs
+++ b/crates/autoscaler/src/owner_reports.rs
@@ -104,6 +104,12 @@
         current.fold(0, |sum, report| sum.saturating_add(report.waiting))
     }
 
+    /// Whether an owner that reported lately has a request in flight.
+    pub fn has_requests_in_flight(&self, now: u64) -> bool {
+        let mut current = self.iter().filter(|report| report.is_current(now));
+        current.any(OwnerReport::has_requests_in_flight)
+    }
+
     /// Requests in flight at a runner, by the last report of each owner.
     pub fn in_flight(&self, id: &str) -> u32 {
         let reported = self.iter().map(|report| report.in_flight(id));
--- a/crates/autoscaler/src/placement.rs
+++ b/crates/autoscaler/src/placement.rs
@@ -8,7 +8,7 @@
 use crate::state::ClusterState;
 use crate::worker_capacity::Worker;
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Steps of occupancy within which workers count as equally occupied, so that spreading over zones decides.
 const OCCUPANCY_STEPS: f64 = 10.0;
@@ -39,30 +39,36 @@
 }
 
 /// What a runner is started for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum StartPurpose {
     /// More load than the present runners carry.
     Load,
     /// A route that may use none of the present runners.
     UncoveredRoute,
+    /// Calls of a region that has no runner.
+    Region(String),
 }
 
 /// Chooses a worker for one more runner of a function; none where no worker has room.
 pub(crate) fn choose_worker(
     state: &mut ClusterState,
     name: &str,
-    purpose: StartPurpose,
+    purpose: &StartPurpose,
 ) -> Option<String> {
     refresh_accounts(state);
     let state = &*state;
     let function = state.functions.get(name)?;
     let runners_by_zone = runners_by_zone(state, function);
-    let regions = allowed_regions(state, function, &runners_by_zone);
+    let regions = match purpose {
+        StartPurpose::Region(region) => vec![region.clone()],
+        _ => allowed_regions(state, function, &runners_by_zone),
+    };
     let chosen = best_worker(state, function, &runners_by_zone, &regions);
     // Where the home of one route is full, load of the others may still go anywhere.
     let configured = &function.configuration().allowed_regions;
-    let may_go_anywhere =
-        purpose == StartPurpose::Load && configured.has_unrestricted_route() && !regions.is_empty();
+    let may_go_anywhere = *purpose == StartPurpose::Load
+        && configured.has_unrestricted_route()
+        && !regions.is_empty();
     match chosen {
         None if may_go_anywhere => best_worker(state, function, &runners_by_zone, &[]),
         _ => chosen,
@@ -150,8 +156,8 @@
     regions.for_next_runner(&state.options.topology, &zones)
 }
 
-/// The zone of most calls among those without a runner of the function; the emptiest zone where there are neither calls
-/// nor runners.
+/// The zone of most calls among those without a runner of the function, in a region without one first; the emptiest zone where
+/// there are neither calls nor runners.
 fn preferred_zone<'a>(
     state: &'a ClusterState,
     function: &'a Function,
@@ -164,8 +170,15 @@
     let calls = function.arrivals().by_zone().iter();
     let unserved =
         calls.filter(|(zone, _)| is_allowed(zone) && !runners_by_zone.contains_key(zone.as_str()));
+    let topology = &state.options.topology;
+    let served_regions: BTreeSet<Option<&str>> = runners_by_zone
+        .keys()
+        .map(|zone| topology.region_of(zone))
+        .collect();
+    let is_unserved_region = |zone: &str| !served_regions.contains(&topology.region_of(zone));
     let most = unserved.max_by(|(one, count), (other, other_count)| {
-        let by_count = count.total_cmp(other_count);
+        let by_region = is_unserved_region(one).cmp(&is_unserved_region(other));
+        let by_count = by_region.then_with(|| count.total_cmp(other_count));
         by_count.then_with(|| other.cmp(one))
     });
     match most {
--- a/crates/autoscaler/src/quotas.rs
+++ b/crates/autoscaler/src/quotas.rs
@@ -6,26 +6,33 @@
 use crate::runner::{DrainReason, Runner, RunnerState};
 use crate::state::ClusterState;
 use scaler::RunnerQuota;
+use std::collections::BTreeSet;
 
 /// Runners whose quotas may rise: those that count as capacity, and those that can be revived.
 pub(crate) fn growable(state: &ClusterState, function: &Function) -> Vec<RunnerQuota> {
-    let can_grow = |runner: &Runner| runner.is_capacity() || runner.can_be_revived();
+    let can_grow = |_: u64, runner: &Runner| runner.is_capacity() || runner.can_be_revived();
     pods(state, function, can_grow)
 }
 
-/// Runners whose quotas may fall: those that count as capacity and are known to exist.
-pub(crate) fn shrinkable(state: &ClusterState, function: &Function) -> Vec<RunnerQuota> {
-    let can_shrink = |runner: &Runner| runner.is_capacity() && runner.id.is_some();
+/// Runners whose quotas may fall: those that count as capacity and are known to exist, but for some that are kept.
+pub(crate) fn shrinkable(
+    state: &ClusterState,
+    function: &Function,
+    kept: &BTreeSet<u64>,
+) -> Vec<RunnerQuota> {
+    let can_shrink = |serial: u64, runner: &Runner| {
+        runner.is_capacity() && runner.id.is_some() && !kept.contains(&serial)
+    };
     pods(state, function, can_shrink)
 }
 
 fn pods(
     state: &ClusterState,
     function: &Function,
-    accepts: impl Fn(&Runner) -> bool,
+    accepts: impl Fn(u64, &Runner) -> bool,
 ) -> Vec<RunnerQuota> {
     let runners = state.runners_of(function);
-    let accepted = runners.filter(|(_, runner)| accepts(runner));
+    let accepted = runners.filter(|(serial, runner)| accepts(*serial, runner));
     let pods = accepted.map(|(serial, runner)| RunnerQuota {
         // The serials in equal lengths, so that ties go by age.
         id: format!("{serial:020}"),
--- /dev/null
+++ b/crates/autoscaler/src/regional_runners.rs
@@ -0,0 +1,83 @@
+//! Runners near their callers: a region whose own calls fill enough of a runner's seats gets a runner of its own.
+//!
+//! One runner could serve all regions where each calls little. Once a region would fill a fair share of a runner, the runner costs less
+//! than the way to another region, there and back, of each of its calls.
+
+use crate::function::Function;
+use crate::runner::Runner;
+use crate::state::ClusterState;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Part of the share that a region must fill below which it keeps its runner no longer, so that a rate around the share starts and ends
+/// none.
+const KEPT_SHARE: f64 = 0.5;
+
+/// A region that calls enough for a runner of its own and has none.
+pub(crate) fn unserved_region(state: &ClusterState, function: &Function) -> Option<String> {
+    let share = state.options.policy.region_share;
+    let served = served_regions(state, function);
+    let allowed = &function.configuration().allowed_regions;
+    let busiest = regions_above(state, function, share)
+        .into_iter()
+        .filter(|(region, _)| !served.contains_key(region) && allowed.may_use_region(region))
+        .max_by(|(_, one), (_, other)| one.total_cmp(other));
+    busiest.map(|(region, _)| region.to_owned())
+}
+
+/// Runners that are the only ones in a region that calls enough for one.
+pub(crate) fn kept_runners(state: &ClusterState, function: &Function) -> BTreeSet<u64> {
+    let share = state.options.policy.region_share * KEPT_SHARE;
+    let served = served_regions(state, function);
+    let deserving = regions_above(state, function, share).into_iter();
+    let only = deserving.filter_map(|(region, _)| match served.get(region)?.as_slice() {
+        [serial] => Some(*serial),
+        _ => None,
+    });
+    only.collect()
+}
+
+/// Regions whose calls fill this share of a runner's seats, with the seats that they fill.
+fn regions_above<'a>(
+    state: &'a ClusterState,
+    function: &'a Function,
+    share: f64,
+) -> Vec<(&'a str, f64)> {
+    let topology = &state.options.topology;
+    if share <= 0.0 || topology.regions().len() < 2 {
+        return Vec::new();
+    }
+    let arrivals = function.arrivals();
+    let counts = arrivals.by_zone();
+    let total: f64 = counts.values().sum();
+    let seats_in_use = arrivals.forecast() * function.service_time_ms() / 1_000.0;
+    let mut seats: BTreeMap<&str, f64> = BTreeMap::new();
+    for (zone, count) in counts {
+        if let Some(region) = topology.region_of(zone) {
+            *seats.entry(region).or_default() += seats_in_use * count / total;
+        }
+    }
+    let needed = share * f64::from(function.configuration().concurrency);
+    seats
+        .into_iter()
+        .filter(|(_, filled)| *filled >= needed)
+        .collect()
+}
+
+/// The runners that count as capacity, by region.
+fn served_regions<'a>(
+    state: &'a ClusterState,
+    function: &'a Function,
+) -> BTreeMap<&'a str, Vec<u64>> {
+    let mut served: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    let runners = state.runners_of(function);
+    for (serial, runner) in runners.filter(|(_, runner)| runner.is_capacity()) {
+        if let Some(region) = region_of(state, runner) {
+            served.entry(region).or_default().push(serial);
+        }
+    }
+    served
+}
+
+fn region_of<'a>(state: &'a ClusterState, runner: &Runner) -> Option<&'a str> {
+    state.options.topology.region_of(&runner.zone)
+}
--- a/crates/autoscaler/src/reports.rs
+++ b/crates/autoscaler/src/reports.rs
@@ -13,7 +13,8 @@
     let Some(function) = state.functions.get_mut(name) else {
         return;
     };
-    function.record_arrivals(owner, report, now);
+    let observed_since = *state.observed_since.get_or_insert(now);
+    function.record_arrivals(owner, report, now, observed_since);
     state.functions.add_owner(owner, name);
     state.functions.activate(name);
     for runner in &report.runners {
--- a/crates/autoscaler/src/scaling_decision.rs
+++ b/crates/autoscaler/src/scaling_decision.rs
@@ -9,6 +9,7 @@
 use crate::load::Load;
 use crate::placement::StartPurpose;
 use crate::quotas;
+use crate::regional_runners;
 use crate::runner::DrainReason;
 use crate::start_queue::StartUrgency;
 use crate::starts::add_start;
@@ -51,7 +52,7 @@
         drain_all(state, name, DrainReason::Surplus);
         return;
     }
-    if cover_routes(state, name, load) {
+    if cover_routes(state, name, load) || cover_regions(state, name, load) {
         return;
     }
     if load.demand > state.options.policy.alpha * load.capacity {
@@ -85,7 +86,22 @@
         return false;
     }
     let urgency = StartUrgency::of_waiting(load.waiting > 0);
-    add_start(state, name, StartPurpose::UncoveredRoute, urgency).is_ok()
+    add_start(state, name, &StartPurpose::UncoveredRoute, urgency).is_ok()
+}
+
+/// Starts a runner in a region that calls enough for one of its own; whether one was started.
+fn cover_regions(state: &mut ClusterState, name: &str, load: Load) -> bool {
+    let Some(function) = state.functions.get(name) else {
+        return false;
+    };
+    if load.runners == 0 || function.is_start_paused(state.now) {
+        return false;
+    }
+    let Some(region) = regional_runners::unserved_region(state, function) else {
+        return false;
+    };
+    let purpose = StartPurpose::Region(region);
+    add_start(state, name, &purpose, StartUrgency::Ahead).is_ok()
 }
 
 /// Puts the starts of a function before those for which nothing waits.
@@ -112,7 +128,11 @@
     };
     let mut pods = quotas::growable(state, function);
     let gap = load.demand - state.options.policy.alpha * load.capacity;
-    let left = grow(&mut pods, gap);
+    let left = if state.options.policy.raises_quotas_first {
+        grow(&mut pods, gap)
+    } else {
+        gap
+    };
     if quotas::apply(state, &pods) {
         state.note_decision(name, "quotas up");
     }
@@ -121,7 +141,7 @@
     }
     let urgency = StartUrgency::of_waiting(load.waiting > 0);
     for _ in 0..new_runners(state, name, load, left) {
-        if add_start(state, name, StartPurpose::Load, urgency).is_err() {
+        if add_start(state, name, &StartPurpose::Load, urgency).is_err() {
             return;
         }
     }
@@ -187,7 +207,8 @@
     let Some(function) = state.functions.get(name) else {
         return;
     };
-    let mut pods = quotas::shrinkable(state, function);
+    let kept = regional_runners::kept_runners(state, function);
+    let mut pods = quotas::shrinkable(state, function, &kept);
     let whole = |pod: &RunnerQuota| f64::from(pod.most) * pod.seat_rate;
     let minimal = pods.iter().map(whole).fold(0.0, f64::max);
     let Some(fastest) = pods.iter().map(|pod| pod.seat_rate).max_by(f64::total_cmp) else {
@@ -240,7 +261,7 @@
         return;
     }
     // Without room on any worker, starts are paused and retried later.
-    let _ = add_start(state, name, StartPurpose::Load, StartUrgency::Ahead);
+    let _ = add_start(state, name, &StartPurpose::Load, StartUrgency::Ahead);
 }
 
 /// The oldest runner that can be taken back, with its highest quota.
--- a/crates/autoscaler/src/starts.rs
+++ b/crates/autoscaler/src/starts.rs
@@ -18,7 +18,7 @@
 pub(crate) fn add_start(
     state: &mut ClusterState,
     name: &str,
-    purpose: StartPurpose,
+    purpose: &StartPurpose,
     urgency: StartUrgency,
 ) -> Result<(), NoWorkerHasRoom> {
     let Some(worker) = choose_worker(state, name, purpose) else {
--- a/crates/autoscaler/src/state.rs
+++ b/crates/autoscaler/src/state.rs
@@ -19,6 +19,8 @@
     pub began_at: u64,
     /// Milliseconds of the caller's clock, which never fall.
     pub now: u64,
+    /// When an owner reported first.
+    pub observed_since: Option<u64>,
     /// Functions with their configuration and demand.
     pub functions: FunctionTable,
     /// Runners that are wanted, run or end.
@@ -43,6 +45,7 @@
         Self {
             began_at: now,
             now,
+            observed_since: None,
             functions: FunctionTable::default(),
             runners: RunnerTable::default(),
             runners_listed_at: None,
--- a/crates/gateway/src/applied_configuration.rs
+++ b/crates/gateway/src/applied_configuration.rs
@@ -9,8 +9,6 @@
 
 /// Most bytes of a configuration, unpacked.
 const DOCUMENT_MAX: u64 = 64 << 20;
-/// Most idle connections to one runner.
-const IDLE_PER_RUNNER_MAX: usize = 8;
 
 /// Versions of the committed documents that a daemon holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -96,8 +94,8 @@
         self.table.is_some() && !self.members.is_empty()
     }
 
-    /// Most idle connections to one runner of a function: this gateway's share of what the runner accepts.
-    pub fn max_idle_connections(&self, function: &str) -> usize {
+    /// Most idle connections to one runner of a function: this gateway's share of what the runner accepts, within a bound.
+    pub fn max_idle_connections(&self, function: &str, most: usize) -> usize {
         let table = self.table.as_ref();
         let known = table.and_then(|table| {
             let index = table.function_index(function)?;
@@ -105,7 +103,7 @@
         });
         let accepted = known.map_or(1, |known| known.connections as usize);
         let share = accepted * 3 / 4 / self.members.len().max(1);
-        share.clamp(1, IDLE_PER_RUNNER_MAX)
+        share.max(1).min(most)
     }
 
     /// Applies a whole configuration.
--- a/crates/gateway/src/upstream_responses.rs
+++ b/crates/gateway/src/upstream_responses.rs
@@ -115,8 +115,10 @@
         upstream.expires_at = self.now + idle_ms.min(IDLE_MAX_MS);
         let runner = upstream.runner.clone();
         let request = request_id.and_then(|request_id| self.requests.get(request_id));
+        let most = self.options.policy.upstream.idle_per_runner as usize;
+        let configuration = &self.configuration;
         let max_idle = request.map_or(0, |request| {
-            self.configuration.max_idle_connections(&request.function)
+            configuration.max_idle_connections(&request.function, most)
         });
         // A response that came before its whole request was sent leaves a rest that would look like the next request.
         let is_request_sent = self.connections.unsent_bytes(id) == 0;
--- a/crates/policy/src/scaling.rs
+++ b/crates/policy/src/scaling.rs
@@ -12,8 +12,18 @@
     beta: f64 = 0.5, 0.0 => 1.0;
     /// Multiples of a function's start time below beta after which quotas fall (ours).
     cooldown_starts: f64 = 4.0, 0.0 => 1_000.0;
-    /// Multiples of a function's start time without requests after which its last runner ends (ours).
+    /// Multiples of a function's start time without requests after which its last runner ends, where retention does not adapt.
     retention_starts: f64 = 3.0, 0.0 => 1_000.0;
+    /// Whether the last runner of a function is retained by how often the function is called (ours).
+    adapts_retention: bool = false, false => true;
+    /// Multiples of a function's start time for which an idle runner costs as much as another start.
+    break_even_starts: f64 = 4.5, 0.0 => 1_000.0;
+    /// The same multiples for which a function is retained that is called less than once in the break-even time.
+    rare_retention_starts: f64 = 0.2, 0.0 => 1_000.0;
+    /// The same multiples for which a function is retained that is called more often.
+    frequent_retention_starts: f64 = 9.0, 0.0 => 1_000.0;
+    /// Share of a runner's seats that the calls of one region must fill so that the region gets a runner of its own; 0 for never.
+    region_share: f64 = 0.0, 0.0 => 100.0;
     /// Whether the Kalman filter's forecast is part of the demand.
     forecasts: bool = true, false => true;
     /// Whether a burst that the filter has not followed yet is part of the demand.
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -91,20 +91,26 @@
     }
 
     /// Takes the runners as the scaler wants them; an older update than the last is dropped.
-    pub fn apply_update(&mut self, now: u64, update: FunctionUpdate) {
+    pub fn apply_update(&mut self, now: u64, update: FunctionUpdate, rules: &LeaseRules) {
         if update.version < self.version {
             return;
         }
         self.version = update.version;
         let block = update.start_block;
         self.start_block = block.map(|block| ReceivedStartBlock::new(now, block));
-        self.runners.apply_updates(now, update.runners);
+        self.runners
+            .apply_updates(now, update.runners, &rules.policy);
         self.report.mark_changed();
     }
 
     /// The runner at which a gateway has leases; where it is not known yet it is taken for one that serves.
-    pub fn runner_or_add(&mut self, now: u64, leases: &RunnerLeases) -> &mut SeatRunner {
-        self.runners.get_or_add(now, leases)
+    pub fn runner_or_add(
+        &mut self,
+        now: u64,
+        leases: &RunnerLeases,
+        rules: &LeaseRules,
+    ) -> &mut SeatRunner {
+        self.runners.get_or_add(now, leases, &rules.policy)
     }
 
     /// Leases of a gateway.
@@ -190,14 +196,20 @@
 
     /// A lease ends, and with it something is known of its runner. Returns whether there was one: a release may come late, when its
     /// request waits again.
-    pub fn release(&mut self, now: u64, holder: &LeaseHolder, release: &LeaseRelease) -> bool {
+    pub fn release(
+        &mut self,
+        now: u64,
+        holder: &LeaseHolder,
+        release: &LeaseRelease,
+        rules: &LeaseRules,
+    ) -> bool {
         let Some(runner) = self.runners.remove_lease(holder) else {
             return false;
         };
         match release.outcome {
             LeaseOutcome::Succeeded => runner.record_success(release.duration_ms),
             LeaseOutcome::Rejected => {
-                runner.record_rejection(now);
+                runner.record_rejection(now, &rules.policy);
                 self.runners.limit_if_contended(now);
             }
             LeaseOutcome::Gone => {
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -129,7 +129,7 @@
             return;
         };
         seats.touch(now);
-        if !seats.release(now, &holder, release) {
+        if !seats.release(now, &holder, release, &self.rules) {
             return;
         }
         self.function_by_holder.remove(&holder);
@@ -155,7 +155,7 @@
         let seats = self.functions.entry(function.to_string()).or_default();
         seats.touch(now);
         for leases in runners {
-            let runner = seats.runner_or_add(now, leases);
+            let runner = seats.runner_or_add(now, leases, &self.rules);
             for request_id in &leases.requests {
                 let holder = LeaseHolder::new(gateway, *request_id);
                 runner.add_lease(holder.clone());
@@ -173,7 +173,7 @@
         let seats = self.functions.entry(function.clone()).or_default();
         // An update is no use, but it keeps the function for a while.
         seats.touch(now.saturating_sub(EVICTION_AFTER_MS / 2));
-        seats.apply_update(now, update);
+        seats.apply_update(now, update, &self.rules);
         for runner in seats.runners().filter(|one| one.is_starting()) {
             let target = ProbeTarget {
                 function: function.clone(),
--- a/crates/seat_leases/src/runner_set.rs
+++ b/crates/seat_leases/src/runner_set.rs
@@ -3,6 +3,7 @@
 use crate::lease_holder::LeaseHolder;
 use crate::lease_rules::LeaseRules;
 use crate::seat_runner::SeatRunner;
+use policy::LeasingPolicy;
 use protocol::{RunnerLeases, RunnerStage, RunnerUpdate};
 use std::collections::BTreeMap;
 
@@ -38,14 +39,14 @@
     }
 
     /// Takes the runners as the scaler wants them. One that is not wanted any more keeps its leases until they end.
-    pub fn apply_updates(&mut self, now: u64, updates: Vec<RunnerUpdate>) {
+    pub fn apply_updates(&mut self, now: u64, updates: Vec<RunnerUpdate>, policy: &LeasingPolicy) {
         let mut known: BTreeMap<String, SeatRunner> = std::mem::take(&mut self.runners)
             .into_iter()
             .map(|runner| (runner.id().to_string(), runner))
             .collect();
         for update in updates {
             let runner = match known.remove(&update.id) {
-                None => SeatRunner::new(update, now),
+                None => SeatRunner::new(update, now, policy),
                 Some(mut runner) => {
                     runner.apply_update(update);
                     runner
@@ -62,7 +63,12 @@
     }
 
     /// The runner at which a gateway has leases; where it is not known yet it is taken for one that serves.
-    pub fn get_or_add(&mut self, now: u64, leases: &RunnerLeases) -> &mut SeatRunner {
+    pub fn get_or_add(
+        &mut self,
+        now: u64,
+        leases: &RunnerLeases,
+        policy: &LeasingPolicy,
+    ) -> &mut SeatRunner {
         let known = self
             .runners
             .iter()
@@ -76,7 +82,7 @@
                 stage: RunnerStage::Serving,
                 starts_in_ms: 0,
             };
-            self.runners.push(SeatRunner::new(update, now));
+            self.runners.push(SeatRunner::new(update, now, policy));
             self.runners.len() - 1
         });
         &mut self.runners[place]
--- a/crates/seat_leases/src/seat_runner.rs
+++ b/crates/seat_leases/src/seat_runner.rs
@@ -4,6 +4,7 @@
 use crate::lease_holder::LeaseHolder;
 use crate::rejection_backoff::RejectionBackoff;
 use invariants::{check, Invariant};
+use policy::LeasingPolicy;
 use protocol::{RunnerReport, RunnerStage, RunnerUpdate};
 use std::collections::BTreeSet;
 
@@ -13,8 +14,6 @@
 const MISSES_MAX: u32 = 3;
 /// Milliseconds for which the connection of a probe may hold a seat.
 const PROBE_SEAT_MS: u64 = 120;
-/// Part of the expected start after which a runner is first probed, since starts spread around their average.
-const FIRST_PROBE_PERCENT: u64 = 60;
 /// Bounds of the milliseconds between two probes, and the part of the expected start that it is within them.
 const PROBE_PAUSE_MIN_MS: u64 = 15;
 const PROBE_PAUSE_MAX_MS: u64 = 150;
@@ -43,9 +42,10 @@
 }
 
 impl SeatRunner {
-    pub fn new(update: RunnerUpdate, now: u64) -> Self {
+    /// A runner that is new here. It is first probed after a part of its expected start, since starts spread around their average.
+    pub fn new(update: RunnerUpdate, now: u64, policy: &LeasingPolicy) -> Self {
         let is_up = update.stage != RunnerStage::Starting;
-        let probe_at = now + u64::from(update.starts_in_ms) * FIRST_PROBE_PERCENT / 100;
+        let probe_at = now + u64::from(update.starts_in_ms) * policy.first_probe_percent / 100;
         Self {
             update,
             is_up,
@@ -163,8 +163,10 @@
     }
 
     /// It rejected a request beside those that it still holds.
-    pub fn record_rejection(&mut self, now: u64) {
-        self.backoff.record_rejection(now, self.in_use());
+    pub fn record_rejection(&mut self, now: u64, policy: &LeasingPolicy) {
+        if policy.backs_off_after_rejections {
+            self.backoff.record_rejection(now, self.in_use());
+        }
         self.rejected += 1;
     }
 
--- a/crates/seat_leases/tests/unit/broken_invariants.rs
+++ b/crates/seat_leases/tests/unit/broken_invariants.rs
@@ -15,7 +15,7 @@
         stage: RunnerStage::Serving,
         starts_in_ms: 0,
     };
-    let mut runner = SeatRunner::new(update, 0);
+    let mut runner = SeatRunner::new(update, 0, &policy::LeasingPolicy::default());
     for number in 0..3 {
         runner.lease(LeaseHolder::new("gateway-1", RequestId(number)));
     }
