--- a/crates/gateway/src/controller_links.rs
+++ b/crates/gateway/src/controller_links.rs
@@ -18,12 +18,21 @@
 /// Attempts to connect per heartbeat within that time.
 const STARTUP_ATTEMPTS_PER_HEARTBEAT: u64 = 6;
 
+/// A connection must be established within a heartbeat's interval divided by this; each second attempt doubles the time.
+const CONNECT_TIMEOUT_DIVISOR: u64 = 2;
+/// Most doublings of that time.
+const CONNECT_TIMEOUT_DOUBLINGS_MAX: u32 = 4;
+
 /// One controller and the state of the link to it. What it said of itself holds while the link lasts.
 #[derive(Default)]
 struct ControllerLink {
     connection: Option<ConnectionId>,
     heard_at: u64,
     connect_attempted_at: u64,
+    /// Whether the connection has been established.
+    is_established: bool,
+    /// Attempts in a row of which no connection came.
+    hung_attempts: u32,
     heartbeat_sent_at: u64,
     versions: ConfigurationVersions,
     /// Term in which it scales; 0 where it does not.
@@ -36,11 +45,22 @@
 impl ControllerLink {
     fn end(&mut self) {
         self.connection = None;
+        self.is_established = false;
         self.term = 0;
         self.is_current = false;
     }
 }
 
+impl ControllerLink {
+    /// Whether an attempt to connect has hung for too long. A machine without power answers nothing, and the system repeats its own
+    /// attempt only after a second, when the machine may long be back.
+    fn hangs(&self, now: u64, interval_ms: u64) -> bool {
+        let doublings = (self.hung_attempts / 2).min(CONNECT_TIMEOUT_DOUBLINGS_MAX);
+        let timeout_ms = (interval_ms / CONNECT_TIMEOUT_DIVISOR) << doublings;
+        !self.is_established && now >= self.connect_attempted_at + timeout_ms
+    }
+}
+
 /// What a controller's heartbeat says of it.
 pub(crate) struct ControllerState {
     pub versions: ConfigurationVersions,
@@ -151,6 +171,11 @@
             return LinkTask::None;
         };
         if let Some(connection) = link.connection {
+            if link.hangs(now, timing.interval_ms) {
+                link.hung_attempts += 1;
+                link.end();
+                return LinkTask::Close(connection);
+            }
             if now > link.heard_at + timing.silence_ms {
                 link.end();
                 return LinkTask::Close(connection);
@@ -184,6 +209,14 @@
         }
     }
 
+    /// The connection to a controller has been established.
+    pub fn established(&mut self, address: &str) {
+        if let Some(link) = self.links.get_mut(address) {
+            link.is_established = true;
+            link.hung_attempts = 0;
+        }
+    }
+
     /// The connection to a controller has ended.
     pub fn end(&mut self, address: &str) {
         if let Some(link) = self.links.get_mut(address) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -74,6 +74,9 @@
 #[path = "../tests/unit/connection_reuse.rs"]
 mod connection_reuse_tests;
 #[cfg(test)]
+#[path = "../tests/unit/controller_links.rs"]
+mod controller_links_tests;
+#[cfg(test)]
 #[path = "../tests/unit/owner_links.rs"]
 mod owner_links_tests;
 #[cfg(test)]
--- /dev/null
+++ b/crates/gateway/tests/unit/controller_links.rs
@@ -0,0 +1,98 @@
+//! When a gateway gives an attempt to reach a controller up.
+
+use crate::connection_reuse_tests::options;
+use crate::controller_links::{ControllerLinks, HeartbeatTiming, LinkTask};
+use crate::gateway::Gateway;
+use event_loop::ConnectionId;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+
+const TIMING: HeartbeatTiming = HeartbeatTiming {
+    interval_ms: 400,
+    silence_ms: 1_600,
+};
+/// The time within which a first attempt must succeed.
+const FIRST_TIMEOUT_MS: u64 = 200;
+/// Milliseconds between two looks at the links.
+const STEP_MS: usize = 10;
+
+/// The links of a gateway that knows one controller, and a connection for them.
+struct Links {
+    links: ControllerLinks,
+    address: String,
+    connection: ConnectionId,
+    _gateway: Gateway,
+    _listener: TcpListener,
+}
+
+impl Links {
+    fn new() -> Self {
+        let mut gateway = Gateway::open(options()).unwrap();
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let address: SocketAddr = listener.local_addr().unwrap();
+        let role = crate::connections::ConnectionRole::Controller(address.to_string());
+        let connection = gateway
+            .connections
+            .connect(&address.to_string(), 1 << 10, role)
+            .unwrap();
+        Self {
+            links: ControllerLinks::new(&[address]),
+            address: address.to_string(),
+            connection,
+            _gateway: gateway,
+            _listener: listener,
+        }
+    }
+
+    fn begin(&mut self, now: u64) {
+        let task = self.links.next_task(&self.address, now, TIMING);
+        assert_eq!(task, LinkTask::Connect, "at {now}");
+        self.links.begin(&self.address, self.connection, now);
+    }
+
+    /// When the attempt that began at a time is given up.
+    fn given_up_at(&mut self, from: u64) -> u64 {
+        let mut times = (from..from + 10_000).step_by(STEP_MS);
+        let given_up = times.find(|now| {
+            let task = self.links.next_task(&self.address, *now, TIMING);
+            matches!(task, LinkTask::Close(_))
+        });
+        given_up.expect("it is given up")
+    }
+}
+
+#[test]
+fn an_attempt_that_hangs_is_given_up_long_before_a_silent_link() {
+    let mut links = Links::new();
+    links.begin(100);
+    assert_eq!(links.given_up_at(100), 100 + FIRST_TIMEOUT_MS);
+    // The next attempt follows at once, since the pause between attempts has passed.
+    links.begin(100 + FIRST_TIMEOUT_MS);
+}
+
+#[test]
+fn an_established_link_is_left_its_time_to_be_heard() {
+    let mut links = Links::new();
+    links.begin(100);
+    links.links.established(&links.address);
+    assert!(links.given_up_at(100) > 100 + TIMING.silence_ms);
+}
+
+#[test]
+fn far_controllers_are_left_more_time_with_each_second_attempt() {
+    let mut links = Links::new();
+    let mut now = 10_000;
+    let mut timeouts = Vec::new();
+    for _ in 0..7 {
+        links.begin(now);
+        let given_up = links.given_up_at(now);
+        timeouts.push(given_up - now);
+        now = given_up + TIMING.interval_ms;
+    }
+    assert_eq!(timeouts, [200, 200, 400, 400, 800, 800, 1_600]);
+    links.begin(now);
+    links.links.established(&links.address);
+    links.links.end(&links.address);
+    now += TIMING.interval_ms;
+    links.begin(now);
+    assert_eq!(links.given_up_at(now), now + FIRST_TIMEOUT_MS);
+}
