--- a/crates/controller/src/controller/figures.rs
+++ b/crates/controller/src/controller/figures.rs
@@ -29,6 +29,12 @@
         );
         let connections = self.connections.len() as u64;
         snapshot.gauge("connections", "Open connections", connections);
+        snapshot.labelled_counter(
+            "bytes_to_gateways",
+            "Bytes sent to gateways, by kind of message",
+            "kind",
+            self.gateways.sent().by_kind(),
+        );
         snapshot
     }
 
--- a/crates/controller/src/gateway_table.rs
+++ b/crates/controller/src/gateway_table.rs
@@ -4,7 +4,7 @@
 use crate::outbox::Outbox;
 use crate::status::ControllerStatus;
 use event_loop::ConnectionId;
-use protocol::{frame, Member, Message};
+use protocol::{frame, Member, Message, SentMessages};
 use std::collections::{BTreeMap, HashMap};
 
 struct GatewayPeer {
@@ -37,6 +37,7 @@
     heartbeat_at: u64,
     /// Whether the last heartbeat said that this controller is in contact with a majority.
     was_current: bool,
+    sent: SentMessages,
 }
 
 impl GatewayTable {
@@ -96,10 +97,16 @@
     /// Queues a message that was framed once for several gateways.
     pub fn queue_frame(&mut self, name: &str, frame: &[u8]) {
         if let Some(gateway) = self.gateways.get_mut(name) {
+            self.sent.record(frame);
             gateway.outbox.queue_frame(frame);
         }
     }
 
+    /// What was sent to gateways.
+    pub fn sent(&self) -> &SentMessages {
+        &self.sent
+    }
+
     /// Sends what was queued since the last flush, in one piece for each gateway.
     pub fn flush(&mut self, connections: &mut ControllerConnections) {
         for gateway in self.gateways.values_mut() {
@@ -124,6 +131,7 @@
         let heartbeat = frame(&context.status.heartbeat());
         let silent = self.close_silent(context);
         for gateway in self.gateways.values_mut() {
+            self.sent.record(&heartbeat);
             gateway.outbox.queue_frame(&heartbeat);
         }
         silent
--- a/crates/gateway/src/controller_links.rs
+++ b/crates/gateway/src/controller_links.rs
@@ -2,6 +2,7 @@
 
 use crate::applied_configuration::ConfigurationVersions;
 use event_loop::ConnectionId;
+use protocol::SentMessages;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -99,6 +100,7 @@
     scaler_term: u64,
     evicted_at: u64,
     request_pending_until: u64,
+    sent: SentMessages,
 }
 
 impl ControllerLinks {
@@ -112,6 +114,7 @@
             scaler_term: 0,
             evicted_at: 0,
             request_pending_until: 0,
+            sent: SentMessages::default(),
         }
     }
 
@@ -141,6 +144,16 @@
         self.links.get(address).and_then(|link| link.connection)
     }
 
+    /// A frame leaves for a controller.
+    pub fn record_sent(&mut self, frame: &[u8]) {
+        self.sent.record(frame);
+    }
+
+    /// What was sent to controllers.
+    pub fn sent(&self) -> &SentMessages {
+        &self.sent
+    }
+
     /// A message came from a controller; false where the controller is not known.
     pub fn record_heard(&mut self, address: &str, now: u64) -> bool {
         let Some(link) = self.links.get_mut(address) else {
--- a/crates/gateway/src/controller_messages.rs
+++ b/crates/gateway/src/controller_messages.rs
@@ -10,7 +10,9 @@
     /// Sends a message to a controller; without a link it is dropped.
     pub fn send_to_controller(&mut self, address: &str, message: &Message) {
         if let Some(connection) = self.controllers.connection(address) {
-            self.connections.send(connection, &frame(message));
+            let bytes = frame(message);
+            self.controllers.record_sent(&bytes);
+            self.connections.send(connection, &bytes);
         }
     }
 
@@ -122,6 +124,7 @@
                 LinkTask::Close(connection) => self.connections.close(connection),
                 LinkTask::SendHeartbeat(connection) => {
                     let heartbeat = frame(&self.heartbeat());
+                    self.controllers.record_sent(&heartbeat);
                     self.connections.send(connection, &heartbeat);
                 }
                 LinkTask::Connect => self.connect_to_controller(&address),
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -37,6 +37,7 @@
         self.add_seat_figures(&mut snapshot);
         self.add_connection_figures(&mut snapshot);
         self.add_version_figures(&mut snapshot);
+        self.add_message_figures(&mut snapshot);
         snapshot
     }
 
@@ -119,6 +120,21 @@
         snapshot.gauge("controller_links", "Links with controllers", controllers);
     }
 
+    fn add_message_figures(&self, snapshot: &mut Snapshot) {
+        snapshot.labelled_counter(
+            "bytes_to_gateways",
+            "Bytes sent to other gateways, by kind of message",
+            "kind",
+            self.peers.sent().by_kind(),
+        );
+        snapshot.labelled_counter(
+            "bytes_to_controllers",
+            "Bytes sent to controllers, by kind of message",
+            "kind",
+            self.controllers.sent().by_kind(),
+        );
+    }
+
     fn add_version_figures(&self, snapshot: &mut Snapshot) {
         let versions = self.configuration.versions();
         snapshot.gauge(
--- a/crates/gateway/src/peer_links.rs
+++ b/crates/gateway/src/peer_links.rs
@@ -2,7 +2,7 @@
 
 use crate::connections::Connections;
 use event_loop::ConnectionId;
-use protocol::{frame, Message};
+use protocol::{frame, Message, SentMessages};
 use std::collections::HashMap;
 
 /// Milliseconds of silence after which an owner from which a response is awaited is pinged.
@@ -53,6 +53,7 @@
     links: HashMap<String, PeerLink>,
     suspects: HashMap<String, u64>,
     known_owners: HashMap<String, String>,
+    sent: SentMessages,
 }
 
 impl PeerLinks {
@@ -91,10 +92,17 @@
     /// Queues a message until the next flush; without a link it is dropped.
     pub fn queue(&mut self, name: &str, message: &Message) {
         if let Some(link) = self.links.get_mut(name) {
-            link.outbox.extend_from_slice(&frame(message));
+            let bytes = frame(message);
+            self.sent.record(&bytes);
+            link.outbox.extend_from_slice(&bytes);
         }
     }
 
+    /// What was sent to other gateways.
+    pub fn sent(&self) -> &SentMessages {
+        &self.sent
+    }
+
     /// Sends what was queued since the last flush, in one write for each gateway.
     pub fn flush(&mut self, connections: &mut Connections) {
         for link in self.links.values_mut() {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,6 +10,7 @@
 mod jobs;
 mod leases;
 mod message;
+mod sent_messages;
 
 pub use compression::{pack, unpack};
 pub use frame::{frame, take_frames, FrameError, FrameReader, MAX_FRAME_BYTES};
@@ -21,3 +22,4 @@
 pub use jobs::{JobAttempt, JobCompletion, JobResult, JobVerdict, RegisterResponse};
 pub use leases::{LeaseOutcome, LeaseRelease, LeaseRequest, RunnerLeases, SeatLease};
 pub use message::{Member, Message};
+pub use sent_messages::SentMessages;
