--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -104,7 +104,8 @@
                     _ => {}
                 }
             }
-            Event::Connected(_) | Event::Drained(_) => {}
+            Event::Connected(connection) => self.peers.established(connection),
+            Event::Drained(_) => {}
             Event::Readable(connection) => self.handle_readable(connection),
             Event::Closed(connection, _) => self.handle_closed(connection),
         }
@@ -146,6 +147,7 @@
     }
 
     fn tick(&mut self) {
+        self.peers.close_hung(self.now, &mut self.connections);
         self.consensus.tick(self.now);
         self.publish_contact();
         let interval_ms = self.options.gateway_heartbeat_ms();
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -91,3 +91,6 @@
 #[cfg(test)]
 #[path = "../tests/unit/operator_reads/mod.rs"]
 mod operator_reads_tests;
+#[cfg(test)]
+#[path = "../tests/unit/peer_links.rs"]
+mod peer_links_tests;
--- a/crates/controller/src/peer_links.rs
+++ b/crates/controller/src/peer_links.rs
@@ -6,10 +6,14 @@
 use event_loop::ConnectionId;
 use protocol::take_frames;
 use speedy::{Readable, Writable};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Least milliseconds between tries to reach a controller.
 const CONNECT_RETRY_MS: u64 = 100;
+/// Milliseconds within which a connection must be established; each second attempt in a row doubles the time.
+const CONNECT_TIMEOUT_MS: u64 = 150;
+/// Most doublings of that time.
+const CONNECT_TIMEOUT_DOUBLINGS_MAX: u32 = 4;
 
 /// What goes between two controllers.
 #[derive(Debug, PartialEq, Readable, Writable)]
@@ -28,12 +32,31 @@
     message: ConsensusMessage,
 }
 
+/// Attempts to connect to one address.
+#[derive(Clone, Copy, Debug, Default)]
+struct ConnectAttempts {
+    last_at: u64,
+    /// Those in a row that hung.
+    hung: u32,
+}
+
+impl ConnectAttempts {
+    /// When the last attempt is given up. A machine without power answers nothing, and the system repeats its own attempt only after a
+    /// second, when the machine may long be back.
+    fn times_out_at(self) -> u64 {
+        let doublings = (self.hung / 2).min(CONNECT_TIMEOUT_DOUBLINGS_MAX);
+        self.last_at + (CONNECT_TIMEOUT_MS << doublings)
+    }
+}
+
 /// Links to the other controllers, one for each consensus address. A link is opened once there is something to send.
 pub(crate) struct PeerLinks {
     own_address: String,
     links: HashMap<String, Outbox>,
-    /// When a connection to an address was last tried.
-    attempted_at: HashMap<String, u64>,
+    /// When and how often in a row a connection to an address was tried.
+    attempts: HashMap<String, ConnectAttempts>,
+    /// Connections that this controller has opened and that are not established yet.
+    unestablished: HashSet<ConnectionId>,
     /// Who is at the other end of each connection, once it is known.
     addresses: HashMap<ConnectionId, String>,
 }
@@ -44,7 +67,8 @@
         Self {
             own_address,
             links: HashMap::new(),
-            attempted_at: HashMap::new(),
+            attempts: HashMap::new(),
+            unestablished: HashSet::new(),
             addresses: HashMap::new(),
         }
     }
@@ -67,11 +91,13 @@
     }
 
     fn connect(&mut self, now: u64, to: &str, connections: &mut ControllerConnections) {
-        let attempted_at = self.attempted_at.get(to);
-        if attempted_at.is_some_and(|at| now < at + CONNECT_RETRY_MS) {
+        let attempts = self.attempts.get(to).copied();
+        if attempts.is_some_and(|attempts| now < attempts.last_at + CONNECT_RETRY_MS) {
             return;
         }
-        self.attempted_at.insert(to.into(), now);
+        let hung = attempts.map_or(0, |attempts| attempts.hung);
+        let attempts = ConnectAttempts { last_at: now, hung };
+        self.attempts.insert(to.into(), attempts);
         let Ok(address) = to.parse() else {
             return;
         };
@@ -79,11 +105,38 @@
             return;
         };
         self.addresses.insert(connection, to.into());
+        self.unestablished.insert(connection);
         let mut outbox = Outbox::new(connection);
         outbox.queue(&PeerFrame::Hello(self.own_address.clone()));
         self.links.insert(to.into(), outbox);
     }
 
+    /// A connection that this controller has opened is established.
+    pub fn established(&mut self, connection: ConnectionId) {
+        self.unestablished.remove(&connection);
+        let address = self.addresses.get(&connection);
+        if let Some(attempts) = address.and_then(|address| self.attempts.get_mut(address)) {
+            attempts.hung = 0;
+        }
+    }
+
+    /// Closes connections that are not established in time, so that they are tried anew.
+    pub fn close_hung(&mut self, now: u64, connections: &mut ControllerConnections) {
+        let hung = self.unestablished.iter().filter(|connection| {
+            let address = self.addresses.get(connection);
+            let attempts = address.and_then(|address| self.attempts.get(address));
+            attempts.is_some_and(|attempts| now >= attempts.times_out_at())
+        });
+        for connection in hung.copied().collect::<Vec<_>>() {
+            let address = self.addresses.get(&connection);
+            if let Some(attempts) = address.and_then(|address| self.attempts.get_mut(address)) {
+                attempts.hung += 1;
+            }
+            self.remove(connection);
+            connections.close(connection);
+        }
+    }
+
     /// Something arrived on a connection: hands the messages to the consensus. The link is closed where what follows them is
     /// no frame.
     pub fn handle_readable(
@@ -117,8 +170,7 @@
         match frame {
             PeerFrame::Hello(address) => {
                 self.addresses.insert(connection, address.clone());
-                let links = self.links.entry(address);
-                links.or_insert_with(|| Outbox::new(connection));
+                self.adopt(connection, address);
                 None
             }
             PeerFrame::Consensus(message) => {
@@ -128,8 +180,19 @@
         }
     }
 
+    /// Another controller has opened a link. It is used where there is none, or where the own one is not established: both may have been
+    /// tried at once, the own one while the other machine was down.
+    fn adopt(&mut self, connection: ConnectionId, address: String) {
+        let own = self.links.get(&address).map(Outbox::connection);
+        let is_usable = own.is_some_and(|own| !self.unestablished.contains(&own));
+        if !is_usable {
+            self.links.insert(address, Outbox::new(connection));
+        }
+    }
+
     /// A connection has ended.
     pub fn remove(&mut self, connection: ConnectionId) {
+        self.unestablished.remove(&connection);
         let Some(address) = self.addresses.remove(&connection) else {
             return;
         };
--- a/crates/controller/tests/unit/operator_reads/mod.rs
+++ b/crates/controller/tests/unit/operator_reads/mod.rs
@@ -3,7 +3,7 @@
 
 mod codecs;
 mod controller_pair;
-mod operator_call;
+pub(crate) mod operator_call;
 
 use codecs::{EVACUATE_TARGET, READ_TARGET, ZONE};
 use consensus::{CONFIGURATION_KEY, EVACUATIONS_KEY};
--- a/crates/controller/tests/unit/operator_reads/operator_call.rs
+++ b/crates/controller/tests/unit/operator_reads/operator_call.rs
@@ -15,7 +15,7 @@
 /// Time for which one poll waits; it is repeated until what must come has come.
 const POLL_TIMEOUT: Duration = Duration::from_millis(20);
 
-fn controller_options() -> ControllerOptions {
+pub fn controller_options() -> ControllerOptions {
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     ControllerOptions {
         name: address_of(BEHIND),
--- /dev/null
+++ b/crates/controller/tests/unit/peer_links.rs
@@ -0,0 +1,143 @@
+//! When a controller gives an attempt to reach another one up, and which of two links it uses.
+
+use crate::controller_connections::{ControllerConnection, ControllerConnections};
+use crate::operator_reads_tests::operator_call;
+use crate::peer_links::{PeerFrame, PeerLinks};
+use consensus::{Consensus, ConsensusMessage, VoterSnapshot};
+use event_loop::Event;
+use protocol::frame;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
+use std::time::Duration;
+
+/// The time within which a first attempt must succeed.
+const FIRST_TIMEOUT_MS: u64 = 150;
+const POLL_TIMEOUT: Duration = Duration::from_millis(5);
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The links of one controller, and the address at which another one listens.
+struct Links {
+    links: PeerLinks,
+    connections: ControllerConnections,
+    other: TcpListener,
+}
+
+impl Links {
+    fn new() -> Self {
+        Self {
+            links: PeerLinks::new("127.0.0.1:1".into()),
+            connections: ControllerConnections::new(16, 1_000).unwrap(),
+            other: TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap(),
+        }
+    }
+
+    fn other_address(&self) -> String {
+        self.other.local_addr().unwrap().to_string()
+    }
+
+    /// A message is sent to the other controller.
+    fn send(&mut self, now: u64) {
+        let to = self.other_address();
+        let message = ConsensusMessage::Link {
+            address: "127.0.0.1:1".into(),
+        };
+        self.links.queue(now, &to, message, &mut self.connections);
+    }
+
+    fn close_hung(&mut self, now: u64) {
+        self.links.close_hung(now, &mut self.connections);
+    }
+
+    fn flush(&mut self) {
+        self.links.flush(&mut self.connections);
+        let mut events = Vec::new();
+        self.connections.poll(POLL_TIMEOUT, &mut events);
+    }
+}
+
+fn consensus() -> Consensus {
+    let options = operator_call::controller_options();
+    Consensus::new(options.consensus_options(1), 0, VoterSnapshot::default())
+}
+
+fn reads_something(stream: &mut TcpStream) -> bool {
+    stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    matches!(stream.read(&mut [0; 64]), Ok(1..))
+}
+
+#[test]
+fn an_attempt_that_hangs_is_closed_and_made_anew() {
+    let mut links = Links::new();
+    links.send(1_000);
+    links.close_hung(1_000 + FIRST_TIMEOUT_MS - 1);
+    assert_eq!(links.connections.len(), 1);
+    links.close_hung(1_000 + FIRST_TIMEOUT_MS);
+    assert_eq!(links.connections.len(), 0);
+    links.send(1_000 + FIRST_TIMEOUT_MS);
+    assert_eq!(links.connections.len(), 1);
+}
+
+#[test]
+fn an_established_connection_stays() {
+    let mut links = Links::new();
+    links.send(1_000);
+    let (_accepted, _) = links.other.accept().unwrap();
+    let mut events = Vec::new();
+    while !events
+        .iter()
+        .any(|event| matches!(event, Event::Connected(_)))
+    {
+        links.connections.poll(POLL_TIMEOUT, &mut events);
+    }
+    for event in events {
+        if let Event::Connected(connection) = event {
+            links.links.established(connection);
+        }
+    }
+    links.close_hung(60_000);
+    assert_eq!(links.connections.len(), 1);
+}
+
+#[test]
+fn far_controllers_are_left_more_time_with_each_second_attempt() {
+    let mut links = Links::new();
+    let mut now = 1_000;
+    let mut timeouts = Vec::new();
+    for _ in 0..5 {
+        links.send(now);
+        let closed_at = (now..now + 10_000).find(|at| {
+            links.close_hung(*at);
+            links.connections.len() == 0
+        });
+        let closed_at = closed_at.expect("it is closed");
+        timeouts.push(closed_at - now);
+        now = closed_at;
+    }
+    assert_eq!(timeouts, [150, 150, 300, 300, 600]);
+}
+
+#[test]
+fn a_link_that_the_other_has_opened_replaces_an_own_attempt_that_hangs() {
+    let mut links = Links::new();
+    links.send(1_000);
+    // The other controller connects while the own attempt is not established.
+    let entrance = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let role = ControllerConnection::Peer;
+    let address = entrance.local_addr().unwrap();
+    let incoming = links.connections.connect(address, role).unwrap();
+    let (mut other, _) = entrance.accept().unwrap();
+    let hello = frame(&PeerFrame::Hello(links.other_address()));
+    other.write_all(&hello).unwrap();
+    let mut consensus = consensus();
+    let mut events = Vec::new();
+    while !events.contains(&Event::Readable(incoming)) {
+        links.connections.poll(POLL_TIMEOUT, &mut events);
+    }
+    let connections = &mut links.connections;
+    links
+        .links
+        .handle_readable(1_010, incoming, &mut consensus, connections);
+    links.send(1_020);
+    links.flush();
+    assert!(reads_something(&mut other));
+}
