--- a/crates/consensus/src/consensus/scaler_role.rs
+++ b/crates/consensus/src/consensus/scaler_role.rs
@@ -113,12 +113,23 @@
         let mut voters = self.sets.newest().voters.iter();
         let place = voters.position(|voter| voter.disk == own_disk);
         let jitter = self.random.random_range(0..CAMPAIGN_JITTER_MS);
-        let pause = place.unwrap_or(0) as u64 * CAMPAIGN_STAGGER_MS + jitter;
+        // The others grant the role to its last holder before anyone else, so that it races with none.
+        let place = match self.is_last_holder() {
+            true => 0,
+            false => place.unwrap_or(0) as u64,
+        };
+        let pause = place * CAMPAIGN_STAGGER_MS + jitter;
         if self.role.poll_campaign(now, pause) {
             self.campaign(now);
         }
     }
 
+    /// Whether this controller's own voter has it as the last holder of the role, in this or an earlier incarnation.
+    fn is_last_holder(&self) -> bool {
+        let accepted = self.values.own(SCALER_ROLE_KEY);
+        accepted.is_some_and(|accepted| accepted.role_holder().address == self.options.address)
+    }
+
     fn may_campaign(&self, now: u64) -> bool {
         self.has_read_required_keys()
             && self.role.may_campaign(now)
