--- a/crates/controller/src/controller/gateway_messages.rs
+++ b/crates/controller/src/controller/gateway_messages.rs
@@ -25,7 +25,7 @@
     fn handle_gateway_message(&mut self, connection: ConnectionId, message: Message) {
         match message {
             Message::GatewayHello(member) => {
-                self.scaler.gateway_linked(&member.name);
+                self.scaler.gateway_linked(self.now, &member.name);
                 let (gateways, mut context) = self.gateway_parts();
                 gateways.register(connection, member, &mut context);
             }
--- a/crates/controller/src/membership_publisher.rs
+++ b/crates/controller/src/membership_publisher.rs
@@ -11,6 +11,8 @@
     members: Vec<Member>,
     /// Names of the gateways that do not know the newest membership.
     unnotified: BTreeSet<String>,
+    /// When a gateway linked last.
+    linked_at: u64,
 }
 
 /// A membership to be sent.
@@ -30,10 +32,16 @@
     }
 
     /// A gateway came that does not know the membership.
-    pub fn add_receiver(&mut self, name: &str) {
+    pub fn add_receiver(&mut self, now: u64, name: &str) {
+        self.linked_at = now;
         self.unnotified.insert(name.into());
     }
 
+    /// Whether no gateway has linked for so many milliseconds.
+    pub fn is_settled(&self, now: u64, quiet_ms: u64) -> bool {
+        now >= self.linked_at + quiet_ms
+    }
+
     /// The members, in the order of their names.
     pub fn members(&self) -> &[Member] {
         &self.members
--- a/crates/controller/src/scaler.rs
+++ b/crates/controller/src/scaler.rs
@@ -17,6 +17,8 @@
 use std::collections::BTreeMap;
 
 const OK: u16 = 200;
+/// Part of a heartbeat's interval without a new link after which the first membership waits for no more gateways.
+const SETTLED_DIVISOR: u64 = 4;
 
 /// All that this controller knows as scaler. The next holder of the role learns it anew.
 #[derive(Default)]
@@ -147,8 +149,8 @@
     }
 
     /// A gateway came that does not know the membership.
-    pub fn gateway_linked(&mut self, name: &str) {
-        self.membership.add_receiver(name);
+    pub fn gateway_linked(&mut self, now: u64, name: &str) {
+        self.membership.add_receiver(now, name);
     }
 
     /// A gateway's link has ended.
@@ -159,7 +161,11 @@
     }
 
     fn publish_membership(&mut self, context: &mut ScalerContext<'_>) {
-        let is_early = context.now < self.began_at + context.options.heartbeat_ms();
+        let heartbeat_ms = context.options.heartbeat_ms();
+        let is_settled = self
+            .membership
+            .is_settled(context.now, heartbeat_ms / SETTLED_DIVISOR);
+        let is_early = context.now < self.began_at + heartbeat_ms && !is_settled;
         self.membership.update(context.gateways.members(), is_early);
         let Some(update) = self.membership.take_update() else {
             return;
