controller, gateway: membership changes as differences, leaner and rarer heartbeats

A heartbeat now names the controllers only where they changed, controllers that do not scale and gateways to them send half as many, and a gateway that has the membership before a change is told the change alone.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -150,7 +150,10 @@
         self.peers.close_hung(self.now, &mut self.connections);
         self.consensus.tick(self.now);
         self.publish_contact();
-        let interval_ms = self.options.gateway_heartbeat_ms();
+        let interval_ms = match self.consensus.role_term(self.now) {
+            Some(_) => self.options.gateway_heartbeat_ms(),
+            None => self.options.idle_heartbeat_ms(),
+        };
         if self.gateways.is_heartbeat_due(self.now, interval_ms) {
             self.heartbeat_gateways();
         }
--- a/crates/controller/src/controller/gateway_messages.rs
+++ b/crates/controller/src/controller/gateway_messages.rs
@@ -37,7 +37,8 @@
             }
             Message::RequestHeartbeat => {
                 let (_, mut context) = self.gateway_parts();
-                let heartbeat = context.status.heartbeat();
+                let addresses = context.status.controller_addresses();
+                let heartbeat = context.status.heartbeat(addresses);
                 context.reply(connection, &heartbeat);
             }
             message => {
--- a/crates/controller/src/gateway_table.rs
+++ b/crates/controller/src/gateway_table.rs
@@ -37,6 +37,8 @@
     heartbeat_at: u64,
     /// Whether the last heartbeat said that this controller is in contact with a majority.
     was_current: bool,
+    /// Addresses of controllers that all gateways were told.
+    told_addresses: Vec<String>,
     sent: SentMessages,
 }
 
@@ -66,7 +68,8 @@
             self.names.remove(&former);
             context.connections.close(former);
         }
-        self.queue(&name, &context.status.heartbeat());
+        let addresses = context.status.controller_addresses();
+        self.queue(&name, &context.status.heartbeat(addresses));
     }
 
     /// Something arrived on a connection. Returns the name of the gateway at its other end, once that is known.
@@ -128,7 +131,8 @@
     pub fn heartbeat(&mut self, context: &mut GatewayContext<'_>) -> Vec<String> {
         self.heartbeat_at = context.status.now;
         self.was_current = context.status.is_current();
-        let heartbeat = frame(&context.status.heartbeat());
+        let addresses = self.take_changed_addresses(context);
+        let heartbeat = frame(&context.status.heartbeat(addresses));
         let silent = self.close_silent(context);
         for gateway in self.gateways.values_mut() {
             self.sent.record(&heartbeat);
@@ -137,6 +141,16 @@
         silent
     }
 
+    /// The addresses of controllers where they are others than all gateways were told, which are told them with this heartbeat.
+    fn take_changed_addresses(&mut self, context: &GatewayContext<'_>) -> Vec<String> {
+        let addresses = context.status.controller_addresses();
+        if addresses == self.told_addresses {
+            return Vec::new();
+        }
+        self.told_addresses.clone_from(&addresses);
+        addresses
+    }
+
     fn close_silent(&mut self, context: &mut GatewayContext<'_>) -> Vec<String> {
         let now = context.status.now;
         let timeout_ms = context.status.options.gateway_timeout_ms();
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -89,6 +89,9 @@
 #[path = "../tests/unit/broken_invariants.rs"]
 mod broken_invariants_tests;
 #[cfg(test)]
+#[path = "../tests/unit/membership_publisher.rs"]
+mod membership_publisher_tests;
+#[cfg(test)]
 #[path = "../tests/unit/operator_reads/mod.rs"]
 mod operator_reads_tests;
 #[cfg(test)]
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -87,6 +87,11 @@
         self.heartbeat_ms() * 2
     }
 
+    /// Milliseconds between heartbeats to gateways while this controller does not scale. What changes is told at once in any case.
+    pub(crate) fn idle_heartbeat_ms(&self) -> u64 {
+        self.gateway_heartbeat_ms() * 2
+    }
+
     /// Milliseconds of the scaler's role lease: two fifths of the bound on changes.
     pub(crate) fn lease_ms(&self) -> u64 {
         self.propagation_timeout_ms * 2 / 5
--- a/crates/controller/src/scaler.rs
+++ b/crates/controller/src/scaler.rs
@@ -167,11 +167,10 @@
             .is_settled(context.now, heartbeat_ms / SETTLED_DIVISOR);
         let is_early = context.now < self.began_at + heartbeat_ms && !is_settled;
         self.membership.update(context.gateways.members(), is_early);
-        let Some(update) = self.membership.take_update() else {
-            return;
-        };
-        for name in update.receivers {
-            context.gateways.queue_frame(&name, &update.frame);
+        for update in self.membership.take_updates() {
+            for name in update.receivers {
+                context.gateways.queue_frame(&name, &update.frame);
+            }
         }
     }
 
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -26,19 +26,25 @@
         self.consensus.is_current(self.now)
     }
 
-    /// The heartbeat to gateways: which versions are in force, and where the controllers listen for gateways.
-    pub fn heartbeat(&self) -> Message {
+    /// Addresses at which the controllers listen for gateways.
+    pub fn controller_addresses(&self) -> Vec<String> {
         let controllers = self.consensus.known_controllers();
-        let controllers = controllers.iter().filter_map(|address| {
+        let addresses = controllers.iter().filter_map(|address| {
             let address: SocketAddr = address.parse().ok()?;
             let address = SocketAddr::new(address.ip(), self.options.gateway_port);
             Some(address.to_string())
         });
+        addresses.collect()
+    }
+
+    /// The heartbeat to gateways: which versions are in force, and these addresses of controllers. One that goes to a gateway that was
+    /// told them before needs none.
+    pub fn heartbeat(&self, controllers: Vec<String>) -> Message {
         Message::ControllerHeartbeat {
             configuration_version: self.configuration.version(),
             evacuations_version: self.configuration.evacuations_version(),
             term: self.consensus.role_term(self.now).unwrap_or(0),
-            controllers: controllers.collect(),
+            controllers,
             zone: self.options.zone.clone(),
             is_current: self.is_current(),
         }
--- a/crates/gateway/src/applied_configuration.rs
+++ b/crates/gateway/src/applied_configuration.rs
@@ -188,6 +188,26 @@
         true
     }
 
+    /// The members after a change; none where it builds on another version than the one in force.
+    pub fn changed_members(
+        &self,
+        base: UpdateVersion,
+        joined: Vec<Member>,
+        left: &[String],
+    ) -> Option<Vec<Member>> {
+        if base != self.membership_version {
+            return None;
+        }
+        let is_replaced = |member: &Member| {
+            left.contains(&member.name) || joined.iter().any(|one| one.name == member.name)
+        };
+        let kept = self.members.iter().filter(|member| !is_replaced(member));
+        let mut members: Vec<Member> = kept.cloned().collect();
+        members.extend(joined);
+        members.sort_by(|one, other| one.name.cmp(&other.name));
+        Some(members)
+    }
+
     /// Applies the membership; whether it was newer.
     pub fn apply_membership(&mut self, version: UpdateVersion, members: Vec<Member>) -> bool {
         if version <= self.membership_version || members.is_empty() {
--- a/crates/gateway/src/controller_links.rs
+++ b/crates/gateway/src/controller_links.rs
@@ -14,6 +14,8 @@
 const SCALER_SILENCE_MS: u64 = 3_000;
 /// Milliseconds between evictions of functions that other gateways own.
 const EVICTION_INTERVAL_MS: u64 = 1_500;
+/// Intervals between two heartbeats to a controller that does not scale. Its silence is noticed by its own heartbeats.
+const IDLE_CONTROLLER_INTERVALS: u64 = 2;
 /// Heartbeats after the start within which connections are tried more often, since controllers may be starting too.
 const STARTUP_HEARTBEATS: u64 = 8;
 /// Attempts to connect per heartbeat within that time.
@@ -193,7 +195,11 @@
                 link.end();
                 return LinkTask::Close(connection);
             }
-            if now >= link.heartbeat_sent_at + timing.interval_ms {
+            let interval_ms = match link.term {
+                0 => timing.interval_ms * IDLE_CONTROLLER_INTERVALS,
+                _ => timing.interval_ms,
+            };
+            if now >= link.heartbeat_sent_at + interval_ms {
                 link.heartbeat_sent_at = now;
                 return LinkTask::SendHeartbeat(connection);
             }
--- a/crates/gateway/src/controller_messages.rs
+++ b/crates/gateway/src/controller_messages.rs
@@ -29,6 +29,18 @@
             Message::GatewayMembership { version, members } => {
                 self.membership_received(version, members);
             }
+            Message::GatewayMembershipChange {
+                base,
+                version,
+                joined,
+                left,
+            } => {
+                let members = self.configuration.changed_members(base, joined, &left);
+                match members {
+                    Some(members) => self.membership_received(version, members),
+                    None => log::debug!("gateway: membership change dropped base={base}"),
+                }
+            }
             Message::JobRegisterResponse { number, response } => {
                 self.jobs.register_responded(self.now, number, response);
             }
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -175,6 +175,17 @@
         /// The regions.
         allowed_regions: Vec<String>,
     },
+    /// How the membership differs from the version before, for a gateway that has that version.
+    GatewayMembershipChange {
+        /// Version on which the change builds.
+        base: UpdateVersion,
+        /// Its own version.
+        version: UpdateVersion,
+        /// Gateways that came, or began another incarnation.
+        joined: Vec<Member>,
+        /// Names of the gateways that went.
+        left: Vec<String>,
+    },
 }
 
 impl Message {
--- a/crates/protocol/tests/drawn/mod.rs
+++ b/crates/protocol/tests/drawn/mod.rs
@@ -7,7 +7,7 @@
 };
 use quickcheck::{Arbitrary, Gen};
 
-pub const KINDS: u8 = 28;
+pub const KINDS: u8 = 29;
 
 #[derive(Clone, Debug)]
 pub struct Drawn(pub Message);
@@ -159,7 +159,7 @@
 /// A message of the kind at this place below [`KINDS`].
 pub fn message(kind: u8, gen: &mut Gen) -> Message {
     match kind {
-        0..=6 | 17 | 26 => configuration_message(kind, gen),
+        0..=6 | 17 | 26 | 28 => configuration_message(kind, gen),
         7 | 8 | 15 | 16 | 18 => status_message(kind, gen),
         9..=14 | 27 => lease_message(kind, gen),
         _ => job_message(kind, gen),
@@ -203,6 +203,12 @@
             changes: any(gen),
         },
         26 => Message::RequestHeartbeat,
+        28 => Message::GatewayMembershipChange {
+            base: version(gen),
+            version: version(gen),
+            joined: some(gen, member),
+            left: any(gen),
+        },
         _ => unreachable!("no kind of this group"),
     }
 }
@@ -329,5 +335,6 @@
         Message::JobRegisterResponse { .. } => 25,
         Message::RequestHeartbeat => 26,
         Message::RestrictedLeaseRequest { .. } => 27,
+        Message::GatewayMembershipChange { .. } => 28,
     }
 }
