--- a/crates/autoscaler/src/arrivals.rs
+++ b/crates/autoscaler/src/arrivals.rs
@@ -13,7 +13,7 @@
 /// Standard deviations of a Poisson count that a burst must exceed to count as one.
 const BURST_DEVIATIONS: f64 = 3.0;
 /// Share of the counts by zone that is kept from one sample to the next.
-const ZONE_COUNT_DECAY: f64 = 0.8;
+const ZONE_COUNT_DECAY: f64 = 0.97;
 /// Below this a zone's decayed count is dropped.
 const ZONE_COUNT_MIN: f64 = 0.01;
 
--- a/crates/autoscaler/src/function.rs
+++ b/crates/autoscaler/src/function.rs
@@ -76,6 +76,11 @@
         &self.arrivals
     }
 
+    /// Calls that are expected within so many milliseconds, by how often it was called lately.
+    pub fn expected_calls(&self, now: u64, span_ms: f64) -> f64 {
+        self.calls.expected_within(now, span_ms)
+    }
+
     /// Takes a sample of the arrivals when one is due.
     pub fn sample_arrivals(&mut self, now: u64) {
         self.arrivals.sample(now);
--- a/crates/autoscaler/src/regional_runners.rs
+++ b/crates/autoscaler/src/regional_runners.rs
@@ -8,10 +8,6 @@
 use crate::state::ClusterState;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Part of the share that a region must fill below which it keeps its runner no longer, so that a rate around the share starts and ends
-/// none.
-const KEPT_SHARE: f64 = 0.5;
-
 /// A region that calls enough for a runner of its own and has none.
 pub(crate) fn unserved_region(state: &ClusterState, function: &Function) -> Option<String> {
     let share = state.options.policy.region_share;
@@ -26,7 +22,8 @@
 
 /// Runners that are the only ones in a region that calls enough for one.
 pub(crate) fn kept_runners(state: &ClusterState, function: &Function) -> BTreeSet<u64> {
-    let share = state.options.policy.region_share * KEPT_SHARE;
+    let policy = &state.options.policy;
+    let share = policy.region_share * policy.region_kept_part;
     let served = served_regions(state, function);
     let deserving = regions_above(state, function, share).into_iter();
     let only = deserving.filter_map(|(region, _)| match served.get(region)?.as_slice() {
@@ -49,7 +46,7 @@
     let arrivals = function.arrivals();
     let counts = arrivals.by_zone();
     let total: f64 = counts.values().sum();
-    let seats_in_use = arrivals.forecast() * function.service_time_ms() / 1_000.0;
+    let seats_in_use = function.expected_calls(state.now, function.service_time_ms());
     let mut seats: BTreeMap<&str, f64> = BTreeMap::new();
     for (zone, count) in counts {
         if let Some(region) = topology.region_of(zone) {
--- a/crates/policy/src/scaling.rs
+++ b/crates/policy/src/scaling.rs
@@ -24,6 +24,8 @@
     frequent_retention_starts: f64 = 9.0, 0.0 => 1_000.0;
     /// Share of a runner's seats that the calls of one region must fill so that the region gets a runner of its own; 0 for never.
     region_share: f64 = 0.0, 0.0 => 100.0;
+    /// Part of that share below which the region loses it again.
+    region_kept_part: f64 = 0.6, 0.0 => 1.0;
     /// Whether the Kalman filter's forecast is part of the demand.
     forecasts: bool = true, false => true;
     /// Whether a burst that the filter has not followed yet is part of the demand.
