soak: planned restarts are judged: no request is lost around SIGTERM and SIGHUP

After the faults, all is healed, and once the daemons are in touch two gateways are restarted and two told that their settings changed, under traffic: an ordinary request whose connection ends after it was passed on to a runner, or long after it was sent, is a finding.

--- a/tests/cluster/src/soak/injector.rs
+++ b/tests/cluster/src/soak/injector.rs
@@ -164,6 +164,16 @@
         }
     }
 
+    /// Asks a gateway to stop, as operators do; it starts again once it has ended.
+    pub fn restart_gateway(&mut self, gateway: usize) {
+        self.terminate(self.index(Target::Gateway(gateway)), Instant::now());
+    }
+
+    /// Tells a gateway that its settings have changed.
+    pub fn reload_gateway(&mut self, gateway: usize) {
+        self.restore_settings(self.index(Target::Gateway(gateway)));
+    }
+
     fn truncate_settings(&mut self, machine: usize) {
         let settings = self.settings_of(machine);
         let path = self.daemon(machine).settings_path();
--- a/tests/cluster/src/soak/ledger.rs
+++ b/tests/cluster/src/soak/ledger.rs
@@ -28,6 +28,8 @@
     pub target: String,
     /// Whether it must run at most once.
     pub at_most_once: bool,
+    /// Whether it asks its runner neither to fail nor to take longer than its route allows.
+    pub is_ordinary: bool,
     pub sent_at: Instant,
     pub ended_at: Instant,
     pub outcome: ClientOutcome,
@@ -94,6 +96,7 @@
     jobs: Mutex<Vec<JobRecord>>,
     changes: Mutex<Vec<ChangeRecord>>,
     reads: Mutex<Vec<ReadRecord>>,
+    planned_from: Mutex<Option<Instant>>,
 }
 
 impl Ledger {
@@ -113,6 +116,16 @@
         self.reads.lock().unwrap().push(record);
     }
 
+    /// From now on nothing goes wrong but what operators plan.
+    pub fn begin_planned_work(&self) {
+        *self.planned_from.lock().unwrap() = Some(Instant::now());
+    }
+
+    /// When planned work began, after which nothing else went wrong.
+    pub fn planned_from(&self) -> Option<Instant> {
+        *self.planned_from.lock().unwrap()
+    }
+
     pub fn requests(&self) -> Vec<ClientRecord> {
         self.requests.lock().unwrap().clone()
     }
--- a/tests/cluster/src/soak/mod.rs
+++ b/tests/cluster/src/soak/mod.rs
@@ -12,6 +12,7 @@
 mod misbehaving;
 mod operators;
 mod oracle;
+mod planned_work;
 mod run;
 mod schedule;
 mod traffic;
--- a/tests/cluster/src/soak/oracle.rs
+++ b/tests/cluster/src/soak/oracle.rs
@@ -6,10 +6,13 @@
 };
 use super::operators::version_of;
 use crate::request_log::{ReceivedRequest, RequestOutcome};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 /// Most times that a request may run which may be repeated: the tries of its route.
 const TRIES: usize = 3;
+/// Time after a request's last byte within which a connection may end that a gateway had not read.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// Statuses that promise that a request has not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
@@ -24,6 +27,7 @@
             &mut broken,
         );
     }
+    judge_planned_work(ledger, received, &mut broken);
     judge_misbehaving(&runs, received, &mut broken);
     for job in &ledger.jobs() {
         judge_job(job, &runs, &mut broken);
@@ -75,6 +79,26 @@
     }
 }
 
+/// Around planned work, and in calm time, no request is lost that a gateway has read: the connection does not end once the request was
+/// passed on to a runner, nor long after it was sent.
+fn judge_planned_work(ledger: &Ledger, received: &[ReceivedRequest], broken: &mut Vec<String>) {
+    let Some(planned_from) = ledger.planned_from() else {
+        return;
+    };
+    let passed_on: BTreeSet<&str> = received.iter().map(|one| one.id.as_str()).collect();
+    for request in &ledger.requests() {
+        let is_judged = request.is_ordinary && request.sent_at >= planned_from;
+        if !is_judged || request.outcome != ClientOutcome::Unanswered {
+            continue;
+        }
+        let was_passed_on = passed_on.contains(request.id.as_str());
+        let was_read = request.ended_at > request.sent_at + LOSS_SLACK;
+        if was_passed_on || was_read {
+            broken.push(format!("LOST: passed on {was_passed_on}: {request}"));
+        }
+    }
+}
+
 /// A job runs once at most, and all copies that are answered get the same response.
 fn judge_job(job: &JobRecord, runs: &BTreeMap<String, usize>, broken: &mut Vec<String>) {
     let runs_of = |copy: &JobCopy| runs.get(&copy.id).copied().unwrap_or(0);
--- a/tests/cluster/src/soak/run.rs
+++ b/tests/cluster/src/soak/run.rs
@@ -6,6 +6,7 @@
 use super::misbehaving;
 use super::operators::{run_reader, Operator};
 use super::oracle;
+use super::planned_work;
 use super::schedule::{Schedule, ScheduledFault};
 use super::traffic::Client;
 use super::{calm, ledger::ClientOutcome};
@@ -98,6 +99,7 @@
         scope.spawn(move || Operator::new(seed, controllers, ledger, 1).run(is_over));
         scope.spawn(move || run_reader(seed, controllers, ledger, is_over));
         inject(injector, schedule);
+        planned_work::run(injector, seed, ledger);
         is_over.store(true, Ordering::SeqCst);
         // Clients end once their last request has, which may need the daemons.
         injector.heal();
--- a/tests/cluster/src/soak/traffic.rs
+++ b/tests/cluster/src/soak/traffic.rs
@@ -36,6 +36,12 @@
 const FAULT_ONE_IN: u32 = 10;
 const SUCCESS: u16 = 200;
 
+/// What is expected of a request.
+struct RequestKind {
+    at_most_once: bool,
+    is_ordinary: bool,
+}
+
 /// One client with its own random numbers.
 pub struct Client<'a> {
     number: usize,
@@ -69,21 +75,22 @@
     }
 
     fn send_one(&mut self) {
-        let (request, size, at_most_once) = self.draw_request();
+        let (request, size, kind) = self.draw_request();
         let sent_at = Instant::now();
         let (gateway, outcome) = self.outcome(&request, size);
         self.ledger.record_request(ClientRecord {
             id: request.id.clone(),
             gateway,
             target: request.target.clone(),
-            at_most_once,
+            at_most_once: kind.at_most_once,
+            is_ordinary: kind.is_ordinary,
             sent_at,
             ended_at: Instant::now(),
             outcome,
         });
     }
 
-    fn draw_request(&mut self) -> (ClientRequest, usize, bool) {
+    fn draw_request(&mut self) -> (ClientRequest, usize, RequestKind) {
         self.sent += 1;
         let id = format!("c{}-{:05}", self.number, self.sent);
         let kind = self.random.random_range(0..10);
@@ -105,11 +112,16 @@
             let body = vec![b'b'; self.random.random_range(0..2_000)];
             request = request.post(&body);
         }
-        if self.random.random_ratio(1, FAULT_ONE_IN) {
+        let asks_for_fault = self.random.random_ratio(1, FAULT_ONE_IN);
+        if asks_for_fault {
             let fault = RUNNER_FAULTS[self.random.random_range(0..RUNNER_FAULTS.len())];
             request = request.with(FAULT, fault);
         }
-        (request, size, at_most_once)
+        let kind = RequestKind {
+            at_most_once,
+            is_ordinary: !asks_for_fault && !is_endless,
+        };
+        (request, size, kind)
     }
 
     fn outcome(&mut self, request: &ClientRequest, size: usize) -> (usize, ClientOutcome) {
