--- a/crates/policy/src/leasing.rs
+++ b/crates/policy/src/leasing.rs
@@ -13,6 +13,8 @@
     full_cost: f64 = 0.5, 0.0 => 100.0;
     /// Whether a runner that rejects requests gets fewer for a while.
     backs_off_after_rejections: bool = true, false => true;
+    /// Milliseconds between two reports of a function to the scaler, where nothing is urgent.
+    report_interval_ms: u64 = 200, 15 => 2_000;
     /// Part of the expected start, in percent, after which a runner is first probed.
     first_probe_percent: u64 = 60, 0 => 100;
 }
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -326,7 +326,8 @@
             return None;
         };
         let state = seats.report_state();
-        if !is_forced && !state.is_due(now) {
+        let interval_ms = self.rules.policy.report_interval_ms;
+        if !is_forced && !state.is_due(now, interval_ms) {
             if !state.is_changed() {
                 self.unreported.remove(name);
             }
--- a/crates/seat_leases/src/report_state.rs
+++ b/crates/seat_leases/src/report_state.rs
@@ -1,7 +1,5 @@
 //! When the scaler is reported to about one function.
 
-/// Milliseconds between reports of a function, where nothing is urgent.
-const REPORT_INTERVAL_MS: u64 = 200;
 /// Milliseconds between reports of a function while a request waits or a runner is gone.
 const URGENT_INTERVAL_MS: u64 = 15;
 /// Milliseconds after which it is reported again that requests wait, since the scaler forgets what it has not heard for
@@ -30,12 +28,12 @@
         self.is_changed
     }
 
-    /// Whether there is something to report and the interval since the last report is over.
-    pub fn is_due(&self, now: u64) -> bool {
+    /// Whether there is something to report and the interval since the last report is over; where nothing is urgent, the regular one.
+    pub fn is_due(&self, now: u64, regular_interval_ms: u64) -> bool {
         let interval_ms = if self.is_urgent {
             URGENT_INTERVAL_MS
         } else {
-            REPORT_INTERVAL_MS
+            regular_interval_ms
         };
         self.is_changed && now >= self.reported_at + interval_ms
     }
