--- /dev/null
+++ b/crates/autoscaler/tests/retention.rs
@@ -0,0 +1,141 @@
+//! How long the last runner of a function that sleeps is retained, by how often the function is called.
+
+mod cluster;
+
+use autoscaler::{Autoscaler, AutoscalerOptions, RunnerCommand};
+use cluster::*;
+use policy::ScalingPolicy;
+use protocol::{FunctionReport, RunnerReport};
+
+/// Milliseconds between two steps of the autoscaler.
+const STEP_MS: u64 = 50;
+/// Milliseconds that a start takes; `configuration` says so too.
+const START_MS: u64 = 1_000;
+/// Milliseconds that a request takes at its runner.
+const WORK_MS: u64 = 100;
+
+fn options() -> AutoscalerOptions {
+    AutoscalerOptions {
+        policy: ScalingPolicy {
+            adapts_retention: true,
+            break_even_starts: 3.5,
+            rare_retention_starts: 0.2,
+            frequent_retention_starts: 7.0,
+            ..ScalingPolicy::default()
+        },
+        list_lag_ms: 100,
+        ..cluster::options()
+    }
+}
+
+/// One function that sleeps until called, a call each so many milliseconds, and the runner that serves it.
+struct Calls {
+    autoscaler: Autoscaler,
+    now: u64,
+    arrived: u64,
+    /// The runner, with the time from which it is up.
+    runner: Option<(String, u64)>,
+    is_waiting: bool,
+    in_flight_until: u64,
+    starts: usize,
+}
+
+impl Calls {
+    fn new() -> Self {
+        let workers = [worker_listing("w-1", "a", 1_000)];
+        Self {
+            autoscaler: autoscaler_with(options(), &[("f", 9_000)], &workers, &[]),
+            now: 0,
+            arrived: 0,
+            runner: None,
+            is_waiting: false,
+            in_flight_until: 0,
+            starts: 0,
+        }
+    }
+
+    /// Advances by a step. A request waits from its call until its runner is up, and is in flight for a while then.
+    fn step(&mut self, called_at: &[u64]) {
+        self.now += STEP_MS;
+        let is_up = self.runner.as_ref().is_some_and(|(_, at)| *at <= self.now);
+        let arrived = called_at.iter().filter(|at| **at <= self.now).count() as u64;
+        self.is_waiting |= arrived > std::mem::replace(&mut self.arrived, arrived);
+        if self.is_waiting && is_up {
+            self.is_waiting = false;
+            self.in_flight_until = self.now + WORK_MS;
+        }
+        let (is_waiting, is_running) = (self.is_waiting, self.now < self.in_flight_until);
+        let runners = self.runner.iter().map(|(id, _)| RunnerReport {
+            is_up,
+            ..runner_report(id, u32::from(is_running))
+        });
+        let update = self.autoscaler.update_version("f").number;
+        let report = FunctionReport {
+            runners: runners.collect(),
+            update_number: update,
+            ..function_report("f", self.arrived, u32::from(is_waiting))
+        };
+        self.autoscaler.handle_report(self.now, OWNER, &report);
+        self.autoscaler.tick(self.now);
+        // The owner has each update before its next report.
+        let _ = self.autoscaler.take_updates();
+        for command in answer_starts(&mut self.autoscaler, self.now) {
+            match command {
+                RunnerCommand::Start { nonce, .. } => {
+                    self.starts += 1;
+                    self.runner = Some((format!("r-{nonce}"), self.now + START_MS));
+                }
+                RunnerCommand::Stop { id } => {
+                    self.autoscaler.handle_stop_result(self.now, &id, true);
+                    self.runner = None;
+                }
+            }
+        }
+    }
+
+    /// Starts that calls at an interval cost within a minute.
+    fn starts_of(interval_ms: u64) -> usize {
+        let called_at: Vec<u64> = (1_000..60_000).step_by(interval_ms as usize).collect();
+        let mut calls = Self::new();
+        while calls.now < 60_000 {
+            calls.step(&called_at);
+        }
+        calls.starts
+    }
+
+    /// Milliseconds for which the runner of a function stays after the last of its calls.
+    fn retained_after(called_at: &[u64]) -> u64 {
+        let last = *called_at.last().expect("there is a call");
+        let mut calls = Self::new();
+        while calls.now < last + START_MS + WORK_MS || calls.runner.is_some() {
+            calls.step(called_at);
+            assert!(calls.now < 120_000, "the runner is never stopped");
+        }
+        calls.now - last
+    }
+}
+
+#[test]
+fn a_function_that_is_called_often_is_started_once() {
+    assert_eq!(Calls::starts_of(2_000), 1);
+}
+
+#[test]
+fn a_function_that_is_called_rarely_is_started_for_each_call() {
+    assert_eq!(Calls::starts_of(12_000), 5);
+}
+
+#[test]
+fn the_runner_of_a_rare_function_ends_soon_after_its_request() {
+    let rare: Vec<u64> = (1_000..50_000).step_by(16_000).collect();
+    let retained_ms = Calls::retained_after(&rare);
+    assert!(retained_ms < START_MS + WORK_MS + 1_000, "{retained_ms} ms");
+}
+
+#[test]
+fn the_runner_of_a_frequent_function_outlives_a_pause_of_twice_the_break_even_time_at_most() {
+    let frequent: Vec<u64> = (1_000..30_000).step_by(1_000).collect();
+    let retained_ms = Calls::retained_after(&frequent);
+    assert!(retained_ms >= 3_500, "{retained_ms} ms");
+    assert!(retained_ms <= 2 * 3_500 + 1_000, "{retained_ms} ms");
+}
