--- a/tests/experiment/src/bin/hallkeel-experiment.rs
+++ b/tests/experiment/src/bin/hallkeel-experiment.rs
@@ -38,6 +38,9 @@
     /// Option of the change, NAME=VALUE; may be given several times
     #[arg(long)]
     set: Vec<PolicySetting>,
+    /// Compare each option's value alone with the base, as an ablation does
+    #[arg(long)]
+    each: bool,
     /// Option of both sides, NAME=VALUE; may be given several times
     #[arg(long)]
     both: Vec<PolicySetting>,
@@ -53,7 +56,7 @@
     /// Folder of the scratch checkouts
     #[arg(long, default_value = "target/experiment")]
     scratch: PathBuf,
-    /// Where the table (.md) and the plot (.svg) go, without the ending
+    /// Where the table (.md) and the plot (.svg) go, without the ending; the table is printed where nothing is given
     #[arg(long)]
     out: Option<PathBuf>,
 }
@@ -77,19 +80,16 @@
 
 fn run(flags: &Flags) -> Result<(), ExperimentError> {
     let plan = plan(flags)?;
-    let change = flags.change.as_ref().unwrap_or(&flags.base);
-    let with_both = |settings: &[PolicySetting]| [&flags.both, settings].concat();
     let base = Arm {
         label: "base".to_owned(),
         sources: flags.base.clone(),
-        settings: with_both(&[]),
-    };
-    let change = Arm {
-        label: "change".to_owned(),
-        sources: change.clone(),
-        settings: with_both(&flags.set),
+        settings: flags.both.clone(),
     };
     let before = play_arm(&plan, &base, flags)?;
+    if flags.each {
+        return ablate(&plan, &before, flags);
+    }
+    let change = change(flags, "change", &flags.set);
     let after = play_arm(&plan, &change, flags)?;
     let changes = compare(&before, &after);
     let text = format!(
@@ -100,15 +100,53 @@
         table::violations("base", &before),
         table::violations("change", &after),
     );
-    print!("{text}");
+    write_result(flags, &text)?;
     if let Some(out) = &flags.out {
-        let path = out.with_extension("md");
-        std::fs::write(&path, text).map_err(ExperimentError::io(&path))?;
         plot::draw(&out.with_extension("svg"), &flags.why, &changes)?;
     }
     Ok(())
 }
 
+/// Compares each option's value alone with the base.
+fn ablate(plan: &Plan, before: &play::Reports, flags: &Flags) -> Result<(), ExperimentError> {
+    let mut text = format!(
+        "# {}\n\n{} days a side.\n\n{}",
+        flags.why,
+        plan.days.len(),
+        table::ABLATION_HEAD
+    );
+    for setting in &flags.set {
+        let label = format!("{}={}", setting.name, setting.value);
+        let after = play_arm(
+            plan,
+            &change(flags, &label, std::slice::from_ref(setting)),
+            flags,
+        )?;
+        text += &table::ablation_row(&label, &compare(before, &after));
+        text += &table::violations(&label, &after);
+        write_result(flags, &text)?;
+    }
+    Ok(())
+}
+
+/// The side with these options beside those of both sides.
+fn change(flags: &Flags, label: &str, settings: &[PolicySetting]) -> Arm {
+    Arm {
+        label: label.to_owned(),
+        sources: flags.change.clone().unwrap_or_else(|| flags.base.clone()),
+        settings: [&flags.both, settings].concat(),
+    }
+}
+
+fn write_result(flags: &Flags, text: &str) -> Result<(), ExperimentError> {
+    let Some(out) = &flags.out else {
+        print!("{text}");
+        return Ok(());
+    };
+    let path = out.with_extension("md");
+    std::fs::write(&path, text).map_err(ExperimentError::io(&path))
+}
+
 fn plan(flags: &Flags) -> Result<Plan, ExperimentError> {
     let absolute = |path: &PathBuf| path.canonicalize().map_err(ExperimentError::io(path));
     let sites: Result<Vec<PathBuf>, ExperimentError> = flags.site.iter().map(absolute).collect();
--- a/tests/experiment/tests/experiment.rs
+++ b/tests/experiment/tests/experiment.rs
@@ -125,3 +125,21 @@
     assert!(drawn.contains("a title") && drawn.contains("worth"));
     std::fs::remove_dir_all(&folder).expect("it can be removed");
 }
+
+#[test]
+fn a_row_of_an_ablation_tells_worth_and_prices() {
+    let with_prices = |worths: &[f64]| {
+        let mut reports = reports(worths);
+        for report in reports.values_mut() {
+            report.metrics.insert(PRICES.into(), 0.2);
+        }
+        reports
+    };
+    let changes = compare(&with_prices(&[0.7, 0.8]), &with_prices(&[0.71, 0.82]));
+    let row = table::ablation_row("scaling.evicts=false", &changes);
+    assert_eq!(
+        row,
+        "| scaling.evicts=false | +0.0150 | +0.0100 | +0.0200 | +0.0000 | no (p 0.50) |\n"
+    );
+    assert!(table::ablation_row("x=1", &[]).contains("not played"));
+}
