--- a/crates/gateway/src/configuration_updates.rs
+++ b/crates/gateway/src/configuration_updates.rs
@@ -35,7 +35,7 @@
         if !self.configuration.apply_membership(version, members) {
             return;
         }
-        self.peers.members_changed(self.configuration.members());
+        self.peers.clear_suspects();
         self.move_to_new_owners();
         for function in self.functions_in_use() {
             if let Some(owner) = self.owner_of(&function) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,7 +42,6 @@
 mod options;
 mod peer_links;
 mod peer_messages;
-mod peer_suspicions;
 mod pending_request;
 mod readiness;
 mod request_accounting;
@@ -84,8 +83,5 @@
 #[path = "../tests/unit/owner_links.rs"]
 mod owner_links_tests;
 #[cfg(test)]
-#[path = "../tests/unit/peer_suspicions.rs"]
-mod peer_suspicions_tests;
-#[cfg(test)]
 #[path = "../tests/unit/restarted_peers.rs"]
 mod restarted_peers_tests;
--- a/crates/gateway/src/peer_links.rs
+++ b/crates/gateway/src/peer_links.rs
@@ -1,15 +1,16 @@
 //! Connections with other gateways, and which of these are suspected to be dead.
 
 use crate::connections::Connections;
-use crate::peer_suspicions::PeerSuspicions;
 use event_loop::ConnectionId;
-use protocol::{frame, Member, Message, SentMessages};
+use protocol::{frame, Message, SentMessages};
 use std::collections::HashMap;
 
 /// Milliseconds of silence after which an owner from which a response is awaited is pinged.
 pub(crate) const PING_AFTER_MS: u64 = 250;
 /// Milliseconds of silence after which such an owner is taken for dead.
 const DEAD_AFTER_MS: u64 = 650;
+/// Milliseconds for which a gateway that was taken for dead owns nothing.
+const SUSPECT_MS: u64 = 1_500;
 /// Most functions whose owner is remembered.
 const KNOWN_OWNERS_MAX: usize = 65_536;
 
@@ -50,7 +51,7 @@
 #[derive(Default)]
 pub(crate) struct PeerLinks {
     links: HashMap<String, PeerLink>,
-    suspicions: PeerSuspicions,
+    suspects: HashMap<String, u64>,
     known_owners: HashMap<String, String>,
     sent: SentMessages,
 }
@@ -114,7 +115,7 @@
 
     /// A message came from a gateway, which is alive.
     pub fn record_heard(&mut self, name: &str, now: u64) {
-        self.suspicions.clear(name);
+        self.suspects.remove(name);
         if let Some(link) = self.links.get_mut(name) {
             link.heard_at = now;
         }
@@ -141,21 +142,20 @@
     /// Removes the link with a gateway that was taken for dead, which owns nothing for a while. As an owner it has forgotten this
     /// gateway with the link, so that it is a new one when it is back.
     pub fn suspect(&mut self, name: &str, now: u64) {
-        let link = self.links.remove(name);
+        self.links.remove(name);
         let known = self.known_owners.values_mut();
         known.filter(|owner| *owner == name).for_each(String::clear);
-        let incarnation = link.map(|link| link.incarnation);
-        self.suspicions.suspect(name, incarnation, now);
+        self.suspects.insert(name.into(), now + SUSPECT_MS);
     }
 
     /// Whether a gateway was taken for dead lately.
     pub fn is_suspect(&self, name: &str, now: u64) -> bool {
-        self.suspicions.is_suspect(name, now)
+        self.suspects.get(name).is_some_and(|until| now < *until)
     }
 
-    /// A new membership names the gateways.
-    pub fn members_changed(&mut self, members: &[Member]) {
-        self.suspicions.members_changed(members);
+    /// Suspects no gateway any more, since a new membership names those that are alive.
+    pub fn clear_suspects(&mut self) {
+        self.suspects.clear();
     }
 
     /// Remembers the owner of a function. Returns whether it is another one than last time.
--- a/crates/gateway/tests/unit/owner_links.rs
+++ b/crates/gateway/tests/unit/owner_links.rs
@@ -129,7 +129,7 @@
         for connection in connections {
             self.gateway.link_closed(connection);
         }
-        self.gateway.peers.members_changed(&[]);
+        self.gateway.peers.clear_suspects();
         let owner = &mut self.owners[index];
         owner.stream = None;
         owner.received.clear();
