--- a/crates/controller/src/gateway_table.rs
+++ b/crates/controller/src/gateway_table.rs
@@ -38,7 +38,7 @@
     /// Whether the last heartbeat said that this controller is in contact with a majority.
     was_current: bool,
     /// Addresses of controllers that all gateways were told.
-    told_addresses: Vec<String>,
+    announced_addresses: Vec<String>,
     sent: SentMessages,
 }
 
@@ -144,10 +144,10 @@
     /// The addresses of controllers where they are others than all gateways were told, which are told them with this heartbeat.
     fn take_changed_addresses(&mut self, context: &GatewayContext<'_>) -> Vec<String> {
         let addresses = context.status.controller_addresses();
-        if addresses == self.told_addresses {
+        if addresses == self.announced_addresses {
             return Vec::new();
         }
-        self.told_addresses.clone_from(&addresses);
+        self.announced_addresses.clone_from(&addresses);
         addresses
     }
 
