autoscaler: what one route or region lacks holds up no start for the load of all

Found by reading the change once more: a region without room for its optional runner paused the function's starts for a second, evicted idle runners of others and told the owner of a shortage, again and again; a route whose home was full did the same, so that load of the other routes got no further runner. Each has a test that failed before.

--- a/crates/autoscaler/src/function.rs
+++ b/crates/autoscaler/src/function.rs
@@ -32,6 +32,7 @@
     busy_at: Option<u64>,
     below_beta_since: Option<u64>,
     starts_paused_until: u64,
+    covering_paused_until: u64,
     shortage: Option<CapacityShortage>,
     update_number: u64,
     last_decision: &'static str,
@@ -50,6 +51,7 @@
             busy_at: None,
             below_beta_since: None,
             starts_paused_until: 0,
+            covering_paused_until: 0,
             shortage: None,
             update_number: 0,
             last_decision: "",
@@ -203,6 +205,16 @@
         self.starts_paused_until = until;
     }
 
+    /// Whether starts for routes that may use none of the runners are paused, because the last one found no room.
+    pub fn is_covering_paused(&self, now: u64) -> bool {
+        now < self.covering_paused_until
+    }
+
+    /// Pauses starts for routes that may use none of the runners.
+    pub fn pause_covering(&mut self, until: u64) {
+        self.covering_paused_until = until;
+    }
+
     /// Ends the pause of starts.
     pub fn resume_starts(&mut self) {
         self.starts_paused_until = 0;
--- a/crates/autoscaler/src/scaling_decision.rs
+++ b/crates/autoscaler/src/scaling_decision.rs
@@ -75,7 +75,7 @@
     let Some(function) = state.functions.get(name) else {
         return false;
     };
-    if load.runners == 0 || function.is_start_paused(state.now) {
+    if load.runners == 0 || function.is_covering_paused(state.now) {
         return false;
     }
     let runners = state.runners_of(function);
--- a/crates/autoscaler/src/starts.rs
+++ b/crates/autoscaler/src/starts.rs
@@ -22,9 +22,7 @@
     urgency: StartUrgency,
 ) -> Result<(), NoWorkerHasRoom> {
     let Some(worker) = choose_worker(state, name, purpose) else {
-        pause_starts(state, name);
-        evict_for(state, name);
-        record_shortage(state, name);
+        handle_no_room(state, name, purpose);
         return Err(NoWorkerHasRoom);
     };
     clear_shortage(state, name);
@@ -43,6 +41,26 @@
     Ok(())
 }
 
+/// No worker has room. What one route or region lacks holds up no start for the load of all.
+fn handle_no_room(state: &mut ClusterState, name: &str, purpose: &StartPurpose) {
+    match purpose {
+        StartPurpose::Load => {
+            pause_starts(state, name);
+            evict_for(state, name);
+            record_shortage(state, name);
+        }
+        StartPurpose::UncoveredRoute => pause_covering(state, name),
+        StartPurpose::Region(_) => {}
+    }
+}
+
+fn pause_covering(state: &mut ClusterState, name: &str) {
+    let until = state.now + NO_ROOM_RETRY_MS;
+    if let Some(function) = state.functions.get_mut(name) {
+        function.pause_covering(until);
+    }
+}
+
 fn pending_runner(
     state: &ClusterState,
     name: &str,
--- a/crates/autoscaler/tests/allowed_regions.rs
+++ b/crates/autoscaler/tests/allowed_regions.rs
@@ -180,3 +180,14 @@
     let mut autoscaler = autoscaler(&[&[], &["south"]], &full, &[]);
     assert_eq!(started_on(&mut autoscaler, 1, 500), ["w-a"]);
 }
+
+#[test]
+fn the_full_home_of_one_route_holds_up_no_growth_for_the_others() {
+    let mut full = workers();
+    full[1].free_mb = 0;
+    let runners = [runner_listing("r-a", "f", "w-a", "a")];
+    let mut autoscaler = autoscaler(&[&[], &["south"]], &full, &runners);
+    let started = started_on(&mut autoscaler, 200, 2_000);
+    assert!(started.len() > 1, "{started:?}");
+    assert!(started.iter().all(|worker| worker != "w-b"), "{started:?}");
+}
--- a/crates/autoscaler/tests/regional_runners.rs
+++ b/crates/autoscaler/tests/regional_runners.rs
@@ -103,3 +103,28 @@
         "{after:?}"
     );
 }
+
+#[test]
+fn a_full_region_ends_no_other_runner_and_pauses_no_start() {
+    let mut full = worker_listing("w-b", "b", 100);
+    full.free_mb = 0;
+    let workers = [worker_listing("w-a", "a", 1_000), full];
+    let runners = [
+        runner_listing("r-a", "f", "w-a", "a"),
+        runner_listing("r-g", "g", "w-b", "b"),
+    ];
+    let functions = [("f", 100), ("g", 9_000)];
+    let mut autoscaler = autoscaler_with(options(0.2), &functions, &workers, &runners);
+    let mut counts = (0, 0);
+    let commands = call(&mut autoscaler, (100, 2_400), (20, 20), &mut counts);
+    assert!(starts(&commands).is_empty());
+    let other = autoscaler.update_for("g", 2_400);
+    assert_eq!(stage(&other, "r-g"), Some(RunnerStage::Serving));
+    // Load beyond the only runner starts another one at once.
+    let commands = call(&mut autoscaler, (2_400, 3_400), (200, 20), &mut counts);
+    let workers: Vec<String> = starts(&commands)
+        .into_iter()
+        .map(|one| one.worker)
+        .collect();
+    assert!(!workers.is_empty() && workers.iter().all(|worker| worker == "w-a"));
+}
