controller, gateway: changes of the membership go to gateways that understand them

Found by thinking an upgrade through: a gateway of the version before cannot read a change and drops its link, which changes the membership again, for every gateway, without end. A gateway now tells a controller whose heartbeats leave known addresses out, which older ones never do, that it accepts changes; until then it gets whole memberships.

--- a/crates/controller/src/controller/gateway_messages.rs
+++ b/crates/controller/src/controller/gateway_messages.rs
@@ -81,6 +81,9 @@
                 self.jobs
                     .begin(now, operation, consensus, &mut self.gateways);
             }
+            Message::AcceptsMembershipChanges => {
+                self.gateways.accept_membership_changes(gateway);
+            }
             Message::FunctionReports(reports) => {
                 let (scaler, _, mut context) = self.scaler_parts();
                 scaler.handle_reports(gateway, &reports, &mut context);
--- a/crates/controller/src/gateway_table.rs
+++ b/crates/controller/src/gateway_table.rs
@@ -11,6 +11,7 @@
     member: Member,
     outbox: Outbox,
     heard_at: u64,
+    accepts_membership_changes: bool,
 }
 
 /// The other parts of the controller that gateways work with.
@@ -60,6 +61,7 @@
             member,
             outbox: Outbox::new(connection),
             heard_at: context.status.now,
+            accepts_membership_changes: false,
         };
         let former = self.gateways.insert(name.clone(), gateway);
         let former = former.map(|former| former.outbox.connection());
@@ -81,6 +83,19 @@
         Some(name.clone())
     }
 
+    /// A gateway has said that it understands changes of the membership.
+    pub fn accept_membership_changes(&mut self, name: &str) {
+        if let Some(gateway) = self.gateways.get_mut(name) {
+            gateway.accepts_membership_changes = true;
+        }
+    }
+
+    /// Whether a gateway understands changes of the membership.
+    pub fn accepts_membership_changes(&self, name: &str) -> bool {
+        let gateway = self.gateways.get(name);
+        gateway.is_some_and(|gateway| gateway.accepts_membership_changes)
+    }
+
     /// A connection has ended. Returns the name of the gateway that is gone with it.
     pub fn remove(&mut self, connection: ConnectionId) -> Option<String> {
         let name = self.names.remove(&connection)?;
--- a/crates/controller/src/membership_publisher.rs
+++ b/crates/controller/src/membership_publisher.rs
@@ -5,7 +5,7 @@
 
 /// The gateways that own functions' seats, with a version that rises with each change. Only the scaler publishes it.
 ///
-/// A gateway that has the version before a change is told the change; one that came since is told the whole. Messages on a link keep their
+/// A gateway that has the version before a change, and understands changes, is told the change; any other is told the whole. Messages on a link keep their
 /// order, and a gateway whose link ended comes anew, so that who was told a version has it before the next change arrives.
 #[derive(Default)]
 pub(crate) struct MembershipPublisher {
@@ -93,12 +93,21 @@
         self.version += 1;
     }
 
-    /// What is to be sent now; nothing where every gateway knows the newest membership.
-    pub fn take_updates(&mut self) -> Vec<MembershipUpdate> {
-        let change = self.change.take();
-        let change = change.map(|(change, receivers)| MembershipUpdate {
-            frame: self.frame_of_change(change),
-            receivers,
+    /// What is to be sent now; nothing where every gateway knows the newest membership. Some gateways understand changes.
+    pub fn take_updates(
+        &mut self,
+        understands_changes: impl Fn(&str) -> bool,
+    ) -> Vec<MembershipUpdate> {
+        let change = self.change.take().map(|(change, informed)| {
+            let (receivers, others) = informed
+                .into_iter()
+                .partition(|name| understands_changes(name));
+            let others: BTreeSet<String> = others;
+            self.uninformed.extend(others);
+            MembershipUpdate {
+                frame: self.frame_of_change(change),
+                receivers,
+            }
         });
         let whole = self.whole_membership();
         let updates = change.into_iter().chain(whole);
--- a/crates/controller/src/scaler.rs
+++ b/crates/controller/src/scaler.rs
@@ -166,7 +166,9 @@
             .is_settled(context.now, heartbeat_ms / SETTLED_DIVISOR);
         let is_early = context.now < self.began_at + heartbeat_ms && !is_settled;
         self.membership.update(context.gateways.members(), is_early);
-        for update in self.membership.take_updates() {
+        let gateways = &*context.gateways;
+        let understands_changes = |name: &str| gateways.accepts_membership_changes(name);
+        for update in self.membership.take_updates(understands_changes) {
             for name in update.receivers {
                 context.gateways.queue_frame(&name, &update.frame);
             }
--- a/crates/controller/tests/unit/membership_publisher.rs
+++ b/crates/controller/tests/unit/membership_publisher.rs
@@ -15,8 +15,16 @@
 
 /// Each receiver with the messages that it is sent.
 fn sent(publisher: &mut MembershipPublisher) -> BTreeMap<String, Vec<Message>> {
+    sent_to(publisher, |_| true)
+}
+
+/// The same where only some gateways understand changes.
+fn sent_to(
+    publisher: &mut MembershipPublisher,
+    understands_changes: impl Fn(&str) -> bool,
+) -> BTreeMap<String, Vec<Message>> {
     let mut sent: BTreeMap<String, Vec<Message>> = BTreeMap::new();
-    for update in publisher.take_updates() {
+    for update in publisher.take_updates(understands_changes) {
         let (messages, error) = take_frames::<Message>(&mut update.frame.clone());
         assert_eq!(error, None);
         for receiver in update.receivers {
@@ -127,3 +135,18 @@
     publisher.update([member("a", 1)].iter(), true);
     assert!(sent(&mut publisher).is_empty());
 }
+
+#[test]
+fn a_gateway_that_does_not_understand_changes_is_told_the_whole() {
+    let mut publisher = publisher_of_two();
+    publisher.add_receiver(2, "c");
+    let members = [member("a", 1), member("b", 1), member("c", 1)];
+    publisher.update(members.iter(), false);
+    let sent = sent_to(&mut publisher, |name| name == "b");
+    assert!(matches!(sent["a"][..], [Message::GatewayMembership { .. }]));
+    assert!(matches!(
+        sent["b"][..],
+        [Message::GatewayMembershipChange { .. }]
+    ));
+    assert!(matches!(sent["c"][..], [Message::GatewayMembership { .. }]));
+}
--- a/crates/gateway/src/controller_links.rs
+++ b/crates/gateway/src/controller_links.rs
@@ -34,6 +34,8 @@
     connect_attempted_at: u64,
     /// Whether the connection has been established.
     is_established: bool,
+    /// Whether the controller was told that this gateway understands changes of the membership.
+    accepts_changes: bool,
     /// Attempts in a row of which no connection came.
     hung_attempts: u32,
     heartbeat_sent_at: u64,
@@ -49,6 +51,7 @@
     fn end(&mut self) {
         self.connection = None;
         self.is_established = false;
+        self.accepts_changes = false;
         self.term = 0;
         self.is_current = false;
     }
@@ -175,6 +178,13 @@
         }
     }
 
+    /// A heartbeat without addresses shows that a controller understands that changes of the membership are accepted; whether it is to
+    /// be told so now.
+    pub fn accept_membership_changes(&mut self, address: &str) -> bool {
+        let link = self.links.get_mut(address);
+        link.is_some_and(|link| !std::mem::replace(&mut link.accepts_changes, true))
+    }
+
     /// Whether a controller said last that it is in contact with a majority.
     pub fn is_current(&self, address: &str) -> bool {
         self.links.get(address).is_some_and(|link| link.is_current)
--- a/crates/gateway/src/controller_messages.rs
+++ b/crates/gateway/src/controller_messages.rs
@@ -75,6 +75,9 @@
             is_current,
         };
         self.controllers.record_heartbeat(address, state);
+        if controllers.is_empty() && self.controllers.accept_membership_changes(address) {
+            self.send_to_controller(address, &Message::AcceptsMembershipChanges);
+        }
         self.controllers.add(controllers.into_iter());
         self.request_configuration();
     }
--- a/crates/gateway/tests/unit/controller_links.rs
+++ b/crates/gateway/tests/unit/controller_links.rs
@@ -96,3 +96,15 @@
     links.begin(now);
     assert_eq!(links.given_up_at(now), now + FIRST_TIMEOUT_MS);
 }
+
+#[test]
+fn a_controller_is_told_once_a_link_that_changes_of_the_membership_are_accepted() {
+    let mut links = Links::new();
+    links.begin(100);
+    assert!(links.links.accept_membership_changes(&links.address));
+    assert!(!links.links.accept_membership_changes(&links.address));
+    links.links.end(&links.address);
+    links.begin(10_000);
+    assert!(links.links.accept_membership_changes(&links.address));
+    assert!(!links.links.accept_membership_changes("127.0.0.1:9"));
+}
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -186,6 +186,10 @@
         /// Names of the gateways that went.
         left: Vec<String>,
     },
+    /// A gateway tells a controller that it understands [`GatewayMembershipChange`](Self::GatewayMembershipChange). Daemons before it
+    /// cannot read either message: a gateway sends this one only to a controller whose heartbeats leave known controllers out, which
+    /// those never do, and gets whole memberships until it has.
+    AcceptsMembershipChanges,
 }
 
 impl Message {
--- a/crates/protocol/src/sent_messages.rs
+++ b/crates/protocol/src/sent_messages.rs
@@ -5,7 +5,7 @@
 /// Bytes of a message that tell its kind.
 const KIND_BYTES: usize = 4;
 /// Names of the kinds of [`Message`](crate::Message), by their place in it.
-const KIND_NAMES: [&str; 31] = [
+const KIND_NAMES: [&str; 32] = [
     "gateway_hello",
     "gateway_heartbeat",
     "controller_heartbeat",
@@ -36,6 +36,7 @@
     "job_register_response",
     "restricted_lease_request",
     "gateway_membership_change",
+    "accepts_membership_changes",
     "unknown",
 ];
 
--- a/crates/protocol/tests/drawn/mod.rs
+++ b/crates/protocol/tests/drawn/mod.rs
@@ -7,7 +7,7 @@
 };
 use quickcheck::{Arbitrary, Gen};
 
-pub const KINDS: u8 = 29;
+pub const KINDS: u8 = 30;
 
 #[derive(Clone, Debug)]
 pub struct Drawn(pub Message);
@@ -159,7 +159,7 @@
 /// A message of the kind at this place below [`KINDS`].
 pub fn message(kind: u8, gen: &mut Gen) -> Message {
     match kind {
-        6 | 28 => membership_message(kind, gen),
+        6 | 28 | 29 => membership_message(kind, gen),
         0..=5 | 17 | 26 => configuration_message(kind, gen),
         7 | 8 | 15 | 16 | 18 => status_message(kind, gen),
         9..=14 | 27 => lease_message(kind, gen),
@@ -173,6 +173,7 @@
             version: version(gen),
             members: some(gen, member),
         },
+        29 => Message::AcceptsMembershipChanges,
         _ => Message::GatewayMembershipChange {
             base: version(gen),
             version: version(gen),
@@ -342,5 +343,6 @@
         Message::RequestHeartbeat => 26,
         Message::RestrictedLeaseRequest { .. } => 27,
         Message::GatewayMembershipChange { .. } => 28,
+        Message::AcceptsMembershipChanges => 29,
     }
 }
