--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -97,3 +97,6 @@
 #[cfg(test)]
 #[path = "../tests/unit/peer_links.rs"]
 mod peer_links_tests;
+#[cfg(test)]
+#[path = "../tests/unit/platform_client.rs"]
+mod platform_client_tests;
