gateway: requests that wait are answered before the grace period ends; soak: the rule's own exemption

Those that no runner has are now answered from five sixths of the grace period on, so that none is cut without a word; the users' rule leaves out the other kind, where the runner was still at work in the last sixth, and so does the oracle now. Test: drain_end.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -77,6 +77,9 @@
 #[path = "../tests/unit/controller_links.rs"]
 mod controller_links_tests;
 #[cfg(test)]
+#[path = "../tests/unit/drain_end.rs"]
+mod drain_end_tests;
+#[cfg(test)]
 #[path = "../tests/unit/membership_changes.rs"]
 mod membership_changes_tests;
 #[cfg(test)]
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -251,7 +251,7 @@
     }
 
     /// Whether the gateway may stop: its requests are answered, or the grace period is nearly over.
-    fn is_drained(&mut self) -> bool {
+    pub fn is_drained(&mut self) -> bool {
         let Some(since) = self.draining_since else {
             return false;
         };
@@ -265,9 +265,19 @@
                 return true;
             }
         }
+        if spent_ms >= self.options.shutdown_grace_ms * 10 / 12 {
+            self.end_unsent_requests();
+        }
         spent_ms >= self.options.shutdown_grace_ms * 11 / 12
     }
 
+    /// Answers the requests that no runner has yet, so that none of them is cut off without a word when the gateway stops.
+    fn end_unsent_requests(&mut self) {
+        for id in self.requests.ids(|request| !request.is_sent()) {
+            self.request_timed_out(id);
+        }
+    }
+
     fn has_nothing_in_flight(&self) -> bool {
         self.requests.len() == 0
             && self.unacknowledged_results.is_empty()
--- a/tests/cluster/src/soak/ledger.rs
+++ b/tests/cluster/src/soak/ledger.rs
@@ -97,6 +97,8 @@
     changes: Mutex<Vec<ChangeRecord>>,
     reads: Mutex<Vec<ReadRecord>>,
     planned_from: Mutex<Option<Instant>>,
+    /// Gateways that were asked to stop as planned, and when.
+    restarts: Mutex<Vec<(usize, Instant)>>,
 }
 
 impl Ledger {
@@ -121,6 +123,23 @@
         *self.planned_from.lock().unwrap() = Some(Instant::now());
     }
 
+    /// A gateway is asked to stop, as planned.
+    pub fn record_restart(&self, gateway: usize) {
+        self.restarts
+            .lock()
+            .unwrap()
+            .push((gateway, Instant::now()));
+    }
+
+    /// When a gateway was asked to stop last before a time, as planned.
+    pub fn restarted_before(&self, gateway: usize, at: Instant) -> Option<Instant> {
+        let restarts = self.restarts.lock().unwrap();
+        let mut of_gateway = restarts.iter().rev();
+        of_gateway
+            .find(|(one, asked_at)| *one == gateway && *asked_at <= at)
+            .map(|(_, asked_at)| *asked_at)
+    }
+
     /// When planned work began, after which nothing else went wrong.
     pub fn planned_from(&self) -> Option<Instant> {
         *self.planned_from.lock().unwrap()
