Sight: when the scaler and an owner see a runner leave, and how old the list is

Added: log lines of the scaler (runner leaving) and of the owner (runner leaving, functions regained), a line where a list of runners or workers is rejected or unanswered (silent until now), and the figures runner_list_age_ms and runner_list_failures.

--- a/crates/autoscaler/src/draining.rs
+++ b/crates/autoscaler/src/draining.rs
@@ -108,16 +108,29 @@
     if !state.workers.is_draining(&runner.worker) {
         return;
     }
-    let since = state.now;
     match runner.state {
         RunnerState::StartPending { .. } => withdraw_start(state, serial),
         RunnerState::Starting | RunnerState::Serving | RunnerState::Draining { .. } => {
-            state.set_runner_state(serial, RunnerState::Terminating { since });
+            record_leaving(state, serial);
         }
         _ => {}
     }
 }
 
+/// The platform is about to end a runner.
+pub(crate) fn record_leaving(state: &mut ClusterState, serial: u64) {
+    let Some(runner) = state.runners.get(serial) else {
+        return;
+    };
+    log::info!(
+        "scaler: runner leaving function={} runner={:?}",
+        runner.function,
+        runner.id
+    );
+    let since = state.now;
+    state.set_runner_state(serial, RunnerState::Terminating { since });
+}
+
 /// Milliseconds after which no request can still be in flight.
 fn longest_request_ms(state: &ClusterState) -> u64 {
     state.functions.longest_timeout_ms() + TIMEOUT_SLACK_MS
--- a/crates/autoscaler/src/listings.rs
+++ b/crates/autoscaler/src/listings.rs
@@ -3,7 +3,7 @@
 //! The lists are complete but lag behind. Unknown runners are adopted, whoever started them; this is how a new term learns
 //! what an earlier one started. A runner that was listed and is missing for longer than lists lag is gone.
 
-use crate::draining::{apply_evacuation, apply_worker_drain, withdraw_start};
+use crate::draining::{apply_evacuation, apply_worker_drain, record_leaving, withdraw_start};
 use crate::function_configuration::FunctionConfiguration;
 use crate::platform::{RunnerListing, WorkerListing};
 use crate::runner::{Runner, RunnerState, ServiceTime};
@@ -90,7 +90,7 @@
         RunnerState::Starting | RunnerState::Serving | RunnerState::Draining { .. }
             if listing.is_terminating =>
         {
-            state.set_runner_state(serial, RunnerState::Terminating { since: now });
+            record_leaving(state, serial);
         }
         RunnerState::Starting => {
             state.runners.mark_up(serial);
@@ -114,8 +114,7 @@
     replace_unconfirmed_start(state, listing);
     let serial = adopt(state, listing);
     if listing.is_terminating {
-        let since = state.now;
-        state.set_runner_state(serial, RunnerState::Terminating { since });
+        record_leaving(state, serial);
         return;
     }
     apply_evacuation(state, serial);
--- a/crates/controller/src/controller/figures.rs
+++ b/crates/controller/src/controller/figures.rs
@@ -21,6 +21,7 @@
             u64::from(is_current),
         );
         self.add_membership_figures(&mut snapshot);
+        self.add_platform_figures(&mut snapshot);
         let commands = self.operators.commands_in_progress() as u64;
         snapshot.gauge(
             "operator_commands",
@@ -51,6 +52,20 @@
         );
     }
 
+    fn add_platform_figures(&self, snapshot: &mut Snapshot) {
+        let lists = self.scaler.lists();
+        snapshot.gauge(
+            "runner_list_age_ms",
+            "Milliseconds since the newest complete list of runners was asked for; 0 without one",
+            lists.runners_age_ms(self.now),
+        );
+        snapshot.counter(
+            "runner_list_failures",
+            "Lists of runners that failed",
+            lists.failures(),
+        );
+    }
+
     fn add_membership_figures(&self, snapshot: &mut Snapshot) {
         let set = self.consensus.voter_set();
         snapshot.gauge(
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -103,5 +103,8 @@
 #[path = "../tests/unit/platform_client.rs"]
 mod platform_client_tests;
 #[cfg(test)]
+#[path = "../tests/unit/platform_lists.rs"]
+mod platform_lists_tests;
+#[cfg(test)]
 #[path = "../tests/unit/shutdown_deadline.rs"]
 mod shutdown_deadline_tests;
--- a/crates/controller/src/platform_lists.rs
+++ b/crates/controller/src/platform_lists.rs
@@ -14,6 +14,10 @@
     /// A list of runners was begun and has not ended.
     is_reading_runners: bool,
     runners: Vec<RunnerListing>,
+    /// When the last complete list of runners was asked for.
+    runners_known_at: u64,
+    /// Lists of runners that failed.
+    failures: u64,
 }
 
 /// What follows on a page of runners.
@@ -29,6 +33,7 @@
     pub fn begin_term(&mut self) {
         self.workers_asked_at = 0;
         self.runners_asked_at = 0;
+        self.runners_known_at = 0;
     }
 
     /// Whether the list of workers is to be asked for now; it counts as asked for from then on.
@@ -52,21 +57,36 @@
     }
 
     /// Takes a page of runners.
-    pub fn add_page(&mut self, page: RunnerPage) -> PageProgress {
+    pub fn add_page(&mut self, now: u64, page: RunnerPage) -> PageProgress {
         self.runners.extend(page.runners);
         if let Some(next) = page.next.filter(|_| self.runners.len() < RUNNERS_MAX) {
             return PageProgress::Next(next);
         }
         self.is_reading_runners = false;
+        self.runners_known_at = self.runners_asked_at.min(now);
         PageProgress::Complete(std::mem::take(&mut self.runners))
     }
 
-    /// A page cannot be read.
-    pub fn end_runners(&mut self) {
-        self.is_reading_runners = false;
+    /// A page did not come, or cannot be read. The list begins anew when it is due.
+    pub fn record_failure(&mut self) {
+        self.failures += 1;
+        self.drop_runners();
+    }
+
+    /// Lists of runners that failed since the start.
+    pub fn failures(&self) -> u64 {
+        self.failures
+    }
+
+    /// Milliseconds since the last complete list of runners was asked for; 0 before the first of a term.
+    pub fn runners_age_ms(&self, now: u64) -> u64 {
+        match self.runners_known_at {
+            0 => 0,
+            known_at => now.saturating_sub(known_at),
+        }
     }
 
-    /// No answer came to a page, or the term is over.
+    /// The term is over.
     pub fn drop_runners(&mut self) {
         self.is_reading_runners = false;
         self.runners.clear();
--- a/crates/controller/src/scaler.rs
+++ b/crates/controller/src/scaler.rs
@@ -239,6 +239,11 @@
         }
     }
 
+    /// When the platform's lists came.
+    pub fn lists(&self) -> &PlatformLists {
+        &self.lists
+    }
+
     /// What the autoscaler thinks of each function that has runners or waiting requests.
     pub fn function_statuses(&self) -> Vec<FunctionStatus> {
         let autoscaler = self.autoscaler.as_ref();
--- a/crates/controller/src/scaler/platform_calls.rs
+++ b/crates/controller/src/scaler/platform_calls.rs
@@ -8,6 +8,8 @@
 use http1::Response;
 
 const OK: u16 = 200;
+/// Why a list is not taken that did not come.
+const NO_LIST: &str = "rejected or unanswered";
 
 impl Scaler {
     pub(super) fn poll_lists(&mut self, context: &mut ScalerContext<'_>) {
@@ -83,11 +85,11 @@
             Ok(page) => page,
             Err(reason) => {
                 log::warn!("scaler: runner list failed reason={reason}");
-                self.lists.end_runners();
+                self.lists.record_failure();
                 return;
             }
         };
-        match self.lists.add_page(page) {
+        match self.lists.add_page(context.now, page) {
             PageProgress::Next(page) => {
                 let request = codec.list_runners(Some(&page));
                 self.send(request, RequestPurpose::ListRunners, context);
@@ -112,8 +114,13 @@
             return;
         };
         match purpose {
-            RequestPurpose::ListWorkers => {}
-            RequestPurpose::ListRunners => self.lists.drop_runners(),
+            RequestPurpose::ListWorkers => {
+                log::warn!("scaler: worker list failed reason={NO_LIST}")
+            }
+            RequestPurpose::ListRunners => {
+                log::warn!("scaler: runner list failed reason={NO_LIST}");
+                self.lists.record_failure();
+            }
             RequestPurpose::Start(nonce) => {
                 autoscaler.handle_start_result(now, &nonce, Err(StartError::Unanswered));
             }
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -12,9 +12,9 @@
 use invariants::{check, Invariant};
 use protocol::{
     FunctionReport, FunctionUpdate, LeaseOutcome, LeaseRelease, LeaseRequest, RunnerLeases,
-    SeatLease, UpdateVersion, ZoneArrivals,
+    RunnerStage, SeatLease, UpdateVersion, ZoneArrivals,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Most requests that wait for one function.
 const WAITING_MAX: usize = 512;
@@ -105,6 +105,21 @@
         self.report.mark_changed();
     }
 
+    /// Ids of the runners that serve here and get nothing new by a newer update.
+    pub fn leaving_runners(&self, update: &FunctionUpdate) -> Vec<String> {
+        if update.version < self.version {
+            return Vec::new();
+        }
+        let updated = update.runners.iter();
+        let leaving = updated.filter(|runner| runner.stage == RunnerStage::Draining);
+        let leaving: BTreeSet<&str> = leaving.map(|runner| runner.id.as_str()).collect();
+        let serving = self.runners.iter().filter(|runner| runner.is_serving());
+        serving
+            .filter(|runner| leaving.contains(runner.id()))
+            .map(|runner| runner.id().to_string())
+            .collect()
+    }
+
     /// The runner at which a gateway has leases; where it is not known yet it is taken for one that serves.
     pub fn runner_or_add(
         &mut self,
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -160,6 +160,12 @@
         let seats = self.functions.entry(function.clone()).or_default();
         // An update is no use, but it keeps the function for a while.
         seats.touch(now.saturating_sub(EVICTION_AFTER_MS / 2));
+        for runner in seats.leaving_runners(&update) {
+            let version = update.version;
+            log::info!(
+                "gateway: runner leaving function={function} runner={runner} version={version}"
+            );
+        }
         seats.apply_update(now, update, &self.rules);
         self.schedule_probes(&function);
         self.unreported.insert(function.clone());
--- a/crates/seat_leases/src/lease_owner/handover.rs
+++ b/crates/seat_leases/src/lease_owner/handover.rs
@@ -19,7 +19,14 @@
     pub fn apply_table(&mut self, now: u64, table: Arc<OwnershipTable>) {
         let version = table.version();
         self.remove_lost_gateways(now, &table);
-        for gateway in self.ownership.apply_table(now, table) {
+        let former = self.assigned_functions();
+        let asked = self.ownership.apply_table(now, table);
+        let regained = self.assigned_functions();
+        let regained = regained.difference(&former).count();
+        if regained > 0 {
+            log::info!("gateway: functions regained version={version} functions={regained}");
+        }
+        for gateway in asked {
             self.request_handover(gateway, version);
         }
         for gateway in self.ownership.take_answerable() {
@@ -28,6 +35,13 @@
         self.issue_all_leases(now);
     }
 
+    /// The functions known here that the table gives to this gateway.
+    fn assigned_functions(&self) -> BTreeSet<String> {
+        let functions = self.functions.keys();
+        let assigned = functions.filter(|function| self.ownership.is_assigned(function));
+        assigned.cloned().collect()
+    }
+
     pub(super) fn request_handover(&mut self, gateway: String, version: UpdateVersion) {
         let request = LeaseAction::RequestHandover { gateway, version };
         self.actions.push(request);
