--- /dev/null
+++ b/crates/seat_leases/tests/runner_lists.rs
@@ -0,0 +1,175 @@
+//! By which list of runners an owner leases. What it knew at an earlier time as owner is no reason to lease anything: the scaler has told
+//! others since what became of the runners.
+
+mod common;
+
+use common::{in_use, lease_request, leases, release, request_ids, runner, update, FUNCTION};
+use locality::Topology;
+use policy::LeasingPolicy;
+use protocol::{
+    FunctionHandover, LeaseOutcome, Member, OwnershipTable, RequestId, RunnerHandover,
+    RunnerLeases, RunnerStage, RunnerUpdate, SeatHandover, UpdateVersion,
+};
+use seat_leases::LeaseOwner;
+use std::sync::Arc;
+
+const ME: &str = "me";
+/// When the other owner is gone, in milliseconds since it came.
+const LATER: u64 = 4_300;
+
+fn member(name: &str) -> Member {
+    Member {
+        name: name.into(),
+        incarnation: 1,
+        ..Member::default()
+    }
+}
+
+fn table(number: u64, members: &[&str], joined: &[&str]) -> OwnershipTable {
+    OwnershipTable {
+        version: UpdateVersion { term: 1, number },
+        members: members.iter().map(|name| member(name)).collect(),
+        joined: joined.iter().map(|name| name.to_string()).collect(),
+        leaving: Vec::new(),
+        is_first: true,
+    }
+}
+
+fn apply(owner: &mut LeaseOwner, now: u64, table: OwnershipTable) {
+    owner.apply_table(now, Arc::new(seat_leases::OwnershipTable::agreed(table)));
+}
+
+/// A gateway to which the function falls while it is a member beside this one.
+fn other_owner() -> String {
+    let names = (0..).map(|number| format!("other-{number}"));
+    let mut owning = names.filter(|name| {
+        let members = vec![member(ME), member(name)];
+        let table = seat_leases::OwnershipTable::agreed(OwnershipTable {
+            members,
+            ..OwnershipTable::default()
+        });
+        table
+            .owner_of(FUNCTION)
+            .is_some_and(|owner| owner.name == *name)
+    });
+    owning.next().expect("some name wins")
+}
+
+fn draining(id: &str) -> RunnerUpdate {
+    RunnerUpdate {
+        stage: RunnerStage::Draining,
+        ..runner(id, "north", 2)
+    }
+}
+
+/// An owner of all functions that knows one runner of two seats.
+fn owner_of_all() -> LeaseOwner {
+    let mut owner = LeaseOwner::new(ME, LeasingPolicy::default(), Topology::default());
+    apply(&mut owner, 0, table(1, &[ME], &[ME]));
+    owner.update_runners(0, update(1, &[runner("r", "north", 2)]));
+    owner.request_lease(0, ME, "north", lease_request(1, 1));
+    assert_eq!(leases(&mut owner), [(1, "r".to_string())]);
+    owner.release(5, ME, &release(1, LeaseOutcome::Succeeded, 5));
+    owner
+}
+
+#[test]
+fn an_owner_that_owns_again_leases_at_no_runner_that_left_meanwhile() {
+    let mut owner = owner_of_all();
+    let other = other_owner();
+    apply(&mut owner, 10, table(2, &[ME, &other], &[&other]));
+    // The scaler tells the other owner that the runner leaves. Then that owner dies, and hands nothing over.
+    apply(&mut owner, LATER, table(3, &[ME], &[]));
+    owner.request_lease(LATER, ME, "north", lease_request(2, 1));
+    assert!(leases(&mut owner).is_empty());
+    let report = owner.reports(LATER + 50, false).pop().expect("a report");
+    assert_eq!(report.update_number, 0, "the scaler would not tell it anew");
+    owner.update_runners(
+        LATER + 55,
+        update(2, &[draining("r"), runner("s", "north", 2)]),
+    );
+    assert_eq!(leases(&mut owner), [(2, "s".to_string())]);
+}
+
+#[test]
+fn an_owner_that_owns_on_under_another_table_leases_on() {
+    let mut owner = owner_of_all();
+    apply(&mut owner, 10, table(2, &[ME, "third"], &[]));
+    apply(&mut owner, 20, table(3, &[ME], &[]));
+    let other = other_owner();
+    let mut still = table(4, &[ME, &other], &[&other]);
+    still.leaving = vec![other];
+    apply(&mut owner, 30, still);
+    owner.request_lease(30, ME, "north", lease_request(2, 1));
+    assert_eq!(leases(&mut owner), [(2, "r".to_string())]);
+}
+
+#[test]
+fn a_list_that_is_handed_over_replaces_what_was_known_before() {
+    let mut owner = owner_of_all();
+    let other = other_owner();
+    apply(&mut owner, 10, table(2, &[ME, &other], &[&other]));
+    let mut back = table(3, &[ME, &other], &[]);
+    back.leaving = vec![other.clone()];
+    apply(&mut owner, LATER, back);
+    owner.request_lease(LATER, ME, "north", lease_request(2, 1));
+    owner.request_lease(LATER, ME, "north", lease_request(3, 1));
+    let handover = SeatHandover {
+        version: UpdateVersion { term: 1, number: 3 },
+        functions: vec![FunctionHandover {
+            function: FUNCTION.into(),
+            version: UpdateVersion { term: 1, number: 9 },
+            runners: vec![RunnerHandover {
+                update: runner("s", "north", 1),
+                is_up: true,
+                ..RunnerHandover::default()
+            }],
+            leases: Vec::new(),
+        }],
+        is_last: true,
+    };
+    owner
+        .receive_handover(LATER, &other, handover)
+        .expect("it is taken");
+    // The former owner's list does not name the runner of before, so that it has left.
+    assert_eq!(leases(&mut owner), [(2, "s".to_string())]);
+    owner.tick(LATER + 100);
+    assert!(leases(&mut owner).is_empty());
+}
+
+#[test]
+fn a_runner_that_only_a_gateway_reports_gets_nothing_new_before_the_scaler_names_it() {
+    let mut owner = LeaseOwner::new(ME, LeasingPolicy::default(), Topology::default());
+    apply(&mut owner, 0, table(1, &[ME, "client"], &[ME]));
+    let used = RunnerLeases {
+        runner: "r".into(),
+        address: "r:1".into(),
+        zone: "north".into(),
+        requests: vec![RequestId(7)],
+    };
+    owner.adopt_leases(0, "client", FUNCTION, &[used]);
+    assert_eq!(in_use(&owner, "r"), Some(1));
+    owner.request_lease(1, ME, "north", lease_request(8, 1));
+    owner.release(5, "client", &release(7, LeaseOutcome::Succeeded, 5));
+    assert!(request_ids(&mut owner).is_empty());
+    owner.update_runners(9, update(1, &[runner("r", "north", 1)]));
+    assert_eq!(request_ids(&mut owner), [8]);
+}
+
+#[test]
+fn without_a_scaler_a_reported_runner_is_leased() {
+    let other = other_owner();
+    let mut owner = LeaseOwner::new(ME, LeasingPolicy::default(), Topology::default());
+    apply(&mut owner, 0, table(1, &[ME, &other], &[ME, &other]));
+    owner.set_acts_for(0, [other].into());
+    let used = RunnerLeases {
+        runner: "r".into(),
+        address: "r:1".into(),
+        zone: "north".into(),
+        requests: vec![RequestId(7)],
+    };
+    owner.adopt_leases(0, ME, FUNCTION, &[used]);
+    owner.request_lease(1, ME, "north", lease_request(8, 1));
+    owner.release(5, ME, &release(7, LeaseOutcome::Succeeded, 5));
+    assert_eq!(request_ids(&mut owner), [8]);
+}
--- a/tests/cluster/src/bin/hallkeel-soak.rs
+++ b/tests/cluster/src/bin/hallkeel-soak.rs
@@ -1,6 +1,7 @@
 //! `hallkeel-soak`: runs the real daemons on loopback under overlapping faults and judges what clients, operators and runners saw.
 
 use clap::Parser;
+use cluster::soak::rolling::{self, RollingOptions, RollingReport};
 use cluster::soak::{run, SoakOptions, SoakReport};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -27,6 +28,15 @@
     /// Runs at a time
     #[arg(long, default_value_t = 1)]
     jobs: usize,
+    /// Many gateways that are restarted in series, while runners leave and configurations change; odd seeds kill gateways too
+    #[arg(long)]
+    rolling: bool,
+    /// Gateways of a run with `--rolling`
+    #[arg(long, default_value_t = 24)]
+    gateways: usize,
+    /// Clients of a run with `--rolling`
+    #[arg(long, default_value_t = 48)]
+    clients: usize,
     /// The short form: fixed seeds, two at a time
     #[arg(long)]
     short: bool,
@@ -34,38 +44,87 @@
 
 fn main() -> ExitCode {
     let mut flags = Flags::parse();
-    if flags.short {
-        flags.from = SHORT_SEEDS.start;
-        flags.seeds = SHORT_SEEDS.end - SHORT_SEEDS.start;
+    let broken = if flags.short {
         flags.length = SHORT_LENGTH_S;
         flags.jobs = 2;
-    }
-    let seeds: Vec<u64> = (flags.from..flags.from + flags.seeds).collect();
-    let length = Duration::from_secs(flags.length);
+        run_seeds(&flags, SHORT_SEEDS)
+    } else {
+        let seeds = flags.from..flags.from + flags.seeds;
+        match flags.rolling {
+            true => run_rolling_seeds(&flags, seeds),
+            false => run_seeds(&flags, seeds),
+        }
+    };
+    ExitCode::from(u8::from(broken > 0))
+}
+
+/// Runs seeds in groups of as many as may run at a time, and prints each report. Returns how many had a finding.
+fn run_all<R: Send>(
+    seeds: std::ops::Range<u64>,
+    jobs: usize,
+    run: impl Fn(u64) -> R + Sync,
+    print: impl Fn(&R) -> bool,
+) -> usize {
+    let seeds: Vec<u64> = seeds.collect();
     let mut broken = 0;
-    for group in seeds.chunks(flags.jobs.max(1)) {
-        let reports: Vec<SoakReport> = std::thread::scope(|scope| {
+    for group in seeds.chunks(jobs.max(1)) {
+        let reports: Vec<R> = std::thread::scope(|scope| {
+            let run = &run;
             let running: Vec<_> = group
                 .iter()
-                .map(|seed| {
-                    scope.spawn(move || {
-                        run(SoakOptions {
-                            seed: *seed,
-                            length,
-                        })
-                    })
-                })
+                .map(|seed| scope.spawn(move || run(*seed)))
                 .collect();
             let ended = running.into_iter();
             ended.map(|one| one.join().expect("a run ends")).collect()
         });
-        for report in &reports {
-            print(report);
-            broken += usize::from(!report.findings.is_empty());
-        }
+        broken += reports.iter().filter(|report| print(report)).count();
     }
     println!("{} seeds, {broken} with a finding", seeds.len());
-    ExitCode::from(u8::from(broken > 0))
+    broken
+}
+
+fn run_seeds(flags: &Flags, seeds: std::ops::Range<u64>) -> usize {
+    let length = Duration::from_secs(flags.length);
+    let run = |seed| run(SoakOptions { seed, length });
+    run_all(seeds, flags.jobs, run, |report| {
+        print(report);
+        !report.findings.is_empty()
+    })
+}
+
+fn run_rolling_seeds(flags: &Flags, seeds: std::ops::Range<u64>) -> usize {
+    let run = |seed| {
+        rolling::run(RollingOptions {
+            seed,
+            length: Duration::from_secs(flags.length),
+            gateways: flags.gateways,
+            clients: flags.clients,
+        })
+    };
+    run_all(seeds, flags.jobs, run, |report| {
+        print_rolling(report);
+        !report.findings.is_empty()
+    })
+}
+
+fn print_rolling(report: &RollingReport) {
+    println!(
+        "rolling seed {}: {} steps, {} requests, {} good, {} runners left, {} changes, {} findings",
+        report.series.seed,
+        report.series.steps.len(),
+        report.requests,
+        report.answered,
+        report.leaving_runners,
+        report.changes,
+        report.findings.len()
+    );
+    if let Some(folder) = &report.folder {
+        print!("{}", report.series);
+        println!("  logs: {}", folder.display());
+        for finding in &report.findings {
+            println!("  {finding}");
+        }
+    }
 }
 
 fn print(report: &SoakReport) {
--- a/tests/cluster/src/paths.rs
+++ b/tests/cluster/src/paths.rs
@@ -2,6 +2,9 @@
 
 use std::path::PathBuf;
 
+/// Variable that names a folder of programs to run in place of those built together with the running one: those of another version.
+const PROGRAMS_VARIABLE: &str = "HALLKEEL_PROGRAMS";
+
 /// Folder of the programs that cargo built together with the running one, which may be a test.
 fn programs() -> PathBuf {
     let own = std::env::current_exe().expect("the running program has a path");
@@ -17,7 +20,8 @@
 
 /// A program of the workspace. It must have been built: cargo builds those of a package before its tests.
 pub fn program(name: &str) -> PathBuf {
-    let path = programs().join(name);
+    let folder = std::env::var_os(PROGRAMS_VARIABLE).map_or_else(programs, PathBuf::from);
+    let path = folder.join(name);
     assert!(
         path.exists(),
         "{} is not built: cargo build -p platform",
--- a/tests/cluster/src/platform.rs
+++ b/tests/cluster/src/platform.rs
@@ -151,6 +151,15 @@
         now
     }
 
+    /// The runners that leave or left, with the moment from which on the list says so.
+    pub fn drained_runners(&self) -> Vec<(Arc<Runner>, Instant)> {
+        let state = self.state.lock().unwrap();
+        let runners = state.runners.iter();
+        let drained =
+            runners.filter_map(|(runner, timeline)| Some((Arc::clone(runner), timeline.drains?)));
+        drained.collect()
+    }
+
     /// How the API fails from now on.
     pub fn set_fault(&self, fault: ApiFault) {
         *self.fault.lock().unwrap() = fault;
--- a/tests/cluster/src/request_log.rs
+++ b/tests/cluster/src/request_log.rs
@@ -1,6 +1,6 @@
 //! What reached the runners.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Mutex;
 use std::time::Instant;
 
@@ -33,26 +33,36 @@
     pub at: Instant,
 }
 
+#[derive(Default)]
+struct Records {
+    received: Vec<ReceivedRequest>,
+    /// Ids of the requests that a runner ran or rejected.
+    handled: HashSet<String>,
+}
+
 /// All requests that reached any runner.
 #[derive(Default)]
 pub struct RequestLog {
-    received: Mutex<Vec<ReceivedRequest>>,
+    records: Mutex<Records>,
 }
 
 impl RequestLog {
     /// Records a request; true where a runner ran or rejected one of this id before.
     pub fn record(&self, request: ReceivedRequest) -> bool {
-        let mut received = self.received.lock().unwrap();
-        let mut handled = received
-            .iter()
-            .filter(|one| matches!(one.outcome, RequestOutcome::Ran | RequestOutcome::Rejected));
-        let is_known = handled.any(|one| one.id == request.id);
-        received.push(request);
+        let mut records = self.records.lock().unwrap();
+        let is_known = records.handled.contains(&request.id);
+        if matches!(
+            request.outcome,
+            RequestOutcome::Ran | RequestOutcome::Rejected
+        ) {
+            records.handled.insert(request.id.clone());
+        }
+        records.received.push(request);
         is_known
     }
 
     pub fn all(&self) -> Vec<ReceivedRequest> {
-        self.received.lock().unwrap().clone()
+        self.records.lock().unwrap().received.clone()
     }
 
     pub fn is_empty(&self) -> bool {
@@ -60,7 +70,7 @@
     }
 
     pub fn len(&self) -> usize {
-        self.received.lock().unwrap().len()
+        self.records.lock().unwrap().received.len()
     }
 
     /// How often each request ran.
@@ -75,7 +85,8 @@
     }
 
     pub fn count(&self, outcome: RequestOutcome) -> usize {
-        let received = self.received.lock().unwrap();
-        received.iter().filter(|one| one.outcome == outcome).count()
+        let records = self.records.lock().unwrap();
+        let received = records.received.iter();
+        received.filter(|one| one.outcome == outcome).count()
     }
 }
--- a/tests/cluster/src/simulated_cluster.rs
+++ b/tests/cluster/src/simulated_cluster.rs
@@ -23,6 +23,9 @@
 const PLATFORM_PORT: u16 = 8_029;
 /// Ports at which daemons listen for one another.
 const INTERNAL_PORTS: std::ops::RangeInclusive<u16> = 7_300..=7_302;
+/// Gateways where nothing else is asked for, and most that have addresses in a cluster's net.
+const GATEWAYS: usize = 4;
+const GATEWAYS_MAX: usize = 170;
 /// What the last number of an address grows by where a daemon listens behind a relay.
 const BEHIND_RELAY: u8 = 100;
 
@@ -38,9 +41,17 @@
     is_relayed: bool,
     warm_up_target: Option<&'static str>,
     has_region_per_zone: bool,
+    gateways: usize,
 }
 
 impl ClusterBuilder {
+    /// How many gateways there are.
+    pub fn gateways(mut self, gateways: usize) -> Self {
+        assert!(gateways <= GATEWAYS_MAX, "{gateways} gateways");
+        self.gateways = gateways;
+        self
+    }
+
     /// Retries that are free in each span, by the settings of all daemons.
     pub fn retry_slack(mut self, retry_slack: u32) -> Self {
         self.retry_slack = retry_slack;
@@ -95,7 +106,7 @@
     }
 }
 
-/// Three controllers with data folders in three zones, four gateways, and the platform.
+/// Three controllers with data folders in three zones, gateways (four where nothing else is asked for), and the platform.
 pub struct SimulatedCluster {
     pub platform: Arc<Platform>,
     pub controllers: Vec<Daemon>,
@@ -139,6 +150,7 @@
             is_relayed: false,
             warm_up_target: None,
             has_region_per_zone: false,
+            gateways: GATEWAYS,
         }
     }
 
@@ -164,7 +176,8 @@
             Daemon::new(&folder, &name, zone, ip, kind == "control")
         };
         let controllers: Vec<Daemon> = (0..3).map(|index| machine("control", index, 11)).collect();
-        let gateways = (0..4).map(|index| machine("edge", index, 21)).collect();
+        let gateways = (0..builder.gateways).map(|index| machine("edge", index, 21));
+        let gateways = gateways.collect();
         let shared_settings = ClusterSettings {
             platform: address,
             seeds: controllers.iter().map(|one| one.ip).collect(),
--- a/tests/cluster/src/soak/calm.rs
+++ b/tests/cluster/src/soak/calm.rs
@@ -18,8 +18,11 @@
 const SUCCESSES: usize = 4;
 /// Memory that each process may take, as the settings say.
 const MEMORY_MAX_KB: u64 = 260 << 10;
-/// Descriptors of an idle process, far above what links and kept connections to runners need.
-const IDLE_DESCRIPTORS_MAX: usize = 250;
+/// Descriptors of an idle process, far above what links and kept connections to runners need: at least so many, and in a large cluster
+/// some for all runners and two for each gateway.
+const IDLE_DESCRIPTORS_MIN: usize = 250;
+const IDLE_DESCRIPTORS_FOR_RUNNERS: usize = 150;
+const LINKS_PER_GATEWAY_MAX: usize = 2;
 
 /// Waits for recovery and judges what is left. The findings are put with those of the injector.
 pub fn judge(injector: &mut Injector, ledger: &Ledger) {
@@ -150,7 +153,7 @@
     let daemons = injector.cluster.controllers.iter();
     for daemon in daemons.chain(&injector.cluster.gateways) {
         findings.extend(violations(daemon));
-        findings.extend(resources(daemon));
+        findings.extend(resources(daemon, injector.cluster.gateways.len()));
     }
     findings.extend(disagreement(
         &injector.cluster.gateways,
@@ -200,7 +203,7 @@
     findings
 }
 
-fn resources(daemon: &Daemon) -> Vec<String> {
+fn resources(daemon: &Daemon, gateways: usize) -> Vec<String> {
     let Some(pid) = daemon.pid() else {
         return vec![format!("{} does not run", daemon.name)];
     };
@@ -212,7 +215,8 @@
         findings.push(format!("MEMORY: {} took {peak_kb:?} KB", daemon.name));
     }
     let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
-    if descriptors > IDLE_DESCRIPTORS_MAX {
+    let for_links = gateways * LINKS_PER_GATEWAY_MAX;
+    if descriptors > IDLE_DESCRIPTORS_MIN.max(IDLE_DESCRIPTORS_FOR_RUNNERS + for_links) {
         let name = &daemon.name;
         findings.push(format!(
             "LEAK: {name} is idle and holds {descriptors} descriptors"
--- /dev/null
+++ b/tests/cluster/src/soak/drains.rs
@@ -0,0 +1,61 @@
+//! Judges DRAIN: a request that a machine in touch passes on does not reach a runner long after the platform's list said that it leaves.
+
+use super::ledger::ClientRecord;
+use crate::request_log::{ReceivedRequest, RequestOutcome};
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Bound of the settings files.
+pub const DRAIN: Duration = Duration::from_millis(1_500);
+/// Time without a disturbance after which a machine is in touch.
+pub const IN_TOUCH: Duration = Duration::from_millis(2_000);
+
+/// A runner that leaves, and since when the list says so.
+#[derive(Clone, Debug)]
+pub struct LeavingRunner {
+    pub id: String,
+    pub listed_at: Instant,
+}
+
+/// The requests that reached a leaving runner too late. `disturbances` holds for each gateway when it was started, stopped, frozen or woken.
+pub fn judge(
+    received: &[ReceivedRequest],
+    requests: &[ClientRecord],
+    leaving: &[LeavingRunner],
+    disturbances: &[Vec<Instant>],
+) -> Vec<String> {
+    let listed_at: HashMap<&str, Instant> = leaving
+        .iter()
+        .map(|runner| (runner.id.as_str(), runner.listed_at))
+        .collect();
+    let sender: HashMap<&str, &ClientRecord> = requests
+        .iter()
+        .map(|request| (request.id.as_str(), request))
+        .collect();
+    let mut late = Vec::new();
+    for one in received {
+        let reached = matches!(
+            one.outcome,
+            RequestOutcome::Ran | RequestOutcome::OverCapacity | RequestOutcome::Rejected
+        );
+        let Some(listed_at) = listed_at.get(one.runner.as_str()).filter(|_| reached) else {
+            continue;
+        };
+        let after = one.at.saturating_duration_since(*listed_at);
+        let Some(request) = sender.get(one.id.as_str()).filter(|_| after > DRAIN) else {
+            continue;
+        };
+        if is_in_touch(&disturbances[request.gateway], one.at) {
+            let (runner, function) = (&one.runner, &one.service);
+            late.push(format!(
+                "DRAIN: {after:?} after {runner} of {function} was listed as leaving: {request}"
+            ));
+        }
+    }
+    late
+}
+
+fn is_in_touch(disturbances: &[Instant], at: Instant) -> bool {
+    let last = disturbances.iter().rev().find(|time| **time <= at);
+    last.is_none_or(|last| *last + IN_TOUCH <= at)
+}
--- a/tests/cluster/src/soak/injector.rs
+++ b/tests/cluster/src/soak/injector.rs
@@ -35,6 +35,8 @@
     intents: Vec<Intent>,
     /// What broke that no fault explains.
     pub findings: Vec<String>,
+    /// When each machine was started, stopped, frozen or woken.
+    disturbances: Vec<Vec<Instant>>,
 }
 
 impl Injector {
@@ -44,9 +46,19 @@
             cluster,
             intents: (0..machines).map(|_| Intent::default()).collect(),
             findings: Vec::new(),
+            disturbances: vec![Vec::new(); machines],
         }
     }
 
+    /// When a gateway was started, stopped, frozen or woken, in order.
+    pub fn gateway_disturbances(&self, gateway: usize) -> &[Instant] {
+        &self.disturbances[self.index(Target::Gateway(gateway))]
+    }
+
+    fn record_disturbance(&mut self, machine: usize) {
+        self.disturbances[machine].push(Instant::now());
+    }
+
     fn index(&self, target: Target) -> usize {
         match target {
             Target::Controller(index) => index,
@@ -131,6 +143,7 @@
     }
 
     fn kill(&mut self, machine: usize, restart_at: Instant) {
+        self.record_disturbance(machine);
         self.daemon(machine).kill();
         let intent = &mut self.intents[machine];
         intent.is_frozen = false;
@@ -140,6 +153,7 @@
 
     fn freeze(&mut self, machine: usize) {
         if self.daemon(machine).runs() {
+            self.record_disturbance(machine);
             self.daemon(machine).freeze();
             self.intents[machine].is_frozen = true;
         }
@@ -147,6 +161,7 @@
 
     fn unfreeze(&mut self, machine: usize) {
         if std::mem::take(&mut self.intents[machine].is_frozen) && self.daemon(machine).runs() {
+            self.record_disturbance(machine);
             self.daemon(machine).unfreeze();
             // A frozen process does not hear that it is to stop; its grace counts from here.
             if let Some(at) = self.intents[machine].terminated_at.as_mut() {
@@ -157,6 +172,7 @@
 
     fn terminate(&mut self, machine: usize, restart_at: Instant) {
         if self.daemon(machine).runs() {
+            self.record_disturbance(machine);
             self.daemon(machine).terminate();
             let intent = &mut self.intents[machine];
             intent.terminated_at.get_or_insert(Instant::now());
@@ -169,6 +185,20 @@
         self.terminate(self.index(Target::Gateway(gateway)), Instant::now());
     }
 
+    /// Ends a gateway at once; it starts again after so long.
+    pub fn kill_gateway(&mut self, gateway: usize, down_for: Duration) {
+        self.kill(
+            self.index(Target::Gateway(gateway)),
+            Instant::now() + down_for,
+        );
+    }
+
+    /// Whether a gateway runs and was not asked to stop.
+    pub fn is_serving(&mut self, gateway: usize) -> bool {
+        let machine = self.index(Target::Gateway(gateway));
+        self.daemon(machine).runs() && self.intents[machine].terminated_at.is_none()
+    }
+
     /// Tells a gateway that its settings have changed.
     pub fn reload_gateway(&mut self, gateway: usize) {
         self.restore_settings(self.index(Target::Gateway(gateway)));
@@ -262,6 +292,7 @@
             self.daemon(machine).wipe();
         }
         let shared = self.cluster.shared_settings.clone();
+        self.record_disturbance(machine);
         self.daemon(machine).start(&shared, false);
         self.intents[machine] = Intent::default();
     }
--- a/tests/cluster/src/soak/mod.rs
+++ b/tests/cluster/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //! differ a little, as the processes and sockets are real.
 
 mod calm;
+pub mod drains;
 mod fault;
 mod injector;
 mod jobs;
@@ -14,6 +15,7 @@
 mod operators;
 mod oracle;
 mod planned_work;
+pub mod rolling;
 mod run;
 mod schedule;
 mod traffic;
--- a/tests/cluster/src/soak/operators.rs
+++ b/tests/cluster/src/soak/operators.rs
@@ -1,7 +1,7 @@
 //! An operator who changes the configuration and evacuates zones, sometimes twice at once, and a reader at any controller.
 
 use super::ledger::{ChangeOutcome, ChangeRecord, Ledger, ReadRecord};
-use crate::operator::{call, call_following_redirects, configuration, route};
+use crate::operator::{call, call_following_redirects, route};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::Value;
@@ -14,7 +14,11 @@
 /// Longest time for which a change is sent again while it gets no clear answer.
 const RESEND_FOR: Duration = Duration::from_secs(4);
 const RESEND_PAUSE: Duration = Duration::from_millis(60);
+/// Version of the configuration that a run begins with.
+pub const FIRST_VERSION: u64 = 1;
 const READ_SEED: u64 = 0x7265_6164;
+/// Distance between the seeds of two operators of one run.
+const OPERATOR_SEEDS: u64 = 77;
 const CHANGE_SEED: u64 = 0x6368_616e;
 
 /// One operator, who knows the newest configuration as far as it was answered.
@@ -24,16 +28,27 @@
     ledger: &'a Ledger,
     version: u64,
     changes: u64,
+    /// Tells its documents from those of other operators.
+    number: u64,
+    base_configuration: fn(u64) -> Value,
 }
 
 impl<'a> Operator<'a> {
-    /// An operator whose first configuration was taken.
-    pub fn new(seed: u64, controllers: &'a [SocketAddr], ledger: &'a Ledger, version: u64) -> Self {
+    /// An operator whose first configuration was taken. All others are the base configuration with some routes more.
+    pub fn new(
+        (seed, number): (u64, u64),
+        controllers: &'a [SocketAddr],
+        ledger: &'a Ledger,
+        base_configuration: fn(u64) -> Value,
+    ) -> Self {
+        let seed = seed.wrapping_add(number * OPERATOR_SEEDS);
         Self {
+            number,
+            base_configuration,
             random: StdRng::seed_from_u64(seed ^ CHANGE_SEED),
             controllers,
             ledger,
-            version,
+            version: FIRST_VERSION,
             changes: 0,
         }
     }
@@ -57,9 +72,9 @@
 
     fn next_document(&mut self, step: u64) -> Value {
         self.changes += 1;
-        let mut document = configuration(self.version + step);
+        let mut document = (self.base_configuration)(self.version + step);
         let service = ["plain", "rare"][self.changes as usize % 2];
-        let name = format!("moving-{}", self.changes);
+        let name = format!("moving-{}-{}", self.number, self.changes);
         let routes = document["routes"].as_array_mut().expect("there are routes");
         routes.push(route("moving", "/moving/", "safe", service));
         routes.push(route(&name, &format!("/{name}/"), "safe", "plain"));
--- /dev/null
+++ b/tests/cluster/src/soak/rolling/run.rs
@@ -0,0 +1,200 @@
+//! One run: the cluster is started, the series and traffic go on, and the promises are judged.
+
+use super::clients::RollingClient;
+use super::series::{kills_gateways, Series, Step};
+use crate::operator::{configuration, route, service};
+use crate::simulated_cluster::SimulatedCluster;
+use crate::soak::drains::{self, LeavingRunner};
+use crate::soak::injector::Injector;
+use crate::soak::ledger::{ClientOutcome, Ledger};
+use crate::soak::operators::{run_reader, Operator, FIRST_VERSION};
+use crate::soak::{calm, oracle};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Functions with routes of their own, beside those of the base configuration.
+const FUNCTIONS: usize = 24;
+const SUPERVISION_INTERVAL: Duration = Duration::from_millis(15);
+/// Time from the platform's word that a runner leaves until it ends. The platform may let it serve for many seconds.
+const RUNNER_LEAVES_AFTER: Duration = Duration::from_millis(6_500);
+/// Retries that are free in each span.
+const RETRY_SLACK: u32 = 400;
+/// Operators who change the configuration, each in the way of the other.
+const OPERATORS: u64 = 2;
+
+/// What a run is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct RollingOptions {
+    pub seed: u64,
+    /// Time for which the series and the traffic last.
+    pub length: Duration,
+    pub gateways: usize,
+    pub clients: usize,
+}
+
+/// What came of a run.
+pub struct RollingReport {
+    pub series: Series,
+    /// Everything that broke a promise; empty where all held.
+    pub findings: Vec<String>,
+    pub requests: usize,
+    pub answered: usize,
+    pub leaving_runners: usize,
+    pub changes: usize,
+    /// Where the data and logs are, if there are findings.
+    pub folder: Option<PathBuf>,
+}
+
+/// Runs one seed.
+pub fn run(options: RollingOptions) -> RollingReport {
+    let cluster = start_cluster(options.gateways);
+    let series = Series::draw(options.seed, options.length, options.gateways);
+    let ledger = Ledger::default();
+    let mut injector = Injector::new(cluster);
+    run_traffic(&mut injector, &series, &ledger, options.clients);
+    calm::judge(&mut injector, &ledger);
+    let received = injector.cluster.platform.request_log.all();
+    let mut findings = oracle::judge(&ledger, &received);
+    let leaving = leaving_runners(&injector);
+    let disturbances: Vec<Vec<Instant>> = (0..options.gateways)
+        .map(|gateway| injector.gateway_disturbances(gateway).to_vec())
+        .collect();
+    let requests = ledger.requests();
+    findings.extend(drains::judge(&received, &requests, &leaving, &disturbances));
+    findings.append(&mut injector.findings);
+    if !findings.is_empty() {
+        injector.cluster.keep_folder();
+    }
+    let folder = injector.cluster.folder().to_path_buf();
+    let answered = requests
+        .iter()
+        .filter(|request| request.outcome == ClientOutcome::Answered(200));
+    RollingReport {
+        series,
+        answered: answered.count(),
+        requests: requests.len(),
+        leaving_runners: leaving.len(),
+        changes: ledger.changes().len(),
+        folder: (!findings.is_empty()).then_some(folder),
+        findings,
+    }
+}
+
+fn leaving_runners(injector: &Injector) -> Vec<LeavingRunner> {
+    let drained = injector.cluster.platform.drained_runners().into_iter();
+    let leaving = drained.map(|(runner, listed_at)| LeavingRunner {
+        id: runner.id.clone(),
+        listed_at,
+    });
+    leaving.collect()
+}
+
+/// The base configuration with the functions of the run, each with a route for requests that may be repeated and one for those that must not.
+fn rolling_configuration(version: u64) -> Value {
+    let mut document = configuration(version);
+    let services = document["services"]
+        .as_array_mut()
+        .expect("there are services");
+    for function in 0..FUNCTIONS {
+        services.push(service(&format!("function-{function}"), 120, 4));
+    }
+    let routes = document["routes"].as_array_mut().expect("there are routes");
+    for function in 0..FUNCTIONS {
+        let name = format!("function-{function}");
+        routes.push(route(&name, &format!("/{name}/"), "safe", &name));
+        let once = format!("once-{function}");
+        routes.push(route(&once, &format!("/{once}/"), "unsafe", &name));
+    }
+    document
+}
+
+fn start_cluster(gateways: usize) -> SimulatedCluster {
+    let cluster = SimulatedCluster::builder()
+        .retry_slack(RETRY_SLACK)
+        .gateways(gateways)
+        .start();
+    let document = rolling_configuration(FIRST_VERSION);
+    assert_eq!(cluster.replace(0, &document).0, 200);
+    cluster.wait_ready();
+    for function in 0..FUNCTIONS {
+        cluster.get_until_good(function % gateways, &format!("/function-{function}/x"));
+    }
+    cluster
+}
+
+fn run_traffic(injector: &mut Injector, series: &Series, ledger: &Ledger, clients: usize) {
+    let gateways: Vec<SocketAddr> = (0..injector.cluster.gateways.len())
+        .map(|index| injector.cluster.public(index))
+        .collect();
+    let controllers = injector.cluster.control();
+    let is_over = AtomicBool::new(false);
+    let seed = series.seed;
+    if !kills_gateways(seed) {
+        ledger.begin_planned_work();
+    }
+    std::thread::scope(|scope| {
+        let (gateways, controllers, is_over) = (&gateways, &controllers, &is_over);
+        for number in 0..clients {
+            scope.spawn(move || {
+                RollingClient::new(seed, number, gateways, FUNCTIONS, ledger).run(is_over);
+            });
+        }
+        for number in 0..OPERATORS {
+            scope.spawn(move || {
+                let draw = (seed, number);
+                Operator::new(draw, controllers, ledger, rolling_configuration).run(is_over);
+            });
+        }
+        scope.spawn(move || run_reader(seed, controllers, ledger, is_over));
+        play(injector, series, ledger);
+        is_over.store(true, Ordering::SeqCst);
+        injector.heal();
+        injector.supervise();
+    });
+    for zone in crate::simulated_cluster::ZONES {
+        injector.cluster.evacuate("Finish", zone);
+    }
+}
+
+fn play(injector: &mut Injector, series: &Series, ledger: &Ledger) {
+    let started = Instant::now();
+    let mut steps = series.steps.iter().peekable();
+    while started.elapsed() < series.length {
+        while let Some(scheduled) = steps.next_if(|step| step.at <= started.elapsed()) {
+            take_step(injector, scheduled.step, ledger);
+        }
+        injector.supervise();
+        std::thread::sleep(SUPERVISION_INTERVAL);
+    }
+}
+
+fn take_step(injector: &mut Injector, step: Step, ledger: &Ledger) {
+    match step {
+        Step::Restart(gateway) => {
+            if injector.is_serving(gateway) {
+                ledger.record_restart(gateway);
+                injector.restart_gateway(gateway);
+            }
+        }
+        Step::Kill(gateway, lasts) => injector.kill_gateway(gateway, lasts),
+        Step::Reload(gateway) => injector.reload_gateway(gateway),
+        Step::DrainRunner(number) => drain_runner(injector, number),
+    }
+}
+
+/// Lets one of the runners leave that run and do not leave yet.
+fn drain_runner(injector: &Injector, number: usize) {
+    let platform = &injector.cluster.platform;
+    let drained = platform.drained_runners();
+    let leaves = |id: &str| drained.iter().any(|(runner, _)| runner.id == id);
+    let running = platform.runners().into_iter();
+    let staying: Vec<_> = running
+        .filter(|runner| runner.is_up() && !leaves(&runner.id))
+        .collect();
+    if let Some(runner) = staying.get(number % staying.len().max(1)) {
+        platform.drain(&runner.id, RUNNER_LEAVES_AFTER);
+    }
+}
--- /dev/null
+++ b/tests/cluster/src/soak/rolling/series.rs
@@ -0,0 +1,109 @@
+//! What happens when, drawn from a seed.
+
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use std::fmt;
+use std::ops::Range;
+use std::time::Duration;
+
+/// Time before the first step.
+const QUIET: Duration = Duration::from_millis(800);
+/// Milliseconds between two steps of each series.
+const RESTART_GAP_MS: Range<u64> = 250..700;
+const DRAIN_GAP_MS: Range<u64> = 300..1_100;
+const RELOAD_GAP_MS: Range<u64> = 700..2_500;
+const KILL_GAP_MS: Range<u64> = 700..2_500;
+/// Milliseconds for which a killed gateway is down.
+const KILL_LASTS_MS: Range<u64> = 50..900;
+
+/// One step of a series.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// The gateway is asked to stop, and started again once it has ended.
+    Restart(usize),
+    /// The gateway is killed and started again after a while.
+    Kill(usize, Duration),
+    /// The gateway is told that its settings have changed.
+    Reload(usize),
+    /// A runner leaves; the number chooses it among those that run.
+    DrainRunner(usize),
+}
+
+/// A step with its time since the start of the traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ScheduledStep {
+    pub at: Duration,
+    pub step: Step,
+}
+
+/// All steps of one seed, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Series {
+    pub seed: u64,
+    pub length: Duration,
+    pub steps: Vec<ScheduledStep>,
+}
+
+impl Series {
+    /// Draws the steps of a run. Odd seeds kill gateways too.
+    pub fn draw(seed: u64, length: Duration, gateways: usize) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut order: Vec<usize> = (0..gateways).collect();
+        order.shuffle(&mut random);
+        let mut steps = Vec::new();
+        let mut add = |gap: Range<u64>, draw: &mut dyn FnMut(usize, &mut StdRng) -> Step| {
+            let mut at = QUIET;
+            for number in 0.. {
+                at += Duration::from_millis(random.random_range(gap.clone()));
+                if at >= length {
+                    return;
+                }
+                let step = draw(number, &mut random);
+                steps.push(ScheduledStep { at, step });
+            }
+        };
+        add(RESTART_GAP_MS, &mut |number, _| {
+            Step::Restart(order[number % gateways])
+        });
+        add(DRAIN_GAP_MS, &mut |_, random| {
+            Step::DrainRunner(random.random_range(0..1 << 16))
+        });
+        add(RELOAD_GAP_MS, &mut |_, random| {
+            Step::Reload(random.random_range(0..gateways))
+        });
+        if kills_gateways(seed) {
+            add(KILL_GAP_MS, &mut |_, random| {
+                let lasts = Duration::from_millis(random.random_range(KILL_LASTS_MS));
+                Step::Kill(random.random_range(0..gateways), lasts)
+            });
+        }
+        steps.sort_by_key(|scheduled| scheduled.at);
+        Self {
+            seed,
+            length,
+            steps,
+        }
+    }
+}
+
+/// Whether a seed's run kills gateways too, so that not all that happens is planned.
+pub fn kills_gateways(seed: u64) -> bool {
+    seed % 2 == 1
+}
+
+impl fmt::Display for Series {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let length = self.length.as_secs_f64();
+        writeln!(formatter, "seed {} length {length:.1} s", self.seed)?;
+        for one in &self.steps {
+            writeln!(
+                formatter,
+                "  {:6.2} s  {:?}",
+                one.at.as_secs_f64(),
+                one.step
+            )?;
+        }
+        Ok(())
+    }
+}
--- a/tests/cluster/src/soak/run.rs
+++ b/tests/cluster/src/soak/run.rs
@@ -4,7 +4,7 @@
 use super::jobs;
 use super::ledger::Ledger;
 use super::misbehaving;
-use super::operators::{run_reader, Operator};
+use super::operators::{run_reader, Operator, FIRST_VERSION};
 use super::oracle;
 use super::planned_work;
 use super::schedule::{Schedule, ScheduledFault};
@@ -69,7 +69,7 @@
         .retry_slack(RETRY_SLACK)
         .relayed()
         .start();
-    let mut document = configuration(1);
+    let mut document = configuration(FIRST_VERSION);
     let routes = document["routes"].as_array_mut().expect("there are routes");
     routes.push(route("moving", "/moving/", "safe", "plain"));
     assert_eq!(cluster.replace(0, &document).0, 200);
@@ -96,7 +96,9 @@
         for number in 0..JOB_CLIENTS {
             scope.spawn(move || jobs::run(seed, number, gateways, ledger, is_over));
         }
-        scope.spawn(move || Operator::new(seed, controllers, ledger, 1).run(is_over));
+        scope.spawn(move || {
+            Operator::new((seed, 0), controllers, ledger, configuration).run(is_over)
+        });
         scope.spawn(move || run_reader(seed, controllers, ledger, is_over));
         inject(injector, schedule);
         planned_work::run(injector, seed, ledger);
--- a/tests/cluster/src/soak/traffic.rs
+++ b/tests/cluster/src/soak/traffic.rs
@@ -154,7 +154,7 @@
 }
 
 /// What a response means for the request that it came for.
-fn judge(request: &ClientRequest, size: usize, response: &Response) -> ClientOutcome {
+pub fn judge(request: &ClientRequest, size: usize, response: &Response) -> ClientOutcome {
     let bears = response.headers.get_text("Request-Id").unwrap_or("");
     if !bears.is_empty() && bears != request.id {
         return ClientOutcome::AnotherRequests(bears.to_string());
