Seats: an owner leases by no list of runners that was not confirmed since it owns

A gateway that had owned the function before keeps its list for 4 to 5.5 s; where the function falls to it again without a hand-over (the owner died; or, before agreed owners, at any change of the membership) it leased by that list until its next report. The same class: runners that a newer, handed-over list does not name went on serving, and a runner that only a gateway's leases name was taken for one that serves.

Excluded: a late list of the scaler (its line and the first owner's come at once, 2 s before the second owner's).

Change: a list of runners is confirmed by the scaler or by an owner that it told, and is doubted when the function falls to this gateway under a table (without agreed tables also when it falls to another, and when an idle function is asked for in its owner's place). A doubted list is reported as unknown, at once; nothing is leased by it for 250 ms while a scaler is heard. Without a scaler, or after that time, service goes on by what is known.

The fixtures of handover.rs and of the model told the runners before the table; the scaler tells them after it, as they do now. Their expectations are unchanged.

--- a/crates/gateway/src/controller_links.rs
+++ b/crates/gateway/src/controller_links.rs
@@ -211,6 +211,11 @@
         Some(address.clone())
     }
 
+    /// Whether a controller that scales was heard within so many milliseconds.
+    pub fn is_scaler_heard(&self, now: u64, within_ms: u64) -> bool {
+        self.newest_scaler(now, within_ms, |_| true).is_some()
+    }
+
     /// The controller with the highest term of the suited ones that were heard within so many milliseconds.
     fn newest_scaler(
         &self,
--- a/crates/gateway/src/ownership.rs
+++ b/crates/gateway/src/ownership.rs
@@ -224,8 +224,12 @@
     }
 
     fn heard_scaler(&self) -> Option<String> {
-        let within_ms = self.options.heartbeat_ms() * SCALER_HEARTBEATS_MISSED;
-        self.controllers.heard_scaler(self.now, within_ms)
+        self.controllers
+            .heard_scaler(self.now, self.scaler_silence_ms())
+    }
+
+    fn scaler_silence_ms(&self) -> u64 {
+        self.options.heartbeat_ms() * SCALER_HEARTBEATS_MISSED
     }
 
     /// Whether a silent owner is replaced by the scaler alone.
@@ -244,6 +248,10 @@
             false => self.peers.suspects(self.now).cloned().collect(),
         };
         self.lease_owner.set_acts_for(self.now, acts_for);
+        let is_scaler_heard = self
+            .controllers
+            .is_scaler_heard(self.now, self.scaler_silence_ms());
+        self.lease_owner.set_scaler_heard(self.now, is_scaler_heard);
         let expired = self.relayed_requests.take_expired(self.now);
         self.cancel_relayed(expired);
         let (peers, now) = (&self.peers, self.now);
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -4,6 +4,7 @@
 
 use crate::lease_holder::LeaseHolder;
 use crate::lease_rules::LeaseRules;
+use crate::list_confirmation::ListConfirmation;
 use crate::report_state::ReportState;
 use crate::runner_set::{RunnerDemand, RunnerSet};
 use crate::seat_runner::SeatRunner;
@@ -12,7 +13,7 @@
 use invariants::{check, Invariant};
 use protocol::{
     FunctionReport, FunctionUpdate, LeaseOutcome, LeaseRelease, LeaseRequest, RunnerLeases,
-    RunnerStage, SeatLease, UpdateVersion, ZoneArrivals,
+    RunnerStage, SeatLease, ZoneArrivals,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -38,9 +39,8 @@
 /// The runners of one function and the requests that wait for their seats.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FunctionSeats {
-    /// Version of the scaler's last update.
-    version: UpdateVersion,
     runners: RunnerSet,
+    list: ListConfirmation,
     queue: WaitQueue,
     /// That no new runner can be up in time, as the scaler said last.
     start_block: Option<ReceivedStartBlock>,
@@ -52,6 +52,14 @@
 }
 
 impl FunctionSeats {
+    /// A function of which nothing is known but what comes from now on.
+    pub fn new(now: u64) -> Self {
+        Self {
+            list: ListConfirmation::doubted(now),
+            ..Self::default()
+        }
+    }
+
     /// What is not reported yet.
     pub fn report_state(&mut self) -> &mut ReportState {
         &mut self.report
@@ -94,10 +102,10 @@
 
     /// Takes the runners as the scaler wants them; an older update than the last is dropped.
     pub fn apply_update(&mut self, now: u64, update: FunctionUpdate, rules: &LeaseRules) {
-        if update.version < self.version {
+        if update.version < self.list.version() {
             return;
         }
-        self.version = update.version;
+        self.list.confirm(update.version);
         let block = update.start_block;
         self.start_block = block.map(|block| ReceivedStartBlock::new(now, block));
         self.runners
@@ -105,9 +113,17 @@
         self.report.mark_changed();
     }
 
+    /// The list of runners may be old. The scaler, to which it is reported as unknown, tells it anew.
+    pub fn doubt_runners(&mut self, now: u64) {
+        self.list = ListConfirmation::doubted(now);
+        self.start_block = None;
+        self.report.mark_changed();
+        self.report.mark_urgent();
+    }
+
     /// Ids of the runners that serve here and get nothing new by a newer update.
     pub fn leaving_runners(&self, update: &FunctionUpdate) -> Vec<String> {
-        if update.version < self.version {
+        if update.version < self.list.version() {
             return Vec::new();
         }
         let updated = update.runners.iter();
@@ -120,14 +136,18 @@
             .collect()
     }
 
-    /// The runner at which a gateway has leases; where it is not known yet it is taken for one that serves.
+    /// The runner at which a gateway has leases. One that a confirmed list does not name has left; else it is taken for one that serves.
     pub fn runner_or_add(
         &mut self,
         now: u64,
         leases: &RunnerLeases,
         rules: &LeaseRules,
     ) -> &mut SeatRunner {
-        self.runners.get_or_add(now, leases, &rules.policy)
+        let stage = match self.list.is_confirmed() {
+            true => RunnerStage::Draining,
+            false => RunnerStage::Serving,
+        };
+        self.runners.get_or_add(now, leases, stage, &rules.policy)
     }
 
     /// Leases of a gateway.
@@ -274,7 +294,7 @@
     }
 
     fn match_next(&self, now: u64, rules: &LeaseRules) -> Option<(QueuePosition, usize)> {
-        if self.queue.is_empty() {
+        if self.queue.is_empty() || !self.list.may_be_used(now, rules.is_scaler_heard) {
             return None;
         }
         let free = self.runners.free_places(now, rules);
@@ -352,7 +372,7 @@
     pub fn report(&self, function: &str) -> FunctionReport {
         FunctionReport {
             function: function.into(),
-            update_number: self.version.number,
+            update_number: self.list.version().number,
             arrivals: self.arrivals(),
             waiting: self.queue.len() as u32,
             abandoned: self.abandoned,
--- a/crates/seat_leases/src/function_seats/handover.rs
+++ b/crates/seat_leases/src/function_seats/handover.rs
@@ -11,9 +11,9 @@
 impl FunctionSeats {
     /// Takes the runners that the function's former owner hands over.
     pub fn adopt_runners(&mut self, now: u64, handover: &FunctionHandover, rules: &LeaseRules) {
-        let is_newer = handover.version > self.version;
+        let is_newer = handover.version > self.list.version();
         if is_newer {
-            self.version = handover.version;
+            self.list.confirm(handover.version);
         }
         self.runners.adopt(now, handover, is_newer, &rules.policy);
     }
@@ -34,7 +34,7 @@
         let leases = leases.into_iter();
         FunctionHandover {
             function: function.into(),
-            version: self.version,
+            version: self.list.version(),
             runners: self.runners.iter().map(SeatRunner::handover).collect(),
             leases: leases
                 .map(|(gateway, runners)| GatewayLeases {
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -54,7 +54,7 @@
         let rules = LeaseRules {
             policy,
             topology,
-            evacuated_zones: BTreeSet::new(),
+            ..LeaseRules::default()
         };
         Self {
             rules,
@@ -67,6 +67,14 @@
         self.rules.evacuated_zones = zones;
     }
 
+    /// Whether a controller scales that can be asked for runners. While none does, seats are leased by the lists that there are, however old.
+    pub fn set_scaler_heard(&mut self, now: u64, is_heard: bool) {
+        let was_heard = std::mem::replace(&mut self.rules.is_scaler_heard, is_heard);
+        if was_heard && !is_heard {
+            self.issue_all_leases(now);
+        }
+    }
+
     /// Takes what is to be done now, in order.
     pub fn take_actions(&mut self) -> Vec<LeaseAction> {
         std::mem::take(&mut self.actions)
@@ -82,7 +90,13 @@
             return;
         }
         let function = request.function.clone();
-        let seats = self.functions.entry(function.clone()).or_default();
+        let is_foreign = self.ownership.is_in_place_of_owner(&function);
+        let seats = self.functions.entry(function.clone());
+        let seats = seats.or_insert_with(|| FunctionSeats::new(now));
+        if is_foreign && seats.is_idle() {
+            // The scaler tells the owner alone of changes, so that the list may be old.
+            seats.doubt_runners(now);
+        }
         seats.touch(now);
         seats.record_arrival(zone, &request);
         if let Some(retry_after_ms) = seats.rejects(now, &request, &self.rules) {
@@ -157,7 +171,8 @@
     /// An update of a function's runners from the scaler.
     pub fn update_runners(&mut self, now: u64, update: FunctionUpdate) {
         let function = update.function.clone();
-        let seats = self.functions.entry(function.clone()).or_default();
+        let seats = self.functions.entry(function.clone());
+        let seats = seats.or_insert_with(|| FunctionSeats::new(now));
         // An update is no use, but it keeps the function for a while.
         seats.touch(now.saturating_sub(EVICTION_AFTER_MS / 2));
         for runner in seats.leaving_runners(&update) {
--- a/crates/seat_leases/src/lease_owner/confirmation.rs
+++ b/crates/seat_leases/src/lease_owner/confirmation.rs
@@ -2,6 +2,7 @@
 
 use super::LeaseOwner;
 use crate::action::LeaseAction;
+use crate::function_seats::FunctionSeats;
 use crate::lease_holder::LeaseHolder;
 use crate::ownership_table::OwnershipTable;
 use protocol::{RequestId, RunnerLeases};
@@ -53,14 +54,16 @@
         let reported: BTreeSet<LeaseHolder> = reported
             .map(|request_id| LeaseHolder::new(gateway, *request_id))
             .collect();
-        let seats = self.functions.entry(function.to_string()).or_default();
+        let seats = self.functions.entry(function.to_string());
+        let seats = seats.or_insert_with(|| FunctionSeats::new(now));
         let known = seats.holders_of(gateway).into_iter();
         let unreported: Vec<LeaseHolder> = known.filter(|one| !reported.contains(one)).collect();
         for holder in &reported {
             self.forget_holder(holder);
         }
         self.end_unreported(now, gateway, unreported);
-        let seats = self.functions.entry(function.to_string()).or_default();
+        let seats = self.functions.entry(function.to_string());
+        let seats = seats.or_insert_with(|| FunctionSeats::new(now));
         seats.touch(now);
         for leases in runners {
             let runner = seats.runner_or_add(now, leases, &self.rules);
--- a/crates/seat_leases/src/lease_owner/handover.rs
+++ b/crates/seat_leases/src/lease_owner/handover.rs
@@ -2,6 +2,7 @@
 
 use super::LeaseOwner;
 use crate::action::LeaseAction;
+use crate::function_seats::FunctionSeats;
 use crate::lease_holder::LeaseHolder;
 use crate::ownership_table::OwnershipTable;
 use crate::relayed_requests::{ForeignRequest, RelayedRequests};
@@ -19,16 +20,15 @@
     pub fn apply_table(&mut self, now: u64, table: Arc<OwnershipTable>) {
         let version = table.version();
         self.remove_lost_gateways(now, &table);
-        let former = self.assigned_functions();
-        let asked = self.ownership.apply_table(now, table);
-        let regained = self.assigned_functions();
-        let regained = regained.difference(&former).count();
-        if regained > 0 {
-            log::info!("gateway: functions regained version={version} functions={regained}");
-        }
-        for gateway in asked {
+        self.rules.is_scaler_heard = true;
+        let former = match self.ownership.begins_anew(&table) {
+            true => BTreeSet::new(),
+            false => self.assigned_functions(),
+        };
+        for gateway in self.ownership.apply_table(now, table) {
             self.request_handover(gateway, version);
         }
+        self.doubt_runners_of_moved(now, &former);
         for gateway in self.ownership.take_answerable() {
             self.hand_over(&gateway);
         }
@@ -42,6 +42,24 @@
         assigned.cloned().collect()
     }
 
+    /// Doubts the runners of functions that did not stay this gateway's: what became of them while others owned the functions was told to
+    /// those alone. Without an agreed table also of those that fall to others, since gateways that do not hear these ask here.
+    fn doubt_runners_of_moved(&mut self, now: u64, former: &BTreeSet<String>) {
+        let current = self.assigned_functions();
+        let regained: Vec<&String> = current.difference(former).collect();
+        if !regained.is_empty() {
+            log::info!("gateway: functions regained functions={}", regained.len());
+        }
+        let is_agreed = self.ownership.agreed_table().is_some();
+        let lost = former.difference(&current).filter(|_| !is_agreed);
+        for function in regained.into_iter().chain(lost) {
+            if let Some(seats) = self.functions.get_mut(function) {
+                seats.doubt_runners(now);
+                self.unreported.insert(function.clone());
+            }
+        }
+    }
+
     pub(super) fn request_handover(&mut self, gateway: String, version: UpdateVersion) {
         let request = LeaseAction::RequestHandover { gateway, version };
         self.actions.push(request);
@@ -126,7 +144,8 @@
         if matches!(self.ownership.status(&function), SeatStatus::OwnedBy(_)) {
             return;
         }
-        let seats = self.functions.entry(function.clone()).or_default();
+        let seats = self.functions.entry(function.clone());
+        let seats = seats.or_insert_with(|| FunctionSeats::new(now));
         seats.touch(now);
         seats.adopt_runners(now, &handover, &self.rules);
         seats.report_state().mark_changed();
@@ -205,7 +224,7 @@
     }
 
     /// Leases what may be leased by now.
-    fn issue_all_leases(&mut self, now: u64) {
+    pub(super) fn issue_all_leases(&mut self, now: u64) {
         for function in self.functions_with_waiting() {
             self.issue_leases(now, &function);
         }
--- a/crates/seat_leases/src/lease_rules.rs
+++ b/crates/seat_leases/src/lease_rules.rs
@@ -13,6 +13,8 @@
     pub topology: Topology,
     /// Zones whose runners get no new requests.
     pub evacuated_zones: BTreeSet<String>,
+    /// A controller scales and can be asked for the runners of a function.
+    pub is_scaler_heard: bool,
 }
 
 impl LeaseRules {
--- a/crates/seat_leases/src/lib.rs
+++ b/crates/seat_leases/src/lib.rs
@@ -12,6 +12,7 @@
 //! - `cancelled_requests`: which answers of an owner are void.
 //! - `relayed_requests`: lease requests that are passed on to an owner which their own gateway cannot reach.
 //! - `function_seats`: the seats of one function: who waits, who is issued a lease, who is rejected.
+//! - `list_confirmation`: whether seats may be leased by the list of a function's runners that there is.
 //! - `runner_set`: the runners of one function, and which of them suits a request best.
 //! - `seat_runner`, `rejection_backoff`: one runner, and how much of its quota is leased after it rejected a request.
 //! - `wait_queue`: requests that wait for a seat.
@@ -28,6 +29,7 @@
 mod lease_owner;
 mod lease_rules;
 mod legacy_hash;
+mod list_confirmation;
 mod ownership_table;
 mod probe_schedule;
 mod rejection_backoff;
--- /dev/null
+++ b/crates/seat_leases/src/list_confirmation.rs
@@ -0,0 +1,52 @@
+//! Whether an owner may lease by the list of a function's runners that it has.
+//!
+//! The scaler tells changes of the list to the function's owner alone. A list from an earlier time as owner, or one that is made of the
+//! leases that gateways report, may name runners that have left since. It is reported to the scaler as unknown, and nothing is leased by it
+//! until the scaler, or a former owner that it told, has named the runners anew.
+
+use protocol::UpdateVersion;
+
+/// Milliseconds for which an owner waits for the scaler to confirm a list. A scaler that has the platform's lists answers within a turn and a
+/// round trip; one that has just begun does not, and service goes on by what is known.
+const CONFIRMATION_TIMEOUT_MS: u64 = 250;
+
+/// The version of a function's list of runners, and whether it was confirmed since the function is owned here.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ListConfirmation {
+    /// Version of the scaler's last update; zero while the list is not confirmed.
+    version: UpdateVersion,
+    is_confirmed: bool,
+    doubted_at: u64,
+}
+
+impl ListConfirmation {
+    /// A list that nobody has confirmed.
+    pub fn doubted(now: u64) -> Self {
+        Self {
+            doubted_at: now,
+            ..Self::default()
+        }
+    }
+
+    /// A list of this version is told by the scaler, or by an owner that it told.
+    pub fn confirm(&mut self, version: UpdateVersion) {
+        self.version = version;
+        self.is_confirmed = true;
+    }
+
+    /// Version of the list; zero while it is not confirmed, so that every other one is newer.
+    pub fn version(&self) -> UpdateVersion {
+        self.version
+    }
+
+    /// Whether runners that the list does not name have left.
+    pub fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
+    /// Whether seats may be leased by the list: it is confirmed, or nobody can confirm it, or nobody has in time.
+    pub fn may_be_used(&self, now: u64, is_scaler_heard: bool) -> bool {
+        let is_late = now >= self.doubted_at + CONFIRMATION_TIMEOUT_MS;
+        self.is_confirmed || !is_scaler_heard || is_late
+    }
+}
--- a/crates/seat_leases/src/runner_set.rs
+++ b/crates/seat_leases/src/runner_set.rs
@@ -62,8 +62,8 @@
         }
     }
 
-    /// Takes the runners that the function's former owner hands over. Where the scaler has said something newer here, it holds, and
-    /// what it does not name drains.
+    /// Takes the runners that the function's former owner hands over. Where the scaler has said something newer here, it holds. What the
+    /// newer list does not name drains.
     pub fn adopt(
         &mut self,
         now: u64,
@@ -71,6 +71,11 @@
         is_newer: bool,
         policy: &LeasingPolicy,
     ) {
+        if is_newer {
+            for runner in &mut self.runners {
+                runner.drain();
+            }
+        }
         for runner in &handover.runners {
             if let Some(known) = self.get_mut(&runner.update.id) {
                 if is_newer {
@@ -89,11 +94,12 @@
         }
     }
 
-    /// The runner at which a gateway has leases; where it is not known yet it is taken for one that serves.
+    /// The runner at which a gateway has leases; where it is not known yet it is added in this stage.
     pub fn get_or_add(
         &mut self,
         now: u64,
         leases: &RunnerLeases,
+        stage: RunnerStage,
         policy: &LeasingPolicy,
     ) -> &mut SeatRunner {
         let known = self
@@ -106,7 +112,7 @@
                 address: leases.address.clone(),
                 zone: leases.zone.clone(),
                 quota: UNKNOWN_QUOTA,
-                stage: RunnerStage::Serving,
+                stage,
                 starts_in_ms: 0,
             };
             self.runners.push(SeatRunner::new(update, now, policy));
--- a/crates/seat_leases/src/seat_ownership.rs
+++ b/crates/seat_leases/src/seat_ownership.rs
@@ -97,6 +97,19 @@
         table.filter(|table| table.is_agreed())
     }
 
+    /// Whether this gateway owned nothing before a table, so that nothing that it knows is current under it.
+    pub fn begins_anew(&self, table: &OwnershipTable) -> bool {
+        let name = self.name.as_deref().unwrap_or_default();
+        self.table.is_none() || (table.is_agreed() && table.is_for_newcomer(name))
+    }
+
+    /// Whether this gateway leases a function's seats though the table, which is not agreed, gives them to another one.
+    pub fn is_in_place_of_owner(&self, function: &str) -> bool {
+        let table = self.table.as_ref();
+        let is_free = self.name.is_some() && table.is_some_and(|table| !table.is_agreed());
+        is_free && !self.is_assigned(function)
+    }
+
     /// Applies a newer table. Returns the members that are to be asked for a hand-over under its version.
     pub fn apply_table(&mut self, now: u64, table: Arc<OwnershipTable>) -> Vec<String> {
         let former = self.table.replace(Arc::clone(&table));
--- a/crates/seat_leases/tests/handover.rs
+++ b/crates/seat_leases/tests/handover.rs
@@ -42,9 +42,12 @@
 }
 
 fn owner() -> LeaseOwner {
-    let mut owner = LeaseOwner::new(ME, LeasingPolicy::default(), Topology::default());
+    LeaseOwner::new(ME, LeasingPolicy::default(), Topology::default())
+}
+
+/// The scaler tells the function's runner, as it does once a table makes this gateway the owner.
+fn tell_runner(owner: &mut LeaseOwner) {
     owner.update_runners(0, update(1, &[runner("r", "north", 1)]));
-    owner
 }
 
 /// An owner under a first table of itself and a gateway with clients, of which the latter is about to stop and owns nothing.
@@ -56,6 +59,7 @@
         ..table(1, &[ME, CLIENT])
     };
     apply(&mut owner, first);
+    tell_runner(&mut owner);
     owner
 }
 
@@ -73,6 +77,7 @@
         ..table(2, &[ME, OTHER, CLIENT])
     };
     apply(&mut owner, second);
+    tell_runner(&mut owner);
     owner
 }
 
@@ -122,6 +127,7 @@
 #[test]
 fn nothing_is_leased_without_a_table() {
     let mut owner = owner();
+    tell_runner(&mut owner);
     owner.request_lease(0, CLIENT, "north", lease_request(1, 1));
     assert!(request_ids(&mut owner).is_empty());
     assert_eq!(*owner.seat_status(FUNCTION), SeatStatus::Unowned);
@@ -165,6 +171,7 @@
         ..table(5, &[ME, OTHER])
     };
     apply(owner, whole);
+    tell_runner(owner);
     assert!(asks_for_handover(&owner.take_actions(), 5));
     owner.request_lease(0, ME, "north", lease_request(request_id, 1));
     assert!(request_ids(owner).is_empty());
@@ -188,6 +195,7 @@
         ..table(1, &[ME, OTHER])
     };
     apply(&mut owner, first);
+    tell_runner(&mut owner);
     owner.request_lease(0, ME, "north", lease_request(1, 1));
     assert_eq!(request_ids(&mut owner), [1]);
     owner.release(0, ME, &release(1, LeaseOutcome::Succeeded, 5));
@@ -320,6 +328,7 @@
         ..table(1, &[ME, OTHER])
     };
     apply(&mut owner, first);
+    tell_runner(&mut owner);
     owner.set_acts_for(0, [OTHER.to_string()].into());
     owner.request_lease(0, ME, "north", lease_request(1, 1));
     assert_eq!(request_ids(&mut owner), [1]);
--- a/crates/seat_leases/tests/runner_lists.rs
+++ b/crates/seat_leases/tests/runner_lists.rs
@@ -39,15 +39,26 @@
     owner.apply_table(now, Arc::new(seat_leases::OwnershipTable::agreed(table)));
 }
 
+fn apply_not_agreed(owner: &mut LeaseOwner, now: u64, number: u64, members: &[&str]) {
+    let members = members.iter().map(|name| member(name)).collect();
+    let version = UpdateVersion { term: 1, number };
+    let table = seat_leases::OwnershipTable::not_agreed(version, members);
+    owner.apply_table(now, Arc::new(table));
+}
+
 /// A gateway to which the function falls while it is a member beside this one.
-fn other_owner() -> String {
+fn other_owner(is_agreed: bool) -> String {
     let names = (0..).map(|number| format!("other-{number}"));
     let mut owning = names.filter(|name| {
         let members = vec![member(ME), member(name)];
-        let table = seat_leases::OwnershipTable::agreed(OwnershipTable {
-            members,
-            ..OwnershipTable::default()
-        });
+        let version = UpdateVersion::default();
+        let table = match is_agreed {
+            true => seat_leases::OwnershipTable::agreed(OwnershipTable {
+                members,
+                ..OwnershipTable::default()
+            }),
+            false => seat_leases::OwnershipTable::not_agreed(version, members),
+        };
         table
             .owner_of(FUNCTION)
             .is_some_and(|owner| owner.name == *name)
@@ -76,7 +87,7 @@
 #[test]
 fn an_owner_that_owns_again_leases_at_no_runner_that_left_meanwhile() {
     let mut owner = owner_of_all();
-    let other = other_owner();
+    let other = other_owner(true);
     apply(&mut owner, 10, table(2, &[ME, &other], &[&other]));
     // The scaler tells the other owner that the runner leaves. Then that owner dies, and hands nothing over.
     apply(&mut owner, LATER, table(3, &[ME], &[]));
@@ -94,12 +105,11 @@
 #[test]
 fn an_owner_that_owns_on_under_another_table_leases_on() {
     let mut owner = owner_of_all();
-    apply(&mut owner, 10, table(2, &[ME, "third"], &[]));
-    apply(&mut owner, 20, table(3, &[ME], &[]));
-    let other = other_owner();
-    let mut still = table(4, &[ME, &other], &[&other]);
+    let other = other_owner(true);
+    let mut still = table(2, &[ME, &other], &[&other]);
     still.leaving = vec![other];
-    apply(&mut owner, 30, still);
+    apply(&mut owner, 10, still);
+    apply(&mut owner, 20, table(3, &[ME], &[]));
     owner.request_lease(30, ME, "north", lease_request(2, 1));
     assert_eq!(leases(&mut owner), [(2, "r".to_string())]);
 }
@@ -107,7 +117,7 @@
 #[test]
 fn a_list_that_is_handed_over_replaces_what_was_known_before() {
     let mut owner = owner_of_all();
-    let other = other_owner();
+    let other = other_owner(true);
     apply(&mut owner, 10, table(2, &[ME, &other], &[&other]));
     let mut back = table(3, &[ME, &other], &[]);
     back.leaving = vec![other.clone()];
@@ -140,7 +150,9 @@
 #[test]
 fn a_runner_that_only_a_gateway_reports_gets_nothing_new_before_the_scaler_names_it() {
     let mut owner = LeaseOwner::new(ME, LeasingPolicy::default(), Topology::default());
-    apply(&mut owner, 0, table(1, &[ME, "client"], &[ME]));
+    let mut first = table(1, &[ME, "client"], &[ME, "client"]);
+    first.leaving = vec!["client".into()];
+    apply(&mut owner, 0, first);
     let used = RunnerLeases {
         runner: "r".into(),
         address: "r:1".into(),
@@ -158,9 +170,10 @@
 
 #[test]
 fn without_a_scaler_a_reported_runner_is_leased() {
-    let other = other_owner();
+    let other = other_owner(true);
     let mut owner = LeaseOwner::new(ME, LeasingPolicy::default(), Topology::default());
     apply(&mut owner, 0, table(1, &[ME, &other], &[ME, &other]));
+    owner.set_scaler_heard(0, false);
     owner.set_acts_for(0, [other].into());
     let used = RunnerLeases {
         runner: "r".into(),
@@ -173,3 +186,51 @@
     owner.release(5, ME, &release(7, LeaseOutcome::Succeeded, 5));
     assert_eq!(request_ids(&mut owner), [8]);
 }
+
+#[test]
+fn who_takes_a_silent_owners_place_without_agreed_tables_leases_by_no_former_list() {
+    let other = other_owner(false);
+    let mut owner = LeaseOwner::new(ME, LeasingPolicy::default(), Topology::default());
+    apply_not_agreed(&mut owner, 0, 1, &[ME]);
+    owner.update_runners(0, update(1, &[runner("r", "north", 2)]));
+    apply_not_agreed(&mut owner, 10, 2, &[ME, &other]);
+    // A gateway does not hear the owner and asks this one.
+    owner.request_lease(LATER, "client", "north", lease_request(2, 1));
+    assert!(leases(&mut owner).is_empty());
+    owner.update_runners(
+        LATER + 20,
+        update(2, &[draining("r"), runner("s", "north", 2)]),
+    );
+    assert_eq!(leases(&mut owner), [(2, "s".to_string())]);
+}
+
+#[test]
+fn who_is_asked_in_place_of_the_owner_now_and_then_asks_for_the_list_each_time() {
+    let other = other_owner(false);
+    let mut owner = LeaseOwner::new(ME, LeasingPolicy::default(), Topology::default());
+    apply_not_agreed(&mut owner, 0, 1, &[ME, &other]);
+    owner.request_lease(0, "client", "north", lease_request(1, 1));
+    owner.update_runners(20, update(1, &[runner("r", "north", 2)]));
+    assert_eq!(leases(&mut owner), [(1, "r".to_string())]);
+    // While the function is in use its reports show the scaler each old list.
+    owner.request_lease(30, "client", "north", lease_request(2, 1));
+    assert_eq!(leases(&mut owner), [(2, "r".to_string())]);
+    for number in [1, 2] {
+        owner.release(40, "client", &release(number, LeaseOutcome::Succeeded, 5));
+    }
+    owner.request_lease(3_000, "client", "north", lease_request(3, 1));
+    assert!(leases(&mut owner).is_empty());
+}
+
+#[test]
+fn a_list_that_nobody_confirms_is_used_after_a_while() {
+    let mut owner = owner_of_all();
+    let other = other_owner(true);
+    apply(&mut owner, 10, table(2, &[ME, &other], &[&other]));
+    apply(&mut owner, 20, table(3, &[ME], &[]));
+    owner.request_lease(20, ME, "north", lease_request(2, 1));
+    owner.tick(269);
+    assert!(leases(&mut owner).is_empty());
+    owner.tick(270);
+    assert_eq!(leases(&mut owner), [(2, "r".to_string())]);
+}
--- a/tests/cluster/src/bin/hallkeel-soak.rs
+++ b/tests/cluster/src/bin/hallkeel-soak.rs
@@ -9,6 +9,9 @@
 /// Seeds of the short form, which CI runs.
 const SHORT_SEEDS: std::ops::Range<u64> = 1..5;
 const SHORT_LENGTH_S: u64 = 14;
+/// Seeds of the short form with restarts in series, one with kills and one without; one at a time.
+const SHORT_ROLLING_SEEDS: std::ops::Range<u64> = 1..3;
+const SHORT_ROLLING_GATEWAYS: usize = 16;
 
 /// Runs seeds one after the other, each on a cluster of its own, with a violated invariant ending its process.
 ///
@@ -37,7 +40,7 @@
     /// Clients of a run with `--rolling`
     #[arg(long, default_value_t = 48)]
     clients: usize,
-    /// The short form: fixed seeds, two at a time
+    /// The short form: fixed seeds, two at a time, then some with `--rolling`
     #[arg(long)]
     short: bool,
 }
@@ -47,7 +50,10 @@
     let broken = if flags.short {
         flags.length = SHORT_LENGTH_S;
         flags.jobs = 2;
-        run_seeds(&flags, SHORT_SEEDS)
+        let broken = run_seeds(&flags, SHORT_SEEDS);
+        flags.jobs = 1;
+        flags.gateways = SHORT_ROLLING_GATEWAYS;
+        broken + run_rolling_seeds(&flags, SHORT_ROLLING_SEEDS)
     } else {
         let seeds = flags.from..flags.from + flags.seeds;
         match flags.rolling {
--- a/tests/model/src/ownership/gateway.rs
+++ b/tests/model/src/ownership/gateway.rs
@@ -49,9 +49,7 @@
 
 impl Gateway {
     pub fn new(index: usize, script: &Script) -> Self {
-        let mut owner =
-            LeaseOwner::new(&name(index), LeasingPolicy::default(), Topology::default());
-        owner.update_runners(0, runners());
+        let owner = LeaseOwner::new(&name(index), LeasingPolicy::default(), Topology::default());
         let mut gateway = Self {
             index,
             owner,
@@ -202,6 +200,8 @@
     pub fn apply_table(&mut self, table: Arc<OwnershipTable>) -> Sent {
         self.table = Some(Arc::clone(&table));
         self.owner.apply_table(0, table);
+        // The scaler tells the function's runners, which never change here.
+        self.owner.update_runners(0, runners());
         let mut sent = self.run_actions();
         let Some(owner) = self.owner_index() else {
             return sent;
