gateway: functions are reported to the scaler anew over each link; soak: gateways die twice

Look for the same cause elsewhere: an update that the scaler sends over a link that is just lost is nowhere repeated. The owner's next report shows its old number, but a function that is idle reports nothing, so that its first requests later go by the old list. All functions are reported over a new link to the scaler, as to a new scaler; the scaler had dropped what it knew of a gateway whose link ended.

The soak's series kills each gateway twice, 1.2 to 5.5 s apart, and lets a runner leave each 200 to 700 ms.

--- a/crates/gateway/src/controller_links.rs
+++ b/crates/gateway/src/controller_links.rs
@@ -96,7 +96,8 @@
 /// The controller that scales.
 pub(crate) struct Scaler {
     pub address: String,
-    /// Whether it is another one, or in another term, than last time, so that it knows nothing yet.
+    /// Whether it is another one, in another term or over another link than last time, so that it knows nothing yet, or what it told and
+    /// was told last may have been lost.
     pub is_new: bool,
 }
 
@@ -104,6 +105,8 @@
 pub(crate) struct ControllerLinks {
     links: BTreeMap<String, ControllerLink>,
     scaler_term: u64,
+    /// The link over which the scaler was reported to last.
+    scaler_connection: Option<ConnectionId>,
     evicted_at: u64,
     request_pending_until: u64,
     sent: SentMessages,
@@ -118,6 +121,7 @@
                 .map(|address| (address.to_string(), ControllerLink::default()))
                 .collect(),
             scaler_term: 0,
+            scaler_connection: None,
             evicted_at: 0,
             request_pending_until: 0,
             sent: SentMessages::default(),
@@ -317,12 +321,13 @@
     /// The controller that scales, by the highest term of those that were heard lately.
     pub fn scaler(&mut self, now: u64) -> Option<Scaler> {
         let (address, link) = self.newest_scaler(now, SCALER_SILENCE_MS, |_| true)?;
-        let (address, term) = (address.clone(), link.term);
-        let is_new = term != self.scaler_term;
-        if is_new {
+        let (address, term, connection) = (address.clone(), link.term, link.connection);
+        if term != self.scaler_term {
             log::info!("gateway: scaler changed controller={address} term={term}");
         }
+        let is_new = term != self.scaler_term || connection != self.scaler_connection;
         self.scaler_term = term;
+        self.scaler_connection = connection;
         Some(Scaler { address, is_new })
     }
 
--- a/crates/gateway/tests/unit/controller_links.rs
+++ b/crates/gateway/tests/unit/controller_links.rs
@@ -1,7 +1,9 @@
 //! When a gateway gives an attempt to reach a controller up.
 
+use crate::applied_configuration::ConfigurationVersions;
 use crate::connection_reuse_tests::options;
-use crate::controller_links::{ControllerLinks, HeartbeatTiming, LinkTask};
+use crate::connections::ConnectionRole;
+use crate::controller_links::{ControllerLinks, ControllerState, HeartbeatTiming, LinkTask};
 use crate::gateway::Gateway;
 use event_loop::ConnectionId;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -20,29 +22,36 @@
     links: ControllerLinks,
     address: String,
     connection: ConnectionId,
-    _gateway: Gateway,
+    gateway: Gateway,
     _listener: TcpListener,
 }
 
+fn connect(gateway: &mut Gateway, address: &str) -> ConnectionId {
+    let role = ConnectionRole::Controller(address.into());
+    let connection = gateway.connections.connect(address, 1 << 10, role);
+    connection.expect("a connection")
+}
+
 impl Links {
     fn new() -> Self {
         let mut gateway = Gateway::open(options()).unwrap();
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
         let address: SocketAddr = listener.local_addr().unwrap();
-        let role = crate::connections::ConnectionRole::Controller(address.to_string());
-        let connection = gateway
-            .connections
-            .connect(&address.to_string(), 1 << 10, role)
-            .unwrap();
+        let connection = connect(&mut gateway, &address.to_string());
         Self {
             links: ControllerLinks::new(&[address]),
             address: address.to_string(),
             connection,
-            _gateway: gateway,
+            gateway,
             _listener: listener,
         }
     }
 
+    /// Another connection to the controller.
+    fn connect(&mut self) -> ConnectionId {
+        connect(&mut self.gateway, &self.address)
+    }
+
     fn begin(&mut self, now: u64) {
         let task = self.links.next_task(&self.address, now, TIMING);
         assert_eq!(task, LinkTask::Connect, "at {now}");
@@ -108,3 +117,32 @@
     assert!(links.links.accept_membership_changes(&links.address));
     assert!(!links.links.accept_membership_changes("127.0.0.1:9"));
 }
+
+#[test]
+fn a_scaler_is_new_over_each_link_and_in_each_term() {
+    let mut links = Links::new();
+    let state = |term| ControllerState {
+        versions: ConfigurationVersions::default(),
+        term,
+        zone: String::new(),
+        is_current: true,
+    };
+    links.begin(100);
+    links.links.record_heartbeat(&links.address, state(1));
+    let mut is_new = |now| links.links.scaler(now).map(|scaler| scaler.is_new);
+    assert_eq!(is_new(110), Some(true));
+    assert_eq!(is_new(120), Some(false));
+    // What was sent over the former link may have been lost with it.
+    links.links.end(&links.address);
+    links.connection = links.connect();
+    links.begin(600);
+    links.links.record_heartbeat(&links.address, state(1));
+    let mut is_new = |now| links.links.scaler(now).map(|scaler| scaler.is_new);
+    assert_eq!(is_new(610), Some(true));
+    assert_eq!(is_new(620), Some(false));
+    links.links.record_heartbeat(&links.address, state(2));
+    assert_eq!(
+        links.links.scaler(630).map(|scaler| scaler.is_new),
+        Some(true)
+    );
+}
--- a/crates/seat_leases/tests/runner_lists.rs
+++ b/crates/seat_leases/tests/runner_lists.rs
@@ -168,6 +168,24 @@
     assert_eq!(request_ids(&mut owner), [8]);
 }
 
+#[test]
+fn a_reported_runner_that_the_scaler_does_not_name_has_left() {
+    let mut owner = owner_of_all();
+    let used = RunnerLeases {
+        runner: "gone".into(),
+        address: "gone:1".into(),
+        zone: "north".into(),
+        requests: vec![RequestId(7)],
+    };
+    owner.adopt_leases(10, ME, FUNCTION, &[used]);
+    owner.release(15, ME, &release(7, LeaseOutcome::Succeeded, 5));
+    for number in 2..6 {
+        owner.request_lease(20, ME, "north", lease_request(number, 1));
+    }
+    let leased = leases(&mut owner);
+    assert_eq!(leased, [(2, "r".to_string()), (3, "r".to_string())]);
+}
+
 #[test]
 fn without_a_scaler_a_reported_runner_is_leased() {
     let other = other_owner(true);
--- a/tests/cluster/src/soak/rolling/series.rs
+++ b/tests/cluster/src/soak/rolling/series.rs
@@ -11,11 +11,13 @@
 const QUIET: Duration = Duration::from_millis(800);
 /// Milliseconds between two steps of each series.
 const RESTART_GAP_MS: Range<u64> = 250..700;
-const DRAIN_GAP_MS: Range<u64> = 300..1_100;
+const DRAIN_GAP_MS: Range<u64> = 200..700;
 const RELOAD_GAP_MS: Range<u64> = 700..2_500;
 const KILL_GAP_MS: Range<u64> = 700..2_500;
 /// Milliseconds for which a killed gateway is down.
 const KILL_LASTS_MS: Range<u64> = 50..900;
+/// Milliseconds from a kill to the next one of the same gateway, which is back by then and owns its functions again.
+const KILL_AGAIN_MS: Range<u64> = 1_200..5_500;
 
 /// One step of a series.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,7 +48,7 @@
 }
 
 impl Series {
-    /// Draws the steps of a run. Odd seeds kill gateways too.
+    /// Draws the steps of a run. Odd seeds kill gateways too, each one twice.
     pub fn draw(seed: u64, length: Duration, gateways: usize) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
         let mut order: Vec<usize> = (0..gateways).collect();
@@ -55,12 +57,16 @@
         let mut add = |gap: Range<u64>, draw: &mut dyn FnMut(usize, &mut StdRng) -> Step| {
             let mut at = QUIET;
             for number in 0.. {
-                at += Duration::from_millis(random.random_range(gap.clone()));
+                at += draw_milliseconds(&mut random, gap.clone());
                 if at >= length {
                     return;
                 }
                 let step = draw(number, &mut random);
                 steps.push(ScheduledStep { at, step });
+                if matches!(step, Step::Kill(..)) {
+                    let at = at + draw_milliseconds(&mut random, KILL_AGAIN_MS);
+                    steps.push(ScheduledStep { at, step });
+                }
             }
         };
         add(RESTART_GAP_MS, &mut |number, _| {
@@ -74,7 +80,7 @@
         });
         if kills_gateways(seed) {
             add(KILL_GAP_MS, &mut |_, random| {
-                let lasts = Duration::from_millis(random.random_range(KILL_LASTS_MS));
+                let lasts = draw_milliseconds(random, KILL_LASTS_MS);
                 Step::Kill(random.random_range(0..gateways), lasts)
             });
         }
@@ -87,6 +93,10 @@
     }
 }
 
+fn draw_milliseconds(random: &mut StdRng, range: Range<u64>) -> Duration {
+    Duration::from_millis(random.random_range(range))
+}
+
 /// Whether a seed's run kills gateways too, so that not all that happens is planned.
 pub fn kills_gateways(seed: u64) -> bool {
     seed % 2 == 1
