Seats: a list from an earlier time is handed over to nobody; the simulated fleet has runners that leave

Change: a list is doubted as soon as a table gives the function to another owner than before, but for the change by which this gateway itself lost it: then it is the newest, for the gateway that follows. A doubted list bears version zero in a hand-over.

--- a/crates/protocol/src/ownership.rs
+++ b/crates/protocol/src/ownership.rs
@@ -54,7 +54,7 @@
 pub struct FunctionHandover {
     /// The function.
     pub function: String,
-    /// Version of the scaler's last update of it.
+    /// Version of the scaler's last update of it; zero where the giver's list of runners may be old.
     pub version: UpdateVersion,
     /// Its runners as the former owner knows them.
     pub runners: Vec<RunnerHandover>,
@@ -63,6 +63,12 @@
 }
 
 impl FunctionHandover {
+    /// Whether the list of runners is one that the scaler has told the former owner.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.version != UpdateVersion::default()
+    }
+
     /// Whether a seat of this runner is leased.
     #[must_use]
     pub fn has_leases_of(&self, runner: &str) -> bool {
--- a/crates/seat_leases/src/lease_owner/handover.rs
+++ b/crates/seat_leases/src/lease_owner/handover.rs
@@ -7,8 +7,8 @@
 use crate::ownership_table::OwnershipTable;
 use crate::relayed_requests::{ForeignRequest, RelayedRequests};
 use crate::seat_ownership::{HandoverRefusal, SeatStatus};
-use protocol::{FunctionHandover, GatewayLeases, SeatHandover, UpdateVersion};
-use std::collections::BTreeSet;
+use protocol::{FunctionHandover, GatewayLeases, Member, SeatHandover, UpdateVersion};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// Most functions in one part of a hand-over.
@@ -21,42 +21,51 @@
         let version = table.version();
         self.remove_lost_gateways(now, &table);
         self.rules.is_scaler_heard = true;
-        let former = match self.ownership.begins_anew(&table) {
-            true => BTreeSet::new(),
-            false => self.assigned_functions(),
-        };
+        let begins_anew = self.ownership.begins_anew(&table);
+        let former = self.owners_of_known();
         for gateway in self.ownership.apply_table(now, table) {
             self.request_handover(gateway, version);
         }
-        self.doubt_runners_of_moved(now, &former);
+        self.doubt_former_lists(now, &former, begins_anew);
         for gateway in self.ownership.take_answerable() {
             self.hand_over(&gateway);
         }
         self.issue_all_leases(now);
     }
 
-    /// The functions known here that the table gives to this gateway.
-    fn assigned_functions(&self) -> BTreeSet<String> {
+    /// The owner of each function known here, by the table in force.
+    fn owners_of_known(&self) -> HashMap<String, Option<Member>> {
         let functions = self.functions.keys();
-        let assigned = functions.filter(|function| self.ownership.is_assigned(function));
-        assigned.cloned().collect()
+        functions
+            .map(|function| (function.clone(), self.ownership.table_owner(function)))
+            .collect()
     }
 
-    /// Doubts the runners of functions that did not stay this gateway's: what became of them while others owned the functions was told to
-    /// those alone. Without an agreed table also of those that fall to others, since gateways that do not hear these ask here.
-    fn doubt_runners_of_moved(&mut self, now: u64, former: &BTreeSet<String>) {
-        let current = self.assigned_functions();
-        let regained: Vec<&String> = current.difference(former).collect();
-        if !regained.is_empty() {
-            log::info!("gateway: functions regained functions={}", regained.len());
-        }
+    /// Doubts the runners of functions whose owner is another one than before. What becomes of them is told to their owner alone, so that
+    /// the list of any other gateway is old; it is neither leased by nor handed over. A gateway that has just lost a function to another
+    /// one has the newest list, for that one; without agreed tables it hands nothing over.
+    fn doubt_former_lists(
+        &mut self,
+        now: u64,
+        former: &HashMap<String, Option<Member>>,
+        begins_anew: bool,
+    ) {
         let is_agreed = self.ownership.agreed_table().is_some();
-        let lost = former.difference(&current).filter(|_| !is_agreed);
-        for function in regained.into_iter().chain(lost) {
-            if let Some(seats) = self.functions.get_mut(function) {
-                seats.doubt_runners(now);
-                self.unreported.insert(function.clone());
+        let mut regained = 0;
+        for (function, seats) in &mut self.functions {
+            let former = former.get(function).and_then(Option::as_ref);
+            let current = self.ownership.table_owner(function);
+            let is_lost_here = former.is_some_and(|owner| self.ownership.is_me(owner)) && is_agreed;
+            let is_kept = former == current.as_ref() || is_lost_here;
+            if is_kept && !begins_anew {
+                continue;
             }
+            seats.doubt_runners(now);
+            self.unreported.insert(function.clone());
+            regained += usize::from(current.is_some_and(|owner| self.ownership.is_me(&owner)));
+        }
+        if regained > 0 {
+            log::info!("gateway: functions regained functions={regained}");
         }
     }
 
--- a/crates/seat_leases/src/runner_set.rs
+++ b/crates/seat_leases/src/runner_set.rs
@@ -81,7 +81,9 @@
                 if is_newer {
                     known.apply_update(runner.update.clone());
                 }
-                known.learn(runner);
+                if handover.is_confirmed() {
+                    known.learn(runner);
+                }
                 continue;
             }
             let mut adopted = SeatRunner::from_handover(runner, now, policy);
--- a/crates/seat_leases/src/seat_ownership.rs
+++ b/crates/seat_leases/src/seat_ownership.rs
@@ -6,7 +6,7 @@
 
 use crate::ownership_table::OwnershipTable;
 use invariants::{check, Invariant};
-use protocol::UpdateVersion;
+use protocol::{Member, UpdateVersion};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::sync::Arc;
@@ -263,13 +263,21 @@
         answerable
     }
 
-    /// Whether the table gives a function to this gateway. Without an agreed table that is what this gateway takes for its owner.
+    /// The owner of a function by the table in force. Without an agreed table that is whom this gateway takes for its owner.
+    pub fn table_owner(&self, function: &str) -> Option<Member> {
+        self.table.as_ref()?.owner_of(function).cloned()
+    }
+
+    /// Whether a member of the table is this gateway.
+    pub fn is_me(&self, member: &Member) -> bool {
+        self.name.as_ref() == Some(&member.name)
+    }
+
+    /// Whether the table gives a function to this gateway.
     pub fn is_assigned(&self, function: &str) -> bool {
-        let owner = self
-            .table
-            .as_ref()
-            .and_then(|table| table.owner_of(function));
-        owner.is_some_and(|owner| Some(&owner.name) == self.name.as_ref())
+        let table = self.table.as_ref();
+        let owner = table.and_then(|table| table.owner_of(function));
+        owner.is_some_and(|owner| self.is_me(owner))
     }
 
     /// Names of the former owners whose hand-over is awaited.
--- a/crates/seat_leases/tests/fleet/gateway.rs
+++ b/crates/seat_leases/tests/fleet/gateway.rs
@@ -1,19 +1,15 @@
 //! One simulated gateway: its clients' requests, and what it does for the owner's state machine, as the product's gateway does.
 
 use super::network::Event;
-use super::{function_name, gateway_name, index_of, runner_id, Fleet, REGIONS};
+use super::{function_name, gateway_name, index_of, Fleet, REGIONS};
 use super::{TICK_MS, TIMEOUT_MS, WORK_MS};
 use locality::Topology;
 use policy::LeasingPolicy;
-use protocol::{
-    FunctionUpdate, LeaseRequest, Message, RequestId, RunnerLeases, RunnerStage, RunnerUpdate,
-    SeatLease, UpdateVersion,
-};
-use rand::Rng;
+use protocol::{FunctionUpdate, LeaseRequest, Message, RequestId, RunnerLeases, SeatLease};
 use seat_leases::{
     CancelledRequests, ForeignRequest, LeaseOwner, OwnershipTable, RelayedRequests, SeatStatus,
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// Milliseconds without a response after which an owner that cannot be heard is passed over, and for how long.
@@ -66,7 +62,6 @@
     count: u64,
     suspects: BTreeMap<String, u64>,
     known_owners: BTreeMap<usize, String>,
-    updated: BTreeSet<usize>,
     /// What it is told while it stands still.
     pub held: Vec<Event>,
 }
@@ -91,7 +86,6 @@
             count: 0,
             suspects: BTreeMap::new(),
             known_owners: BTreeMap::new(),
-            updated: BTreeSet::new(),
             held: Vec::new(),
         }
     }
@@ -272,7 +266,6 @@
                 self.relay(index, &owner, original);
             }
             None => {
-                self.ensure_update(index, &request.function);
                 let owner = &mut self.gateways[index].owner;
                 owner.request_lease(now, from, &zone, request);
                 self.run_actions(index);
@@ -288,44 +281,20 @@
         self.send(index, index_of(owner), message);
     }
 
-    /// The scaler tells an owner of a function's runners once it has heard of the function.
-    fn ensure_update(&mut self, index: usize, function: &str) {
-        let number: usize = function.trim_start_matches('f').parse().unwrap();
+    pub fn update_received(&mut self, index: usize, incarnation: u64, update: FunctionUpdate) {
         let gateway = &mut self.gateways[index];
-        if gateway.updated.insert(number) {
-            let event = Event::Update {
-                to: index,
-                incarnation: gateway.incarnation,
-                function: number,
-            };
-            let at = self.now + self.random.random_range(5..40);
-            self.network.schedule(at, event);
+        if gateway.incarnation != incarnation || gateway.health == Health::Down {
+            return;
         }
-    }
-
-    pub fn update_received(&mut self, index: usize, incarnation: u64, function: usize) {
-        if self.gateways[index].incarnation != incarnation {
+        if !gateway.answers_scaler() {
+            gateway.held.push(Event::Update {
+                to: index,
+                incarnation,
+                update,
+            });
             return;
         }
-        let places = 0..3;
-        let known = places.map(|place| runner_id(function, place));
-        let known = known.filter_map(|id| Some((self.runners.get(&id)?.quota, id)));
-        let runners = known.map(|(quota, id)| RunnerUpdate {
-            address: format!("{id}:1"),
-            zone: format!("zone-{}", function % REGIONS),
-            id,
-            quota,
-            stage: RunnerStage::Serving,
-            starts_in_ms: 0,
-        });
-        let update = FunctionUpdate {
-            function: function_name(function),
-            version: UpdateVersion { term: 1, number: 1 },
-            runners: runners.collect(),
-            start_block: None,
-        };
-        let now = self.now;
-        self.gateways[index].owner.update_runners(now, update);
+        gateway.owner.update_runners(self.now, update);
         self.run_actions(index);
     }
 }
--- a/crates/seat_leases/tests/fleet/gateway/messages.rs
+++ b/crates/seat_leases/tests/fleet/gateway/messages.rs
@@ -58,7 +58,6 @@
             Message::RelayedLeaseRequest(relayed) => {
                 let zone = relayed.zone.clone();
                 let request = relayed.into_request();
-                self.ensure_update(index, &request.function);
                 let owner = &mut self.gateways[index].owner;
                 owner.request_lease(now, from, &zone, request);
             }
--- a/crates/seat_leases/tests/fleet/gateway/requests.rs
+++ b/crates/seat_leases/tests/fleet/gateway/requests.rs
@@ -2,6 +2,7 @@
 
 use super::{Health, Phase, BACKOFF_MS, DEAD_AFTER_MS, TICK_MS, TIMEOUT_MS, WORK_MS};
 use crate::fleet::network::Event;
+use crate::fleet::LATE_MS;
 use crate::fleet::{gateway_name, index_of, Fleet};
 use protocol::{LeaseOutcome, LeaseRelease, Message, RequestId, SeatLease};
 use rand::Rng;
@@ -35,6 +36,9 @@
         if runner.in_flight > runner.quota {
             self.outcomes.over_quota += 1;
         }
+        if runner.left_at.is_some_and(|at| self.now > at + LATE_MS) {
+            self.outcomes.late += 1;
+        }
         let event = Event::WorkDone {
             runner: lease.runner,
             gateway: index,
@@ -253,6 +257,8 @@
         };
         gateway.owner.tick(now);
         gateway.owner.set_acts_for(now, acts_for);
+        let hears_scaler = gateway.hears_scaler();
+        gateway.owner.set_scaler_heard(now, hears_scaler);
         let expired = gateway.relayed.take_expired(now);
         let is_reachable = |owner: &str| !suspects.contains(owner);
         let foreign = gateway.owner.take_foreign_waiting(now, is_reachable);
@@ -261,6 +267,7 @@
             self.relay(index, &owner, waiting);
         }
         self.run_actions(index);
+        self.report_to_scaler(index);
         self.move_waiting(index);
         let due = self.gateways[index].requests.iter().filter(
             |(_, request)| matches!(request.phase, Phase::Backoff { until } if until + BACKOFF_MS <= now),
--- a/crates/seat_leases/tests/fleet/mod.rs
+++ b/crates/seat_leases/tests/fleet/mod.rs
@@ -15,12 +15,14 @@
 use scaler::Scaler;
 use std::collections::BTreeMap;
 
-const BUSY_FUNCTIONS: usize = 12;
+pub const BUSY_FUNCTIONS: usize = 12;
 pub const REGIONS: usize = 3;
 /// Milliseconds between two turns of a gateway's periodic work.
 const TICK_MS: u64 = 50;
 /// Milliseconds of a request's work at its runner.
 const WORK_MS: std::ops::Range<u64> = 5..90;
+/// Milliseconds after which no request reaches a runner that the scaler knows to leave.
+const LATE_MS: u64 = 500;
 /// Milliseconds after which a request is given up.
 const TIMEOUT_MS: u64 = 3_000;
 
@@ -37,6 +39,8 @@
 pub struct Runner {
     pub quota: u32,
     pub in_flight: u32,
+    /// Since when the scaler knows that it leaves; none while it serves.
+    pub left_at: Option<u64>,
 }
 
 /// What came of the requests.
@@ -50,6 +54,8 @@
     pub over_quota: u64,
     /// Requests that were served though their gateway had to let another one pass them on.
     pub relayed: u64,
+    /// Requests that were sent to a runner long after it had left.
+    pub late: u64,
     /// When the last request arrived that timed out.
     pub last_timed_out_arrival: u64,
 }
@@ -86,6 +92,7 @@
                 let runner = Runner {
                     quota,
                     in_flight: 0,
+                    left_at: None,
                 };
                 runners.insert(runner_id(function, place), runner);
             }
@@ -148,8 +155,8 @@
             Event::Update {
                 to,
                 incarnation,
-                function,
-            } => self.update_received(to, incarnation, function),
+                update,
+            } => self.update_received(to, incarnation, update),
             Event::WorkDone {
                 runner,
                 gateway,
--- a/crates/seat_leases/tests/fleet/network.rs
+++ b/crates/seat_leases/tests/fleet/network.rs
@@ -1,6 +1,6 @@
 //! The network of the simulated fleet: messages on a link keep their order, and are lost with the link. A cut link holds what is sent.
 
-use protocol::Message;
+use protocol::{FunctionUpdate, Message};
 use seat_leases::OwnershipTable;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -21,11 +21,11 @@
         incarnation: u64,
         table: Arc<OwnershipTable>,
     },
-    /// The scaler tells an owner a function's runners.
+    /// The scaler tells a gateway a function's runners.
     Update {
         to: usize,
         incarnation: u64,
-        function: usize,
+        update: FunctionUpdate,
     },
     /// A runner has done a request's work.
     WorkDone {
--- a/crates/seat_leases/tests/fleet/scaler.rs
+++ b/crates/seat_leases/tests/fleet/scaler.rs
@@ -1,8 +1,8 @@
 //! The scaler of the simulated fleet: who is linked, the table that follows, and the runners of functions.
 
 use super::network::Event;
-use super::{gateway_name, index_of, Fleet, REGIONS};
-use protocol::{Member, UpdateVersion};
+use super::{function_name, gateway_name, index_of, runner_id, Fleet, REGIONS};
+use protocol::{FunctionUpdate, Member, RunnerStage, RunnerUpdate, UpdateVersion};
 use rand::Rng;
 use seat_leases::OwnershipTable;
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,6 +10,8 @@
 
 /// Milliseconds within which a suspected gateway answers a ping of the scaler.
 const PING_TIMEOUT_MS: u64 = 200;
+/// Number of the update that tells a function's runners first.
+const FIRST_UPDATE: u64 = 1;
 
 pub struct Scaler {
     term: u64,
@@ -20,9 +22,12 @@
     linked: BTreeMap<usize, u64>,
     leaving: BTreeSet<usize>,
     published: Vec<Member>,
-    /// When each gateway is told the last table.
+    /// When each gateway is told the last message.
     told_at: BTreeMap<usize, u64>,
     is_agreed: bool,
+    table: Option<Arc<OwnershipTable>>,
+    /// Number of the newest update of each function whose runners have changed.
+    updates: BTreeMap<usize, u64>,
 }
 
 impl Scaler {
@@ -36,6 +41,8 @@
             published: Vec::new(),
             told_at: BTreeMap::new(),
             is_agreed,
+            table: None,
+            updates: BTreeMap::new(),
         }
     }
 
@@ -108,18 +115,98 @@
                 }),
                 false => OwnershipTable::not_agreed(message.version, message.members.clone()),
             };
-            let last = self.scaler.told_at.get(&index).copied().unwrap_or(0);
-            let at = last.max(self.now + self.random.random_range(1..60));
-            self.scaler.told_at.insert(index, at);
+            let at = self.told_in_order(index);
+            let table = Arc::new(table);
+            self.scaler.table = Some(Arc::clone(&table));
             let event = Event::Table {
                 to: index,
                 incarnation,
-                table: Arc::new(table),
+                table,
             };
             self.network.schedule(at, event);
         }
     }
 
+    /// When a gateway is told what the scaler sends now: messages on its link keep their order.
+    fn told_in_order(&mut self, index: usize) -> u64 {
+        let last = self.scaler.told_at.get(&index).copied().unwrap_or(0);
+        let at = last.max(self.now + self.random.random_range(1..60));
+        self.scaler.told_at.insert(index, at);
+        at
+    }
+
+    /// The scaler learns that a runner leaves, or that it is back, and tells the function's owner.
+    pub fn runner_changes(&mut self, function: usize, place: usize, leaves: bool) {
+        let now = self.now;
+        let runner = self.runners.get_mut(&runner_id(function, place));
+        runner.expect("it is there").left_at = leaves.then_some(now);
+        *self.scaler.updates.entry(function).or_insert(FIRST_UPDATE) += 1;
+        let table = self.scaler.table.as_ref();
+        let owner = table.and_then(|table| table.owner_of(&function_name(function)));
+        if let Some(owner) = owner.map(|owner| index_of(&owner.name)) {
+            self.tell_update(owner, function);
+        }
+    }
+
+    fn tell_update(&mut self, index: usize, function: usize) {
+        let Some(&incarnation) = self.scaler.linked.get(&index) else {
+            return;
+        };
+        let update = self.function_update(function);
+        let at = self.told_in_order(index);
+        let event = Event::Update {
+            to: index,
+            incarnation,
+            update,
+        };
+        self.network.schedule(at, event);
+    }
+
+    fn function_update(&self, function: usize) -> FunctionUpdate {
+        let ids = (0..3).map(|place| runner_id(function, place));
+        let known = ids.filter_map(|id| Some((self.runners.get(&id)?, id)));
+        let runners = known.map(|(runner, id)| RunnerUpdate {
+            address: format!("{id}:1"),
+            zone: format!("zone-{}", function % REGIONS),
+            id,
+            quota: runner.quota,
+            stage: match runner.left_at {
+                None => RunnerStage::Serving,
+                Some(_) => RunnerStage::Draining,
+            },
+            starts_in_ms: 0,
+        });
+        FunctionUpdate {
+            function: function_name(function),
+            version: UpdateVersion {
+                term: 1,
+                number: self.update_number(function),
+            },
+            runners: runners.collect(),
+            start_block: None,
+        }
+    }
+
+    fn update_number(&self, function: usize) -> u64 {
+        let number = self.scaler.updates.get(&function);
+        number.copied().unwrap_or(FIRST_UPDATE)
+    }
+
+    /// A gateway reports its functions; it is told the runners of those of which it has an older list.
+    pub fn report_to_scaler(&mut self, index: usize) {
+        let gateway = &mut self.gateways[index];
+        if !gateway.answers_scaler() {
+            return;
+        }
+        for report in gateway.owner.reports(self.now, false) {
+            let function = report.function.trim_start_matches('f').parse();
+            let function = function.expect("a function's number");
+            if report.update_number != self.update_number(function) {
+                self.tell_update(index, function);
+            }
+        }
+    }
+
     /// Another scaler begins, which knows the gateways that are linked.
     pub fn begin_term(&mut self) {
         self.scaler.term += 1;
--- a/crates/seat_leases/tests/ownership_fleet.rs
+++ b/crates/seat_leases/tests/ownership_fleet.rs
@@ -5,10 +5,12 @@
 
 mod fleet;
 
-use fleet::{Fleet, FleetOptions};
+use fleet::{Fleet, FleetOptions, BUSY_FUNCTIONS};
 use rand::Rng;
 
 const REQUESTS_PER_SECOND: f64 = 500.0;
+/// Milliseconds for which a runner that leaves is away.
+const LEFT_FOR_MS: u64 = 7_000;
 /// Seeds that are played where nothing else is asked for.
 const SEEDS: u64 = 12;
 
@@ -130,6 +132,44 @@
     }
 }
 
+/// Gateways die and come back, some twice within seconds, others stop by plan, while one runner of a busy function after the other leaves and
+/// is back some time later. A scaler is there all the time.
+fn play_leaving_runners(fleet: &mut Fleet) {
+    let mut left: Vec<(usize, usize, u64)> = Vec::new();
+    for _ in 0..60 {
+        let now = fleet.now;
+        for (function, place, _) in left.extract_if(.., |(.., at)| *at + LEFT_FOR_MS <= now) {
+            fleet.runner_changes(function, place, false);
+        }
+        let function = fleet.random.random_range(0..BUSY_FUNCTIONS);
+        if !left.iter().any(|(other, ..)| *other == function) {
+            let place = fleet.random.random_range(0..3);
+            fleet.runner_changes(function, place, true);
+            left.push((function, place, fleet.now));
+        }
+        let up = fleet.up();
+        let index = up[fleet.random.random_range(0..up.len())];
+        if fleet.random.random_bool(0.3) {
+            fleet.terminate(index);
+            run(fleet, 400);
+        }
+        fleet.kill(index);
+        run(fleet, 150);
+        fleet.restart(index);
+        let again_after = fleet.random.random_range(50..2_500);
+        run(fleet, again_after);
+        if fleet.random.random_bool(0.5) && fleet.up().contains(&index) {
+            fleet.kill(index);
+            run(fleet, 100);
+            fleet.restart(index);
+        }
+        run(fleet, 60);
+    }
+    for (function, place, _) in left {
+        fleet.runner_changes(function, place, false);
+    }
+}
+
 /// Whatever is played, no runner gets more requests than its quota, and calm is served.
 fn assert_within_quotas(play: impl Fn(&mut Fleet)) {
     for seed in seeds() {
@@ -154,6 +194,16 @@
     assert_within_quotas(|fleet| play_cut_links(fleet, 20));
 }
 
+#[test]
+fn no_request_reaches_a_runner_long_after_it_left() {
+    for seed in seeds() {
+        let mut fleet = fleet(seed, 20, true);
+        play_leaving_runners(&mut fleet);
+        assert_eq!(fleet.outcomes.late, 0, "seed {seed}: {:?}", fleet.outcomes);
+        assert_calm_is_served(&mut fleet, seed);
+    }
+}
+
 #[test]
 fn lost_gateways_leave_no_request_behind() {
     let (mut sent, mut over_quota) = (0, 0);
--- a/crates/seat_leases/tests/runner_lists.rs
+++ b/crates/seat_leases/tests/runner_lists.rs
@@ -10,7 +10,7 @@
     FunctionHandover, LeaseOutcome, Member, OwnershipTable, RequestId, RunnerHandover,
     RunnerLeases, RunnerStage, RunnerUpdate, SeatHandover, UpdateVersion,
 };
-use seat_leases::LeaseOwner;
+use seat_leases::{LeaseAction, LeaseOwner};
 use std::sync::Arc;
 
 const ME: &str = "me";
@@ -147,6 +147,37 @@
     assert!(leases(&mut owner).is_empty());
 }
 
+/// The list of the function that an owner hands over to a gateway under a version.
+fn handed_over(owner: &mut LeaseOwner, to: &str, number: u64) -> FunctionHandover {
+    owner.take_actions();
+    owner.handover_requested(to, UpdateVersion { term: 1, number });
+    let actions = owner.take_actions().into_iter();
+    let mut functions = actions.filter_map(|action| match action {
+        LeaseAction::HandOver { handover, .. } => handover.functions.into_iter().next(),
+        _ => None,
+    });
+    functions.next().expect("the function is handed over")
+}
+
+#[test]
+fn a_list_is_handed_over_to_the_next_owner_and_to_no_later_one() {
+    let mut owner = owner_of_all();
+    let other = other_owner(true);
+    apply(&mut owner, 10, table(2, &[ME, &other], &[&other]));
+    let handed = handed_over(&mut owner, &other, 2);
+    assert_eq!(handed.version, UpdateVersion { term: 1, number: 1 });
+    // Another gateway changes nothing about the function.
+    let mut third = table(3, &[ME, &other, "third"], &["third"]);
+    third.leaving = vec!["third".into()];
+    apply(&mut owner, 20, third);
+    assert!(handed_over(&mut owner, &other, 3).is_confirmed());
+    // The next owner dies, and is there again as another incarnation, which asks all.
+    let mut again = table(4, &[ME, &other], &[&other]);
+    again.members[1].incarnation = 2;
+    apply(&mut owner, LATER, again);
+    assert!(!handed_over(&mut owner, &other, 4).is_confirmed());
+}
+
 #[test]
 fn a_runner_that_only_a_gateway_reports_gets_nothing_new_before_the_scaler_names_it() {
     let mut owner = LeaseOwner::new(ME, LeasingPolicy::default(), Topology::default());
