--- /dev/null
+++ b/tests/cluster/src/soak/disturbances.rs
@@ -0,0 +1,40 @@
+//! When machines were started, stopped, frozen or woken, and which are in touch: rules that are bound to a time hold for these alone.
+
+use super::fault::Target;
+use std::time::{Duration, Instant};
+
+/// Time without a disturbance of its own or of a controller after which a gateway is in touch.
+const IN_TOUCH: Duration = Duration::from_millis(2_000);
+
+/// The disturbances of a run, in order.
+#[derive(Clone, Debug)]
+pub struct Disturbances {
+    of_controllers: Vec<Instant>,
+    of_gateways: Vec<Vec<Instant>>,
+}
+
+impl Disturbances {
+    pub fn new(gateways: usize) -> Self {
+        Self {
+            of_controllers: Vec::new(),
+            of_gateways: vec![Vec::new(); gateways],
+        }
+    }
+
+    /// A machine is disturbed.
+    pub fn record(&mut self, target: Target, at: Instant) {
+        match target {
+            Target::Gateway(gateway) => self.of_gateways[gateway].push(at),
+            Target::Controller(_) => self.of_controllers.push(at),
+        }
+    }
+
+    /// Whether a gateway was in touch at a time.
+    pub fn is_in_touch(&self, gateway: usize, at: Instant) -> bool {
+        let is_calm = |disturbances: &[Instant]| {
+            let last = disturbances.iter().rev().find(|time| **time <= at);
+            last.is_none_or(|last| *last + IN_TOUCH <= at)
+        };
+        is_calm(&self.of_gateways[gateway]) && is_calm(&self.of_controllers)
+    }
+}
--- a/tests/cluster/src/soak/mod.rs
+++ b/tests/cluster/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //! differ a little, as the processes and sockets are real.
 
 mod calm;
+mod disturbances;
 pub mod drains;
 mod fault;
 mod injector;
