Seats: owners by the table are cached, and a doubted list is asked for by the owner alone

Reading the change once more: doubting a list marked its function as to be reported wherever it was known, so that gateways which do not own it would have reported as owners; and each table drew the owner of each known function two times more. The owner by the table is remembered until the next table, as the status is. Test: a_list_is_asked_for_by_the_functions_owner_alone.

--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -113,12 +113,10 @@
         self.report.mark_changed();
     }
 
-    /// The list of runners may be old. The scaler, to which it is reported as unknown, tells it anew.
+    /// The list of runners may be old. The scaler tells it anew once the function is reported, as one whose list is not known.
     pub fn doubt_runners(&mut self, now: u64) {
         self.list = ListConfirmation::doubted(now);
         self.start_block = None;
-        self.report.mark_changed();
-        self.report.mark_urgent();
     }
 
     /// Ids of the runners that serve here and get nothing new by a newer update.
--- a/crates/seat_leases/src/lease_owner/handover.rs
+++ b/crates/seat_leases/src/lease_owner/handover.rs
@@ -34,10 +34,11 @@
     }
 
     /// The owner of each function known here, by the table in force.
-    fn owners_of_known(&self) -> HashMap<String, Option<Member>> {
+    fn owners_of_known(&mut self) -> HashMap<String, Option<Member>> {
         let functions = self.functions.keys();
+        let ownership = &mut self.ownership;
         functions
-            .map(|function| (function.clone(), self.ownership.table_owner(function)))
+            .map(|function| (function.clone(), ownership.table_owner(function).cloned()))
             .collect()
     }
 
@@ -54,15 +55,19 @@
         let mut regained = 0;
         for (function, seats) in &mut self.functions {
             let former = former.get(function).and_then(Option::as_ref);
-            let current = self.ownership.table_owner(function);
+            let current = self.ownership.table_owner(function).cloned();
             let is_lost_here = former.is_some_and(|owner| self.ownership.is_me(owner)) && is_agreed;
             let is_kept = former == current.as_ref() || is_lost_here;
             if is_kept && !begins_anew {
                 continue;
             }
             seats.doubt_runners(now);
-            self.unreported.insert(function.clone());
-            regained += usize::from(current.is_some_and(|owner| self.ownership.is_me(&owner)));
+            if current.is_some_and(|owner| self.ownership.is_me(&owner)) {
+                regained += 1;
+                seats.report_state().mark_changed();
+                seats.report_state().mark_urgent();
+                self.unreported.insert(function.clone());
+            }
         }
         if regained > 0 {
             log::info!("gateway: functions regained functions={regained}");
--- a/crates/seat_leases/src/seat_ownership.rs
+++ b/crates/seat_leases/src/seat_ownership.rs
@@ -75,6 +75,8 @@
     unanswered: BTreeMap<String, UpdateVersion>,
     /// Status of functions, until any of the above changes.
     statuses: HashMap<String, SeatStatus>,
+    /// Owners of functions by the table, until that changes.
+    table_owners: HashMap<String, Option<Member>>,
 }
 
 impl SeatOwnership {
@@ -121,6 +123,7 @@
             || format!("version={version} former={former_version:?}"),
         );
         self.statuses.clear();
+        self.table_owners.clear();
         self.acts_for.clear();
         if !table.is_agreed() {
             self.transitions.clear();
@@ -264,8 +267,16 @@
     }
 
     /// The owner of a function by the table in force. Without an agreed table that is whom this gateway takes for its owner.
-    pub fn table_owner(&self, function: &str) -> Option<Member> {
-        self.table.as_ref()?.owner_of(function).cloned()
+    pub fn table_owner(&mut self, function: &str) -> Option<&Member> {
+        let table = self.table.as_ref()?;
+        if !self.table_owners.contains_key(function) {
+            if self.table_owners.len() >= STATUSES_MAX {
+                self.table_owners.clear();
+            }
+            let owner = table.owner_of(function).cloned();
+            self.table_owners.insert(function.into(), owner);
+        }
+        self.table_owners[function].as_ref()
     }
 
     /// Whether a member of the table is this gateway.
@@ -308,20 +319,23 @@
         &self.statuses[function]
     }
 
-    fn decide_status(&self, function: &str) -> SeatStatus {
-        let Some(name) = &self.name else {
+    fn decide_status(&mut self, function: &str) -> SeatStatus {
+        let Some(name) = self.name.clone() else {
             return SeatStatus::Owned;
         };
-        let Some(table) = &self.table else {
+        let Some(table) = self.table.clone() else {
             return SeatStatus::Unowned;
         };
         if !table.is_agreed() {
             return SeatStatus::Owned;
         }
-        let owner = table.owner_among(function, |member| !self.acts_for.contains(&member.name));
-        match owner {
+        let owner = match self.acts_for.is_empty() {
+            true => self.table_owner(function),
+            false => table.owner_among(function, |member| !self.acts_for.contains(&member.name)),
+        };
+        match owner.map(|owner| owner.name.clone()) {
             None => SeatStatus::Unowned,
-            Some(owner) if owner.name != *name => SeatStatus::OwnedBy(owner.name.clone()),
+            Some(owner) if owner != name => SeatStatus::OwnedBy(owner),
             Some(_) if self.awaits_handover_of(function) => SeatStatus::AwaitsHandover,
             Some(_) => SeatStatus::Owned,
         }
--- a/crates/seat_leases/tests/runner_lists.rs
+++ b/crates/seat_leases/tests/runner_lists.rs
@@ -283,3 +283,18 @@
     owner.tick(270);
     assert_eq!(leases(&mut owner), [(2, "r".to_string())]);
 }
+
+#[test]
+fn a_list_is_asked_for_by_the_functions_owner_alone() {
+    let mut owner = owner_of_all();
+    owner.reports(1_000, true);
+    let other = other_owner(true);
+    apply(&mut owner, 1_010, table(2, &[ME, &other], &[&other]));
+    // The other owner is there as another incarnation, so that the list here is old.
+    let mut again = table(3, &[ME, &other], &[&other]);
+    again.members[1].incarnation = 2;
+    apply(&mut owner, 1_020, again);
+    assert!(owner.reports(2_000, false).is_empty());
+    apply(&mut owner, 2_010, table(4, &[ME], &[]));
+    assert_eq!(owner.reports(2_020, false).len(), 1);
+}
