Seats: an older update confirms no doubted list; an idle, unconfirmed list is asked for first

Two gaps of the change, found by reading: doubting a list forgot its version, so that a late update of an earlier scaler would have confirmed it; and a list that a new scaler could not confirm yet was used at the next request seconds later, since its 250 ms were over long ago.

--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -102,10 +102,9 @@
 
     /// Takes the runners as the scaler wants them; an older update than the last is dropped.
     pub fn apply_update(&mut self, now: u64, update: FunctionUpdate, rules: &LeaseRules) {
-        if update.version < self.list.version() {
+        if !self.list.confirm(update.version) {
             return;
         }
-        self.list.confirm(update.version);
         let block = update.start_block;
         self.start_block = block.map(|block| ReceivedStartBlock::new(now, block));
         self.runners
@@ -115,10 +114,17 @@
 
     /// The list of runners may be old. The scaler tells it anew once the function is reported, as one whose list is not known.
     pub fn doubt_runners(&mut self, now: u64) {
-        self.list = ListConfirmation::doubted(now);
+        self.list.doubt(now);
         self.start_block = None;
     }
 
+    /// A request comes. Where nobody uses the function and its list of runners was not confirmed, that is asked for first.
+    pub fn doubt_unconfirmed_if_idle(&mut self, now: u64) {
+        if self.is_idle() && !self.list.is_confirmed() {
+            self.doubt_runners(now);
+        }
+    }
+
     /// Ids of the runners that serve here and get nothing new by a newer update.
     pub fn leaving_runners(&self, update: &FunctionUpdate) -> Vec<String> {
         if update.version < self.list.version() {
--- a/crates/seat_leases/src/function_seats/handover.rs
+++ b/crates/seat_leases/src/function_seats/handover.rs
@@ -11,10 +11,7 @@
 impl FunctionSeats {
     /// Takes the runners that the function's former owner hands over.
     pub fn adopt_runners(&mut self, now: u64, handover: &FunctionHandover, rules: &LeaseRules) {
-        let is_newer = handover.version > self.list.version();
-        if is_newer {
-            self.list.confirm(handover.version);
-        }
+        let is_newer = self.list.confirm_handed_over(handover.version);
         self.runners.adopt(now, handover, is_newer, &rules.policy);
     }
 
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -97,6 +97,7 @@
             // The scaler tells the owner alone of changes, so that the list may be old.
             seats.doubt_runners(now);
         }
+        seats.doubt_unconfirmed_if_idle(now);
         seats.touch(now);
         seats.record_arrival(zone, &request);
         if let Some(retry_after_ms) = seats.rejects(now, &request, &self.rules) {
--- a/crates/seat_leases/src/list_confirmation.rs
+++ b/crates/seat_leases/src/list_confirmation.rs
@@ -13,8 +13,8 @@
 /// The version of a function's list of runners, and whether it was confirmed since the function is owned here.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ListConfirmation {
-    /// Version of the scaler's last update; zero while the list is not confirmed.
-    version: UpdateVersion,
+    /// Newest version that was ever told here; an older one is no news, also where the list is doubted.
+    newest: UpdateVersion,
     is_confirmed: bool,
     doubted_at: u64,
 }
@@ -28,15 +28,35 @@
         }
     }
 
-    /// A list of this version is told by the scaler, or by an owner that it told.
-    pub fn confirm(&mut self, version: UpdateVersion) {
-        self.version = version;
-        self.is_confirmed = true;
+    /// The list may be old from now on.
+    pub fn doubt(&mut self, now: u64) {
+        self.is_confirmed = false;
+        self.doubted_at = now;
     }
 
-    /// Version of the list; zero while it is not confirmed, so that every other one is newer.
+    /// A list of this version is told by the scaler, or by an owner that it told. Returns whether it is in force.
+    pub fn confirm(&mut self, version: UpdateVersion) -> bool {
+        let is_accepted = version >= self.newest;
+        if is_accepted {
+            self.newest = version;
+            self.is_confirmed = true;
+        }
+        is_accepted
+    }
+
+    /// The same of an owner that hands over, whose list may be old: then it bears version zero. What the scaler has told here itself holds.
+    pub fn confirm_handed_over(&mut self, version: UpdateVersion) -> bool {
+        let is_old = version == UpdateVersion::default();
+        let is_known = self.is_confirmed && version <= self.newest;
+        !is_old && !is_known && self.confirm(version)
+    }
+
+    /// Version of the list; zero while it is not confirmed, so that the scaler tells it anew.
     pub fn version(&self) -> UpdateVersion {
-        self.version
+        match self.is_confirmed {
+            true => self.newest,
+            false => UpdateVersion::default(),
+        }
     }
 
     /// Whether runners that the list does not name have left.
--- a/crates/seat_leases/tests/runner_lists.rs
+++ b/crates/seat_leases/tests/runner_lists.rs
@@ -298,3 +298,30 @@
     apply(&mut owner, 2_010, table(4, &[ME], &[]));
     assert_eq!(owner.reports(2_020, false).len(), 1);
 }
+
+#[test]
+fn an_idle_function_whose_list_was_never_confirmed_waits_for_it_with_its_first_request() {
+    let mut owner = owner_of_all();
+    let other = other_owner(true);
+    apply(&mut owner, 10, table(2, &[ME, &other], &[&other]));
+    apply(&mut owner, 20, table(3, &[ME], &[]));
+    // The scaler has just begun and tells nothing; the function is used again later.
+    owner.request_lease(LATER, ME, "north", lease_request(2, 1));
+    assert!(leases(&mut owner).is_empty());
+    owner.tick(LATER + 250);
+    assert_eq!(leases(&mut owner), [(2, "r".to_string())]);
+}
+
+#[test]
+fn a_late_update_of_an_earlier_time_confirms_nothing() {
+    let mut owner = owner_of_all();
+    owner.update_runners(6, update(5, &[draining("r"), runner("s", "north", 2)]));
+    let other = other_owner(true);
+    apply(&mut owner, 10, table(2, &[ME, &other], &[&other]));
+    apply(&mut owner, LATER, table(3, &[ME], &[]));
+    owner.request_lease(LATER, ME, "north", lease_request(2, 1));
+    owner.update_runners(LATER, update(4, &[runner("r", "north", 2)]));
+    assert!(leases(&mut owner).is_empty());
+    owner.update_runners(LATER, update(5, &[draining("r"), runner("s", "north", 2)]));
+    assert_eq!(leases(&mut owner), [(2, "s".to_string())]);
+}
