--- a/crates/seat_leases/tests/runner_lists.rs
+++ b/crates/seat_leases/tests/runner_lists.rs
@@ -73,6 +73,16 @@
     }
 }
 
+/// A gateway has a request of this number at a runner.
+fn seat_in_use(runner: &str, request_id: u64) -> RunnerLeases {
+    RunnerLeases {
+        runner: runner.into(),
+        address: format!("{runner}:1"),
+        zone: "north".into(),
+        requests: vec![RequestId(request_id)],
+    }
+}
+
 /// An owner of all functions that knows one runner of two seats.
 fn owner_of_all() -> LeaseOwner {
     let mut owner = LeaseOwner::new(ME, LeasingPolicy::default(), Topology::default());
@@ -184,13 +194,7 @@
     let mut first = table(1, &[ME, "client"], &[ME, "client"]);
     first.leaving = vec!["client".into()];
     apply(&mut owner, 0, first);
-    let used = RunnerLeases {
-        runner: "r".into(),
-        address: "r:1".into(),
-        zone: "north".into(),
-        requests: vec![RequestId(7)],
-    };
-    owner.adopt_leases(0, "client", FUNCTION, &[used]);
+    owner.adopt_leases(0, "client", FUNCTION, &[seat_in_use("r", 7)]);
     assert_eq!(in_use(&owner, "r"), Some(1));
     owner.request_lease(1, ME, "north", lease_request(8, 1));
     owner.release(5, "client", &release(7, LeaseOutcome::Succeeded, 5));
@@ -202,13 +206,7 @@
 #[test]
 fn a_reported_runner_that_the_scaler_does_not_name_has_left() {
     let mut owner = owner_of_all();
-    let used = RunnerLeases {
-        runner: "gone".into(),
-        address: "gone:1".into(),
-        zone: "north".into(),
-        requests: vec![RequestId(7)],
-    };
-    owner.adopt_leases(10, ME, FUNCTION, &[used]);
+    owner.adopt_leases(10, ME, FUNCTION, &[seat_in_use("gone", 7)]);
     owner.release(15, ME, &release(7, LeaseOutcome::Succeeded, 5));
     for number in 2..6 {
         owner.request_lease(20, ME, "north", lease_request(number, 1));
@@ -224,13 +222,7 @@
     apply(&mut owner, 0, table(1, &[ME, &other], &[ME, &other]));
     owner.set_scaler_heard(0, false);
     owner.set_acts_for(0, [other].into());
-    let used = RunnerLeases {
-        runner: "r".into(),
-        address: "r:1".into(),
-        zone: "north".into(),
-        requests: vec![RequestId(7)],
-    };
-    owner.adopt_leases(0, ME, FUNCTION, &[used]);
+    owner.adopt_leases(0, ME, FUNCTION, &[seat_in_use("r", 7)]);
     owner.request_lease(1, ME, "north", lease_request(8, 1));
     owner.release(5, ME, &release(7, LeaseOutcome::Succeeded, 5));
     assert_eq!(request_ids(&mut owner), [8]);
