soak: gateways stand still in every second four of the seeds of the series

So that owners are taken for silent beside restarts, as on a machine that is full: SIGSTOP for 0.3 to 1.5 s each 0.4 to 1.5 s. Such runs are not judged as planned.

--- a/tests/cluster/src/soak/injector.rs
+++ b/tests/cluster/src/soak/injector.rs
@@ -211,6 +211,16 @@
         self.daemon(machine).runs() && self.intents[machine].terminated_at.is_none()
     }
 
+    /// A gateway's process stands still.
+    pub fn pause_gateway(&mut self, gateway: usize) {
+        self.freeze(self.index(Target::Gateway(gateway)));
+    }
+
+    /// It goes on.
+    pub fn resume_gateway(&mut self, gateway: usize) {
+        self.unfreeze(self.index(Target::Gateway(gateway)));
+    }
+
     /// Tells a gateway that its settings have changed.
     pub fn reload_gateway(&mut self, gateway: usize) {
         self.restore_settings(self.index(Target::Gateway(gateway)));
--- a/tests/cluster/src/soak/rolling/run.rs
+++ b/tests/cluster/src/soak/rolling/run.rs
@@ -1,7 +1,7 @@
 //! One run: the cluster is started, the series and traffic go on, and the promises are judged.
 
 use super::clients::RollingClient;
-use super::series::{kills_gateways, Series, Step};
+use super::series::{is_planned, Series, Step};
 use crate::operator::{configuration, route, service};
 use crate::simulated_cluster::SimulatedCluster;
 use crate::soak::drains::{self, LeavingRunner};
@@ -136,7 +136,7 @@
     let controllers = injector.cluster.control();
     let is_over = AtomicBool::new(false);
     let seed = series.seed;
-    if !kills_gateways(seed) {
+    if is_planned(seed) {
         ledger.begin_planned_work();
     }
     std::thread::scope(|scope| {
@@ -166,9 +166,17 @@
 fn play(injector: &mut Injector, series: &Series, ledger: &Ledger) {
     let started = Instant::now();
     let mut steps = series.steps.iter().peekable();
+    let mut paused: Vec<(Instant, usize)> = Vec::new();
     while started.elapsed() < series.length {
         while let Some(scheduled) = steps.next_if(|step| step.at <= started.elapsed()) {
             take_step(injector, scheduled.step, ledger);
+            if let Step::Pause(gateway, lasts) = scheduled.step {
+                paused.push((Instant::now() + lasts, gateway));
+            }
+        }
+        let now = Instant::now();
+        for (_, gateway) in paused.extract_if(.., |(until, _)| *until <= now) {
+            injector.resume_gateway(gateway);
         }
         injector.supervise();
         std::thread::sleep(SUPERVISION_INTERVAL);
@@ -188,6 +196,7 @@
                 injector.restart_controller(controller);
             }
         }
+        Step::Pause(gateway, _) => injector.pause_gateway(gateway),
         Step::Kill(gateway, lasts) => injector.kill_gateway(gateway, lasts),
         Step::Reload(gateway) => injector.reload_gateway(gateway),
         Step::DrainRunner(number) => drain_runner(injector, number),
--- a/tests/cluster/src/soak/rolling/series.rs
+++ b/tests/cluster/src/soak/rolling/series.rs
@@ -14,6 +14,9 @@
 const DRAIN_GAP_MS: Range<u64> = 200..700;
 const RELOAD_GAP_MS: Range<u64> = 700..2_500;
 const KILL_GAP_MS: Range<u64> = 700..2_500;
+const PAUSE_GAP_MS: Range<u64> = 400..1_500;
+/// Milliseconds for which a paused gateway stands still: some are taken for silent, others not.
+const PAUSE_LASTS_MS: Range<u64> = 300..1_500;
 const CONTROLLER_GAP_MS: Range<u64> = 3_000..6_000;
 /// Milliseconds for which a killed gateway is down.
 const KILL_LASTS_MS: Range<u64> = 50..900;
@@ -29,6 +32,8 @@
     RestartController(usize),
     /// The gateway is killed and started again after a while.
     Kill(usize, Duration),
+    /// The gateway's process stands still for a while.
+    Pause(usize, Duration),
     /// The gateway is told that its settings have changed.
     Reload(usize),
     /// A runner leaves; the number chooses it among those that run.
@@ -52,7 +57,7 @@
 
 impl Series {
     /// Draws the steps of a run. Odd seeds kill gateways too, each one twice; seeds that leave 2 or 3 after a division by four restart
-    /// controllers too.
+    /// controllers too; in every second four of them gateways stand still as well.
     pub fn draw(seed: u64, length: Duration, gateways: usize, controllers: usize) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
         let mut order: Vec<usize> = (0..gateways).collect();
@@ -82,6 +87,12 @@
         add(RELOAD_GAP_MS, &mut |_, random| {
             Step::Reload(random.random_range(0..gateways))
         });
+        if pauses_gateways(seed) {
+            add(PAUSE_GAP_MS, &mut |_, random| {
+                let lasts = draw_milliseconds(random, PAUSE_LASTS_MS);
+                Step::Pause(random.random_range(0..gateways), lasts)
+            });
+        }
         if seed % 4 >= 2 {
             add(CONTROLLER_GAP_MS, &mut |number, _| {
                 Step::RestartController(number % controllers)
@@ -106,11 +117,19 @@
     Duration::from_millis(random.random_range(range))
 }
 
-/// Whether a seed's run kills gateways too, so that not all that happens is planned.
-pub fn kills_gateways(seed: u64) -> bool {
+/// Whether all that happens in a seed's run is planned.
+pub fn is_planned(seed: u64) -> bool {
+    !kills_gateways(seed) && !pauses_gateways(seed)
+}
+
+fn kills_gateways(seed: u64) -> bool {
     seed % 2 == 1
 }
 
+fn pauses_gateways(seed: u64) -> bool {
+    seed % 8 >= 4
+}
+
 impl fmt::Display for Series {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let length = self.length.as_secs_f64();
