--- a/crates/seat_leases/tests/handover.rs
+++ b/crates/seat_leases/tests/handover.rs
@@ -275,6 +275,19 @@
     assert_eq!(request_ids(&mut owner), [2]);
 }
 
+#[test]
+fn a_report_that_does_not_name_a_lease_frees_no_seat_before_its_gateway_has_told() {
+    let mut owner = owner_of_all();
+    owner.request_lease(0, CLIENT, "north", lease_request(1, 1));
+    assert_eq!(request_ids(&mut owner), [1]);
+    // The report and the lease cross on their way.
+    owner.adopt_leases(0, CLIENT, FUNCTION, &[]);
+    assert!(asks_about(&owner.take_actions(), 1));
+    assert_eq!(in_use(&owner, "r"), Some(1));
+    owner.leases_ended(0, CLIENT, &[RequestId(1)]);
+    assert_eq!(in_use(&owner, "r"), Some(0));
+}
+
 #[test]
 fn a_request_that_waits_is_forgotten_with_the_link_of_its_gateway() {
     let mut owner = owner_of_all();
