--- a/crates/hallkeel/src/changes.rs
+++ b/crates/hallkeel/src/changes.rs
@@ -1,4 +1,5 @@
 use crate::cores::{ask, CliError, Cores};
+use crate::fronts::KnownFronts;
 use oxhttp::model::Method;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -163,11 +164,7 @@
 
 /// Tells a front to drain and stop.
 pub fn drain(cores: &Cores, name: &str) -> Result<(), CliError> {
-    let status = cores.ask_good(Method::GET, "/status", &[])?;
-    let fronts = status["fronts"].as_array().cloned().unwrap_or_default();
-    let found = fronts.iter().find(|front| front["name"] == name);
-    let address: Option<SocketAddr> = found.and_then(|front| front["http"].as_str()?.parse().ok());
-    let Some(address) = address else {
+    let Some(address) = KnownFronts::ask(cores)?.address_of(name) else {
         return Err(CliError::Input(format!("no front {name:?} is known")));
     };
     match ask(Method::POST, address, "/drain", &[]) {
--- a/crates/hallkeel/src/cores.rs
+++ b/crates/hallkeel/src/cores.rs
@@ -1,3 +1,4 @@
+use crate::fronts::CoreAnswer;
 use oxhttp::model::Method;
 use serde_json::Value;
 use std::fmt;
@@ -64,6 +65,12 @@
     Some((answer.status, reported))
 }
 
+/// What a daemon tells at a path; none where it does not answer or refuses.
+pub fn ask_for_state(address: SocketAddr, path: &str) -> Option<Value> {
+    let (status, reported) = ask(Method::GET, address, path, &[])?;
+    (status == 200).then_some(reported)
+}
+
 impl Cores {
     pub fn new(addresses: Vec<SocketAddr>) -> Result<Self, CliError> {
         if addresses.is_empty() {
@@ -73,10 +80,6 @@
         Ok(Self { addresses })
     }
 
-    pub fn addresses(&self) -> &[SocketAddr] {
-        &self.addresses
-    }
-
     /// Asks the cores one after the other until one answers other than that it cannot. While the
     /// duty is between two cores none can tell what it decides, so they are asked again.
     pub fn ask(&self, method: Method, path: &str, body: &[u8]) -> Result<(u16, Value), CliError> {
@@ -90,6 +93,30 @@
         self.ask_once(&method, path, body)
     }
 
+    /// What each core tells of itself; an error where none answers.
+    pub fn statuses(&self) -> Result<Vec<CoreAnswer>, CliError> {
+        let statuses = self.ask_all("/status");
+        if statuses.iter().all(|(_, status)| status.is_none()) {
+            return Err(CliError::Unreached("no core answered".into()));
+        }
+        Ok(statuses)
+    }
+
+    /// Asks all cores at the same time, so that one that does not answer holds up no other.
+    pub fn ask_all(&self, path: &str) -> Vec<CoreAnswer> {
+        thread::scope(|scope| {
+            let asked: Vec<_> = self
+                .addresses
+                .iter()
+                .map(|address| (*address, scope.spawn(|| ask_for_state(*address, path))))
+                .collect();
+            asked
+                .into_iter()
+                .map(|(address, answer)| (address, answer.join().unwrap_or(None)))
+                .collect()
+        })
+    }
+
     fn ask_once(&self, method: &Method, path: &str, body: &[u8]) -> Result<(u16, Value), CliError> {
         let mut last = None;
         for address in &self.addresses {
--- a/crates/hallkeel/src/main.rs
+++ b/crates/hallkeel/src/main.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod cores;
 mod fleet;
+mod fronts;
 mod show;
 
 use clap::{Parser, Subcommand};
--- a/crates/hallkeel/src/show.rs
+++ b/crates/hallkeel/src/show.rs
@@ -1,7 +1,7 @@
-use crate::cores::{ask, CliError, Cores};
+use crate::cores::{ask_for_state, CliError, Cores};
+use crate::fronts::{CoreAnswer, KnownFronts};
 use oxhttp::model::Method;
 use serde_json::{json, Value};
-use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
@@ -10,31 +10,24 @@
 
 /// Everything that the daemons tell of themselves.
 struct Fleet {
-    cores: Vec<(SocketAddr, Option<Value>)>,
+    cores: Vec<CoreAnswer>,
     fronts: Vec<(String, Option<Value>)>,
 }
 
 fn look(cores: &Cores, path: &str) -> Result<Fleet, CliError> {
-    let reported = |address: SocketAddr, path: &str| {
-        let answer = ask(Method::GET, address, path, &[]);
-        answer
-            .filter(|(status, _)| *status == 200)
-            .map(|(_, reported)| reported)
-    };
-    let status = cores.ask_good(Method::GET, "/status", &[])?;
-    let asked = cores.addresses().iter();
-    let core_lines = asked
-        .map(|address| (*address, reported(*address, path)))
-        .collect();
-    let fronts = status["fronts"].as_array().cloned().unwrap_or_default();
-    let front_lines = fronts.iter().map(|front| {
-        let name = front["name"].as_str().unwrap_or("?").to_string();
-        let address = front["http"].as_str().and_then(|text| text.parse().ok());
-        (name, address.and_then(|address| reported(address, path)))
+    let statuses = cores.statuses()?;
+    let known = KnownFronts::from_statuses(&statuses);
+    let fronts = known.addresses().map(|(name, address)| {
+        let reported = address.and_then(|address| ask_for_state(address, path));
+        (name.clone(), reported)
     });
     Ok(Fleet {
-        cores: core_lines,
-        fronts: front_lines.collect(),
+        fronts: fronts.collect(),
+        cores: if path == "/status" {
+            statuses
+        } else {
+            cores.ask_all(path)
+        },
     })
 }
 
--- a/crates/hallkeel/tests/newly_started_core.rs
+++ b/crates/hallkeel/tests/newly_started_core.rs
@@ -119,3 +119,11 @@
     let output = hallkeel(&cores, &["drain", "front-2"]);
     assert_eq!(output.status.code(), Some(2), "{}", text_of(&output));
 }
+
+#[test]
+fn a_fleet_whose_cores_do_not_answer_is_unreached() {
+    for arguments in [["drain", "front-2"].as_slice(), &["status"], &["metrics"]] {
+        let output = hallkeel(&[free_address()], arguments);
+        assert_eq!(output.status.code(), Some(3), "{}", text_of(&output));
+    }
+}
