Seat leases: one eviction time, and the owner without an agreed table is drawn once

Two constants of the same name held the time after which a function of another owner is evicted. A request in a fleet without agreed tables had the owner drawn anew for each request; the table's owners are remembered, as they are elsewhere.

--- a/crates/seat_leases/src/lease_owner/reporting.rs
+++ b/crates/seat_leases/src/lease_owner/reporting.rs
@@ -1,13 +1,10 @@
 //! What an owner of seats reports: to the scaler about functions, and to its gateway about usage.
 
-use super::LeaseOwner;
+use super::{LeaseOwner, EVICTION_AFTER_MS};
 use crate::action::{LeaseSnapshot, OwnerSnapshot, OwnerUsage, RunnerUsage};
 use crate::lease_holder::LeaseHolder;
 use protocol::{FunctionReport, RequestId};
 
-/// Milliseconds after which a function that another gateway owns, and that nobody uses here, is evicted.
-const EVICTION_AFTER_MS: u64 = 4_000;
-
 impl LeaseOwner {
     /// Takes the reports that are due. `is_all` takes those of all functions, as after a new scaler was met.
     pub fn reports(&mut self, now: u64, is_all: bool) -> Vec<FunctionReport> {
--- a/crates/seat_leases/src/seat_ownership.rs
+++ b/crates/seat_leases/src/seat_ownership.rs
@@ -106,10 +106,13 @@
     }
 
     /// Whether this gateway leases a function's seats though the table, which is not agreed, gives them to another one.
-    pub fn is_in_place_of_owner(&self, function: &str) -> bool {
-        let table = self.table.as_ref();
-        let is_free = self.name.is_some() && table.is_some_and(|table| !table.is_agreed());
-        is_free && !self.is_assigned(function)
+    pub fn is_in_place_of_owner(&mut self, function: &str) -> bool {
+        let is_agreed = self.table.as_ref().is_none_or(|table| table.is_agreed());
+        let Some(name) = self.name.clone().filter(|_| !is_agreed) else {
+            return false;
+        };
+        let owner = self.table_owner(function);
+        owner.is_none_or(|owner| owner.name != name)
     }
 
     /// Applies a newer table. Returns the members that are to be asked for a hand-over under its version.
