Requests that every runner of their function failed go to one of them again

Cause: a retried request is kept from the runners that failed it unless the function has but one runner. Runners that leave, are gone, have no seats, or stand in an evacuated zone or a region that the request must not enter counted as others to wait for, and two runners that had both failed a request left none. Such a request waited until its time was over and ended with 504 beside free seats. Excluded: the break-off of overdue attempts alone; it stays and accounts for what is left. Change: a runner that failed a request is avoided while another one serves with seats, or starts, where the request may run (RunnerSet::usable). An overdue attempt is broken off only where another attempt may follow.

--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -50,7 +50,9 @@
         if !is_same_attempt || request.downstream.is_none() {
             return;
         }
-        if !self.retry_budgets.has_balance(&request.function) {
+        // Without another attempt there is nothing to be gained by ending this one.
+        let may_retry = request.may_be_retried(self.now);
+        if !may_retry || !self.retry_budgets.has_balance(&request.function) {
             return;
         }
         let (connection, runner) = (attempt.connection, attempt.runner.clone());
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -317,8 +317,9 @@
     }
 
     fn has_free_seat(&self, now: u64, rules: &LeaseRules, demand: &RunnerDemand<'_>) -> bool {
-        let mut free = self.runners.free_places(now, rules).into_iter();
-        free.any(|place| self.runners.may_use(place, demand, rules))
+        let free = self.runners.free_places(now, rules);
+        let has_usable = self.runners.usable(&free, demand, rules).next().is_some();
+        has_usable
     }
 
     /// Milliseconds after which a request is to come back that nothing can serve before its deadline; none where a
--- a/crates/seat_leases/src/runner_set.rs
+++ b/crates/seat_leases/src/runner_set.rs
@@ -22,6 +22,12 @@
     pub allowed_regions: &'a [String],
 }
 
+impl RunnerDemand<'_> {
+    fn excludes(&self, runner: &SeatRunner) -> bool {
+        self.excluded.iter().any(|id| id == runner.id())
+    }
+}
+
 /// The runners of one function.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RunnerSet {
@@ -170,13 +176,30 @@
         (0..self.runners.len()).filter(is_free).collect()
     }
 
-    /// Whether a request may use a runner: it stands in a region that the request may enter, and did not fail the request before,
-    /// or there is no other.
-    pub fn may_use(&self, place: usize, demand: &RunnerDemand<'_>, rules: &LeaseRules) -> bool {
-        let runner = &self.runners[place];
-        let has_failed_it = demand.excluded.iter().any(|one| one == runner.id());
-        let is_left = !has_failed_it || self.runners.len() == 1;
-        is_left && rules.allows(demand.allowed_regions, runner.zone())
+    /// Of these places those that a request may use: in a region that it may enter, and not at a runner that failed it while
+    /// there is another one to wait for.
+    pub fn usable<'a>(
+        &'a self,
+        places: &'a [usize],
+        demand: &'a RunnerDemand<'a>,
+        rules: &'a LeaseRules,
+    ) -> impl Iterator<Item = usize> + 'a {
+        let avoids_excluded = !demand.excluded.is_empty() && self.has_alternative(demand, rules);
+        places.iter().copied().filter(move |place| {
+            let runner = &self.runners[*place];
+            let is_avoided = avoids_excluded && demand.excludes(runner);
+            !is_avoided && rules.allows(demand.allowed_regions, runner.zone())
+        })
+    }
+
+    /// Whether a runner that did not fail a request serves, or may come up, where the request may run.
+    fn has_alternative(&self, demand: &RunnerDemand<'_>, rules: &LeaseRules) -> bool {
+        let mut runners = self.within(demand.allowed_regions, rules);
+        runners.any(|runner| {
+            let is_evacuated = rules.evacuated_zones.contains(runner.zone());
+            let has_seats = runner.is_serving() && runner.quota() > 0;
+            (has_seats || runner.is_starting()) && !is_evacuated && !demand.excludes(runner)
+        })
     }
 
     /// Of these places the one that costs a request of this zone least.
@@ -187,10 +210,9 @@
         demand: &RunnerDemand<'_>,
         rules: &LeaseRules,
     ) -> Option<usize> {
-        let usable = places.iter().copied();
-        let usable = usable.filter(|place| self.may_use(*place, demand, rules));
         let mean_ms = self.mean_response_ms();
         let cost = |place: usize| self.cost(place, zone, rules, mean_ms);
+        let usable = self.usable(places, demand, rules);
         usable.min_by(|one, other| cost(*one).total_cmp(&cost(*other)))
     }
 
