Fronts settle claims late by what stands in the register

Cause: an end of a claim that no majority of voters took within a third of the lease was logged and forgotten, so that later requests with the key were told `in-progress` until the key aged out. A claim of which it was not known whether it was committed was freed later by its version alone; another front's claim may bear that version, and its work would have run again. The second in reading; not seen to happen. Change: UnsettledClaim: the register is read, and only the front's own claim (front, incarnation, request, digest) is replaced. Ends that were not taken go the same way as claims that are given back; a drain waits for both, as it did for the latter.

--- a/crates/front/src/callers.rs
+++ b/crates/front/src/callers.rs
@@ -1,4 +1,4 @@
-use crate::claims::Claimed;
+use crate::claims::{Claimed, HeldClaim};
 use crate::continuations::{Call, CallOutcome};
 use crate::operators;
 use crate::shared::{refusal_words, Shared};
@@ -170,7 +170,7 @@
     let claimed = match &key {
         None => None,
         Some((_, key)) => match claim(shared, key, slot, &digest, budget_end) {
-            Ok(version) => Some((key, version)),
+            Ok(held) => Some((key, held)),
             Err(response) => {
                 shared.continuations.abandon(slot);
                 return Err(response);
@@ -199,8 +199,8 @@
         };
     }
     let end = end.unwrap_or(CallOutcome::Failed("answer-lost"));
-    if let Some((key, version)) = claimed {
-        note_claim(shared, key, version, &digest, &end);
+    if let Some((key, held)) = claimed {
+        note_claim(shared, key, held, &digest, &end);
     }
     Ok(respond(shared, end))
 }
@@ -211,12 +211,12 @@
     slot: u64,
     digest: &str,
     budget_end: u64,
-) -> Result<u64, Box<Response<Body>>> {
+) -> Result<HeldClaim, Box<Response<Body>>> {
     let bounds = &shared.configuration.load().bounds;
     let most = bounds.lease_ms();
     let timeout = Duration::from_millis(budget_end.saturating_sub(now_ms()).min(most));
     match shared.claim_store.claim(key, slot, digest, timeout) {
-        Claimed::Ours(version) => Ok(version),
+        Claimed::Ours(held) => Ok(held),
         Claimed::AgedOut => Err(Box::new(outcome(
             409,
             "unknown",
@@ -261,14 +261,14 @@
 fn note_claim(
     shared: &Shared,
     key: &IdempotencyKey,
-    version: u64,
+    held: HeldClaim,
     digest: &str,
     end: &CallOutcome,
 ) {
     let digest = digest.to_string();
     let timeout = Duration::from_millis(shared.configuration.load().bounds.lease_ms() / 3);
     let claim = match end {
-        CallOutcome::Refused(_) => return shared.claim_store.free(key, version, timeout),
+        CallOutcome::Refused(_) => return shared.claim_store.free(key, held, timeout),
         CallOutcome::Failed(_) => Claim::Unknown { digest },
         CallOutcome::Answered {
             status,
@@ -281,7 +281,7 @@
             body: Some(body.clone()),
         },
     };
-    shared.claim_store.note(key, version, claim, timeout);
+    shared.claim_store.note(key, held, claim, timeout);
 }
 
 fn turned_away(shared: &Shared, rejection: Rejection) -> Box<Response<Body>> {
--- a/crates/front/src/claims.rs
+++ b/crates/front/src/claims.rs
@@ -1,3 +1,4 @@
+use crate::unsettled_claims::UnsettledClaim;
 use arc_swap::ArcSwap;
 use configuration::PeerRef;
 use crossbeam::channel::{bounded, Receiver, Sender};
@@ -15,7 +16,13 @@
 
 /// Largest answer that is kept with a claim, in bytes.
 const MAX_STORED_BODY_BYTES: usize = 32 * 1024;
-const MAX_ABANDONED_CLAIMS: usize = 10_000;
+/// Claims of which the end is still to be written.
+const MAX_UNSETTLED_CLAIMS: usize = 10_000;
+/// Unsettled claims up to which answers are kept with them.
+const MAX_UNSETTLED_BODIES: usize = 500;
+/// Longest time for one try to settle a claim, and the pause before the next one where it failed.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(2);
+const SETTLE_PAUSE: Duration = Duration::from_millis(200);
 /// Pauses within a claim's time while the set of voters changes.
 const SET_PAUSES: u32 = 50;
 /// Claims that a front remembers.
@@ -25,8 +32,8 @@
 
 /// What asking for a claim gave.
 pub enum Claimed {
-    /// This request alone may send the work; the version of its claim goes with it.
-    Ours(u64),
+    /// This request alone may send the work.
+    Ours(HeldClaim),
     /// Another request has or had the key.
     Theirs(Claim),
     /// The key is older than what the ledger knows, so it is not claimed any more.
@@ -35,6 +42,12 @@
     Shut,
 }
 
+/// A claim that is committed.
+pub struct HeldClaim {
+    version: u64,
+    taken: Claim,
+}
+
 /// Claims of this front that it still knows, for voters that lose theirs.
 #[derive(Default)]
 struct RememberedClaims {
@@ -81,12 +94,9 @@
     me: PeerRef,
     remembered: Mutex<RememberedClaims>,
     links: Arc<Links>,
-    abandoned_claims: (Sender<AbandonedClaim>, Receiver<AbandonedClaim>),
+    unsettled: (Sender<UnsettledClaim>, Receiver<UnsettledClaim>),
 }
 
-/// Register and version of a claim of which nothing was sent.
-type AbandonedClaim = (String, u64);
-
 fn bytes_of(claim: &Claim) -> Vec<u8> {
     claim.write_to_vec().unwrap_or_default()
 }
@@ -99,7 +109,7 @@
             remembered: Mutex::default(),
             links,
             set: ArcSwap::default(),
-            abandoned_claims: bounded(MAX_ABANDONED_CLAIMS),
+            unsettled: bounded(MAX_UNSETTLED_CLAIMS),
         }
     }
 
@@ -138,18 +148,22 @@
     }
 
     fn write(&self, key: &str, expected: u64, claim: &Claim, budget: Duration) -> ChangeOutcome {
+        let bytes = bytes_of(claim);
+        self.change(key, Change::Write { expected, bytes }, budget)
+    }
+
+    fn change(&self, key: &str, change: Change, budget: Duration) -> ChangeOutcome {
         let set = self.set.load_full();
         if set.epoch == 0 {
             return ChangeOutcome::NoQuorum("no voters are known yet".into());
         }
-        let bytes = bytes_of(claim);
-        let change = Change::Write {
-            expected,
-            bytes: bytes.clone(),
-        };
+        let is_write = matches!(change, Change::Write { .. });
         let outcome = self.client.change(&set, key, change, budget);
-        if let ChangeOutcome::Committed(stored) = &outcome {
-            self.remembered.lock().note(key, stored.version, bytes);
+        if let ChangeOutcome::Committed(stored) = outcome.clone() {
+            if is_write {
+                let mut remembered = self.remembered.lock();
+                remembered.note(key, stored.version, stored.bytes);
+            }
         }
         if let ChangeOutcome::SetMismatch(set) = &outcome {
             self.learn_set(set);
@@ -175,7 +189,12 @@
         while Instant::now() < end {
             let left = end.saturating_duration_since(Instant::now());
             match self.write(&key.register, expected, &claim, left) {
-                ChangeOutcome::Committed(stored) => return Claimed::Ours(stored.version),
+                ChangeOutcome::Committed(stored) => {
+                    return Claimed::Ours(HeldClaim {
+                        version: stored.version,
+                        taken: claim,
+                    });
+                }
                 ChangeOutcome::Conflict(stored) => match Claim::read_from_buffer(&stored.bytes) {
                     Ok(Claim::Free) => expected = stored.version,
                     Ok(claim) => return Claimed::Theirs(claim),
@@ -185,7 +204,7 @@
                 ChangeOutcome::SetMismatch(_) => thread::sleep(budget / SET_PAUSES),
                 ChangeOutcome::Expired => return self.recall(&key.register),
                 ChangeOutcome::Indeterminate => {
-                    self.leave_over(&key.register, expected + 1);
+                    self.settle_later(&key.register, claim, Claim::Free);
                     return Claimed::Shut;
                 }
                 _ => return Claimed::Shut,
@@ -204,54 +223,65 @@
         }
     }
 
-    fn leave_over(&self, register: &str, version: u64) {
-        let _ = self
-            .abandoned_claims
-            .0
-            .try_send((register.to_string(), version));
+    /// Keeps a claim whose end could not be written. Where many wait, their answers are not kept.
+    fn settle_later(&self, register: &str, taken: Claim, mut end: Claim) {
+        if self.unsettled.0.len() >= MAX_UNSETTLED_BODIES {
+            drop_body(&mut end);
+        }
+        let unsettled = UnsettledClaim {
+            register: register.to_string(),
+            taken,
+            end,
+        };
+        let _ = self.unsettled.0.try_send(unsettled);
     }
 
     /// Gives a claim back, of which nothing was sent, so that the caller may ask elsewhere as soon as
     /// it is known. Where voters do not answer now it is done later.
-    pub fn free(&self, key: &IdempotencyKey, version: u64, budget: Duration) {
-        match self.write(&key.register, version, &Claim::Free, budget) {
-            ChangeOutcome::Committed(_) | ChangeOutcome::Conflict(_) => {}
-            _ => self.leave_over(&key.register, version),
-        }
+    pub fn free(&self, key: &IdempotencyKey, held: HeldClaim, budget: Duration) {
+        self.end(key, held, Claim::Free, budget);
     }
 
-    /// Whether claims are still to be given back.
-    pub fn has_leftovers(&self) -> bool {
-        !self.abandoned_claims.1.is_empty()
+    /// Whether claims are still to be settled.
+    pub fn has_unsettled(&self) -> bool {
+        !self.unsettled.1.is_empty()
     }
 
-    /// Notes the answer, or that it was lost.
-    pub fn note(&self, key: &IdempotencyKey, version: u64, mut claim: Claim, budget: Duration) {
-        if let Claim::Done { body, .. } = &mut claim {
-            if body
-                .as_ref()
-                .is_some_and(|bytes| bytes.len() > MAX_STORED_BODY_BYTES)
-            {
-                *body = None;
+    /// Notes the answer, or that it was lost. Where voters do not answer now it is done later.
+    pub fn note(&self, key: &IdempotencyKey, held: HeldClaim, mut claim: Claim, budget: Duration) {
+        if let Claim::Done {
+            body: Some(bytes), ..
+        } = &claim
+        {
+            if bytes.len() > MAX_STORED_BODY_BYTES {
+                drop_body(&mut claim);
             }
         }
-        let outcome = self.write(&key.register, version, &claim, budget);
+        self.end(key, held, claim, budget);
+    }
+
+    fn end(&self, key: &IdempotencyKey, held: HeldClaim, end: Claim, budget: Duration) {
+        let outcome = self.write(&key.register, held.version, &end, budget);
         if !matches!(outcome, ChangeOutcome::Committed(_)) {
-            log::warn!("front: the answer under a key was not noted: {outcome:?}");
+            log::warn!("front: the end of a claim was not taken, it is settled later: {outcome:?}");
+            self.settle_later(&key.register, held.taken, end);
         }
     }
 
-    /// Frees claims of which nothing was sent, until the process ends.
-    pub fn free_leftovers(&self) {
-        for (register, version) in &self.abandoned_claims.1 {
-            let timeout = Duration::from_secs(2);
-            match self.write(&register, version, &Claim::Free, timeout) {
-                ChangeOutcome::Committed(_) | ChangeOutcome::Conflict(_) => {}
-                _ => {
-                    self.leave_over(&register, version);
-                    thread::sleep(Duration::from_millis(200));
-                }
+    /// Settles claims whose end could not be written, until the process ends.
+    pub fn settle_claims(&self) {
+        for unsettled in &self.unsettled.1 {
+            let register = &unsettled.register;
+            if !unsettled.settle(|change| self.change(register, change, SETTLE_TIMEOUT)) {
+                let _ = self.unsettled.0.try_send(unsettled);
+                thread::sleep(SETTLE_PAUSE);
             }
         }
     }
 }
+
+fn drop_body(claim: &mut Claim) {
+    if let Claim::Done { body, .. } = claim {
+        *body = None;
+    }
+}
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -7,8 +7,13 @@
 mod operators;
 mod peer_view;
 mod shared;
+mod unsettled_claims;
 mod update;
 
+#[cfg(test)]
+#[path = "../tests/unit/unsettled_claims.rs"]
+mod unsettled_claims_tests;
+
 use clap::Parser;
 use configuration::{read_settings, DaemonSettingsError, FrontSettings};
 use serde::Serialize;
--- a/crates/front/src/operators.rs
+++ b/crates/front/src/operators.rs
@@ -111,7 +111,7 @@
         < now_ms();
     shared.handling.load(Ordering::SeqCst) == 0
         && answers_have_left
-        && !shared.claim_store.has_leftovers()
+        && !shared.claim_store.has_unsettled()
 }
 
 /// Longest time that a drain may take when cores cannot move its runners away.
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -209,7 +209,7 @@
     spawn("front-views", move || peer_view::keep(&peer_view))?;
     let claim_store = shared.clone();
     spawn("front-ledger", move || {
-        claim_store.claim_store.free_leftovers()
+        claim_store.claim_store.settle_claims()
     })?;
     callers::serve(&shared)?;
     log::info!(
