Soak: a process that has ended and is held by its disk is told apart

Excluded: a loop that is held up (the thread that ends the process by force would have logged), and freezing (no controller is frozen). Changes: a controller that ends while its disk works logs it; the soak prints and waits for a process whose main thread is a zombie and whose other threads are in uninterruptible calls, and reports any other as before (a running and a stopped process are tested as such).

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -54,9 +54,20 @@
     let signals = Signals::register()?;
     let mut controller = Controller::open(options)?;
     run_loop(&mut controller, &signals);
+    controller.report_unfinished_disk_work();
     Ok(())
 }
 
+impl Controller {
+    /// The system ends a process only once its calls of the disk have returned, so that a disk that stalls keeps it.
+    fn report_unfinished_disk_work(&self) {
+        let bytes = self.disk.unfinished_bytes();
+        if bytes > 0 {
+            log::warn!("controller: disk busy at the end bytes={bytes}");
+        }
+    }
+}
+
 impl Daemon for Controller {
     fn update_clock(&mut self) {
         self.now = self.clock.now();
--- a/crates/controller/src/disk_thread.rs
+++ b/crates/controller/src/disk_thread.rs
@@ -82,6 +82,11 @@
         let _ = self.work.send(work);
     }
 
+    /// Bytes of work that was handed over and is not done.
+    pub fn unfinished_bytes(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
     /// Work that is done or was refused since the last call.
     pub fn take_completions(&mut self) -> Vec<DiskCompletion> {
         let refused = self.refused.drain(..);
--- a/tests/cluster/src/lib.rs
+++ b/tests/cluster/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod operator;
 pub mod paths;
 pub mod platform;
+pub mod process_state;
 pub mod relay;
 pub mod request_log;
 pub mod runner;
--- /dev/null
+++ b/tests/cluster/tests/process_state.rs
@@ -0,0 +1,36 @@
+//! What tells a process that has not ended from one that the system holds.
+
+use cluster::process_state::{is_held_by_system, state_of};
+use std::process::{Command, Stdio};
+
+#[test]
+fn the_state_follows_the_name_whatever_is_in_it() {
+    assert_eq!(state_of("12 (hallkeel-contr) S 1 12 12"), Some('S'));
+    assert_eq!(state_of("12 (a) D (b)) Z 1 12 12"), Some('Z'));
+    assert_eq!(state_of("12"), None);
+}
+
+#[test]
+fn a_process_that_runs_is_not_held() {
+    let mut child = Command::new("sleep").arg("60").spawn().unwrap();
+    assert!(!is_held_by_system(child.id()));
+    child.kill().unwrap();
+    child.wait().unwrap();
+    assert!(!is_held_by_system(child.id()));
+}
+
+#[test]
+fn a_process_that_stands_still_is_not_held() {
+    let mut child = Command::new("sleep")
+        .arg("60")
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    let stopped = Command::new("kill")
+        .args(["-STOP", &child.id().to_string()])
+        .status();
+    assert!(stopped.unwrap().success());
+    assert!(!is_held_by_system(child.id()));
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
