--- a/tests/cluster/src/bin/hallkeel-soak.rs
+++ b/tests/cluster/src/bin/hallkeel-soak.rs
@@ -114,12 +114,17 @@
 }
 
 fn print_rolling(report: &RollingReport) {
+    let outcomes: Vec<String> = report
+        .outcomes
+        .iter()
+        .map(|(outcome, count)| format!("{outcome}: {count}"))
+        .collect();
     println!(
-        "rolling seed {}: {} steps, {} requests, {} good, {} runners left, {} changes, {} findings",
+        "rolling seed {}: {} steps, {} requests ({}), {} runners left, {} changes, {} findings",
         report.series.seed,
         report.series.steps.len(),
         report.requests,
-        report.answered,
+        outcomes.join(", "),
         report.leaving_runners,
         report.changes,
         report.findings.len()
--- a/tests/cluster/src/soak/ledger.rs
+++ b/tests/cluster/src/soak/ledger.rs
@@ -20,6 +20,19 @@
     NotConnected,
 }
 
+impl ClientOutcome {
+    /// What a summary counts it as.
+    pub fn label(&self) -> String {
+        match self {
+            Self::Answered(status) => status.to_string(),
+            Self::WrongSuccess(_) => "wrong success".into(),
+            Self::AnotherRequests(_) => "another request's response".into(),
+            Self::Unanswered => "unanswered".into(),
+            Self::NotConnected => "not connected".into(),
+        }
+    }
+}
+
 /// One request of a client.
 #[derive(Clone, Debug)]
 pub struct ClientRecord {
--- a/tests/cluster/src/soak/rolling/run.rs
+++ b/tests/cluster/src/soak/rolling/run.rs
@@ -7,10 +7,11 @@
 use crate::soak::drains::{self, LeavingRunner};
 use crate::soak::fault::Target;
 use crate::soak::injector::Injector;
-use crate::soak::ledger::{ClientOutcome, Ledger};
+use crate::soak::ledger::Ledger;
 use crate::soak::operators::{run_reader, Operator, FIRST_VERSION};
 use crate::soak::{calm, oracle};
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -42,7 +43,8 @@
     /// Everything that broke a promise; empty where all held.
     pub findings: Vec<String>,
     pub requests: usize,
-    pub answered: usize,
+    /// Requests by how they ended.
+    pub outcomes: BTreeMap<String, usize>,
     pub leaving_runners: usize,
     pub changes: usize,
     /// Where the data and logs are, if there are findings.
@@ -73,12 +75,13 @@
         injector.cluster.keep_folder();
     }
     let folder = injector.cluster.folder().to_path_buf();
-    let answered = requests
-        .iter()
-        .filter(|request| request.outcome == ClientOutcome::Answered(200));
+    let mut outcomes = BTreeMap::new();
+    for request in &requests {
+        *outcomes.entry(request.outcome.label()).or_default() += 1;
+    }
     RollingReport {
         series,
-        answered: answered.count(),
+        outcomes,
         requests: requests.len(),
         leaving_runners: leaving.len(),
         changes: ledger.changes().len(),
