--- a/crates/hallkeel/src/changes.rs
+++ b/crates/hallkeel/src/changes.rs
@@ -1,3 +1,5 @@
+//! Commands that change the configuration, the voters or a daemon.
+
 use crate::cores::{ask, CliError, Cores};
 use crate::fronts::KnownFronts;
 use oxhttp::model::Method;
--- a/crates/hallkeel/src/cores.rs
+++ b/crates/hallkeel/src/cores.rs
@@ -1,4 +1,5 @@
-use crate::fronts::CoreAnswer;
+//! The cores as the tool reaches them, and why it may fail.
+
 use oxhttp::model::Method;
 use serde_json::Value;
 use std::fmt;
@@ -7,8 +8,10 @@
 use std::time::Duration;
 use transport::call;
 
+/// Longest time that one daemon's answer is waited for.
 const TIMEOUT: Duration = Duration::from_secs(8);
 const MAX_RESPONSE_BYTES: u64 = 32 << 20;
+/// How often the cores are asked again while none scales, and the pause between.
 const ROLE_ATTEMPTS: usize = 8;
 const ROLE_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -44,6 +47,9 @@
     }
 }
 
+/// What one core answers to a question; none where it does not answer.
+pub type CoreAnswer = (SocketAddr, Option<Value>);
+
 /// The cores as the tool reaches them.
 pub struct Cores {
     addresses: Vec<SocketAddr>,
@@ -72,6 +78,7 @@
 }
 
 impl Cores {
+    /// The cores at these addresses of operator ports; there must be one at least.
     pub fn new(addresses: Vec<SocketAddr>) -> Result<Self, CliError> {
         if addresses.is_empty() {
             let text = "name the cores' operator ports with --cores or HALLKEEL_CORES";
--- a/crates/hallkeel/src/fleet.rs
+++ b/crates/hallkeel/src/fleet.rs
@@ -1,3 +1,5 @@
+//! The command that shows gateways and controllers by what they tell at their wire addresses.
+
 use crate::cores::CliError;
 use protocol::{frame, FrameReader, Message};
 use serde_json::Value;
--- a/crates/hallkeel/src/fronts.rs
+++ b/crates/hallkeel/src/fronts.rs
@@ -3,14 +3,11 @@
 //! A core that has just started answers before it hears any front, and one whose links are cut hears only some. No single core's list is
 //! therefore taken for the fleet's.
 
-use crate::cores::{CliError, Cores};
+use crate::cores::{CliError, CoreAnswer, Cores};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// What one core answers to a question; none where it does not answer.
-pub type CoreAnswer = (SocketAddr, Option<Value>);
-
 /// Where a front was heard last.
 struct HeardFront {
     http: Option<SocketAddr>,
--- a/crates/hallkeel/src/show.rs
+++ b/crates/hallkeel/src/show.rs
@@ -1,5 +1,7 @@
-use crate::cores::{ask_for_state, CliError, Cores};
-use crate::fronts::{CoreAnswer, KnownFronts};
+//! Commands that show the fleet of cores and fronts: status, explain, voters, metrics.
+
+use crate::cores::{ask_for_state, CliError, CoreAnswer, Cores};
+use crate::fronts::KnownFronts;
 use oxhttp::model::Method;
 use serde_json::{json, Value};
 use std::thread;
@@ -86,46 +88,51 @@
     for (address, reported) in &fleet.cores {
         match reported {
             None => println!("{address:<12} does not answer"),
-            Some(reported) => println!(
-                "{:<12} {:<9} {:>9} {:>7}  era {}, {} keys{}",
-                text(&reported["name"]),
-                text(&reported["district"]),
-                text(&reported["blueprint"]),
-                text(&reported["plan"]),
-                reported["era"],
-                reported["keys"],
-                if reported["duty"]["here"] == true {
-                    format!(", scales (term {})", reported["duty"]["term"])
-                } else {
-                    String::new()
-                }
-            ),
+            Some(reported) => show_core(reported),
         }
     }
     for (name, reported) in &fleet.fronts {
         match reported {
             None => println!("{name:<12} does not answer"),
-            Some(reported) => println!(
-                "{name:<12} {:<9} {:>9} {:>7}  {}{}, keeps {} runners",
-                text(&reported["district"]),
-                text(&reported["blueprint"]["no"]),
-                text(&reported["plan"]["no"]),
-                if reported["standing"] == true {
-                    "standing"
-                } else {
-                    "no standing"
-                },
-                if reported["draining"] == true {
-                    ", draining"
-                } else {
-                    ""
-                },
-                reported["runners"].as_array().map_or(0, Vec::len)
-            ),
+            Some(reported) => show_front(name, reported),
         }
     }
 }
 
+fn show_core(reported: &Value) {
+    let role = match reported["duty"]["here"] == true {
+        true => format!(", scales (term {})", reported["duty"]["term"]),
+        false => String::new(),
+    };
+    println!(
+        "{:<12} {:<9} {:>9} {:>7}  era {}, {} keys{role}",
+        text(&reported["name"]),
+        text(&reported["district"]),
+        text(&reported["blueprint"]),
+        text(&reported["plan"]),
+        reported["era"],
+        reported["keys"],
+    );
+}
+
+fn show_front(name: &str, reported: &Value) {
+    let standing = match reported["standing"] == true {
+        true => "standing",
+        false => "no standing",
+    };
+    let draining = match reported["draining"] == true {
+        true => ", draining",
+        false => "",
+    };
+    println!(
+        "{name:<12} {:<9} {:>9} {:>7}  {standing}{draining}, keeps {} runners",
+        text(&reported["district"]),
+        text(&reported["blueprint"]["no"]),
+        text(&reported["plan"]["no"]),
+        reported["runners"].as_array().map_or(0, Vec::len)
+    );
+}
+
 /// Daemons whose wall clocks are off, by the first core that answers.
 fn show_clocks(core: &Value) {
     for clock in core["clocks"].as_array().into_iter().flatten() {
--- a/tests/lab/src/interface.rs
+++ b/tests/lab/src/interface.rs
@@ -1,3 +1,5 @@
+//! Every answer that callers are promised, checked against real processes.
+
 use crate::context::ScenarioContext;
 use crate::deployment::{Deployment, LabError};
 use crate::fleet::{Fleet, Needs};
--- a/tests/lab/src/interface_operators.rs
+++ b/tests/lab/src/interface_operators.rs
@@ -1,3 +1,5 @@
+//! Every answer that operators are promised, checked against real processes.
+
 use crate::fleet::wire_port;
 use crate::interface::InterfaceClient;
 use crate::member::Member;
