Fronts: a claim that is being settled keeps a drain from ending

The channel of unsettled claims is empty while its last one is being settled, so that a front which drains could end before. They are counted until they are settled. Found in reading; the race stood before for claims that are given back.

--- a/crates/front/src/claims.rs
+++ b/crates/front/src/claims.rs
@@ -9,6 +9,7 @@
 };
 use speedy::{Readable, Writable};
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -95,6 +96,8 @@
     remembered: Mutex<RememberedClaims>,
     links: Arc<Links>,
     unsettled: (Sender<UnsettledClaim>, Receiver<UnsettledClaim>),
+    /// Unsettled claims, also the one that is being settled.
+    unsettled_count: AtomicUsize,
 }
 
 fn bytes_of(claim: &Claim) -> Vec<u8> {
@@ -110,6 +113,7 @@
             links,
             set: ArcSwap::default(),
             unsettled: bounded(MAX_UNSETTLED_CLAIMS),
+            unsettled_count: AtomicUsize::new(0),
         }
     }
 
@@ -225,7 +229,7 @@
 
     /// Keeps a claim whose end could not be written. Where many wait, their answers are not kept.
     fn settle_later(&self, register: &str, taken: Claim, mut end: Claim) {
-        if self.unsettled.0.len() >= MAX_UNSETTLED_BODIES {
+        if self.unsettled_count.load(Ordering::SeqCst) >= MAX_UNSETTLED_BODIES {
             drop_body(&mut end);
         }
         let unsettled = UnsettledClaim {
@@ -233,7 +237,15 @@
             taken,
             end,
         };
-        let _ = self.unsettled.0.try_send(unsettled);
+        self.unsettled_count.fetch_add(1, Ordering::SeqCst);
+        self.keep_unsettled(unsettled);
+    }
+
+    fn keep_unsettled(&self, unsettled: UnsettledClaim) {
+        if self.unsettled.0.try_send(unsettled).is_err() {
+            self.unsettled_count.fetch_sub(1, Ordering::SeqCst);
+            log::warn!("front: too many claims are to be settled, one is left to its age");
+        }
     }
 
     /// Gives a claim back, of which nothing was sent, so that the caller may ask elsewhere as soon as
@@ -244,7 +256,7 @@
 
     /// Whether claims are still to be settled.
     pub fn has_unsettled(&self) -> bool {
-        !self.unsettled.1.is_empty()
+        self.unsettled_count.load(Ordering::SeqCst) > 0
     }
 
     /// Notes the answer, or that it was lost. Where voters do not answer now it is done later.
@@ -272,10 +284,12 @@
     pub fn settle_claims(&self) {
         for unsettled in &self.unsettled.1 {
             let register = &unsettled.register;
-            if !unsettled.settle(|change| self.change(register, change, SETTLE_TIMEOUT)) {
-                let _ = self.unsettled.0.try_send(unsettled);
-                thread::sleep(SETTLE_PAUSE);
+            if unsettled.settle(|change| self.change(register, change, SETTLE_TIMEOUT)) {
+                self.unsettled_count.fetch_sub(1, Ordering::SeqCst);
+                continue;
             }
+            self.keep_unsettled(unsettled);
+            thread::sleep(SETTLE_PAUSE);
         }
     }
 }
