--- a/tests/cluster/src/bin/hallkeel-soak.rs
+++ b/tests/cluster/src/bin/hallkeel-soak.rs
@@ -40,6 +40,9 @@
     /// Clients of a run with `--rolling`
     #[arg(long, default_value_t = 48)]
     clients: usize,
+    /// Keep data and logs of a run with `--rolling` also where nothing was found
+    #[arg(long)]
+    keep: bool,
     /// The short form: fixed seeds, two at a time, then some with `--rolling`
     #[arg(long)]
     short: bool,
@@ -105,6 +108,7 @@
             length: Duration::from_secs(flags.length),
             gateways: flags.gateways,
             clients: flags.clients,
+            keeps_folder: flags.keep,
         })
     };
     run_all(seeds, flags.jobs, run, |report| {
@@ -130,8 +134,10 @@
         report.findings.len()
     );
     if let Some(folder) = &report.folder {
-        print!("{}", report.series);
         println!("  logs: {}", folder.display());
+    }
+    if !report.findings.is_empty() {
+        print!("{}", report.series);
         for finding in &report.findings {
             println!("  {finding}");
         }
--- a/tests/cluster/src/soak/rolling/run.rs
+++ b/tests/cluster/src/soak/rolling/run.rs
@@ -35,6 +35,8 @@
     pub length: Duration,
     pub gateways: usize,
     pub clients: usize,
+    /// Whether data and logs are kept also where nothing was found.
+    pub keeps_folder: bool,
 }
 
 /// What came of a run.
@@ -47,7 +49,7 @@
     pub outcomes: BTreeMap<String, usize>,
     pub leaving_runners: usize,
     pub changes: usize,
-    /// Where the data and logs are, if there are findings.
+    /// Where the data and logs are, if they are kept.
     pub folder: Option<PathBuf>,
 }
 
@@ -71,7 +73,8 @@
     let requests = ledger.requests();
     findings.extend(drains::judge(&received, &requests, &leaving, disturbances));
     findings.append(&mut injector.findings);
-    if !findings.is_empty() {
+    let keeps_folder = options.keeps_folder || !findings.is_empty();
+    if keeps_folder {
         injector.cluster.keep_folder();
     }
     let folder = injector.cluster.folder().to_path_buf();
@@ -85,7 +88,7 @@
         requests: requests.len(),
         leaving_runners: leaving.len(),
         changes: ledger.changes().len(),
-        folder: (!findings.is_empty()).then_some(folder),
+        folder: keeps_folder.then_some(folder),
         findings,
     }
 }
