Soak: a probe of the disk tells its stalls from faults of daemons

Cause: the disk that all controllers of a run share did not answer for seconds. Excluded: contact (kept), the scaler's election (won as soon as anything was committed). Change: the soak syncs a small file next to the daemons' data.

--- a/tests/cluster/src/bin/hallkeel-soak.rs
+++ b/tests/cluster/src/bin/hallkeel-soak.rs
@@ -1,6 +1,8 @@
 //! `hallkeel-soak`: runs the real daemons on loopback under overlapping faults and judges what clients, operators and runners saw.
 
 use clap::Parser;
+use cluster::disk_probe::{self, Stall};
+use cluster::paths::scratch;
 use cluster::soak::rolling::{self, RollingOptions, RollingReport};
 use cluster::soak::{run, SoakOptions, SoakReport};
 use std::process::ExitCode;
@@ -50,6 +52,7 @@
 
 fn main() -> ExitCode {
     let mut flags = Flags::parse();
+    start_disk_probe();
     let broken = if flags.short {
         flags.length = SHORT_LENGTH_S;
         flags.jobs = 2;
@@ -89,9 +92,28 @@
         broken += reports.iter().filter(|report| print(report)).count();
     }
     println!("{} seeds, {broken} with a finding", seeds.len());
+    print_stalls();
     broken
 }
 
+/// The probe writes where the daemons do.
+fn start_disk_probe() {
+    let folder = scratch();
+    if std::fs::create_dir_all(&folder).is_ok() {
+        disk_probe::start(&folder);
+    }
+}
+
+/// Tells of times in which the disk beside the runs did not answer.
+fn print_stalls() {
+    let stalls = disk_probe::stalls();
+    let longest = stalls.iter().map(Stall::duration).max();
+    if let Some(longest) = longest {
+        let count = stalls.len();
+        println!("the disk stalled {count} times, for {longest:.1?} at the longest; time limits stood still");
+    }
+}
+
 fn run_seeds(flags: &Flags, seeds: std::ops::Range<u64>) -> usize {
     let length = Duration::from_secs(flags.length);
     let run = |seed| run(SoakOptions { seed, length });
