Daemons: SIGHUP has its handler before the settings are read

Excluded: a SIGTERM or SIGINT in that time may end the process at once, since nothing is served yet, and a handler would keep a daemon from ending whose settings cannot be read. Change: one crate, signals, in place of two copies; the handler of SIGHUP is registered first in main.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -17,10 +17,10 @@
 use crate::peer_links::PeerLinks;
 use crate::scaler::{Scaler, ScalerContext};
 use crate::shutdown_deadline;
-use crate::signals::Signals;
 use crate::status::ControllerStatus;
 use consensus::{Consensus, ConsensusAction, DiskWork, VoterSnapshot};
 use event_loop::{ConnectionId, Event};
+use signals::{ReloadSignal, Signals};
 use std::time::Duration;
 
 /// Part of the grace period for which a stopping controller still answers, while its role is taken over.
@@ -50,8 +50,8 @@
 ///
 /// # Errors
 /// Where an address cannot be listened at, the data folder cannot be used, or the system refuses what every daemon needs.
-pub fn run(options: ControllerOptions) -> Result<(), ControllerError> {
-    let signals = Signals::register()?;
+pub fn run(options: ControllerOptions, reload: ReloadSignal) -> Result<(), ControllerError> {
+    let signals = Signals::register(reload).map_err(ControllerError::System)?;
     let mut controller = Controller::open(options)?;
     run_loop(&mut controller, &signals);
     controller.report_unfinished_disk_work();
--- a/crates/controller/src/daemon_loop.rs
+++ b/crates/controller/src/daemon_loop.rs
@@ -1,8 +1,8 @@
 //! The loop of a daemon on one thread: signals, then timers, then what arrives on connections.
 
 use crate::shutdown_deadline;
-use crate::signals::Signals;
 use event_loop::Event;
+use signals::Signals;
 use std::time::Duration;
 
 /// What the loop drives. Both daemons of this crate are run by it.
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -22,7 +22,7 @@
 //! | `disk_thread` | the voter's disk, on a thread of its own | what is synced together |
 //! | `connections` | the event loop, and the kind of each connection | whose events are handled |
 //! | `shutdown_deadline` | the end by force of a process that was asked to stop | when it is due |
-//! | `clock`, `signals`, `daemon_loop` | time and ticks, requests to stop or reload | the order of a turn |
+//! | `clock`, `daemon_loop` | time and ticks | the order of a turn |
 //!
 //! Who votes, what is committed and which controller has the scaler's role is decided by the crate `consensus`; what is done
 //! about a command by `operator_commands`; which runners are started and stopped by `autoscaler`.
@@ -40,7 +40,7 @@
 //!
 //! # The redirector
 //!
-//! It shares `operator_inbox`, `operator_response`, `connections`, `clock`, `signals` and `daemon_loop` with the controller.
+//! It shares `operator_inbox`, `operator_response`, `connections`, `clock` and `daemon_loop` with the controller.
 //! `member_directory` knows which controllers are alive and in contact with a majority.
 
 mod clock;
@@ -72,7 +72,6 @@
 mod regional_configuration;
 mod scaler;
 mod shutdown_deadline;
-mod signals;
 mod status;
 mod term_check;
 
--- a/crates/controller/src/redirector.rs
+++ b/crates/controller/src/redirector.rs
@@ -12,11 +12,11 @@
 use crate::operator_inbox::{OperatorInbox, OperatorInput};
 use crate::operator_response::{OperatorResponse, SERVICE_UNAVAILABLE, TEMPORARY_REDIRECT};
 use crate::options::SeedReloader;
-use crate::signals::Signals;
 use event_loop::{ConnectionId, Event};
 use http1::Request;
 use metrics::Snapshot;
 use protocol::{frame, take_frames, Message};
+use signals::{ReloadSignal, Signals};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -100,8 +100,11 @@
 ///
 /// # Errors
 /// Where the address for operators cannot be listened at, or the system refuses what every daemon needs.
-pub fn run_redirector(options: RedirectorOptions) -> Result<(), ControllerError> {
-    let signals = Signals::register()?;
+pub fn run_redirector(
+    options: RedirectorOptions,
+    reload: ReloadSignal,
+) -> Result<(), ControllerError> {
+    let signals = Signals::register(reload).map_err(ControllerError::System)?;
     let mut redirector = Redirector::open(options)?;
     run_loop(&mut redirector, &signals);
     Ok(())
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,8 +6,7 @@
 use event_loop::{CloseReason, ConnectionId, Event};
 use protocol::{Message, RequestId, SeatLease};
 use seat_leases::LeaseAction;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use signals::{ReloadSignal, Signals};
 use std::time::{Duration, Instant};
 
 /// Milliseconds between two turns of periodic work.
@@ -17,36 +16,20 @@
 /// Milliseconds between checks whether the settings have changed.
 const SETTINGS_CHECK_INTERVAL_MS: u64 = 2_000;
 
-/// Signals that were received.
-struct Signals {
-    stop: Arc<AtomicBool>,
-    reload: Arc<AtomicBool>,
-}
-
-impl Signals {
-    fn register() -> std::io::Result<Self> {
-        let (stop, reload) = (Arc::default(), Arc::default());
-        signal_hook::flag::register(signal_hook::consts::SIGTERM, Arc::clone(&stop))?;
-        signal_hook::flag::register(signal_hook::consts::SIGINT, Arc::clone(&stop))?;
-        signal_hook::flag::register(signal_hook::consts::SIGHUP, Arc::clone(&reload))?;
-        Ok(Self { stop, reload })
-    }
-}
-
 /// Runs a gateway until SIGTERM or SIGINT has come and all requests have been answered, or the grace period is nearly
 /// over. Errors are those of the start alone: a listening socket, the poller or a signal handler.
-pub fn run(options: GatewayOptions) -> Result<(), GatewayError> {
-    let signals = Signals::register().map_err(GatewayError::System)?;
+pub fn run(options: GatewayOptions, reload: ReloadSignal) -> Result<(), GatewayError> {
+    let signals = Signals::register(reload).map_err(GatewayError::System)?;
     let mut gateway = Gateway::open(options)?;
     let started = Instant::now();
     gateway.timers.schedule(0, TimerEvent::Tick);
     let mut events = Vec::new();
     loop {
         gateway.now = started.elapsed().as_millis() as u64;
-        if signals.stop.load(Ordering::Relaxed) && !gateway.is_draining() {
+        if signals.stop_requested() && !gateway.is_draining() {
             gateway.begin_draining();
         }
-        if signals.reload.swap(false, Ordering::Relaxed) {
+        if signals.take_reload_request() {
             gateway.reload_settings();
         }
         if gateway.is_drained() {
