--- a/tests/cluster/src/operator.rs
+++ b/tests/cluster/src/operator.rs
@@ -100,6 +100,18 @@
             "concurrency": concurrency })
 }
 
+/// A tenant with its keys.
+pub fn tenant(name: &str, keys: &[&str]) -> Value {
+    json!({ "name": name, "api_keys": keys, "priority": 0 })
+}
+
+/// The usual configuration with tenants.
+pub fn configuration_with_tenants(version: u64, tenants: &[Value]) -> Value {
+    let mut document = configuration(version);
+    document["tenants"] = json!(tenants);
+    document
+}
+
 /// A configuration with `/read/` (safe) and `/write/` (unsafe) to `plain`, and `/rare/` to `rare`.
 pub fn configuration(version: u64) -> Value {
     json!({
--- a/tests/cluster/src/request_log.rs
+++ b/tests/cluster/src/request_log.rs
@@ -29,6 +29,10 @@
     pub method: String,
     pub target: String,
     pub body: Vec<u8>,
+    /// Names of the tenant, one for each such header.
+    pub tenants: Vec<String>,
+    /// Keys of clients, which no runner may see.
+    pub keys: Vec<String>,
     pub outcome: RequestOutcome,
     pub at: Instant,
 }
--- a/tests/cluster/src/runner.rs
+++ b/tests/cluster/src/runner.rs
@@ -16,6 +16,10 @@
 pub const WORK: &str = "X-Work";
 /// Header with the bytes of the response's body.
 pub const SIZE: &str = "X-Size";
+/// Header with the key of a client's tenant.
+pub const CREDENTIAL: &str = "Credential";
+/// Header with the name of a client's tenant, which the gateway sets.
+pub const TENANT: &str = "Tenant";
 /// Work from which on a runner looks whether it is still wanted, and how often it does.
 const LOOKS_FROM: Duration = Duration::from_millis(200);
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
@@ -219,12 +223,21 @@
             method: request.method.clone(),
             target: request.target.clone(),
             body: request.body.clone(),
+            tenants: header_values(request, TENANT),
+            keys: header_values(request, CREDENTIAL),
             outcome,
             at: std::time::Instant::now(),
         })
     }
 }
 
+fn header_values(request: &Request, name: &str) -> Vec<String> {
+    let values = request.headers.get_all(name);
+    values
+        .map(|value| String::from_utf8_lossy(value).into_owned())
+        .collect()
+}
+
 /// The work itself: it takes its time. False where the connection was closed meanwhile; short work is done in any case.
 fn work_while_wanted(stream: &TcpStream, work: Duration) -> bool {
     if work < LOOKS_FROM {
--- a/tests/cluster/tests/limits.rs
+++ b/tests/cluster/tests/limits.rs
@@ -13,6 +13,8 @@
         method: String::new(),
         target: String::new(),
         body: Vec::new(),
+        tenants: Vec::new(),
+        keys: Vec::new(),
         outcome,
         at,
     }
