--- a/crates/autoscaler/src/function_configuration.rs
+++ b/crates/autoscaler/src/function_configuration.rs
@@ -4,8 +4,8 @@
 use crate::call_rate::CallRate;
 use crate::options::AutoscalerOptions;
 use policy::ScalingPolicy;
-use routing::RoutingConfiguration;
-use std::collections::BTreeMap;
+use routing::{regions_of_both, RoutingConfiguration, TenantDirectory};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How much longer than usual a start may take and still be expected to meet the latency target.
 const START_TIME_MARGIN: f64 = 1.1;
@@ -90,6 +90,11 @@
             ..FunctionConfiguration::unconfigured(function.concurrency.max(1))
         })
         .collect();
+    let tenants = configuration.tenants.iter().flat_map(TenantDirectory::iter);
+    let tenant_regions: BTreeSet<&[String]> = tenants
+        .map(|tenant| tenant.allowed_regions.as_slice())
+        .filter(|regions| !regions.is_empty())
+        .collect();
     for binding in &configuration.bindings {
         let Some(function) = found.get_mut(binding.function_index) else {
             continue;
@@ -98,6 +103,12 @@
         function.priority = function.priority.min(binding.priority);
         function.timeout_ms = function.timeout_ms.max(u64::from(binding.timeout_ms));
         function.allowed_regions.add_route(&binding.allowed_regions);
+        for regions in &tenant_regions {
+            let both = regions_of_both(&binding.allowed_regions, regions);
+            if !both.is_empty() {
+                function.allowed_regions.add_route(&both);
+            }
+        }
     }
     let names = configuration.functions.iter();
     let names = names.map(|function| function.name.clone());
--- a/crates/controller/src/regional_configuration.rs
+++ b/crates/controller/src/regional_configuration.rs
@@ -1,7 +1,8 @@
 //! Checks of a configuration that need to know the deployment: the regions that its routes name must exist.
 
 use locality::Topology;
-use routing::{ConfigurationError, ConfigurationFormat, RoutingConfiguration};
+use routing::{ConfigurationError, ConfigurationFormat, RoutingConfiguration, TenantDirectory};
+use std::collections::BTreeSet;
 
 /// The operators' format, with the regions that routes name checked as well.
 pub(crate) struct RegionalConfigurationFormat<'a> {
@@ -27,6 +28,13 @@
                 return Err(ConfigurationError::Invalid(reason));
             }
         }
+        for tenant in configuration.tenants.iter().flat_map(TenantDirectory::iter) {
+            let mut regions = tenant.allowed_regions.iter();
+            if let Some(unknown) = regions.find(|region| !known.contains(region.as_str())) {
+                let reason = format!("tenant '{}': there is no region '{unknown}'", tenant.name);
+                return Err(ConfigurationError::Invalid(reason));
+            }
+        }
         Ok(configuration)
     }
 }
@@ -44,6 +52,14 @@
         self.checked(self.format.apply_change(base, change)?)
     }
 
+    fn unknown_parts(&self, document: &[u8]) -> BTreeSet<String> {
+        self.format.unknown_parts(document)
+    }
+
+    fn unknown_parts_of_change(&self, change: &[u8]) -> BTreeSet<String> {
+        self.format.unknown_parts_of_change(change)
+    }
+
     fn merge_change(&self, document: &[u8], change: &[u8]) -> Result<Vec<u8>, ConfigurationError> {
         self.format.merge_change(document, change)
     }
--- a/crates/gateway/src/applied_configuration.rs
+++ b/crates/gateway/src/applied_configuration.rs
@@ -3,7 +3,7 @@
 
 use invariants::{check, Invariant};
 use protocol::{unpack, Member, UpdateVersion};
-use routing::{ConfigurationFormat, Limits, RoutingConfiguration, RoutingTable};
+use routing::{ConfigurationFormat, Limits, RoutingConfiguration, RoutingTable, TenantDirectory};
 use seat_leases::OwnershipTable;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -31,6 +31,8 @@
     versions: ConfigurationVersions,
     table: Option<Arc<RoutingTable>>,
     needs_whole: bool,
+    /// Parts of the operators' document that are without effect, since nothing here understands them.
+    unknown_parts: BTreeSet<String>,
     evacuated_zones: BTreeSet<String>,
     ownership: Option<Arc<OwnershipTable>>,
 }
@@ -41,6 +43,11 @@
         self.table.clone()
     }
 
+    /// The tenants; none where everybody may send requests, or nothing is configured.
+    pub fn tenants(&self) -> Option<TenantDirectory> {
+        self.table.as_ref()?.configuration().tenants.clone()
+    }
+
     /// Limits on clients' requests and connections.
     pub fn limits(&self) -> Limits {
         let table = self.table.as_ref();
@@ -133,7 +140,10 @@
             return;
         };
         match configuration_format.parse(&document) {
-            Ok(configuration) => self.put_in_force(version, configuration),
+            Ok(configuration) => {
+                self.put_in_force(version, configuration);
+                self.record_unknown_parts(configuration_format.unknown_parts(&document));
+            }
             Err(error) => {
                 log::error!("gateway: configuration rejected version={version} error={error}")
             }
@@ -152,10 +162,12 @@
             return;
         };
         let mut configuration = table.configuration().as_ref().clone();
+        let mut unknown_parts = self.unknown_parts.clone();
         for packed in changes {
             let change = unpack(packed, DOCUMENT_MAX);
             let amended = change.and_then(|change| {
                 let amended = configuration_format.apply_change(&configuration, &change);
+                unknown_parts.extend(configuration_format.unknown_parts_of_change(&change));
                 amended.ok()
             });
             let Some(amended) = amended else {
@@ -166,13 +178,29 @@
             configuration = amended;
         }
         self.put_in_force(base + changes.len() as u64, configuration);
+        self.record_unknown_parts(unknown_parts);
+    }
+
+    fn record_unknown_parts(&mut self, parts: BTreeSet<String>) {
+        if parts != self.unknown_parts && !parts.is_empty() {
+            log::warn!("gateway: configuration parts not understood parts={parts:?}");
+        }
+        self.unknown_parts = parts;
+    }
+
+    /// Number of the document's parts that are without effect.
+    pub fn unknown_parts(&self) -> usize {
+        self.unknown_parts.len()
     }
 
     /// Puts a configuration in force, which is newer than the one before.
     pub fn put_in_force(&mut self, version: u64, configuration: RoutingConfiguration) {
+        let tenants = configuration.tenants.as_ref();
         log::info!(
-            "gateway: configuration applied version={}",
-            configuration.version
+            "gateway: configuration applied version={} tenants={} keys={}",
+            configuration.version,
+            tenants.map_or(0, TenantDirectory::len),
+            tenants.map_or(0, TenantDirectory::key_count)
         );
         let former = self.versions.configuration;
         check(
--- a/crates/gateway/src/configuration_updates.rs
+++ b/crates/gateway/src/configuration_updates.rs
@@ -12,6 +12,7 @@
         let configuration_format = self.options.configuration_format.as_ref();
         self.configuration
             .apply_document(version, packed, configuration_format);
+        self.recheck_keys();
     }
 
     /// Committed changes of a configuration.
@@ -20,6 +21,7 @@
         let configuration_format = self.options.configuration_format.as_ref();
         self.configuration
             .apply_changes(base_version, changes, configuration_format);
+        self.recheck_keys();
     }
 
     /// Committed evacuated zones.
--- a/crates/gateway/src/downstream_requests.rs
+++ b/crates/gateway/src/downstream_requests.rs
@@ -134,14 +134,7 @@
             RequestPhase::Upstream(attempt) if attempt.is_sent && request.runs_to_its_end() => {
                 return
             }
-            RequestPhase::Upstream(attempt) => {
-                let owner = attempt.owner.clone();
-                self.abandon_attempt(request_id);
-                self.void_job_attempt(&owner, request_id);
-            }
-            RequestPhase::AwaitingLease { .. } | RequestPhase::Backoff => {
-                self.cancel_lease_request(request_id);
-            }
+            _ => self.withdraw_request(request_id),
         }
         let removed = self.requests.remove(request_id, RequestEnd::ClientLeft);
         if let Some(request) = removed {
--- a/crates/gateway/src/failure_log.rs
+++ b/crates/gateway/src/failure_log.rs
@@ -19,6 +19,8 @@
     /// Name of the binding; empty where none was found.
     pub route: &'a str,
     pub function: &'a str,
+    /// Name of the tenant that sent it; empty where it has none or it is not known.
+    pub tenant: &'a str,
     /// The status that the client was given; 0 where it left before.
     pub status: u16,
     pub reason: &'static str,
@@ -42,6 +44,7 @@
             request_id,
             route: "",
             function: "",
+            tenant: "",
             status,
             reason,
             runner: "",
@@ -100,10 +103,11 @@
         }
         let suppressed = std::mem::take(&mut self.suppressed);
         log::info!(
-            "gateway: request failed request_id={} route={} function={} status={} reason={:?} runner={} attempts={} connect_failures={} may_have_run={} held_ms={} left_ms={} suppressed={suppressed}",
+            "gateway: request failed request_id={} route={} function={} tenant={:?} status={} reason={:?} runner={} attempts={} connect_failures={} may_have_run={} held_ms={} left_ms={} suppressed={suppressed}",
             shown(failure.request_id),
             failure.route,
             failure.function,
+            failure.tenant,
             failure.status,
             failure.reason,
             failure.runner,
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -4,6 +4,7 @@
 use crate::gateway::Gateway;
 use event_loop::ConnectionId;
 use metrics::{MetricsReader, Snapshot};
+use routing::TenantDirectory;
 
 impl Gateway {
     /// A connection was accepted at the address for figures.
@@ -147,6 +148,18 @@
             "Committed version of the evacuated zones in force",
             versions.evacuations,
         );
+        let tenants = self.configuration.tenants();
+        let tenants = tenants.as_ref();
+        let tenant_count = tenants.map_or(0, TenantDirectory::len) as u64;
+        snapshot.gauge("tenants", "Tenants in the configuration", tenant_count);
+        let keys = tenants.map_or(0, TenantDirectory::key_count) as u64;
+        snapshot.gauge("tenant_keys", "Keys of all tenants", keys);
+        let unknown_parts = self.configuration.unknown_parts() as u64;
+        snapshot.gauge(
+            "configuration_unknown_parts",
+            "Parts of the configuration that are without effect, since this version does not understand them",
+            unknown_parts,
+        );
         let membership = self.configuration.ownership_version();
         snapshot.gauge("membership_term", "Term of the membership", membership.term);
         snapshot.gauge(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use crate::peer_links::PeerLinks;
 use crate::response_times::ResponseTimes;
 use crate::retry_budgets::RetryBudgets;
+use crate::tenant_counts::TenantCounts;
 use crate::upstream_pool::UpstreamPool;
 use event_loop::{ConnectionId, EventLoop, ListenerId, Timers};
 use jobs::{JobCoordinator, UnacknowledgedResults, VoidedAttempts};
@@ -70,6 +71,7 @@
     pub retry_budgets: RetryBudgets,
     pub response_times: ResponseTimes,
     pub failures: FailureLog,
+    pub tenant_counts: TenantCounts,
     pub client_memory: ClientMemory,
     pub large_responses: LargeResponses,
     pub timers: Timers<TimerEvent>,
@@ -115,6 +117,7 @@
             retry_budgets: RetryBudgets::new(options.retry_ratio, options.retry_slack),
             response_times: ResponseTimes::default(),
             failures: FailureLog::default(),
+            tenant_counts: TenantCounts::default(),
             client_memory: ClientMemory::new(options.memory_bytes),
             large_responses: LargeResponses::new(options.memory_bytes),
             timers: Timers::default(),
--- a/crates/gateway/src/job_messages.rs
+++ b/crates/gateway/src/job_messages.rs
@@ -6,8 +6,9 @@
 use crate::request_accounting::RequestEnd;
 use crate::stored_response::{pack, unpack, StoredResponse};
 use http1::{Request, Response};
-use jobs::{digest, is_key, JobAdmission};
+use jobs::{digest, is_key, job_key, JobAdmission};
 use protocol::{JobCompletion, JobResult, JobVerdict, Message, RequestId};
+use std::sync::Arc;
 
 /// Header by which a client names the job that its request asks for.
 const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
@@ -20,11 +21,12 @@
 pub(crate) struct InvalidIdempotencyKey;
 
 impl Gateway {
-    /// A request's part in the job that its client named, if any.
+    /// A request's part in the job that its client named, if any. Keys of different tenants name different jobs.
     pub fn job_of(
         &self,
         request: &Request,
         at_most_once: bool,
+        tenant: Option<&Arc<str>>,
     ) -> Result<Option<Box<JobAdmission>>, InvalidIdempotencyKey> {
         let mut keys = request.headers.get_all(IDEMPOTENCY_KEY);
         let Some(key) = keys.next() else {
@@ -36,7 +38,8 @@
         }
         let digest = digest(&request.method, &request.target, &request.body);
         let incarnation = self.identity.incarnation;
-        let job = JobAdmission::new(text.into(), digest, at_most_once, incarnation);
+        let key = job_key(tenant.map(AsRef::as_ref), text);
+        let job = JobAdmission::new(key, digest, at_most_once, incarnation);
         Ok(Some(Box::new(job)))
     }
 
--- /dev/null
+++ b/crates/gateway/src/key_checks.rs
@@ -0,0 +1,74 @@
+//! What becomes of requests whose key was taken away, or given to another tenant, after they were admitted.
+
+use crate::client_identity::KeyStatus;
+use crate::gateway::Gateway;
+use crate::pending_request::{PendingRequest, RequestPhase};
+use crate::request_accounting::RequestEnd;
+use protocol::{JobResult, RequestId};
+
+const UNAUTHORIZED: u16 = 401;
+
+impl Gateway {
+    /// Another configuration is in force: requests that no runner has yet are ended where their key is not their tenant's any more.
+    pub fn recheck_keys(&mut self) {
+        let tenants = self.configuration.tenants();
+        self.tenant_counts.retain(tenants.as_ref());
+        let is_unsent = |request: &PendingRequest| request.client.is_some() && !request.is_sent();
+        for id in self.requests.ids(is_unsent) {
+            self.end_without_key(id);
+        }
+    }
+
+    /// Ends a request that no runner has where its key is not its tenant's any more; whether it was ended.
+    pub fn end_without_key(&mut self, id: RequestId) -> bool {
+        let tenants = self.configuration.tenants();
+        let Some(request) = self.requests.get(id) else {
+            return false;
+        };
+        let Some(client) = &request.client else {
+            return false;
+        };
+        match client.recheck(tenants.as_ref()) {
+            KeyStatus::Held => return false,
+            KeyStatus::Moved => {
+                self.withdraw_request(id);
+                self.reject(id, 0, "the key of the request is another tenant's now");
+            }
+            KeyStatus::Revoked => {
+                self.withdraw_request(id);
+                self.end_revoked(id);
+            }
+        }
+        true
+    }
+
+    fn end_revoked(&mut self, id: RequestId) {
+        let Some(request) = self.requests.remove(id, RequestEnd::Rejected) else {
+            return;
+        };
+        let result = match request.may_have_run {
+            true => JobResult::Lost,
+            false => JobResult::NotRun,
+        };
+        self.complete_job(&request, result);
+        let reason = "the key of the request was taken away";
+        self.respond_with_error(&request, UNAUTHORIZED, reason);
+    }
+
+    /// A request wants no runner any more: what it holds or waits for is given back.
+    pub fn withdraw_request(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        match &request.phase {
+            RequestPhase::Upstream(attempt) => {
+                let owner = attempt.owner.clone();
+                self.abandon_attempt(id);
+                self.void_job_attempt(&owner, id);
+            }
+            RequestPhase::AwaitingLease { .. } | RequestPhase::Backoff => {
+                self.cancel_lease_request(id);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/lease_requests.rs
+++ b/crates/gateway/src/lease_requests.rs
@@ -3,7 +3,8 @@
 use crate::gateway::{Gateway, TimerEvent};
 use crate::pending_request::{HeldLease, OwnerName, PendingRequest, RequestPhase};
 use protocol::{
-    LeaseOutcome, LeaseRelease, LeaseRequest, Member, Message, RequestId, RunnerLeases,
+    LeaseOutcome, LeaseRelease, LeaseRequest, Member, Message, RequestId, RequestTenant,
+    RunnerLeases,
 };
 use std::collections::BTreeSet;
 
@@ -54,7 +55,14 @@
             self.lease_requested(&owner, &zone, lease_request);
             return;
         }
-        self.send_to_peer(&owner, &Message::lease_request(lease_request));
+        self.send_lease_request(&owner, lease_request);
+    }
+
+    fn send_lease_request(&mut self, owner: &str, request: LeaseRequest) {
+        // The first message opens the link.
+        let understands_tenants = self.peers.understands_tenants(owner);
+        let message = Message::lease_request(request, understands_tenants);
+        self.send_to_peer(owner, &message);
     }
 
     /// A lease is requested by a gateway that may be this one. A request of a job goes to the job's coordination first.
@@ -245,5 +253,9 @@
         excluded_runners: request.excluded_runners.clone(),
         job: None,
         allowed_regions: request.allowed_regions.clone(),
+        tenant: request.client.as_ref().map(|client| RequestTenant {
+            name: client.name().to_string(),
+            priority: client.tenant().priority,
+        }),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! a file of its own, and [`run()`] wires them to the event loop:
 //!
 //! 1. `downstream_requests`: a client's bytes become a request; connections that are idle or slow time out.
-//! 2. `request_admission`: the request is bound to a function, checked and given its timeout and retry budget.
+//! 2. `request_admission`: the request is bound to a function and to the tenant that sends it (`client_identity`), checked and given its
+//!    timeout and retry budget.
 //! 3. `lease_requests`: a seat is requested from the gateway that owns the function's seats.
 //! 4. `upstream_requests`: a lease came; a pooled or new connection to its runner is taken and the request is sent.
 //! 5. `upstream_responses`: the runner's bytes, or the end of its connection, are matched to the request.
@@ -12,15 +13,16 @@
 //! 7. `downstream_responses`: the response is written, and the client's next request is read.
 //!
 //! Beside this path stand `ownership` (seats move between owners, and requests are relayed to them), `job_messages` and `job_actions` (requests with an idempotency key), `peer_messages` and
-//! `controller_messages` (what other daemons send), `configuration_updates`, `upstream_probes`, `readiness`, `figures`, `memory_bounds`
-//! and `status`.
+//! `controller_messages` (what other daemons send), `configuration_updates`, `upstream_probes`, `readiness`, `figures`, `memory_bounds`,
+//! `key_checks` (requests whose key was taken away) and `status`.
 //!
 //! The state is split into parts that each own one invariant and do no I/O beyond their own connections:
 //! `Connections`, `InFlightRequests`, `UpstreamPool`, `RetryBudgets`, `ResponseTimes`, `PeerLinks`, `ControllerLinks`,
-//! `ClientMemory`, `LargeResponses` and `AppliedConfiguration`. `Gateway` holds one of each; the phases reach them through their methods.
+//! `ClientMemory`, `LargeResponses`, `TenantCounts` and `AppliedConfiguration`. `Gateway` holds one of each; the phases reach them through their methods.
 #![warn(missing_docs)]
 
 mod applied_configuration;
+mod client_identity;
 mod client_memory;
 mod configuration_updates;
 mod connections;
@@ -36,6 +38,7 @@
 mod invariant_checks;
 mod job_actions;
 mod job_messages;
+mod key_checks;
 mod large_responses;
 mod lease_requests;
 mod memory_bounds;
@@ -55,6 +58,7 @@
 mod run;
 mod status;
 pub mod stored_response;
+mod tenant_counts;
 mod upstream_connection;
 mod upstream_pool;
 mod upstream_probes;
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -16,6 +16,10 @@
     pub seal: &'static str,
     /// Header with the id of the runner for which a request is meant.
     pub runner: &'static str,
+    /// Header with the key of the client's tenant; only the gateway sees it.
+    pub credential: &'static str,
+    /// Header with the name of the client's tenant, which the gateway sets.
+    pub tenant: &'static str,
     /// Header by which a runner states that it did not run a request.
     pub not_run: &'static str,
     /// Header with the seconds after which a rejected client may retry.
--- a/crates/gateway/src/ownership.rs
+++ b/crates/gateway/src/ownership.rs
@@ -2,7 +2,10 @@
 //! their gateway cannot hear, and what is done about owners that are silent.
 
 use crate::gateway::Gateway;
-use protocol::{LeaseRelease, LeaseRequest, Member, Message, RequestId, SeatHandover, SeatLease};
+use protocol::{
+    LeaseRelease, LeaseRequest, Member, Message, RelayedLeaseRequest, RequestId, SeatHandover,
+    SeatLease,
+};
 use seat_leases::{ForeignRequest, LeaseRequestEnd, RelayedId, SeatStatus};
 use std::collections::BTreeSet;
 
@@ -13,11 +16,13 @@
     /// A message of another gateway about the ownership of seats.
     pub fn ownership_message(&mut self, name: &str, message: Message) {
         match message {
-            Message::RelayedLeaseRequest(relayed) => {
-                let zone = relayed.zone.clone();
-                let request = relayed.into_request();
-                self.lease_owner
-                    .request_lease(self.now, name, &zone, request);
+            Message::RelayedLeaseRequest(relayed) => self.relayed_request(name, relayed),
+            Message::RelayedTenantLeaseRequest {
+                mut relayed,
+                tenant,
+            } => {
+                relayed.request.tenant = Some(tenant);
+                self.relayed_request(name, relayed);
             }
             Message::LeaseRequestCancelled(id) => self.cancelled_requests.acknowledged(name, id),
             Message::RequestHandover(version) => {
@@ -37,6 +42,13 @@
         }
     }
 
+    fn relayed_request(&mut self, name: &str, relayed: RelayedLeaseRequest) {
+        let zone = relayed.zone.clone();
+        let request = relayed.into_request();
+        self.lease_owner
+            .request_lease(self.now, name, &zone, request);
+    }
+
     /// Places a lease request of a gateway, which may be this one: in the queue of the function here, or with its owner. Where the owner
     /// cannot be heard it waits here until the table names another one.
     pub fn place_lease_request(&mut self, gateway: &str, zone: &str, request: LeaseRequest) {
@@ -66,7 +78,9 @@
         let id = original.request.request_id;
         self.end_relay(&original.gateway, &LeaseRequestEnd::Cancel(id));
         let message = self.relayed_requests.relay(self.now, owner, original);
-        self.send_to_peer(owner, &Message::RelayedLeaseRequest(message));
+        let understands_tenants = self.peers.understands_tenants(owner);
+        let message = Message::relayed_lease_request(message, understands_tenants);
+        self.send_to_peer(owner, &message);
     }
 
     /// A gateway's request wants no seat any more.
--- a/crates/gateway/src/peer_links.rs
+++ b/crates/gateway/src/peer_links.rs
@@ -2,7 +2,7 @@
 
 use crate::connections::Connections;
 use event_loop::ConnectionId;
-use protocol::{frame, Message, SentMessages};
+use protocol::{frame, Message, SentMessages, UNDERSTANDS_TENANTS};
 use std::collections::HashMap;
 
 /// Milliseconds of silence after which an owner from which a response is awaited is pinged.
@@ -24,6 +24,8 @@
     pinged_at: u64,
     /// Whether it was told that the last ping is overdue.
     is_overdue: bool,
+    /// Whether it has said that it understands requests of tenants.
+    understands_tenants: bool,
     /// Messages of this turn of the loop, which leave in one write.
     outbox: Vec<u8>,
 }
@@ -81,6 +83,7 @@
             heard_at: now,
             pinged_at: 0,
             is_overdue: false,
+            understands_tenants: false,
             outbox: Vec::new(),
         };
         self.links.insert(name.into(), link);
@@ -128,6 +131,19 @@
         }
     }
 
+    /// A gateway has answered a ping with this number, which tells what it understands.
+    pub fn record_pong(&mut self, name: &str, number: u64) {
+        if let Some(link) = self.links.get_mut(name) {
+            link.understands_tenants |= number & UNDERSTANDS_TENANTS != 0;
+        }
+    }
+
+    /// Whether a gateway has said that it understands requests of tenants.
+    pub fn understands_tenants(&self, name: &str) -> bool {
+        let link = self.links.get(name);
+        link.is_some_and(|link| link.understands_tenants)
+    }
+
     /// Pings a gateway that was silent; whether it is alive.
     pub fn check_liveness(&mut self, name: &str, now: u64) -> Liveness {
         let Some(link) = self.links.get_mut(name) else {
--- a/crates/gateway/src/peer_messages.rs
+++ b/crates/gateway/src/peer_messages.rs
@@ -4,7 +4,7 @@
 use crate::gateway::{Gateway, LINK_BUFFER_MAX};
 use crate::peer_links::{Introduction, Liveness, PING_AFTER_MS};
 use event_loop::ConnectionId;
-use protocol::{frame, take_frames, LeaseRequest, Member, Message};
+use protocol::{frame, take_frames, Member, Message, UNDERSTANDS_TENANTS};
 
 impl Gateway {
     /// Queues a message to another gateway; the link is opened where there is none.
@@ -30,6 +30,7 @@
         let hello = frame(&Message::GatewayHello(self.identity.clone()));
         self.connections.send(connection, &hello);
         self.peers.add(name, incarnation, connection, self.now);
+        self.ask_what_peer_understands(name);
         self.report_leases_over_new_link(name);
         true
     }
@@ -78,6 +79,12 @@
                 let status = Message::Status(self.status());
                 self.connections.send(id, &frame(&status));
             }
+            Message::RequestTenantUsage => {
+                let tenants = self.configuration.tenants();
+                let usage = self.tenant_counts.usage(tenants.as_ref());
+                let answer = frame(&Message::TenantUsage(usage));
+                self.connections.send(id, &answer);
+            }
             _ => {}
         }
     }
@@ -94,24 +101,22 @@
         if introduction != Introduction::SecondLink {
             self.peers.add(name, incarnation, id, self.now);
             self.peers.record_heard(name, self.now);
+            self.ask_what_peer_understands(name);
             self.report_leases_over_new_link(name);
         }
     }
 
+    /// A gateway answers a ping with what it understands; until then it is taken for one before tenants.
+    fn ask_what_peer_understands(&mut self, name: &str) {
+        self.peers.queue(name, &Message::Ping(self.now));
+    }
+
     fn peer_message(&mut self, name: &str, message: Message) {
         self.peers.record_heard(name, self.now);
         match message {
-            Message::LeaseRequest(request) => self.peer_requested_lease(name, request),
-            Message::RestrictedLeaseRequest {
-                request,
-                allowed_regions,
-            } => {
-                let request = LeaseRequest {
-                    allowed_regions,
-                    ..request
-                };
-                self.peer_requested_lease(name, request);
-            }
+            request @ (Message::LeaseRequest(_)
+            | Message::RestrictedLeaseRequest { .. }
+            | Message::TenantLeaseRequest { .. }) => self.peer_requested_lease(name, request),
             Message::CancelRequest(id) => self.peer_cancelled(name, id),
             Message::LeaseRelease(release) => self.release_placed(name, &release),
             Message::LeasesInUse { function, runners } => {
@@ -123,12 +128,19 @@
                 request_id,
                 retry_after_ms,
             } => self.rejection_received(name, request_id, retry_after_ms),
-            Message::Ping(number) => self.send_to_peer(name, &Message::Pong(number)),
+            Message::Ping(number) => {
+                let answer = Message::Pong(number | UNDERSTANDS_TENANTS);
+                self.send_to_peer(name, &answer);
+            }
+            Message::Pong(number) => self.peers.record_pong(name, number),
             other => self.ownership_message(name, other),
         }
     }
 
-    fn peer_requested_lease(&mut self, name: &str, request: LeaseRequest) {
+    fn peer_requested_lease(&mut self, name: &str, message: Message) {
+        let Some(request) = message.into_lease_request() else {
+            return;
+        };
         let member = self.configuration.member(name);
         let zone = member.map_or_else(String::new, |member| member.zone.clone());
         self.lease_requested(name, &zone, request);
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -1,5 +1,6 @@
 //! One client request from its admission to its response.
 
+use crate::client_identity::ClientIdentity;
 use crate::failure_log::RequestFailure;
 use event_loop::ConnectionId;
 use http1::Request;
@@ -68,6 +69,8 @@
     pub max_attempts: u32,
     /// Regions that it must not leave; empty where all are allowed.
     pub allowed_regions: Vec<String>,
+    /// The tenant that sends it; none where nobody need say who sends it.
+    pub client: Option<ClientIdentity>,
     /// Times that it was sent to a runner.
     pub attempts: u32,
     /// Times that no connection to the runner of a lease came to be.
@@ -103,12 +106,18 @@
         attempt.or(excluded).unwrap_or_default()
     }
 
+    /// Name of the tenant that sends it; empty where there is none.
+    pub fn tenant_name(&self) -> &str {
+        self.client.as_ref().map_or("", |client| client.name())
+    }
+
     /// What explains that it ends with a status of the gateway's own.
     pub fn failure(&self, now: u64, status: u16, reason: &'static str) -> RequestFailure<'_> {
         RequestFailure {
             request_id: &self.client_request_id,
             route: &self.route,
             function: &self.function,
+            tenant: self.tenant_name(),
             status,
             reason,
             runner: self.last_runner(),
--- a/crates/gateway/src/request_admission.rs
+++ b/crates/gateway/src/request_admission.rs
@@ -1,5 +1,6 @@
 //! Phase 2: a request is bound to a function and checked. It is in flight from here until its response.
 
+use crate::client_identity::{ClientIdentity, IdentityError};
 use crate::failure_log::RequestFailure;
 use crate::gateway::{Gateway, TimerEvent};
 use crate::pending_request::{PendingRequest, RequestPhase};
@@ -7,7 +8,7 @@
 use http1::Request;
 use jobs::JobAdmission;
 use protocol::RequestId;
-use routing::{Binding, RoutingTable};
+use routing::{regions_of_both, Binding, RoutingTable};
 
 /// Most milliseconds that any request is held.
 const TIMEOUT_MAX_MS: u64 = 120_000;
@@ -16,6 +17,7 @@
 const RETRY_AFTER_S: &[u8] = b"0.250";
 
 const BAD_REQUEST: u16 = 400;
+const UNAUTHORIZED: u16 = 401;
 const NOT_FOUND: u16 = 404;
 const UNAVAILABLE: u16 = 503;
 
@@ -30,6 +32,10 @@
     NoBinding,
     /// The client gave no id.
     NoRequestId,
+    /// It is not known which tenant sends it.
+    Unidentified(IdentityError),
+    /// The regions of its binding and those of its tenant have none in common.
+    NoCommonRegion,
     /// The client's timeout is no number.
     InvalidTimeout,
     /// The client's idempotency key is none, or there are several.
@@ -39,7 +45,8 @@
 impl AdmissionError {
     fn status(self) -> u16 {
         match self {
-            Self::NotConfigured | Self::MemoryExceeded => UNAVAILABLE,
+            Self::NotConfigured | Self::MemoryExceeded | Self::NoCommonRegion => UNAVAILABLE,
+            Self::Unidentified(_) => UNAUTHORIZED,
             Self::NoBinding => NOT_FOUND,
             Self::NoRequestId | Self::InvalidTimeout | Self::InvalidIdempotencyKey => BAD_REQUEST,
         }
@@ -48,6 +55,8 @@
     fn reason(self) -> &'static str {
         match self {
             Self::NotConfigured | Self::NoBinding => "no binding for this host and path",
+            Self::Unidentified(error) => error.reason(),
+            Self::NoCommonRegion => "the route and the tenant have no home region in common",
             Self::MemoryExceeded => "too much is held for clients",
             Self::NoRequestId => "the request has no id",
             Self::InvalidTimeout => "the time left is not a number",
@@ -67,6 +76,7 @@
     max_attempts: u32,
     timeout_ms: u64,
     allowed_regions: Vec<String>,
+    client: Option<ClientIdentity>,
     job: Option<Box<JobAdmission>>,
 }
 
@@ -98,9 +108,11 @@
         let table = self.configuration.table();
         let table = table.ok_or(AdmissionError::NotConfigured)?;
         let (binding, function) = bind(&table, request).ok_or(AdmissionError::NoBinding)?;
+        let client = self.identify(&table, binding, request)?;
         if client_request_id.is_empty() {
             return Err(AdmissionError::NoRequestId);
         }
+        let allowed_regions = regions(binding, client.as_ref())?;
         let binding_timeout_ms = u64::from(binding.timeout_ms);
         let client_timeout_ms = match request.headers.get_text(self.options.conventions.timeout) {
             None => binding_timeout_ms,
@@ -109,7 +121,8 @@
                 parsed.map_err(|_| AdmissionError::InvalidTimeout)?
             }
         };
-        let job = self.job_of(request, binding.at_most_once);
+        let tenant = client.as_ref().map(ClientIdentity::name);
+        let job = self.job_of(request, binding.at_most_once, tenant);
         let job = job.map_err(|_| AdmissionError::InvalidIdempotencyKey)?;
         Ok(Admission {
             route: binding.name.clone(),
@@ -120,11 +133,25 @@
             timeout_ms: client_timeout_ms
                 .min(binding_timeout_ms)
                 .min(TIMEOUT_MAX_MS),
-            allowed_regions: binding.allowed_regions.clone(),
+            allowed_regions,
+            client,
             job,
         })
     }
 
+    fn identify(
+        &self,
+        table: &RoutingTable,
+        binding: &Binding,
+        request: &Request,
+    ) -> Result<Option<ClientIdentity>, AdmissionError> {
+        let key_header = self.options.conventions.credential;
+        let tenants = table.configuration().tenants.as_ref();
+        let client =
+            ClientIdentity::of_request(&request.headers, key_header, tenants, binding.is_public);
+        client.map_err(AdmissionError::Unidentified)
+    }
+
     fn begin_request(
         &mut self,
         id: ConnectionId,
@@ -133,6 +160,9 @@
         admission: Admission,
     ) {
         let deadline = self.now + admission.timeout_ms;
+        if let Some(client) = &admission.client {
+            self.tenant_counts.record_request(client.name());
+        }
         let request_id = self.requests.add(PendingRequest {
             id: RequestId(0),
             downstream: Some(id),
@@ -144,6 +174,7 @@
             priority: admission.priority,
             max_attempts: admission.max_attempts,
             allowed_regions: admission.allowed_regions,
+            client: admission.client,
             attempts: 0,
             connect_failures: 0,
             may_have_run: false,
@@ -190,3 +221,17 @@
     let (_, binding, function) = table.find(host, path)?;
     Some((binding, function.name.clone()))
 }
+
+/// The regions that a request must not leave: where both its binding and its tenant name some, both bind.
+fn regions(
+    binding: &Binding,
+    client: Option<&ClientIdentity>,
+) -> Result<Vec<String>, AdmissionError> {
+    let of_tenant = client.map_or(&[][..], |client| &client.tenant().allowed_regions);
+    let regions = regions_of_both(&binding.allowed_regions, of_tenant);
+    let are_bound = !binding.allowed_regions.is_empty() || !of_tenant.is_empty();
+    if are_bound && regions.is_empty() {
+        return Err(AdmissionError::NoCommonRegion);
+    }
+    Ok(regions)
+}
--- a/crates/gateway/src/request_outcomes.rs
+++ b/crates/gateway/src/request_outcomes.rs
@@ -165,6 +165,9 @@
     }
 
     fn record_failure(&mut self, request: &PendingRequest, status: u16, reason: &'static str) {
+        if let Some(client) = request.client.as_ref().filter(|_| status != CLIENT_LEFT) {
+            self.tenant_counts.record_rejected(client.name());
+        }
         let failure = request.failure(self.now, status, reason);
         self.failures.record(self.now, &failure);
     }
--- a/crates/gateway/src/upstream_requests.rs
+++ b/crates/gateway/src/upstream_requests.rs
@@ -146,11 +146,24 @@
             }
             return;
         }
+        // A new configuration ends only what waits; this request may have been at another runner then.
+        if !self.end_without_key(id) {
+            self.write_upstream_request(connection, id);
+        }
+    }
+
+    fn write_upstream_request(&mut self, connection: ConnectionId, id: RequestId) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
         request.check_may_be_sent(&self.options.topology);
         let RequestPhase::Upstream(attempt) = &mut request.phase else {
             return;
         };
         attempt.started_at = self.now;
+        let Some(upstream) = self.connections.upstream(connection) else {
+            return;
+        };
         upstream.session.request_sent(OutstandingRequest {
             id: request.client_request_id.clone(),
             is_head: request.request.method == "HEAD",
@@ -173,17 +186,22 @@
         };
         let request = &pending.request;
         let timeout_ms = remaining_ms(pending, self.now).to_string();
-        let is_replaced = |name: &str| {
-            name.eq_ignore_ascii_case(conventions.timeout)
-                || name.eq_ignore_ascii_case(conventions.runner)
-        };
+        let own_names = [
+            conventions.timeout,
+            conventions.runner,
+            conventions.tenant,
+            conventions.credential,
+        ];
+        let is_replaced = |name: &str| own_names.iter().any(|own| name.eq_ignore_ascii_case(own));
         let kept = end_to_end(&request.headers).filter(|(name, _)| !is_replaced(name));
+        let tenant = pending.client.as_ref();
+        let tenant = tenant.map(|client| (conventions.tenant, client.name().as_bytes()));
         let own: [(&str, &[u8]); 2] = [
             (conventions.timeout, timeout_ms.as_bytes()),
             (conventions.runner, attempt.runner.as_bytes()),
         ];
         let mut out = Vec::with_capacity(request.body.len() + HEAD_ESTIMATE);
-        let headers = kept.chain(own);
+        let headers = kept.chain(own).chain(tenant);
         write_request(
             &mut out,
             &request.method,
--- a/crates/gateway/tests/session_support/mod.rs
+++ b/crates/gateway/tests/session_support/mod.rs
@@ -10,6 +10,8 @@
     timeout: "Left",
     seal: "Seal",
     runner: "Meant",
+    credential: "Credential",
+    tenant: "Tenant",
     not_run: "Not-Run",
     retry_after: "Retry-After",
     is_readiness_check: |_, _| false,
--- a/crates/gateway/tests/unit/restarted_peers.rs
+++ b/crates/gateway/tests/unit/restarted_peers.rs
@@ -52,6 +52,7 @@
             excluded_runners: Vec::new(),
             job: None,
             allowed_regions: Vec::new(),
+            tenant: None,
         });
         self.stream.write_all(&frame(&request)).unwrap();
     }
--- a/crates/jobs/src/claim.rs
+++ b/crates/jobs/src/claim.rs
@@ -84,6 +84,16 @@
     digest_of([method.as_bytes(), target.as_bytes(), body])
 }
 
+/// What names a job within its function: the client's idempotency key, within the client's tenant. No text is a key of two tenants, since
+/// a key has no line break.
+#[must_use]
+pub fn job_key(tenant: Option<&str>, idempotency_key: &str) -> String {
+    match tenant {
+        Some(tenant) => format!("{idempotency_key}\n{tenant}"),
+        None => idempotency_key.to_string(),
+    }
+}
+
 /// Key of a job's register.
 #[must_use]
 pub fn register_key(function: &str, idempotency_key: &str) -> String {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -27,8 +27,8 @@
 
 pub use action::JobAction;
 pub use claim::{
-    digest, is_key, register_key, Claim, ClaimHolder, ClaimState, ClaimWriter, StoredClaim,
-    MAX_KEY_CHARS, MAX_STORED_RESPONSE_BYTES,
+    digest, is_key, job_key, register_key, Claim, ClaimHolder, ClaimState, ClaimWriter,
+    StoredClaim, MAX_KEY_CHARS, MAX_STORED_RESPONSE_BYTES,
 };
 pub use coordinator::JobCoordinator;
 pub use job_admission::JobAdmission;
--- a/crates/jobs/tests/cluster/gateway.rs
+++ b/crates/jobs/tests/cluster/gateway.rs
@@ -178,6 +178,7 @@
             excluded_runners: Vec::new(),
             job: Some(request.admission.begin_attempt(&owner)),
             allowed_regions: Vec::new(),
+            tenant: None,
         };
         if owner == node.name {
             node.jobs.request_arrived(now, &owner, "", lease_request);
--- a/crates/protocol/src/jobs.rs
+++ b/crates/protocol/src/jobs.rs
@@ -6,7 +6,7 @@
 /// One attempt of a request to run its job, or to get the result of a request that ran it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct JobAttempt {
-    /// The client's idempotency key.
+    /// The client's idempotency key, within the client's tenant.
     pub key: String,
     /// Digest of the request's method, target and body.
     pub digest: [u8; 16],
--- a/crates/protocol/src/leases.rs
+++ b/crates/protocol/src/leases.rs
@@ -25,6 +25,19 @@
     /// so that no owner overlooks it.
     #[speedy(skip)]
     pub allowed_regions: Vec<String>,
+    /// The tenant that sends the request, if any. It travels in [`Message::TenantLeaseRequest`](crate::Message::TenantLeaseRequest), to
+    /// daemons that understand it.
+    #[speedy(skip)]
+    pub tenant: Option<RequestTenant>,
+}
+
+/// The tenant that sends a request, as far as owners of seats need it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
+pub struct RequestTenant {
+    /// Its name.
+    pub name: String,
+    /// Its priority, which goes before that of the request; 0 goes first.
+    pub priority: u8,
 }
 
 /// A seat at a runner, leased for one request.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,7 @@
 mod message;
 mod ownership;
 mod sent_messages;
+mod tenants;
 
 pub use compression::{pack, unpack};
 pub use frame::{frame, take_frames, FrameError, FrameReader, MAX_FRAME_BYTES};
@@ -22,7 +23,9 @@
 };
 pub use identifiers::{RequestId, UpdateVersion};
 pub use jobs::{JobAttempt, JobCompletion, JobResult, JobVerdict, RegisterResponse};
-pub use leases::{LeaseOutcome, LeaseRelease, LeaseRequest, RunnerLeases, SeatLease};
+pub use leases::{
+    LeaseOutcome, LeaseRelease, LeaseRequest, RequestTenant, RunnerLeases, SeatLease,
+};
 pub use member::Member;
 pub use message::Message;
 pub use ownership::{
@@ -30,3 +33,4 @@
     RunnerHandover, SeatHandover,
 };
 pub use sent_messages::SentMessages;
+pub use tenants::{TenantUsage, UNDERSTANDS_TENANTS};
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -3,9 +3,10 @@
 use crate::functions::{FunctionReport, FunctionUpdate};
 use crate::identifiers::{RequestId, UpdateVersion};
 use crate::jobs::{JobCompletion, JobVerdict, RegisterResponse};
-use crate::leases::{LeaseRelease, LeaseRequest, RunnerLeases, SeatLease};
+use crate::leases::{LeaseRelease, LeaseRequest, RequestTenant, RunnerLeases, SeatLease};
 use crate::member::Member;
 use crate::ownership::{OwnershipChange, OwnershipTable, RelayedLeaseRequest, SeatHandover};
+use crate::tenants::TenantUsage;
 use speedy::{Readable, Writable};
 
 /// A message between daemons, outside the consensus of controllers.
@@ -208,19 +209,84 @@
     },
     /// A gateway tells a controller that it is about to stop.
     GatewayLeaving,
+    /// A gateway requests a lease for a request of a tenant.
+    TenantLeaseRequest {
+        /// The request; its own list of regions and its own tenant do not travel.
+        request: LeaseRequest,
+        /// Regions that the request must not leave; empty where all are allowed.
+        allowed_regions: Vec<String>,
+        /// The tenant.
+        tenant: RequestTenant,
+    },
+    /// A gateway passes a lease request of a tenant on to the function's owner.
+    RelayedTenantLeaseRequest {
+        /// The request.
+        relayed: RelayedLeaseRequest,
+        /// The tenant.
+        tenant: RequestTenant,
+    },
+    /// An operator's tool asks a gateway how much each tenant has sent.
+    RequestTenantUsage,
+    /// What each tenant has sent to a gateway.
+    TenantUsage(Vec<TenantUsage>),
 }
 
 impl Message {
-    /// The message that requests a lease.
+    /// The message that requests a lease of a gateway, which may understand tenants or not.
     #[must_use]
-    pub fn lease_request(mut request: LeaseRequest) -> Self {
-        if request.allowed_regions.is_empty() {
-            return Self::LeaseRequest(request);
-        }
+    pub fn lease_request(mut request: LeaseRequest, understands_tenants: bool) -> Self {
+        let tenant = request.tenant.take().filter(|_| understands_tenants);
         let allowed_regions = std::mem::take(&mut request.allowed_regions);
-        Self::RestrictedLeaseRequest {
-            request,
-            allowed_regions,
+        match tenant {
+            Some(tenant) => Self::TenantLeaseRequest {
+                request,
+                allowed_regions,
+                tenant,
+            },
+            None if allowed_regions.is_empty() => Self::LeaseRequest(request),
+            None => Self::RestrictedLeaseRequest {
+                request,
+                allowed_regions,
+            },
+        }
+    }
+
+    /// The lease request that a message brings, with the regions and the tenant that travelled beside it; none where it is another
+    /// message.
+    #[must_use]
+    pub fn into_lease_request(self) -> Option<LeaseRequest> {
+        match self {
+            Self::LeaseRequest(request) => Some(request),
+            Self::RestrictedLeaseRequest {
+                request,
+                allowed_regions,
+            } => Some(LeaseRequest {
+                allowed_regions,
+                ..request
+            }),
+            Self::TenantLeaseRequest {
+                request,
+                allowed_regions,
+                tenant,
+            } => Some(LeaseRequest {
+                allowed_regions,
+                tenant: Some(tenant),
+                ..request
+            }),
+            _ => None,
+        }
+    }
+
+    /// The message that passes a lease request on to a gateway, which may understand tenants or not.
+    #[must_use]
+    pub fn relayed_lease_request(
+        mut relayed: RelayedLeaseRequest,
+        understands_tenants: bool,
+    ) -> Self {
+        let tenant = relayed.request.tenant.take();
+        match tenant.filter(|_| understands_tenants) {
+            Some(tenant) => Self::RelayedTenantLeaseRequest { relayed, tenant },
+            None => Self::RelayedLeaseRequest(relayed),
         }
     }
 }
--- a/crates/protocol/src/sent_messages.rs
+++ b/crates/protocol/src/sent_messages.rs
@@ -5,7 +5,7 @@
 /// Bytes of a message that tell its kind.
 const KIND_BYTES: usize = 4;
 /// Names of the kinds of [`Message`](crate::Message), by their place in it.
-const KIND_NAMES: [&str; 43] = [
+const KIND_NAMES: [&str; 47] = [
     "gateway_hello",
     "gateway_heartbeat",
     "controller_heartbeat",
@@ -48,6 +48,10 @@
     "relayed_lease_request",
     "suspected_gateway",
     "gateway_leaving",
+    "tenant_lease_request",
+    "relayed_tenant_lease_request",
+    "request_tenant_usage",
+    "tenant_usage",
     "unknown",
 ];
 
--- a/crates/protocol/tests/drawn/mod.rs
+++ b/crates/protocol/tests/drawn/mod.rs
@@ -9,7 +9,7 @@
 
 mod ownership;
 
-pub const KINDS: u8 = 41;
+pub const KINDS: u8 = 45;
 
 #[derive(Clone, Debug)]
 pub struct Drawn(pub Message);
@@ -169,7 +169,7 @@
         0..=5 | 17 | 26 => configuration_message(kind, gen),
         7 | 8 | 15 | 16 | 18 => status_message(kind, gen),
         9..=14 | 27 => lease_message(kind, gen),
-        30..=40 => ownership::message(kind, gen),
+        30..=44 => ownership::message(kind, gen),
         _ => job_message(kind, gen),
     }
 }
@@ -246,6 +246,7 @@
         excluded_runners: any(gen),
         job: bool::arbitrary(gen).then(|| attempt(gen)),
         allowed_regions: Vec::new(),
+        tenant: None,
     }
 }
 
--- a/crates/protocol/tests/drawn/ownership.rs
+++ b/crates/protocol/tests/drawn/ownership.rs
@@ -3,7 +3,7 @@
 use super::{any, lease_request, member, runner_leases, runner_update, some, version};
 use protocol::{
     FunctionHandover, GatewayLeases, Message, OwnershipChange, OwnershipTable, RelayedLeaseRequest,
-    RequestId, RunnerHandover, SeatHandover,
+    RequestId, RequestTenant, RunnerHandover, SeatHandover, TenantUsage,
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -32,21 +32,58 @@
         }),
         35 => Message::ConfirmLeases(request_ids(gen)),
         36 => Message::LeasesEnded(request_ids(gen)),
-        37 => Message::RelayedLeaseRequest(RelayedLeaseRequest {
-            request: lease_request(gen),
-            zone: any(gen),
-            allowed_regions: any(gen),
-        }),
+        37 => Message::RelayedLeaseRequest(relayed_request(gen)),
         38 => Message::SuspectedGateway {
             name: any(gen),
             incarnation: any(gen),
         },
         39 => Message::GatewayLeaving,
         40 => Message::LeaseRequestCancelled(RequestId(any(gen))),
+        41..=44 => tenant_message(kind, gen),
         _ => unreachable!("no kind of this group"),
     }
 }
 
+fn tenant_message(kind: u8, gen: &mut Gen) -> Message {
+    match kind {
+        41 => Message::TenantLeaseRequest {
+            request: lease_request(gen),
+            allowed_regions: any(gen),
+            tenant: tenant(gen),
+        },
+        42 => Message::RelayedTenantLeaseRequest {
+            relayed: relayed_request(gen),
+            tenant: tenant(gen),
+        },
+        43 => Message::RequestTenantUsage,
+        _ => Message::TenantUsage(some(gen, tenant_usage)),
+    }
+}
+
+fn relayed_request(gen: &mut Gen) -> RelayedLeaseRequest {
+    RelayedLeaseRequest {
+        request: lease_request(gen),
+        zone: any(gen),
+        allowed_regions: any(gen),
+    }
+}
+
+fn tenant(gen: &mut Gen) -> RequestTenant {
+    RequestTenant {
+        name: any(gen),
+        priority: any(gen),
+    }
+}
+
+fn tenant_usage(gen: &mut Gen) -> TenantUsage {
+    TenantUsage {
+        tenant: any(gen),
+        keys: any(gen),
+        requests: any(gen),
+        rejected: any(gen),
+    }
+}
+
 fn request_ids(gen: &mut Gen) -> Vec<RequestId> {
     let ids = Vec::<u64>::arbitrary(gen).into_iter();
     ids.map(RequestId).collect()
@@ -83,6 +120,10 @@
         Message::SuspectedGateway { .. } => 38,
         Message::GatewayLeaving => 39,
         Message::LeaseRequestCancelled(_) => 40,
+        Message::TenantLeaseRequest { .. } => 41,
+        Message::RelayedTenantLeaseRequest { .. } => 42,
+        Message::RequestTenantUsage => 43,
+        Message::TenantUsage(_) => 44,
         other => unreachable!("no kind was given to {other:?}"),
     }
 }
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -69,14 +69,46 @@
         request: protocol::LeaseRequest::default(),
         allowed_regions: vec!["north".into()],
     };
-    assert_eq!(Message::lease_request(request), expected);
+    assert_eq!(Message::lease_request(request, false), expected);
     let unrestricted = protocol::LeaseRequest::default();
     assert_eq!(
-        Message::lease_request(unrestricted.clone()),
+        Message::lease_request(unrestricted.clone(), false),
         Message::LeaseRequest(unrestricted)
     );
 }
 
+#[test]
+fn a_tenant_travels_to_daemons_that_understand_it_and_to_no_other() {
+    let tenant = protocol::RequestTenant {
+        name: "north".into(),
+        priority: 3,
+    };
+    let request = protocol::LeaseRequest {
+        allowed_regions: vec!["east".into()],
+        tenant: Some(tenant.clone()),
+        ..protocol::LeaseRequest::default()
+    };
+    let understood = Message::lease_request(request.clone(), true);
+    let expected = Message::TenantLeaseRequest {
+        request: protocol::LeaseRequest::default(),
+        allowed_regions: vec!["east".into()],
+        tenant: tenant.clone(),
+    };
+    assert_eq!(understood, expected);
+    assert_eq!(understood.into_lease_request(), Some(request.clone()));
+    let plain = Message::lease_request(request.clone(), false);
+    assert!(matches!(plain, Message::RestrictedLeaseRequest { .. }));
+    let relayed = protocol::RelayedLeaseRequest::new(RequestId(9), "north-a", request);
+    let message = Message::relayed_lease_request(relayed.clone(), true);
+    assert!(
+        matches!(message, Message::RelayedTenantLeaseRequest { tenant: told, .. } if told == tenant)
+    );
+    let message = Message::relayed_lease_request(relayed, false);
+    assert!(
+        matches!(message, Message::RelayedLeaseRequest(relayed) if relayed.request.tenant.is_none())
+    );
+}
+
 #[test]
 fn too_long_a_frame_is_refused_from_its_head_on() {
     let head = (MAX_FRAME_BYTES as u32 + 1).to_le_bytes();
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -1,5 +1,7 @@
 //! The operator's configuration of what is served, as the daemons use it.
 
+use crate::tenants::TenantDirectory;
+use std::collections::BTreeSet;
 use std::fmt;
 
 /// A configuration of what is served. It is applied as a whole or rejected as a whole.
@@ -15,6 +17,8 @@
     pub functions: Vec<Function>,
     /// What clients may send.
     pub limits: Limits,
+    /// Who may send requests; none where the operators name no tenants, so that everybody may.
+    pub tenants: Option<TenantDirectory>,
 }
 
 /// A binding (route): requests for a host whose path begins with a prefix go to a function.
@@ -40,6 +44,8 @@
     pub max_attempts: u32,
     /// Regions that its requests must not leave; empty where all are allowed.
     pub allowed_regions: Vec<String>,
+    /// Whether it takes requests without a key where there are tenants.
+    pub is_public: bool,
 }
 
 /// A function: what a runner of it needs, and what it can take.
@@ -118,6 +124,15 @@
         base: &RoutingConfiguration,
         change: &[u8],
     ) -> Result<RoutingConfiguration, ConfigurationError>;
+    /// Names of the parts of a document that nothing here understands, such as `routes.colour`. They are without effect. A format
+    /// that takes all parts has none.
+    fn unknown_parts(&self, _document: &[u8]) -> BTreeSet<String> {
+        BTreeSet::new()
+    }
+    /// The same for a change of named items, with the names that its parts have in the whole document.
+    fn unknown_parts_of_change(&self, _change: &[u8]) -> BTreeSet<String> {
+        BTreeSet::new()
+    }
     /// Merges a change of named items into a document; gives the complete new document.
     fn merge_change(&self, document: &[u8], change: &[u8]) -> Result<Vec<u8>, ConfigurationError>;
 }
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -169,7 +169,7 @@
     /// Milliseconds after which a request is to come back that would get no seat in time; none where it may wait.
     pub fn rejects(&self, now: u64, request: &LeaseRequest, rules: &LeaseRules) -> Option<u32> {
         let timeout_ms = request.timeout_ms;
-        let ahead = self.queue.ahead_of(request.priority);
+        let ahead = self.queue.ahead_of(request);
         let allowed_regions = &request.allowed_regions;
         let wait_ms = self
             .runners
@@ -183,13 +183,32 @@
             && !self.has_free_seat(now, rules, &demand);
         let deadline = now + u64::from(timeout_ms);
         let blocked = self.retry_after_block(now, deadline, allowed_regions, rules);
-        if !is_late && blocked.is_none() && self.queue.len() < WAITING_MAX {
+        let has_place = !self.is_full() || self.queue.last_behind(request).is_some();
+        if !is_late && blocked.is_none() && has_place {
             return None;
         }
         let retry_after_ms = wait_ms.unwrap_or(0.0).max(f64::from(RETRY_AFTER_MS));
         Some(blocked.unwrap_or(retry_after_ms as u32))
     }
 
+    fn is_full(&self) -> bool {
+        self.queue.len() >= WAITING_MAX
+    }
+
+    /// Takes out the request that would get a seat last, where the queue is full and one that comes now goes before it.
+    pub fn make_room_for(&mut self, request: &LeaseRequest) -> Option<RejectedRequest> {
+        if !self.is_full() {
+            return None;
+        }
+        let last = self.queue.last_behind(request)?;
+        let displaced = self.queue.remove(last)?;
+        self.record_abandoned();
+        Some(RejectedRequest {
+            holder: displaced.holder,
+            retry_after_ms: RETRY_AFTER_MS,
+        })
+    }
+
     /// Checks that no more requests wait than may.
     pub fn check_queue(&self) {
         let waiting = self.queue.len();
@@ -206,14 +225,8 @@
 
     /// Puts a request in the queue.
     pub fn enqueue(&mut self, now: u64, holder: LeaseHolder, zone: &str, request: LeaseRequest) {
-        let waiting = WaitingRequest {
-            holder,
-            zone: zone.into(),
-            excluded_runners: request.excluded_runners,
-            allowed_regions: request.allowed_regions,
-            deadline: now + u64::from(request.timeout_ms),
-        };
-        self.queue.push(request.priority, waiting);
+        self.queue
+            .push(WaitingRequest::new(now, holder, zone, request));
         self.report.mark_changed();
     }
 
@@ -230,10 +243,7 @@
         if !removed.is_empty() {
             self.report.mark_changed();
         }
-        removed
-            .into_iter()
-            .map(|(_, waiting)| waiting.holder)
-            .collect()
+        removed.into_iter().map(|waiting| waiting.holder).collect()
     }
 
     /// A gateway is gone, and with it its requests. Returns whether it had any.
@@ -284,7 +294,7 @@
     /// Issues a lease of a free seat to the first request that may use one.
     pub fn lease_next(&mut self, now: u64, rules: &LeaseRules) -> Option<IssuedLease> {
         let (position, place) = self.match_next(now, rules)?;
-        let waiting = self.queue.remove(position)?;
+        let waiting = self.queue.serve(position)?;
         let runner = self.runners.at_mut(place);
         let lease = SeatLease {
             request_id: waiting.holder.request_id,
--- a/crates/seat_leases/src/function_seats/handover.rs
+++ b/crates/seat_leases/src/function_seats/handover.rs
@@ -50,17 +50,18 @@
         is_taken: impl Fn(&LeaseHolder) -> bool,
     ) -> Vec<ForeignRequest> {
         let waiting = self.queue.take(is_taken).into_iter();
-        let requests = waiting.map(|(priority, waiting)| ForeignRequest {
+        let requests = waiting.map(|waiting| ForeignRequest {
             gateway: waiting.holder.gateway,
             zone: waiting.zone,
             request: LeaseRequest {
                 request_id: waiting.holder.request_id,
                 function: function.into(),
-                priority,
+                priority: waiting.priority,
                 timeout_ms: waiting.deadline.saturating_sub(now) as u32,
                 excluded_runners: waiting.excluded_runners,
                 job: None,
                 allowed_regions: waiting.allowed_regions,
+                tenant: waiting.tenant,
             },
         });
         requests.collect()
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -5,7 +5,7 @@
 mod reporting;
 
 use crate::action::LeaseAction;
-use crate::function_seats::{FunctionSeats, RETRY_AFTER_MS};
+use crate::function_seats::{FunctionSeats, RejectedRequest, RETRY_AFTER_MS};
 use crate::lease_holder::LeaseHolder;
 use crate::lease_rules::LeaseRules;
 use crate::probe_schedule::{ProbeSchedule, ProbeTarget};
@@ -106,11 +106,15 @@
             self.unreported.insert(function);
             return;
         }
+        let displaced = seats.make_room_for(&request);
         let holder = LeaseHolder::new(gateway, request.request_id);
         self.function_by_holder
             .insert(holder.clone(), function.clone());
         seats.enqueue(now, holder, zone, request);
         seats.check_queue();
+        if let Some(displaced) = displaced {
+            self.reject_waiting(&displaced);
+        }
         self.issue_leases(now, &function);
         if let Some(seats) = self.functions.get_mut(&function) {
             if seats.has_waiting() {
@@ -316,12 +320,17 @@
             return;
         };
         for rejected in seats.take_hopeless(now, &self.rules) {
-            let holder = rejected.holder;
-            self.function_by_holder.remove(&holder);
-            self.reject(&holder.gateway, holder.request_id, rejected.retry_after_ms);
+            self.reject_waiting(&rejected);
         }
     }
 
+    /// Rejects a request that was taken out of its queue.
+    fn reject_waiting(&mut self, rejected: &RejectedRequest) {
+        let holder = &rejected.holder;
+        self.function_by_holder.remove(holder);
+        self.reject(&holder.gateway, holder.request_id, rejected.retry_after_ms);
+    }
+
     /// Leases what is free to those that wait, where the seats are this gateway's to lease.
     fn issue_leases(&mut self, now: u64, function: &str) {
         if *self.ownership.status(function) != SeatStatus::Owned {
--- a/crates/seat_leases/src/wait_queue.rs
+++ b/crates/seat_leases/src/wait_queue.rs
@@ -1,13 +1,27 @@
-//! Requests that wait for a seat of one function: by priority, then by the order in which they came.
+//! Requests that wait for a seat of one function: by priority, then in turns of their tenants, then in the order in which they came.
+//!
+//! Within a priority each tenant gets a seat in turn, as in fair queueing: the requests of a tenant take one turn after the other, and
+//! the first of a tenant that did not wait takes the turn that is being served. So a tenant that sends many times what others send
+//! waits behind its own requests and not the others behind them. Nothing is kept of tenants that do not wait, but of those that were
+//! served in the present turn.
 
 use crate::lease_holder::LeaseHolder;
-use std::collections::BTreeMap;
+use protocol::{LeaseRequest, RequestTenant};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+/// What goes first, before turns: the tenant's priority, then that of the request. 0 goes first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RequestClass {
+    tenant_priority: u8,
+    priority: u8,
+}
 
 /// A request's position in the queue. The least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct QueuePosition {
-    /// 0 goes first.
-    priority: u8,
+    class: RequestClass,
+    /// Turn in which its tenant is served with it.
+    turn: u64,
     /// Number among the requests of the function, in the order in which they came.
     arrival: u64,
 }
@@ -18,6 +32,10 @@
     pub holder: LeaseHolder,
     /// Zone of its gateway.
     pub zone: String,
+    /// 0 goes first.
+    pub priority: u8,
+    /// The tenant that sends it, if any.
+    pub tenant: Option<RequestTenant>,
     /// Runners that failed it.
     pub excluded_runners: Vec<String>,
     /// Regions that it must not leave; empty where all are allowed.
@@ -26,18 +44,100 @@
     pub deadline: u64,
 }
 
+/// Whose turn it is in one class. Requests without a tenant share one place, under an empty name.
+#[derive(Clone, Debug, Default)]
+struct Turns {
+    /// The turn that is being served.
+    current: u64,
+    /// Tenants that were served in it.
+    served: HashSet<String>,
+    /// Turns of the requests that wait, by tenant.
+    waiting: HashMap<String, BTreeSet<u64>>,
+}
+
 /// The queue of one function.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WaitQueue {
     waiting: BTreeMap<QueuePosition, WaitingRequest>,
+    /// Of the classes that wait.
+    turns: BTreeMap<RequestClass, Turns>,
     arrivals: u64,
 }
 
+impl RequestClass {
+    fn new(priority: u8, tenant: Option<&RequestTenant>) -> Self {
+        Self {
+            tenant_priority: tenant.map_or(0, |tenant| tenant.priority),
+            priority,
+        }
+    }
+}
+
+impl WaitingRequest {
+    /// A request of a holder, as of a time.
+    pub fn new(now: u64, holder: LeaseHolder, zone: &str, request: LeaseRequest) -> Self {
+        Self {
+            holder,
+            zone: zone.into(),
+            priority: request.priority,
+            tenant: request.tenant,
+            excluded_runners: request.excluded_runners,
+            allowed_regions: request.allowed_regions,
+            deadline: now + u64::from(request.timeout_ms),
+        }
+    }
+}
+
+impl Turns {
+    /// The turn of a tenant's next request.
+    fn next_of(&self, tenant: &str) -> u64 {
+        let waiting = self.waiting.get(tenant);
+        if let Some(last) = waiting.and_then(BTreeSet::last) {
+            return self.current.max(last + 1);
+        }
+        self.current + u64::from(self.served.contains(tenant))
+    }
+
+    fn add(&mut self, tenant: &str, turn: u64) {
+        let waiting = self.waiting.entry(tenant.to_string());
+        waiting.or_default().insert(turn);
+    }
+
+    fn remove(&mut self, tenant: &str, turn: u64) {
+        let Some(waiting) = self.waiting.get_mut(tenant) else {
+            return;
+        };
+        waiting.remove(&turn);
+        if waiting.is_empty() {
+            self.waiting.remove(tenant);
+        }
+    }
+
+    fn record_served(&mut self, tenant: &str, turn: u64) {
+        if turn > self.current {
+            self.current = turn;
+            self.served.clear();
+        }
+        self.served.insert(tenant.to_string());
+    }
+}
+
+fn tenant_name(tenant: Option<&RequestTenant>) -> &str {
+    tenant.map_or("", |tenant| &tenant.name)
+}
+
 impl WaitQueue {
-    pub fn push(&mut self, priority: u8, request: WaitingRequest) {
+    pub fn push(&mut self, request: WaitingRequest) {
         self.arrivals += 1;
+        let tenant = request.tenant.as_ref();
+        let class = RequestClass::new(request.priority, tenant);
+        let turns = self.turns.entry(class).or_default();
+        let tenant = tenant_name(tenant);
+        let turn = turns.next_of(tenant);
+        turns.add(tenant, turn);
         let position = QueuePosition {
-            priority,
+            class,
+            turn,
             arrival: self.arrivals,
         };
         self.waiting.insert(position, request);
@@ -57,33 +157,70 @@
         waiting.map(|(position, request)| (*position, request))
     }
 
-    /// How many requests get a seat before one of this priority that comes now.
-    pub fn ahead_of(&self, priority: u8) -> usize {
-        let last = QueuePosition {
-            priority,
+    /// How many requests get a seat before one that comes now.
+    pub fn ahead_of(&self, request: &LeaseRequest) -> usize {
+        let position = self.position_of_next(request);
+        self.waiting.range(..=position).count()
+    }
+
+    /// The request that gets a seat last, where one that comes now would get it before.
+    pub fn last_behind(&self, request: &LeaseRequest) -> Option<QueuePosition> {
+        let (last, _) = self.waiting.last_key_value()?;
+        (self.position_of_next(request) < *last).then_some(*last)
+    }
+
+    fn position_of_next(&self, request: &LeaseRequest) -> QueuePosition {
+        let tenant = request.tenant.as_ref();
+        let class = RequestClass::new(request.priority, tenant);
+        let turns = self.turns.get(&class);
+        QueuePosition {
+            class,
+            turn: turns.map_or(0, |turns| turns.next_of(tenant_name(tenant))),
             arrival: u64::MAX,
-        };
-        self.waiting.range(..=last).count()
+        }
+    }
+
+    /// Takes out a request that gets a seat: it was its tenant's turn.
+    pub fn serve(&mut self, position: QueuePosition) -> Option<WaitingRequest> {
+        let request = self.waiting.remove(&position)?;
+        if let Some(turns) = self.turns.get_mut(&position.class) {
+            turns.record_served(tenant_name(request.tenant.as_ref()), position.turn);
+        }
+        self.end_turn(position, &request);
+        Some(request)
     }
 
+    /// Takes out a request that gets no seat.
     pub fn remove(&mut self, position: QueuePosition) -> Option<WaitingRequest> {
-        self.waiting.remove(&position)
+        let request = self.waiting.remove(&position)?;
+        self.end_turn(position, &request);
+        Some(request)
     }
 
-    /// Takes requests out, each with its priority, in the order in which they would get seats.
-    pub fn take(&mut self, is_taken: impl Fn(&LeaseHolder) -> bool) -> Vec<(u8, WaitingRequest)> {
-        let waiting = std::mem::take(&mut self.waiting).into_iter();
-        let (taken, kept): (Vec<_>, Vec<_>) =
-            waiting.partition(|(_, request)| is_taken(&request.holder));
-        self.waiting = kept.into_iter().collect();
-        let taken = taken.into_iter();
-        taken
-            .map(|(position, request)| (position.priority, request))
-            .collect()
+    /// A request waits no more. Where it was the last of its class nobody is owed a turn.
+    fn end_turn(&mut self, position: QueuePosition, request: &WaitingRequest) {
+        let Some(turns) = self.turns.get_mut(&position.class) else {
+            return;
+        };
+        turns.remove(tenant_name(request.tenant.as_ref()), position.turn);
+        if turns.waiting.is_empty() {
+            self.turns.remove(&position.class);
+        }
+    }
+
+    /// Takes requests out, in the order in which they would get seats.
+    pub fn take(&mut self, is_taken: impl Fn(&LeaseHolder) -> bool) -> Vec<WaitingRequest> {
+        let waiting = self.waiting.iter();
+        let positions: Vec<QueuePosition> = waiting
+            .filter(|(_, request)| is_taken(&request.holder))
+            .map(|(position, _)| *position)
+            .collect();
+        let taken = positions.into_iter();
+        taken.filter_map(|position| self.remove(position)).collect()
     }
 
     pub fn remove_holder(&mut self, holder: &LeaseHolder) {
-        self.waiting.retain(|_, request| request.holder != *holder);
+        self.take(|known| known == holder);
     }
 
     pub fn has_gateway(&self, gateway: &str) -> bool {
@@ -92,7 +229,6 @@
     }
 
     pub fn remove_gateway(&mut self, gateway: &str) {
-        self.waiting
-            .retain(|_, request| request.holder.gateway != gateway);
+        self.take(|holder| holder.gateway == gateway);
     }
 }
--- a/crates/seat_leases/tests/common/mod.rs
+++ b/crates/seat_leases/tests/common/mod.rs
@@ -18,6 +18,7 @@
         excluded_runners: Vec::new(),
         job: None,
         allowed_regions: Vec::new(),
+        tenant: None,
     }
 }
 
--- a/crates/seat_leases/tests/fleet/gateway.rs
+++ b/crates/seat_leases/tests/fleet/gateway.rs
@@ -209,7 +209,7 @@
         if owner == name {
             self.place(index, &name, lease_request);
         } else {
-            let message = Message::lease_request(lease_request);
+            let message = Message::lease_request(lease_request, true);
             self.send(index, index_of(&owner), message);
         }
     }
--- a/tests/compatibility/src/families.rs
+++ b/tests/compatibility/src/families.rs
@@ -6,7 +6,7 @@
 use crate::folder::FolderContent;
 use crate::sample::Sample;
 use crate::samples::{
-    consensus, daemons, frames, operator_commands, ownership, protocol, register, stored,
+    consensus, daemons, frames, operator_commands, ownership, protocol, register, stored, tenants,
 };
 use journal::MemoryFolder;
 use speedy::{LittleEndian, Writable};
@@ -36,6 +36,7 @@
     vec![
         family("protocol", &protocol::messages(), Sample::framed),
         family("ownership", &ownership::messages(), Sample::framed),
+        family("tenants", &tenants::messages(), Sample::framed),
         family("consensus", &consensus::messages(), Sample::framed),
         family("peer_frames", &frames::peer_frames(), Sample::framed),
         stored_responses(),
--- a/tests/compatibility/src/samples/mod.rs
+++ b/tests/compatibility/src/samples/mod.rs
@@ -8,3 +8,4 @@
 pub mod protocol;
 pub mod register;
 pub mod stored;
+pub mod tenants;
--- a/tests/compatibility/src/samples/protocol.rs
+++ b/tests/compatibility/src/samples/protocol.rs
@@ -196,6 +196,7 @@
         excluded_runners: vec!["r-17".into(), "r-18".into()],
         job: Some(job_attempt()),
         allowed_regions: Vec::new(),
+        tenant: None,
     };
     let plain_request = LeaseRequest {
         job: None,
--- a/tests/compatibility/tests/wire.rs
+++ b/tests/compatibility/tests/wire.rs
@@ -2,7 +2,7 @@
 
 use ::consensus::ConsensusMessage;
 use ::protocol::{take_frames, FrameReader, Message};
-use compatibility::samples::{consensus, daemons, frames, ownership, protocol};
+use compatibility::samples::{consensus, daemons, frames, ownership, protocol, tenants};
 use compatibility::{families, HexFixture, Sample};
 use speedy::{LittleEndian, Readable};
 use std::collections::BTreeSet;
@@ -64,6 +64,12 @@
     assert_reads_frames("ownership", ownership::messages());
 }
 
+#[test]
+fn messages_about_tenants_keep_their_bytes() {
+    assert_encodes_as_captured("tenants");
+    assert_reads_frames("tenants", tenants::messages());
+}
+
 #[test]
 fn gateways_and_controllers_read_captured_messages() {
     assert_reads_frames("protocol", protocol::messages());
