--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,7 @@
 mod status;
 pub mod stored_response;
 mod tenant_counts;
+mod tenant_retries;
 mod upstream_connection;
 mod upstream_pool;
 mod upstream_probes;
@@ -79,6 +80,9 @@
 #[path = "../tests/unit/broken_invariants.rs"]
 mod broken_invariants_tests;
 #[cfg(test)]
+#[path = "../tests/unit/client_identity.rs"]
+mod client_identity_tests;
+#[cfg(test)]
 #[path = "../tests/unit/connection_reuse.rs"]
 mod connection_reuse_tests;
 #[cfg(test)]
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -8,6 +8,7 @@
 use jobs::JobAdmission;
 use locality::Topology;
 use protocol::RequestId;
+use std::sync::Arc;
 
 /// Name of the gateway that owns the seats of a function.
 pub(crate) type OwnerName = String;
@@ -106,9 +107,9 @@
         attempt.or(excluded).unwrap_or_default()
     }
 
-    /// Name of the tenant that sends it; empty where there is none.
-    pub fn tenant_name(&self) -> &str {
-        self.client.as_ref().map_or("", |client| client.name())
+    /// Name of the tenant that sends it, if any.
+    pub fn tenant(&self) -> Option<&Arc<str>> {
+        self.client.as_ref().map(ClientIdentity::name)
     }
 
     /// What explains that it ends with a status of the gateway's own.
@@ -117,7 +118,7 @@
             request_id: &self.client_request_id,
             route: &self.route,
             function: &self.function,
-            tenant: self.tenant_name(),
+            tenant: self.tenant().map_or("", AsRef::as_ref),
             status,
             reason,
             runner: self.last_runner(),
--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -10,7 +10,8 @@
             return;
         };
         let gateways = self.configuration.members().len();
-        self.retry_budgets.deposit(&request.function, gateways);
+        self.retry_budgets
+            .deposit(&request.function, request.tenant(), gateways);
     }
 
     /// Retries a request that a runner got, where that is allowed; it counts among the attempts and against the budget.
@@ -21,7 +22,11 @@
         if !request.may_be_retried(self.now) || request.attempts >= request.max_attempts {
             return false;
         }
-        if !self.retry_budgets.try_withdraw(&request.function) {
+        let tenant = request.tenant().cloned();
+        if !self
+            .retry_budgets
+            .try_withdraw(&request.function, tenant.as_ref())
+        {
             return false;
         }
         self.request_lease(id);
@@ -52,7 +57,11 @@
         }
         // Without another attempt there is nothing to be gained by ending this one.
         let may_retry = request.may_be_retried(self.now);
-        if !may_retry || !self.retry_budgets.has_balance(&request.function) {
+        if !may_retry
+            || !self
+                .retry_budgets
+                .has_balance(&request.function, request.tenant())
+        {
             return;
         }
         let (connection, runner) = (attempt.connection, attempt.runner.clone());
--- a/crates/gateway/src/retry_budgets.rs
+++ b/crates/gateway/src/retry_budgets.rs
@@ -1,7 +1,9 @@
 //! Retries of each function stay within a share of its first attempts.
 
+use crate::tenant_retries::TenantRetries;
 use seat_leases::RetryBudget;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// Part of the operators' slack that is used: a gateway that restarts begins with a full budget, and the fleet must not
 /// exceed the whole.
@@ -9,41 +11,58 @@
 /// Part of the ratio that is used, for the same reason.
 const RATIO_PART: f64 = 0.75;
 
-/// Retry budgets by function.
+/// Retry budgets by function, and the shares of tenants in them.
 pub(crate) struct RetryBudgets {
     budgets: HashMap<String, RetryBudget>,
+    tenants: TenantRetries,
     ratio: f64,
     slack: f64,
 }
 
+/// A tenant, where the request has one.
+type Sender<'a> = Option<&'a Arc<str>>;
+
 impl RetryBudgets {
     /// Budgets under the operators' bounds over all gateways: retries per first attempt, and retries beside these.
     pub fn new(ratio: f64, slack: f64) -> Self {
         Self {
             budgets: HashMap::new(),
+            tenants: TenantRetries::default(),
             ratio: ratio * RATIO_PART,
             slack: slack * SLACK_PART,
         }
     }
 
     /// A first attempt earns its share of a retry; the slack is divided among the gateways.
-    pub fn deposit(&mut self, function: &str, gateways: usize) {
+    pub fn deposit(&mut self, function: &str, tenant: Sender<'_>, gateways: usize) {
         let capacity = (self.slack / gateways.max(1) as f64).max(1.0);
         let ratio = self.ratio;
         let budget = self.budgets.entry(function.into());
         let budget = budget.or_insert_with(|| RetryBudget::new(ratio, capacity));
         budget.set_capacity(capacity);
         budget.deposit();
+        if let Some(tenant) = tenant {
+            self.tenants.deposit(tenant, ratio);
+        }
     }
 
-    /// Whether there is a retry to take.
-    pub fn has_balance(&self, function: &str) -> bool {
-        let budget = self.budgets.get(function);
-        budget.is_some_and(RetryBudget::has_balance)
+    /// Whether there is a retry to take: the function has one, and the tenant has earned it or nobody else needs it.
+    pub fn has_balance(&self, function: &str, tenant: Sender<'_>) -> bool {
+        let Some(budget) = self.budgets.get(function) else {
+            return false;
+        };
+        let is_own = tenant.is_none_or(|tenant| self.tenants.has_balance(tenant));
+        budget.has_balance() && (is_own || budget.is_full())
     }
 
     /// Takes a retry, where there is one.
-    pub fn try_withdraw(&mut self, function: &str) -> bool {
+    pub fn try_withdraw(&mut self, function: &str, tenant: Sender<'_>) -> bool {
+        if !self.has_balance(function, tenant) {
+            return false;
+        }
+        if let Some(tenant) = tenant {
+            self.tenants.withdraw(tenant);
+        }
         let budget = self.budgets.get_mut(function);
         budget.is_some_and(RetryBudget::try_withdraw)
     }
--- a/crates/routing/src/tenants.rs
+++ b/crates/routing/src/tenants.rs
@@ -58,12 +58,19 @@
 impl std::error::Error for TenantError {}
 
 /// All tenants, by name and by key.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Default, PartialEq)]
 pub struct TenantDirectory {
     by_name: HashTrieMapSync<Arc<str>, Arc<Tenant>>,
     by_key: HashTrieMapSync<KeyDigest, Arc<Tenant>>,
 }
 
+// Maps would print hashes of keys.
+impl fmt::Debug for TenantDirectory {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_set().entries(self.iter()).finish()
+    }
+}
+
 impl TenantDirectory {
     /// A directory of these tenants.
     ///
--- a/crates/seat_leases/src/retry_budget.rs
+++ b/crates/seat_leases/src/retry_budget.rs
@@ -38,6 +38,12 @@
         self.balance >= 1.0
     }
 
+    /// Whether a deposit would be lost, since the balance is at its capacity.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.balance >= self.capacity
+    }
+
     /// Takes a retry; false where there is none.
     #[must_use]
     pub fn try_withdraw(&mut self) -> bool {
