--- a/tests/cluster/src/lib.rs
+++ b/tests/cluster/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod server;
 pub mod simulated_cluster;
 pub mod soak;
+pub mod tenants;
 
 use disk_probe::Deadline;
 use std::time::Duration;
