--- a/crates/hallkeel/src/fleet.rs
+++ b/crates/hallkeel/src/fleet.rs
@@ -1,14 +1,10 @@
 //! The command that shows gateways and controllers by what they tell at their wire addresses.
 
 use crate::cores::CliError;
-use protocol::{frame, FrameReader, Message};
+use crate::wire::ask;
+use protocol::Message;
 use serde_json::Value;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
-
-const TIMEOUT: Duration = Duration::from_secs(2);
-const MAX_RESPONSE_BYTES: usize = 32 << 20;
+use std::net::SocketAddr;
 
 /// Shows what gateways and controllers tell of themselves at their wire addresses; with a function's name, what the
 /// scaler thinks of it.
@@ -19,7 +15,7 @@
     }
     let mut answers = 0;
     for address in daemons {
-        match ask(address) {
+        match state(address) {
             Ok(reported) => {
                 answers += 1;
                 match function {
@@ -36,28 +32,10 @@
     Ok(())
 }
 
-fn ask(address: &SocketAddr) -> Result<Value, String> {
-    let reported = |error: std::io::Error| error.to_string();
-    let mut line = TcpStream::connect_timeout(address, TIMEOUT).map_err(reported)?;
-    line.set_read_timeout(Some(TIMEOUT)).map_err(reported)?;
-    line.write_all(&frame(&Message::RequestStatus))
-        .map_err(reported)?;
-    let mut bytes = Vec::new();
-    let mut part = [0; 16 << 10];
-    loop {
-        let count = line.read(&mut part).map_err(reported)?;
-        if count == 0 || bytes.len() > MAX_RESPONSE_BYTES {
-            return Err("it does not tell its state".to_string());
-        }
-        bytes.extend_from_slice(&part[..count]);
-        match FrameReader::new(&bytes).read::<Message>() {
-            Ok(None) => {}
-            Ok(Some(Message::Status(text))) => {
-                return serde_json::from_str(&text).map_err(|error| error.to_string());
-            }
-            Ok(Some(_)) => return Err("it answers something else".to_string()),
-            Err(fault) => return Err(fault.to_string()),
-        }
+fn state(address: &SocketAddr) -> Result<Value, String> {
+    match ask(address, &Message::RequestStatus)? {
+        Message::Status(text) => serde_json::from_str(&text).map_err(|error| error.to_string()),
+        _ => Err("it answers something else".to_string()),
     }
 }
 
--- a/crates/hallkeel/src/main.rs
+++ b/crates/hallkeel/src/main.rs
@@ -5,6 +5,8 @@
 mod fleet;
 mod fronts;
 mod show;
+mod tenants;
+mod wire;
 
 use clap::{Parser, Subcommand};
 use cores::{CliError, Cores};
@@ -53,6 +55,14 @@
         #[arg(long)]
         json: bool,
     },
+    /// Show what each tenant has sent to these gateways: requests, those that were rejected, share
+    Tenants {
+        /// Wire addresses of gateways
+        gateways: Vec<SocketAddr>,
+        /// Print everything as JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Print the blueprint in force
     Get,
     /// Hand over a whole blueprint
@@ -132,6 +142,7 @@
             function,
             json,
         } => fleet::show(&daemons, function.as_deref(), json),
+        Command::Tenants { gateways, json } => tenants::show(&gateways, json),
         Command::Status { json, runners } => show::status(&cores?, json, runners),
         Command::Watch { every } => show::watch(&cores?, every),
         Command::Get => changes::get(&cores?),
