Soak: clients of tenants, keys that come and go, and the judgement on them

Every client bears a key: steady, one that is taken away, moved and given back, or one that nobody ever held; some claim a tenant. Judged: keys at runners and wrong tenants (UNASKED), keys that nobody held (ROUTE), keys by an old version at gateways in touch (CONFIG), steady keys that are refused (DENIED), answers to another tenant's job (MIXED).

--- a/tests/cluster/src/simulated_cluster.rs
+++ b/tests/cluster/src/simulated_cluster.rs
@@ -6,6 +6,7 @@
 use super::paths::scratch;
 use super::platform::{Platform, Service, Worker};
 use super::relay::{self, Network};
+use super::runner::CREDENTIAL;
 use super::server::Server;
 use super::{seconds, wait_until};
 use http1::Response;
@@ -114,6 +115,8 @@
     pub shared_settings: ClusterSettings,
     /// What relays between the daemons do, where there are relays.
     pub network: Arc<Network>,
+    /// The key of requests that are sent with [`get`](Self::get), where there are tenants.
+    pub key: Option<&'static str>,
     net: [u8; 3],
     folder: PathBuf,
     /// Whether the data and logs stay after the run.
@@ -190,6 +193,7 @@
             gateways,
             shared_settings,
             network: Arc::default(),
+            key: None,
             net,
             folder,
             keeps_folder: false,
@@ -306,7 +310,10 @@
 
     /// Sends a request to a gateway, with an id of its own.
     pub fn get(&self, index: usize, target: &str) -> (ClientRequest, Option<Response>) {
-        let request = ClientRequest::get(target, &self.new_request_id());
+        let mut request = ClientRequest::get(target, &self.new_request_id());
+        if let Some(key) = self.key {
+            request = request.with(CREDENTIAL, key);
+        }
         let response = send_request(self.public(index), &request);
         (request, response)
     }
--- a/tests/cluster/src/soak/jobs.rs
+++ b/tests/cluster/src/soak/jobs.rs
@@ -1,8 +1,9 @@
 //! Clients that send one job, under one idempotency key, through several gateways at once and again after a failure.
 
 use super::ledger::{JobCopy, JobRecord, Ledger};
+use super::tenants::STEADY;
 use crate::client::{send_request, ClientRequest};
-use crate::runner::{FAULT, SIZE, WORK};
+use crate::runner::{CREDENTIAL, FAULT, SIZE, WORK};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
@@ -22,21 +23,34 @@
     let mut sent = 0;
     while !is_over.load(Ordering::SeqCst) {
         sent += 1;
-        let key = format!("job-{number}-{sent}");
-        let record = run_job(&key, &mut random, gateways, is_over);
+        // The first two clients are of different tenants and give their jobs the same names.
+        let client = JobClient {
+            key: format!("job-{}-{sent}", number.max(1)),
+            ids: format!("job-{number}-{sent}"),
+            credential: STEADY[number as usize % STEADY.len()].1,
+        };
+        let record = run_job(&client, &mut random, gateways, is_over);
         ledger.record_job(record);
         std::thread::sleep(Duration::from_millis(random.random_range(5..60)));
     }
 }
 
+/// Who sends a job, and under which idempotency key.
+struct JobClient {
+    key: String,
+    /// What the ids of its requests begin with.
+    ids: String,
+    credential: &'static str,
+}
+
 fn run_job(
-    key: &str,
+    client: &JobClient,
     random: &mut StdRng,
     gateways: &[SocketAddr],
     is_over: &AtomicBool,
 ) -> JobRecord {
     let mut record = JobRecord {
-        key: key.into(),
+        key: client.ids.clone(),
         copies: Vec::new(),
     };
     let work = random.random_range(0..120);
@@ -45,10 +59,11 @@
     for round in 0..ROUNDS_MAX {
         let copies: Vec<(ClientRequest, SocketAddr)> = (0..random.random_range(1..4))
             .map(|number| {
-                let id = format!("{key}-{round}-{number}");
+                let id = format!("{}-{round}-{number}", client.ids);
                 let mut request = ClientRequest::get("/write/job", &id)
-                    .post(key.as_bytes())
-                    .with(KEY, key)
+                    .post(client.key.as_bytes())
+                    .with(KEY, &client.key)
+                    .with(CREDENTIAL, client.credential)
                     .with(WORK, work)
                     .with(SIZE, size);
                 if let Some(fault) = fault {
--- a/tests/cluster/src/soak/ledger.rs
+++ b/tests/cluster/src/soak/ledger.rs
@@ -39,6 +39,8 @@
     pub id: String,
     pub gateway: usize,
     pub target: String,
+    /// The key that it bears.
+    pub key: &'static str,
     /// Whether it must run at most once.
     pub at_most_once: bool,
     /// Whether it asks its runner neither to fail nor to take longer than its route allows.
--- a/tests/cluster/src/soak/misbehaving.rs
+++ b/tests/cluster/src/soak/misbehaving.rs
@@ -1,7 +1,8 @@
 //! Clients that misbehave. What they are answered is not judged; what they cause elsewhere is.
 
+use super::tenants::STEADY;
 use crate::client::{ClientRequest, Connection};
-use crate::runner::{SIZE, WORK};
+use crate::runner::{CREDENTIAL, SIZE, WORK};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use socket2::SockRef;
@@ -30,6 +31,7 @@
 
 fn misbehave(kind: u32, id: &str, mut connection: Connection) {
     let request = ClientRequest::get("/read/x", id)
+        .with(CREDENTIAL, STEADY[0].1)
         .with(WORK, 20)
         .with(SIZE, 5_000);
     let bytes = request.bytes();
@@ -48,6 +50,7 @@
                 let id = format!("{id}-{number}");
                 connection.send(
                     &ClientRequest::get("/read/x", &id)
+                        .with(CREDENTIAL, STEADY[0].1)
                         .with(SIZE, 50_000)
                         .bytes(),
                 );
@@ -68,6 +71,7 @@
         5 => {
             connection.send(
                 &ClientRequest::get("/write/x", id)
+                    .with(CREDENTIAL, STEADY[0].1)
                     .with(WORK, 300)
                     .post(b"w")
                     .bytes(),
@@ -81,6 +85,7 @@
 
 fn reset_within_body(id: &str, mut connection: Connection) {
     let whole = ClientRequest::get("/write/x", id)
+        .with(CREDENTIAL, STEADY[0].1)
         .post(&[b'x'; 3_000])
         .bytes();
     connection.send(&whole[..whole.len() / 2]);
--- a/tests/cluster/src/soak/mod.rs
+++ b/tests/cluster/src/soak/mod.rs
@@ -19,6 +19,7 @@
 pub mod rolling;
 mod run;
 mod schedule;
+mod tenants;
 mod traffic;
 
 pub use run::{run, SoakOptions, SoakReport};
--- a/tests/cluster/src/soak/operators.rs
+++ b/tests/cluster/src/soak/operators.rs
@@ -1,6 +1,7 @@
 //! An operator who changes the configuration and evacuates zones, sometimes twice at once, and a reader at any controller.
 
 use super::ledger::{ChangeOutcome, ChangeRecord, Ledger, ReadRecord};
+use super::tenants::add_tenants;
 use crate::operator::{call, call_following_redirects, route};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -31,6 +32,8 @@
     /// Tells its documents from those of other operators.
     number: u64,
     base_configuration: fn(u64) -> Value,
+    seed: u64,
+    began_at: Instant,
 }
 
 impl<'a> Operator<'a> {
@@ -41,11 +44,13 @@
         ledger: &'a Ledger,
         base_configuration: fn(u64) -> Value,
     ) -> Self {
-        let seed = seed.wrapping_add(number * OPERATOR_SEEDS);
+        let own_seed = seed.wrapping_add(number * OPERATOR_SEEDS);
         Self {
+            seed,
+            began_at: Instant::now(),
             number,
             base_configuration,
-            random: StdRng::seed_from_u64(seed ^ CHANGE_SEED),
+            random: StdRng::seed_from_u64(own_seed ^ CHANGE_SEED),
             controllers,
             ledger,
             version: FIRST_VERSION,
@@ -73,6 +78,7 @@
     fn next_document(&mut self, step: u64) -> Value {
         self.changes += 1;
         let mut document = (self.base_configuration)(self.version + step);
+        add_tenants(&mut document, self.seed, self.began_at.elapsed());
         let service = ["plain", "rare"][self.changes as usize % 2];
         let name = format!("moving-{}-{}", self.number, self.changes);
         let routes = document["routes"].as_array_mut().expect("there are routes");
--- a/tests/cluster/src/soak/oracle.rs
+++ b/tests/cluster/src/soak/oracle.rs
@@ -146,6 +146,13 @@
             job.key
         ));
     }
+    let is_own = |body: &&Vec<u8>| {
+        let mut copies = job.copies.iter();
+        copies.any(|copy| body.starts_with(format!("{} ", copy.id).as_bytes()))
+    };
+    if !bodies.iter().all(is_own) {
+        broken.push(format!("MIXED: {} got the answer of another job", job.key));
+    }
     if bodies.len() == 1 && total == 0 {
         broken.push(format!("MIXED: {} was answered and ran nowhere", job.key));
     }
--- a/tests/cluster/src/soak/rolling/clients.rs
+++ b/tests/cluster/src/soak/rolling/clients.rs
@@ -1,8 +1,9 @@
 //! Clients that keep a connection for as long as the gateway at its other end keeps it, and then go to another gateway.
 
 use crate::client::{ClientRequest, Connection};
-use crate::runner::{SIZE, WORK};
+use crate::runner::{CREDENTIAL, SIZE, WORK};
 use crate::soak::ledger::{ClientOutcome, ClientRecord, Ledger};
+use crate::soak::tenants::draw_key;
 use crate::soak::traffic::judge;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -67,7 +68,8 @@
             std::thread::sleep(NOT_CONNECTED_PAUSE);
             return;
         };
-        let request = self.draw_request(number);
+        let key = draw_key(&mut self.random);
+        let request = self.draw_request(number).with(CREDENTIAL, key);
         let at_most_once = request.method == "POST";
         let sent_at = Instant::now();
         let is_sent = connection.send(&request.bytes());
@@ -83,6 +85,7 @@
             id: request.id,
             gateway,
             target: request.target,
+            key,
             at_most_once,
             is_ordinary: true,
             sent_at,
--- a/tests/cluster/src/soak/rolling/run.rs
+++ b/tests/cluster/src/soak/rolling/run.rs
@@ -10,6 +10,7 @@
 use crate::soak::injector::Injector;
 use crate::soak::ledger::Ledger;
 use crate::soak::operators::{run_reader, Operator, FIRST_VERSION};
+use crate::soak::tenants::{self, KeyHistory, STEADY};
 use crate::soak::{calm, oracle};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -56,7 +57,7 @@
 
 /// Runs one seed.
 pub fn run(options: RollingOptions) -> RollingReport {
-    let cluster = start_cluster(options.gateways);
+    let cluster = start_cluster(options.seed, options.gateways);
     let series = Series::draw(
         options.seed,
         options.length,
@@ -73,6 +74,9 @@
     let disturbances = injector.disturbances().with_stalls(disk_probe::stalls());
     let requests = ledger.requests();
     findings.extend(drains::judge(&received, &requests, &leaving, &disturbances));
+    let history = KeyHistory::new(&first_configuration(options.seed), &ledger);
+    let is_in_touch = tenants::in_touch_by(&disturbances);
+    findings.extend(tenants::judge(&history, &requests, &received, is_in_touch));
     findings.append(&mut injector.findings);
     let keeps_folder = options.keeps_folder || !findings.is_empty();
     if keeps_folder {
@@ -122,12 +126,19 @@
     document
 }
 
-fn start_cluster(gateways: usize) -> SimulatedCluster {
-    let cluster = SimulatedCluster::builder()
+fn first_configuration(seed: u64) -> Value {
+    let mut document = rolling_configuration(FIRST_VERSION);
+    tenants::add_tenants(&mut document, seed, Duration::ZERO);
+    document
+}
+
+fn start_cluster(seed: u64, gateways: usize) -> SimulatedCluster {
+    let mut cluster = SimulatedCluster::builder()
         .retry_slack(RETRY_SLACK)
         .gateways(gateways)
         .start();
-    let document = rolling_configuration(FIRST_VERSION);
+    cluster.key = Some(STEADY[0].1);
+    let document = first_configuration(seed);
     assert_eq!(cluster.replace(0, &document).0, 200);
     cluster.wait_ready();
     for function in 0..FUNCTIONS {
--- a/tests/cluster/src/soak/run.rs
+++ b/tests/cluster/src/soak/run.rs
@@ -8,10 +8,13 @@
 use super::oracle;
 use super::planned_work;
 use super::schedule::{Schedule, ScheduledFault};
+use super::tenants::{self, KeyHistory, STEADY};
 use super::traffic::Client;
-use super::{calm, ledger::ClientOutcome};
+use super::{calm, ledger::ClientOutcome, ledger::ClientRecord};
+use crate::disk_probe;
 use crate::operator::{configuration, route};
 use crate::simulated_cluster::SimulatedCluster;
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -47,7 +50,7 @@
 
 /// Runs one seed.
 pub fn run(options: SoakOptions) -> SoakReport {
-    let cluster = start_cluster();
+    let cluster = start_cluster(options.seed);
     let (gateways, controllers) = (cluster.gateways.len(), cluster.controllers.len());
     let schedule = Schedule::draw(options.seed, options.length, gateways, controllers);
     let ledger = Ledger::default();
@@ -56,6 +59,16 @@
     calm::judge(&mut injector, &ledger);
     let received = injector.cluster.platform.request_log.all();
     let mut findings = oracle::judge(&ledger, &received);
+    let history = KeyHistory::new(&first_configuration(options.seed), &ledger);
+    // While faults overlap only what holds at any time is judged.
+    let planned_from = ledger.planned_from();
+    let disturbances = injector.disturbances().with_stalls(disk_probe::stalls());
+    let is_in_touch = |request: &ClientRecord, at: Instant| {
+        let is_calm = planned_from.is_some_and(|from| at >= from);
+        is_calm && disturbances.is_in_touch(request.gateway, at)
+    };
+    let requests = ledger.requests();
+    findings.extend(tenants::judge(&history, &requests, &received, is_in_touch));
     findings.append(&mut injector.findings);
     let folder = injector.cluster.folder().to_path_buf();
     if !findings.is_empty() {
@@ -64,14 +77,21 @@
     report(schedule, findings, &ledger, folder)
 }
 
-fn start_cluster() -> SimulatedCluster {
-    let cluster = SimulatedCluster::builder()
-        .retry_slack(RETRY_SLACK)
-        .relayed()
-        .start();
+fn first_configuration(seed: u64) -> Value {
     let mut document = configuration(FIRST_VERSION);
     let routes = document["routes"].as_array_mut().expect("there are routes");
     routes.push(route("moving", "/moving/", "safe", "plain"));
+    tenants::add_tenants(&mut document, seed, Duration::ZERO);
+    document
+}
+
+fn start_cluster(seed: u64) -> SimulatedCluster {
+    let mut cluster = SimulatedCluster::builder()
+        .retry_slack(RETRY_SLACK)
+        .relayed()
+        .start();
+    cluster.key = Some(STEADY[0].1);
+    let document = first_configuration(seed);
     assert_eq!(cluster.replace(0, &document).0, 200);
     cluster.wait_ready();
     for index in 0..cluster.gateways.len() {
--- a/tests/cluster/src/soak/traffic.rs
+++ b/tests/cluster/src/soak/traffic.rs
@@ -1,8 +1,9 @@
 //! Well-behaved clients: they send one request at a time, read its response whole and record what they were answered.
 
 use super::ledger::{ClientOutcome, ClientRecord, Ledger};
+use super::tenants::{draw_key, STEADY};
 use crate::client::{ClientRequest, Connection};
-use crate::runner::{FAULT, SIZE, WORK};
+use crate::runner::{CREDENTIAL, FAULT, SIZE, TENANT, WORK};
 use http1::Response;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -34,10 +35,13 @@
 ];
 /// One request in so many asks for a fault.
 const FAULT_ONE_IN: u32 = 10;
+/// One request in so many says itself which tenant sends it.
+const FORGED_ONE_IN: u32 = 6;
 const SUCCESS: u16 = 200;
 
 /// What is expected of a request.
 struct RequestKind {
+    key: &'static str,
     at_most_once: bool,
     is_ordinary: bool,
 }
@@ -82,6 +86,7 @@
             id: request.id.clone(),
             gateway,
             target: request.target.clone(),
+            key: kind.key,
             at_most_once: kind.at_most_once,
             is_ordinary: kind.is_ordinary,
             sent_at,
@@ -117,7 +122,13 @@
             let fault = RUNNER_FAULTS[self.random.random_range(0..RUNNER_FAULTS.len())];
             request = request.with(FAULT, fault);
         }
+        let key = draw_key(&mut self.random);
+        request = request.with(CREDENTIAL, key);
+        if self.random.random_ratio(1, FORGED_ONE_IN) {
+            request = request.with(TENANT, STEADY[0].0);
+        }
         let kind = RequestKind {
+            key,
             at_most_once,
             is_ordinary: !asks_for_fault && !is_endless,
         };
