Controllers: the scaler asks for its role as something arrives, not with ticks alone

Cause: whether this controller holds the role was looked at with each tick. What had arrived while a process stood still was handled before the next tick: ends of calls to the platform let waiting starts leave under a term that was over. Excluded: two holders by consensus (the role was lost at once), and starts that a cut held up. Change: each event for the scaler asks the consensus for the role's term at that moment and drops everything where it is another one or none. The test fails without the question.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -330,8 +330,10 @@
 
     /// The scaler, with what it decides by and works with.
     fn scaler_parts(&mut self) -> (&mut Scaler, &CommittedConfiguration, ScalerContext<'_>) {
+        self.update_clock();
         let context = ScalerContext {
             now: self.now,
+            term: self.consensus.role_term(self.now),
             options: &self.options,
             connections: &mut self.connections,
             gateways: &mut self.gateways,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -105,5 +105,8 @@
 #[path = "../tests/unit/platform_lists.rs"]
 mod platform_lists_tests;
 #[cfg(test)]
+#[path = "../tests/unit/scaler_role.rs"]
+mod scaler_role_tests;
+#[cfg(test)]
 #[path = "../tests/unit/shutdown_deadline.rs"]
 mod shutdown_deadline_tests;
--- a/crates/controller/src/scaler.rs
+++ b/crates/controller/src/scaler.rs
@@ -38,8 +38,10 @@
 
 /// The other parts of the controller that the scaler works with.
 pub(crate) struct ScalerContext<'a> {
-    /// Milliseconds since the start.
+    /// Milliseconds since the start, at this very moment.
     pub now: u64,
+    /// Term under which this controller has the role at this moment; none where another one may have it.
+    pub term: Option<u64>,
     /// Settings.
     pub options: &'a ControllerOptions,
     /// Connections, for those to the platform.
@@ -66,6 +68,16 @@
         }
     }
 
+    /// Whether this controller still scales under its term. Where it does not everything is dropped: what has arrived while the process
+    /// stood still is handled before the next tick, and must command nothing.
+    fn keeps_role(&mut self, context: &mut ScalerContext<'_>) -> bool {
+        let is_held = context.term == Some(self.term);
+        if !is_held {
+            self.end_term(context);
+        }
+        is_held
+    }
+
     fn reset(&mut self, context: &mut ScalerContext<'_>) {
         self.autoscaler = None;
         self.lists.drop_runners();
@@ -137,6 +149,9 @@
 
     /// Does what is due by time.
     pub fn poll(&mut self, context: &mut ScalerContext<'_>) {
+        if !self.keeps_role(context) {
+            return;
+        }
         self.publish_ownership(context);
         self.poll_lists(context);
         if let Some(autoscaler) = self.autoscaler.as_mut() {
@@ -194,6 +209,9 @@
         reports: &[FunctionReport],
         context: &mut ScalerContext<'_>,
     ) {
+        if !self.keeps_role(context) {
+            return;
+        }
         let incarnation = context.gateways.incarnation(owner).unwrap_or(0);
         let Some(autoscaler) = self.autoscaler.as_mut() else {
             return;
@@ -217,6 +235,9 @@
 
     /// Something arrived on a connection to the platform.
     pub fn handle_readable(&mut self, connection: ConnectionId, context: &mut ScalerContext<'_>) {
+        if !self.keeps_role(context) {
+            return;
+        }
         match self.platform.receive(connection, context.connections) {
             None => {}
             Some(PlatformOutcome::Failed(purpose)) => {
@@ -233,6 +254,9 @@
 
     /// A connection to the platform has ended.
     pub fn handle_closed(&mut self, connection: ConnectionId, context: &mut ScalerContext<'_>) {
+        if !self.keeps_role(context) {
+            return;
+        }
         if let Some(purpose) = self.platform.remove(connection) {
             self.fail(purpose, context.now);
             self.send_waiting(context);
@@ -255,6 +279,9 @@
 
     /// Gives the autoscaler's commands to the platform and its updates to the owners of the functions.
     fn carry_out(&mut self, context: &mut ScalerContext<'_>) {
+        if !self.keeps_role(context) {
+            return;
+        }
         let Some(autoscaler) = self.autoscaler.as_mut() else {
             return;
         };
