--- a/tests/cluster/src/soak/mod.rs
+++ b/tests/cluster/src/soak/mod.rs
@@ -10,7 +10,7 @@
 pub mod fault;
 mod injector;
 mod jobs;
-mod ledger;
+pub mod ledger;
 pub mod limits;
 mod misbehaving;
 mod operators;
@@ -19,7 +19,7 @@
 pub mod rolling;
 mod run;
 mod schedule;
-mod tenants;
+pub mod tenants;
 mod traffic;
 
 pub use run::{run, SoakOptions, SoakReport};
