Controllers: calls to the platform that are given up are reset

Cause: a call that was given up was closed, and the system went on to deliver what it had taken. Change: connections of calls that time out, or are dropped with the role, are reset.

--- a/crates/controller/src/connections.rs
+++ b/crates/controller/src/connections.rs
@@ -102,6 +102,12 @@
         self.event_loop.close(connection);
     }
 
+    /// Closes a connection at once; what its peer has not received reaches it no more.
+    pub fn reset(&mut self, connection: ConnectionId) {
+        self.kinds.remove(&connection);
+        self.event_loop.reset(connection);
+    }
+
     /// Closes a connection once all that was sent has left.
     pub fn close_after_flush(&mut self, connection: ConnectionId) {
         self.event_loop.close_after_flush(connection);
--- a/crates/controller/src/platform_client.rs
+++ b/crates/controller/src/platform_client.rs
@@ -149,7 +149,8 @@
         let late: Vec<ConnectionId> = late.map(|(connection, _)| *connection).collect();
         let mut failed = Vec::new();
         for connection in late {
-            connections.close(connection);
+            // A call that a cut holds up would arrive after its end, perhaps under a term that is over by then.
+            connections.reset(connection);
             if let Some(purpose) = self.remove(connection) {
                 failed.push(purpose);
                 failed.extend(self.send_waiting(now, endpoint, connections));
@@ -211,7 +212,10 @@
     /// Forgets all requests and closes all connections.
     pub fn reset(&mut self, connections: &mut ControllerConnections) {
         let client = std::mem::take(self);
-        for connection in client.in_flight.into_keys().chain(client.idle) {
+        for connection in client.in_flight.into_keys() {
+            connections.reset(connection);
+        }
+        for connection in client.idle {
             connections.close(connection);
         }
     }
--- a/crates/event_loop/src/event_loop.rs
+++ b/crates/event_loop/src/event_loop.rs
@@ -196,6 +196,16 @@
         let _ = self.poll.registry().deregister(&mut connection.stream);
     }
 
+    /// Closes a connection at once and resets it, so that bytes which its peer has not received reach it no more. After a plain close the
+    /// system goes on to deliver what it has taken, however long the way to the peer is cut.
+    pub fn reset(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.connection(id) {
+            // A connection that may not linger is reset by its closing.
+            let _ = SockRef::from(&connection.stream).set_linger(Some(Duration::ZERO));
+        }
+        self.close(id);
+    }
+
     /// Waits at most `timeout` for something to happen and puts what did in `events`, in place of what they held.
     pub fn poll(&mut self, timeout: Duration, events: &mut Vec<Event>) {
         events.clear();
