--- a/tests/cluster/src/lib.rs
+++ b/tests/cluster/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod simulated_cluster;
 pub mod soak;
 pub mod tenants;
+pub mod wire;
 
 use disk_probe::Deadline;
 use std::time::Duration;
