--- a/tests/cluster/src/soak/limits.rs
+++ b/tests/cluster/src/soak/limits.rs
@@ -11,32 +11,44 @@
 
 /// The services whose runners rejected too many requests within a window after a time, with how many.
 pub fn judge(received: &[ReceivedRequest], from: Instant) -> Vec<String> {
-    let mut by_service: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
+    let mut by_service: BTreeMap<&str, Vec<&ReceivedRequest>> = BTreeMap::new();
     for request in received {
         if request.outcome == RequestOutcome::OverCapacity && request.at >= from {
-            let rejected_at = by_service.entry(&request.service).or_default();
-            rejected_at.push(request.at);
+            let rejected = by_service.entry(&request.service).or_default();
+            rejected.push(request);
         }
     }
     let mut broken = Vec::new();
-    for (service, mut rejected_at) in by_service {
-        rejected_at.sort_unstable();
-        let most = most_within(&rejected_at);
-        if most > REJECTIONS_MAX {
-            broken.push(format!(
-                "LIMIT: {most} rejections of {service} in {WINDOW:?}"
-            ));
+    for (service, mut rejected) in by_service {
+        rejected.sort_unstable_by_key(|request| request.at);
+        let most = most_within(&rejected);
+        if most.len() > REJECTIONS_MAX {
+            broken.push(explain(service, most, from));
         }
     }
     broken
 }
 
-fn most_within(times: &[Instant]) -> usize {
-    let counts = times.iter().enumerate().map(|(first, begin)| {
-        let within = times[first..]
-            .iter()
-            .take_while(|at| **at < *begin + WINDOW);
-        within.count()
+/// The window with the most rejections.
+fn most_within<'a, 'b>(rejected: &'a [&'b ReceivedRequest]) -> &'a [&'b ReceivedRequest] {
+    let windows = (0..rejected.len()).map(|first| {
+        let following = &rejected[first..];
+        let ends_at = following[0].at + WINDOW;
+        &following[..following.partition_point(|request| request.at < ends_at)]
     });
-    counts.max().unwrap_or(0)
+    windows.max_by_key(|window| window.len()).unwrap_or(&[])
+}
+
+/// Which runners rejected which requests, and when.
+fn explain(service: &str, rejected: &[&ReceivedRequest], from: Instant) -> String {
+    let each = rejected.iter().map(|request| {
+        let after = request.at.saturating_duration_since(from);
+        format!("{}@{} {after:.1?}", request.id, request.runner)
+    });
+    let each: Vec<String> = each.collect();
+    let count = rejected.len();
+    format!(
+        "LIMIT: {count} rejections of {service} in {WINDOW:?}: {}",
+        each.join(", ")
+    )
 }
