A process that stood still hears before it judges, and leases by nothing old

Cause: a process that wakes acts on what it believed before. Its timers ran before anything was read (an interrupted poll returns no events), so peers, controllers, hand-overs and holders of jobs counted as silent for the time of the pause; its table and its lists counted as current. Excluded: an update that came late from the scaler (it had told the next owner within its bound).

An owner leases nothing until the scaler has answered a ping that was sent after the pause, over the link on which it tells all changes in order and under a term that it has at that moment, or has told a table over a link that was opened after it; where nobody answers within a second, by what is known. One question for all functions, not one for each. Events come before timers after a pause, silences of peers, controllers, gateways and former owners count from its end, and a gateway that runs a job is not taken for gone by an old membership. Controllers' events come before gateways'.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -20,6 +20,7 @@
 use crate::status::ControllerStatus;
 use consensus::{Consensus, ConsensusAction, DiskWork, VoterSnapshot};
 use event_loop::{ConnectionId, Event};
+use process_pause::ProcessPause;
 use signals::{ReloadSignal, Signals};
 use std::time::Duration;
 
@@ -73,6 +74,15 @@
         self.now = self.clock.now();
     }
 
+    fn now(&self) -> u64 {
+        self.now
+    }
+
+    /// What other controllers were promised and have granted is judged by the time that has passed; gateways alone are waited for anew.
+    fn process_paused(&mut self, pause: ProcessPause) {
+        self.gateways.process_paused(pause);
+    }
+
     fn begin_shutdown(&mut self) -> Duration {
         log::info!("controller: shutting down");
         self.consensus.resign(self.now);
--- a/crates/controller/src/daemon_loop.rs
+++ b/crates/controller/src/daemon_loop.rs
@@ -1,7 +1,9 @@
-//! The loop of a daemon on one thread: signals, then timers, then what arrives on connections.
+//! The loop of a daemon on one thread: signals, then timers, then what arrives on connections. After a pause of the process what has arrived
+//! comes before timers, so that nobody is taken for silent who was not heard yet.
 
 use crate::shutdown_deadline;
 use event_loop::Event;
+use process_pause::{PauseDetector, ProcessPause};
 use signals::Signals;
 use std::time::Duration;
 
@@ -9,6 +11,10 @@
 pub(crate) trait Daemon {
     /// Takes the time that holds until the next call of this.
     fn update_clock(&mut self);
+    /// That time, in milliseconds.
+    fn now(&self) -> u64;
+    /// The process stood still. What came meanwhile is not read yet.
+    fn process_paused(&mut self, pause: ProcessPause);
     /// The process was asked to stop. Called once. Returns after how long it is to end by force.
     fn begin_shutdown(&mut self) -> Duration;
     /// Whether the daemon is ready to end.
@@ -25,12 +31,45 @@
     fn finish_turn(&mut self);
 }
 
+/// Polls after a pause before timers run. One takes up to 256 events of connections.
+const POLLS_BEFORE_TIMERS: u32 = 4;
+
+/// Pauses of the process, and how many polls come before the next timers.
+#[derive(Default)]
+struct Pauses {
+    detector: PauseDetector,
+    polls_before_timers: u32,
+}
+
+impl Pauses {
+    /// Takes the time of a daemon's turn, and tells it of a pause before it.
+    fn update_clock(&mut self, daemon: &mut impl Daemon) {
+        daemon.update_clock();
+        if let Some(pause) = self.detector.observe(daemon.now()) {
+            let duration_ms = pause.duration_ms();
+            log::warn!("controller: process paused duration_ms={duration_ms}");
+            self.polls_before_timers = POLLS_BEFORE_TIMERS;
+            daemon.process_paused(pause);
+        }
+    }
+
+    /// Does what is due by time, unless events come first. Returns for how long the next wait may last.
+    fn advance(&mut self, daemon: &mut impl Daemon) -> Duration {
+        if self.polls_before_timers > 0 {
+            self.polls_before_timers -= 1;
+            return Duration::ZERO;
+        }
+        daemon.advance()
+    }
+}
+
 /// Runs a daemon until it has stopped after it was asked to.
 pub(crate) fn run_loop(daemon: &mut impl Daemon, signals: &Signals) {
     let mut events = Vec::new();
     let mut is_stopping = false;
+    let mut pauses = Pauses::default();
     loop {
-        daemon.update_clock();
+        pauses.update_clock(daemon);
         if signals.stop_requested() && !is_stopping {
             is_stopping = true;
             let deadline = daemon.begin_shutdown();
@@ -43,9 +82,9 @@
         if signals.take_reload_request() {
             daemon.reload();
         }
-        let timeout = daemon.advance();
+        let timeout = pauses.advance(daemon);
         daemon.poll(timeout, &mut events);
-        daemon.update_clock();
+        pauses.update_clock(daemon);
         for event in events.drain(..) {
             daemon.handle_event(event);
         }
--- a/crates/controller/src/gateway_table.rs
+++ b/crates/controller/src/gateway_table.rs
@@ -4,6 +4,7 @@
 use crate::outbox::Outbox;
 use crate::status::ControllerStatus;
 use event_loop::ConnectionId;
+use process_pause::ProcessPause;
 use protocol::{frame, Member, Message, SentMessages, UpdateVersion};
 use std::collections::{BTreeMap, HashMap};
 
@@ -115,6 +116,14 @@
         Some(name.clone())
     }
 
+    /// The process stood still: what gateways sent meanwhile, answers to pings among it, is not read yet.
+    pub fn process_paused(&mut self, pause: ProcessPause) {
+        for gateway in self.gateways.values_mut() {
+            gateway.heard_at = pause.restart(gateway.heard_at);
+            gateway.suspected_at = gateway.suspected_at.map(|at| pause.restart(at));
+        }
+    }
+
     /// A gateway has said that it understands changes of the membership.
     pub fn accept_membership_changes(&mut self, name: &str) {
         if let Some(gateway) = self.gateways.get_mut(name) {
--- a/crates/controller/src/redirector.rs
+++ b/crates/controller/src/redirector.rs
@@ -15,6 +15,7 @@
 use event_loop::{ConnectionId, Event};
 use http1::Request;
 use metrics::Snapshot;
+use process_pause::ProcessPause;
 use protocol::{frame, take_frames, Message};
 use signals::{ReloadSignal, Signals};
 use std::collections::HashMap;
@@ -115,6 +116,13 @@
         self.now = self.clock.now();
     }
 
+    fn now(&self) -> u64 {
+        self.now
+    }
+
+    /// It takes nobody's place.
+    fn process_paused(&mut self, _: ProcessPause) {}
+
     fn begin_shutdown(&mut self) -> Duration {
         self.is_stopping = true;
         SHUTDOWN_DEADLINE
--- a/crates/gateway/src/controller_links.rs
+++ b/crates/gateway/src/controller_links.rs
@@ -2,6 +2,7 @@
 
 use crate::applied_configuration::ConfigurationVersions;
 use event_loop::{ConnectionId, HungAttempts};
+use process_pause::ProcessPause;
 use protocol::SentMessages;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -154,6 +155,28 @@
         self.links.get(address).and_then(|link| link.connection)
     }
 
+    /// Addresses of the controllers to which there is a link.
+    pub fn linked_addresses(&self) -> Vec<String> {
+        let links = self.links.iter();
+        let linked = links.filter(|(_, link)| link.connection.is_some());
+        linked.map(|(address, _)| address.clone()).collect()
+    }
+
+    /// Term in which a controller said last that it scales; 0 where it does not.
+    pub fn term(&self, address: &str) -> u64 {
+        self.links.get(address).map_or(0, |link| link.term)
+    }
+
+    /// The process stood still: what controllers sent meanwhile is not read yet, and a connection may have come up.
+    pub fn process_paused(&mut self, pause: ProcessPause) {
+        for link in self.links.values_mut() {
+            if link.connection.is_some() {
+                link.heard_at = pause.restart(link.heard_at);
+                link.connect_attempted_at = pause.restart(link.connect_attempted_at);
+            }
+        }
+    }
+
     /// A frame leaves for a controller.
     pub fn record_sent(&mut self, frame: &[u8]) {
         self.sent.record(frame);
--- a/crates/gateway/src/controller_messages.rs
+++ b/crates/gateway/src/controller_messages.rs
@@ -27,31 +27,56 @@
             Message::Configuration { .. }
             | Message::ConfigurationChanges { .. }
             | Message::EvacuatedZones { .. } => self.configuration_message(address, message),
+            Message::GatewayMembership { .. }
+            | Message::GatewayMembershipChange { .. }
+            | Message::OwnershipTable(_)
+            | Message::OwnershipChange(_) => self.table_message(address, message),
+            Message::Ping(number) => self.send_to_controller(address, &Message::Pong(number)),
+            Message::Pong(number) => {
+                self.controller_understands_ownership(address);
+                self.controller_answered_ping(address, number);
+            }
+            Message::JobRegisterResponse { number, response } => {
+                self.jobs.register_responded(self.now, number, response);
+            }
+            Message::FunctionUpdates(updates) => {
+                let age = self.pause_confirmation.age_of_messages(address);
+                for update in updates {
+                    self.lease_owner.receive_update(self.now, update, age);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The scaler tells which gateways own functions.
+    fn table_message(&mut self, address: &str, message: Message) {
+        let version = match message {
             Message::GatewayMembership { version, members } => {
                 self.membership_received(version, members);
+                version
             }
             Message::GatewayMembershipChange {
                 base,
                 version,
                 joined,
                 left,
-            } => self.membership_changed(base, version, &joined, &left),
+            } => {
+                self.membership_changed(base, version, &joined, &left);
+                version
+            }
             Message::OwnershipTable(table) => {
+                let version = table.version;
                 self.ownership_received(OwnershipTable::agreed(table));
+                version
             }
-            Message::OwnershipChange(change) => self.ownership_changed(&change),
-            Message::Ping(number) => self.send_to_controller(address, &Message::Pong(number)),
-            Message::Pong(_) => self.controller_understands_ownership(address),
-            Message::JobRegisterResponse { number, response } => {
-                self.jobs.register_responded(self.now, number, response);
-            }
-            Message::FunctionUpdates(updates) => {
-                for update in updates {
-                    self.lease_owner.update_runners(self.now, update);
-                }
+            Message::OwnershipChange(change) => {
+                self.ownership_changed(&change);
+                change.version
             }
-            _ => {}
-        }
+            _ => return,
+        };
+        self.table_told(address, version);
     }
 
     fn controller_heartbeat(&mut self, address: &str, heartbeat: Message) {
@@ -165,6 +190,7 @@
             return;
         };
         self.controllers.begin(address, connection, self.now);
+        self.pause_confirmation.link_opened(address);
         let hello = frame(&Message::GatewayHello(self.identity.clone()));
         self.connections.send(connection, &hello);
         // Controllers before agreed tables of owners leave it unanswered.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use crate::in_flight_requests::InFlightRequests;
 use crate::large_responses::LargeResponses;
 use crate::options::{GatewayError, GatewayOptions};
+use crate::pause_confirmation::PauseConfirmation;
 use crate::peer_links::PeerLinks;
 use crate::response_times::ResponseTimes;
 use crate::retry_budgets::RetryBudgets;
@@ -15,6 +16,7 @@
 use crate::upstream_pool::UpstreamPool;
 use event_loop::{ConnectionId, EventLoop, ListenerId, Timers};
 use jobs::{JobCoordinator, UnacknowledgedResults, VoidedAttempts};
+use process_pause::PauseDetector;
 use protocol::{Member, RequestId};
 use seat_leases::{CancelledRequests, LeaseOwner, RelayedRequests};
 
@@ -77,6 +79,10 @@
     pub timers: Timers<TimerEvent>,
     /// Milliseconds since the start, as of this turn of the loop.
     pub now: u64,
+    pub pauses: PauseDetector,
+    /// Polls that come before the next timers.
+    pub polls_before_timers: u32,
+    pub pause_confirmation: PauseConfirmation,
     /// Since when the gateway is draining.
     pub draining_since: Option<u64>,
     /// Clients' connections with bytes that are read in the next turn.
@@ -122,6 +128,9 @@
             large_responses: LargeResponses::new(options.memory_bytes),
             timers: Timers::default(),
             now: 0,
+            pauses: PauseDetector::default(),
+            polls_before_timers: 0,
+            pause_confirmation: PauseConfirmation::default(),
             draining_since: None,
             unread: Vec::new(),
             settings_checked_at: 0,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,9 +44,11 @@
 mod memory_bounds;
 mod options;
 mod ownership;
+mod pause_confirmation;
 mod peer_links;
 mod peer_messages;
 mod pending_request;
+mod process_pauses;
 mod readiness;
 mod request_accounting;
 mod request_admission;
@@ -98,5 +100,11 @@
 #[path = "../tests/unit/ownership_changes.rs"]
 mod ownership_changes_tests;
 #[cfg(test)]
+#[path = "../tests/unit/process_pauses.rs"]
+mod process_pauses_tests;
+#[cfg(test)]
+#[path = "../tests/unit/relayed_tenants.rs"]
+mod relayed_tenants_tests;
+#[cfg(test)]
 #[path = "../tests/unit/restarted_peers.rs"]
 mod restarted_peers_tests;
--- a/crates/gateway/src/peer_links.rs
+++ b/crates/gateway/src/peer_links.rs
@@ -2,6 +2,7 @@
 
 use crate::connections::Connections;
 use event_loop::ConnectionId;
+use process_pause::ProcessPause;
 use protocol::{frame, Message, SentMessages, UNDERSTANDS_TENANTS};
 use std::collections::HashMap;
 
@@ -168,6 +169,15 @@
         Liveness::Alive
     }
 
+    /// The process stood still: answers to pings that came meanwhile are not read yet.
+    pub fn process_paused(&mut self, pause: ProcessPause) {
+        for link in self.links.values_mut() {
+            if link.pinged_at > link.heard_at {
+                link.pinged_at = pause.restart(link.pinged_at);
+            }
+        }
+    }
+
     /// Removes the link with a gateway that was taken for dead, which owns nothing for a while. As an owner it has forgotten this
     /// gateway with the link, so that it is a new one when it is back.
     pub fn suspect(&mut self, name: &str, now: u64) {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,6 +16,14 @@
 /// Milliseconds between checks whether the settings have changed.
 const SETTINGS_CHECK_INTERVAL_MS: u64 = 2_000;
 
+/// Whose events are handled first in a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EventRank {
+    Controller,
+    Peer,
+    Other,
+}
+
 /// Runs a gateway until SIGTERM or SIGINT has come and all requests have been answered, or the grace period is nearly
 /// over. Errors are those of the start alone: a listening socket, the poller or a signal handler.
 pub fn run(options: GatewayOptions, reload: ReloadSignal) -> Result<(), GatewayError> {
@@ -25,7 +33,7 @@
     gateway.timers.schedule(0, TimerEvent::Tick);
     let mut events = Vec::new();
     loop {
-        gateway.now = started.elapsed().as_millis() as u64;
+        gateway.read_clock(started.elapsed().as_millis() as u64);
         if signals.stop_requested() && !gateway.is_draining() {
             gateway.begin_draining();
         }
@@ -36,22 +44,30 @@
             log::info!("gateway: drained in_flight={}", gateway.requests.len());
             return Ok(());
         }
-        gateway.handle_due_timers();
-        gateway.read_pipelined();
-        gateway.run_actions();
-        let timeout = gateway.poll_timeout();
-        gateway.connections.poll(timeout, &mut events);
-        gateway.now = started.elapsed().as_millis() as u64;
-        gateway.order_events(&mut events);
-        for event in events.drain(..) {
-            gateway.handle_event(event);
-        }
-        gateway.run_actions();
-        gateway.flush_peers();
+        gateway.take_turn(&mut events, || started.elapsed().as_millis() as u64);
     }
 }
 
 impl Gateway {
+    /// Does what is due, waits for events and handles them. `clock` tells the time after the wait.
+    pub fn take_turn(&mut self, events: &mut Vec<Event>, clock: impl FnOnce() -> u64) {
+        let mut timeout = Duration::ZERO;
+        if !self.takes_events_first() {
+            self.handle_due_timers();
+            self.read_pipelined();
+            self.run_actions();
+            timeout = self.poll_timeout();
+        }
+        self.connections.poll(timeout, events);
+        self.read_clock(clock());
+        self.order_events(events);
+        for event in events.drain(..) {
+            self.handle_event(event);
+        }
+        self.run_actions();
+        self.flush_peers();
+    }
+
     fn poll_timeout(&self) -> Duration {
         if !self.unread.is_empty() {
             return Duration::ZERO;
@@ -106,18 +122,18 @@
         self.check_invariants();
     }
 
-    /// What other daemons say comes before what clients ask: after a pause a gateway hears that it owns a function no more before it
-    /// leases a seat of it.
+    /// What controllers say comes before what gateways ask, and that before what clients ask: after a pause a gateway hears that it owns
+    /// a function no more before it leases a seat of it.
     fn order_events(&self, events: &mut [Event]) {
         events.sort_by_key(|event| {
             let (Event::Readable(id) | Event::Closed(id, _)) = event else {
-                return true;
+                return EventRank::Other;
             };
-            let role = self.connections.role(*id);
-            !matches!(
-                role,
-                Some(ConnectionRole::Peer(_) | ConnectionRole::Controller(_))
-            )
+            match self.connections.role(*id) {
+                Some(ConnectionRole::Controller(_)) => EventRank::Controller,
+                Some(ConnectionRole::Peer(_)) => EventRank::Peer,
+                _ => EventRank::Other,
+            }
         });
     }
 
--- a/crates/gateway/tests/unit/agreed_owners.rs
+++ b/crates/gateway/tests/unit/agreed_owners.rs
@@ -15,22 +15,22 @@
 
 const POLL_TIMEOUT: Duration = Duration::from_millis(5);
 const MESSAGE_WITHIN: Duration = Duration::from_secs(5);
-const ASKER: &str = "asker";
-const OWNER: &str = "owner";
+pub(crate) const ASKER: &str = "asker";
+pub(crate) const OWNER: &str = "owner";
 const ASKED_AS: RequestId = RequestId(7);
 
 /// A gateway under test, a controller that scales, and two other gateways, of which one owns a function.
-struct Fleet {
-    gateway: Gateway,
-    asker: Owner,
-    owner: Owner,
-    scaler: Owner,
+pub(crate) struct Fleet {
+    pub(crate) gateway: Gateway,
+    pub(crate) asker: Owner,
+    pub(crate) owner: Owner,
+    pub(crate) scaler: Owner,
     /// A function that the other gateway owns.
-    function: String,
+    pub(crate) function: String,
 }
 
 impl Fleet {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         let mut gateway = Gateway::open(options()).unwrap();
         let (asker, owner) = (Owner::new(ASKER), Owner::new(OWNER));
         let table = OwnershipTable {
@@ -58,7 +58,7 @@
     }
 
     /// From now on the gateway hears a controller that scales.
-    fn hears_scaler(&mut self) {
+    pub(crate) fn hears_scaler(&mut self) {
         let address = self.scaler.member().address;
         self.gateway.now = 10_000;
         let controllers = &mut self.gateway.controllers;
@@ -86,7 +86,7 @@
         self.gateway.place_lease_request(ASKER, "zone-1", request);
     }
 
-    fn wait_for(&mut self, what: &str, is_met: impl Fn(&Self) -> bool) {
+    pub(crate) fn wait_for(&mut self, what: &str, is_met: impl Fn(&Self) -> bool) {
         let until = Instant::now() + MESSAGE_WITHIN;
         let mut events: Vec<Event> = Vec::new();
         while !is_met(self) {
--- a/crates/gateway/tests/unit/owner_links.rs
+++ b/crates/gateway/tests/unit/owner_links.rs
@@ -50,7 +50,7 @@
         }
     }
 
-    fn send(&mut self, message: &Message) {
+    pub(crate) fn send(&mut self, message: &Message) {
         let stream = self.stream.as_mut().expect("a link");
         stream.write_all(&frame(message)).unwrap();
     }
--- /dev/null
+++ b/crates/gateway/tests/unit/process_pauses.rs
@@ -0,0 +1,198 @@
+//! A gateway whose process stood still hears what came meanwhile before it takes anybody for silent, and leases nothing by what it knew until
+//! the scaler has confirmed it. The other daemons are sockets of the test; the clock is the test's.
+
+use crate::agreed_owners_tests::{Fleet, OWNER};
+use crate::gateway::TimerEvent;
+use crate::pause_confirmation::PauseConfirmation;
+use crate::peer_links::Liveness;
+use protocol::{
+    FunctionUpdate, LeaseRequest, Message, RequestId, RunnerStage, RunnerUpdate, UpdateVersion,
+};
+use seat_leases::UpdateAge;
+
+const SCALER: &str = "scaler:1";
+const OTHER: &str = "other:1";
+const TERM: u64 = 7;
+/// Longer than any silence that gateways and controllers bear.
+const PAUSE_MS: u64 = 2_000;
+
+fn begun() -> (PauseConfirmation, u64) {
+    let mut confirmation = PauseConfirmation::default();
+    let linked = [SCALER, OTHER].map(String::from);
+    let number = confirmation.begin(linked.into_iter());
+    (confirmation, number)
+}
+
+#[test]
+fn the_answer_of_the_controller_that_scales_confirms_once() {
+    let (mut confirmation, number) = begun();
+    assert!(!confirmation.ping_answered(OTHER, number, 0));
+    assert!(confirmation.ping_answered(SCALER, number, TERM));
+    assert!(!confirmation.ping_answered(SCALER, number, TERM));
+}
+
+#[test]
+fn an_answer_from_before_the_pause_confirms_nothing() {
+    let (mut confirmation, former) = begun();
+    let number = confirmation.begin([SCALER.to_string()].into_iter());
+    assert!(!confirmation.ping_answered(SCALER, former, TERM));
+    assert_eq!(confirmation.age_of_messages(SCALER), UpdateAge::Unknown);
+    assert!(confirmation.ping_answered(SCALER, number, TERM));
+    assert_eq!(confirmation.age_of_messages(SCALER), UpdateAge::Fresh);
+}
+
+#[test]
+fn a_table_confirms_that_came_over_a_new_link_or_after_the_answer() {
+    let (mut confirmation, number) = begun();
+    assert!(
+        !confirmation.table_told(SCALER),
+        "it may have lain in the socket"
+    );
+    confirmation.link_opened(SCALER);
+    assert!(confirmation.table_told(SCALER));
+    let (mut confirmation, _) = begun();
+    // The role has moved to a controller that did not scale as it answered.
+    assert!(!confirmation.ping_answered(OTHER, number, 0));
+    assert!(confirmation.table_told(OTHER));
+}
+
+/// A gateway that has asked the owner whether it is alive, stood still, and goes on; the answer lies in its socket.
+fn fleet_after_a_pause() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.hears_scaler();
+    let now = fleet.gateway.now;
+    fleet.gateway.read_clock(now);
+    fleet.gateway.send_to_peer(OWNER, &Message::Ping(0));
+    fleet.wait_for("a link", |fleet| !fleet.owner.received.is_empty());
+    fleet.gateway.peers.check_liveness(OWNER, now + 200);
+    fleet.gateway.flush_peers();
+    fleet.owner.send(&Message::Pong(0));
+    fleet
+}
+
+#[test]
+fn a_peer_that_answered_during_a_pause_is_not_taken_for_silent() {
+    let mut fleet = fleet_after_a_pause();
+    let woken_at = fleet.gateway.now + PAUSE_MS;
+    fleet.gateway.read_clock(woken_at);
+    let liveness = fleet.gateway.peers.check_liveness(OWNER, woken_at);
+    assert_eq!(liveness, Liveness::Alive);
+}
+
+#[test]
+fn links_to_controllers_outlast_a_pause_and_no_owners_place_is_taken() {
+    let mut fleet = fleet_after_a_pause();
+    let now = fleet.gateway.now;
+    fleet.gateway.peers.suspect(OWNER, now + PAUSE_MS);
+    fleet.gateway.read_clock(now + PAUSE_MS);
+    fleet.gateway.maintain_controller_links();
+    fleet.gateway.maintain_ownership();
+    assert_eq!(fleet.gateway.controllers.linked(), 1);
+    let function = fleet.function.clone();
+    let status = fleet.gateway.lease_owner.seat_status(&function);
+    assert_eq!(*status, seat_leases::SeatStatus::OwnedBy(OWNER.into()));
+}
+
+#[test]
+fn timers_wait_until_what_came_during_a_pause_was_heard() {
+    let mut fleet = fleet_after_a_pause();
+    let woken_at = fleet.gateway.now + PAUSE_MS;
+    let timers = &mut fleet.gateway.timers;
+    timers.schedule(0, TimerEvent::BackoffOver(RequestId(1)));
+    fleet.gateway.read_clock(woken_at);
+    let mut events = Vec::new();
+    fleet.gateway.take_turn(&mut events, || woken_at + 1);
+    assert_eq!(fleet.gateway.timers.len(), 1);
+    for turn in 2..10 {
+        fleet.gateway.take_turn(&mut events, || woken_at + turn);
+    }
+    assert!(fleet.gateway.timers.is_empty());
+}
+
+/// A function that the gateway under test owns, and one runner of it that its list names.
+fn own_function(fleet: &mut Fleet) -> String {
+    let table = fleet.gateway.configuration.ownership().unwrap();
+    let names = (0..).map(|number| format!("own-{number}"));
+    let own = &fleet.gateway.identity.name;
+    let is_own = |name: &String| table.owner_of(name).is_some_and(|owner| owner.name == *own);
+    let function = names.into_iter().find(is_own).unwrap();
+    let update = update(&function, 1);
+    let now = fleet.gateway.now;
+    fleet.gateway.lease_owner.update_runners(now, update);
+    function
+}
+
+fn update(function: &str, number: u64) -> FunctionUpdate {
+    FunctionUpdate {
+        function: function.into(),
+        version: UpdateVersion { term: 1, number },
+        runners: vec![RunnerUpdate {
+            id: "runner-1".into(),
+            address: "127.0.0.1:1".into(),
+            zone: "zone-1".into(),
+            quota: 4,
+            stage: RunnerStage::Serving,
+            starts_in_ms: 0,
+        }],
+        start_block: None,
+    }
+}
+
+fn leased(fleet: &Fleet, function: &str) -> u32 {
+    let usage = fleet.gateway.lease_owner.runner_usage(function);
+    usage.iter().map(|runner| runner.in_use).sum()
+}
+
+fn request_lease(fleet: &mut Fleet, function: &str) {
+    let request = LeaseRequest {
+        request_id: RequestId(1),
+        function: function.into(),
+        timeout_ms: 3_000,
+        ..LeaseRequest::default()
+    };
+    let now = fleet.gateway.now;
+    let owner = &mut fleet.gateway.lease_owner;
+    owner.request_lease(now, "peer", "zone-1", request);
+}
+
+#[test]
+fn nothing_is_leased_after_a_pause_until_the_scaler_has_answered() {
+    let mut fleet = fleet_after_a_pause();
+    let function = own_function(&mut fleet);
+    let now = fleet.gateway.now + PAUSE_MS;
+    fleet.gateway.read_clock(now);
+    request_lease(&mut fleet, &function);
+    // What was told before the pause, and read after it, is as old as the pause.
+    let address = fleet.scaler.member().address;
+    let stale = Message::FunctionUpdates(vec![update(&function, 2)]);
+    fleet.gateway.controller_message(&address, stale);
+    assert_eq!(leased(&fleet, &function), 0);
+    let is_ping =
+        |message: &Message| matches!(message, Message::Ping(number) if *number >= 1 << 48);
+    fleet.wait_for("a ping", |fleet| fleet.scaler.received.iter().any(is_ping));
+    assert!(fleet.scaler.received.contains(&Message::RequestHeartbeat));
+    let pings = fleet.scaler.received.iter().filter_map(|one| match one {
+        Message::Ping(number) => Some(*number),
+        _ => None,
+    });
+    let number = pings.max().unwrap();
+    fleet
+        .gateway
+        .controller_message(&address, Message::Pong(number));
+    assert_eq!(leased(&fleet, &function), 1);
+}
+
+#[test]
+fn where_no_scaler_answers_service_goes_on_after_a_while() {
+    let mut fleet = fleet_after_a_pause();
+    let function = own_function(&mut fleet);
+    let woken_at = fleet.gateway.now + PAUSE_MS;
+    fleet.gateway.read_clock(woken_at);
+    request_lease(&mut fleet, &function);
+    for now in (woken_at..woken_at + 1_000).step_by(50) {
+        fleet.gateway.lease_owner.tick(now);
+        assert_eq!(leased(&fleet, &function), 0, "at {}", now - woken_at);
+    }
+    fleet.gateway.lease_owner.tick(woken_at + 1_000);
+    assert_eq!(leased(&fleet, &function), 1);
+}
--- a/crates/jobs/src/timeouts.rs
+++ b/crates/jobs/src/timeouts.rs
@@ -2,6 +2,7 @@
 
 use crate::coordinator::{JobCoordinator, RETRY_AFTER_MS};
 use crate::job::{register_timeout_ms, Job, JobState};
+use process_pause::ProcessPause;
 
 /// Milliseconds between two checks of the register of a job that requests wait for.
 const CHECK_INTERVAL_MS: u64 = 250;
@@ -24,6 +25,19 @@
         self.table.expire(now);
     }
 
+    /// The process stood still: the membership may be older than a gateway that runs a job, as if it had just been heard of.
+    pub fn process_paused(&mut self, pause: ProcessPause) {
+        for key in self.table.busy_keys() {
+            let Some(mut job) = self.table.take_busy(&key) else {
+                continue;
+            };
+            if let JobState::RunningElsewhere { since, .. } = &mut job.state {
+                *since = pause.restart(*since);
+            }
+            self.table.put(&key, job);
+        }
+    }
+
     fn expire_waiting(&mut self, now: u64, job: &mut Job) {
         let expired = job.waiting.iter().filter(|request| request.deadline <= now);
         for request in expired {
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -4,7 +4,7 @@
 
 use crate::lease_holder::LeaseHolder;
 use crate::lease_rules::LeaseRules;
-use crate::list_confirmation::ListConfirmation;
+use crate::list_confirmation::{ListConfirmation, UpdateAge};
 use crate::report_state::ReportState;
 use crate::runner_set::{RunnerDemand, RunnerSet};
 use crate::seat_runner::SeatRunner;
@@ -101,10 +101,19 @@
     }
 
     /// Takes the runners as the scaler wants them; an older update than the last is dropped.
-    pub fn apply_update(&mut self, now: u64, update: FunctionUpdate, rules: &LeaseRules) {
+    pub fn apply_update(
+        &mut self,
+        now: u64,
+        update: FunctionUpdate,
+        age: UpdateAge,
+        rules: &LeaseRules,
+    ) {
         if !self.list.confirm(update.version) {
             return;
         }
+        if age == UpdateAge::Fresh {
+            self.list.record_told(now);
+        }
         let block = update.start_block;
         self.start_block = block.map(|block| ReceivedStartBlock::new(now, block));
         self.runners
@@ -308,7 +317,7 @@
     }
 
     fn match_next(&self, now: u64, rules: &LeaseRules) -> Option<(QueuePosition, usize)> {
-        if self.queue.is_empty() || !self.list.may_be_used(now, rules.is_scaler_heard) {
+        if self.queue.is_empty() || !self.list.may_be_used(now, rules) {
             return None;
         }
         let free = self.runners.free_places(now, rules);
--- a/crates/seat_leases/src/lease_owner.rs
+++ b/crates/seat_leases/src/lease_owner.rs
@@ -2,12 +2,14 @@
 
 mod confirmation;
 mod handover;
+mod pauses;
 mod reporting;
 
 use crate::action::LeaseAction;
 use crate::function_seats::{FunctionSeats, RejectedRequest, RETRY_AFTER_MS};
 use crate::lease_holder::LeaseHolder;
 use crate::lease_rules::LeaseRules;
+use crate::list_confirmation::UpdateAge;
 use crate::probe_schedule::{ProbeSchedule, ProbeTarget};
 use crate::seat_ownership::{SeatOwnership, SeatStatus};
 use crate::unconfirmed_leases::UnconfirmedLeases;
@@ -173,8 +175,13 @@
         self.issue_leases(now, &function);
     }
 
-    /// An update of a function's runners from the scaler.
+    /// An update of a function's runners that the scaler has just sent.
     pub fn update_runners(&mut self, now: u64, update: FunctionUpdate) {
+        self.receive_update(now, update, UpdateAge::Fresh);
+    }
+
+    /// An update of a function's runners from the scaler.
+    pub fn receive_update(&mut self, now: u64, update: FunctionUpdate, age: UpdateAge) {
         let function = update.function.clone();
         let seats = self.functions.entry(function.clone());
         let seats = seats.or_insert_with(|| FunctionSeats::new(now));
@@ -186,7 +193,7 @@
                 "gateway: runner leaving function={function} runner={runner} version={version}"
             );
         }
-        seats.apply_update(now, update, &self.rules);
+        seats.apply_update(now, update, age, &self.rules);
         self.schedule_probes(&function);
         self.unreported.insert(function.clone());
         self.issue_leases(now, &function);
@@ -249,6 +256,7 @@
 
     /// Advances the clock: probes that are due, leases of runners that paused, rejections and reminders.
     pub fn tick(&mut self, now: u64) {
+        self.expire_pause(now);
         self.expire_handovers(now);
         self.maintain_unconfirmed(now);
         for target in self.probes.take_due(now) {
@@ -333,6 +341,7 @@
 
     /// Leases what is free to those that wait, where the seats are this gateway's to lease.
     fn issue_leases(&mut self, now: u64, function: &str) {
+        self.observe_clock(now);
         if *self.ownership.status(function) != SeatStatus::Owned {
             return;
         }
--- /dev/null
+++ b/crates/seat_leases/src/lease_owner/pauses.rs
@@ -0,0 +1,43 @@
+//! What an owner does about pauses of its process.
+
+use super::LeaseOwner;
+use process_pause::ProcessPause;
+
+impl LeaseOwner {
+    /// The process stood still. Nothing is leased by what was known before until the scaler has confirmed it, and members that owe a
+    /// hand-over, which may have come meanwhile, get their time anew.
+    pub fn process_paused(&mut self, pause: ProcessPause) {
+        // Without other gateways nobody can have taken its place.
+        if self.ownership.is_alone() {
+            return;
+        }
+        self.rules.pause_recovery.begin(pause);
+        self.ownership.restart_waiting(pause);
+        self.unconfirmed.restart_waiting(pause);
+    }
+
+    /// The scaler has said since the last pause of the process that the table in force here is the newest, and has told over the same link
+    /// all that changed in the lists.
+    pub fn confirm_after_pause(&mut self, now: u64) {
+        if self.rules.pause_recovery.confirm() {
+            self.issue_all_leases(now);
+        }
+    }
+
+    /// Notices a pause before anything is leased, whatever comes first after it.
+    pub(super) fn observe_clock(&mut self, now: u64) {
+        if !self.ownership.is_alone() {
+            self.rules.pause_recovery.observe(now);
+        }
+    }
+
+    /// Goes on without the scaler's word where that does not come in time.
+    pub(super) fn expire_pause(&mut self, now: u64) {
+        if !self.ownership.is_alone() {
+            self.rules.pause_recovery.tick(now);
+        }
+        if self.rules.pause_recovery.take_expired(now) {
+            log::warn!("gateway: scaler silent after a pause");
+        }
+    }
+}
--- a/crates/seat_leases/src/lease_rules.rs
+++ b/crates/seat_leases/src/lease_rules.rs
@@ -1,5 +1,6 @@
 //! What decides which runner a request may use, and which it uses first.
 
+use crate::pause_recovery::PauseRecovery;
 use locality::{Distance, Topology};
 use policy::LeasingPolicy;
 use std::collections::BTreeSet;
@@ -15,6 +16,8 @@
     pub evacuated_zones: BTreeSet<String>,
     /// A controller scales and can be asked for the runners of a function.
     pub is_scaler_heard: bool,
+    /// Whether what was known before the last pause of the process was confirmed since.
+    pub pause_recovery: PauseRecovery,
 }
 
 impl LeaseRules {
--- a/crates/seat_leases/src/lib.rs
+++ b/crates/seat_leases/src/lib.rs
@@ -8,11 +8,12 @@
 //! - `ownership_table`, `legacy_hash`: which gateway owns a function.
 //! - `seat_ownership`: whether this gateway may lease a function's seats now, or who does.
 //! - `lease_owner`: the owner's entry points, over all functions that fell to it, with `handover` from owner to owner, `confirmation`
-//!   of leases that may have ended unheard, and `reporting`.
+//!   of leases that may have ended unheard, `pauses` of the process, and `reporting`.
 //! - `cancelled_requests`: which answers of an owner are void.
 //! - `relayed_requests`: lease requests that are passed on to an owner which their own gateway cannot reach.
 //! - `function_seats`: the seats of one function: who waits, who is issued a lease, who is rejected.
 //! - `list_confirmation`: whether seats may be leased by the list of a function's runners that there is.
+//! - `pause_recovery`: what may be leased by after the process stood still.
 //! - `runner_set`: the runners of one function, and which of them suits a request best.
 //! - `seat_runner`, `rejection_backoff`: one runner, and how much of its quota is leased after it rejected a request.
 //! - `wait_queue`: requests that wait for a seat.
@@ -31,6 +32,7 @@
 mod legacy_hash;
 mod list_confirmation;
 mod ownership_table;
+mod pause_recovery;
 mod probe_schedule;
 mod rejection_backoff;
 mod relayed_requests;
@@ -51,6 +53,7 @@
 pub use action::{LeaseAction, LeaseSnapshot, OwnerSnapshot, OwnerUsage, RunnerUsage};
 pub use cancelled_requests::CancelledRequests;
 pub use lease_owner::LeaseOwner;
+pub use list_confirmation::UpdateAge;
 pub use ownership_table::{changed_members, OwnershipTable};
 pub use relayed_requests::{ForeignRequest, RelayedId, RelayedRequests};
 pub use request_end::LeaseRequestEnd;
--- a/crates/seat_leases/src/list_confirmation.rs
+++ b/crates/seat_leases/src/list_confirmation.rs
@@ -4,12 +4,22 @@
 //! leases that gateways report, may name runners that have left since. It is reported to the scaler as unknown, and nothing is leased by it
 //! until the scaler, or a former owner that it told, has named the runners anew.
 
+use crate::lease_rules::LeaseRules;
 use protocol::UpdateVersion;
 
 /// Milliseconds for which an owner waits for the scaler to confirm a list. A scaler that has the platform's lists answers within a turn and a
 /// round trip; one that has just begun does not, and service goes on by what is known.
 const CONFIRMATION_TIMEOUT_MS: u64 = 250;
 
+/// When an update left the scaler, as far as its receiver can tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpdateAge {
+    /// After the last pause of this process.
+    Fresh,
+    /// Perhaps before: it may have waited in a socket while the process stood still.
+    Unknown,
+}
+
 /// The version of a function's list of runners, and whether it was confirmed since the function is owned here.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ListConfirmation {
@@ -17,6 +27,8 @@
     newest: UpdateVersion,
     is_confirmed: bool,
     doubted_at: u64,
+    /// When the scaler told it, where that is certain.
+    told_at: Option<u64>,
 }
 
 impl ListConfirmation {
@@ -44,7 +56,12 @@
         is_accepted
     }
 
-    /// The same of an owner that hands over, whose list may be old: then it bears version zero. What the scaler has told here itself holds.
+    /// The scaler has told the list that is in force now.
+    pub fn record_told(&mut self, now: u64) {
+        self.told_at = Some(now);
+    }
+
+    /// The same as [`confirm`](Self::confirm), of an owner that hands over, whose list may be old: then it bears version zero. What the scaler has told here itself holds.
     pub fn confirm_handed_over(&mut self, version: UpdateVersion) -> bool {
         let is_old = version == UpdateVersion::default();
         let is_known = self.is_confirmed && version <= self.newest;
@@ -65,8 +82,9 @@
     }
 
     /// Whether seats may be leased by the list: it is confirmed, or nobody can confirm it, or nobody has in time.
-    pub fn may_be_used(&self, now: u64, is_scaler_heard: bool) -> bool {
+    pub fn may_be_used(&self, now: u64, rules: &LeaseRules) -> bool {
         let is_late = now >= self.doubted_at + CONFIRMATION_TIMEOUT_MS;
-        self.is_confirmed || !is_scaler_heard || is_late
+        let is_trusted = self.is_confirmed || !rules.is_scaler_heard || is_late;
+        is_trusted && rules.pause_recovery.allows_list_told_at(self.told_at)
     }
 }
--- /dev/null
+++ b/crates/seat_leases/src/pause_recovery.rs
@@ -0,0 +1,62 @@
+//! What an owner may lease by after its process stood still.
+//!
+//! Meanwhile the scaler may have given its functions to others, and told them alone which runners leave. So nothing is leased by what was
+//! known before the pause until the scaler has confirmed that it holds: by an answer to a question that was asked after the pause, over the
+//! link on which it tells all changes in order, or by a table of owners over a link that was opened after it. A list of runners that the
+//! scaler told after the pause may be used at once. Where no scaler answers, service goes on by what is known: nobody is there to remove
+//! this gateway or to let a runner leave, or this gateway is cut off from them and stays so.
+
+use process_pause::{PauseDetector, ProcessPause};
+
+/// Milliseconds for which the scaler's answer is awaited. A scaler that is there answers within a round trip; where it has closed the link,
+/// within a heartbeat's interval, in which the link is opened anew, and two round trips.
+const ANSWER_TIMEOUT_MS: u64 = 1_000;
+
+/// Whether what was known before the last pause of the process was confirmed since.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PauseRecovery {
+    /// None until the owner ticks regularly.
+    detector: Option<PauseDetector>,
+    /// End of the pause whose confirmation is awaited.
+    awaited_since: Option<u64>,
+}
+
+impl PauseRecovery {
+    /// The owner ticks, from now on regularly.
+    pub fn tick(&mut self, now: u64) {
+        self.detector.get_or_insert_default();
+        self.observe(now);
+    }
+
+    /// The clock shows `now`, which may end a pause between two calls of the owner.
+    pub fn observe(&mut self, now: u64) {
+        let pause = self.detector.as_mut().and_then(|one| one.observe(now));
+        if let Some(pause) = pause {
+            self.begin(pause);
+        }
+    }
+
+    /// The process stood still.
+    pub fn begin(&mut self, pause: ProcessPause) {
+        self.awaited_since = Some(pause.ended_at);
+    }
+
+    /// The scaler has said that table and lists hold; whether that was awaited.
+    pub fn confirm(&mut self) -> bool {
+        self.awaited_since.take().is_some()
+    }
+
+    /// Whether no scaler has answered in time, so that nothing is awaited any more. Told once for each pause.
+    pub fn take_expired(&mut self, now: u64) -> bool {
+        let is_over = |since: u64| now >= since + ANSWER_TIMEOUT_MS;
+        self.awaited_since
+            .take_if(|since| is_over(*since))
+            .is_some()
+    }
+
+    /// Whether a list may be used that the scaler told at this time, as far as pauses are concerned.
+    pub fn allows_list_told_at(&self, told_at: Option<u64>) -> bool {
+        self.awaited_since
+            .is_none_or(|since| told_at.is_some_and(|told_at| told_at >= since))
+    }
+}
--- a/crates/seat_leases/src/seat_ownership.rs
+++ b/crates/seat_leases/src/seat_ownership.rs
@@ -6,6 +6,7 @@
 
 use crate::ownership_table::OwnershipTable;
 use invariants::{check, Invariant};
+use process_pause::ProcessPause;
 use protocol::{Member, UpdateVersion};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
@@ -88,6 +89,18 @@
         }
     }
 
+    /// Whether there are no other gateways.
+    pub fn is_alone(&self) -> bool {
+        self.name.is_none()
+    }
+
+    /// The process stood still: hand-overs that came meanwhile are not read yet.
+    pub fn restart_waiting(&mut self, pause: ProcessPause) {
+        for transition in &mut self.transitions {
+            transition.began_at = pause.restart(transition.began_at);
+        }
+    }
+
     /// The table in force.
     pub fn table(&self) -> Option<&Arc<OwnershipTable>> {
         self.table.as_ref()
--- a/crates/seat_leases/src/unconfirmed_leases.rs
+++ b/crates/seat_leases/src/unconfirmed_leases.rs
@@ -1,6 +1,7 @@
 //! Leases of which it is not known whether their gateways still use them. Their seats are not leased to others meanwhile.
 
 use crate::lease_holder::LeaseHolder;
+use process_pause::ProcessPause;
 use protocol::RequestId;
 use std::collections::{BTreeMap, HashMap};
 
@@ -32,6 +33,14 @@
         self.leases.entry(holder).or_insert(unconfirmed);
     }
 
+    /// The process stood still: answers that came meanwhile are not read yet.
+    pub fn restart_waiting(&mut self, pause: ProcessPause) {
+        for lease in self.leases.values_mut() {
+            let expires_at = lease.expires_at.max(pause.ended_at + QUESTION_INTERVAL_MS);
+            lease.expires_at = expires_at;
+        }
+    }
+
     /// Whether nothing has been heard of a lease yet.
     pub fn contains(&self, holder: &LeaseHolder) -> bool {
         self.leases.contains_key(holder)
