A watchdog beside the loop tells of long turns and ends a process that is stuck

Cause: not traced. The grace period was checked by the loop that did not turn, and nothing told in which step it stood.

Change: the loops of gateway and controller note their turns and steps; a second thread logs a turn that two looks 250 ms apart find in progress, with its step and how many steps it took since (a loop that spins, or one that is blocked), and ends the process, exit code 70, once its grace period is nearly over and two looks find the same turn. It watches for the signal itself, and its last line is written by a third thread, since the log may be what blocks. Timers of one turn are bounded.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -54,7 +54,7 @@
 pub fn run(options: ControllerOptions, reload: ReloadSignal) -> Result<(), ControllerError> {
     let signals = Signals::register(reload).map_err(ControllerError::System)?;
     let mut controller = Controller::open(options)?;
-    run_loop(&mut controller, &signals);
+    run_loop(&mut controller, &signals).map_err(ControllerError::System)?;
     controller.report_unfinished_disk_work();
     Ok(())
 }
@@ -83,6 +83,10 @@
         self.gateways.process_paused(pause);
     }
 
+    fn grace_period(&self) -> Duration {
+        Duration::from_millis(self.options.grace_period_ms)
+    }
+
     fn begin_shutdown(&mut self) -> Duration {
         log::info!("controller: shutting down");
         self.consensus.resign(self.now);
--- a/crates/controller/src/daemon_loop.rs
+++ b/crates/controller/src/daemon_loop.rs
@@ -3,8 +3,11 @@
 
 use crate::shutdown_deadline;
 use event_loop::Event;
+use loop_watchdog::{TurnRecord, WatchdogOptions};
 use process_pause::{PauseDetector, ProcessPause};
 use signals::Signals;
+use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// What the loop drives. Both daemons of this crate are run by it.
@@ -29,6 +32,8 @@
     fn handle_event(&mut self, event: Event);
     /// All events of a turn were handled.
     fn finish_turn(&mut self);
+    /// Time from the request to stop until the process is killed.
+    fn grace_period(&self) -> Duration;
 }
 
 /// Polls after a pause before timers run. One takes up to 256 events of connections.
@@ -64,11 +69,16 @@
 }
 
 /// Runs a daemon until it has stopped after it was asked to.
-pub(crate) fn run_loop(daemon: &mut impl Daemon, signals: &Signals) {
+///
+/// # Errors
+/// Where the system gives no thread for the watchdog.
+pub(crate) fn run_loop(daemon: &mut impl Daemon, signals: &Signals) -> io::Result<()> {
+    let turns = start_watchdog(daemon, signals)?;
     let mut events = Vec::new();
     let mut is_stopping = false;
     let mut pauses = Pauses::default();
     loop {
+        turns.begin_turn(0);
         pauses.update_clock(daemon);
         if signals.stop_requested() && !is_stopping {
             is_stopping = true;
@@ -77,17 +87,30 @@
         }
         if daemon.is_shut_down() {
             log::info!("controller: shut down");
-            return;
+            return Ok(());
         }
         if signals.take_reload_request() {
+            turns.begin_step("settings");
             daemon.reload();
         }
+        turns.begin_step("timers");
         let timeout = pauses.advance(daemon);
+        turns.wait();
         daemon.poll(timeout, &mut events);
         pauses.update_clock(daemon);
         for event in events.drain(..) {
+            turns.begin_step("event");
             daemon.handle_event(event);
         }
+        turns.begin_step("end of turn");
         daemon.finish_turn();
     }
 }
+
+fn start_watchdog(daemon: &impl Daemon, signals: &Signals) -> io::Result<Arc<TurnRecord>> {
+    loop_watchdog::start(WatchdogOptions {
+        daemon: "controller",
+        grace_period: daemon.grace_period(),
+        stop_requested: Box::new(signals.stop_probe()),
+    })
+}
--- a/crates/controller/src/redirector.rs
+++ b/crates/controller/src/redirector.rs
@@ -107,7 +107,7 @@
 ) -> Result<(), ControllerError> {
     let signals = Signals::register(reload).map_err(ControllerError::System)?;
     let mut redirector = Redirector::open(options)?;
-    run_loop(&mut redirector, &signals);
+    run_loop(&mut redirector, &signals).map_err(ControllerError::System)?;
     Ok(())
 }
 
@@ -123,6 +123,10 @@
     /// It takes nobody's place.
     fn process_paused(&mut self, _: ProcessPause) {}
 
+    fn grace_period(&self) -> Duration {
+        SHUTDOWN_DEADLINE
+    }
+
     fn begin_shutdown(&mut self) -> Duration {
         self.is_stopping = true;
         SHUTDOWN_DEADLINE
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,9 +16,11 @@
 use crate::upstream_pool::UpstreamPool;
 use event_loop::{ConnectionId, EventLoop, ListenerId, Timers};
 use jobs::{JobCoordinator, UnacknowledgedResults, VoidedAttempts};
+use loop_watchdog::TurnRecord;
 use process_pause::PauseDetector;
 use protocol::{Member, RequestId};
 use seat_leases::{CancelledRequests, LeaseOwner, RelayedRequests};
+use std::sync::Arc;
 
 /// Unread bytes of a client's connection before the limits of the configuration are known for it.
 const DOWNSTREAM_BUFFER_MIN: usize = 16 << 10;
@@ -79,6 +81,8 @@
     pub timers: Timers<TimerEvent>,
     /// Milliseconds since the start, as of this turn of the loop.
     pub now: u64,
+    /// What the watchdog of the loop sees of it.
+    pub turns: Arc<TurnRecord>,
     pub pauses: PauseDetector,
     /// Polls that come before the next timers.
     pub polls_before_timers: u32,
@@ -128,6 +132,7 @@
             large_responses: LargeResponses::new(options.memory_bytes),
             timers: Timers::default(),
             now: 0,
+            turns: Arc::default(),
             pauses: PauseDetector::default(),
             polls_before_timers: 0,
             pause_confirmation: PauseConfirmation::default(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -4,6 +4,7 @@
 use crate::gateway::{Gateway, TimerEvent};
 use crate::options::{GatewayError, GatewayOptions};
 use event_loop::{CloseReason, ConnectionId, Event};
+use loop_watchdog::WatchdogOptions;
 use protocol::{Message, RequestId, SeatLease};
 use seat_leases::LeaseAction;
 use signals::{ReloadSignal, Signals};
@@ -16,6 +17,32 @@
 /// Milliseconds between checks whether the settings have changed.
 const SETTINGS_CHECK_INTERVAL_MS: u64 = 2_000;
 
+/// Most timers that run in one turn, so that signals and events come between however many there are.
+const TIMERS_PER_TURN_MAX: usize = 4_096;
+
+/// Name of what a timer does, for the watchdog.
+fn timer_step(event: &TimerEvent) -> &'static str {
+    match event {
+        TimerEvent::Tick => "tick",
+        TimerEvent::RequestDeadline(_) => "request deadline",
+        TimerEvent::BackoffOver(_) => "backoff over",
+        TimerEvent::ConnectTimeout(_) => "connect timeout",
+        TimerEvent::ResponseOverdue(..) => "response overdue",
+        TimerEvent::DownstreamTimeout(_) => "downstream timeout",
+    }
+}
+
+/// Name of an event of a connection, for the watchdog.
+fn event_step(event: &Event) -> &'static str {
+    match event {
+        Event::Accepted(..) => "accepted",
+        Event::Connected(_) => "connected",
+        Event::Readable(_) => "readable",
+        Event::Drained(_) => "drained",
+        Event::Closed(..) => "closed",
+    }
+}
+
 /// Whose events are handled first in a turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum EventRank {
@@ -29,15 +56,23 @@
 pub fn run(options: GatewayOptions, reload: ReloadSignal) -> Result<(), GatewayError> {
     let signals = Signals::register(reload).map_err(GatewayError::System)?;
     let mut gateway = Gateway::open(options)?;
+    let watchdog = WatchdogOptions {
+        daemon: "gateway",
+        grace_period: Duration::from_millis(gateway.options.shutdown_grace_ms),
+        stop_requested: Box::new(signals.stop_probe()),
+    };
+    gateway.turns = loop_watchdog::start(watchdog).map_err(GatewayError::System)?;
     let started = Instant::now();
     gateway.timers.schedule(0, TimerEvent::Tick);
     let mut events = Vec::new();
     loop {
+        gateway.turns.begin_turn(gateway.requests.len());
         gateway.read_clock(started.elapsed().as_millis() as u64);
         if signals.stop_requested() && !gateway.is_draining() {
             gateway.begin_draining();
         }
         if signals.take_reload_request() {
+            gateway.turns.begin_step("settings");
             gateway.reload_settings();
         }
         if gateway.is_drained() {
@@ -54,17 +89,21 @@
         let mut timeout = Duration::ZERO;
         if !self.takes_events_first() {
             self.handle_due_timers();
+            self.turns.begin_step("pipelined requests");
             self.read_pipelined();
             self.run_actions();
             timeout = self.poll_timeout();
         }
+        self.turns.wait();
         self.connections.poll(timeout, events);
         self.read_clock(clock());
         self.order_events(events);
         for event in events.drain(..) {
+            self.turns.begin_step(event_step(&event));
             self.handle_event(event);
         }
         self.run_actions();
+        self.turns.begin_step("flush");
         self.flush_peers();
     }
 
@@ -82,7 +121,12 @@
     }
 
     fn handle_due_timers(&mut self) {
-        while let Some(event) = self.timers.pop_due(self.now) {
+        // What is left of more timers than that is due in the next turn.
+        for _ in 0..TIMERS_PER_TURN_MAX {
+            let Some(event) = self.timers.pop_due(self.now) else {
+                break;
+            };
+            self.turns.begin_step(timer_step(&event));
             match event {
                 TimerEvent::Tick => {
                     self.timers.schedule(self.now + TICK_MS, TimerEvent::Tick);
@@ -108,7 +152,9 @@
         // The settings may change without a signal.
         if self.now >= self.settings_checked_at + SETTINGS_CHECK_INTERVAL_MS {
             self.settings_checked_at = self.now;
+            self.turns.begin_step("settings");
             self.reload_settings();
+            self.turns.begin_step("tick");
         }
         self.bound_client_memory();
         self.resume_large_responses();
@@ -209,6 +255,7 @@
     /// Does what the owner of seats and the coordination of jobs ask for, until they ask for nothing more.
     pub fn run_actions(&mut self) {
         loop {
+            self.turns.begin_step("actions");
             let actions = self.lease_owner.take_actions();
             if actions.is_empty() && !self.run_job_actions() {
                 return;
--- /dev/null
+++ b/crates/loop_watchdog/src/forced_end.rs
@@ -0,0 +1,63 @@
+//! When a process ends by force that was asked to stop.
+
+use crate::turn_record::TurnSnapshot;
+use std::time::Duration;
+
+/// A daemon that works ends itself after 44 of these parts of its grace period at the latest.
+const PARTS: u32 = 48;
+/// From here on its loop is looked at for whether it goes on.
+const SUSPECTED_AFTER_PARTS: u32 = 45;
+
+/// The grace period of a process, seen from beside its loop.
+#[derive(Clone, Debug)]
+pub struct ForcedEnd {
+    suspected_after: Duration,
+    part: Duration,
+    asked_at: Option<Duration>,
+    /// The turn that was in progress at the first look after that time.
+    suspected_turn: Option<u64>,
+}
+
+impl ForcedEnd {
+    /// The process is killed after `grace_period` from outside.
+    #[must_use]
+    pub fn new(grace_period: Duration) -> Self {
+        let part = grace_period / PARTS;
+        Self {
+            suspected_after: part * SUSPECTED_AFTER_PARTS,
+            part,
+            asked_at: None,
+            suspected_turn: None,
+        }
+    }
+
+    /// Whether the process is to end now: its grace period is nearly over, and two looks find the loop in the same turn. The period counts
+    /// from the first look at which the process was asked to stop. After a pause of the whole process its loop gets time for a turn.
+    pub fn is_due(&mut self, now: Duration, is_asked: bool, snapshot: &TurnSnapshot) -> bool {
+        if is_asked {
+            self.asked_at.get_or_insert(now);
+        }
+        let is_late = self
+            .asked_at
+            .is_some_and(|at| now >= at + self.suspected_after);
+        if !is_late || snapshot.is_waiting() {
+            self.suspected_turn = None;
+            return false;
+        }
+        self.suspected_turn.replace(snapshot.turn) == Some(snapshot.turn)
+    }
+
+    /// Time until the next look.
+    #[must_use]
+    pub fn next_look(&self, now: Duration, interval: Duration) -> Duration {
+        let Some(asked_at) = self.asked_at else {
+            return interval;
+        };
+        let left = (asked_at + self.suspected_after).saturating_sub(now);
+        let left = match left.is_zero() {
+            true => self.part,
+            false => left,
+        };
+        left.min(interval)
+    }
+}
--- /dev/null
+++ b/crates/loop_watchdog/tests/watch.rs
@@ -0,0 +1,89 @@
+//! What is told of a loop that does not go on, and when its process ends.
+
+use loop_watchdog::{ForcedEnd, TurnRecord, TurnWatch};
+use std::time::Duration;
+
+fn at(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+#[test]
+fn a_turn_that_two_looks_find_is_told_of_with_its_step() {
+    let record = TurnRecord::default();
+    let mut watch = TurnWatch::default();
+    record.begin_turn(4);
+    record.begin_step("timers");
+    assert_eq!(watch.look(at(0), &record.snapshot()), None);
+    let turn = watch.look(at(250), &record.snapshot()).expect("a turn");
+    assert_eq!(
+        turn.to_string(),
+        "lasted_ms=250 steps_since=0 step=timers steps=1 in_flight=4"
+    );
+}
+
+#[test]
+fn a_loop_that_spins_is_told_apart_from_one_that_is_blocked() {
+    let record = TurnRecord::default();
+    let mut watch = TurnWatch::default();
+    record.begin_turn(0);
+    watch.look(at(0), &record.snapshot());
+    for _ in 0..1_000 {
+        record.begin_step("actions");
+    }
+    let turn = watch.look(at(250), &record.snapshot()).expect("a turn");
+    assert_eq!(turn.steps_since, 1_000);
+    // It is told of again at growing intervals.
+    assert_eq!(watch.look(at(500), &record.snapshot()), None);
+    let turn = watch.look(at(1_000), &record.snapshot()).expect("a turn");
+    assert_eq!(turn.steps_since, 0, "it is blocked by now");
+}
+
+#[test]
+fn a_loop_that_goes_on_or_waits_is_not_told_of() {
+    let record = TurnRecord::default();
+    let mut watch = TurnWatch::default();
+    for look in 0..10 {
+        record.begin_turn(1);
+        record.begin_step("events");
+        assert_eq!(watch.look(at(look * 250), &record.snapshot()), None);
+    }
+    record.wait();
+    assert_eq!(watch.look(at(2_500), &record.snapshot()), None);
+    assert_eq!(watch.look(at(9_000), &record.snapshot()), None);
+}
+
+/// A loop in a turn that does not end.
+fn stuck() -> TurnRecord {
+    let record = TurnRecord::default();
+    record.begin_turn(1);
+    record.begin_step("timers");
+    record
+}
+
+#[test]
+fn a_process_whose_loop_is_stuck_ends_by_force_before_it_is_killed() {
+    let record = stuck();
+    let mut end = ForcedEnd::new(at(2_400));
+    assert!(!end.is_due(at(10_000), false, &record.snapshot()));
+    assert_eq!(end.next_look(at(10_000), at(250)), at(250));
+    assert!(!end.is_due(at(10_100), true, &record.snapshot()));
+    assert!(!end.is_due(at(12_349), true, &record.snapshot()));
+    assert_eq!(end.next_look(at(12_349), at(250)), at(1));
+    assert!(!end.is_due(at(12_350), true, &record.snapshot()));
+    assert_eq!(end.next_look(at(12_350), at(250)), at(50));
+    assert!(end.is_due(at(12_400), true, &record.snapshot()));
+}
+
+#[test]
+fn a_loop_that_goes_on_ends_by_itself_also_after_a_pause_of_the_process() {
+    let record = stuck();
+    let mut end = ForcedEnd::new(at(2_400));
+    assert!(!end.is_due(at(0), true, &record.snapshot()));
+    // The process stood still until long after its grace period.
+    assert!(!end.is_due(at(9_000), true, &record.snapshot()));
+    record.begin_turn(1);
+    assert!(!end.is_due(at(9_050), true, &record.snapshot()));
+    record.wait();
+    assert!(!end.is_due(at(9_100), true, &record.snapshot()));
+    assert!(!end.is_due(at(9_150), true, &record.snapshot()));
+}
--- a/crates/signals/src/lib.rs
+++ b/crates/signals/src/lib.rs
@@ -52,6 +52,12 @@
         self.stop.load(Ordering::Relaxed) || self.interrupt.load(Ordering::Relaxed)
     }
 
+    /// Tells the same to another thread.
+    pub fn stop_probe(&self) -> impl Fn() -> bool + Send + 'static {
+        let (stop, interrupt) = (Arc::clone(&self.stop), Arc::clone(&self.interrupt));
+        move || stop.load(Ordering::Relaxed) || interrupt.load(Ordering::Relaxed)
+    }
+
     /// Whether the settings are to be read anew; true once for each request.
     #[must_use]
     pub fn take_reload_request(&self) -> bool {
