A daemon whose loop is stuck ends within its grace period, whatever its log does

The loop stood in its own line ("draining", "shutting down"), the forced end of controllers in its warning, and the watchdog in its line about the long turn.

Change: lines of the watchdog are handed to a thread of their own and never waited for; looks come every 50 ms, the grace period counts from the last look before the signal, and two looks at its end decide.

--- a/crates/loop_watchdog/src/forced_end.rs
+++ b/crates/loop_watchdog/src/forced_end.rs
@@ -3,16 +3,30 @@
 use crate::turn_record::TurnSnapshot;
 use std::time::Duration;
 
-/// A daemon that works ends itself after 44 of these parts of its grace period at the latest.
-const PARTS: u32 = 48;
+/// A daemon that works ends itself after 88 of these parts of its grace period at the latest.
+const PARTS: u32 = 96;
 /// From here on its loop is looked at for whether it goes on.
-const SUSPECTED_AFTER_PARTS: u32 = 45;
+const SUSPECTED_AFTER_PARTS: u32 = 91;
+/// Between the two looks that must find it in the same turn.
+const LOOK_PARTS: u32 = 2;
+
+/// What a look at a loop has found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndState {
+    /// The process was not asked to stop, has time left, or is about to end by itself.
+    GoesOn,
+    /// The grace period is nearly over, and a turn is in progress: the next look decides.
+    Suspected,
+    /// The same turn is still in progress: the process is to end now.
+    Due,
+}
 
 /// The grace period of a process, seen from beside its loop.
 #[derive(Clone, Debug)]
 pub struct ForcedEnd {
     suspected_after: Duration,
-    part: Duration,
+    look_interval: Duration,
+    looked_at: Duration,
     asked_at: Option<Duration>,
     /// The turn that was in progress at the first look after that time.
     suspected_turn: Option<u64>,
@@ -25,26 +39,31 @@
         let part = grace_period / PARTS;
         Self {
             suspected_after: part * SUSPECTED_AFTER_PARTS,
-            part,
+            look_interval: part * LOOK_PARTS,
+            looked_at: Duration::ZERO,
             asked_at: None,
             suspected_turn: None,
         }
     }
 
-    /// Whether the process is to end now: its grace period is nearly over, and two looks find the loop in the same turn. The period counts
-    /// from the first look at which the process was asked to stop. After a pause of the whole process its loop gets time for a turn.
-    pub fn is_due(&mut self, now: Duration, is_asked: bool, snapshot: &TurnSnapshot) -> bool {
+    /// Whether the process is to end: its grace period is nearly over, and two looks find the loop in the same turn. The period counts from
+    /// the last look before the process was asked to stop. After a pause of the whole process its loop gets time for a turn.
+    pub fn look(&mut self, now: Duration, is_asked: bool, snapshot: &TurnSnapshot) -> EndState {
+        let looked_at = std::mem::replace(&mut self.looked_at, now);
         if is_asked {
-            self.asked_at.get_or_insert(now);
+            self.asked_at.get_or_insert(looked_at);
         }
         let is_late = self
             .asked_at
             .is_some_and(|at| now >= at + self.suspected_after);
         if !is_late || snapshot.is_waiting() {
             self.suspected_turn = None;
-            return false;
+            return EndState::GoesOn;
+        }
+        match self.suspected_turn.replace(snapshot.turn) {
+            Some(turn) if turn == snapshot.turn => EndState::Due,
+            _ => EndState::Suspected,
         }
-        self.suspected_turn.replace(snapshot.turn) == Some(snapshot.turn)
     }
 
     /// Time until the next look.
@@ -55,7 +74,7 @@
         };
         let left = (asked_at + self.suspected_after).saturating_sub(now);
         let left = match left.is_zero() {
-            true => self.part,
+            true => self.look_interval,
             false => left,
         };
         left.min(interval)
--- a/crates/loop_watchdog/src/lib.rs
+++ b/crates/loop_watchdog/src/lib.rs
@@ -3,31 +3,31 @@
 //! A daemon of one thread checks its grace period once in each turn of its loop. Where a turn does not end, because it spins or is blocked
 //! in a call of the system, the daemon neither serves nor ends, which is worse for callers than its death. The watchdog knows in which step
 //! the loop is, logs turns that last long, and ends the process once the grace period is over. It depends on nothing that the loop may
-//! hold: it watches for the signal itself, and its last line is written by another thread, since a log may be what blocks.
+//! hold: it watches for the signal itself, and its lines are written by another thread, since a log may be what blocks.
 //!
 //! - `turn_record`: what the loop notes of its turns.
 //! - `turn_watch`: which turns are to be told of, by successive looks at the record.
 //! - `forced_end`: when the process is to end by force.
+//! - `line_writer`: writes log lines without holding up the watchdog.
 #![warn(missing_docs)]
 
 mod forced_end;
+mod line_writer;
 mod turn_record;
 mod turn_watch;
 
-pub use forced_end::ForcedEnd;
+pub use forced_end::{EndState, ForcedEnd};
 pub use turn_record::{TurnRecord, TurnSnapshot};
 pub use turn_watch::{LongTurn, TurnWatch};
 
+use line_writer::LineWriter;
 use std::io;
-use std::sync::mpsc::channel;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Time between two looks at the loop. A turn is told of that two looks in a row find in progress.
-const LOOK_INTERVAL: Duration = Duration::from_millis(250);
-/// Time for which the last line may take to be written.
-const LAST_LINE_WITHIN: Duration = Duration::from_millis(100);
+/// Time between two looks at whether the process is to end.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Exit code of a process that was ended by force.
 const FORCED_EXIT_CODE: i32 = 70;
 /// Memory of the thread's stack.
@@ -50,12 +50,13 @@
 pub fn start(options: WatchdogOptions) -> io::Result<Arc<TurnRecord>> {
     let record = Arc::new(TurnRecord::default());
     let watched = Arc::clone(&record);
+    let lines = LineWriter::start()?;
     let watchdog = thread::Builder::new().stack_size(STACK_BYTES);
-    watchdog.spawn(move || watch(&options, &watched))?;
+    watchdog.spawn(move || watch(&options, &watched, &lines))?;
     Ok(record)
 }
 
-fn watch(options: &WatchdogOptions, record: &TurnRecord) {
+fn watch(options: &WatchdogOptions, record: &TurnRecord, lines: &LineWriter) {
     let mut turns = TurnWatch::default();
     let mut forced_end = ForcedEnd::new(options.grace_period);
     let started = Instant::now();
@@ -65,23 +66,15 @@
         let snapshot = record.snapshot();
         let daemon = options.daemon;
         if let Some(turn) = turns.look(now, &snapshot) {
-            log::warn!("{daemon}: turn lasts long {turn}");
+            lines.warn(format!("{daemon}: turn lasts long {turn}"));
         }
-        if forced_end.is_due(now, (options.stop_requested)(), &snapshot) {
-            end_process(daemon, &snapshot);
+        match forced_end.look(now, (options.stop_requested)(), &snapshot) {
+            EndState::GoesOn => {}
+            // The line has the time until the next look to be written.
+            EndState::Suspected => {
+                lines.warn(format!("{daemon}: about to end by force {snapshot}"));
+            }
+            EndState::Due => signal_hook::low_level::exit(FORCED_EXIT_CODE),
         }
     }
 }
-
-/// Ends the process, whatever its other threads hold.
-fn end_process(daemon: &'static str, snapshot: &TurnSnapshot) {
-    let (written, is_written) = channel();
-    let snapshot = snapshot.clone();
-    thread::spawn(move || {
-        log::error!("{daemon}: ended by force after the grace period {snapshot}");
-        let _ = written.send(());
-    });
-    // Where the line cannot be written in time the process ends without it.
-    let _ = is_written.recv_timeout(LAST_LINE_WITHIN);
-    signal_hook::low_level::exit(FORCED_EXIT_CODE);
-}
--- a/crates/loop_watchdog/src/turn_watch.rs
+++ b/crates/loop_watchdog/src/turn_watch.rs
@@ -4,6 +4,8 @@
 use std::fmt;
 use std::time::Duration;
 
+/// A turn is told of that looks find in progress for so long.
+const LONG_TURN: Duration = Duration::from_millis(250);
 /// The same turn is told of again once it has lasted so many times as long.
 const NEXT_REPORT_FACTOR: u32 = 4;
 
@@ -14,7 +16,7 @@
     pub lasted: Duration,
     /// What it does.
     pub snapshot: TurnSnapshot,
-    /// Steps since the look before: none where it is blocked.
+    /// Steps since it was first seen or told of last: none where it is blocked.
     pub steps_since: u64,
 }
 
@@ -44,7 +46,7 @@
 }
 
 impl TurnWatch {
-    /// Looks at the loop. Returns the turn in progress where it was in progress at the last look too, at growing intervals.
+    /// Looks at the loop. Returns the turn in progress once that has lasted for long, and again at growing intervals.
     pub fn look(&mut self, now: Duration, snapshot: &TurnSnapshot) -> Option<LongTurn> {
         if snapshot.is_waiting() {
             self.seen = None;
@@ -55,16 +57,16 @@
             self.seen = Some(Seen {
                 first_at: now,
                 snapshot: snapshot.clone(),
-                next_report: Duration::ZERO,
+                next_report: LONG_TURN,
             });
             return None;
         };
         let lasted = now.saturating_sub(seen.first_at);
-        let steps_since = snapshot.steps.saturating_sub(seen.snapshot.steps);
-        seen.snapshot = snapshot.clone();
         if lasted < seen.next_report {
             return None;
         }
+        let steps_since = snapshot.steps.saturating_sub(seen.snapshot.steps);
+        seen.snapshot = snapshot.clone();
         seen.next_report = lasted * NEXT_REPORT_FACTOR;
         Some(LongTurn {
             lasted,
--- a/crates/loop_watchdog/tests/watch.rs
+++ b/crates/loop_watchdog/tests/watch.rs
@@ -1,6 +1,6 @@
 //! What is told of a loop that does not go on, and when its process ends.
 
-use loop_watchdog::{ForcedEnd, TurnRecord, TurnWatch};
+use loop_watchdog::{EndState, ForcedEnd, TurnRecord, TurnWatch};
 use std::time::Duration;
 
 fn at(milliseconds: u64) -> Duration {
@@ -64,26 +64,54 @@
 fn a_process_whose_loop_is_stuck_ends_by_force_before_it_is_killed() {
     let record = stuck();
     let mut end = ForcedEnd::new(at(2_400));
-    assert!(!end.is_due(at(10_000), false, &record.snapshot()));
-    assert_eq!(end.next_look(at(10_000), at(250)), at(250));
-    assert!(!end.is_due(at(10_100), true, &record.snapshot()));
-    assert!(!end.is_due(at(12_349), true, &record.snapshot()));
-    assert_eq!(end.next_look(at(12_349), at(250)), at(1));
-    assert!(!end.is_due(at(12_350), true, &record.snapshot()));
-    assert_eq!(end.next_look(at(12_350), at(250)), at(50));
-    assert!(end.is_due(at(12_400), true, &record.snapshot()));
+    assert_eq!(
+        end.look(at(10_000), false, &record.snapshot()),
+        EndState::GoesOn
+    );
+    assert_eq!(end.next_look(at(10_000), at(50)), at(50));
+    // It was asked at the last look at the earliest.
+    assert_eq!(
+        end.look(at(10_050), true, &record.snapshot()),
+        EndState::GoesOn
+    );
+    assert_eq!(
+        end.look(at(12_274), true, &record.snapshot()),
+        EndState::GoesOn
+    );
+    assert_eq!(end.next_look(at(12_274), at(50)), at(1));
+    assert_eq!(
+        end.look(at(12_275), true, &record.snapshot()),
+        EndState::Suspected
+    );
+    assert_eq!(end.next_look(at(12_275), at(50)), at(50));
+    assert_eq!(
+        end.look(at(12_325), true, &record.snapshot()),
+        EndState::Due
+    );
 }
 
 #[test]
 fn a_loop_that_goes_on_ends_by_itself_also_after_a_pause_of_the_process() {
     let record = stuck();
     let mut end = ForcedEnd::new(at(2_400));
-    assert!(!end.is_due(at(0), true, &record.snapshot()));
+    assert_eq!(end.look(at(0), true, &record.snapshot()), EndState::GoesOn);
     // The process stood still until long after its grace period.
-    assert!(!end.is_due(at(9_000), true, &record.snapshot()));
+    assert_eq!(
+        end.look(at(9_000), true, &record.snapshot()),
+        EndState::Suspected
+    );
     record.begin_turn(1);
-    assert!(!end.is_due(at(9_050), true, &record.snapshot()));
+    assert_eq!(
+        end.look(at(9_050), true, &record.snapshot()),
+        EndState::Suspected
+    );
     record.wait();
-    assert!(!end.is_due(at(9_100), true, &record.snapshot()));
-    assert!(!end.is_due(at(9_150), true, &record.snapshot()));
+    assert_eq!(
+        end.look(at(9_100), true, &record.snapshot()),
+        EndState::GoesOn
+    );
+    assert_eq!(
+        end.look(at(9_150), true, &record.snapshot()),
+        EndState::GoesOn
+    );
 }
