The seat of a request that was broken off is free once its runner has noticed

The gateway gives the lease back as it closes, and the owner leases the seat at once.

Change: a release tells that the gateway broke the request off at its runner (the duration that such releases never had; owners of before do not look at it), and the owner keeps the seat for 100 ms more. Where the runner closed the connection or the request was never sent, the seat is free at once as before. Also for clients that leave, keys that are taken away and deadlines.

Evidence for what is left of this: start and drain lines of the scaler tell their reason and the load; who used which lease is logged at debug.

--- a/crates/autoscaler/src/draining.rs
+++ b/crates/autoscaler/src/draining.rs
@@ -3,6 +3,7 @@
 //! A runner that is to end drains first: its owner is told to send it nothing more. It is stopped only once its owner,
 //! knowing that, reports none in flight (docs/source.md, gap 3).
 
+use crate::load::Load;
 use crate::owner_reports::OwnerReport;
 use crate::runner::{DrainReason, Runner, RunnerState};
 use crate::state::ClusterState;
@@ -20,10 +21,13 @@
         RunnerState::StartPending { .. } => withdraw_start(state, serial),
         RunnerState::Draining { .. } => state.runners.set_drain_reason(serial, reason),
         RunnerState::Starting | RunnerState::Serving => {
+            let load = state.functions.get(&runner.function);
+            let load = load.map(|function| Load::of(state, function));
             log::info!(
-                "scaler: runner draining function={} runner={:?}",
+                "scaler: runner draining function={} runner={:?} reason={reason:?} {}",
                 runner.function,
-                runner.id
+                runner.id,
+                load.unwrap_or_default()
             );
             state.set_runner_state(serial, RunnerState::Draining { reason, since });
         }
--- a/crates/autoscaler/src/load.rs
+++ b/crates/autoscaler/src/load.rs
@@ -2,6 +2,7 @@
 
 use crate::function::Function;
 use crate::state::ClusterState;
+use std::fmt;
 
 /// Requests that wait are to be served within this share of the latency target...
 const BACKLOG_TARGET_SHARE: f64 = 1.0;
@@ -89,3 +90,19 @@
         serving
     }
 }
+
+/// As log lines tell it: rates in requests a second.
+impl fmt::Display for Load {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "rate={:.1} demand={:.1} capacity={:.1} waiting={} in_flight={} runners={}",
+            self.rate(),
+            self.demand,
+            self.capacity,
+            self.waiting,
+            self.in_flight,
+            self.runners
+        )
+    }
+}
--- a/crates/autoscaler/src/starts.rs
+++ b/crates/autoscaler/src/starts.rs
@@ -2,6 +2,7 @@
 
 use crate::eviction::evict_for;
 use crate::function::Function;
+use crate::load::Load;
 use crate::placement::{choose_worker, StartPurpose};
 use crate::runner::{Runner, RunnerState, ServiceTime};
 use crate::start_block::{clear_shortage, record_shortage, NO_ROOM_RETRY_MS};
@@ -31,9 +32,10 @@
         return Err(NoWorkerHasRoom);
     };
     let runner = pending_runner(state, name, function, worker);
-    log::debug!(
-        "scaler: start queued function={name} worker={}",
-        runner.worker
+    log::info!(
+        "scaler: start queued function={name} worker={} purpose={purpose:?} {}",
+        runner.worker,
+        Load::of(state, function)
     );
     let serial = state.add_runner(runner);
     state.queue_start(serial, name, urgency);
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -7,7 +7,7 @@
 use invariants::{check, Invariant};
 use jobs::JobAdmission;
 use locality::Topology;
-use protocol::RequestId;
+use protocol::{RequestId, BROKEN_OFF_DURATION_MS};
 use std::sync::Arc;
 
 /// Name of the gateway that owns the seats of a function.
@@ -156,6 +156,14 @@
         self.attempt().is_some_and(|attempt| attempt.is_sent)
     }
 
+    /// The duration of the attempt under way, as its owner is told where the gateway breaks it off now.
+    pub fn broken_off_duration_ms(&self) -> u64 {
+        match self.is_sent() {
+            true => u64::from(BROKEN_OFF_DURATION_MS),
+            false => 0,
+        }
+    }
+
     /// Whether it goes on at its runner though its client has left.
     pub fn runs_to_its_end(&self) -> bool {
         self.at_most_once || self.job.is_some()
--- a/crates/gateway/src/request_outcomes.rs
+++ b/crates/gateway/src/request_outcomes.rs
@@ -8,7 +8,7 @@
 use crate::upstream_session::UpstreamResponse;
 use event_loop::ConnectionId;
 use http1::{end_to_end, Response};
-use protocol::{JobResult, LeaseOutcome, RequestId};
+use protocol::{JobResult, LeaseOutcome, RequestId, BROKEN_OFF_DURATION_MS};
 
 /// Least milliseconds after which a rejected client may come back.
 const RETRY_AFTER_MIN_MS: u64 = 150;
@@ -111,6 +111,15 @@
 
     /// A request's runner may have run it, and no valid response came.
     pub fn attempt_lost(&mut self, id: RequestId, reason: &'static str) {
+        self.end_lost_attempt(id, 0, reason);
+    }
+
+    /// The same where this gateway broke the attempt off, and the runner may be at work on it.
+    pub fn attempt_broken_off(&mut self, id: RequestId, reason: &'static str) {
+        self.end_lost_attempt(id, u64::from(BROKEN_OFF_DURATION_MS), reason);
+    }
+
+    fn end_lost_attempt(&mut self, id: RequestId, duration_ms: u64, reason: &'static str) {
         let Some(request) = self.requests.get(id) else {
             return;
         };
@@ -122,7 +131,7 @@
         request.may_have_run = true;
         request.exclude_runner(runner);
         if let Some(lease) = lease {
-            self.release_lease(&lease, LeaseOutcome::Lost, 0);
+            self.release_lease(&lease, LeaseOutcome::Lost, duration_ms);
         }
         if !self.retry_sent(id) {
             self.reject(id, RETRY_AFTER_MIN_MS, reason);
@@ -222,6 +231,7 @@
             return;
         };
         let is_sent = request.is_sent();
+        let duration_ms = request.broken_off_duration_ms();
         request.may_have_run |= is_sent;
         let outcome = if is_sent {
             LeaseOutcome::Lost
@@ -233,7 +243,7 @@
         let lease = request.held_lease();
         self.close_upstream(connection, runner);
         if let Some(lease) = lease {
-            self.release_lease(&lease, outcome, 0);
+            self.release_lease(&lease, outcome, duration_ms);
         }
     }
 }
--- a/crates/gateway/src/retries.rs
+++ b/crates/gateway/src/retries.rs
@@ -66,6 +66,6 @@
         }
         let (connection, runner) = (attempt.connection, attempt.runner.clone());
         self.close_upstream(connection, &runner);
-        self.attempt_lost(id, "the runner's answer is overdue");
+        self.attempt_broken_off(id, "the runner's answer is overdue");
     }
 }
--- a/crates/gateway/src/upstream_requests.rs
+++ b/crates/gateway/src/upstream_requests.rs
@@ -64,6 +64,12 @@
         let id = lease.request_id;
         let now = self.now;
         if let Some(request) = self.requests.get(id) {
+            log::debug!(
+                "gateway: lease used request={} owner={owner} function={} runner={}",
+                String::from_utf8_lossy(&request.client_request_id),
+                request.function,
+                lease.runner
+            );
             request.phase = RequestPhase::Upstream(UpstreamAttempt {
                 owner: owner.into(),
                 reported_to: Vec::new(),
@@ -239,10 +245,11 @@
             return;
         };
         let (connection, runner) = (attempt.connection, attempt.runner.clone());
+        let duration_ms = request.broken_off_duration_ms();
         let lease = request.held_lease();
         self.close_upstream(connection, &runner);
         if let Some(lease) = lease {
-            self.release_lease(&lease, LeaseOutcome::Unused, 0);
+            self.release_lease(&lease, LeaseOutcome::Unused, duration_ms);
         }
     }
 
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -1,6 +1,7 @@
 //! The seats of one function: its runners, the requests that wait, and its reports to the scaler.
 
 mod handover;
+mod reporting;
 
 use crate::lease_holder::LeaseHolder;
 use crate::lease_rules::LeaseRules;
@@ -12,8 +13,7 @@
 use crate::wait_queue::{QueuePosition, WaitQueue, WaitingRequest};
 use invariants::{check, Invariant};
 use protocol::{
-    FunctionReport, FunctionUpdate, LeaseOutcome, LeaseRelease, LeaseRequest, RunnerLeases,
-    RunnerStage, SeatLease, ZoneArrivals,
+    FunctionUpdate, LeaseOutcome, LeaseRelease, LeaseRequest, RunnerLeases, RunnerStage, SeatLease,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -278,6 +278,9 @@
         let Some(runner) = self.runners.remove_lease(holder) else {
             return false;
         };
+        if release.is_broken_off() {
+            runner.record_broken_off(now);
+        }
         match release.outcome {
             LeaseOutcome::Succeeded => runner.record_success(release.duration_ms),
             LeaseOutcome::Rejected => {
@@ -381,26 +384,4 @@
         }
         rejected
     }
-
-    fn arrivals(&self) -> Vec<ZoneArrivals> {
-        let arrivals = self.arrivals.iter();
-        arrivals
-            .map(|(zone, count)| ZoneArrivals {
-                zone: zone.clone(),
-                count: *count,
-            })
-            .collect()
-    }
-
-    /// The report of the function to the scaler.
-    pub fn report(&self, function: &str) -> FunctionReport {
-        FunctionReport {
-            function: function.into(),
-            update_number: self.list.version().number,
-            arrivals: self.arrivals(),
-            waiting: self.queue.len() as u32,
-            abandoned: self.abandoned,
-            runners: self.runners.iter().map(SeatRunner::report).collect(),
-        }
-    }
 }
--- a/crates/seat_leases/src/seat_runner.rs
+++ b/crates/seat_leases/src/seat_runner.rs
@@ -14,6 +14,8 @@
 const MISSES_MAX: u32 = 3;
 /// Milliseconds for which the connection of a probe may hold a seat.
 const PROBE_SEAT_MS: u64 = 120;
+/// Milliseconds for which a runner may hold the seat of a request whose connection was closed, until it notices.
+const BROKEN_OFF_SEAT_MS: u64 = 100;
 /// Bounds of the milliseconds between two probes, and the part of the expected start that it is within them.
 const PROBE_PAUSE_MIN_MS: u64 = 15;
 const PROBE_PAUSE_MAX_MS: u64 = 150;
@@ -30,6 +32,8 @@
     backoff: RejectionBackoff,
     /// Until when the connection of a probe may hold a seat.
     probe_seat_until: u64,
+    /// Until when the runner may work on requests that were broken off, each of them on one seat.
+    broken_off_until: Vec<u64>,
     probe_at: u64,
     is_probed: bool,
     mean_response_ms: f64,
@@ -53,6 +57,7 @@
             holders: BTreeSet::new(),
             backoff: RejectionBackoff::default(),
             probe_seat_until: 0,
+            broken_off_until: Vec::new(),
             probe_at,
             is_probed: false,
             mean_response_ms: 0.0,
@@ -133,7 +138,15 @@
         let (in_use, quota) = (self.in_use(), self.backoff.limit(now, self.quota()));
         // The connection of a probe may hold a seat, but never the only one.
         let probes = u32::from(now < self.probe_seat_until && quota > 1);
-        self.is_serving() && in_use + probes < quota
+        let broken_off = self.broken_off_until.iter();
+        let broken_off = broken_off.filter(|until| now < **until).count() as u32;
+        self.is_serving() && in_use + probes + broken_off < quota
+    }
+
+    /// A request was broken off while the runner was at work on it.
+    pub fn record_broken_off(&mut self, now: u64) {
+        self.broken_off_until.retain(|until| now < *until);
+        self.broken_off_until.push(now + BROKEN_OFF_SEAT_MS);
     }
 
     /// Leases one more seat, which must be free.
--- a/tests/cluster/src/daemon.rs
+++ b/tests/cluster/src/daemon.rs
@@ -105,7 +105,10 @@
         let child = command
             .args(["--metrics-port", &METRICS.to_string(), "--fatal-invariants"])
             .env("HALLKEEL_SETTINGS", &settings)
-            .env("RUST_LOG", "info")
+            .env(
+                "RUST_LOG",
+                std::env::var("RUST_LOG").unwrap_or("info".into()),
+            )
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
             .stderr(log)
--- a/tests/cluster/src/soak/limits.rs
+++ b/tests/cluster/src/soak/limits.rs
@@ -23,7 +23,7 @@
         rejected.sort_unstable_by_key(|request| request.at);
         let most = most_within(&rejected);
         if most.len() > REJECTIONS_MAX {
-            broken.push(explain(service, most, from));
+            broken.push(explain(service, most, from, received));
         }
     }
     broken
@@ -39,11 +39,42 @@
     windows.max_by_key(|window| window.len()).unwrap_or(&[])
 }
 
+/// Time within which a runner notices that the connection of a request on which it works was closed.
+const NOTICED_WITHIN: Duration = Duration::from_millis(100);
+
+/// The request on which a runner still worked though its gateway had closed the connection, as another one was rejected.
+fn abandoned_beside<'a>(
+    rejected: &ReceivedRequest,
+    received: &'a [ReceivedRequest],
+) -> Option<&'a ReceivedRequest> {
+    received.iter().find(|one| {
+        let is_noticed_later = one.at >= rejected.at && one.at < rejected.at + NOTICED_WITHIN;
+        one.outcome == RequestOutcome::Abandoned
+            && one.runner == rejected.runner
+            && is_noticed_later
+    })
+}
+
 /// Which runners rejected which requests, and when.
-fn explain(service: &str, rejected: &[&ReceivedRequest], from: Instant) -> String {
+fn explain(
+    service: &str,
+    rejected: &[&ReceivedRequest],
+    from: Instant,
+    received: &[ReceivedRequest],
+) -> String {
     let each = rejected.iter().map(|request| {
         let after = request.at.saturating_duration_since(from);
-        format!("{}@{} {after:.1?}", request.id, request.runner)
+        let text = format!("{}@{} {after:.1?}", request.id, request.runner);
+        match abandoned_beside(request, received) {
+            Some(abandoned) => {
+                let noticed_after = abandoned.at.duration_since(request.at);
+                format!(
+                    "{text} (abandoned {} noticed {noticed_after:.1?} later)",
+                    abandoned.id
+                )
+            }
+            None => text,
+        }
     });
     let each: Vec<String> = each.collect();
     let count = rejected.len();
