Further attempts of a repeatable request get more time before they count as overdue

Cause: each attempt was broken off after the same 16 mean response times (at least 400 ms). A request that takes a little longer was broken off twice shortly before its end, and the last attempt began with too little time. Excluded: a runner that had lost it (each was at work as its connection was closed).

Change: each further attempt of a request gets four times as long. An answer that is lost is still found by the first attempt's time.

--- a/crates/gateway/src/response_times.rs
+++ b/crates/gateway/src/response_times.rs
@@ -12,6 +12,12 @@
 const OVERDUE_FACTOR: f64 = 16.0;
 /// Least milliseconds after which a response is overdue.
 const OVERDUE_MIN_MS: f64 = 400.0;
+/// Each further attempt of a request gets so many times as long: where the runner of the one before worked, and had lost nothing, the request
+/// takes long wherever it runs.
+const NEXT_ATTEMPT_FACTOR: f64 = 4.0;
+
+/// Most attempts before that lengthen the time; every deadline is over by then.
+const ATTEMPTS_COUNTED_MAX: u32 = 8;
 
 /// Mean response times, in milliseconds, by function.
 #[derive(Default)]
@@ -32,10 +38,12 @@
         self.means_ms.insert(function.into(), duration_ms as f64);
     }
 
-    /// Milliseconds after which a response of the function is overdue.
-    pub fn overdue_after_ms(&self, function: &str) -> u64 {
+    /// Milliseconds after which the response to an attempt of a request is overdue; the first one has number 1.
+    pub fn overdue_after_ms(&self, function: &str, attempt: u32) -> u64 {
         let mean = self.means_ms.get(function).copied();
         let mean = mean.unwrap_or(PRIOR_MS);
-        (mean * OVERDUE_FACTOR).max(OVERDUE_MIN_MS) as u64
+        let first = (mean * OVERDUE_FACTOR).max(OVERDUE_MIN_MS);
+        let attempts_before = attempt.saturating_sub(1).min(ATTEMPTS_COUNTED_MAX);
+        (first * NEXT_ATTEMPT_FACTOR.powi(attempts_before as i32)) as u64
     }
 }
--- a/crates/gateway/src/upstream_requests.rs
+++ b/crates/gateway/src/upstream_requests.rs
@@ -231,7 +231,8 @@
             return;
         }
         // An idempotent request whose response is long overdue is retried elsewhere.
-        let overdue_after_ms = self.response_times.overdue_after_ms(&request.function);
+        let response_times = &self.response_times;
+        let overdue_after_ms = response_times.overdue_after_ms(&request.function, request.attempts);
         let overdue = TimerEvent::ResponseOverdue(id, request.attempts);
         self.timers.schedule(self.now + overdue_after_ms, overdue);
     }
