Soak aimed at owners that stand still; lists after a relink, and slow declarations

--aimed: the owner of a runner that works stands still for 1.5 to 2.3 s, the runner leaves meanwhile, and what controllers tell the owner takes 250 ms more as it wakes.

A gateway stood still, was removed, linked anew, and stood still again before it was told a table. The answer over the new link was taken for a confirmation of its lists, though the scaler had told others of the runners in between. A gateway that had not said within a heartbeat that it understands agreed tables was taken for an older one, and all went by a table that binds nobody: one slow link did that to ten gateways eight times in 16 s. Where the others are known to understand them it has ten heartbeats now.

--- a/crates/controller/src/ownership_publisher.rs
+++ b/crates/controller/src/ownership_publisher.rs
@@ -5,6 +5,9 @@
 use seat_leases::OwnershipTable;
 use std::collections::BTreeSet;
 
+/// Heartbeats for which a gateway is waited for that has not said what it understands, where all others understand agreed tables.
+const AGREED_DECLARATION_HEARTBEATS: u64 = 10;
+
 /// The table of the gateways that own functions' seats, with a version that rises with each change. Only the scaler publishes it.
 ///
 /// While all gateways understand agreed tables, the table binds them; else it is published as a plain membership, in messages that older
@@ -62,6 +65,15 @@
         now >= self.linked_at + quiet_ms
     }
 
+    /// Milliseconds within which a gateway that links is to say that it understands agreed tables, before it is taken for one that does not
+    /// and all go by a table that binds nobody. Where the others are known to understand them, a slow link is the likelier reason.
+    pub fn declaration_timeout_ms(&self, heartbeat_ms: u64) -> u64 {
+        match self.table.is_agreed() {
+            true => heartbeat_ms * AGREED_DECLARATION_HEARTBEATS,
+            false => heartbeat_ms,
+        }
+    }
+
     /// The table that gateways are told.
     pub fn table(&self) -> &OwnershipTable {
         &self.table
--- a/crates/controller/src/scaler.rs
+++ b/crates/controller/src/scaler.rs
@@ -184,7 +184,10 @@
             return;
         }
         let heartbeat_ms = context.options.heartbeat_ms();
-        let declared = context.gateways.declared(context.now, heartbeat_ms);
+        let declaration_timeout_ms = self.ownership.declaration_timeout_ms(heartbeat_ms);
+        let declared = context
+            .gateways
+            .declared(context.now, declaration_timeout_ms);
         let is_settled = self
             .ownership
             .is_settled(context.now, heartbeat_ms / SETTLED_DIVISOR)
--- a/crates/controller/tests/unit/ownership_publisher.rs
+++ b/crates/controller/tests/unit/ownership_publisher.rs
@@ -265,3 +265,21 @@
     publisher.update(&[newer("a", 1), newer("b", 1), newer("c", 1)], false);
     assert!(sent(&mut publisher).contains_key("c"));
 }
+
+/// In an aimed series (seed 9004) one gateway whose link took 250 ms each way threw ten others back to a table that binds nobody, eight times
+/// in 16 s ("ownership updated version=1099511627777.11 gateways=9 agreed=false"): each of them then decided by itself whom it took for an
+/// owner.
+#[test]
+fn a_gateway_that_is_slow_to_say_what_it_understands_does_not_end_an_agreement() {
+    const HEARTBEAT_MS: u64 = 200;
+    let mut publisher = OwnershipPublisher::default();
+    publisher.begin_term(7);
+    // Nothing is known of the others yet.
+    assert_eq!(publisher.declaration_timeout_ms(HEARTBEAT_MS), HEARTBEAT_MS);
+    publisher.update(&[newer("a", 1), newer("b", 1)], false);
+    assert!(publisher.declaration_timeout_ms(HEARTBEAT_MS) >= 2_000);
+    // An older gateway joins them all the same, in the end.
+    publisher.update(&[newer("a", 1), newer("b", 1), older("c", 1)], false);
+    assert!(!publisher.table().is_agreed());
+    assert_eq!(publisher.declaration_timeout_ms(HEARTBEAT_MS), HEARTBEAT_MS);
+}
--- a/crates/gateway/src/process_pauses.rs
+++ b/crates/gateway/src/process_pauses.rs
@@ -2,6 +2,7 @@
 //! what it knew until the scaler has confirmed it.
 
 use crate::gateway::Gateway;
+use crate::pause_confirmation::Confirmation;
 use process_pause::ProcessPause;
 use protocol::{Message, UpdateVersion};
 
@@ -51,21 +52,26 @@
     /// A controller has answered a ping.
     pub fn controller_answered_ping(&mut self, address: &str, number: u64) {
         let term = self.controllers.term(address);
-        if self.pause_confirmation.ping_answered(address, number, term) {
-            self.confirmed_after_pause("answer");
-        }
+        let confirmation = self.pause_confirmation.ping_answered(address, number, term);
+        self.confirmed_after_pause(confirmation);
     }
 
     /// The scaler has told a table of owners, whole or as a change, which was put in force where that could be done.
     pub fn table_told(&mut self, address: &str, version: UpdateVersion) {
-        let is_in_force = version == self.configuration.ownership_version();
-        if is_in_force && self.pause_confirmation.table_told(address) {
-            self.confirmed_after_pause("table");
+        if version == self.configuration.ownership_version() {
+            let confirmation = self.pause_confirmation.table_told(address);
+            self.confirmed_after_pause(confirmation);
         }
     }
 
-    fn confirmed_after_pause(&mut self, by: &str) {
-        log::info!("gateway: confirmed after a pause by={by}");
-        self.lease_owner.confirm_after_pause(self.now);
+    fn confirmed_after_pause(&mut self, confirmation: Option<Confirmation>) {
+        let Some(confirmation) = confirmation else {
+            return;
+        };
+        log::info!("gateway: confirmed after a pause what={confirmation:?}");
+        match confirmation {
+            Confirmation::TableAndLists => self.lease_owner.confirm_after_pause(self.now),
+            Confirmation::Table => self.lease_owner.confirm_table_after_pause(self.now),
+        }
     }
 }
--- a/crates/gateway/tests/unit/process_pauses.rs
+++ b/crates/gateway/tests/unit/process_pauses.rs
@@ -3,7 +3,7 @@
 
 use crate::agreed_owners_tests::{Fleet, OWNER};
 use crate::gateway::TimerEvent;
-use crate::pause_confirmation::PauseConfirmation;
+use crate::pause_confirmation::{Confirmation, PauseConfirmation};
 use crate::peer_links::Liveness;
 use protocol::{
     FunctionUpdate, LeaseRequest, Message, RequestId, RunnerStage, RunnerUpdate, UpdateVersion,
@@ -26,34 +26,52 @@
 #[test]
 fn the_answer_of_the_controller_that_scales_confirms_once() {
     let (mut confirmation, number) = begun();
-    assert!(!confirmation.ping_answered(OTHER, number, 0));
-    assert!(confirmation.ping_answered(SCALER, number, TERM));
-    assert!(!confirmation.ping_answered(SCALER, number, TERM));
+    assert_eq!(confirmation.ping_answered(OTHER, number, 0), None);
+    let confirmed = confirmation.ping_answered(SCALER, number, TERM);
+    assert_eq!(confirmed, Some(Confirmation::TableAndLists));
+    assert_eq!(confirmation.ping_answered(SCALER, number, TERM), None);
 }
 
 #[test]
 fn an_answer_from_before_the_pause_confirms_nothing() {
     let (mut confirmation, former) = begun();
     let number = confirmation.begin([SCALER.to_string()].into_iter());
-    assert!(!confirmation.ping_answered(SCALER, former, TERM));
+    assert_eq!(confirmation.ping_answered(SCALER, former, TERM), None);
     assert_eq!(confirmation.age_of_messages(SCALER), UpdateAge::Unknown);
-    assert!(confirmation.ping_answered(SCALER, number, TERM));
+    let confirmed = confirmation.ping_answered(SCALER, number, TERM);
+    assert!(confirmed.is_some());
     assert_eq!(confirmation.age_of_messages(SCALER), UpdateAge::Fresh);
 }
 
 #[test]
 fn a_table_confirms_that_came_over_a_new_link_or_after_the_answer() {
     let (mut confirmation, number) = begun();
-    assert!(
-        !confirmation.table_told(SCALER),
-        "it may have lain in the socket"
-    );
+    // It may have lain in the socket.
+    assert_eq!(confirmation.table_told(SCALER), None);
     confirmation.link_opened(SCALER);
-    assert!(confirmation.table_told(SCALER));
+    assert_eq!(confirmation.table_told(SCALER), Some(Confirmation::Table));
     let (mut confirmation, _) = begun();
     // The role has moved to a controller that did not scale as it answered.
-    assert!(!confirmation.ping_answered(OTHER, number, 0));
-    assert!(confirmation.table_told(OTHER));
+    assert_eq!(confirmation.ping_answered(OTHER, number, 0), None);
+    assert_eq!(confirmation.table_told(OTHER), Some(Confirmation::Table));
+}
+
+/// In an aimed series (seed 9004) a gateway stood still, was removed, linked anew, and stood still again before it was told a table. The
+/// answer over the new link was taken for a confirmation of its old lists: "DRAIN: 1.584532499s after i-20 of function-4 was listed as leaving".
+#[test]
+fn an_answer_over_a_link_that_was_opened_since_confirms_no_list() {
+    let (mut confirmation, _) = begun();
+    confirmation.link_opened(SCALER);
+    let number = confirmation.begin([SCALER.to_string()].into_iter());
+    assert_eq!(confirmation.ping_answered(SCALER, number, TERM), None);
+    assert_eq!(confirmation.table_told(SCALER), Some(Confirmation::Table));
+    // The same where the table came before the answer.
+    let (mut confirmation, _) = begun();
+    confirmation.link_opened(SCALER);
+    let number = confirmation.begin([SCALER.to_string()].into_iter());
+    assert_eq!(confirmation.table_told(SCALER), None);
+    let confirmed = confirmation.ping_answered(SCALER, number, TERM);
+    assert_eq!(confirmed, Some(Confirmation::Table));
 }
 
 /// A gateway that has asked the owner whether it is alive, stood still, and goes on; the answer lies in its socket.
@@ -196,3 +214,29 @@
     fleet.gateway.lease_owner.tick(woken_at + 1_000);
     assert_eq!(leased(&fleet, &function), 1);
 }
+
+#[test]
+fn a_table_over_a_new_link_leaves_lists_from_before_the_pause_unused_until_they_are_told_anew() {
+    let mut fleet = fleet_after_a_pause();
+    let function = own_function(&mut fleet);
+    let woken_at = fleet.gateway.now + PAUSE_MS;
+    fleet.gateway.read_clock(woken_at);
+    request_lease(&mut fleet, &function);
+    fleet
+        .gateway
+        .lease_owner
+        .confirm_table_after_pause(woken_at);
+    for now in (woken_at..woken_at + 500).step_by(50) {
+        fleet.gateway.lease_owner.tick(now);
+        assert_eq!(leased(&fleet, &function), 0, "at {}", now - woken_at);
+    }
+    let reports = fleet.gateway.lease_owner.reports(woken_at + 500, false);
+    let report = reports.iter().find(|one| one.function == function);
+    assert_eq!(report.expect("a report").update_number, 0);
+    let update = update(&function, 2);
+    fleet
+        .gateway
+        .lease_owner
+        .update_runners(woken_at + 510, update);
+    assert_eq!(leased(&fleet, &function), 1);
+}
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -127,6 +127,16 @@
         self.start_block = None;
     }
 
+    /// The process stood still, and the scaler may have told others of the runners: a list from before is asked for anew.
+    pub fn doubt_list_from_before_pause(&mut self, now: u64, rules: &LeaseRules) {
+        if !self.list.is_from_before_pause(rules) {
+            return;
+        }
+        self.doubt_runners(now);
+        self.report.mark_changed();
+        self.report.mark_urgent();
+    }
+
     /// A request comes. Where nobody uses the function and its list of runners was not confirmed, that is asked for first.
     pub fn doubt_unconfirmed_if_idle(&mut self, now: u64) {
         if self.is_idle() && !self.list.is_confirmed() {
--- a/crates/seat_leases/src/lease_owner/pauses.rs
+++ b/crates/seat_leases/src/lease_owner/pauses.rs
@@ -24,6 +24,18 @@
         }
     }
 
+    /// The scaler has said that the table in force here is the newest, over a link that was opened since the pause. The lists are asked for
+    /// anew, and those from before the pause are not used meanwhile.
+    pub fn confirm_table_after_pause(&mut self, now: u64) {
+        if !self.rules.pause_recovery.await_lists(now) {
+            return;
+        }
+        for (function, seats) in &mut self.functions {
+            seats.doubt_list_from_before_pause(now, &self.rules);
+            self.unreported.insert(function.clone());
+        }
+    }
+
     /// Notices a pause before anything is leased, whatever comes first after it.
     pub(super) fn observe_clock(&mut self, now: u64) {
         if !self.ownership.is_alone() {
--- a/crates/seat_leases/src/list_confirmation.rs
+++ b/crates/seat_leases/src/list_confirmation.rs
@@ -81,10 +81,15 @@
         self.is_confirmed
     }
 
+    /// Whether it was told before a pause of the process after which lists are awaited.
+    pub fn is_from_before_pause(&self, rules: &LeaseRules) -> bool {
+        !rules.pause_recovery.allows_list_told_at(self.told_at)
+    }
+
     /// Whether seats may be leased by the list: it is confirmed, or nobody can confirm it, or nobody has in time.
     pub fn may_be_used(&self, now: u64, rules: &LeaseRules) -> bool {
         let is_late = now >= self.doubted_at + CONFIRMATION_TIMEOUT_MS;
         let is_trusted = self.is_confirmed || !rules.is_scaler_heard || is_late;
-        is_trusted && rules.pause_recovery.allows_list_told_at(self.told_at)
+        is_trusted && !self.is_from_before_pause(rules)
     }
 }
--- a/crates/seat_leases/src/pause_recovery.rs
+++ b/crates/seat_leases/src/pause_recovery.rs
@@ -2,9 +2,9 @@
 //!
 //! Meanwhile the scaler may have given its functions to others, and told them alone which runners leave. So nothing is leased by what was
 //! known before the pause until the scaler has confirmed that it holds: by an answer to a question that was asked after the pause, over the
-//! link on which it tells all changes in order, or by a table of owners over a link that was opened after it. A list of runners that the
-//! scaler told after the pause may be used at once. Where no scaler answers, service goes on by what is known: nobody is there to remove
-//! this gateway or to let a runner leave, or this gateway is cut off from them and stays so.
+//! link on which it tells all changes in order. A table of owners over a link that was opened after it confirms who owns what, and the lists
+//! are told anew. A list of runners that the scaler told after the pause may be used at once. Where no scaler answers, service goes on by
+//! what is known: nobody is there to remove this gateway or to let a runner leave, or this gateway is cut off from them and stays so.
 
 use process_pause::{PauseDetector, ProcessPause};
 
@@ -17,8 +17,10 @@
 pub(crate) struct PauseRecovery {
     /// None until the owner ticks regularly.
     detector: Option<PauseDetector>,
-    /// End of the pause whose confirmation is awaited.
+    /// End of the pause whose confirmation is awaited, and lists from before which are not used.
     awaited_since: Option<u64>,
+    /// When what is awaited is waited for no more.
+    expires_at: u64,
 }
 
 impl PauseRecovery {
@@ -39,6 +41,7 @@
     /// The process stood still.
     pub fn begin(&mut self, pause: ProcessPause) {
         self.awaited_since = Some(pause.ended_at);
+        self.expires_at = pause.ended_at + ANSWER_TIMEOUT_MS;
     }
 
     /// The scaler has said that table and lists hold; whether that was awaited.
@@ -46,12 +49,16 @@
         self.awaited_since.take().is_some()
     }
 
+    /// The scaler has said that the table holds, and lists are asked for; whether that was awaited.
+    pub fn await_lists(&mut self, now: u64) -> bool {
+        self.expires_at = now + ANSWER_TIMEOUT_MS;
+        self.awaited_since.is_some()
+    }
+
     /// Whether no scaler has answered in time, so that nothing is awaited any more. Told once for each pause.
     pub fn take_expired(&mut self, now: u64) -> bool {
-        let is_over = |since: u64| now >= since + ANSWER_TIMEOUT_MS;
-        self.awaited_since
-            .take_if(|since| is_over(*since))
-            .is_some()
+        let is_over = now >= self.expires_at;
+        self.awaited_since.take_if(|_| is_over).is_some()
     }
 
     /// Whether a list may be used that the scaler told at this time, as far as pauses are concerned.
--- a/tests/cluster/src/bin/hallkeel-soak.rs
+++ b/tests/cluster/src/bin/hallkeel-soak.rs
@@ -42,6 +42,9 @@
     /// Clients of a run with `--rolling`
     #[arg(long, default_value_t = 48)]
     clients: usize,
+    /// With `--rolling`: owners of seats stand still as a runner of theirs leaves
+    #[arg(long)]
+    aimed: bool,
     /// Keep data and logs of a run with `--rolling` also where nothing was found
     #[arg(long)]
     keep: bool,
@@ -130,6 +133,7 @@
             length: Duration::from_secs(flags.length),
             gateways: flags.gateways,
             clients: flags.clients,
+            aims_at_owners: flags.aimed,
             keeps_folder: flags.keep,
         })
     };
--- a/tests/cluster/src/soak/rolling/run.rs
+++ b/tests/cluster/src/soak/rolling/run.rs
@@ -1,9 +1,11 @@
 //! One run: the cluster is started, the series and traffic go on, and the promises are judged.
 
 use super::clients::RollingClient;
-use super::series::{is_planned, Series, Step};
+use super::series::{Series, Step};
 use crate::disk_probe;
 use crate::operator::{configuration, route, service};
+use crate::relay::Direction;
+use crate::runner::Runner;
 use crate::simulated_cluster::SimulatedCluster;
 use crate::soak::drains::{self, LeavingRunner};
 use crate::soak::fault::Target;
@@ -12,11 +14,13 @@
 use crate::soak::operators::{run_reader, Operator, FIRST_VERSION};
 use crate::soak::tenants::{self, KeyHistory, STEADY};
 use crate::soak::{calm, oracle};
+use protocol::Member;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Functions with routes of their own, beside those of the base configuration.
@@ -26,6 +30,10 @@
 const RUNNER_LEAVES_AFTER: Duration = Duration::from_millis(6_500);
 /// Retries that are free in each span.
 const RETRY_SLACK: u32 = 400;
+/// Delay of what controllers tell an owner that stands still, and the time after its pause for which that lasts: others hear of its return
+/// before it hears that it was removed.
+const WAKING_DELAY: Duration = Duration::from_millis(250);
+const WAKING_DELAY_LASTS: Duration = Duration::from_millis(800);
 /// Operators who change the configuration, each in the way of the other.
 const OPERATORS: u64 = 2;
 
@@ -37,6 +45,8 @@
     pub length: Duration,
     pub gateways: usize,
     pub clients: usize,
+    /// Whether owners stand still as a runner of theirs leaves.
+    pub aims_at_owners: bool,
     /// Whether data and logs are kept also where nothing was found.
     pub keeps_folder: bool,
 }
@@ -57,12 +67,13 @@
 
 /// Runs one seed.
 pub fn run(options: RollingOptions) -> RollingReport {
-    let cluster = start_cluster(options.seed, options.gateways);
+    let cluster = start_cluster(&options);
     let series = Series::draw(
         options.seed,
         options.length,
         options.gateways,
         cluster.controllers.len(),
+        options.aims_at_owners,
     );
     let ledger = Ledger::default();
     let mut injector = Injector::new(cluster);
@@ -132,13 +143,18 @@
     document
 }
 
-fn start_cluster(seed: u64, gateways: usize) -> SimulatedCluster {
-    let mut cluster = SimulatedCluster::builder()
+fn start_cluster(options: &RollingOptions) -> SimulatedCluster {
+    let gateways = options.gateways;
+    let builder = SimulatedCluster::builder()
         .retry_slack(RETRY_SLACK)
-        .gateways(gateways)
-        .start();
+        .gateways(gateways);
+    let builder = match options.aims_at_owners {
+        true => builder.relayed(),
+        false => builder,
+    };
+    let mut cluster = builder.start();
     cluster.key = Some(STEADY[0].1);
-    let document = first_configuration(seed);
+    let document = first_configuration(options.seed);
     assert_eq!(cluster.replace(0, &document).0, 200);
     cluster.wait_ready();
     for function in 0..FUNCTIONS {
@@ -154,7 +170,7 @@
     let controllers = injector.cluster.control();
     let is_over = AtomicBool::new(false);
     let seed = series.seed;
-    if is_planned(seed) {
+    if series.is_planned() {
         ledger.begin_planned_work();
     }
     std::thread::scope(|scope| {
@@ -185,14 +201,39 @@
     let started = Instant::now();
     let mut steps = series.steps.iter().peekable();
     let mut paused: Vec<(Instant, usize)> = Vec::new();
+    let mut leaving: Vec<(Instant, String)> = Vec::new();
+    let mut delayed: Vec<(Instant, usize)> = Vec::new();
     while started.elapsed() < series.length {
         while let Some(scheduled) = steps.next_if(|step| step.at <= started.elapsed()) {
             take_step(injector, scheduled.step, ledger);
-            if let Step::Pause(gateway, lasts) = scheduled.step {
-                paused.push((Instant::now() + lasts, gateway));
+            match scheduled.step {
+                Step::Pause(gateway, lasts) => paused.push((Instant::now() + lasts, gateway)),
+                Step::PauseOwner {
+                    number,
+                    lasts,
+                    leaves_after,
+                } => {
+                    if let Some((gateway, runner)) = pause_owner(injector, number) {
+                        let now = Instant::now();
+                        paused.push((now + lasts, gateway));
+                        leaving.push((now + leaves_after, runner));
+                        delayed.push((now + lasts + WAKING_DELAY_LASTS, gateway));
+                        delay_controllers(injector, gateway, WAKING_DELAY);
+                    }
+                }
+                _ => {}
             }
         }
         let now = Instant::now();
+        for (_, runner) in leaving.extract_if(.., |(at, _)| *at <= now) {
+            injector
+                .cluster
+                .platform
+                .drain(&runner, RUNNER_LEAVES_AFTER);
+        }
+        for (_, gateway) in delayed.extract_if(.., |(until, _)| *until <= now) {
+            delay_controllers(injector, gateway, Duration::ZERO);
+        }
         for (_, gateway) in paused.extract_if(.., |(until, _)| *until <= now) {
             injector.resume_gateway(gateway);
         }
@@ -218,19 +259,67 @@
         Step::Kill(gateway, lasts) => injector.kill_gateway(gateway, lasts),
         Step::Reload(gateway) => injector.reload_gateway(gateway),
         Step::DrainRunner(number) => drain_runner(injector, number),
+        // It has two parts, of which the second comes later.
+        Step::PauseOwner { .. } => {}
     }
 }
 
+/// Lets the owner of a runner that works stand still. Returns the gateway, and the runner that is to leave.
+fn pause_owner(injector: &mut Injector, number: usize) -> Option<(usize, String)> {
+    let working: Vec<_> = staying_runners(injector)
+        .into_iter()
+        .filter(|runner| runner.in_flight() > 0)
+        .collect();
+    let runner = working.get(number % working.len().max(1))?;
+    let owner = owner_of(injector, &runner.service)?;
+    injector.pause_gateway(owner);
+    Some((owner, runner.id.clone()))
+}
+
+/// What controllers tell a gateway takes so much longer from now on.
+fn delay_controllers(injector: &Injector, gateway: usize, delay: Duration) {
+    let cluster = &injector.cluster;
+    let to = &cluster.gateways[gateway].name;
+    let controllers = cluster.controllers.iter();
+    let directions = controllers.map(|controller| Direction::new(&controller.name, to));
+    cluster.network.delay(&directions.collect(), delay);
+}
+
+/// The gateway that owns a function by the table of those that serve.
+fn owner_of(injector: &mut Injector, function: &str) -> Option<usize> {
+    let gateways = 0..injector.cluster.gateways.len();
+    let serving: Vec<usize> = gateways
+        .filter(|gateway| injector.is_serving(Target::Gateway(*gateway)))
+        .collect();
+    let name = |gateway: &usize| injector.cluster.gateways[*gateway].name.clone();
+    let members = serving.iter().map(|gateway| Member {
+        name: name(gateway),
+        ..Member::default()
+    });
+    let table = seat_leases::OwnershipTable::agreed(protocol::OwnershipTable {
+        members: members.collect(),
+        ..protocol::OwnershipTable::default()
+    });
+    let owner = table.owner_of(function)?.name.clone();
+    serving.into_iter().find(|gateway| name(gateway) == owner)
+}
+
 /// Lets one of the runners leave that run and do not leave yet.
 fn drain_runner(injector: &Injector, number: usize) {
+    let staying = staying_runners(injector);
+    if let Some(runner) = staying.get(number % staying.len().max(1)) {
+        let platform = &injector.cluster.platform;
+        platform.drain(&runner.id, RUNNER_LEAVES_AFTER);
+    }
+}
+
+/// Runners that run and do not leave yet.
+fn staying_runners(injector: &Injector) -> Vec<Arc<Runner>> {
     let platform = &injector.cluster.platform;
     let drained = platform.drained_runners();
     let leaves = |id: &str| drained.iter().any(|(runner, _)| runner.id == id);
     let running = platform.runners().into_iter();
-    let staying: Vec<_> = running
+    running
         .filter(|runner| runner.is_up() && !leaves(&runner.id))
-        .collect();
-    if let Some(runner) = staying.get(number % staying.len().max(1)) {
-        platform.drain(&runner.id, RUNNER_LEAVES_AFTER);
-    }
+        .collect()
 }
--- a/tests/cluster/src/soak/rolling/series.rs
+++ b/tests/cluster/src/soak/rolling/series.rs
@@ -17,6 +17,11 @@
 const PAUSE_GAP_MS: Range<u64> = 400..1_500;
 /// Milliseconds for which a paused gateway stands still: some are taken for silent, others not.
 const PAUSE_LASTS_MS: Range<u64> = 300..1_500;
+/// Milliseconds between two owners that stand still as a runner of theirs leaves, for how long they do, and after which part of it the
+/// runner leaves: the owner wakes once the runner must get nothing more, and was removed meanwhile.
+const OWNER_PAUSE_GAP_MS: Range<u64> = 350..900;
+const OWNER_PAUSE_LASTS_MS: Range<u64> = 1_500..2_300;
+const LEAVES_AFTER_MS: Range<u64> = 20..250;
 const CONTROLLER_GAP_MS: Range<u64> = 3_000..6_000;
 /// Milliseconds for which a killed gateway is down.
 const KILL_LASTS_MS: Range<u64> = 50..900;
@@ -34,6 +39,12 @@
     Kill(usize, Duration),
     /// The gateway's process stands still for a while.
     Pause(usize, Duration),
+    /// The owner of a runner that works stands still for a while, and the runner leaves meanwhile; the number chooses it.
+    PauseOwner {
+        number: usize,
+        lasts: Duration,
+        leaves_after: Duration,
+    },
     /// The gateway is told that its settings have changed.
     Reload(usize),
     /// A runner leaves; the number chooses it among those that run.
@@ -52,13 +63,21 @@
 pub struct Series {
     pub seed: u64,
     pub length: Duration,
+    /// Whether owners stand still as a runner of theirs leaves.
+    pub aims_at_owners: bool,
     pub steps: Vec<ScheduledStep>,
 }
 
 impl Series {
-    /// Draws the steps of a run. Odd seeds kill gateways too, each one twice; seeds that leave 2 or 3 after a division by four restart
+    /// Draws the steps of a run. With `aims_at_owners` owners stand still as a runner of theirs leaves. Odd seeds kill gateways too, each one twice; seeds that leave 2 or 3 after a division by four restart
     /// controllers too; in every second four of them gateways stand still as well.
-    pub fn draw(seed: u64, length: Duration, gateways: usize, controllers: usize) -> Self {
+    pub fn draw(
+        seed: u64,
+        length: Duration,
+        gateways: usize,
+        controllers: usize,
+        aims_at_owners: bool,
+    ) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
         let mut order: Vec<usize> = (0..gateways).collect();
         order.shuffle(&mut random);
@@ -104,10 +123,18 @@
                 Step::Kill(random.random_range(0..gateways), lasts)
             });
         }
+        if aims_at_owners {
+            add(OWNER_PAUSE_GAP_MS, &mut |_, random| Step::PauseOwner {
+                number: random.random_range(0..1 << 16),
+                lasts: draw_milliseconds(random, OWNER_PAUSE_LASTS_MS),
+                leaves_after: draw_milliseconds(random, LEAVES_AFTER_MS),
+            });
+        }
         steps.sort_by_key(|scheduled| scheduled.at);
         Self {
             seed,
             length,
+            aims_at_owners,
             steps,
         }
     }
@@ -117,9 +144,11 @@
     Duration::from_millis(random.random_range(range))
 }
 
-/// Whether all that happens in a seed's run is planned.
-pub fn is_planned(seed: u64) -> bool {
-    !kills_gateways(seed) && !pauses_gateways(seed)
+impl Series {
+    /// Whether all that happens in the run is planned.
+    pub fn is_planned(&self) -> bool {
+        !kills_gateways(self.seed) && !pauses_gateways(self.seed) && !self.aims_at_owners
+    }
 }
 
 fn kills_gateways(seed: u64) -> bool {
