--- a/crates/gateway/src/controller_messages.rs
+++ b/crates/gateway/src/controller_messages.rs
@@ -40,7 +40,7 @@
                 self.jobs.register_responded(self.now, number, response);
             }
             Message::FunctionUpdates(updates) => {
-                let age = self.pause_confirmation.age_of_messages(address);
+                let age = self.pauses.confirmation.age_of_messages(address);
                 for update in updates {
                     self.lease_owner.receive_update(self.now, update, age);
                 }
@@ -76,7 +76,7 @@
             }
             _ => return,
         };
-        self.table_told(address, version);
+        self.table_published(address, version);
     }
 
     fn controller_heartbeat(&mut self, address: &str, heartbeat: Message) {
@@ -190,7 +190,7 @@
             return;
         };
         self.controllers.begin(address, connection, self.now);
-        self.pause_confirmation.link_opened(address);
+        self.pauses.confirmation.link_opened(address);
         let hello = frame(&Message::GatewayHello(self.identity.clone()));
         self.connections.send(connection, &hello);
         // Controllers before agreed tables of owners leave it unanswered.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use crate::in_flight_requests::InFlightRequests;
 use crate::large_responses::LargeResponses;
 use crate::options::{GatewayError, GatewayOptions};
-use crate::pause_confirmation::PauseConfirmation;
+use crate::pauses::Pauses;
 use crate::peer_links::PeerLinks;
 use crate::response_times::ResponseTimes;
 use crate::retry_budgets::RetryBudgets;
@@ -17,7 +17,6 @@
 use event_loop::{ConnectionId, EventLoop, ListenerId, Timers};
 use jobs::{JobCoordinator, UnacknowledgedResults, VoidedAttempts};
 use loop_watchdog::TurnRecord;
-use process_pause::PauseDetector;
 use protocol::{Member, RequestId};
 use seat_leases::{CancelledRequests, LeaseOwner, RelayedRequests};
 use std::sync::Arc;
@@ -83,10 +82,7 @@
     pub now: u64,
     /// What the watchdog of the loop sees of it.
     pub turns: Arc<TurnRecord>,
-    pub pauses: PauseDetector,
-    /// Polls that come before the next timers.
-    pub polls_before_timers: u32,
-    pub pause_confirmation: PauseConfirmation,
+    pub pauses: Pauses,
     /// Since when the gateway is draining.
     pub draining_since: Option<u64>,
     /// Clients' connections with bytes that are read in the next turn.
@@ -133,9 +129,7 @@
             timers: Timers::default(),
             now: 0,
             turns: Arc::default(),
-            pauses: PauseDetector::default(),
-            polls_before_timers: 0,
-            pause_confirmation: PauseConfirmation::default(),
+            pauses: Pauses::default(),
             draining_since: None,
             unread: Vec::new(),
             settings_checked_at: 0,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod options;
 mod ownership;
 mod pause_confirmation;
+mod pauses;
 mod peer_links;
 mod peer_messages;
 mod pending_request;
--- a/crates/gateway/src/pause_confirmation.rs
+++ b/crates/gateway/src/pause_confirmation.rs
@@ -28,7 +28,7 @@
     /// It was opened since the first pause that is not confirmed yet.
     is_reopened: bool,
     /// It has told a table since it was opened.
-    has_told_table: bool,
+    has_published_table: bool,
 }
 
 /// The state of one gateway. It is asked for each message of a controller.
@@ -88,7 +88,7 @@
         let is_last = number == self.ping_number();
         let link = self.links.get_mut(controller).filter(|_| is_last)?;
         link.awaits_answer = false;
-        let confirmation = match (link.is_reopened, link.has_told_table) {
+        let confirmation = match (link.is_reopened, link.has_published_table) {
             (false, _) => Confirmation::TableAndLists,
             (true, true) => Confirmation::Table,
             (true, false) => return None,
@@ -97,9 +97,9 @@
     }
 
     /// The scaler has told the table that is in force here. Returns what that confirms, where it is awaited.
-    pub fn table_told(&mut self, controller: &str) -> Option<Confirmation> {
+    pub fn table_published(&mut self, controller: &str) -> Option<Confirmation> {
         if let Some(link) = self.links.get_mut(controller) {
-            link.has_told_table = true;
+            link.has_published_table = true;
         }
         let is_fresh = self.age_of_messages(controller) == UpdateAge::Fresh;
         self.confirm_if(is_fresh, Confirmation::Table)
--- a/crates/gateway/src/process_pauses.rs
+++ b/crates/gateway/src/process_pauses.rs
@@ -6,9 +6,6 @@
 use process_pause::ProcessPause;
 use protocol::{Message, UpdateVersion};
 
-/// Polls after a pause before timers run. One takes up to 256 events of connections.
-const POLLS_BEFORE_TIMERS: u32 = 4;
-
 impl Gateway {
     /// Takes the time of this turn, and notices a pause before it.
     pub fn read_clock(&mut self, now: u64) {
@@ -24,7 +21,6 @@
             "gateway: process paused duration_ms={}",
             pause.duration_ms()
         );
-        self.polls_before_timers = POLLS_BEFORE_TIMERS;
         self.peers.process_paused(pause);
         self.controllers.process_paused(pause);
         self.lease_owner.process_paused(pause);
@@ -32,17 +28,10 @@
         self.ask_for_confirmation();
     }
 
-    /// Whether events come before timers in this turn: what others have sent during a pause is heard before they are taken for silent.
-    pub fn takes_events_first(&mut self) -> bool {
-        let takes_events_first = self.polls_before_timers > 0;
-        self.polls_before_timers = self.polls_before_timers.saturating_sub(1);
-        takes_events_first
-    }
-
     /// Asks each controller for its term as of now, and for an answer that comes after all that it has told.
     fn ask_for_confirmation(&mut self) {
         let linked = self.controllers.linked_addresses();
-        let number = self.pause_confirmation.begin(linked.iter().cloned());
+        let number = self.pauses.confirmation.begin(linked.iter().cloned());
         for address in linked {
             self.send_to_controller(&address, &Message::RequestHeartbeat);
             self.send_to_controller(&address, &Message::Ping(number));
@@ -52,14 +41,17 @@
     /// A controller has answered a ping.
     pub fn controller_answered_ping(&mut self, address: &str, number: u64) {
         let term = self.controllers.term(address);
-        let confirmation = self.pause_confirmation.ping_answered(address, number, term);
+        let confirmation = self
+            .pauses
+            .confirmation
+            .ping_answered(address, number, term);
         self.confirmed_after_pause(confirmation);
     }
 
     /// The scaler has told a table of owners, whole or as a change, which was put in force where that could be done.
-    pub fn table_told(&mut self, address: &str, version: UpdateVersion) {
+    pub fn table_published(&mut self, address: &str, version: UpdateVersion) {
         if version == self.configuration.ownership_version() {
-            let confirmation = self.pause_confirmation.table_told(address);
+            let confirmation = self.pauses.confirmation.table_published(address);
             self.confirmed_after_pause(confirmation);
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -45,7 +45,7 @@
 
 /// Whose events are handled first in a turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum EventRank {
+enum EventOrder {
     Controller,
     Peer,
     Other,
@@ -87,7 +87,7 @@
     /// Does what is due, waits for events and handles them. `clock` tells the time after the wait.
     pub fn take_turn(&mut self, events: &mut Vec<Event>, clock: impl FnOnce() -> u64) {
         let mut timeout = Duration::ZERO;
-        if !self.takes_events_first() {
+        if !self.pauses.takes_events_first() {
             self.handle_due_timers();
             self.turns.begin_step("pipelined requests");
             self.read_pipelined();
@@ -173,12 +173,12 @@
     fn order_events(&self, events: &mut [Event]) {
         events.sort_by_key(|event| {
             let (Event::Readable(id) | Event::Closed(id, _)) = event else {
-                return EventRank::Other;
+                return EventOrder::Other;
             };
             match self.connections.role(*id) {
-                Some(ConnectionRole::Controller(_)) => EventRank::Controller,
-                Some(ConnectionRole::Peer(_)) => EventRank::Peer,
-                _ => EventRank::Other,
+                Some(ConnectionRole::Controller(_)) => EventOrder::Controller,
+                Some(ConnectionRole::Peer(_)) => EventOrder::Peer,
+                _ => EventOrder::Other,
             }
         });
     }
--- a/crates/gateway/tests/unit/process_pauses.rs
+++ b/crates/gateway/tests/unit/process_pauses.rs
@@ -47,13 +47,19 @@
 fn a_table_confirms_that_came_over_a_new_link_or_after_the_answer() {
     let (mut confirmation, number) = begun();
     // It may have lain in the socket.
-    assert_eq!(confirmation.table_told(SCALER), None);
+    assert_eq!(confirmation.table_published(SCALER), None);
     confirmation.link_opened(SCALER);
-    assert_eq!(confirmation.table_told(SCALER), Some(Confirmation::Table));
+    assert_eq!(
+        confirmation.table_published(SCALER),
+        Some(Confirmation::Table)
+    );
     let (mut confirmation, _) = begun();
     // The role has moved to a controller that did not scale as it answered.
     assert_eq!(confirmation.ping_answered(OTHER, number, 0), None);
-    assert_eq!(confirmation.table_told(OTHER), Some(Confirmation::Table));
+    assert_eq!(
+        confirmation.table_published(OTHER),
+        Some(Confirmation::Table)
+    );
 }
 
 /// In an aimed series (seed 9004) a gateway stood still, was removed, linked anew, and stood still again before it was told a table. The
@@ -64,12 +70,15 @@
     confirmation.link_opened(SCALER);
     let number = confirmation.begin([SCALER.to_string()].into_iter());
     assert_eq!(confirmation.ping_answered(SCALER, number, TERM), None);
-    assert_eq!(confirmation.table_told(SCALER), Some(Confirmation::Table));
+    assert_eq!(
+        confirmation.table_published(SCALER),
+        Some(Confirmation::Table)
+    );
     // The same where the table came before the answer.
     let (mut confirmation, _) = begun();
     confirmation.link_opened(SCALER);
     let number = confirmation.begin([SCALER.to_string()].into_iter());
-    assert_eq!(confirmation.table_told(SCALER), None);
+    assert_eq!(confirmation.table_published(SCALER), None);
     let confirmed = confirmation.ping_answered(SCALER, number, TERM);
     assert_eq!(confirmed, Some(Confirmation::Table));
 }
--- a/crates/loop_watchdog/src/lib.rs
+++ b/crates/loop_watchdog/src/lib.rs
@@ -20,7 +20,7 @@
 pub use turn_record::{TurnRecord, TurnSnapshot};
 pub use turn_watch::{LongTurn, TurnWatch};
 
-use line_writer::LineWriter;
+use line_writer::{Line, LineWriter};
 use std::io;
 use std::sync::Arc;
 use std::thread;
@@ -50,7 +50,7 @@
 pub fn start(options: WatchdogOptions) -> io::Result<Arc<TurnRecord>> {
     let record = Arc::new(TurnRecord::default());
     let watched = Arc::clone(&record);
-    let lines = LineWriter::start()?;
+    let lines = LineWriter::start(options.daemon)?;
     let watchdog = thread::Builder::new().stack_size(STACK_BYTES);
     watchdog.spawn(move || watch(&options, &watched, &lines))?;
     Ok(record)
@@ -64,16 +64,13 @@
         thread::sleep(forced_end.next_look(started.elapsed(), LOOK_INTERVAL));
         let now = started.elapsed();
         let snapshot = record.snapshot();
-        let daemon = options.daemon;
         if let Some(turn) = turns.look(now, &snapshot) {
-            lines.warn(format!("{daemon}: turn lasts long {turn}"));
+            lines.write(Line::LongTurn(turn));
         }
         match forced_end.look(now, (options.stop_requested)(), &snapshot) {
             EndState::GoesOn => {}
             // The line has the time until the next look to be written.
-            EndState::Suspected => {
-                lines.warn(format!("{daemon}: about to end by force {snapshot}"));
-            }
+            EndState::Suspected => lines.write(Line::AboutToEnd(snapshot)),
             EndState::Due => signal_hook::low_level::exit(FORCED_EXIT_CODE),
         }
     }
--- a/crates/seat_leases/src/function_seats.rs
+++ b/crates/seat_leases/src/function_seats.rs
@@ -112,7 +112,7 @@
             return;
         }
         if age == UpdateAge::Fresh {
-            self.list.record_told(now);
+            self.list.record_received(now);
         }
         let block = update.start_block;
         self.start_block = block.map(|block| ReceivedStartBlock::new(now, block));
--- a/crates/seat_leases/src/list_confirmation.rs
+++ b/crates/seat_leases/src/list_confirmation.rs
@@ -28,7 +28,7 @@
     is_confirmed: bool,
     doubted_at: u64,
     /// When the scaler told it, where that is certain.
-    told_at: Option<u64>,
+    received_at: Option<u64>,
 }
 
 impl ListConfirmation {
@@ -57,8 +57,8 @@
     }
 
     /// The scaler has told the list that is in force now.
-    pub fn record_told(&mut self, now: u64) {
-        self.told_at = Some(now);
+    pub fn record_received(&mut self, now: u64) {
+        self.received_at = Some(now);
     }
 
     /// The same as [`confirm`](Self::confirm), of an owner that hands over, whose list may be old: then it bears version zero. What the scaler has told here itself holds.
@@ -83,7 +83,9 @@
 
     /// Whether it was told before a pause of the process after which lists are awaited.
     pub fn is_from_before_pause(&self, rules: &LeaseRules) -> bool {
-        !rules.pause_recovery.allows_list_told_at(self.told_at)
+        !rules
+            .pause_recovery
+            .allows_list_received_at(self.received_at)
     }
 
     /// Whether seats may be leased by the list: it is confirmed, or nobody can confirm it, or nobody has in time.
--- a/crates/seat_leases/src/pause_recovery.rs
+++ b/crates/seat_leases/src/pause_recovery.rs
@@ -62,8 +62,8 @@
     }
 
     /// Whether a list may be used that the scaler told at this time, as far as pauses are concerned.
-    pub fn allows_list_told_at(&self, told_at: Option<u64>) -> bool {
+    pub fn allows_list_received_at(&self, received_at: Option<u64>) -> bool {
         self.awaited_since
-            .is_none_or(|since| told_at.is_some_and(|told_at| told_at >= since))
+            .is_none_or(|since| received_at.is_some_and(|received_at| received_at >= since))
     }
 }
