--- a/tests/cluster/src/process_state.rs
+++ b/tests/cluster/src/process_state.rs
@@ -1,6 +1,14 @@
 //! What the system tells of a process that was asked to end and is still there.
 
 use std::fs;
+use std::path::Path;
+use std::time::Duration;
+
+/// Samples of the threads of a process that overruns, and the time between two of them.
+const SAMPLES: usize = 4;
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
+/// Place of the processor time in user mode among the fields of `stat` that follow the state, in ticks; that of the system follows it.
+const USER_TIME_FIELD: usize = 11;
 
 /// State letters of `/proc/<pid>/stat` and `/proc/<pid>/task/<tid>/stat`.
 const ZOMBIE: char = 'Z';
@@ -28,3 +36,37 @@
     let (_, fields) = stat.rsplit_once(')')?;
     fields.trim_start().chars().next()
 }
+
+/// What the threads of a process do, sampled several times: whether each runs or waits, in which call, and the processor time that it had.
+/// It tells a process that spins from one that is blocked.
+pub fn sample_threads(pid: u32) -> String {
+    let mut lines = Vec::new();
+    for sample in 0..SAMPLES {
+        if sample > 0 {
+            std::thread::sleep(SAMPLE_INTERVAL);
+        }
+        let Ok(tasks) = fs::read_dir(format!("/proc/{pid}/task")) else {
+            break;
+        };
+        for task in tasks.flatten() {
+            lines.extend(describe_thread(&task.path()));
+        }
+    }
+    lines.join("\n")
+}
+
+fn describe_thread(task: &Path) -> Option<String> {
+    let read = |name: &str| fs::read_to_string(task.join(name)).unwrap_or_default();
+    let stat = read("stat");
+    let state = state_of(&stat)?;
+    let (_, fields) = stat.rsplit_once(')')?;
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = |place: usize| fields.get(place).copied().unwrap_or("?").to_string();
+    let thread = task.file_name()?.to_string_lossy().into_owned();
+    let (user, system) = (ticks(USER_TIME_FIELD), ticks(USER_TIME_FIELD + 1));
+    let (call, wait) = (read("syscall"), read("wchan"));
+    Some(format!(
+        "thread={thread} state={state} user_ticks={user} system_ticks={system} wait={wait} call={}",
+        call.trim()
+    ))
+}
--- a/tests/cluster/src/soak/injector.rs
+++ b/tests/cluster/src/soak/injector.rs
@@ -5,7 +5,7 @@
 use super::schedule::ScheduledFault;
 use crate::daemon::{Daemon, GRACE};
 use crate::platform::ApiFault;
-use crate::process_state::is_held_by_system;
+use crate::process_state::{is_held_by_system, sample_threads};
 use crate::relay::Direction;
 use crate::simulated_cluster::SimulatedCluster;
 use std::collections::BTreeSet;
@@ -311,8 +311,10 @@
         }
         // A frozen process cannot end.
         if !self.intents[machine].is_frozen {
-            let name = &self.daemon(machine).name;
-            let finding = format!("{name} did not end within its grace period");
+            let daemon = self.daemon(machine);
+            let threads = daemon.pid().map(sample_threads).unwrap_or_default();
+            let (name, tail) = (&daemon.name, daemon.log_tail());
+            let finding = format!("{name} did not end within its grace period\n{threads}\n{tail}");
             self.findings.push(finding);
         }
         self.kill(machine, now);
--- a/tests/cluster/tests/process_state.rs
+++ b/tests/cluster/tests/process_state.rs
@@ -1,6 +1,6 @@
 //! What tells a process that has not ended from one that the system holds.
 
-use cluster::process_state::{is_held_by_system, state_of};
+use cluster::process_state::{is_held_by_system, sample_threads, state_of};
 use std::process::{Command, Stdio};
 
 #[test]
@@ -34,3 +34,20 @@
     child.kill().unwrap();
     child.wait().unwrap();
 }
+
+#[test]
+fn threads_of_a_process_are_told_with_their_state_and_processor_time() {
+    let told = sample_threads(std::process::id());
+    let first = told.lines().next().expect("a thread");
+    assert!(first.starts_with("thread="), "{first}");
+    for part in [
+        " state=",
+        " user_ticks=",
+        " system_ticks=",
+        " wait=",
+        " call=",
+    ] {
+        assert!(first.contains(part), "{first}");
+    }
+    assert!(sample_threads(u32::MAX).is_empty());
+}
