--- a/crates/controller/src/daemon_loop.rs
+++ b/crates/controller/src/daemon_loop.rs
@@ -41,14 +41,14 @@
 
 /// Pauses of the process, and how many polls come before the next timers.
 #[derive(Default)]
-struct Pauses {
+pub(crate) struct Pauses {
     detector: PauseDetector,
     polls_before_timers: u32,
 }
 
 impl Pauses {
     /// Takes the time of a daemon's turn, and tells it of a pause before it.
-    fn update_clock(&mut self, daemon: &mut impl Daemon) {
+    pub fn update_clock(&mut self, daemon: &mut impl Daemon) {
         daemon.update_clock();
         if let Some(pause) = self.detector.observe(daemon.now()) {
             let duration_ms = pause.duration_ms();
@@ -59,7 +59,7 @@
     }
 
     /// Does what is due by time, unless events come first. Returns for how long the next wait may last.
-    fn advance(&mut self, daemon: &mut impl Daemon) -> Duration {
+    pub fn advance(&mut self, daemon: &mut impl Daemon) -> Duration {
         if self.polls_before_timers > 0 {
             self.polls_before_timers -= 1;
             return Duration::ZERO;
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -105,6 +105,9 @@
 #[path = "../tests/unit/platform_lists.rs"]
 mod platform_lists_tests;
 #[cfg(test)]
+#[path = "../tests/unit/process_pauses.rs"]
+mod process_pauses_tests;
+#[cfg(test)]
 #[path = "../tests/unit/scaler_role.rs"]
 mod scaler_role_tests;
 #[cfg(test)]
