--- a/crates/loop_watchdog/src/forced_end.rs
+++ b/crates/loop_watchdog/src/forced_end.rs
@@ -10,6 +10,11 @@
 /// Between the two looks that must find it in the same turn.
 const LOOK_PARTS: u32 = 1;
 
+/// Between two looks from which on the whole process stood still.
+const PAUSE_MIN: Duration = Duration::from_millis(400);
+/// For so long the loop is let go on after that: it has much to read.
+const TIME_AFTER_PAUSE: Duration = Duration::from_millis(250);
+
 /// What a look at a loop has found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndState {
@@ -27,6 +32,9 @@
     suspected_after: Duration,
     look_interval: Duration,
     asked_at: Option<Duration>,
+    looked_at: Duration,
+    /// Nothing is suspected before, since the process stood still.
+    pause_over_at: Duration,
     /// The turn that was in progress at the first look after that time.
     suspected_turn: Option<u64>,
 }
@@ -40,6 +48,8 @@
             suspected_after: part * SUSPECTED_AFTER_PARTS,
             look_interval: part * LOOK_PARTS,
             asked_at: None,
+            looked_at: Duration::ZERO,
+            pause_over_at: Duration::ZERO,
             suspected_turn: None,
         }
     }
@@ -47,13 +57,17 @@
     /// Whether the process is to end: its grace period is nearly over, and two looks find the loop in the same turn. The period counts from
     /// the first look at which the process was asked to stop. After a pause of the whole process its loop gets time for a turn.
     pub fn look(&mut self, now: Duration, is_asked: bool, snapshot: &TurnSnapshot) -> EndState {
+        let looked_at = std::mem::replace(&mut self.looked_at, now);
+        if now >= looked_at + PAUSE_MIN {
+            self.pause_over_at = now + TIME_AFTER_PAUSE;
+        }
         if is_asked {
             self.asked_at.get_or_insert(now);
         }
         let is_late = self
             .asked_at
             .is_some_and(|at| now >= at + self.suspected_after);
-        if !is_late || snapshot.is_waiting() {
+        if !is_late || now < self.pause_over_at || snapshot.is_waiting() {
             self.suspected_turn = None;
             return EndState::GoesOn;
         }
