--- a/crates/controller/src/daemon_loop.rs
+++ b/crates/controller/src/daemon_loop.rs
@@ -81,6 +81,7 @@
         }
         if daemon.is_shut_down() {
             log::info!("controller: shut down");
+            turns.end_loop();
             return;
         }
         if signals.take_reload_request() {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -78,6 +78,7 @@
         }
         if gateway.is_drained() {
             log::info!("gateway: drained in_flight={}", gateway.requests.len());
+            gateway.turns.end_loop();
             return Ok(());
         }
         gateway.take_turn(&mut events, || started.elapsed().as_millis() as u64);
--- a/crates/loop_watchdog/src/forced_end.rs
+++ b/crates/loop_watchdog/src/forced_end.rs
@@ -29,6 +29,7 @@
 /// The grace period of a process, seen from beside its loop.
 #[derive(Clone, Debug)]
 pub struct ForcedEnd {
+    grace_period: Duration,
     suspected_after: Duration,
     look_interval: Duration,
     asked_at: Option<Duration>,
@@ -45,6 +46,7 @@
     pub fn new(grace_period: Duration) -> Self {
         let part = grace_period / PARTS;
         Self {
+            grace_period,
             suspected_after: part * SUSPECTED_AFTER_PARTS,
             look_interval: part * LOOK_PARTS,
             asked_at: None,
@@ -64,9 +66,12 @@
         if is_asked {
             self.asked_at.get_or_insert(now);
         }
-        let is_late = self
-            .asked_at
-            .is_some_and(|at| now >= at + self.suspected_after);
+        // A process that has left its loop has all of its time to close what it has open.
+        let suspected_after = match snapshot.is_ending() {
+            true => self.grace_period,
+            false => self.suspected_after,
+        };
+        let is_late = self.asked_at.is_some_and(|at| now >= at + suspected_after);
         if !is_late || now < self.pause_over_at || snapshot.is_waiting() {
             self.suspected_turn = None;
             return EndState::GoesOn;
--- a/crates/loop_watchdog/src/turn_record.rs
+++ b/crates/loop_watchdog/src/turn_record.rs
@@ -7,6 +7,8 @@
 const STARTING: &str = "starting";
 /// Step of a loop that waits for events.
 const WAITING: &str = "waiting";
+/// Step of a daemon that has left its loop.
+const ENDING: &str = "ending";
 
 /// Written by the loop at each step, read by the watchdog. The lock is held for a few instructions.
 #[derive(Debug, Default)]
@@ -47,6 +49,11 @@
         self.0.lock().step = WAITING;
     }
 
+    /// The loop has ended as it should; the process closes what it has open.
+    pub fn end_loop(&self) {
+        self.0.lock().step = ENDING;
+    }
+
     /// What the loop does now.
     #[must_use]
     pub fn snapshot(&self) -> TurnSnapshot {
@@ -60,6 +67,12 @@
     pub fn is_waiting(&self) -> bool {
         self.step == WAITING
     }
+
+    /// Whether the loop has ended.
+    #[must_use]
+    pub fn is_ending(&self) -> bool {
+        self.step == ENDING
+    }
 }
 
 impl Default for TurnSnapshot {
--- a/crates/loop_watchdog/tests/watch.rs
+++ b/crates/loop_watchdog/tests/watch.rs
@@ -108,3 +108,12 @@
     record.wait();
     assert_eq!(look(&mut end, 9_300), EndState::GoesOn);
 }
+
+/// The same series ended gateways by force that had left their loop and were closing their connections ("step=begin steps=0 in_flight=0").
+#[test]
+fn a_process_that_has_left_its_loop_has_its_whole_grace_period() {
+    let record = stuck();
+    record.end_loop();
+    let ended = forced_end_of(&record, 0);
+    assert!(ended >= at(2_400), "{ended:?}");
+}
