--- /dev/null
+++ b/crates/jobs/tests/running_job/mod.rs
@@ -0,0 +1,50 @@
+//! A coordinator with a job that a request runs.
+#![allow(dead_code)]
+
+use jobs::{digest, JobAction, JobAdmission, JobCoordinator};
+use protocol::{JobAttempt, LeaseRequest, RegisterResponse, RequestId};
+
+pub const KEY: &str = "k";
+
+pub fn admission() -> JobAdmission {
+    JobAdmission::new(KEY.into(), digest("POST", "/sign", b"build"), true, 7)
+}
+
+pub fn lease_request(request: u64, attempt: JobAttempt) -> LeaseRequest {
+    LeaseRequest {
+        request_id: RequestId(request),
+        function: "sign".into(),
+        timeout_ms: 4_000,
+        job: Some(attempt),
+        ..LeaseRequest::default()
+    }
+}
+
+/// Number and value of the newest register request.
+pub fn last_register_request(actions: &[JobAction]) -> (u64, Vec<u8>) {
+    let mut asks = actions.iter().filter_map(|action| match action {
+        JobAction::AccessRegister {
+            number,
+            value: bytes,
+            ..
+        } => Some((*number, bytes.clone())),
+        _ => None,
+    });
+    asks.next_back().expect("nothing was asked")
+}
+
+/// A coordinator with a job that runs for request 4 of gateway g1.
+pub fn running(admission: &mut JobAdmission) -> (JobCoordinator, Vec<u8>) {
+    let mut jobs = JobCoordinator::new(1, 10_000);
+    jobs.request_arrived(
+        0,
+        "g1",
+        "a",
+        lease_request(4, admission.begin_attempt("k1")),
+    );
+    let (number, claim) = last_register_request(&jobs.take_actions());
+    jobs.register_responded(1, number, RegisterResponse::Written(1));
+    admission.claimed(1);
+    jobs.take_actions();
+    (jobs, claim)
+}
