--- a/crates/gateway/tests/unit/process_pauses.rs
+++ b/crates/gateway/tests/unit/process_pauses.rs
@@ -109,9 +109,9 @@
 #[test]
 fn links_to_controllers_outlast_a_pause_and_no_owners_place_is_taken() {
     let mut fleet = fleet_after_a_pause();
-    let now = fleet.gateway.now;
-    fleet.gateway.peers.suspect(OWNER, now + PAUSE_MS);
-    fleet.gateway.read_clock(now + PAUSE_MS);
+    let woken_at = fleet.gateway.now + fleet.gateway.options.silence_ms() * 2;
+    fleet.gateway.peers.suspect(OWNER, woken_at);
+    fleet.gateway.read_clock(woken_at);
     fleet.gateway.maintain_controller_links();
     fleet.gateway.maintain_ownership();
     assert_eq!(fleet.gateway.controllers.linked(), 1);
