--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 
 mod deployment;
 mod http;
+mod keys;
 mod platform;
 mod record;
 mod relay;
@@ -34,6 +35,7 @@
     };
     let root = Path::new(root);
     let verdict = match case.as_str() {
+        "keys" => keys::play(root, &record, with_trouble),
         "seats" => seats::play(root, &record, with_trouble),
         _ => Err("no such case".to_string()),
     };
