--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod keys;
 mod platform;
+mod readiness;
 mod record;
 mod relay;
 mod seats;
@@ -37,6 +38,7 @@
     let verdict = match case.as_str() {
         "keys" => keys::play(root, &record, with_trouble),
         "seats" => seats::play(root, &record, with_trouble),
+        "readiness" => readiness::play(root, &record, with_trouble),
         _ => Err("no such case".to_string()),
     };
     match verdict {
