A client's request for the readiness target goes to its function

Cause: admit_request compared method and target with the platform's readiness check before it looked for a route.

Excluded: a rewritten target (no runner logged the id), the readiness listener (the answers came from the clients' one), the prefix (a route / and a host without a route behave alike).

Change: the check is gone from admission.

Conclusion: nothing at the clients' address asks for the gateway's readiness any more, so no request there can be taken for it.

--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -1,4 +1,4 @@
-//! Readiness checks, at a separate address and among clients' requests.
+//! Readiness checks, at an address of their own. At the clients' address a request for the same target is like any other.
 
 use crate::connections::ConnectionRole;
 use crate::gateway::Gateway;
@@ -38,7 +38,7 @@
     }
 
     /// Responds to a readiness check.
-    pub fn respond_to_readiness_check(&mut self, id: ConnectionId, keeps_alive: bool) {
+    fn respond_to_readiness_check(&mut self, id: ConnectionId, keeps_alive: bool) {
         let status = if self.is_ready() { OK } else { UNAVAILABLE };
         self.send_text(id, status, "", keeps_alive);
         if !keeps_alive {
--- a/crates/gateway/src/request_admission.rs
+++ b/crates/gateway/src/request_admission.rs
@@ -83,13 +83,7 @@
 impl Gateway {
     /// Admits a complete request, or responds to it with an error.
     pub fn admit_request(&mut self, id: ConnectionId, request: Request) {
-        let conventions = self.options.conventions;
-        if (conventions.is_readiness_check)(&request.method, &request.target) {
-            self.respond_to_readiness_check(id, request.keeps_alive);
-            self.read_next_turn(id);
-            return;
-        }
-        let client_request_id = request.headers.get(conventions.request_id);
+        let client_request_id = request.headers.get(self.options.conventions.request_id);
         let client_request_id = client_request_id.unwrap_or(b"").to_vec();
         match self.check_request(&request, &client_request_id) {
             Ok(admission) => self.begin_request(id, request, client_request_id, admission),
