A message keeps its id and its seal though its Connection header lists them

Callers saw: a 200 without the runner's seal (MIXED) where a runner sent "Connection: Server-Seal", and 502 for a request with "Connection: Request-Id", which reached its runner without its id.

Cause: http1::end_to_end drops each field that Connection lists; the gateway looks for the seal in the message as received, before that filter.

Excluded: the seal's check, which saw the seal. Stored responses lost it in the same way.

Change: the fields that tell whose a message is are protected, as Host was. Other listed fields are dropped as before.

Conclusion: what is sent to a client bears the seal that was checked.

--- a/crates/gateway/src/job_messages.rs
+++ b/crates/gateway/src/job_messages.rs
@@ -225,7 +225,8 @@
         } else if is_restricted {
             JobResult::TooLarge
         } else {
-            pack(response).map_or(JobResult::TooLarge, JobResult::Answer)
+            let protected = self.options.conventions.protected_headers();
+            pack(response, &protected).map_or(JobResult::TooLarge, JobResult::Answer)
         };
         self.complete_job(request, result);
     }
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -28,6 +28,14 @@
     pub is_readiness_check: fn(&str, &str) -> bool,
 }
 
+impl HttpConventions {
+    /// Headers that show which request a message belongs to and who sent it. They are forwarded even if the sender's
+    /// `Connection` header lists them.
+    pub fn protected_headers(&self) -> [&'static str; 2] {
+        [self.request_id, self.seal]
+    }
+}
+
 /// Options of one gateway, read once at startup.
 pub struct GatewayOptions {
     /// Name of the gateway, unique in the fleet.
--- a/crates/gateway/src/request_outcomes.rs
+++ b/crates/gateway/src/request_outcomes.rs
@@ -67,7 +67,8 @@
         let Some(request) = self.requests.remove(id, RequestEnd::Answered) else {
             return;
         };
-        let headers: Vec<(&str, &[u8])> = end_to_end(&response.headers).collect();
+        let protected = self.options.conventions.protected_headers();
+        let headers: Vec<(&str, &[u8])> = end_to_end(&response.headers, &protected).collect();
         self.respond(&request, response.status, &headers, &response.body);
         self.complete_job_with(&request, response);
     }
--- a/crates/gateway/src/stored_response.rs
+++ b/crates/gateway/src/stored_response.rs
@@ -19,9 +19,10 @@
     pub body: Vec<u8>,
 }
 
-/// Packs a response in deflated form. Returns `None` if it is too large to be stored.
-pub fn pack(response: &Response) -> Option<Vec<u8>> {
-    let headers = end_to_end(&response.headers);
+/// Packs a response in deflated form. Returns `None` if it is too large to be stored. The `protected` headers are kept
+/// even if the response's `Connection` header lists them.
+pub fn pack(response: &Response, protected: &[&str]) -> Option<Vec<u8>> {
+    let headers = end_to_end(&response.headers, protected);
     let stored = StoredResponse {
         status: response.status,
         headers: headers
--- a/crates/gateway/src/upstream_requests.rs
+++ b/crates/gateway/src/upstream_requests.rs
@@ -200,7 +200,9 @@
             conventions.credential,
         ];
         let is_replaced = |name: &str| own_names.iter().any(|own| name.eq_ignore_ascii_case(own));
-        let kept = end_to_end(&request.headers).filter(|(name, _)| !is_replaced(name));
+        let protected = conventions.protected_headers();
+        let kept = end_to_end(&request.headers, &protected);
+        let kept = kept.filter(|(name, _)| !is_replaced(name));
         let tenant = pending.client.as_ref();
         let tenant = tenant.map(|client| (conventions.tenant, client.name().as_bytes()));
         let own: [(&str, &[u8]); 2] = [
--- a/crates/http1/src/hop_by_hop.rs
+++ b/crates/http1/src/hop_by_hop.rs
@@ -49,8 +49,17 @@
 }
 
 /// The fields to forward: all except the hop-by-hop fields, the framing, and the fields that
-/// `Connection` lists. `Host` is always forwarded, because a request without it is invalid.
-pub fn end_to_end(headers: &Headers) -> impl Iterator<Item = (&str, &[u8])> {
+/// `Connection` lists. A sender must not list fields that are meant for the final recipient (RFC 9110,
+/// 7.6.1). Those that a message cannot do without are therefore forwarded even if they are listed:
+/// `Host`, without which a request is invalid, and the fields in `protected`.
+pub fn end_to_end<'a>(
+    headers: &'a Headers,
+    protected: &'a [&'a str],
+) -> impl Iterator<Item = (&'a str, &'a [u8])> {
+    let is_protected = move |name: &str| {
+        let mut names = protected.iter().chain(&["Host"]);
+        names.any(|protected| protected.eq_ignore_ascii_case(name))
+    };
     let names_fields = options(headers).any(|option| {
         !option.eq_ignore_ascii_case(b"close") && !option.eq_ignore_ascii_case(b"keep-alive")
     });
@@ -58,7 +67,7 @@
         if is_hop_by_hop(name) {
             return false;
         }
-        !names_fields || name.eq_ignore_ascii_case("Host") || !has_option(headers, name)
+        !names_fields || is_protected(name) || !has_option(headers, name)
     })
 }
 
--- a/crates/http1/tests/fields.rs
+++ b/crates/http1/tests/fields.rs
@@ -44,10 +44,29 @@
         ("X-Other", "1"),
         ("Request-Id", "7"),
     ]);
-    let passed: Vec<_> = end_to_end(&headers).map(|(name, _)| name).collect();
+    let passed: Vec<_> = end_to_end(&headers, &[]).map(|(name, _)| name).collect();
     assert_eq!(passed, ["Host", "Request-Id"]);
 }
 
+// Guards against a message that loses its id or seal because its sender lists it in `Connection`.
+#[test]
+fn protected_fields_are_forwarded_though_connection_lists_them() {
+    let headers = headers(&[
+        ("Connection", "Request-Id, seal, X-Other, Upgrade"),
+        ("Request-Id", "7"),
+        ("Seal", "s"),
+        ("X-Other", "1"),
+        ("Upgrade", "h2c"),
+    ]);
+    let protected = ["request-id", "Seal", "Upgrade"];
+    let passed: Vec<_> = end_to_end(&headers, &protected)
+        .map(|(name, _)| name)
+        .collect();
+    assert_eq!(passed, ["Request-Id", "Seal"]);
+    let listed: Vec<_> = end_to_end(&headers, &[]).collect();
+    assert!(listed.is_empty(), "{listed:?}");
+}
+
 #[test]
 fn keep_alive_timeouts_are_parsed() {
     let idle = |value| idle_seconds(&headers(&[("Keep-Alive", value)]));
--- a/crates/http1/tests/requests.rs
+++ b/crates/http1/tests/requests.rs
@@ -94,7 +94,7 @@
         return false;
     };
     let fields_of = |request: &Request| {
-        let fields = end_to_end(&request.headers);
+        let fields = end_to_end(&request.headers, &[]);
         let fields = fields.map(|(name, value)| (name.to_owned(), value.to_vec()));
         fields
             .filter(|(name, value)| name != "Host" || !value.is_empty())
@@ -109,7 +109,7 @@
 
 fn write(request: &Request) -> Vec<u8> {
     let mut out = Vec::new();
-    let fields = end_to_end(&request.headers);
+    let fields = end_to_end(&request.headers, &[]);
     write_request(
         &mut out,
         &request.method,
--- a/crates/http1/tests/responses.rs
+++ b/crates/http1/tests/responses.rs
@@ -135,14 +135,14 @@
         let sent = send(&body, &mut Draws::new(&draws));
         let (response, is_head) = (&sent.response, sent.is_head);
         let mut buffer = Vec::new();
-        let fields = end_to_end(&response.headers);
+        let fields = end_to_end(&response.headers, &[]);
         write_response(&mut buffer, response.status, fields, &response.body, keeps_alive, is_head);
         let Ok(Some(read)) = ResponseReader::new(is_head).read(&mut buffer, &LIMITS) else {
             return false;
         };
         buffer.is_empty()
             && (read.status, &read.body, read.keeps_alive) == (response.status, &response.body, keeps_alive)
-            && end_to_end(&read.headers).eq(end_to_end(&response.headers))
+            && end_to_end(&read.headers, &[]).eq(end_to_end(&response.headers, &[]))
     }
 
     fn whatever_parses_is_written_so_that_it_parses_back(bytes: Vec<u8>, is_head: bool) -> bool {
@@ -155,11 +155,11 @@
                 return true;
             };
             let mut out = Vec::new();
-            write_response(&mut out, first.status, end_to_end(&first.headers), &first.body, true, is_head);
+            write_response(&mut out, first.status, end_to_end(&first.headers, &[]), &first.body, true, is_head);
             let again = ResponseReader::new(is_head).read(&mut out, &LIMITS);
             matches!(again, Ok(Some(again)) if out.is_empty()
                 && (first.status, &first.body) == (again.status, &again.body)
-                && end_to_end(&first.headers).eq(end_to_end(&again.headers)))
+                && end_to_end(&first.headers, &[]).eq(end_to_end(&again.headers, &[])))
         })
     }
 }
--- a/tests/cluster/src/request_log.rs
+++ b/tests/cluster/src/request_log.rs
@@ -1,5 +1,6 @@
 //! Log of the requests that reached the runners.
 
+use http1::Headers;
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Mutex;
 use std::time::Instant;
@@ -33,6 +34,8 @@
     pub tenants: Vec<String>,
     /// Values of the client credential header, which the gateway must not forward.
     pub keys: Vec<String>,
+    /// All headers as the runner got them.
+    pub headers: Headers,
     pub outcome: RequestOutcome,
     pub at: Instant,
 }
--- a/tests/cluster/src/runner.rs
+++ b/tests/cluster/src/runner.rs
@@ -225,6 +225,7 @@
             body: request.body.clone(),
             tenants: header_values(request, TENANT),
             keys: header_values(request, CREDENTIAL),
+            headers: request.headers.clone(),
             outcome,
             at: std::time::Instant::now(),
         })
--- a/tests/cluster/tests/limits.rs
+++ b/tests/cluster/tests/limits.rs
@@ -15,6 +15,7 @@
         body: Vec::new(),
         tenants: Vec::new(),
         keys: Vec::new(),
+        headers: Default::default(),
         outcome,
         at,
     }
--- a/tests/cluster/tests/tenants.rs
+++ b/tests/cluster/tests/tenants.rs
@@ -57,6 +57,7 @@
         body: Vec::new(),
         tenants: texts(tenants),
         keys: texts(keys),
+        headers: Default::default(),
         outcome: RequestOutcome::Ran,
         at,
     }
--- a/tests/compatibility/src/families.rs
+++ b/tests/compatibility/src/families.rs
@@ -74,7 +74,7 @@
 
 fn stored_responses() -> Family {
     let mut values = HexFixture::default();
-    let packed = gateway::stored_response::pack(&frames::response());
+    let packed = gateway::stored_response::pack(&frames::response(), &[]);
     values.insert(
         "response",
         packed.expect("the response is within the bound"),
