A request with several ids or several times left is rejected with 400

Of two Time-Left headers the first counted.

Cause: admission read the first value of each header.

Excluded: the runner's side of it, which matches ids and drops answers that bear another one.

Change: several of either, or a time that is no text, get 400 before a seat is asked for.

Conclusion: gateway and runner read the same id and time.

--- a/crates/gateway/src/request_admission.rs
+++ b/crates/gateway/src/request_admission.rs
@@ -32,11 +32,13 @@
     NoBinding,
     /// The request has no id.
     NoRequestId,
+    /// The request has several ids. The gateway and the runner might each take another one for the request's.
+    SeveralRequestIds,
     /// The sending tenant could not be identified.
     Unidentified(IdentityError),
     /// The allowed regions of the binding and of the tenant do not intersect.
     NoCommonRegion,
-    /// The client's timeout is not a number.
+    /// The client's timeout is not a number, or there are several.
     InvalidTimeout,
     /// The idempotency key is invalid, or there are several.
     InvalidIdempotencyKey,
@@ -48,7 +50,10 @@
             Self::NotConfigured | Self::MemoryExceeded | Self::NoCommonRegion => UNAVAILABLE,
             Self::Unidentified(_) => UNAUTHORIZED,
             Self::NoBinding => NOT_FOUND,
-            Self::NoRequestId | Self::InvalidTimeout | Self::InvalidIdempotencyKey => BAD_REQUEST,
+            Self::NoRequestId
+            | Self::SeveralRequestIds
+            | Self::InvalidTimeout
+            | Self::InvalidIdempotencyKey => BAD_REQUEST,
         }
     }
 
@@ -59,7 +64,8 @@
             Self::NoCommonRegion => "the route and the tenant have no home region in common",
             Self::MemoryExceeded => "too much is held for clients",
             Self::NoRequestId => "the request has no id",
-            Self::InvalidTimeout => "the time left is not a number",
+            Self::SeveralRequestIds => "the request has several ids",
+            Self::InvalidTimeout => "the time left is not one number",
             Self::InvalidIdempotencyKey => {
                 "the idempotency key is not up to 200 visible ASCII characters, told once"
             }
@@ -103,18 +109,10 @@
         let table = table.ok_or(AdmissionError::NotConfigured)?;
         let (binding, function) = find_binding(&table, request).ok_or(AdmissionError::NoBinding)?;
         let client = self.identify(&table, binding, request)?;
-        if client_request_id.is_empty() {
-            return Err(AdmissionError::NoRequestId);
-        }
+        self.check_request_id(request, client_request_id)?;
         let allowed_regions = regions(binding, client.as_ref())?;
         let binding_timeout_ms = u64::from(binding.timeout_ms);
-        let client_timeout_ms = match request.headers.get_text(self.options.conventions.timeout) {
-            None => binding_timeout_ms,
-            Some(text) => {
-                let parsed = text.trim().parse::<u64>();
-                parsed.map_err(|_| AdmissionError::InvalidTimeout)?
-            }
-        };
+        let client_timeout_ms = self.client_timeout_ms(request)?;
         let tenant = client.as_ref().map(ClientIdentity::name);
         let job = self.job_admission(request, binding.at_most_once, tenant);
         let job = job.map_err(|_| AdmissionError::InvalidIdempotencyKey)?;
@@ -125,6 +123,7 @@
             priority: binding.priority,
             max_attempts: binding.max_attempts.max(1),
             timeout_ms: client_timeout_ms
+                .unwrap_or(binding_timeout_ms)
                 .min(binding_timeout_ms)
                 .min(TIMEOUT_MAX_MS),
             allowed_regions,
@@ -133,6 +132,35 @@
         })
     }
 
+    fn check_request_id(
+        &self,
+        request: &Request,
+        client_request_id: &[u8],
+    ) -> Result<(), AdmissionError> {
+        if client_request_id.is_empty() {
+            return Err(AdmissionError::NoRequestId);
+        }
+        let ids = request.headers.get_all(self.options.conventions.request_id);
+        if ids.count() > 1 {
+            return Err(AdmissionError::SeveralRequestIds);
+        }
+        Ok(())
+    }
+
+    /// The time for which the client waits, in milliseconds, if it states one.
+    fn client_timeout_ms(&self, request: &Request) -> Result<Option<u64>, AdmissionError> {
+        let mut timeouts = request.headers.get_all(self.options.conventions.timeout);
+        let Some(timeout) = timeouts.next() else {
+            return Ok(None);
+        };
+        if timeouts.next().is_some() {
+            return Err(AdmissionError::InvalidTimeout);
+        }
+        let text = std::str::from_utf8(timeout).map_err(|_| AdmissionError::InvalidTimeout)?;
+        let parsed = text.trim().parse();
+        parsed.map(Some).map_err(|_| AdmissionError::InvalidTimeout)
+    }
+
     fn identify(
         &self,
         table: &RoutingTable,
