The readiness address answers only the readiness check, anything else 404

Callers saw: any request at the readiness address, whatever its method and path, got the gateway's readiness. PROTOCOL.md names one question there.

Cause: the reader of that address never looked at the request.

Excluded: operators', metrics' and daemons' addresses, which were tested with each other's requests and answer 404, 405 or end the connection.

Change: method and target are compared with the check; else 404.

--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -3,7 +3,7 @@
 use crate::connections::ConnectionRole;
 use crate::gateway::Gateway;
 use event_loop::ConnectionId;
-use http1::{MessageLimits, RequestReader};
+use http1::{MessageLimits, Request, RequestReader};
 
 /// Size limits of a request at the readiness address.
 const CHECK_LIMITS: MessageLimits = MessageLimits {
@@ -11,6 +11,7 @@
     body_bytes: 1 << 10,
 };
 const OK: u16 = 200;
+const NOT_FOUND: u16 = 404;
 const UNAVAILABLE: u16 = 503;
 
 impl Gateway {
@@ -20,14 +21,14 @@
         self.connections.set_role(id, role);
     }
 
-    /// Handles bytes received at the readiness address. Any request is answered with the readiness.
+    /// Handles bytes received at the readiness address.
     pub fn readiness_readable(&mut self, id: ConnectionId) {
         let Some((reader, buffer)) = self.connections.readiness_input(id) else {
             return;
         };
         match reader.read(buffer, &CHECK_LIMITS) {
             Ok(None) => {}
-            Ok(Some(request)) => self.respond_to_readiness_check(id, request.keeps_alive),
+            Ok(Some(request)) => self.respond_at_readiness_address(id, &request),
             Err(error) => self.reject_bytes(id, &error),
         }
     }
@@ -37,11 +38,18 @@
         self.configuration.is_ready() && !self.is_draining()
     }
 
-    /// Responds to a readiness check.
-    fn respond_to_readiness_check(&mut self, id: ConnectionId, keeps_alive: bool) {
-        let status = if self.is_ready() { OK } else { UNAVAILABLE };
-        self.send_text(id, status, "", keeps_alive);
-        if !keeps_alive {
+    /// Responds to a readiness check, or with 404 to any other request.
+    fn respond_at_readiness_address(&mut self, id: ConnectionId, request: &Request) {
+        let is_check = self.options.conventions.is_readiness_check;
+        let status = if !is_check(&request.method, &request.target) {
+            NOT_FOUND
+        } else if self.is_ready() {
+            OK
+        } else {
+            UNAVAILABLE
+        };
+        self.send_text(id, status, "", request.keeps_alive);
+        if !request.keeps_alive {
             self.connections.close_after_flush(id);
         }
     }
