Each response to a client has a typed source; only a sealed one is a success

Change: ClientResponse names its source, a runner, a stored result or the gateway. The gateway's own takes an ErrorStatus, which http1 makes and which is never a success. An empty seal is none, also when a runner's response is classified; a stored success without a seal counts as unreadable (409).

Excluded: responses to readiness checks and for metrics, which are written in their own modules to connections of their own role.

Conclusion: a success of the gateway's own no longer compiles on this path.

--- a/crates/controller/src/operator_service.rs
+++ b/crates/controller/src/operator_service.rs
@@ -71,7 +71,7 @@
                     connection,
                     keeps_alive: false,
                 };
-                let response = OperatorResponse::new(error.status(), error.to_string());
+                let response = OperatorResponse::new(error.status().code(), error.to_string());
                 self.respond(caller, &response, context);
             }
         }
--- a/crates/controller/src/redirector.rs
+++ b/crates/controller/src/redirector.rs
@@ -330,7 +330,7 @@
             None | Some(OperatorInput::Incomplete | OperatorInput::ExpectsContinue) => return,
             Some(OperatorInput::Request(request)) => self.respond_to(&request),
             Some(OperatorInput::Malformed(error)) => {
-                OperatorResponse::bare(error.status(), error.to_string())
+                OperatorResponse::bare(error.status().code(), error.to_string())
             }
         };
         let keeps_alive = false;
--- a/crates/gateway/src/downstream_requests.rs
+++ b/crates/gateway/src/downstream_requests.rs
@@ -6,9 +6,8 @@
 use crate::pending_request::RequestPhase;
 use crate::request_accounting::RequestEnd;
 use event_loop::ConnectionId;
-use http1::{MessageLimits, CONTINUE};
+use http1::{ErrorStatus, MessageLimits, CONTINUE};
 
-const REQUEST_TIMEOUT: u16 = 408;
 /// Allowance for a request's framing in addition to its head and body, in bytes.
 const FRAMING_BYTES: usize = 1 << 10;
 
@@ -112,9 +111,10 @@
             return;
         }
         if is_arriving {
-            let text = "the request came too slowly";
-            self.record_unread_request(REQUEST_TIMEOUT, text);
-            self.send_text(id, REQUEST_TIMEOUT, text, false);
+            let (status, reason) = (ErrorStatus::REQUEST_TIMEOUT, "the request came too slowly");
+            self.record_unread_request(status, reason);
+            self.send_last_error(id, status, reason);
+            return;
         }
         self.connections.close_after_flush(id);
     }
--- a/crates/gateway/src/downstream_responses.rs
+++ b/crates/gateway/src/downstream_responses.rs
@@ -1,29 +1,21 @@
 //! Phase 7: sends the response to the client and frees its connection for the next request.
 
+use crate::client_response::ClientResponse;
 use crate::gateway::{Gateway, TimerEvent};
 use crate::pending_request::PendingRequest;
 use event_loop::ConnectionId;
-use http1::{write_response, HttpError, Request};
+use http1::{write_response, ErrorStatus, HttpError, Request};
 use invariants::{check, Invariant};
 
 /// Bytes reserved for a response's head in addition to its body.
 const HEAD_ESTIMATE: usize = 256;
 
-/// Name and value of a response header.
-pub(crate) type Header<'a> = (&'a str, &'a [u8]);
-
 impl Gateway {
     /// Responds to a request that is no longer in flight. Sends nothing if the client has disconnected.
-    pub fn respond(
-        &mut self,
-        request: &PendingRequest,
-        status: u16,
-        headers: &[Header<'_>],
-        body: &[u8],
-    ) {
+    pub fn respond(&mut self, request: &PendingRequest, response: ClientResponse<'_>) {
         if let Some(id) = request.downstream {
             self.check_recipient(id, request);
-            self.respond_to(id, &request.request, status, headers, body);
+            self.respond_to(id, &request.request, response);
         }
     }
 
@@ -45,20 +37,40 @@
         &mut self,
         id: ConnectionId,
         request: &Request,
-        status: u16,
-        headers: &[Header<'_>],
-        body: &[u8],
+        response: ClientResponse<'_>,
     ) {
+        let response = self.sealed_or_error(response);
+        let (headers, body) = (response.headers().iter().copied(), response.body());
         let keeps_alive = request.keeps_alive && !self.is_draining();
         let is_head = request.method == "HEAD";
         let mut out = Vec::with_capacity(body.len() + HEAD_ESTIMATE);
-        let headers = headers.iter().copied();
-        write_response(&mut out, status, headers, body, keeps_alive, is_head);
+        write_response(
+            &mut out,
+            response.status(),
+            headers,
+            body,
+            keeps_alive,
+            is_head,
+        );
         self.connections.send(id, &out);
         self.response_sent(id, keeps_alive);
         self.response_queued(id);
     }
 
+    /// Returns the response, or an error in place of a success that no runner has sealed.
+    fn sealed_or_error<'a>(&self, response: ClientResponse<'a>) -> ClientResponse<'a> {
+        let conventions = &self.options.conventions;
+        let is_sealed_or_error = response.is_sealed_or_error(conventions);
+        check(Invariant::SuccessIsSealed, is_sealed_or_error, || {
+            let (status, source) = (response.status(), response.source());
+            format!("status={status} source={source:?}")
+        });
+        if is_sealed_or_error {
+            return response;
+        }
+        response.replaced_by_error(conventions)
+    }
+
     fn response_sent(&mut self, id: ConnectionId, keeps_alive: bool) {
         if !keeps_alive {
             self.connections.close_after_flush(id);
@@ -82,22 +94,15 @@
     pub fn reject_bytes(&mut self, id: ConnectionId, error: &HttpError) {
         log::debug!("gateway: bytes rejected: {error}");
         self.record_unread_request(error.status(), "the bytes are no request");
-        self.send_text(id, error.status(), &error.to_string(), false);
-        self.connections.close_after_flush(id);
+        self.send_last_error(id, error.status(), &error.to_string());
     }
 
-    /// Sends a response without headers that belongs to no request in flight.
-    pub fn send_text(&mut self, id: ConnectionId, status: u16, text: &str, keeps_alive: bool) {
+    /// Sends an error that belongs to no complete request, and closes the connection.
+    pub fn send_last_error(&mut self, id: ConnectionId, status: ErrorStatus, reason: &str) {
         let mut out = Vec::new();
-        let headers = std::iter::empty();
-        write_response(
-            &mut out,
-            status,
-            headers,
-            text.as_bytes(),
-            keeps_alive,
-            false,
-        );
+        let (headers, body) = (std::iter::empty(), reason.as_bytes());
+        write_response(&mut out, status.code(), headers, body, false, false);
         self.connections.send(id, &out);
+        self.connections.close_after_flush(id);
     }
 }
--- a/crates/gateway/src/failure_log.rs
+++ b/crates/gateway/src/failure_log.rs
@@ -1,6 +1,7 @@
 //! Writes a structured log line for each request that fails, is rejected or is abandoned by its client. The lines are
 //! rate-limited; each reports how many were suppressed before it.
 
+use http1::ErrorStatus;
 use std::borrow::Cow;
 use std::collections::BTreeMap;
 
@@ -11,6 +12,8 @@
 const MS_PER_LINE: u64 = 1_000 / PER_SECOND;
 /// Maximum number of characters of a client's request id in a line.
 const REQUEST_ID_MAX: usize = 64;
+/// Status logged for a request whose client disconnected before its response.
+const CLIENT_LEFT: u16 = 0;
 
 /// Details of a request that did not get a runner's response.
 pub(crate) struct RequestFailure<'a> {
@@ -21,8 +24,8 @@
     pub function: &'a str,
     /// Name of the sending tenant; empty if there is none or it is not known.
     pub tenant: &'a str,
-    /// The status sent to the client; 0 if it had disconnected.
-    pub status: u16,
+    /// The status sent to the client; `None` if it had disconnected.
+    pub status: Option<ErrorStatus>,
     pub reason: &'static str,
     /// The runner of the last attempt; empty if there was none.
     pub runner: &'a str,
@@ -39,13 +42,17 @@
 
 impl<'a> RequestFailure<'a> {
     /// A request that was rejected before it was bound to a function.
-    pub fn before_admission(request_id: &'a [u8], status: u16, reason: &'static str) -> Self {
+    pub fn before_admission(
+        request_id: &'a [u8],
+        status: ErrorStatus,
+        reason: &'static str,
+    ) -> Self {
         Self {
             request_id,
             route: "",
             function: "",
             tenant: "",
-            status,
+            status: Some(status),
             reason,
             runner: "",
             attempts: 0,
@@ -60,8 +67,8 @@
 /// Counts and logs the requests that got an error from the gateway itself or whose client disconnected.
 #[derive(Default)]
 pub(crate) struct FailureLog {
-    /// Failures in this incarnation, by status and reason. Status 0 stands for a client that disconnected.
-    counts: BTreeMap<(u16, &'static str), u64>,
+    /// Failures in this incarnation, by status and reason. No status stands for a client that disconnected.
+    counts: BTreeMap<(Option<ErrorStatus>, &'static str), u64>,
     /// Time up to which the line budget is spent, in milliseconds: each line takes [`MS_PER_LINE`].
     spent_until: u64,
     /// Lines suppressed since the last one written.
@@ -74,7 +81,7 @@
     /// Number of requests that got an error from the gateway itself.
     pub fn rejected(&self) -> u64 {
         let counts = self.counts.iter();
-        let rejected = counts.filter(|((status, _), _)| *status != 0);
+        let rejected = counts.filter(|((status, _), _)| status.is_some());
         rejected.map(|(_, count)| count).sum()
     }
 
@@ -102,13 +109,13 @@
             return;
         }
         let suppressed = std::mem::take(&mut self.suppressed);
+        let status = failure.status.map_or(CLIENT_LEFT, ErrorStatus::code);
         log::info!(
-            "gateway: request failed request_id={} route={} function={} tenant={:?} status={} reason={:?} runner={} attempts={} connect_failures={} may_have_run={} held_ms={} left_ms={} suppressed={suppressed}",
+            "gateway: request failed request_id={} route={} function={} tenant={:?} status={status} reason={:?} runner={} attempts={} connect_failures={} may_have_run={} held_ms={} left_ms={} suppressed={suppressed}",
             escape_for_log(failure.request_id),
             failure.route,
             failure.function,
             failure.tenant,
-            failure.status,
             failure.reason,
             failure.runner,
             failure.attempts,
--- a/crates/gateway/src/job_messages.rs
+++ b/crates/gateway/src/job_messages.rs
@@ -1,11 +1,12 @@
 //! Messages about jobs. Requests with the same idempotency key are copies of one job: the function's owner lets one
 //! copy run and sends its response to the others.
 
+use crate::client_response::{has_one_seal, ClientResponse, Header};
 use crate::gateway::Gateway;
 use crate::pending_request::{PendingRequest, RequestPhase};
 use crate::request_accounting::RequestEnd;
 use crate::stored_response::{pack, unpack, StoredResponse};
-use http1::{Request, Response};
+use http1::{ErrorStatus, Request, Response};
 use jobs::{is_valid_idempotency_key, job_key, request_digest, JobAdmission};
 use protocol::{JobCompletion, JobResult, JobVerdict, Message, RequestId};
 use std::sync::Arc;
@@ -13,8 +14,6 @@
 /// Header with the client's key for the job that its request belongs to.
 const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
 
-const CONFLICT: u16 = 409;
-const UNPROCESSABLE: u16 = 422;
 const SERVER_ERROR_MIN: u16 = 500;
 
 /// The idempotency key is invalid, or there are several.
@@ -131,24 +130,24 @@
                 let reason = "no seat in time, or no claim on the job";
                 self.reject(id, u64::from(retry_after_ms), reason);
             }
-            JobVerdict::Answer(packed) => match unpack(&packed) {
+            JobVerdict::Answer(packed) => match self.unpack_sealed(&packed) {
                 Some(stored) => self.respond_with_stored(id, &stored),
                 None => {
                     let reason = "it has run, and its answer cannot be read";
-                    self.end_with_error(id, CONFLICT, reason);
+                    self.end_with_error(id, ErrorStatus::CONFLICT, reason);
                 }
             },
             JobVerdict::TooLarge => {
                 let reason = "it has run, and its answer was not kept";
-                self.end_with_error(id, CONFLICT, reason);
+                self.end_with_error(id, ErrorStatus::CONFLICT, reason);
             }
             JobVerdict::MayHaveRun => {
                 let reason = "it may have run, and is not run again";
-                self.end_with_error(id, CONFLICT, reason);
+                self.end_with_error(id, ErrorStatus::CONFLICT, reason);
             }
             JobVerdict::OtherRequest => {
                 let reason = "the key was used with another request";
-                self.end_with_error(id, UNPROCESSABLE, reason);
+                self.end_with_error(id, ErrorStatus::UNPROCESSABLE_CONTENT, reason);
             }
         }
     }
@@ -168,24 +167,31 @@
             .then_some(job.as_mut())
     }
 
-    fn end_with_error(&mut self, id: RequestId, status: u16, reason: &'static str) {
+    fn end_with_error(&mut self, id: RequestId, status: ErrorStatus, reason: &'static str) {
         if let Some(request) = self.requests.remove(id, RequestEnd::Rejected) {
             self.respond_with_error(&request, status, reason);
         }
     }
 
+    /// Unpacks a stored response. A success without a seal cannot be forwarded and counts as unreadable.
+    fn unpack_sealed(&self, packed: &[u8]) -> Option<StoredResponse> {
+        let stored = unpack(packed)?;
+        let is_success = (200..300).contains(&stored.status);
+        let is_sealed = has_one_seal(stored.headers(), self.options.conventions.seal);
+        (is_sealed || !is_success).then_some(stored)
+    }
+
     fn respond_with_stored(&mut self, id: RequestId, stored: &StoredResponse) {
         let Some(request) = self.requests.remove(id, RequestEnd::Answered) else {
             return;
         };
         let request_id = self.options.conventions.request_id;
-        let kept = stored.headers.iter();
+        let kept = stored.headers();
         let kept = kept.filter(|(name, _)| !name.eq_ignore_ascii_case(request_id));
-        let mut headers: Vec<(&str, &[u8])> = kept
-            .map(|(name, value)| (name.as_str(), value.as_slice()))
-            .collect();
+        let mut headers: Vec<Header<'_>> = kept.collect();
         headers.push((request_id, &request.client_request_id));
-        self.respond(&request, stored.status, &headers, &stored.body);
+        let response = ClientResponse::from_stored_result(stored.status, headers, &stored.body);
+        self.respond(&request, response);
     }
 
     /// Sends the result of a request of a job, which has ended, to the owners that may know the job.
--- a/crates/gateway/src/key_checks.rs
+++ b/crates/gateway/src/key_checks.rs
@@ -4,10 +4,9 @@
 use crate::gateway::Gateway;
 use crate::pending_request::{PendingRequest, RequestPhase};
 use crate::request_accounting::RequestEnd;
+use http1::ErrorStatus;
 use protocol::{JobResult, RequestId};
 
-const UNAUTHORIZED: u16 = 401;
-
 impl Gateway {
     /// Handles a new configuration: ends the unsent requests whose key no longer belongs to their tenant.
     pub fn recheck_keys(&mut self) {
@@ -52,7 +51,7 @@
         };
         self.complete_job(&request, result);
         let reason = "the key of the request was taken away";
-        self.respond_with_error(&request, UNAUTHORIZED, reason);
+        self.respond_with_error(&request, ErrorStatus::UNAUTHORIZED, reason);
     }
 
     /// Releases the lease, or cancels the lease request, of a request that no longer needs a runner.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod applied_configuration;
 mod client_identity;
 mod client_memory;
+mod client_response;
 mod configuration_updates;
 mod connections;
 mod controller_links;
@@ -92,6 +93,9 @@
 #[path = "../tests/unit/client_identity.rs"]
 mod client_identity_tests;
 #[cfg(test)]
+#[path = "../tests/unit/client_response.rs"]
+mod client_response_tests;
+#[cfg(test)]
 #[path = "../tests/unit/connection_reuse.rs"]
 mod connection_reuse_tests;
 #[cfg(test)]
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -3,7 +3,7 @@
 use crate::client_identity::ClientIdentity;
 use crate::failure_log::RequestFailure;
 use event_loop::ConnectionId;
-use http1::Request;
+use http1::{ErrorStatus, Request};
 use invariants::{check, Invariant};
 use jobs::JobAdmission;
 use locality::Topology;
@@ -114,7 +114,12 @@
     }
 
     /// Describes the failure of a request that ends with an error from the gateway itself.
-    pub fn failure(&self, now: u64, status: u16, reason: &'static str) -> RequestFailure<'_> {
+    pub fn failure(
+        &self,
+        now: u64,
+        status: Option<ErrorStatus>,
+        reason: &'static str,
+    ) -> RequestFailure<'_> {
         RequestFailure {
             request_id: &self.client_request_id,
             route: &self.route,
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -3,7 +3,7 @@
 use crate::connections::ConnectionRole;
 use crate::gateway::Gateway;
 use event_loop::ConnectionId;
-use http1::{MessageLimits, Request, RequestReader};
+use http1::{write_response, MessageLimits, Request, RequestReader};
 
 /// Size limits of a request at the readiness address.
 const CHECK_LIMITS: MessageLimits = MessageLimits {
@@ -48,7 +48,10 @@
         } else {
             UNAVAILABLE
         };
-        self.send_text(id, status, "", request.keeps_alive);
+        let (mut out, headers) = (Vec::new(), std::iter::empty());
+        let is_head = request.method == "HEAD";
+        write_response(&mut out, status, headers, b"", request.keeps_alive, is_head);
+        self.connections.send(id, &out);
         if !request.keeps_alive {
             self.connections.close_after_flush(id);
         }
--- a/crates/gateway/src/request_admission.rs
+++ b/crates/gateway/src/request_admission.rs
@@ -1,11 +1,12 @@
 //! Phase 2: binds a request to a function and checks it. An admitted request is in flight until its response is sent.
 
 use crate::client_identity::{ClientIdentity, IdentityError};
+use crate::client_response::ClientResponse;
 use crate::failure_log::RequestFailure;
 use crate::gateway::{Gateway, TimerEvent};
 use crate::pending_request::{PendingRequest, RequestPhase};
 use event_loop::ConnectionId;
-use http1::Request;
+use http1::{ErrorStatus, Request};
 use jobs::JobAdmission;
 use protocol::RequestId;
 use routing::{intersect_regions, Binding, RoutingTable};
@@ -16,11 +17,6 @@
 /// Seconds after which a client whose request was rejected before admission may retry.
 const RETRY_AFTER_S: &[u8] = b"0.250";
 
-const BAD_REQUEST: u16 = 400;
-const UNAUTHORIZED: u16 = 401;
-const NOT_FOUND: u16 = 404;
-const UNAVAILABLE: u16 = 503;
-
 /// Why a request is not admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AdmissionError {
@@ -45,15 +41,17 @@
 }
 
 impl AdmissionError {
-    fn status(self) -> u16 {
+    fn status(self) -> ErrorStatus {
         match self {
-            Self::NotConfigured | Self::MemoryExceeded | Self::NoCommonRegion => UNAVAILABLE,
-            Self::Unidentified(_) => UNAUTHORIZED,
-            Self::NoBinding => NOT_FOUND,
+            Self::NotConfigured | Self::MemoryExceeded | Self::NoCommonRegion => {
+                ErrorStatus::SERVICE_UNAVAILABLE
+            }
+            Self::Unidentified(_) => ErrorStatus::UNAUTHORIZED,
+            Self::NoBinding => ErrorStatus::NOT_FOUND,
             Self::NoRequestId
             | Self::SeveralRequestIds
             | Self::InvalidTimeout
-            | Self::InvalidIdempotencyKey => BAD_REQUEST,
+            | Self::InvalidIdempotencyKey => ErrorStatus::BAD_REQUEST,
         }
     }
 
@@ -227,12 +225,13 @@
             headers.push((self.options.conventions.request_id, client_request_id));
         }
         let (status, reason) = (error.status(), error.reason());
-        if status == UNAVAILABLE {
+        if status == ErrorStatus::SERVICE_UNAVAILABLE {
             headers.push((self.options.conventions.retry_after, RETRY_AFTER_S));
         }
         let failure = RequestFailure::before_admission(client_request_id, status, reason);
         self.failures.record(self.now, &failure);
-        self.respond_to(id, request, status, &headers, reason.as_bytes());
+        let response = ClientResponse::error(status, headers, reason);
+        self.respond_to(id, request, response);
     }
 }
 
--- a/crates/gateway/src/request_outcomes.rs
+++ b/crates/gateway/src/request_outcomes.rs
@@ -1,5 +1,6 @@
 //! Phase 6: answers, retries or rejects a request.
 
+use crate::client_response::ClientResponse;
 use crate::failure_log::RequestFailure;
 use crate::gateway::Gateway;
 use crate::pending_request::{PendingRequest, RequestPhase};
@@ -7,18 +8,13 @@
 use crate::response_classification::{classify, ResponseClass};
 use crate::upstream_session::UpstreamResponse;
 use event_loop::ConnectionId;
-use http1::{end_to_end, Response};
+use http1::{end_to_end, ErrorStatus, Response};
 use protocol::{JobResult, LeaseOutcome, RequestId, ABORTED_DURATION_MS};
 
 /// Minimum time after which a rejected client may retry, in milliseconds.
 const RETRY_AFTER_MIN_MS: u64 = 150;
 
-/// Status recorded for a request whose client disconnected before its response.
-const CLIENT_LEFT: u16 = 0;
 const SERVER_ERROR_MIN: u16 = 500;
-const BAD_GATEWAY: u16 = 502;
-const UNAVAILABLE: u16 = 503;
-const GATEWAY_TIMEOUT: u16 = 504;
 
 impl Gateway {
     /// Handles the owner's rejection of a lease request: the request has not run and is rejected at once.
@@ -68,8 +64,9 @@
             return;
         };
         let protected = self.options.conventions.protected_headers();
-        let headers: Vec<(&str, &[u8])> = end_to_end(&response.headers, &protected).collect();
-        self.respond(&request, response.status, &headers, &response.body);
+        let headers = end_to_end(&response.headers, &protected).collect();
+        let forwarded = ClientResponse::from_runner(response.status, headers, &response.body);
+        self.respond(&request, forwarded);
         self.complete_job_with(&request, response);
     }
 
@@ -151,47 +148,53 @@
         let mut headers: Vec<(&str, &[u8])> =
             vec![(conventions.request_id, &request.client_request_id)];
         let (status, result) = if request.may_have_run {
-            (BAD_GATEWAY, JobResult::Lost)
+            (ErrorStatus::BAD_GATEWAY, JobResult::Lost)
         } else {
             request.check_has_not_run();
             headers.push((conventions.retry_after, retry_after.as_bytes()));
-            (UNAVAILABLE, JobResult::NotRun)
+            (ErrorStatus::SERVICE_UNAVAILABLE, JobResult::NotRun)
         };
         self.complete_job(&request, result);
-        self.record_failure(&request, status, reason);
-        self.respond(&request, status, &headers, reason.as_bytes());
+        self.record_error(&request, status, reason);
+        self.respond(&request, ClientResponse::error(status, headers, reason));
     }
 
     /// Responds with an error from the gateway itself to a request that is no longer in flight.
     pub fn respond_with_error(
         &mut self,
         request: &PendingRequest,
-        status: u16,
+        status: ErrorStatus,
         reason: &'static str,
     ) {
-        self.record_failure(request, status, reason);
+        self.record_error(request, status, reason);
         let request_id = self.options.conventions.request_id;
-        let headers: [(&str, &[u8]); 1] = [(request_id, &request.client_request_id)];
-        self.respond(request, status, &headers, reason.as_bytes());
+        let headers: Vec<(&str, &[u8])> = vec![(request_id, &request.client_request_id)];
+        self.respond(request, ClientResponse::error(status, headers, reason));
     }
 
-    fn record_failure(&mut self, request: &PendingRequest, status: u16, reason: &'static str) {
-        if let Some(client) = request.client.as_ref().filter(|_| status != CLIENT_LEFT) {
+    fn record_error(
+        &mut self,
+        request: &PendingRequest,
+        status: ErrorStatus,
+        reason: &'static str,
+    ) {
+        if let Some(client) = &request.client {
             self.tenant_counts.record_rejected(client.name());
         }
-        let failure = request.failure(self.now, status, reason);
+        let failure = request.failure(self.now, Some(status), reason);
         self.failures.record(self.now, &failure);
     }
 
     /// Records the failure of a request whose head could not be read.
-    pub fn record_unread_request(&mut self, status: u16, reason: &'static str) {
+    pub fn record_unread_request(&mut self, status: ErrorStatus, reason: &'static str) {
         let failure = RequestFailure::before_admission(b"", status, reason);
         self.failures.record(self.now, &failure);
     }
 
     /// Records a request whose client has disconnected.
     pub fn record_client_left(&mut self, request: &PendingRequest) {
-        self.record_failure(request, CLIENT_LEFT, "the client has left");
+        let failure = request.failure(self.now, None, "the client has left");
+        self.failures.record(self.now, &failure);
     }
 
     /// Ends a request whose deadline has passed.
@@ -224,7 +227,7 @@
             (JobResult::NotRun, reason)
         };
         self.complete_job(&request, result);
-        self.respond_with_error(&request, GATEWAY_TIMEOUT, reason);
+        self.respond_with_error(&request, ErrorStatus::GATEWAY_TIMEOUT, reason);
     }
 
     /// Ends the current attempt of a request whose deadline has passed, whether or not it was sent.
--- a/crates/gateway/src/response_classification.rs
+++ b/crates/gateway/src/response_classification.rs
@@ -51,7 +51,8 @@
             "the answer says both that it was run and that it was not",
         );
     }
-    match response.headers.get_all(conventions.seal).count() {
+    let seals = response.headers.get_all(conventions.seal);
+    match seals.filter(|seal| !seal.is_empty()).count() {
         0 => return ResponseClass::Untrusted("the answer has no seal"),
         1 => {}
         _ => return ResponseClass::Untrusted("the answer has several seals"),
--- a/crates/gateway/src/stored_response.rs
+++ b/crates/gateway/src/stored_response.rs
@@ -19,6 +19,14 @@
     pub body: Vec<u8>,
 }
 
+impl StoredResponse {
+    /// Names and values of the headers, in their order.
+    pub fn headers(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        let headers = self.headers.iter();
+        headers.map(|(name, value)| (name.as_str(), value.as_slice()))
+    }
+}
+
 /// Packs a response in deflated form. Returns `None` if it is too large to be stored. The `protected` headers are kept
 /// even if the response's `Connection` header lists them.
 pub fn pack(response: &Response, protected: &[&str]) -> Option<Vec<u8>> {
--- a/crates/gateway/tests/unit/broken_invariants.rs
+++ b/crates/gateway/tests/unit/broken_invariants.rs
@@ -1,6 +1,7 @@
 //! Violates each invariant of the gateway on purpose and expects its check to panic.
 
 use crate::applied_configuration::AppliedConfiguration;
+use crate::client_response::ClientResponse;
 use crate::connection_reuse_tests::{options, pending_request};
 use crate::connections::ConnectionRole;
 use crate::downstream_connection::DownstreamConnection;
@@ -8,6 +9,7 @@
 use crate::pending_request::{RequestPhase, UpstreamAttempt};
 use crate::request_accounting::RequestEnd;
 use event_loop::ConnectionId;
+use http1::ErrorStatus;
 use jobs::JobAdmission;
 use locality::Topology;
 use protocol::RequestId;
@@ -66,7 +68,18 @@
     let connection = connect_downstream(&mut gateway, &listener);
     gateway.connections.downstream(connection).unwrap().request = Some(RequestId(77));
     let request = pending_request(Some(connection), false);
-    gateway.respond(&request, 200, &[], b"");
+    let response = ClientResponse::error(ErrorStatus::SERVICE_UNAVAILABLE, Vec::new(), "");
+    gateway.respond(&request, response);
+}
+
+#[test]
+#[should_panic(expected = "success_is_sealed")]
+fn a_success_without_the_seal_of_a_runner() {
+    let (mut gateway, listener) = (gateway(), listener());
+    let connection = connect_downstream(&mut gateway, &listener);
+    let request = pending_request(Some(connection), false);
+    gateway.connections.downstream(connection).unwrap().request = Some(request.id);
+    gateway.respond(&request, ClientResponse::from_runner(204, Vec::new(), b""));
 }
 
 #[test]
--- a/crates/gateway/tests/unit/connection_reuse.rs
+++ b/crates/gateway/tests/unit/connection_reuse.rs
@@ -24,7 +24,7 @@
 /// Timeout of one poll, which is repeated until the expected event arrives.
 const POLL_TIMEOUT: Duration = Duration::from_millis(20);
 
-const CONVENTIONS: HttpConventions = HttpConventions {
+pub(crate) const CONVENTIONS: HttpConventions = HttpConventions {
     request_id: "Id",
     timeout: "Left",
     seal: "Seal",
--- a/crates/gateway/tests/upstream_session.rs
+++ b/crates/gateway/tests/upstream_session.rs
@@ -282,6 +282,7 @@
     };
     let is_untrusted = |verdict: ResponseClass| matches!(verdict, ResponseClass::Untrusted(_));
     assert_eq!(of(200, &[("Seal", "s")]), ResponseClass::Completed);
+    assert!(is_untrusted(of(200, &[("Seal", "")])));
     assert_eq!(of(404, &[]), ResponseClass::Completed);
     assert_eq!(of(500, &[("Seal", "s")]), ResponseClass::Completed);
     assert_eq!(of(503, &[("Not-Run", "1")]), ResponseClass::Rejected);
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of reading messages.
 
+use crate::ErrorStatus;
 use std::error::Error;
 use std::fmt;
 
@@ -19,14 +20,14 @@
 }
 
 impl HttpError {
-    /// Status code (400 to 505) of the response to a request with this error.
-    pub fn status(&self) -> u16 {
+    /// Status of the response to a request with this error.
+    pub fn status(&self) -> ErrorStatus {
         match self {
-            HttpError::Malformed(_) => 400,
-            HttpError::BodyTooLarge => 413,
-            HttpError::HeadTooLarge => 431,
-            HttpError::UnsupportedTransferCoding => 501,
-            HttpError::UnsupportedVersion => 505,
+            HttpError::Malformed(_) => ErrorStatus::BAD_REQUEST,
+            HttpError::BodyTooLarge => ErrorStatus::CONTENT_TOO_LARGE,
+            HttpError::HeadTooLarge => ErrorStatus::HEADER_FIELDS_TOO_LARGE,
+            HttpError::UnsupportedTransferCoding => ErrorStatus::NOT_IMPLEMENTED,
+            HttpError::UnsupportedVersion => ErrorStatus::VERSION_NOT_SUPPORTED,
         }
     }
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod error;
+mod error_status;
 mod head;
 mod headers;
 mod hop_by_hop;
@@ -15,6 +16,7 @@
 mod write;
 
 pub use error::HttpError;
+pub use error_status::ErrorStatus;
 pub use headers::Headers;
 pub use hop_by_hop::{end_to_end, idle_seconds};
 pub use request::{Request, RequestReader};
--- a/crates/http1/tests/smuggling.rs
+++ b/crates/http1/tests/smuggling.rs
@@ -64,12 +64,12 @@
     ];
 
 fn status_of(bytes: &[u8]) -> Option<u16> {
-    let at_once = read_request(bytes).map_err(|error| error.status());
+    let at_once = read_request(bytes).map_err(|error| error.status().code());
     let mut reader = RequestReader::new();
     let in_pieces = piecewise(bytes, &mut Draws::new(&[0]), |buffer| {
         reader.read(buffer, &LIMITS)
     });
-    let in_pieces = in_pieces.map_err(|error| error.status());
+    let in_pieces = in_pieces.map_err(|error| error.status().code());
     let text = String::from_utf8_lossy(bytes);
     assert_eq!(at_once.as_ref().err(), in_pieces.as_ref().err(), "{text:?}");
     at_once.err()
--- a/crates/invariants/src/invariant.rs
+++ b/crates/invariants/src/invariant.rs
@@ -29,6 +29,8 @@
     RequestsAreConserved => "requests_are_conserved",
     /// A response is sent on the connection on which its request is the one being served.
     ResponseReachesItsRequest => "response_reaches_its_request",
+    /// A success that is sent to a client comes from a runner and bears its seal.
+    SuccessIsSealed => "success_is_sealed",
     /// An at-most-once request is not sent again once it may have run.
     AtMostOnceIsSentOnce => "at_most_once_is_sent_once",
     /// No request is sent to more runners than its route allows.
