--- a/tests/cluster/src/runner.rs
+++ b/tests/cluster/src/runner.rs
@@ -12,6 +12,8 @@
 
 /// Header that selects the fault of the first runner of a request; later runners respond normally.
 pub const FAULT: &str = "X-Deed";
+/// Fault with which a runner lists the seal in the `Connection` header of an otherwise normal response.
+pub const LISTED_SEAL: &str = "listed-seal";
 /// Header with the processing time in milliseconds.
 pub const WORK: &str = "X-Work";
 /// Header with the size of the response body in bytes.
@@ -192,6 +194,14 @@
             "refuse-after-run" => respond(stream, 503, &headers[..1], b"too late to say", true),
             "fail" => respond(stream, 500, &headers[..1], b"it failed", true),
             "no-seal" => respond(stream, 200, &headers[..1], &body, true),
+            LISTED_SEAL => {
+                let mut whole = Vec::new();
+                write(&mut whole, 200, &headers, &body);
+                let first_line = whole.iter().position(|byte| *byte == b'\n');
+                let at = first_line.map_or(0, |at| at + 1);
+                whole.splice(at..at, *b"Connection: Server-Seal\r\n");
+                stream.write_all(&whole).is_ok()
+            }
             "twice" => {
                 let mut both = Vec::new();
                 write(&mut both, 200, &headers, &body);
--- a/tests/cluster/src/soak/jobs.rs
+++ b/tests/cluster/src/soak/jobs.rs
@@ -29,7 +29,7 @@
             id_prefix: format!("job-{number}-{sent}"),
             credential: STEADY[number as usize % STEADY.len()].1,
         };
-        let record = run_job(&client, &mut random, gateways, is_over);
+        let record = run_job(&client, &mut random, gateways, ledger, is_over);
         ledger.record_job(record);
         std::thread::sleep(Duration::from_millis(random.random_range(5..60)));
     }
@@ -47,6 +47,7 @@
     client: &JobClient,
     random: &mut StdRng,
     gateways: &[SocketAddr],
+    ledger: &Ledger,
     is_over: &AtomicBool,
 ) -> JobRecord {
     let mut record = JobRecord {
@@ -72,7 +73,7 @@
                 (request, gateways[random.random_range(0..gateways.len())])
             })
             .collect();
-        record.copies.extend(send_copies(copies));
+        record.copies.extend(send_copies(copies, ledger));
         let has_succeeded = record
             .copies
             .iter()
@@ -85,11 +86,11 @@
 }
 
 /// Sends copies of a job concurrently.
-fn send_copies(copies: Vec<(ClientRequest, SocketAddr)>) -> Vec<JobCopy> {
+fn send_copies(copies: Vec<(ClientRequest, SocketAddr)>, ledger: &Ledger) -> Vec<JobCopy> {
     std::thread::scope(|scope| {
         let sent: Vec<_> = copies
             .into_iter()
-            .map(|(request, gateway)| scope.spawn(move || send_copy(&request, gateway)))
+            .map(|(request, gateway)| scope.spawn(move || send_copy(&request, gateway, ledger)))
             .collect();
         let ended = sent.into_iter();
         ended
@@ -98,8 +99,11 @@
     })
 }
 
-fn send_copy(request: &ClientRequest, gateway: SocketAddr) -> JobCopy {
+fn send_copy(request: &ClientRequest, gateway: SocketAddr, ledger: &Ledger) -> JobCopy {
     let response = send_request(gateway, request);
+    if let Some(response) = &response {
+        ledger.record_response(&request.id, response);
+    }
     JobCopy {
         id: request.id.clone(),
         status: response.as_ref().map(|response| response.status),
--- a/tests/cluster/src/soak/ledger.rs
+++ b/tests/cluster/src/soak/ledger.rs
@@ -1,5 +1,6 @@
 //! Record of the responses that clients and operators got.
 
+use http1::Response;
 use serde_json::Value;
 use std::fmt;
 use std::sync::Mutex;
@@ -111,12 +112,29 @@
     jobs: Mutex<Vec<JobRecord>>,
     changes: Mutex<Vec<ChangeRecord>>,
     reads: Mutex<Vec<ReadRecord>>,
+    /// Successes without a runner's seal.
+    unsealed: Mutex<Vec<String>>,
     planned_from: Mutex<Option<Instant>>,
     /// Planned restarts: the gateway and when it was asked to stop.
     restarts: Mutex<Vec<(usize, Instant)>>,
 }
 
 impl Ledger {
+    /// Records a response at a clients' address. Every one that a client of any kind reads is recorded.
+    pub fn record_response(&self, request: &str, response: &Response) {
+        let is_success = (200..300).contains(&response.status);
+        let seal = response.headers.get("Server-Seal");
+        if is_success && seal.is_none_or(<[u8]>::is_empty) {
+            let unsealed = format!("{request} was answered {} without a seal", response.status);
+            self.unsealed.lock().unwrap().push(unsealed);
+        }
+    }
+
+    /// Successes without a runner's seal.
+    pub fn unsealed(&self) -> Vec<String> {
+        self.unsealed.lock().unwrap().clone()
+    }
+
     pub fn record_request(&self, record: ClientRecord) {
         self.requests.lock().unwrap().push(record);
     }
--- a/tests/cluster/src/soak/mod.rs
+++ b/tests/cluster/src/soak/mod.rs
@@ -13,14 +13,15 @@
 pub mod limits;
 mod misbehaving;
 mod operators;
-mod oracle;
+pub mod oracle;
 mod planned_work;
 mod recovery;
 pub mod rolling;
 mod run;
 mod schedule;
+mod system_names;
 pub mod tenants;
-mod traffic;
+pub mod traffic;
 
 pub use run::{run, SoakOptions, SoakReport};
 pub use schedule::{Schedule, ScheduledFault};
--- a/tests/cluster/src/soak/oracle.rs
+++ b/tests/cluster/src/soak/oracle.rs
@@ -32,6 +32,8 @@
             &mut violations,
         );
     }
+    let unsealed = ledger.unsealed().into_iter();
+    violations.extend(unsealed.map(|one| format!("MIXED: {one}")));
     check_planned_work(ledger, received, &mut violations);
     if let Some(planned_from) = ledger.planned_from() {
         violations.extend(limits::check(received, planned_from));
--- a/tests/cluster/src/soak/rolling/clients.rs
+++ b/tests/cluster/src/soak/rolling/clients.rs
@@ -3,6 +3,7 @@
 use crate::client::{ClientRequest, Connection};
 use crate::runner::{CREDENTIAL, SIZE, WORK};
 use crate::soak::ledger::{ClientOutcome, ClientRecord, Ledger};
+use crate::soak::system_names::SystemNames;
 use crate::soak::tenants::draw_key;
 use crate::soak::traffic::classify_response;
 use rand::rngs::StdRng;
@@ -31,6 +32,7 @@
     functions: usize,
     ledger: &'a Ledger,
     connection: Option<(usize, Connection)>,
+    system_names: SystemNames,
 }
 
 impl<'a> RollingClient<'a> {
@@ -49,6 +51,7 @@
             functions,
             ledger,
             connection: None,
+            system_names: SystemNames::new(seed),
         }
     }
 
@@ -69,13 +72,20 @@
             return;
         };
         let key = draw_key(&mut self.random);
-        let request = self.draw_request(number).with(CREDENTIAL, key);
+        let mut request = self.draw_request(number).with(CREDENTIAL, key);
         let at_most_once = request.method == "POST";
+        if !at_most_once {
+            self.system_names.draw_target(&mut request);
+        }
+        let request = self.system_names.draw_headers(request);
         let sent_at = Instant::now();
         let is_sent = connection.send(&request.bytes());
         let response = connection.receive(WAIT_MAX).filter(|_| is_sent);
         let outcome = match &response {
-            Some(response) => classify_response(&request, BODY, response),
+            Some(response) => {
+                self.ledger.record_response(&request.id, response);
+                classify_response(&request, BODY, response)
+            }
             None => ClientOutcome::Unanswered,
         };
         if response.is_some_and(|response| response.keeps_alive) {
--- a/tests/cluster/src/soak/rolling/run.rs
+++ b/tests/cluster/src/soak/rolling/run.rs
@@ -13,7 +13,7 @@
 use crate::soak::ledger::Ledger;
 use crate::soak::operators::{run_reader, Operator, FIRST_VERSION};
 use crate::soak::tenants::{self, KeyHistory, STEADY};
-use crate::soak::{oracle, recovery};
+use crate::soak::{oracle, recovery, system_names};
 use protocol::Member;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -126,6 +126,7 @@
 /// The base configuration with the functions of the run, each with a route for safe requests and one for unsafe requests.
 fn rolling_configuration(version: u64) -> Value {
     let mut document = configuration(version);
+    system_names::add_route(&mut document);
     let services = document["services"]
         .as_array_mut()
         .expect("there are services");
--- a/tests/cluster/src/soak/run.rs
+++ b/tests/cluster/src/soak/run.rs
@@ -8,6 +8,7 @@
 use super::oracle;
 use super::planned_work;
 use super::schedule::{Schedule, ScheduledFault};
+use super::system_names;
 use super::tenants::{self, KeyHistory, STEADY};
 use super::traffic::Client;
 use super::{ledger::ClientOutcome, ledger::ClientRecord, recovery};
@@ -77,8 +78,15 @@
     report(schedule, findings, &ledger, folder)
 }
 
+/// The base configuration with a route whose targets look like the system's.
+fn soak_configuration(version: u64) -> Value {
+    let mut document = configuration(version);
+    system_names::add_route(&mut document);
+    document
+}
+
 fn first_configuration(seed: u64) -> Value {
-    let mut document = configuration(FIRST_VERSION);
+    let mut document = soak_configuration(FIRST_VERSION);
     let routes = document["routes"].as_array_mut().expect("there are routes");
     routes.push(route("moving", "/moving/", "safe", "plain"));
     tenants::add_tenants(&mut document, seed, Duration::ZERO);
@@ -112,12 +120,12 @@
         for number in 0..CLIENTS {
             scope.spawn(move || Client::new(seed, number, gateways, ledger).run(is_over));
         }
-        scope.spawn(move || misbehaving::run(seed, gateways, is_over));
+        scope.spawn(move || misbehaving::run(seed, gateways, ledger, is_over));
         for number in 0..JOB_CLIENTS {
             scope.spawn(move || jobs::run(seed, number, gateways, ledger, is_over));
         }
         scope.spawn(move || {
-            Operator::new((seed, 0), controllers, ledger, configuration).run(is_over)
+            Operator::new((seed, 0), controllers, ledger, soak_configuration).run(is_over)
         });
         scope.spawn(move || run_reader(seed, controllers, ledger, is_over));
         inject(injector, schedule);
--- a/tests/cluster/src/soak/traffic.rs
+++ b/tests/cluster/src/soak/traffic.rs
@@ -1,6 +1,7 @@
 //! Well-behaved clients: they send one request at a time, read the complete response and record the outcome.
 
 use super::ledger::{ClientOutcome, ClientRecord, Ledger};
+use super::system_names::SystemNames;
 use super::tenants::{draw_key, STEADY};
 use crate::client::{ClientRequest, Connection};
 use crate::runner::{CREDENTIAL, FAULT, SIZE, TENANT, WORK};
@@ -37,7 +38,7 @@
 const FAULT_ONE_IN: u32 = 10;
 /// One request in this many carries a forged tenant header.
 const FORGED_ONE_IN: u32 = 6;
-const SUCCESS: u16 = 200;
+const SUCCESSES: std::ops::Range<u16> = 200..300;
 
 /// Properties of a request that determine which outcomes are allowed.
 struct RequestKind {
@@ -54,6 +55,7 @@
     ledger: &'a Ledger,
     connection: Option<(usize, Connection, usize)>,
     sent: usize,
+    system_names: SystemNames,
 }
 
 impl<'a> Client<'a> {
@@ -66,6 +68,7 @@
             ledger,
             connection: None,
             sent: 0,
+            system_names: SystemNames::new(seed),
         }
     }
 
@@ -110,7 +113,11 @@
         let size = self.random.random_range(0..largest);
         let is_endless = self.random.random_ratio(1, ENDLESS_ONE_IN);
         let longest_ms = if is_endless { ENDLESS_WORK_MS } else { 60 };
-        let mut request = ClientRequest::get(target, &id)
+        let mut request = ClientRequest::get(target, &id);
+        if !at_most_once {
+            self.system_names.draw_target(&mut request);
+        }
+        request = request
             .with(SIZE, size)
             .with(WORK, self.random.random_range(longest_ms / 60..longest_ms));
         if at_most_once {
@@ -127,6 +134,7 @@
         if self.random.random_ratio(1, FORGED_ONE_IN) {
             request = request.with(TENANT, STEADY[0].0);
         }
+        request = self.system_names.draw_headers(request);
         let kind = RequestKind {
             key,
             at_most_once,
@@ -147,6 +155,7 @@
         let Some(response) = connection.receive(WAIT_MAX) else {
             return (gateway, ClientOutcome::Unanswered);
         };
+        self.ledger.record_response(&request.id, &response);
         let is_kept = response.keeps_alive && used + 1 < REQUESTS_PER_CONNECTION;
         if is_kept {
             self.connection = Some((gateway, connection, used + 1));
@@ -174,9 +183,12 @@
     if !response_id.is_empty() && response_id != request.id {
         return ClientOutcome::AnotherRequests(response_id.to_string());
     }
-    if response.status != SUCCESS {
+    if !SUCCESSES.contains(&response.status) {
         return ClientOutcome::Answered(response.status);
     }
+    if response_id.is_empty() {
+        return ClientOutcome::WrongSuccess("no id".into());
+    }
     let seal = response.headers.get_text("Server-Seal").unwrap_or("");
     if !seal.ends_with(&format!(".{}", request.id)) {
         return ClientOutcome::WrongSuccess(format!("seal {seal}"));
@@ -185,5 +197,5 @@
         let length = response.body.len();
         return ClientOutcome::WrongSuccess(format!("a body of {length} bytes"));
     }
-    ClientOutcome::Answered(SUCCESS)
+    ClientOutcome::Answered(response.status)
 }
