--- a/crates/gateway/src/client_response.rs
+++ b/crates/gateway/src/client_response.rs
@@ -10,6 +10,11 @@
 /// Body of the error that replaces a forwarded success without a seal.
 const UNSEALED_REASON: &[u8] = b"the answer has no seal";
 
+/// Whether this status reports a success.
+pub(crate) fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
+}
+
 /// Whether these headers bear exactly one seal. An empty value is none.
 pub(crate) fn has_one_seal<'a>(headers: impl Iterator<Item = Header<'a>>, seal: &str) -> bool {
     let seals =
@@ -90,9 +95,8 @@
 
     /// Whether the client may get the response: a success has exactly one runner's seal.
     pub fn is_sealed_or_error(&self, conventions: &HttpConventions) -> bool {
-        let is_success = (200..300).contains(&self.status);
         let is_sealed = has_one_seal(self.headers.iter().copied(), conventions.seal);
-        !is_success || (self.source != ResponseSource::Gateway && is_sealed)
+        !is_success(self.status) || (self.source != ResponseSource::Gateway && is_sealed)
     }
 
     /// The error that replaces a success without a seal. It does not state whether the request has run.
--- a/crates/gateway/src/job_messages.rs
+++ b/crates/gateway/src/job_messages.rs
@@ -1,7 +1,7 @@
 //! Messages about jobs. Requests with the same idempotency key are copies of one job: the function's owner lets one
 //! copy run and sends its response to the others.
 
-use crate::client_response::{has_one_seal, ClientResponse, Header};
+use crate::client_response::{has_one_seal, is_success, ClientResponse, Header};
 use crate::gateway::Gateway;
 use crate::pending_request::{PendingRequest, RequestPhase};
 use crate::request_accounting::RequestEnd;
@@ -176,9 +176,8 @@
     /// Unpacks a stored response. A success without a seal cannot be forwarded and counts as unreadable.
     fn unpack_sealed(&self, packed: &[u8]) -> Option<StoredResponse> {
         let stored = unpack(packed)?;
-        let is_success = (200..300).contains(&stored.status);
         let is_sealed = has_one_seal(stored.headers(), self.options.conventions.seal);
-        (is_sealed || !is_success).then_some(stored)
+        (is_sealed || !is_success(stored.status)).then_some(stored)
     }
 
     fn respond_with_stored(&mut self, id: RequestId, stored: &StoredResponse) {
--- a/crates/gateway/src/response_classification.rs
+++ b/crates/gateway/src/response_classification.rs
@@ -1,5 +1,6 @@
 //! Classifies a runner's response: whether the request ran, and whether the response can be forwarded.
 
+use crate::client_response::is_success;
 use crate::options::HttpConventions;
 use http1::Response;
 
@@ -24,8 +25,7 @@
 /// Classifies a response that is known to belong to the request.
 #[must_use]
 pub fn classify(response: &Response, conventions: &HttpConventions) -> ResponseClass {
-    let is_success = (200..300).contains(&response.status);
-    if is_success {
+    if is_success(response.status) {
         return classify_success(response, conventions);
     }
     if is_misdirected(response) {
