Tests of home regions send one Time-Left, the one that they mean

Two of these tests added a second Time-Left to the 4,000 ms that each request of the test client bears. Until several times were rejected the gateway took the first, so that the shorter one had no effect; since then they got 400.

Change: the test client replaces its time.

--- a/tests/cluster/src/client.rs
+++ b/tests/cluster/src/client.rs
@@ -13,6 +13,9 @@
     body_bytes: 64 << 20,
 };
 
+/// Header with the milliseconds for which the client waits.
+const TIME_LEFT: &str = "Time-Left";
+
 /// Receive buffer of connections with a small window.
 const SMALL_WINDOW_BYTES: usize = 4 << 10;
 
@@ -34,7 +37,7 @@
             host: "one.example".into(),
             target: target.into(),
             id: id.into(),
-            headers: vec![("Time-Left", "4000".into())],
+            headers: vec![(TIME_LEFT, "4000".into())],
             body: Vec::new(),
         }
     }
@@ -44,6 +47,12 @@
         self
     }
 
+    /// Replaces the time for which the client waits.
+    pub fn time_left(mut self, milliseconds: u64) -> Self {
+        self.headers.retain(|(name, _)| *name != TIME_LEFT);
+        self.with(TIME_LEFT, milliseconds)
+    }
+
     pub fn post(mut self, body: &[u8]) -> Self {
         self.method = "POST";
         self.body = body.to_vec();
