Jobs are on where a route names their header; their identity is all that decides

Excluded: the way of the response and the id on it, which were as meant for copies.

Change: a route may name the header, idempotency_header, by which its clients name jobs; without it the header goes on untouched. jobs::JobRequest is the identity: tenant, host, route, function, method, target, body; what differs gets 422 or is another job. A header with another meaning is refused in a configuration.

--- a/crates/gateway/src/job_messages.rs
+++ b/crates/gateway/src/job_messages.rs
@@ -7,28 +7,30 @@
 use crate::request_accounting::RequestEnd;
 use crate::stored_response::{pack, unpack, StoredResponse};
 use http1::{ErrorStatus, Request, Response};
-use jobs::{is_valid_idempotency_key, job_key, request_digest, JobAdmission};
+use jobs::{is_valid_idempotency_key, job_key, JobAdmission, JobRequest};
 use protocol::{JobCompletion, JobResult, JobVerdict, Message, RequestId};
+use routing::Binding;
 use std::sync::Arc;
 
-/// Header with the client's key for the job that its request belongs to.
-const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
-
 const SERVER_ERROR_MIN: u16 = 500;
 
 /// The idempotency key is invalid, or there are several.
 pub(crate) struct InvalidIdempotencyKey;
 
 impl Gateway {
-    /// Returns a request's participation in a job, or `None` without an idempotency key. The same key of different
-    /// tenants denotes different jobs.
+    /// Returns a request's participation in a job, or `None` without an idempotency key in the header that its binding
+    /// names. The same key of different tenants denotes different jobs.
     pub fn job_admission(
         &self,
         request: &Request,
-        at_most_once: bool,
+        binding: &Binding,
+        function: &str,
         tenant: Option<&Arc<str>>,
     ) -> Result<Option<Box<JobAdmission>>, InvalidIdempotencyKey> {
-        let mut keys = request.headers.get_all(IDEMPOTENCY_KEY);
+        let Some(header) = &binding.idempotency_header else {
+            return Ok(None);
+        };
+        let mut keys = request.headers.get_all(header);
         let Some(key) = keys.next() else {
             return Ok(None);
         };
@@ -36,10 +38,20 @@
         if keys.next().is_some() || !is_valid_idempotency_key(key) {
             return Err(InvalidIdempotencyKey);
         }
-        let digest = request_digest(&request.method, &request.target, &request.body);
+        let tenant = tenant.map(AsRef::as_ref);
+        let job_request = JobRequest {
+            tenant,
+            host: &binding.host,
+            route: &binding.name,
+            function,
+            method: &request.method,
+            target: &request.target,
+            body: &request.body,
+        };
+        let digest = job_request.digest();
         let incarnation = self.identity.incarnation;
-        let key = job_key(tenant.map(AsRef::as_ref), text);
-        let job = JobAdmission::new(key, digest, at_most_once, incarnation);
+        let key = job_key(tenant, text);
+        let job = JobAdmission::new(key, digest, binding.at_most_once, incarnation);
         Ok(Some(Box::new(job)))
     }
 
--- a/crates/gateway/src/request_admission.rs
+++ b/crates/gateway/src/request_admission.rs
@@ -112,7 +112,7 @@
         let binding_timeout_ms = u64::from(binding.timeout_ms);
         let client_timeout_ms = self.client_timeout_ms(request)?;
         let tenant = client.as_ref().map(ClientIdentity::name);
-        let job = self.job_admission(request, binding.at_most_once, tenant);
+        let job = self.job_admission(request, binding, &function, tenant);
         let job = job.map_err(|_| AdmissionError::InvalidIdempotencyKey)?;
         Ok(Admission {
             route: binding.name.clone(),
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,6 +1,6 @@
 //! The head of a message: finding its end, reading the body's framing, and validating names and values.
 
-use crate::hop_by_hop::list_elements;
+use crate::hop_by_hop::{is_hop_by_hop, list_elements};
 use crate::{Headers, HttpError, MessageLimits};
 
 /// Maximum number of header fields of one message; the parser's table is on the stack.
@@ -167,6 +167,11 @@
     !name.is_empty() && name.iter().all(|&byte| is_token_byte(byte))
 }
 
+/// Whether this is a valid name of a field that is forwarded unless `Connection` lists it.
+pub fn is_end_to_end(name: &str) -> bool {
+    is_name(name.as_bytes()) && !is_hop_by_hop(name)
+}
+
 /// Whether this is a valid value of a header field: no control characters except tab.
 pub(crate) fn is_value(value: &[u8]) -> bool {
     value
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub use error::HttpError;
 pub use error_status::ErrorStatus;
+pub use head::is_end_to_end;
 pub use headers::Headers;
 pub use hop_by_hop::{end_to_end, idle_seconds};
 pub use request::{Request, RequestReader};
--- a/crates/jobs/src/claim.rs
+++ b/crates/jobs/src/claim.rs
@@ -45,7 +45,7 @@
 /// The value of a job's register.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct Claim {
-    /// Digest of the request, see [`request_digest`].
+    /// Digest of the request, see [`JobRequest::digest`](crate::JobRequest::digest).
     pub digest: [u8; 16],
     /// The request that runs the job, or ran it.
     pub holder: ClaimHolder,
@@ -67,7 +67,7 @@
 
 /// Returns the first half of the SHA-256 hash of several parts. Each part is preceded by its length, so that different lists
 /// of parts never have the same input to the hash.
-fn digest_of<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> [u8; 16] {
+pub(crate) fn digest_of<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> [u8; 16] {
     let mut hasher = Sha256::new();
     for part in parts {
         hasher.update((part.len() as u64).to_le_bytes());
@@ -79,12 +79,6 @@
     half
 }
 
-/// Digest of a request, by which requests that reuse an idempotency key with different content are recognized.
-#[must_use]
-pub fn request_digest(method: &str, target: &str, body: &[u8]) -> [u8; 16] {
-    digest_of([method.as_bytes(), target.as_bytes(), body])
-}
-
 /// Returns the key that identifies a job within its function: the client's idempotency key, scoped to the client's tenant.
 /// Keys of different tenants never coincide, since an idempotency key contains no line break.
 #[must_use]
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -3,6 +3,7 @@
 //! others. An at-most-once job is first claimed in a replicated register on the controllers' disks, before its request is
 //! sent to a runner.
 //!
+//! - `job_request`: what the copies of a job have in common;
 //! - `claim`: the value of a job's register;
 //! - `job`, `job_table`, `register_requests`, `outbox`: the parts of the coordinator's state, each with its own invariant;
 //! - `coordinator` and its `impl` blocks in `arrivals`, `completions`, `register_responses` and `timeouts`: the state
@@ -20,6 +21,7 @@
 mod coordinator;
 mod job;
 mod job_admission;
+mod job_request;
 mod job_table;
 mod outbox;
 mod register_requests;
@@ -30,9 +32,10 @@
 pub use abandoned_attempts::AbandonedAttempts;
 pub use action::JobAction;
 pub use claim::{
-    is_valid_idempotency_key, job_key, register_key, request_digest, Claim, ClaimHolder,
-    ClaimState, ClaimWriter, StoredClaim, MAX_KEY_CHARS, MAX_STORED_RESPONSE_BYTES,
+    is_valid_idempotency_key, job_key, register_key, Claim, ClaimHolder, ClaimState, ClaimWriter,
+    StoredClaim, MAX_KEY_CHARS, MAX_STORED_RESPONSE_BYTES,
 };
 pub use coordinator::JobCoordinator;
 pub use job_admission::JobAdmission;
+pub use job_request::JobRequest;
 pub use unacknowledged_results::UnacknowledgedResults;
--- a/crates/jobs/tests/cluster/gateway.rs
+++ b/crates/jobs/tests/cluster/gateway.rs
@@ -1,6 +1,6 @@
 use super::oracle::at_most_once;
 use super::{ClientOutcome, Cluster, Event, FUNCTION, MS};
-use jobs::{request_digest, JobAdmission, JobCoordinator, UnacknowledgedResults};
+use jobs::{JobAdmission, JobCoordinator, JobRequest, UnacknowledgedResults};
 use protocol::{
     FunctionUpdate, JobResult, LeaseOutcome, LeaseRequest, Message, RequestId, RunnerStage,
     RunnerUpdate, UpdateVersion,
@@ -43,6 +43,21 @@
     last_request: u64,
 }
 
+/// Digest of the requests of a job.
+fn request_digest(job: usize) -> [u8; 16] {
+    let body = format!("body {job}");
+    let request = JobRequest {
+        tenant: None,
+        host: "one.example",
+        route: "sign",
+        function: "sign",
+        method: "POST",
+        target: "/sign",
+        body: body.as_bytes(),
+    };
+    request.digest()
+}
+
 impl GatewayNode {
     pub fn new(index: usize) -> Self {
         Self {
@@ -134,10 +149,9 @@
         let node = &mut self.nodes[index];
         node.last_request += 1;
         let number = node.last_request;
-        let digest_of_request = request_digest("POST", "/sign", format!("body {job}").as_bytes());
         let admission = JobAdmission::new(
             format!("key {job}"),
-            digest_of_request,
+            request_digest(job),
             at_most_once(job),
             node.incarnation,
         );
--- a/crates/jobs/tests/coordinator.rs
+++ b/crates/jobs/tests/coordinator.rs
@@ -2,14 +2,24 @@
 
 use fuzzing::seeded;
 use jobs::{
-    is_valid_idempotency_key, register_key, request_digest, Claim, ClaimHolder, ClaimState,
-    ClaimWriter, JobAction, JobCoordinator,
+    is_valid_idempotency_key, register_key, Claim, ClaimHolder, ClaimState, ClaimWriter, JobAction,
+    JobCoordinator, JobRequest,
 };
 use protocol::{
     JobAttempt, JobCompletion, JobResult, JobVerdict, LeaseRequest, RegisterResponse, RequestId,
 };
 use speedy::{Readable, Writable};
 
+const SIGN_BUILD: JobRequest<'static> = JobRequest {
+    tenant: None,
+    host: "one.example",
+    route: "sign",
+    function: "sign",
+    method: "POST",
+    target: "/sign",
+    body: b"build",
+};
+
 fn lease_request(request: u64, key: &str, at_most_once: bool) -> LeaseRequest {
     LeaseRequest {
         request_id: RequestId(request),
@@ -23,7 +33,7 @@
 fn attempt(key: &str, at_most_once: bool) -> JobAttempt {
     JobAttempt {
         key: key.into(),
-        digest: request_digest("POST", "/sign", b"build"),
+        digest: SIGN_BUILD.digest(),
         at_most_once,
         incarnation: 7,
         number: 1,
@@ -128,7 +138,7 @@
     assert!(jobs.lease_rejected(1, "g1", RequestId(4), 300));
     assert!(jobs.take_actions().is_empty());
     let done = Claim {
-        digest: request_digest("POST", "/sign", b"build"),
+        digest: SIGN_BUILD.digest(),
         holder: ClaimHolder::default(),
         writer: ClaimWriter {
             incarnation: 9,
@@ -168,10 +178,6 @@
         assert!(is_valid_idempotency_key(key.as_bytes()), "{key:?}");
     }
     assert_ne!(register_key("ab", "c"), register_key("a", "bc"));
-    assert_ne!(
-        request_digest("GET", "/a", b""),
-        request_digest("GET", "/", b"a")
-    );
 }
 
 #[test]
--- a/crates/jobs/tests/running_job/mod.rs
+++ b/crates/jobs/tests/running_job/mod.rs
@@ -1,18 +1,22 @@
 //! Helpers for tests: a coordinator with a running job.
 #![allow(dead_code)]
 
-use jobs::{request_digest, JobAction, JobAdmission, JobCoordinator};
+use jobs::{JobAction, JobAdmission, JobCoordinator, JobRequest};
 use protocol::{JobAttempt, LeaseRequest, RegisterResponse, RequestId};
 
 pub const KEY: &str = "k";
 
 pub fn admission() -> JobAdmission {
-    JobAdmission::new(
-        KEY.into(),
-        request_digest("POST", "/sign", b"build"),
-        true,
-        7,
-    )
+    let request = JobRequest {
+        tenant: None,
+        host: "one.example",
+        route: "sign",
+        function: "sign",
+        method: "POST",
+        target: "/sign",
+        body: b"build",
+    };
+    JobAdmission::new(KEY.into(), request.digest(), true, 7)
 }
 
 pub fn lease_request(request: u64, attempt: JobAttempt) -> LeaseRequest {
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -46,6 +46,9 @@
     pub allowed_regions: Vec<String>,
     /// Whether it accepts requests without an API key even if tenants are defined.
     pub is_public: bool,
+    /// Header in which clients name the jobs of their requests: copies of a job run once and share its response. `None` if no
+    /// header has this meaning; then each request runs for itself.
+    pub idempotency_header: Option<String>,
 }
 
 /// A function, with the resource needs and limits of its runners.
--- a/tests/cluster/src/operator.rs
+++ b/tests/cluster/src/operator.rs
@@ -89,6 +89,9 @@
     panic!("there is no controller");
 }
 
+/// Header by which clients of the test configurations name their jobs.
+pub const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
+
 pub fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
     json!({ "name": name, "host": "one.example", "path_prefix": prefix, "route_kind": kind,
             "timeout_ms": 4000, "target_ms": 500, "priority": 1, "service": service, "tries": 3 })
@@ -112,13 +115,21 @@
     document
 }
 
-/// A configuration with `/read/` (safe) and `/write/` (unsafe) to `plain`, and `/rare/` to `rare`.
+/// Adds the header that names the jobs of a route's requests.
+pub fn with_idempotency_header(mut route: Value, header: &str) -> Value {
+    route["idempotency_header"] = json!(header);
+    route
+}
+
+/// A configuration with `/read/` (safe) and `/write/` (unsafe) to `plain`, and `/rare/` to `rare`. Clients name the jobs of the first
+/// two by [`IDEMPOTENCY_KEY`].
 pub fn configuration(version: u64) -> Value {
+    let with_jobs = |route| with_idempotency_header(route, IDEMPOTENCY_KEY);
     json!({
         "version": version,
         "routes": [
-            route("read", "/read/", "safe", "plain"),
-            route("write", "/write/", "unsafe", "plain"),
+            with_jobs(route("read", "/read/", "safe", "plain")),
+            with_jobs(route("write", "/write/", "unsafe", "plain")),
             route("rare", "/rare/", "safe", "rare"),
         ],
         "services": [service("plain", 100, 4), service("rare", 150, 2)],
--- a/tests/compatibility/src/samples/stored.rs
+++ b/tests/compatibility/src/samples/stored.rs
@@ -7,10 +7,15 @@
 use jobs::{Claim, ClaimHolder, ClaimState, ClaimWriter, StoredClaim};
 use leader_election::Leadership;
 
+/// Digest of `POST /resize?w=10` with the body `body`, as versions stored it that knew neither host nor route.
+const FORMER_DIGEST: [u8; 16] = [
+    0x3e, 0x2c, 0x81, 0xc9, 0xfa, 0x8f, 0x4c, 0x6e, 0x4f, 0x6a, 0xc2, 0xcd, 0xf7, 0xc3, 0x2b, 0xe7,
+];
+
 /// A job's claim while its request may be running.
 pub fn taken_job() -> Claim {
     Claim {
-        digest: jobs::request_digest("POST", "/resize?w=10", b"body"),
+        digest: FORMER_DIGEST,
         holder: ClaimHolder {
             gateway: "gw-1".into(),
             incarnation: 0x0102_0304_0506_0708,
