--- a/crates/jobs/tests/cluster/gateway.rs
+++ b/crates/jobs/tests/cluster/gateway.rs
@@ -1,6 +1,7 @@
 use super::oracle::at_most_once;
+use super::sign_request::sign_request;
 use super::{ClientOutcome, Cluster, Event, FUNCTION, MS};
-use jobs::{JobAdmission, JobCoordinator, JobRequest, UnacknowledgedResults};
+use jobs::{JobAdmission, JobCoordinator, UnacknowledgedResults};
 use protocol::{
     FunctionUpdate, JobResult, LeaseOutcome, LeaseRequest, Message, RequestId, RunnerStage,
     RunnerUpdate, UpdateVersion,
@@ -46,16 +47,7 @@
 /// Digest of the requests of a job.
 fn request_digest(job: usize) -> [u8; 16] {
     let body = format!("body {job}");
-    let request = JobRequest {
-        tenant: None,
-        host: "one.example",
-        route: "sign",
-        function: "sign",
-        method: "POST",
-        target: "/sign",
-        body: body.as_bytes(),
-    };
-    request.digest()
+    sign_request(body.as_bytes()).digest()
 }
 
 impl GatewayNode {
--- a/crates/jobs/tests/cluster/mod.rs
+++ b/crates/jobs/tests/cluster/mod.rs
@@ -6,6 +6,8 @@
 mod messages;
 mod oracle;
 mod runner_attempts;
+#[path = "../sign_request/mod.rs"]
+mod sign_request;
 
 pub use gateway::GatewayNode;
 pub use oracle::{ClientOutcome, Oracle};
--- a/crates/jobs/tests/coordinator.rs
+++ b/crates/jobs/tests/coordinator.rs
@@ -1,25 +1,18 @@
 //! The job coordinator on its own: its transitions, its memory bounds, and its robustness against arbitrary events.
 
+mod sign_request;
+
 use fuzzing::seeded;
 use jobs::{
     is_valid_idempotency_key, register_key, Claim, ClaimHolder, ClaimState, ClaimWriter, JobAction,
-    JobCoordinator, JobRequest,
+    JobCoordinator,
 };
 use protocol::{
     JobAttempt, JobCompletion, JobResult, JobVerdict, LeaseRequest, RegisterResponse, RequestId,
 };
+use sign_request::sign_request;
 use speedy::{Readable, Writable};
 
-const SIGN_BUILD: JobRequest<'static> = JobRequest {
-    tenant: None,
-    host: "one.example",
-    route: "sign",
-    function: "sign",
-    method: "POST",
-    target: "/sign",
-    body: b"build",
-};
-
 fn lease_request(request: u64, key: &str, at_most_once: bool) -> LeaseRequest {
     LeaseRequest {
         request_id: RequestId(request),
@@ -33,7 +26,7 @@
 fn attempt(key: &str, at_most_once: bool) -> JobAttempt {
     JobAttempt {
         key: key.into(),
-        digest: SIGN_BUILD.digest(),
+        digest: sign_request(b"build").digest(),
         at_most_once,
         incarnation: 7,
         number: 1,
@@ -138,7 +131,7 @@
     assert!(jobs.lease_rejected(1, "g1", RequestId(4), 300));
     assert!(jobs.take_actions().is_empty());
     let done = Claim {
-        digest: SIGN_BUILD.digest(),
+        digest: sign_request(b"build").digest(),
         holder: ClaimHolder::default(),
         writer: ClaimWriter {
             incarnation: 9,
--- a/crates/jobs/tests/running_job/mod.rs
+++ b/crates/jobs/tests/running_job/mod.rs
@@ -1,22 +1,17 @@
 //! Helpers for tests: a coordinator with a running job.
 #![allow(dead_code)]
 
-use jobs::{JobAction, JobAdmission, JobCoordinator, JobRequest};
+#[path = "../sign_request/mod.rs"]
+mod sign_request;
+
+use jobs::{JobAction, JobAdmission, JobCoordinator};
 use protocol::{JobAttempt, LeaseRequest, RegisterResponse, RequestId};
+use sign_request::sign_request;
 
 pub const KEY: &str = "k";
 
 pub fn admission() -> JobAdmission {
-    let request = JobRequest {
-        tenant: None,
-        host: "one.example",
-        route: "sign",
-        function: "sign",
-        method: "POST",
-        target: "/sign",
-        body: b"build",
-    };
-    JobAdmission::new(KEY.into(), request.digest(), true, 7)
+    JobAdmission::new(KEY.into(), sign_request(b"build").digest(), true, 7)
 }
 
 pub fn lease_request(request: u64, attempt: JobAttempt) -> LeaseRequest {
--- /dev/null
+++ b/crates/jobs/tests/sign_request/mod.rs
@@ -0,0 +1,16 @@
+//! A request to sign something, as a job.
+
+use jobs::JobRequest;
+
+/// A request without a tenant whose body is to be signed.
+pub fn sign_request(body: &[u8]) -> JobRequest<'_> {
+    JobRequest {
+        tenant: None,
+        host: "one.example",
+        route: "sign",
+        function: "sign",
+        method: "POST",
+        target: "/sign",
+        body,
+    }
+}
