Soak: another host's requests bear the keys of jobs

Cause: no requests of two hosts shared a key in the soak, so that MIXED was never judged for them.

Change: a second host's route leads to the same function, and after one round of copies in three a request of that host bears the job's key, method, target and body. Its copies are judged as a job of their own, so that an answer of the first host's is a finding.

--- a/tests/cluster/src/soak/jobs.rs
+++ b/tests/cluster/src/soak/jobs.rs
@@ -3,14 +3,21 @@
 use super::ledger::{JobCopy, JobRecord, Ledger};
 use super::tenants::STEADY;
 use crate::client::{send_request, ClientRequest};
+use crate::operator::{route, with_idempotency_header, IDEMPOTENCY_KEY};
 use crate::runner::{CREDENTIAL, FAULT, SIZE, WORK};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-const KEY: &str = "Idempotency-Key";
+const PREFIX: &str = "/write/";
+const TARGET: &str = "/write/job";
+/// A host whose clients use the same keys.
+const OTHER_HOST: &str = "two.example";
+/// After one round of copies in this many, a request of the other host has the job's key.
+const OTHER_HOST_ONE_IN: u32 = 3;
 /// Gives these clients a different random sequence than the others.
 const SEED_OFFSET: u64 = 0x6a6f_6273;
 /// How many times a job is submitted until one of its copies succeeds.
@@ -29,8 +36,9 @@
             id_prefix: format!("job-{number}-{sent}"),
             credential: STEADY[number as usize % STEADY.len()].1,
         };
-        let record = run_job(&client, &mut random, gateways, ledger, is_over);
-        ledger.record_job(record);
+        for record in run_job(&client, &mut random, gateways, ledger, is_over) {
+            ledger.record_job(record);
+        }
         std::thread::sleep(Duration::from_millis(random.random_range(5..60)));
     }
 }
@@ -43,17 +51,22 @@
     credential: &'static str,
 }
 
+/// Submits a job, and requests of another host with its key. Returns the copies of both.
 fn run_job(
     client: &JobClient,
     random: &mut StdRng,
     gateways: &[SocketAddr],
     ledger: &Ledger,
     is_over: &AtomicBool,
-) -> JobRecord {
+) -> [JobRecord; 2] {
     let mut record = JobRecord {
         key: client.id_prefix.clone(),
         copies: Vec::new(),
     };
+    let mut elsewhere = JobRecord {
+        key: format!("{}-elsewhere", client.id_prefix),
+        copies: Vec::new(),
+    };
     let work = random.random_range(0..120);
     let size = random.random_range(0..4_000);
     let fault = random.random_ratio(1, 8).then_some("lose");
@@ -61,9 +74,9 @@
         let copies: Vec<(ClientRequest, SocketAddr)> = (0..random.random_range(1..4))
             .map(|number| {
                 let id = format!("{}-{round}-{number}", client.id_prefix);
-                let mut request = ClientRequest::get("/write/job", &id)
+                let mut request = ClientRequest::get(TARGET, &id)
                     .post(client.key.as_bytes())
-                    .with(KEY, &client.key)
+                    .with(IDEMPOTENCY_KEY, &client.key)
                     .with(CREDENTIAL, client.credential)
                     .with(WORK, work)
                     .with(SIZE, size);
@@ -74,6 +87,12 @@
             })
             .collect();
         record.copies.extend(send_copies(copies, ledger));
+        if random.random_ratio(1, OTHER_HOST_ONE_IN) {
+            let gateway = gateways[random.random_range(0..gateways.len())];
+            let request = request_elsewhere(client, round);
+            let copy = send_copy(&request, gateway, ledger);
+            elsewhere.copies.push(copy);
+        }
         let has_succeeded = record
             .copies
             .iter()
@@ -82,7 +101,30 @@
             break;
         }
     }
-    record
+    [record, elsewhere]
+}
+
+/// A request of another host that has the job's key, method, target and body. It is no copy of the job, but one of the other
+/// host's requests with the same key.
+fn request_elsewhere(client: &JobClient, round: usize) -> ClientRequest {
+    let id = format!("{}-{round}-elsewhere", client.id_prefix);
+    let request = ClientRequest {
+        host: OTHER_HOST.into(),
+        ..ClientRequest::get(TARGET, &id)
+    };
+    request
+        .post(client.key.as_bytes())
+        .with(IDEMPOTENCY_KEY, &client.key)
+        .with(CREDENTIAL, client.credential)
+}
+
+/// Adds a route by which another host's requests for the same target reach the same function.
+pub fn add_other_host(document: &mut Value) {
+    let mut other = route("write-elsewhere", PREFIX, "unsafe", "plain");
+    other["host"] = json!(OTHER_HOST);
+    let routes = document["routes"].as_array_mut();
+    let routes = routes.expect("there are routes");
+    routes.push(with_idempotency_header(other, IDEMPOTENCY_KEY));
 }
 
 /// Sends copies of a job concurrently.
--- a/tests/cluster/src/soak/run.rs
+++ b/tests/cluster/src/soak/run.rs
@@ -78,10 +78,11 @@
     report(schedule, findings, &ledger, folder)
 }
 
-/// The base configuration with a route whose targets look like the system's.
+/// The base configuration with a route whose targets look like the system's, and one of another host for jobs.
 fn soak_configuration(version: u64) -> Value {
     let mut document = configuration(version);
     system_names::add_route(&mut document);
+    jobs::add_other_host(&mut document);
     document
 }
 
