--- a/tests/known_failures/src/entry.rs
+++ b/tests/known_failures/src/entry.rs
@@ -15,7 +15,7 @@
     Steady,
     /// A cargo test that fails now and then.
     Flaky,
-    /// A script that the test run does not start.
+    /// A script, or a program with a seed, that the test run does not start.
     Script,
 }
 
@@ -35,7 +35,7 @@
 pub struct KnownFailure {
     /// How it shows itself.
     pub kind: Kind,
-    /// `binary::test` of a cargo test, or the path of a script relative to the workspace.
+    /// `binary::test` of a cargo test, or the path of a script or of a program's source relative to the workspace.
     pub name: String,
     /// Command and seed that show the failure.
     pub command: String,
