A completion answers only requests that are alike with its own

Cause: where a function's owner changes while a job runs, a request with the key and another digest may reach the new owner first, which takes its digest for the job's. The completion of the run then answered all that waited; its digest was not compared, unlike that of the register.

Excluded: the gateway, which passes on its owner's verdict, and the digest, which has host and route.

Change: both ways in which an owner learns of a run go through set_digest: what waits with another digest gets 422, and the job keeps the digest of the request that ran.

Conclusion: no way is left in which an owner answers without comparing.

--- a/crates/jobs/src/completions.rs
+++ b/crates/jobs/src/completions.rs
@@ -9,6 +9,8 @@
 struct EndedAttempt {
     holder: ClaimHolder,
     number: u32,
+    /// Digest of its request.
+    digest: [u8; 16],
     register_version: u64,
     result: JobResult,
 }
@@ -61,14 +63,14 @@
                 request_id: completion.request_id,
             },
             number: completion.attempt.number,
+            digest: completion.attempt.digest,
             register_version: completion.register_version,
             result: completion.result,
         };
         let known = self.table.take(&key);
         let at_most_once = completion.attempt.at_most_once;
-        let digest = completion.attempt.digest;
         let Some(mut job) =
-            known.or_else(|| self.create_completed(now, &key, &attempt, digest, at_most_once))
+            known.or_else(|| self.create_completed(now, &key, &attempt, at_most_once))
         else {
             return;
         };
@@ -91,7 +93,6 @@
         now: u64,
         key: &str,
         attempt: &EndedAttempt,
-        digest: [u8; 16],
         at_most_once: bool,
     ) -> Option<Job> {
         if !attempt.has_run() {
@@ -99,7 +100,7 @@
         }
         let job = self.table.create(now, key)?;
         Some(Job {
-            digest,
+            digest: attempt.digest,
             at_most_once,
             register_version: attempt.register_version,
             state: JobState::RunningElsewhere {
@@ -122,6 +123,7 @@
                 job.waiting.insert(0, request);
             }
         }
+        self.set_digest(job, attempt.digest);
         job.register_version = job.register_version.max(attempt.register_version);
         let response = match attempt.result {
             JobResult::NotRun => return self.admit_next(now, key, job),
--- a/crates/jobs/src/coordinator.rs
+++ b/crates/jobs/src/coordinator.rs
@@ -116,6 +116,16 @@
         }
     }
 
+    /// Records the digest of the request that runs the job, or ran it, as learned from elsewhere. Waiting requests with
+    /// another digest reuse its key: they get a verdict, and never its response.
+    pub(crate) fn set_digest(&mut self, job: &mut Job, digest: [u8; 16]) {
+        if job.digest == digest {
+            return;
+        }
+        self.resolve_waiting(job, &JobVerdict::OtherRequest);
+        job.digest = digest;
+    }
+
     /// Asks a controller to write the claim of the admitted request.
     pub(crate) fn write_claim(&mut self, now: u64, key: &str, job: &Job) {
         let JobState::Claiming {
--- a/crates/jobs/src/register_responses.rs
+++ b/crates/jobs/src/register_responses.rs
@@ -199,10 +199,7 @@
         job.register_version = found.version;
         job.release = None;
         job.issued_claims.clear();
-        if found.claim.digest != job.digest {
-            self.resolve_waiting(job, &JobVerdict::OtherRequest);
-            job.digest = found.claim.digest;
-        }
+        self.set_digest(job, found.claim.digest);
         if let ClaimState::Done(response) = found.claim.state {
             self.resolve_waiting(job, &completed_verdict(response.as_ref()));
             job.state = JobState::Completed {
