--- a/crates/gateway/src/job_messages.rs
+++ b/crates/gateway/src/job_messages.rs
@@ -7,7 +7,7 @@
 use crate::request_accounting::RequestEnd;
 use crate::stored_response::{pack, unpack, StoredResponse};
 use http1::{ErrorStatus, Request, Response};
-use jobs::{is_valid_idempotency_key, job_key, JobAdmission, JobRequest};
+use jobs::{is_valid_idempotency_key, job_key, JobAdmission, RequestIdentity};
 use protocol::{JobCompletion, JobResult, JobVerdict, Message, RequestId};
 use routing::Binding;
 use std::sync::Arc;
@@ -39,7 +39,7 @@
             return Err(InvalidIdempotencyKey);
         }
         let tenant = tenant.map(AsRef::as_ref);
-        let job_request = JobRequest {
+        let identity = RequestIdentity {
             tenant,
             host: &binding.host,
             route: &binding.name,
@@ -48,7 +48,7 @@
             target: &request.target,
             body: &request.body,
         };
-        let digest = job_request.digest();
+        let digest = identity.digest();
         let incarnation = self.identity.incarnation;
         let key = job_key(tenant, text);
         let job = JobAdmission::new(key, digest, binding.at_most_once, incarnation);
--- a/crates/jobs/src/claim.rs
+++ b/crates/jobs/src/claim.rs
@@ -45,7 +45,7 @@
 /// The value of a job's register.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub struct Claim {
-    /// Digest of the request, see [`JobRequest::digest`](crate::JobRequest::digest).
+    /// Digest of the request, see [`RequestIdentity::digest`](crate::RequestIdentity::digest).
     pub digest: [u8; 16],
     /// The request that runs the job, or ran it.
     pub holder: ClaimHolder,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -3,7 +3,7 @@
 //! others. An at-most-once job is first claimed in a replicated register on the controllers' disks, before its request is
 //! sent to a runner.
 //!
-//! - `job_request`: what the copies of a job have in common;
+//! - `request_identity`: what the copies of a job have in common;
 //! - `claim`: the value of a job's register;
 //! - `job`, `job_table`, `register_requests`, `outbox`: the parts of the coordinator's state, each with its own invariant;
 //! - `coordinator` and its `impl` blocks in `arrivals`, `completions`, `register_responses` and `timeouts`: the state
@@ -21,11 +21,11 @@
 mod coordinator;
 mod job;
 mod job_admission;
-mod job_request;
 mod job_table;
 mod outbox;
 mod register_requests;
 mod register_responses;
+mod request_identity;
 mod timeouts;
 mod unacknowledged_results;
 
@@ -37,5 +37,5 @@
 };
 pub use coordinator::JobCoordinator;
 pub use job_admission::JobAdmission;
-pub use job_request::JobRequest;
+pub use request_identity::RequestIdentity;
 pub use unacknowledged_results::UnacknowledgedResults;
--- a/crates/jobs/src/job_request.rs
+++ b/crates/jobs/src/request_identity.rs
@@ -5,7 +5,7 @@
 /// All that decides what runs for a request and who may read the answer. Requests that bear the same idempotency key are
 /// copies of one job only if they are alike in each part; otherwise none gets the other's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct JobRequest<'a> {
+pub struct RequestIdentity<'a> {
     /// Name of the client's tenant, if there is one.
     pub tenant: Option<&'a str>,
     /// Host of the route.
@@ -22,7 +22,7 @@
     pub body: &'a [u8],
 }
 
-impl JobRequest<'_> {
+impl RequestIdentity<'_> {
     /// Digest of all parts. It is stored with the job, and a response is returned only to requests with the same digest.
     ///
     /// A job that was stored by a version whose digest had fewer parts is known by its key and has another digest, so its
--- a/crates/jobs/tests/job_request.rs
+++ b/crates/jobs/tests/request_identity.rs
@@ -1,13 +1,13 @@
 //! Requests that differ in one part that decides what runs, or who may read the answer, are no copies of one job.
 
 use fuzzing::seeded;
-use jobs::JobRequest;
+use jobs::RequestIdentity;
 
-/// Owned parts of a request, in the order of [`JobRequest`].
+/// Owned parts of a request, in the order of [`RequestIdentity`].
 type Parts = (Option<String>, [String; 5], Vec<u8>);
 
 fn digest((tenant, [host, route, function, method, target], body): &Parts) -> [u8; 16] {
-    let request = JobRequest {
+    let request = RequestIdentity {
         tenant: tenant.as_deref(),
         host,
         route,
