The fault library renames by a call that aarch64 has too; a check for its kind

The product itself was not affected.

Change: `renameat2` with AT_FDCWD for both folders and no flags, which does the same and which both processors have. The record of sizes is as before.

The class, looked for in crates, platform and tests: other calls by number (write, fsync, fdatasync, nanosleep, clock_gettime: both processors have them), a 32-bit 0 passed to nanosleep for a pointer (now a null pointer), `c_char` as i8 (none), C structs (timespec, sock_filter, sock_fprog, all from the libc crate), page size and ticks (none; sysconf), target_arch (none), byte order on disk and wire (explicit), floats that daemons must agree on (none). The packages of deploy/system.toml (binutils, gcc, libc6-dev) exist for both.

--- a/tests/fault_injection/src/lib.rs
+++ b/tests/fault_injection/src/lib.rs
@@ -7,11 +7,12 @@
 //! `sync-fails`, `wall=<ms>`), and the library appends a line to `synced` for each sync, with the
 //! size and path of the file, that is, how much of it survives a power loss.
 
-use libc::{c_char, c_int, c_long, c_void, size_t, ssize_t, timespec};
+use libc::{c_char, c_int, c_long, c_uint, c_void, size_t, ssize_t, timespec};
 use std::ffi::CStr;
 use std::fs;
 use std::io::Write;
 use std::path::{Path, PathBuf};
+use std::ptr;
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::OnceLock;
 
@@ -65,9 +66,10 @@
 
 fn stall() {
     let interval = STALL_POLL_INTERVAL;
+    let no_remaining_time = ptr::null_mut::<timespec>();
     while has_command("stall") {
         // SAFETY: `interval` is a valid time, and a null pointer for the remaining time is allowed.
-        unsafe { libc::syscall(libc::SYS_nanosleep, &raw const interval, 0) };
+        unsafe { libc::syscall(libc::SYS_nanosleep, &raw const interval, no_remaining_time) };
     }
 }
 
@@ -131,6 +133,24 @@
     sync(fd, libc::SYS_fdatasync)
 }
 
+/// Renames a file. aarch64 has no system call `rename`; `renameat2` does the same on each processor.
+///
+/// # Safety
+///
+/// The same requirements as for the C library's `rename`.
+unsafe fn rename_file(old: *const c_char, new: *const c_char) -> c_int {
+    const NO_FLAGS: c_uint = 0;
+    let current_folder = libc::AT_FDCWD;
+    libc::syscall(
+        libc::SYS_renameat2,
+        current_folder,
+        old,
+        current_folder,
+        new,
+        NO_FLAGS,
+    ) as c_int
+}
+
 /// Interposes `rename`: records the size of a file that was renamed into the data folder as synced.
 ///
 /// # Safety
@@ -138,9 +158,13 @@
 /// The same requirements as for the C library's function.
 #[no_mangle]
 pub unsafe extern "C" fn rename(old: *const c_char, new: *const c_char) -> c_int {
-    let code = libc::syscall(libc::SYS_rename, old, new) as c_int;
+    let code = rename_file(old, new);
+    if code != 0 {
+        // Nothing else is called, so that `errno` stays as it is.
+        return code;
+    }
     let new = fs::canonicalize(CStr::from_ptr(new).to_string_lossy().as_ref());
-    if let (0, Ok(new), Some(folders)) = (code, new, folders()) {
+    if let (Ok(new), Some(folders)) = (new, folders()) {
         if new.starts_with(&folders.data) {
             record_synced(&new);
         }
